Set up the workspace, shared types and the protocols between processes

The identifiers, units, verdicts, bundle model and messages come first, so that the crates above them can be built side by side.

--- /dev/null
+++ b/laburnumcart/src/id.rs
@@ -0,0 +1,295 @@
+//! Names and numbers that identify things across processes.
+
+use std::{
+    fmt, //
+    str,
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Longest name in bytes.
+pub const NAME_MAX: usize = 63;
+
+/// A text that is not a valid identifier of the wanted kind.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+#[display("invalid {kind}: {text:?}")]
+pub struct ParseError {
+    /// Kind of identifier that was expected.
+    pub kind: &'static str,
+    /// Text that was found, cut to [`NAME_MAX`] characters.
+    pub text: String,
+}
+
+impl ParseError {
+    /// Creates an error for `text`, cut so that a hostile input cannot fill a log line.
+    pub fn new(kind: &'static str, text: &str) -> Self {
+        Self {
+            kind,
+            text: text.chars().take(NAME_MAX).collect(),
+        }
+    }
+}
+
+/// Reports whether `text` is a name: 1 to 63 of `a-z 0-9 . _ -`, starting with a letter or digit.
+fn is_name(text: &str) -> bool {
+    let plain = |b: &u8| b.is_ascii_lowercase() || b.is_ascii_digit();
+    let valid = |b: u8| plain(&b) || matches!(b, b'.' | b'_' | b'-');
+    text.len() <= NAME_MAX && text.as_bytes().first().is_some_and(plain) && text.bytes().all(valid)
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+            schemars::JsonSchema,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        #[schemars(with = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                if is_name(text) {
+                    Ok(Self(text.into()))
+                } else {
+                    Err(ParseError::new($kind, text))
+                }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseError;
+
+            fn try_from(text: String) -> Result<Self, ParseError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().into()
+            }
+        }
+    };
+}
+
+name!(
+    /// A paying customer whose requests share one promise.
+    TeamName,
+    "team name"
+);
+name!(
+    /// A pipeline of stages.
+    PipelineName,
+    "pipeline name"
+);
+name!(
+    /// One stage of a pipeline.
+    StageName,
+    "stage name"
+);
+name!(
+    /// A pool of interchangeable targets.
+    ServiceName,
+    "service name"
+);
+name!(
+    /// One back end process that executes stages.
+    TargetName,
+    "target name"
+);
+name!(
+    /// One machine or process of the system.
+    InstanceName,
+    "instance name"
+);
+name!(
+    /// A data centre.
+    DataCentre,
+    "data centre name"
+);
+name!(
+    /// A key that signs bundles.
+    KeyName,
+    "key name"
+);
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $width:literal, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// Draws a random number from the system's generator.
+            pub fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                let digits = text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+                if text.len() != $width || !digits {
+                    return Err(ParseError::new($kind, text));
+                }
+                <$inner>::from_str_radix(text, 16)
+                    .map(Self)
+                    .map_err(|_| ParseError::new($kind, text))
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
+                out.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+                struct Visitor;
+
+                impl serde::de::Visitor<'_> for Visitor {
+                    type Value = $name;
+
+                    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                        f.write_str(concat!($width, " hexadecimal digits"))
+                    }
+
+                    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<$name, E> {
+                        text.parse().map_err(E::custom)
+                    }
+                }
+
+                input.deserialize_str(Visitor)
+            }
+        }
+    };
+}
+
+number!(
+    /// One caller's request, unique over time.
+    RequestId,
+    u128,
+    32,
+    "request id"
+);
+number!(
+    /// One dispatch of a stage to one target, unique over time.
+    AttemptId,
+    u128,
+    32,
+    "attempt id"
+);
+number!(
+    /// One life of one process, drawn at its start.
+    Incarnation,
+    u64,
+    16,
+    "incarnation"
+);
+number!(
+    /// What a request asks for, equal for a resend under a new [`RequestId`].
+    Fingerprint,
+    u128,
+    32,
+    "fingerprint"
+);
+number!(
+    /// Checksum of a whole stage result (xxh3, 128 bits).
+    Checksum,
+    u128,
+    32,
+    "checksum"
+);
+
+impl Fingerprint {
+    /// Digests what identifies a request's content: its team, its pipeline and its body.
+    pub fn of(team: &TeamName, pipeline: &PipelineName, body: &[u8]) -> Self {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        // A zero byte cannot occur in a name, so no two triples run together.
+        hash.update(team.as_str().as_bytes());
+        hash.update(&[0]);
+        hash.update(pipeline.as_str().as_bytes());
+        hash.update(&[0]);
+        hash.update(body);
+        Self(hash.digest128())
+    }
+}
+
+/// Serial number of an accepted bundle; only ever grows.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    derive_more::FromStr,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+    schemars::JsonSchema,
+)]
+#[serde(transparent)]
+pub struct Generation(pub u64);
+
+impl Generation {
+    /// Returns the number after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Number of an agent's term over its target; an order with a lower one is stale.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    derive_more::FromStr,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Term(pub u64);
--- /dev/null
+++ b/laburnumcart/src/lib.rs
@@ -0,0 +1,10 @@
+//! Coordination and policy for multi-stage model pipelines, as plain state machines.
+//!
+//! Nothing in this crate opens a socket or spawns a task. Time comes in as an argument or from the
+//! runtime's clock, so that a test can pause and advance it.
+
+pub mod attempt;
+pub mod bundle;
+pub mod id;
+pub mod unit;
+pub mod verdict;
--- /dev/null
+++ b/laburnumcart/src/verdict.rs
@@ -0,0 +1,127 @@
+//! What is known about whether a request has run.
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::unit;
+
+/// Whether a request that failed may have executed at a target.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// Proven not to have executed and never to execute later.
+    #[display("not-run")]
+    NotRun,
+    /// Executed, is executing, or may do so later.
+    #[display("may-have-run")]
+    MayHaveRun,
+}
+
+impl Verdict {
+    /// Combines the verdicts of two parts of one request: only two proofs are a proof.
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+            _ => Self::MayHaveRun,
+        }
+    }
+}
+
+/// Why a request was refused or given up on.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum Reason {
+    /// The call is malformed.
+    Invalid,
+    /// The caller's token belongs to no team.
+    Unauthorized,
+    /// The team has no such pipeline.
+    UnknownPipeline,
+    /// A body, header or deadline exceeds its limit.
+    TooLarge,
+    /// A non-idempotent request came without an idempotency key.
+    KeyMissing,
+    /// The idempotency key was used before with another body.
+    KeyReused,
+    /// The request with this key has run or may have, and its answer is no longer kept.
+    AlreadyClaimed,
+    /// The claim could not be made durable.
+    ClaimUnavailable,
+    /// The rest of the pipeline cannot finish within the remaining time.
+    DeadlineTooShort,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// The team exceeds its share while there is contention.
+    OverShare,
+    /// Queues are full.
+    Overloaded,
+    /// The process or target is stopping.
+    Leaving,
+    /// No target of the service is reachable.
+    NoTarget,
+    /// The request crashed several targets and is refused for a while.
+    Quarantined,
+    /// The call names another incarnation than the one that received it.
+    WrongIncarnation,
+    /// The call came over a session that a newer one has fenced.
+    Fenced,
+    /// The target failed while it executed the request.
+    TargetFailed,
+    /// The target refused the request as wrong.
+    TargetRefused,
+    /// The connection to the process that held the attempt was lost for good.
+    Lost,
+    /// A result was incomplete or failed its checksum.
+    Corrupt,
+    /// The caller went away.
+    Cancelled,
+    /// No bundle is in force yet.
+    NoBundle,
+}
+
+/// Final negative answer to a request or to one attempt.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq, Serialize, Deserialize)]
+#[display("{reason} ({verdict})")]
+pub struct Refusal {
+    /// Whether the request may have executed.
+    pub verdict: Verdict,
+    /// Cause.
+    pub reason: Reason,
+    /// Time after which a new try is worthwhile.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry: Option<unit::Period>,
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that provably did not execute.
+    pub fn not_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+            retry: None,
+        }
+    }
+
+    /// Creates the answer for a request that may have executed.
+    pub fn may_have_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+            retry: None,
+        }
+    }
+
+    /// Adds the time after which a new try is worthwhile.
+    #[must_use]
+    pub fn retry_after(mut self, period: unit::Period) -> Self {
+        self.retry = Some(period);
+        self
+    }
+}
--- /dev/null
+++ b/laburnumcart_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator command line.
--- /dev/null
+++ b/laburnumcart_daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! What the daemons share: start, settings, logs, traces, metrics and stop.
--- /dev/null
+++ b/laburnumcart_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry daemon: callers' requests, pipelines and routing.
--- /dev/null
+++ b/laburnumcart_fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and services, and a load tool.
--- /dev/null
+++ b/laburnumcart_platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Client of the platform's object service.
+
+pub mod store;
--- /dev/null
+++ b/laburnumcart_wire/src/lane.rs
@@ -0,0 +1,22 @@
+//! Numbering of the connections between one caller and one agent.
+//!
+//! A connection can go silent for good while bytes of it are still under way. The caller then opens
+//! a new one with the next session number. The agent refuses every call that names an older session
+//! of the lane, so that a call which it has not seen by then can never start: "unknown" is a proof
+//! of "not run", with one number of state a lane.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use laburnumcart::id;
+
+/// Place of a connection in its lane; sent with every call that can start work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Session {
+    /// Life of the process that opened the lane.
+    pub lane: id::Incarnation,
+    /// Number of the connection within the lane, from 1.
+    pub number: u64,
+}
