--- a/laburnumcart_wire/src/gossip.rs
+++ b/laburnumcart/src/facts.rs
@@ -5,7 +5,7 @@
     Serialize, //
 };
 
-use laburnumcart::{
+use crate::{
     id,
     unit, //
 };
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -11,12 +11,12 @@
 use serde_json::value;
 
 use laburnumcart::{
+    facts,
     id,
     unit, //
 };
 
 use crate::{
-    gossip,
     lane,
     stage, //
 };
@@ -29,7 +29,7 @@
     /// This connection.
     pub session: lane::Session,
     /// The caller's facts.
-    pub facts: gossip::Facts,
+    pub facts: facts::Facts,
 }
 
 /// Answer to [`Hello`] and to every heartbeat.
@@ -50,7 +50,7 @@
     /// Load of the target.
     pub load: Load,
     /// The agent's facts.
-    pub facts: gossip::Facts,
+    pub facts: facts::Facts,
 }
 
 /// Load of a target as its agent sees it.
@@ -72,7 +72,7 @@
     /// This connection.
     pub session: lane::Session,
     /// The caller's facts, if they changed since the last beat.
-    pub facts: Option<gossip::Facts>,
+    pub facts: Option<facts::Facts>,
 }
 
 /// A signed bundle as processes pass it on.
--- a/laburnumcart_wire/src/entry.rs
+++ b/laburnumcart_wire/src/entry.rs
@@ -10,15 +10,13 @@
 };
 
 use laburnumcart::{
+    facts,
     id,
     unit,
     verdict, //
 };
 
-use crate::{
-    agent,
-    gossip, //
-};
+use crate::agent;
 
 /// State of an entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -38,7 +36,7 @@
     /// Agents that it has a live connection to.
     pub agents: u32,
     /// The entry's facts.
-    pub facts: gossip::Facts,
+    pub facts: facts::Facts,
 }
 
 /// Asks the owner of a shard to claim a key.
--- a/laburnumcart_wire/src/lib.rs
+++ b/laburnumcart_wire/src/lib.rs
@@ -5,6 +5,5 @@
 
 pub mod agent;
 pub mod entry;
-pub mod gossip;
 pub mod lane;
 pub mod stage;
