Add documents with all faults by path, signed envelopes and the head

Settings and bundles are checked against the JSON Schema of their type before they are read, so that one run reports every fault. The head lists the last generations beside the current one: an operator whose answer was lost finds its nonce there even when others have moved the head since.

--- a/laburnumcart/src/bundle.rs
+++ b/laburnumcart/src/bundle.rs
@@ -15,6 +15,8 @@
     unit, //
 };
 
+pub mod check;
+
 /// The only format number so far.
 pub const FORMAT: u32 = 1;
 
--- /dev/null
+++ b/laburnumcart/src/document/explain.rs
@@ -0,0 +1,161 @@
+//! Faults found by a schema, in words that tell an operator what to write instead.
+
+use jsonschema::{
+    error, //
+    paths,
+};
+use serde_json::Value;
+
+use super::fault;
+use crate::{
+    id,
+    seal,
+    unit, //
+};
+
+/// Checks the text of one format.
+type Check = fn(&str) -> Result<(), id::ParseError>;
+
+/// Formats that documents use beside those of JSON Schema.
+pub(super) const FORMATS: &[(&str, Check)] = &[
+    ("size", |text| text.parse::<unit::Size>().map(drop)),
+    ("period", |text| text.parse::<unit::Period>().map(drop)),
+    ("rate", |text| text.parse::<unit::Rate>().map(drop)),
+    ("share", |text| text.parse::<unit::Share>().map(drop)),
+    ("public-key", |text| {
+        text.parse::<seal::PublicKey>().map(drop)
+    }),
+];
+
+/// Least similarity, from 0 to 1, at which a name is offered as a correction.
+const SIMILAR: f64 = 0.6;
+
+/// Adds the faults that one error stands for.
+pub(super) fn explain(
+    schema: &Value,
+    error: &jsonschema::ValidationError<'_>,
+    faults: &mut fault::Faults,
+) {
+    use error::ValidationErrorKind as Kind;
+
+    let path = fault::Path::from_location(error.instance_path());
+    let parent = parent(schema, error.schema_path());
+    match error.kind() {
+        Kind::AdditionalProperties { unexpected } => {
+            for key in unexpected {
+                faults.push(path.key(key), unknown_key(parent, key));
+            }
+        }
+        Kind::Required { property } => {
+            let key = property.as_str().unwrap_or_default();
+            faults.push(path.key(key), "missing");
+        }
+        // Texts of a format have a pattern too, for other tools; the format says it better.
+        Kind::Pattern { .. } if has_format(parent) => {}
+        Kind::Pattern { .. } => faults.push(path, pattern(parent)),
+        Kind::Format { format } => faults.push(path, malformed(format, parent, error.instance())),
+        Kind::OneOfNotValid { .. } | Kind::AnyOf { .. } | Kind::Enum { .. } => {
+            faults.push(path, choice(parent, error.instance()));
+        }
+        // The value could be a secret, and so stays out of the message.
+        _ => faults.push(path, error.masked().to_string()),
+    }
+}
+
+/// Returns the schema that holds the keyword at `location`.
+fn parent<'a>(schema: &'a Value, location: &paths::Location) -> &'a Value {
+    let text = location.as_str();
+    let end = text.rfind('/').unwrap_or(0);
+    schema.pointer(&text[..end]).unwrap_or(&Value::Null)
+}
+
+/// Returns whether a schema names one of [`FORMATS`].
+fn has_format(schema: &Value) -> bool {
+    let name = schema["format"].as_str();
+    FORMATS.iter().any(|(format, _)| Some(*format) == name)
+}
+
+/// Describes a key that the object cannot have.
+fn unknown_key(schema: &Value, key: &str) -> String {
+    if schema.get("patternProperties").is_some() {
+        return "not a name (1 to 63 of a-z 0-9 . _ -, first a letter or digit)".into();
+    }
+    let known = schema["properties"].as_object();
+    let names = known.into_iter().flatten().map(|(name, _)| name.as_str());
+    match nearest(key, names) {
+        Some(name) => format!("unknown key; the nearest known one is {name:?}"),
+        None => "unknown key".into(),
+    }
+}
+
+/// Describes a text that does not match its pattern.
+fn pattern(schema: &Value) -> String {
+    match example(schema) {
+        Some(example) => format!("malformed; an example is {example}"),
+        None => format!("must match {}", schema["pattern"]),
+    }
+}
+
+/// Describes a text that is not of its format.
+fn malformed(format: &str, schema: &Value, found: &Value) -> String {
+    let text = found.as_str().unwrap_or_default();
+    let check = FORMATS.iter().find(|(name, _)| *name == format);
+    let problem = match check.map(|(_, check)| check(text)) {
+        Some(Err(error)) => error.to_string(),
+        _ => format!("not a valid {format}"),
+    };
+    match example(schema) {
+        Some(example) => format!("{problem}; an example is {example}"),
+        None => problem,
+    }
+}
+
+/// Describes a text that is none of the allowed ones.
+fn choice(schema: &Value, found: &Value) -> String {
+    let names = choices(schema);
+    if names.is_empty() {
+        return "not of an allowed form".into();
+    }
+    let near = nearest(found.as_str().unwrap_or_default(), names.iter().copied());
+    match near {
+        Some(name) => format!("must be one of {names:?}; the nearest is {name:?}"),
+        None => format!("must be one of {names:?}"),
+    }
+}
+
+/// Collects the texts that a choice allows.
+fn choices(schema: &Value) -> Vec<&str> {
+    let mut names = Vec::new();
+    for name in schema["enum"].as_array().into_iter().flatten() {
+        names.extend(name.as_str());
+    }
+    for branch in ["oneOf", "anyOf"] {
+        for option in schema[branch].as_array().into_iter().flatten() {
+            names.extend(option["const"].as_str());
+            names.extend(choices(option));
+        }
+    }
+    names
+}
+
+/// Returns the first example of a schema, as JSON text.
+fn example(schema: &Value) -> Option<String> {
+    schema["examples"].get(0).map(Value::to_string)
+}
+
+/// Returns the candidate that is most like `text`, if one is similar.
+fn nearest<'a>(text: &str, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    names
+        .map(|name| (strsim::normalized_damerau_levenshtein(text, name), name))
+        .filter(|(score, _)| *score >= SIMILAR)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, name)| name)
+}
+
+/// Describes a reference to something that does not exist.
+pub fn unknown<'a>(kind: &str, text: &str, names: impl Iterator<Item = &'a str>) -> String {
+    match nearest(text, names) {
+        Some(name) => format!("unknown {kind} {text:?}; the nearest known one is {name:?}"),
+        None => format!("unknown {kind} {text:?}"),
+    }
+}
--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -52,7 +52,10 @@
             schemars::JsonSchema,
         )]
         #[serde(try_from = "String", into = "String")]
-        #[schemars(with = "String")]
+        #[schemars(
+            with = "String",
+            extend("pattern" = r"^[a-z0-9][a-z0-9._-]{0,62}$", "examples" = ["north-1"])
+        )]
         pub struct $name(std::sync::Arc<str>);
 
         impl $name {
@@ -226,6 +229,13 @@
     32,
     "fingerprint"
 );
+number!(
+    /// One try of an operator to move the head, drawn anew for each.
+    Nonce,
+    u128,
+    32,
+    "nonce"
+);
 number!(
     /// Checksum of a whole stage result (xxh3, 128 bits).
     Checksum,
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod attempt;
 pub mod bundle;
+pub mod document;
 pub mod facts;
+pub mod head;
 pub mod id;
+pub mod seal;
 pub mod unit;
 pub mod verdict;
--- /dev/null
+++ b/laburnumcart/src/seal.rs
@@ -0,0 +1,248 @@
+//! Signed bundles: who signed, and whether that suffices.
+//!
+//! An envelope holds the text of a bundle with detached signatures over it. The digest of the
+//! envelope's own text names it wherever it is stored. A bundle's text is parsed only after its
+//! envelope was verified.
+
+use std::{
+    collections,
+    fmt, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    document,
+    id, //
+};
+
+pub use key::{
+    Digest,
+    PublicKey,
+    SecretKey,
+    Signature, //
+};
+
+mod key;
+
+/// Largest envelope in bytes, which is the largest value of the object service.
+pub const ENVELOPE_MAX: usize = 1 << 20;
+
+/// Most signatures on one envelope; more would let a forger buy processor time cheaply.
+pub const SIGNATURES_MAX: usize = 16;
+
+/// Prefix of what is signed, so that a signature cannot be used for anything but a bundle.
+const DOMAIN: &[u8] = b"laburnumcart bundle 1\n";
+
+/// A bundle's text with its signatures; the fields are in the order of their names, so that a
+/// reader that sorts members writes the same text.
+#[derive(Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Envelope {
+    /// JSON text of the bundle.
+    pub bundle: String,
+    /// Signatures over it.
+    pub signatures: Vec<Signed>,
+}
+
+/// One signature on an envelope.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Signed {
+    /// Who signed.
+    pub key: id::KeyName,
+    /// Ed25519 signature.
+    pub signature: Signature,
+}
+
+/// Keys that a process trusts, and how many signers it requires.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Trust {
+    /// Public keys of each signer; two while a signer changes keys.
+    pub keys: collections::BTreeMap<id::KeyName, Vec<PublicKey>>,
+    /// Number of different signers that an envelope needs.
+    #[serde(default = "default_required")]
+    pub required: u8,
+}
+
+fn default_required() -> u8 {
+    1
+}
+
+/// An envelope that bears enough valid signatures.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Verified {
+    bundle: String,
+    digest: Digest,
+    signers: Vec<id::KeyName>,
+}
+
+/// An envelope that must not be used.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum Rejected {
+    /// It exceeds [`ENVELOPE_MAX`].
+    #[display("envelope is larger than 1MiB")]
+    TooLarge,
+    /// It is not an envelope.
+    #[display("not a signed bundle")]
+    Malformed,
+    /// It is not the envelope that was asked for.
+    #[display("envelope differs from the one that was accepted")]
+    WrongDigest,
+    /// Too few trusted signers have signed this text.
+    #[display("signed by {valid} trusted signers, {required} required")]
+    TooFew {
+        /// Signers whose signature is valid.
+        valid: usize,
+        /// Signers that are needed.
+        required: u8,
+    },
+}
+
+impl Envelope {
+    /// Creates an envelope without signatures.
+    pub fn new(bundle: impl Into<String>) -> Self {
+        Self {
+            bundle: bundle.into(),
+            signatures: Vec::new(),
+        }
+    }
+
+    /// Reads the stored form.
+    pub fn parse(text: &str) -> Result<Self, Rejected> {
+        if text.len() > ENVELOPE_MAX {
+            return Err(Rejected::TooLarge);
+        }
+        let envelope: Self = serde_json::from_str(text).map_err(|_| Rejected::Malformed)?;
+        if envelope.signatures.len() > SIGNATURES_MAX {
+            return Err(Rejected::Malformed);
+        }
+        Ok(envelope)
+    }
+
+    /// Adds a signature; one of the same signer is replaced.
+    pub fn sign(&mut self, name: id::KeyName, key: &SecretKey) {
+        let signature = key.sign(&message(&self.bundle));
+        self.signatures.retain(|signed| signed.key != name);
+        self.signatures.push(Signed {
+            key: name,
+            signature,
+        });
+    }
+
+    /// Returns the stored form.
+    pub fn to_text(&self) -> String {
+        serde_json::to_string(self).expect("an envelope has only texts")
+    }
+}
+
+impl fmt::Debug for Envelope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bytes = self.bundle.len();
+        let names: Vec<_> = self.signatures.iter().map(|s| s.key.as_str()).collect();
+        write!(f, "Envelope({bytes} bytes, signed by {names:?})")
+    }
+}
+
+impl Verified {
+    /// Returns the bundle's text.
+    pub fn bundle(&self) -> &str {
+        &self.bundle
+    }
+
+    /// Returns the digest of the envelope.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns the trusted signers, in the order of their names.
+    pub fn signers(&self) -> &[id::KeyName] {
+        &self.signers
+    }
+}
+
+impl fmt::Debug for Verified {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Verified({}, signed by {:?})", self.digest, self.signers)
+    }
+}
+
+impl Trust {
+    /// Verifies an envelope in its stored form, which must have the digest if one is given.
+    ///
+    /// Signatures of unknown keys are passed over: while keys change, an envelope bears some that
+    /// not every process knows yet. The outcome does not depend on the order of the signatures, and
+    /// all are checked in any case.
+    pub fn verify(&self, text: &str, wanted: Option<Digest>) -> Result<Verified, Rejected> {
+        if text.len() > ENVELOPE_MAX {
+            return Err(Rejected::TooLarge);
+        }
+        let digest = Digest::of(text.as_bytes());
+        if wanted.is_some_and(|wanted| wanted != digest) {
+            return Err(Rejected::WrongDigest);
+        }
+        let envelope = Envelope::parse(text)?;
+        let signers = self.signers(&envelope);
+        // A requirement of none would accept an envelope that nobody signed.
+        if signers.len() < usize::from(self.required.max(1)) {
+            return Err(Rejected::TooFew {
+                valid: signers.len(),
+                required: self.required.max(1),
+            });
+        }
+        Ok(Verified {
+            bundle: envelope.bundle,
+            digest,
+            signers,
+        })
+    }
+
+    /// Returns the trusted signers with a valid signature.
+    fn signers(&self, envelope: &Envelope) -> Vec<id::KeyName> {
+        let message = message(&envelope.bundle);
+        let mut signers = collections::BTreeSet::new();
+        for signed in &envelope.signatures {
+            let keys = self.keys.get(&signed.key).into_iter().flatten();
+            let valid = keys.filter(|key| key.verify(&message, &signed.signature));
+            if valid.count() > 0 {
+                signers.insert(signed.key.clone());
+            }
+        }
+        signers.into_iter().collect()
+    }
+
+    /// Reports what is wrong with the settings at `path`.
+    pub fn check(&self, path: &document::Path, faults: &mut document::Faults) {
+        let mut owners = collections::HashMap::new();
+        for (name, keys) in &self.keys {
+            let at = path.key("keys").key(name.as_str());
+            if keys.is_empty() {
+                faults.push(at.clone(), "has no key");
+            }
+            for (index, key) in keys.iter().enumerate() {
+                // Else one person could count as two signers.
+                if let Some(owner) = owners.insert(*key, name) {
+                    faults.push(at.index(index), format!("is a key of {owner:?} too"));
+                }
+            }
+        }
+        let count = self.keys.len();
+        if self.required == 0 || usize::from(self.required) > count {
+            let problem = format!("must be from 1 to the number of signers, {count}");
+            faults.push(path.key("required"), problem);
+        }
+    }
+}
+
+/// Returns what is signed for a bundle.
+fn message(bundle: &str) -> Vec<u8> {
+    [DOMAIN, bundle.as_bytes()].concat()
+}
--- a/laburnumcart/src/unit.rs
+++ b/laburnumcart/src/unit.rs
@@ -44,7 +44,10 @@
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, schemars::JsonSchema,
 )]
-#[schemars(with = "String")]
+#[schemars(
+    with = "String",
+    extend("format" = "size", "pattern" = r"^[0-9]+(\.[0-9]+)?(B|KiB|MiB|GiB)$", "examples" = ["64KiB"])
+)]
 pub struct Size(pub u64);
 
 const SIZE_UNITS: [(&str, u64); 4] = [
@@ -86,7 +89,10 @@
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, schemars::JsonSchema,
 )]
-#[schemars(with = "String")]
+#[schemars(
+    with = "String",
+    extend("format" = "period", "pattern" = r"^[0-9]+(\.[0-9]+)?(us|ms|s|m|h)$", "examples" = ["250ms"])
+)]
 pub struct Period(pub time::Duration);
 
 const PERIOD_UNITS: [(&str, u64); 5] = [
@@ -145,7 +151,10 @@
 
 /// Events a second, written as `"600/s"`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, schemars::JsonSchema)]
-#[schemars(with = "String")]
+#[schemars(
+    with = "String",
+    extend("format" = "rate", "pattern" = r"^[0-9]+(\.[0-9]+)?/s$", "examples" = ["600/s"])
+)]
 pub struct Rate(pub f64);
 
 impl fmt::Display for Rate {
@@ -169,7 +178,10 @@
 
 /// A part of a whole from 0 to 1, written as `"25%"`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, schemars::JsonSchema)]
-#[schemars(with = "String")]
+#[schemars(
+    with = "String",
+    extend("format" = "share", "pattern" = r"^[0-9]+(\.[0-9]+)?%$", "examples" = ["25%"])
+)]
 pub struct Share(pub f64);
 
 impl fmt::Display for Share {
