--- /dev/null
+++ b/laburnumcart_system/src/fleet.rs
@@ -0,0 +1,494 @@
+//! A whole system of separate processes on loopback.
+
+use std::{
+    fs,
+    net,
+    path,
+    process::Command, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::{
+    http,
+    port,
+    process,
+    wait, //
+};
+
+/// Secret that the fleet's processes share.
+pub const SECRET: &str = "fleet-secret-for-tests-only-0123456789";
+
+/// Data centres that targets and entries are spread over.
+pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+/// One service and its stand-in targets.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name in the bundle.
+    pub name: &'static str,
+    /// `engine` or `pool`.
+    pub kind: &'static str,
+    /// Number of targets.
+    pub targets: usize,
+    /// More arguments for each stand-in.
+    pub args: Vec<&'static str>,
+}
+
+impl Service {
+    /// Describes a service.
+    pub fn new(name: &'static str, kind: &'static str, targets: usize) -> Self {
+        Self {
+            name,
+            kind,
+            targets,
+            args: Vec::new(),
+        }
+    }
+
+    /// Adds arguments for each stand-in.
+    #[must_use]
+    pub fn args(mut self, args: &[&'static str]) -> Self {
+        self.args.extend(args);
+        self
+    }
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    entries: usize,
+    services: Vec<Service>,
+    bundle: Value,
+    store: Vec<&'static str>,
+    stop: &'static str,
+}
+
+impl Plan {
+    /// Plans two entries, the given services and a bundle.
+    pub fn new(services: Vec<Service>, bundle: Value) -> Self {
+        Self {
+            entries: 2,
+            services,
+            bundle,
+            store: Vec::new(),
+            stop: "20s",
+        }
+    }
+
+    /// Sets the number of entries.
+    #[must_use]
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Adds arguments for the stand-in of the object service.
+    #[must_use]
+    pub fn store(mut self, args: &[&'static str]) -> Self {
+        self.store.extend(args);
+        self
+    }
+}
+
+/// One target with its agent.
+#[derive(Debug)]
+pub struct Node {
+    /// Name of the target.
+    pub name: String,
+    /// Service that it belongs to.
+    pub service: &'static str,
+    /// Address of the stand-in.
+    pub target_addr: net::SocketAddr,
+    /// Address of the agent for peers.
+    pub peer: net::SocketAddr,
+    /// Address of the agent's metrics.
+    pub admin: net::SocketAddr,
+    /// The stand-in.
+    pub target: process::Process,
+    /// The agent.
+    pub agent: process::Process,
+}
+
+/// One entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Name of the instance.
+    pub name: String,
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Address for peers.
+    pub peer: net::SocketAddr,
+    /// The process.
+    pub process: process::Process,
+}
+
+/// A running system; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    dir: Directory,
+    plan: Plan,
+    /// Address of the object service.
+    pub store_addr: net::SocketAddr,
+    /// The object service.
+    pub store: process::Process,
+    /// Targets with their agents.
+    pub nodes: Vec<Node>,
+    /// Entries.
+    pub entries: Vec<Entry>,
+    /// Client for tests.
+    pub http: http::Client,
+    key: Value,
+}
+
+/// A temporary folder that is removed when dropped, unless the test panics.
+#[derive(Debug)]
+struct Directory(path::PathBuf);
+
+impl Directory {
+    fn new() -> Self {
+        let name = format!("laburnumcart-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path).expect("temporary folder");
+        Self(path)
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs of the processes are kept in {}", self.0.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts all processes, accepts the bundle and waits until every one is ready.
+    pub async fn start(plan: Plan) -> Self {
+        let dir = Directory::new();
+        let http = http::Client::default();
+        let store_addr = port::free();
+        let mut args = vec!["--listen".into(), store_addr.to_string()];
+        args.extend(plan.store.iter().map(|arg| String::from(*arg)));
+        let store = process::Process::start(&dir.0, "store", "laburnum-fake-store", &args);
+        let key = generate_key(&dir.0);
+        let mut fleet = Self {
+            dir,
+            plan: plan.clone(),
+            store_addr,
+            store,
+            nodes: Vec::new(),
+            entries: Vec::new(),
+            http,
+            key,
+        };
+        fleet.wait_healthy(store_addr).await;
+        for service in &plan.services {
+            for number in 0..service.targets {
+                fleet.add_node(service, number).await;
+            }
+        }
+        for number in 0..plan.entries {
+            fleet.add_entry(number).await;
+        }
+        fleet.accept(&plan.bundle);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts a target and its agent.
+    async fn add_node(&mut self, service: &Service, number: usize) {
+        let name = format!("{}-{number}", service.name);
+        let zone = ZONES[number % ZONES.len()];
+        let target_addr = port::free();
+        let mut args = vec![
+            "--target".into(),
+            format!("{name}={}@{target_addr}", service.kind),
+        ];
+        args.extend(service.args.iter().map(|arg| String::from(*arg)));
+        let target_name = format!("target-{name}");
+        let target =
+            process::Process::start(&self.dir.0, &target_name, "laburnum-fake-target", &args);
+        let (peer, admin) = (port::free(), port::free());
+        let settings = json!({
+            "instance": format!("agent-{name}"),
+            "zone": zone,
+            "peer": peer.to_string(),
+            "admin": admin.to_string(),
+            "target": {
+                "name": name,
+                "service": service.name,
+                "address": target_addr.to_string(),
+            },
+            "fleet": self.fleet_settings(&[]),
+            "platform": {"address": self.store_addr.to_string()},
+            "telemetry": {"level": "info"},
+            "stop_limit": self.plan.stop,
+        });
+        let agent = self.daemon(&format!("agent-{name}"), "laburnum-agent", &settings);
+        self.list(&name, zone, "agent", Some(service.name), peer)
+            .await;
+        self.nodes.push(Node {
+            name,
+            service: service.name,
+            target_addr,
+            peer,
+            admin,
+            target,
+            agent,
+        });
+    }
+
+    /// Starts an entry.
+    async fn add_entry(&mut self, number: usize) {
+        let name = format!("entry-{number}");
+        let zone = ZONES[number % ZONES.len()];
+        let (callers, peer) = (port::free(), port::free());
+        let peers: Vec<_> = self.entries.iter().map(|entry| entry.peer).collect();
+        let settings = json!({
+            "instance": name,
+            "zone": zone,
+            "callers": callers.to_string(),
+            "peer": peer.to_string(),
+            "fleet": self.fleet_settings(&peers),
+            "platform": {"address": self.store_addr.to_string()},
+            "telemetry": {"level": "info"},
+            "stop_limit": self.plan.stop,
+        });
+        let process = self.daemon(&name, "laburnum-entry", &settings);
+        self.list(&name, zone, "entry", None, peer).await;
+        self.entries.push(Entry {
+            name,
+            callers,
+            peer,
+            process,
+        });
+    }
+
+    /// Starts a daemon again with its settings of before.
+    pub fn restart(&self, name: &str, program: &str) -> process::Process {
+        let file = self.dir.0.join(format!("{name}.json"));
+        let args = ["--settings".into(), file.display().to_string()];
+        process::Process::start(&self.dir.0, name, program, &args)
+    }
+
+    /// Runs `laburnumctl` and returns its exit code and what it printed.
+    pub fn ctl(&self, args: &[&str]) -> (i32, String) {
+        let file = self.dir.0.join("ctl.json");
+        let settings = json!({
+            "fleet": self.fleet_settings(&self.peers()),
+            "platform": {"address": self.store_addr.to_string()},
+        });
+        fs::write(&file, settings.to_string()).expect("settings");
+        let output = Command::new(process::binary("laburnumctl"))
+            .current_dir(&self.dir.0)
+            .args(args)
+            .args(["--settings", &file.display().to_string()])
+            .output()
+            .expect("laburnumctl");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        (output.status.code().unwrap_or(-1), text)
+    }
+
+    /// Signs a bundle and has it accepted.
+    pub fn accept(&self, bundle: &Value) {
+        fs::write(self.dir.0.join("bundle.json"), bundle.to_string()).expect("bundle");
+        let sign = [
+            "sign",
+            "bundle.json",
+            "--key",
+            "key.json",
+            "--out",
+            "bundle.signed",
+        ];
+        assert_eq!(self.ctl(&sign).0, 0, "{}", self.ctl(&sign).1);
+        let (code, text) = self.ctl(&["accept", "bundle.signed"]);
+        assert_eq!(code, 0, "{text}");
+    }
+
+    /// Sends a request to an entry and returns the whole answer.
+    pub async fn call(&self, entry: usize, call: &Call<'_>) -> Result<http::Answer, http::Failure> {
+        let addr = self.entries[entry].callers;
+        self.http.send(call.request(addr)).await
+    }
+
+    /// Returns what the stand-ins of a service have executed, as their pages show it.
+    pub async fn executions(&self, service: &str) -> Vec<Value> {
+        let mut all = Vec::new();
+        for node in self.nodes.iter().filter(|node| node.service == service) {
+            let answer = self.http.get(node.target_addr, "/admin/executions").await;
+            if let Some(Value::Array(rows)) = answer.ok().map(|a| a.json()["executions"].take()) {
+                all.extend(rows);
+            }
+        }
+        all
+    }
+
+    /// Sets the faults of the object service.
+    pub async fn store_faults(&self, faults: &Value) {
+        let answer = self
+            .http
+            .post(self.store_addr, "/admin/faults", faults)
+            .await;
+        assert!(answer.is_ok_and(|a| a.status < 300), "faults not taken");
+    }
+
+    /// Sets the behaviour of a stand-in.
+    pub async fn behave(&self, node: usize, behaviour: &Value) {
+        let addr = self.nodes[node].target_addr;
+        let answer = self.http.post(addr, "/admin/behave", behaviour).await;
+        assert!(answer.is_ok_and(|a| a.status < 300), "behaviour not taken");
+    }
+
+    /// Waits until every entry and agent reports readiness.
+    pub async fn wait_ready(&self) {
+        for node in &self.nodes {
+            self.wait_page(&node.name, node.admin, "/readyz").await;
+        }
+        for entry in &self.entries {
+            self.wait_page(&entry.name, entry.callers, "/readyz").await;
+        }
+    }
+
+    /// Returns the peer addresses of all daemons.
+    pub fn peers(&self) -> Vec<net::SocketAddr> {
+        let agents = self.nodes.iter().map(|node| node.peer);
+        let entries = self.entries.iter().map(|entry| entry.peer);
+        entries.chain(agents).collect()
+    }
+
+    /// Returns all processes that are part of the product.
+    pub fn daemons(&self) -> impl Iterator<Item = &process::Process> {
+        let agents = self.nodes.iter().map(|node| &node.agent);
+        agents.chain(self.entries.iter().map(|entry| &entry.process))
+    }
+
+    /// Writes an object of the platform's list of instances.
+    pub async fn list(
+        &self,
+        name: &str,
+        zone: &str,
+        role: &str,
+        service: Option<&str>,
+        peer: net::SocketAddr,
+    ) {
+        let value = json!({
+            "name": name,
+            "zone": zone,
+            "role": role,
+            "service": service,
+            "addr": peer.to_string(),
+            "state": "live",
+        });
+        let uri = format!(
+            "http://{}/v1/objects/platform/instances/{name}",
+            self.store_addr
+        );
+        let request = hyper::Request::put(uri).header("if-none-match", "*");
+        let answer = self
+            .http
+            .send(request.body(value.to_string()).expect("request"))
+            .await;
+        assert!(answer.is_ok_and(|a| a.status < 300), "instance not listed");
+    }
+
+    async fn wait_healthy(&self, addr: net::SocketAddr) {
+        self.wait_page("store", addr, "/healthz").await;
+    }
+
+    async fn wait_page(&self, name: &str, addr: net::SocketAddr, page: &str) {
+        wait::until(&format!("{name} {page}"), || async {
+            let answer = self.http.get(addr, page).await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    fn daemon(&self, name: &str, program: &str, settings: &Value) -> process::Process {
+        let file = self.dir.0.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).expect("settings");
+        self.restart(name, program)
+    }
+
+    fn fleet_settings(&self, peers: &[net::SocketAddr]) -> Value {
+        json!({
+            "secrets": [SECRET],
+            "keys": {"test": self.key["public"]},
+            "signers": 1,
+            "peers": peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Pipeline to run.
+    pub pipeline: &'a str,
+    /// Bearer token.
+    pub token: &'a str,
+    /// JSON body.
+    pub body: Value,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Whether the answer is wanted as a stream of events.
+    pub events: bool,
+}
+
+impl<'a> Call<'a> {
+    /// Describes a request with a JSON answer and no key.
+    pub fn new(pipeline: &'a str, token: &'a str, body: Value) -> Self {
+        Self {
+            pipeline,
+            token,
+            body,
+            key: None,
+            events: false,
+        }
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn key(mut self, key: impl Into<String>) -> Self {
+        self.key = Some(key.into());
+        self
+    }
+
+    /// Asks for a stream of events.
+    #[must_use]
+    pub fn events(mut self) -> Self {
+        self.events = true;
+        self
+    }
+
+    fn request(&self, addr: net::SocketAddr) -> hyper::Request<String> {
+        let uri = format!("http://{addr}/v1/pipelines/{}", self.pipeline);
+        let mut request = hyper::Request::post(uri)
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.token));
+        if let Some(key) = &self.key {
+            request = request.header("idempotency-key", key);
+        }
+        if self.events {
+            request = request.header("accept", "text/event-stream");
+        }
+        request.body(self.body.to_string()).expect("request")
+    }
+}
+
+/// Has `laburnumctl` generate a signing key and returns it.
+fn generate_key(dir: &path::Path) -> Value {
+    let output = Command::new(process::binary("laburnumctl"))
+        .current_dir(dir)
+        .args(["keygen", "--name", "test", "--out", "key.json", "--json"])
+        .output()
+        .expect("laburnumctl");
+    assert!(output.status.success(), "keygen: {output:?}");
+    serde_json::from_slice(&output.stdout).expect("JSON of keygen")
+}
--- /dev/null
+++ b/laburnumcart_system/src/http.rs
@@ -0,0 +1,104 @@
+//! Small HTTP client for tests.
+
+use std::{
+    net,
+    time, //
+};
+
+use http_body_util::BodyExt;
+use hyper_util::{
+    client::legacy,
+    rt, //
+};
+
+/// Longest time a test waits for one answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
+/// Client that keeps no idle connection, so that a killed process is noticed at once.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body as text.
+    pub body: String,
+}
+
+/// Why there is no whole answer.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
+pub enum Failure {
+    /// The connection failed or ended early.
+    #[display("connection failed")]
+    Connection,
+    /// No answer within the limit.
+    #[display("no answer")]
+    Timeout,
+}
+
+impl Answer {
+    /// Parses the body as JSON; `null` when it is not.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let inner = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        Self { inner }
+    }
+}
+
+impl Client {
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&self, request: http::Request<String>) -> Result<Answer, Failure> {
+        let request = request.map(|body| http_body_util::Full::new(bytes::Bytes::from(body)));
+        let call = async {
+            let answer = self.inner.request(request).await;
+            let (parts, body) = answer.map_err(|_| Failure::Connection)?.into_parts();
+            let body = body.collect().await.map_err(|_| Failure::Connection)?;
+            Ok(Answer {
+                status: parts.status.as_u16(),
+                headers: parts.headers,
+                body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            })
+        };
+        tokio::time::timeout(TIMEOUT, call)
+            .await
+            .unwrap_or(Err(Failure::Timeout))
+    }
+
+    /// Reads a page.
+    pub async fn get(&self, addr: net::SocketAddr, path: &str) -> Result<Answer, Failure> {
+        let request = http::Request::get(format!("http://{addr}{path}"));
+        self.send(request.body(String::new()).expect("request"))
+            .await
+    }
+
+    /// Posts JSON.
+    pub async fn post(
+        &self,
+        addr: net::SocketAddr,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> Result<Answer, Failure> {
+        let request = http::Request::post(format!("http://{addr}{path}"))
+            .header("content-type", "application/json");
+        self.send(request.body(body.to_string()).expect("request"))
+            .await
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/src/lib.rs
@@ -0,0 +1,8 @@
+//! Runs the real binaries as separate processes on loopback, for tests of the whole.
+
+pub mod fleet;
+pub mod http;
+pub mod port;
+pub mod process;
+pub mod relay;
+pub mod wait;
