--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod port;
 pub mod process;
 pub mod relay;
+pub mod sample;
 pub mod wait;
