Add the attempt table and lane sessions of an agent

An answer of "unknown" proves "not run" only while the agent remembers every executed attempt of the session that was asked about. Three cases broke the proof: a result that expired unacknowledged, a lane forgotten while idle, and another agent at the same address. A lane therefore keeps a second number, the first session of which nothing was forgotten, and a query names the session that carried the attempt and the agent's incarnation. Tombstones for each answered query were ruled out: they need an expiry, and with it a bound on how late a frame can arrive.

Acknowledging the last chunk does not forget the attempt, as the sender may not have seen its end mark; giving it up (cancel) does.

--- /dev/null
+++ b/laburnumcart/src/attempts.rs
@@ -0,0 +1,445 @@
+//! What an agent knows of the attempts that were sent to it.
+//!
+//! The table admits each attempt id once, keeps the numbered chunks of its result until they are
+//! acknowledged, and keeps the end for a bounded time, so that a sender whose connection broke can
+//! resume or learn the verdict over a new one.
+//!
+//! ```
+//! use laburnumcart::{attempts, id};
+//! use tokio::time;
+//!
+//! let now = time::Instant::now();
+//! let bounds = attempts::Bounds {
+//!     retention: time::Duration::from_secs(60),
+//!     bytes: 1 << 20,
+//!     attempts: 1000,
+//! };
+//! let mut table = attempts::Table::new(bounds);
+//! let ticket = attempts::Ticket {
+//!     request: id::RequestId(1),
+//!     attempt: id::AttemptId(2),
+//!     lane: id::Incarnation(3),
+//!     sent: 1,
+//!     arrived: now,
+//!     deadline: now + time::Duration::from_secs(10),
+//! };
+//! assert!(table.admit(ticket, "data").unwrap());
+//! assert!(!table.admit(ticket, "a duplicate never starts").unwrap());
+//! assert!(table.begin(ticket.attempt, now));
+//! table.push(ticket.attempt, "text");
+//! table.finish(ticket.attempt, now);
+//! let view = table.read(ticket.attempt, 0, 1 << 20).unwrap().unwrap();
+//! assert_eq!(view.chunks.len(), 1);
+//! assert!(matches!(view.state, attempts::State::Done(end) if end.count == 1));
+//! ```
+
+pub mod chunks;
+pub mod cycle;
+
+use std::collections;
+
+use slotmap::{
+    SlotMap,
+    new_key_type, //
+};
+use tokio::time;
+
+pub use self::{
+    chunks::{
+        Chunk,
+        Position, //
+    },
+    cycle::{
+        End,
+        Ticket, //
+    },
+};
+use crate::{
+    id,
+    unit,
+    verdict, //
+};
+
+new_key_type! {
+    /// Place of an attempt in the table.
+    struct Key;
+}
+
+/// Limits of a table.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// How long an ended attempt that was not acknowledged is kept.
+    pub retention: time::Duration,
+    /// Bytes of results kept, above which nothing is admitted.
+    pub bytes: usize,
+    /// Attempts kept, above which nothing is admitted.
+    pub attempts: usize,
+}
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    /// Waits for a slot at the target.
+    Queued,
+    /// The target executes it.
+    Running,
+    /// All of the result exists.
+    Done(End),
+    /// It failed with a final verdict.
+    Refused(verdict::Refusal),
+}
+
+/// What a sender sees of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Request that it belongs to.
+    pub request: id::RequestId,
+    /// Chunks in order from the number that was asked for.
+    pub chunks: Vec<Chunk>,
+    /// Where it stands; an end is shown only with the last chunk.
+    pub state: State,
+}
+
+/// An ended attempt that was forgotten before it was acknowledged and that may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Forgotten {
+    /// Lane that it came over.
+    pub lane: id::Incarnation,
+    /// Session of the lane that it came over.
+    pub sent: u64,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Queued(cycle::Attempt<cycle::Queued>),
+    Running(cycle::Attempt<cycle::Running>),
+    Done(cycle::Attempt<cycle::Done>),
+    Refused(cycle::Attempt<cycle::Refused>),
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    /// Empty only while a transition is made.
+    stage: Option<Stage>,
+    data: T,
+    /// The sender asks no more about it.
+    released: bool,
+}
+
+/// Attempts of one agent, each with data of the program around it.
+#[derive(Debug)]
+pub struct Table<T> {
+    bounds: Bounds,
+    entries: SlotMap<Key, Entry<T>>,
+    ids: collections::HashMap<id::AttemptId, Key>,
+    bytes: usize,
+}
+
+impl<T> Table<T> {
+    /// Creates an empty table.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            entries: SlotMap::with_key(),
+            ids: collections::HashMap::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Changes how long ended attempts are kept.
+    pub fn set_retention(&mut self, retention: time::Duration) {
+        self.bounds.retention = retention;
+    }
+
+    /// Adds an attempt as queued; returns false for one that is known, which must not start again.
+    pub fn admit(&mut self, ticket: Ticket, data: T) -> Result<bool, verdict::Refusal> {
+        if self.ids.contains_key(&ticket.attempt) {
+            return Ok(false);
+        }
+        if self.entries.len() >= self.bounds.attempts || self.bytes >= self.bounds.bytes {
+            return Err(verdict::Refusal::not_run(verdict::Reason::Overloaded));
+        }
+        let attempt = cycle::Attempt::new(ticket);
+        let key = self.entries.insert(Entry {
+            stage: Some(Stage::Queued(attempt)),
+            data,
+            released: false,
+        });
+        self.ids.insert(ticket.attempt, key);
+        Ok(true)
+    }
+
+    /// Marks a queued attempt as running; returns false if it is not queued any more.
+    pub fn begin(&mut self, id: id::AttemptId, now: time::Instant) -> bool {
+        self.step(id, |stage| match stage {
+            Stage::Queued(attempt) => (Stage::Running(attempt.begin(now)), true),
+            other => (other, false),
+        })
+    }
+
+    /// Appends a chunk to the result of a running attempt.
+    pub fn push(&mut self, id: id::AttemptId, text: &str) -> bool {
+        let Some(entry) = self.entry(id) else {
+            return false;
+        };
+        let Some(Stage::Running(attempt)) = &mut entry.stage else {
+            return false;
+        };
+        attempt.state.chunks.push(text);
+        self.bytes += text.len();
+        true
+    }
+
+    /// Ends a running attempt with its whole result.
+    pub fn finish(&mut self, id: id::AttemptId, now: time::Instant) -> bool {
+        self.end(id, |stage| match stage {
+            Stage::Running(attempt) => (Stage::Done(attempt.finish(now)), true),
+            other => (other, false),
+        })
+    }
+
+    /// Ends a running attempt that its target may have executed.
+    pub fn fail(&mut self, id: id::AttemptId, reason: verdict::Reason, now: time::Instant) -> bool {
+        self.end(id, |stage| match stage {
+            Stage::Running(attempt) => (Stage::Refused(attempt.fail(reason, now)), true),
+            other => (other, false),
+        })
+    }
+
+    /// Ends an attempt that provably did not run: a queued one, or one that its target refused.
+    ///
+    /// A running attempt is only ended with `proof`, the target's own word that it did not start.
+    pub fn refuse(
+        &mut self,
+        id: id::AttemptId,
+        reason: verdict::Reason,
+        retry: Option<unit::Period>,
+        proof: bool,
+        now: time::Instant,
+    ) -> bool {
+        self.end(id, |stage| match stage {
+            Stage::Queued(attempt) => (Stage::Refused(attempt.refuse(reason, retry, now)), true),
+            Stage::Running(attempt) if proof => {
+                (Stage::Refused(attempt.disprove(reason, retry, now)), true)
+            }
+            other => (other, false),
+        })
+    }
+
+    /// Drops the chunks before `from`.
+    ///
+    /// The attempt itself is kept even when that was all of its result: the sender asks for the next
+    /// chunk before it has seen the end mark, and would find the attempt gone instead of done.
+    pub fn acknowledge(&mut self, id: id::AttemptId, from: u32) {
+        let Some(entry) = self.entry(id) else {
+            return;
+        };
+        let chunks = match &mut entry.stage {
+            Some(Stage::Running(attempt)) => &mut attempt.state.chunks,
+            Some(Stage::Done(attempt)) => &mut attempt.state.chunks,
+            _ => return,
+        };
+        let before = chunks.bytes();
+        chunks.acknowledge(from);
+        let freed = before - chunks.bytes();
+        self.bytes -= freed;
+    }
+
+    /// Forgets an attempt that its sender has settled, now or when it ends.
+    pub fn release(&mut self, id: id::AttemptId) {
+        let Some(entry) = self.entry(id) else {
+            return;
+        };
+        entry.released = true;
+        if matches!(entry.stage, Some(Stage::Done(_) | Stage::Refused(_))) {
+            self.remove(id);
+        }
+    }
+
+    /// Forgets ended attempts after their retention time; returns those that may have run.
+    pub fn sweep(&mut self, now: time::Instant) -> Vec<Forgotten> {
+        let retention = self.bounds.retention;
+        let due = |entry: &Entry<T>| match &entry.stage {
+            Some(Stage::Done(attempt)) => now - attempt.state.ended >= retention,
+            Some(Stage::Refused(attempt)) => now - attempt.state.ended >= retention,
+            _ => false,
+        };
+        let ids: Vec<id::AttemptId> = self
+            .ids
+            .iter()
+            .filter(|(_, key)| due(&self.entries[**key]))
+            .map(|(id, _)| *id)
+            .collect();
+        ids.into_iter().filter_map(|id| self.expire(id)).collect()
+    }
+
+    /// Returns what the sender may see from chunk `from` on, in at most `limit` bytes of text.
+    ///
+    /// Returns `None` for an attempt that is not in the table.
+    pub fn read(
+        &self,
+        id: id::AttemptId,
+        from: u32,
+        limit: usize,
+    ) -> Option<Result<View, Position>> {
+        let entry = self.get(id)?;
+        let (request, chunks, state) = match entry.stage.as_ref()? {
+            Stage::Queued(attempt) => (attempt.ticket.request, None, State::Queued),
+            Stage::Running(attempt) => {
+                let chunks = Some(&attempt.state.chunks);
+                (attempt.ticket.request, chunks, State::Running)
+            }
+            Stage::Done(attempt) => {
+                let chunks = Some(&attempt.state.chunks);
+                (
+                    attempt.ticket.request,
+                    chunks,
+                    State::Done(attempt.state.end),
+                )
+            }
+            Stage::Refused(attempt) => {
+                let state = State::Refused(attempt.state.refusal);
+                (attempt.ticket.request, None, state)
+            }
+        };
+        let read = match chunks.map(|chunks| chunks.read(from, limit)) {
+            Some(Err(position)) => return Some(Err(position)),
+            Some(Ok(read)) => read,
+            None => Vec::new(),
+        };
+        let state = match state {
+            // An end shown before its last chunk would look like a broken result.
+            State::Done(end) if from + (read.len() as u32) < end.count => State::Running,
+            other => other,
+        };
+        Some(Ok(View {
+            request,
+            chunks: read,
+            state,
+        }))
+    }
+
+    /// Returns the data of an attempt.
+    pub fn data(&self, id: id::AttemptId) -> Option<&T> {
+        self.get(id).map(|entry| &entry.data)
+    }
+
+    /// Returns the identity and time limit of an attempt.
+    pub fn ticket(&self, id: id::AttemptId) -> Option<Ticket> {
+        self.get(id)?.stage.as_ref().map(Stage::ticket)
+    }
+
+    /// Returns the bytes of its result that wait to be acknowledged.
+    pub fn pending(&self, id: id::AttemptId) -> usize {
+        match self.get(id).and_then(|entry| entry.stage.as_ref()) {
+            Some(Stage::Running(attempt)) => attempt.state.chunks.bytes(),
+            _ => 0,
+        }
+    }
+
+    /// Returns the running attempts with their data.
+    pub fn running(&self) -> impl Iterator<Item = (id::AttemptId, &T)> {
+        self.entries
+            .values()
+            .filter_map(|entry| match &entry.stage {
+                Some(Stage::Running(attempt)) => Some((attempt.ticket.attempt, &entry.data)),
+                _ => None,
+            })
+    }
+
+    /// Returns the queued attempts with their data.
+    pub fn queued(&self) -> impl Iterator<Item = (id::AttemptId, &T)> {
+        self.entries
+            .values()
+            .filter_map(|entry| match &entry.stage {
+                Some(Stage::Queued(attempt)) => Some((attempt.ticket.attempt, &entry.data)),
+                _ => None,
+            })
+    }
+
+    /// Returns the bytes of results kept.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the number of attempts kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Reports whether no attempt is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn get(&self, id: id::AttemptId) -> Option<&Entry<T>> {
+        self.ids.get(&id).map(|key| &self.entries[*key])
+    }
+
+    fn entry(&mut self, id: id::AttemptId) -> Option<&mut Entry<T>> {
+        let key = self.ids.get(&id)?;
+        self.entries.get_mut(*key)
+    }
+
+    fn step(&mut self, id: id::AttemptId, next: impl FnOnce(Stage) -> (Stage, bool)) -> bool {
+        let Some(entry) = self.entry(id) else {
+            return false;
+        };
+        let Some(stage) = entry.stage.take() else {
+            return false;
+        };
+        let (stage, changed) = next(stage);
+        entry.stage = Some(stage);
+        changed
+    }
+
+    fn end(&mut self, id: id::AttemptId, next: impl FnOnce(Stage) -> (Stage, bool)) -> bool {
+        let before = self.kept(id);
+        let changed = self.step(id, next);
+        self.bytes -= before - self.kept(id);
+        if changed && self.get(id).is_some_and(|entry| entry.released) {
+            self.remove(id);
+        }
+        changed
+    }
+
+    fn kept(&self, id: id::AttemptId) -> usize {
+        match self.get(id).and_then(|entry| entry.stage.as_ref()) {
+            Some(Stage::Running(attempt)) => attempt.state.chunks.bytes(),
+            Some(Stage::Done(attempt)) => attempt.state.chunks.bytes(),
+            _ => 0,
+        }
+    }
+
+    fn remove(&mut self, id: id::AttemptId) -> Option<Stage> {
+        self.bytes -= self.kept(id);
+        let key = self.ids.remove(&id)?;
+        self.entries.remove(key)?.stage
+    }
+
+    fn expire(&mut self, id: id::AttemptId) -> Option<Forgotten> {
+        let stage = self.remove(id)?;
+        let ticket = stage.ticket();
+        let harmless = |refused: &cycle::Attempt<cycle::Refused>| {
+            refused.state.refusal.verdict == verdict::Verdict::NotRun
+        };
+        match stage {
+            Stage::Refused(refused) if harmless(&refused) => None,
+            _ => Some(Forgotten {
+                lane: ticket.lane,
+                sent: ticket.sent,
+            }),
+        }
+    }
+}
+
+impl Stage {
+    fn ticket(&self) -> Ticket {
+        match self {
+            Self::Queued(attempt) => attempt.ticket,
+            Self::Running(attempt) => attempt.ticket,
+            Self::Done(attempt) => attempt.ticket,
+            Self::Refused(attempt) => attempt.ticket,
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart/src/lanes.rs
@@ -0,0 +1,132 @@
+//! Sessions of the lanes that lead to an agent, and what they prove about an unknown attempt.
+//!
+//! A lane is the series of connections from one process. Each connection opens a session with the
+//! next number, and only the newest session may start work.
+//!
+//! ```
+//! use laburnumcart::{id, lanes, verdict};
+//! use tokio::time;
+//!
+//! let now = time::Instant::now();
+//! let entry = id::Incarnation::random();
+//! let mut lanes = lanes::Lanes::new(time::Duration::from_secs(600));
+//! lanes.open(entry, 1, now).unwrap();
+//! lanes.open(entry, 2, now).unwrap();
+//! // A call that was still under way in the first connection can never start.
+//! assert_eq!(lanes.check(entry, 1, now).unwrap_err().reason, verdict::Reason::Fenced);
+//! assert_eq!(lanes.doubt(entry, 1), verdict::Verdict::NotRun);
+//! ```
+
+use std::collections;
+
+use tokio::time;
+
+use crate::{
+    id,
+    verdict, //
+};
+
+/// Newest session of each lane.
+#[derive(Debug)]
+pub struct Lanes {
+    lanes: collections::HashMap<id::Incarnation, Lane>,
+    idle: time::Duration,
+}
+
+#[derive(Debug)]
+struct Lane {
+    /// Newest session; older ones are fenced.
+    number: u64,
+    /// First session of which no executed attempt was forgotten before it was acknowledged.
+    since: u64,
+    seen: time::Instant,
+}
+
+impl Lanes {
+    /// Creates a table that forgets a lane after it was unused for `idle`.
+    pub fn new(idle: time::Duration) -> Self {
+        Self {
+            lanes: collections::HashMap::new(),
+            idle,
+        }
+    }
+
+    /// Opens session `number` of `lane` and fences the older ones.
+    ///
+    /// A session is opened once: a repeated number would let calls of two connections through.
+    pub fn open(
+        &mut self,
+        lane: id::Incarnation,
+        number: u64,
+        now: time::Instant,
+    ) -> Result<(), verdict::Refusal> {
+        // Attempts that an unknown lane sent earlier could have run and been forgotten with the
+        // lane, or have run at another agent at the same address; hence only what this session and
+        // later ones send is known to the end.
+        let known = self.lanes.entry(lane).or_insert(Lane {
+            number: 0,
+            since: number,
+            seen: now,
+        });
+        if number <= known.number {
+            return Err(fenced());
+        }
+        known.number = number;
+        known.seen = now;
+        Ok(())
+    }
+
+    /// Refuses a call unless it names the newest session of a known lane.
+    pub fn check(
+        &mut self,
+        lane: id::Incarnation,
+        number: u64,
+        now: time::Instant,
+    ) -> Result<(), verdict::Refusal> {
+        match self.lanes.get_mut(&lane) {
+            Some(known) if known.number == number => {
+                known.seen = now;
+                Ok(())
+            }
+            _ => Err(fenced()),
+        }
+    }
+
+    /// Notes that an attempt of session `sent` which may have run was forgotten unacknowledged.
+    pub fn forget(&mut self, lane: id::Incarnation, sent: u64) {
+        if let Some(known) = self.lanes.get_mut(&lane) {
+            known.since = known.since.max(sent + 1);
+        }
+    }
+
+    /// Forgets lanes that were not used for long.
+    ///
+    /// This is safe: a call of a forgotten lane is refused until `hello`, and no call is sent before
+    /// its `hello` was answered, so nothing under way in an old connection can open a session again.
+    pub fn sweep(&mut self, now: time::Instant) {
+        let idle = self.idle;
+        self.lanes.retain(|_, lane| now - lane.seen < idle);
+    }
+
+    /// Returns what is proven about an attempt of the fenced session `sent` that is not in the table.
+    pub fn doubt(&self, lane: id::Incarnation, sent: u64) -> verdict::Verdict {
+        match self.lanes.get(&lane) {
+            Some(known) if (known.since..known.number).contains(&sent) => verdict::Verdict::NotRun,
+            _ => verdict::Verdict::MayHaveRun,
+        }
+    }
+
+    /// Returns the number of lanes known.
+    pub fn len(&self) -> usize {
+        self.lanes.len()
+    }
+
+    /// Reports whether no lane is known.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.is_empty()
+    }
+}
+
+fn fenced() -> verdict::Refusal {
+    verdict::Refusal::not_run(verdict::Reason::Fenced)
+}
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -4,8 +4,10 @@
 //! runtime's clock, so that a test can pause and advance it.
 
 pub mod attempt;
+pub mod attempts;
 pub mod bundle;
 pub mod facts;
 pub mod id;
+pub mod lanes;
 pub mod unit;
 pub mod verdict;
--- a/laburnumcart_wire/src/lane.rs
+++ b/laburnumcart_wire/src/lane.rs
@@ -3,7 +3,11 @@
 //! A connection can go silent for good while bytes of it are still under way. The caller then opens
 //! a new one with the next session number. The agent refuses every call that names an older session
 //! of the lane, so that a call which it has not seen by then can never start: "unknown" is a proof
-//! of "not run", with one number of state a lane.
+//! of "not run", with two numbers of state a lane.
+//!
+//! Two rules bind the caller. It sends nothing over a connection before `hello` was answered over it;
+//! else a late `hello` could open a session for the call behind it. And it asks about an attempt only
+//! over a newer session than the one that carried it.
 
 use serde::{
     Deserialize,
--- a/laburnumcart_wire/src/stage.rs
+++ b/laburnumcart_wire/src/stage.rs
@@ -68,6 +68,10 @@
 pub struct Query {
     /// The new connection; the agent must have fenced all older ones of the lane.
     pub session: lane::Session,
+    /// Life of the agent that the attempt was addressed to; another one knows nothing of it.
+    pub incarnation: id::Incarnation,
+    /// Number of the session that carried the attempt; lower than that of the new connection.
+    pub sent: u64,
     /// Attempt in doubt.
     pub attempt: id::AttemptId,
     /// Number of the first chunk wanted.
@@ -124,7 +128,10 @@
     pub queued: unit::Period,
 }
 
-/// Cancels an attempt; an answer is not needed, as the deadline ends it in any case.
+/// Cancels an attempt, or gives up the result of one that has ended.
+///
+/// The sender has settled the attempt and asks no more about it. An answer is not needed, as the
+/// deadline and the retention time end it in any case.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Cancel {
     /// Attempt to cancel.
