Add peer connections and what the daemons share

OTLP is exported on the caller's runtime: the batch processor runs on a plain thread where the HTTP client has no reactor. The experimental asynchronous processor was ruled out.

--- /dev/null
+++ b/laburnumcart_daemon/src/admin.rs
@@ -0,0 +1,162 @@
+//! Pages for operators and their tools: `/metrics`, `/healthz`, `/readyz`.
+
+use std::{
+    io,
+    net,
+    sync,
+    thread, //
+};
+
+use xitca_web::{
+    App,
+    HttpServer, //
+    handler::{
+        handler_service,
+        state, //
+    },
+    http,
+    route,
+};
+
+use crate::metrics;
+
+/// Paths that [`Pages::answer`] knows.
+pub const PATHS: [&str; 3] = ["/metrics", "/healthz", "/readyz"];
+
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// The pages' content; clones share it.
+#[derive(Clone)]
+pub struct Pages {
+    metrics: metrics::Metrics,
+    ready: sync::Arc<dyn Fn() -> Result<(), String> + Send + Sync>,
+}
+
+/// One answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Page {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `content-type`.
+    pub content_type: &'static str,
+    /// Whole body.
+    pub body: String,
+}
+
+impl Page {
+    fn text(status: u16, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: TEXT,
+            body: body.into(),
+        }
+    }
+}
+
+impl Pages {
+    /// Creates the pages; `ready` says whether the process takes work, or why not.
+    pub fn new(
+        metrics: metrics::Metrics,
+        ready: impl Fn() -> Result<(), String> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            metrics,
+            ready: sync::Arc::new(ready),
+        }
+    }
+
+    /// Answers a GET, for programs that serve these pages beside their own.
+    pub fn answer(&self, path: &str) -> Option<Page> {
+        match path {
+            "/metrics" => Some(self.metrics()),
+            "/healthz" => Some(Page::text(200, "ok\n")),
+            "/readyz" => Some(self.ready()),
+            _ => None,
+        }
+    }
+
+    fn metrics(&self) -> Page {
+        match self.metrics.encode() {
+            Ok(body) => Page {
+                status: 200,
+                content_type: metrics::CONTENT_TYPE,
+                body,
+            },
+            Err(error) => Page::text(500, format!("{error}\n")),
+        }
+    }
+
+    fn ready(&self) -> Page {
+        match (self.ready)() {
+            Ok(()) => Page::text(200, "ready\n"),
+            Err(reason) => Page::text(503, format!("{reason}\n")),
+        }
+    }
+}
+
+/// A running admin server; dropping it stops the server.
+pub struct Admin {
+    addr: net::SocketAddr,
+    stop: Box<dyn Fn() + Send + Sync>,
+    thread: Option<thread::JoinHandle<io::Result<()>>>,
+}
+
+/// Serves the pages on `listener`, on a thread of its own.
+pub fn serve(listener: net::TcpListener, pages: Pages) -> io::Result<Admin> {
+    let addr = listener.local_addr()?;
+    let app = App::new()
+        .with_state(pages)
+        .at("/metrics", route::get(handler_service(answer)))
+        .at("/healthz", route::get(handler_service(answer)))
+        .at("/readyz", route::get(handler_service(answer)));
+    let mut server = HttpServer::serve(app.finish())
+        .disable_signal()
+        .server_threads(1)
+        .worker_threads(1)
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    let wait = move || server.wait();
+    let thread = thread::Builder::new().name("admin".into()).spawn(wait)?;
+    Ok(Admin {
+        addr,
+        stop: Box::new(move || handle.stop(false)),
+        thread: Some(thread),
+    })
+}
+
+async fn answer(
+    state::StateRef(pages): state::StateRef<'_, Pages>,
+    uri: xitca_web::handler::uri::UriRef<'_>,
+) -> http::WebResponse {
+    let page = pages
+        .answer(uri.0.path())
+        .unwrap_or_else(|| Page::text(404, "not found\n"));
+    let mut response = http::WebResponse::new(page.body.into());
+    *response.status_mut() = http::StatusCode::from_u16(page.status).expect("a valid status");
+    let kind = http::HeaderValue::from_static(page.content_type);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+impl Admin {
+    /// Returns the address that it listens on.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Stops the server and waits for its thread.
+    pub fn stop(self) {}
+}
+
+impl Drop for Admin {
+    fn drop(&mut self) {
+        (self.stop)();
+        if let Some(thread) = self.thread.take() {
+            // The server's own error is of no use to a process that is about to exit.
+            let _ = thread.join();
+        }
+    }
+}
--- a/laburnumcart_daemon/src/lib.rs
+++ b/laburnumcart_daemon/src/lib.rs
@@ -1,1 +1,12 @@
 //! What the daemons share: start, settings, logs, traces, metrics and stop.
+
+pub mod admin;
+pub mod args;
+pub mod control;
+pub mod launch;
+pub mod logs;
+pub mod metrics;
+pub mod process;
+pub mod settings;
+pub mod stop;
+pub mod traces;
--- /dev/null
+++ b/laburnumcart_daemon/src/logs.rs
@@ -0,0 +1,114 @@
+//! Logs: one `key=value` line to standard error for each change of state.
+//!
+//! Lines are written by [`event!`](crate::event):
+//!
+//! ```
+//! let generation = laburnumcart::id::Generation(7);
+//! laburnumcart_daemon::event!(Info, "bundle-accepted", generation = generation);
+//! ```
+//!
+//! gives `time=2026-03-01T08:30:00Z level=info event=bundle-accepted generation=7`. What happens
+//! once for each request belongs into a counter, not here.
+
+use std::{
+    fmt,
+    io, //
+};
+
+pub use log;
+
+use crate::settings;
+
+/// Crates whose lines are written at every level; of others only errors and warnings are.
+const OWN: &str = "laburnum";
+
+/// Starts the process's log; a second call changes nothing.
+pub fn start(level: settings::Level) {
+    let level = level.into();
+    let logger = Logger {
+        inner: simplelog::WriteLogger::new(level, config(), io::stderr()),
+    };
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+fn config() -> simplelog::Config {
+    let off = log::LevelFilter::Off;
+    simplelog::ConfigBuilder::new()
+        .set_time_format_custom(time::macros::format_description!(
+            "time=[year]-[month]-[day]T[hour]:[minute]:[second]Z"
+        ))
+        .set_max_level(off)
+        .set_target_level(off)
+        .set_thread_level(off)
+        .set_location_level(off)
+        .build()
+}
+
+/// Puts the level in front of a line as one more key.
+struct Logger {
+    inner: Box<simplelog::WriteLogger<io::Stderr>>,
+}
+
+impl log::Log for Logger {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        let wanted = metadata.level() <= log::Level::Warn || metadata.target().starts_with(OWN);
+        wanted && self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let level = record.level().as_str().to_ascii_lowercase();
+        let foreign = !record.target().starts_with(OWN);
+        let args = record.args();
+        let write = |args: fmt::Arguments<'_>| {
+            let mut line = log::Record::builder();
+            line.metadata(record.metadata().clone());
+            self.inner.log(&line.args(args).build());
+        };
+        if foreign {
+            let text = args.to_string();
+            let source = record.target();
+            write(format_args!(
+                "level={level} event=library source={source} text={text:?}"
+            ));
+        } else {
+            write(format_args!("level={level} {args}"));
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
+/// Writes a value so that it stays one word: in quotes, with escapes, where it is not plain.
+#[derive(Debug)]
+pub struct Quoted<T>(pub T);
+
+impl<T: fmt::Display> fmt::Display for Quoted<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
+        if !text.is_empty() && text.chars().all(plain) {
+            f.write_str(&text)
+        } else {
+            write!(f, "{text:?}")
+        }
+    }
+}
+
+/// Writes a line of `key=value` pairs: `event!(Warn, "peer-lost", peer = addr, after = period)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        $crate::logs::log::log!(
+            $crate::logs::log::Level::$level,
+            concat!("event=", $name $(, " ", stringify!($key), "={}")*)
+            $(, $crate::logs::Quoted(&$value))*
+        )
+    };
+}
--- /dev/null
+++ b/laburnumcart_daemon/src/traces.rs
@@ -0,0 +1,219 @@
+//! Traces: a span for each hop, sent to a collector by OTLP over HTTP when one is configured.
+//!
+//! Without a collector no subscriber is installed: a span is then one relaxed load of a flag, and
+//! the caller's `traceparent` is passed on as it came. A span's trace is set by [`join`] and named to
+//! the next hop by [`parent`]:
+//!
+//! ```
+//! use laburnumcart_daemon::traces;
+//!
+//! let came: Option<traces::Traceparent> =
+//!     "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01".parse().ok();
+//! let span = tracing::info_span!("stage", stage = "encode");
+//! traces::join(&span, came.as_ref());
+//! let goes = traces::parent(&span, came.as_ref());
+//! assert_eq!(goes, came);
+//! ```
+
+use std::{
+    fmt,
+    net,
+    str,
+    sync, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use opentelemetry::{
+    Context,
+    KeyValue, //
+    trace::{
+        self,
+        TraceContextExt,
+        TracerProvider, //
+    },
+};
+use opentelemetry_otlp::WithExportConfig;
+use opentelemetry_sdk::{
+    Resource, //
+    error,
+    trace as sdk,
+};
+use tracing_opentelemetry::OpenTelemetrySpanExt;
+use tracing_subscriber::layer::SubscriberExt;
+
+use laburnumcart::id;
+
+/// Spans that wait for the collector; further ones are dropped.
+pub const QUEUE_MAX: usize = 4096;
+
+/// Position in a trace, as the W3C header `traceparent` writes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Traceparent {
+    trace: trace::TraceId,
+    span: trace::SpanId,
+    flags: trace::TraceFlags,
+}
+
+impl fmt::Display for Traceparent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "00-{}-{}-{:02x}",
+            self.trace,
+            self.span,
+            self.flags.to_u8()
+        )
+    }
+}
+
+impl str::FromStr for Traceparent {
+    type Err = id::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, id::ParseError> {
+        parse(text).ok_or_else(|| id::ParseError::new("traceparent", text))
+    }
+}
+
+/// Splits a header of version 00; a later version may carry more after the four fields.
+fn parse(text: &str) -> Option<Traceparent> {
+    let fields: Vec<&str> = text.splitn(5, '-').collect();
+    let (&[version, trace, span, flags], rest) = fields.split_first_chunk::<4>()?;
+    let lower = |t: &str| t.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let shape = [version.len(), trace.len(), span.len(), flags.len()] == [2, 32, 16, 2];
+    let hex = [version, trace, span, flags].into_iter().all(lower);
+    if !shape || !hex || version == "ff" || (version == "00" && !rest.is_empty()) {
+        return None;
+    }
+    let trace = trace::TraceId::from_hex(trace).ok()?;
+    let span = trace::SpanId::from_hex(span).ok()?;
+    let valid = trace != trace::TraceId::INVALID && span != trace::SpanId::INVALID;
+    let flags = trace::TraceFlags::new(u8::from_str_radix(flags, 16).ok()?);
+    valid.then_some(Traceparent { trace, span, flags })
+}
+
+/// Makes `span` a child of what the sender named.
+pub fn join(span: &tracing::Span, came: Option<&Traceparent>) {
+    let Some(came) = came else {
+        return;
+    };
+    if span.is_disabled() {
+        return;
+    }
+    let remote = trace::SpanContext::new(
+        came.trace,
+        came.span,
+        came.flags,
+        true,
+        trace::TraceState::default(),
+    );
+    // An error says that no subscriber of ours is installed; the header is passed on regardless.
+    let _ = span.set_parent(Context::new().with_remote_span_context(remote));
+}
+
+/// Returns what to name to the next hop: `span`, or what came in while traces are off.
+pub fn parent(span: &tracing::Span, came: Option<&Traceparent>) -> Option<Traceparent> {
+    if span.is_disabled() {
+        return came.cloned();
+    }
+    let context = span.context();
+    let own = context.span().span_context().clone();
+    if !own.is_valid() {
+        return came.cloned();
+    }
+    Some(Traceparent {
+        trace: own.trace_id(),
+        span: own.span_id(),
+        flags: own.trace_flags(),
+    })
+}
+
+/// Traces that could not be started.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// The exporter does not accept its configuration.
+    #[display("traces: {_0}")]
+    Exporter(opentelemetry_otlp::ExporterBuildError),
+    /// The process has a subscriber already.
+    #[display("traces: started twice")]
+    Twice,
+}
+
+/// Running traces; dropping them sends what waits.
+#[derive(Debug)]
+pub struct Traces {
+    provider: sdk::SdkTracerProvider,
+}
+
+/// Starts to send spans to `collector`; the requests run on the current tokio runtime.
+pub fn start(
+    service: &'static str,
+    instance: &id::InstanceName,
+    collector: net::SocketAddr,
+) -> Result<Traces, StartError> {
+    let exporter = opentelemetry_otlp::SpanExporter::builder()
+        .with_http()
+        .with_protocol(opentelemetry_otlp::Protocol::HttpJson)
+        .with_endpoint(format!("http://{collector}/v1/traces"))
+        .build()
+        .map_err(StartError::Exporter)?;
+    let provider = provider(service, instance, exporter);
+    let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer(service));
+    let subscriber = tracing_subscriber::registry().with(layer);
+    tracing::subscriber::set_global_default(subscriber).map_err(|_| StartError::Twice)?;
+    Ok(Traces { provider })
+}
+
+fn provider(
+    service: &'static str,
+    instance: &id::InstanceName,
+    exporter: opentelemetry_otlp::SpanExporter,
+) -> sdk::SdkTracerProvider {
+    let exporter = OnRuntime {
+        inner: sync::Arc::new(exporter),
+        runtime: tokio::runtime::Handle::current(),
+    };
+    let batch = sdk::BatchConfigBuilder::default()
+        .with_max_queue_size(QUEUE_MAX)
+        .build();
+    let processor = sdk::BatchSpanProcessor::builder(exporter)
+        .with_batch_config(batch)
+        .build();
+    let resource = Resource::builder()
+        .with_service_name(service)
+        .with_attribute(KeyValue::new("service.instance.id", instance.to_string()))
+        .build();
+    sdk::SdkTracerProvider::builder()
+        .with_span_processor(processor)
+        .with_resource(resource)
+        .build()
+}
+
+impl Drop for Traces {
+    fn drop(&mut self) {
+        // What could not be sent by now is lost; the process is about to exit.
+        let _ = self.provider.shutdown();
+    }
+}
+
+/// Exports on a tokio runtime.
+///
+/// The processor exports from a plain thread, where the HTTP client would panic for want of a
+/// reactor and no span would ever arrive.
+#[derive(Debug)]
+struct OnRuntime {
+    inner: sync::Arc<opentelemetry_otlp::SpanExporter>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl sdk::SpanExporter for OnRuntime {
+    async fn export(&self, batch: Vec<sdk::SpanData>) -> error::OTelSdkResult {
+        let inner = self.inner.clone();
+        let sent = self.runtime.spawn(async move { inner.export(batch).await });
+        let failed =
+            |e: tokio::task::JoinError| error::OTelSdkError::InternalFailure(e.to_string());
+        sent.await.map_err(failed)?
+    }
+}
--- a/laburnumcart_wire/src/lib.rs
+++ b/laburnumcart_wire/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod agent;
 pub mod entry;
 pub mod lane;
+pub mod peer;
+pub mod secret;
 pub mod stage;
