Add the bundle's feed and the task that follows the head

The task watches the head in the object service. Peers are asked when a higher generation was heard of and the service has not brought it within a short time, and regularly while the service is down, so that a process that starts during an outage gets the bundle in force too. All sources end in one place that verifies, validates and compares generations under one lock.

--- a/laburnumcart/src/document/explain.rs
+++ b/laburnumcart/src/document/explain.rs
@@ -22,9 +22,7 @@
     ("period", |text| text.parse::<unit::Period>().map(drop)),
     ("rate", |text| text.parse::<unit::Rate>().map(drop)),
     ("share", |text| text.parse::<unit::Share>().map(drop)),
-    ("public-key", |text| {
-        text.parse::<seal::PublicKey>().map(drop)
-    }),
+    ("public-keys", |text| text.parse::<seal::Keys>().map(drop)),
 ];
 
 /// Least similarity, from 0 to 1, at which a name is offered as a correction.
--- a/laburnumcart/src/seal.rs
+++ b/laburnumcart/src/seal.rs
@@ -25,6 +25,7 @@
 
 pub use key::{
     Digest,
+    Keys,
     PublicKey,
     SecretKey,
     Signature, //
@@ -63,18 +64,10 @@
 }
 
 /// Keys that a process trusts, and how many signers it requires.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize, schemars::JsonSchema)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Trust {
-    /// Public keys of each signer; two while a signer changes keys.
-    pub keys: collections::BTreeMap<id::KeyName, Vec<PublicKey>>,
-    /// Number of different signers that an envelope needs.
-    #[serde(default = "default_required")]
-    pub required: u8,
-}
-
-fn default_required() -> u8 {
-    1
+    keys: collections::BTreeMap<id::KeyName, Keys>,
+    required: u32,
 }
 
 /// An envelope that bears enough valid signatures.
@@ -103,7 +96,7 @@
         /// Signers whose signature is valid.
         valid: usize,
         /// Signers that are needed.
-        required: u8,
+        required: u32,
     },
 }
 
@@ -191,11 +184,10 @@
         }
         let envelope = Envelope::parse(text)?;
         let signers = self.signers(&envelope);
-        // A requirement of none would accept an envelope that nobody signed.
-        if signers.len() < usize::from(self.required.max(1)) {
+        if signers.len() < self.required as usize {
             return Err(Rejected::TooFew {
                 valid: signers.len(),
-                required: self.required.max(1),
+                required: self.required,
             });
         }
         Ok(Verified {
@@ -210,7 +202,7 @@
         let message = message(&envelope.bundle);
         let mut signers = collections::BTreeSet::new();
         for signed in &envelope.signatures {
-            let keys = self.keys.get(&signed.key).into_iter().flatten();
+            let keys = self.keys.get(&signed.key).into_iter().flat_map(Keys::iter);
             let valid = keys.filter(|key| key.verify(&message, &signed.signature));
             if valid.count() > 0 {
                 signers.insert(signed.key.clone());
@@ -219,26 +211,30 @@
         signers.into_iter().collect()
     }
 
-    /// Reports what is wrong with the settings at `path`.
-    pub fn check(&self, path: &document::Path, faults: &mut document::Faults) {
+    /// Checks keys and the number of signers, which settings hold as `keys` and `signers` at `at`.
+    pub fn new(
+        keys: collections::BTreeMap<id::KeyName, Keys>,
+        required: u32,
+        at: &document::Path,
+    ) -> Result<Self, document::Faults> {
+        let mut faults = document::Faults::default();
         let mut owners = collections::HashMap::new();
-        for (name, keys) in &self.keys {
-            let at = path.key("keys").key(name.as_str());
-            if keys.is_empty() {
-                faults.push(at.clone(), "has no key");
-            }
-            for (index, key) in keys.iter().enumerate() {
-                // Else one person could count as two signers.
-                if let Some(owner) = owners.insert(*key, name) {
-                    faults.push(at.index(index), format!("is a key of {owner:?} too"));
-                }
+        for (name, key) in keys
+            .iter()
+            .flat_map(|(name, k)| k.iter().map(move |k| (name, k)))
+        {
+            // Else one person could count as two signers.
+            if let Some(owner) = owners.insert(*key, name) {
+                let problem = format!("holds a key that {owner} has already");
+                faults.push(at.key("keys").key(name.as_str()), problem);
             }
         }
-        let count = self.keys.len();
-        if self.required == 0 || usize::from(self.required) > count {
-            let problem = format!("must be from 1 to the number of signers, {count}");
-            faults.push(path.key("required"), problem);
+        let count = keys.len();
+        if required == 0 || required as usize > count {
+            let problem = format!("must be from 1 to the number of keys, {count}");
+            faults.push(at.key("signers"), problem);
         }
+        faults.or(Self { keys, required })
     }
 }
 
--- a/laburnumcart/src/seal/key.rs
+++ b/laburnumcart/src/seal/key.rs
@@ -9,6 +9,7 @@
     Engine,
     prelude::BASE64_STANDARD, //
 };
+use derive_more::Display;
 use ed25519_dalek::Signer;
 use serde::{
     Deserialize,
@@ -45,15 +46,7 @@
 }
 
 /// Public half of a signer's key, written in base64.
-#[derive(Clone, Copy, Eq, Hash, PartialEq, schemars::JsonSchema)]
-#[schemars(
-    with = "String",
-    extend(
-        "format" = "public-key",
-        "pattern" = r"^[A-Za-z0-9+/]{43}=$",
-        "examples" = ["lPvf2cANDUq2IBbSe27e5UzFrIpfBgdfm/B1hPmvsrk="]
-    )
-)]
+#[derive(Clone, Copy, Eq, Hash, PartialEq)]
 pub struct PublicKey(ed25519_dalek::VerifyingKey);
 
 impl PublicKey {
@@ -92,6 +85,49 @@
 
 text_serde!(PublicKey);
 
+/// Public keys of one signer, written in base64; two, divided by a comma, while the signer changes
+/// from one to the other.
+#[derive(Clone, Debug, Display, Eq, PartialEq, schemars::JsonSchema)]
+#[display("{}", join(_0))]
+#[schemars(
+    with = "String",
+    extend(
+        "format" = "public-keys",
+        "pattern" = r"^[A-Za-z0-9+/]{43}=(,[A-Za-z0-9+/]{43}=)*$",
+        "examples" = ["lPvf2cANDUq2IBbSe27e5UzFrIpfBgdfm/B1hPmvsrk="]
+    )
+)]
+pub struct Keys(Vec<PublicKey>);
+
+impl Keys {
+    /// Iterates over the keys.
+    pub fn iter(&self) -> impl Iterator<Item = &PublicKey> {
+        self.0.iter()
+    }
+}
+
+impl From<PublicKey> for Keys {
+    fn from(key: PublicKey) -> Self {
+        Self(vec![key])
+    }
+}
+
+fn join(keys: &[PublicKey]) -> String {
+    let texts: Vec<_> = keys.iter().map(PublicKey::to_string).collect();
+    texts.join(",")
+}
+
+impl str::FromStr for Keys {
+    type Err = id::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, id::ParseError> {
+        let keys: Result<_, _> = text.split(',').map(str::parse).collect();
+        keys.map(Self)
+    }
+}
+
+text_serde!(Keys);
+
 /// Secret half of a signer's key.
 pub struct SecretKey(ed25519_dalek::SigningKey);
 
--- /dev/null
+++ b/laburnumcart_daemon/src/bundle.rs
@@ -0,0 +1,50 @@
+//! The bundle in force in this process, and how it gets here.
+//!
+//! The control thread runs [`run`], which follows the head in the object service and asks peers
+//! where that falls short. Everything else holds a [`Feed`] and reads from it without waiting.
+
+use std::collections;
+
+use laburnumcart::{
+    document,
+    seal, //
+};
+
+use crate::settings;
+
+pub use counters::Failure;
+pub use feed::{
+    Feed,
+    Snapshot, //
+};
+pub use follow::{
+    Options,
+    Timing,
+    run, //
+};
+pub use peers::{
+    PeerError,
+    Peers,
+    Rpc, //
+};
+
+mod counters;
+mod feed;
+mod follow;
+mod gather;
+mod peers;
+
+/// Returns the keys that a fleet trusts, whose settings stand at `$.fleet`.
+pub fn trust(fleet: &settings::Fleet) -> Result<seal::Trust, document::Faults> {
+    let at = document::Path::root().key("fleet");
+    let mut faults = document::Faults::default();
+    let mut keys = collections::BTreeMap::new();
+    for (name, text) in &fleet.keys {
+        match text.to_string().parse::<seal::Keys>() {
+            Ok(key) => drop(keys.insert(name.clone(), key)),
+            Err(e) => faults.push(at.key("keys").key(name.as_str()), e.to_string()),
+        }
+    }
+    faults.or(())?;
+    seal::Trust::new(keys, fleet.signers, &at)
+}
--- /dev/null
+++ b/laburnumcart_daemon/src/bundle/follow.rs
@@ -0,0 +1,302 @@
+//! Follows the head in the object service.
+
+use std::{
+    cell,
+    net, //
+};
+
+use rand::Rng;
+use tokio::time;
+
+use laburnumcart::{
+    bundle,
+    head,
+    seal,
+    unit, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::agent;
+use serde_json::value;
+
+use super::{
+    counters::Failure,
+    feed,
+    gather,
+    peers, //
+};
+
+/// Periods of [`run`].
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Longest wait of one watch; a waiting watch counts as a call of the object service.
+    pub wait: unit::Period,
+    /// Longest time for any other call.
+    pub call: unit::Period,
+    /// Mean pause after a failed call.
+    pub retry: unit::Period,
+    /// Pause between two rounds of asking peers while the object service is down.
+    pub ask: unit::Period,
+    /// Time that the object service gets before a peer is asked for what was heard of.
+    pub grace: unit::Period,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            wait: unit::Period::from_secs(30),
+            call: unit::Period::from_secs(5),
+            retry: unit::Period::from_millis(500),
+            ask: unit::Period::from_secs(2),
+            grace: unit::Period::from_millis(250),
+        }
+    }
+}
+
+/// Settings of [`run`].
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub(super) trust: seal::Trust,
+    pub(super) peers: Vec<net::SocketAddr>,
+    pub(super) timing: Timing,
+}
+
+impl Options {
+    /// Creates settings with no peers and the default periods.
+    pub fn new(trust: seal::Trust) -> Self {
+        Self {
+            trust,
+            peers: Vec::new(),
+            timing: Timing::default(),
+        }
+    }
+
+    /// Sets the peers to ask while the object service is down.
+    #[must_use]
+    pub fn peers(mut self, peers: impl Into<Vec<net::SocketAddr>>) -> Self {
+        self.peers = peers.into();
+        self
+    }
+
+    /// Sets the periods.
+    #[must_use]
+    pub fn timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+}
+
+/// Keeps `feed` up to date; never returns, and can be dropped at any time.
+pub async fn run(
+    feed: feed::Feed,
+    store: impl store::Store,
+    peers: impl peers::Peers,
+    options: Options,
+) {
+    let follower = Follower {
+        feed,
+        options,
+        down: cell::Cell::new(false),
+        reported: cell::Cell::new(false),
+    };
+    tokio::join!(follower.follow(&store), gather::gather(&follower, &peers));
+}
+
+/// State of [`run`] that its two loops share.
+pub(super) struct Follower {
+    pub(super) feed: feed::Feed,
+    pub(super) options: Options,
+    /// Whether the last call of the object service failed.
+    pub(super) down: cell::Cell<bool>,
+    /// Whether a refused bundle was logged since the last one that was taken in.
+    reported: cell::Cell<bool>,
+}
+
+/// A head that was read and whose bundle is not in force yet.
+struct Pending {
+    text: String,
+    accepted: head::Accepted,
+    /// Consecutive refusals of its bundle.
+    refusals: u32,
+}
+
+impl Follower {
+    async fn follow(&self, store: &impl store::Store) {
+        loop {
+            match self.call(store.list(head::KEY)).await {
+                Ok(listing) => self.watch(store, listing).await,
+                Err(_) => self.pause(0).await,
+            }
+        }
+    }
+
+    /// Watches from a listing on, until the history no longer reaches back.
+    async fn watch(&self, store: &impl store::Store, listing: store::Listing) {
+        let mut after = listing.revision;
+        let objects = listing.objects.into_iter();
+        let texts = objects
+            .filter(|object| object.key == head::KEY)
+            .map(|object| object.value);
+        let mut pending = self.newest(texts, None);
+        loop {
+            if let Some(head) = pending.take() {
+                pending = self.take_in(store, head).await;
+            }
+            let wait = match &pending {
+                Some(_) => self.options.timing.retry,
+                None => self.options.timing.wait,
+            };
+            let changes = store.watch(head::KEY, after, wait.0);
+            let limit = wait.0 + self.options.timing.call.0;
+            let answer = time::timeout(limit, changes).await;
+            let answer = answer.unwrap_or(Err(store::Failure::Unanswered));
+            self.note(&answer);
+            match answer {
+                Ok(changes) => {
+                    // A stale answer must not lead to the same changes being waited for again.
+                    after = after.max(changes.revision);
+                    let events = changes.events.into_iter();
+                    let events = events.filter(|event| event.key == head::KEY);
+                    pending = self.newest(events.filter_map(|event| event.value), pending);
+                }
+                Err(store::Failure::Compacted) => return,
+                Err(_) => self.pause(0).await,
+            }
+        }
+    }
+
+    /// Picks the newest of some heads and the pending one, if it is newer than what is in force.
+    fn newest(
+        &self,
+        texts: impl Iterator<Item = String>,
+        pending: Option<Pending>,
+    ) -> Option<Pending> {
+        let mut newest = pending;
+        for text in texts {
+            let Ok(head) = head::Head::parse(&text) else {
+                self.refuse(Failure::Head, "malformed");
+                continue;
+            };
+            let generation = head.accepted.generation;
+            self.feed.want(generation);
+            if newest
+                .as_ref()
+                .is_none_or(|n| n.accepted.generation < generation)
+            {
+                newest = Some(Pending {
+                    text,
+                    accepted: head.accepted,
+                    refusals: 0,
+                });
+            }
+        }
+        newest.filter(|head| head.accepted.generation > self.feed.generation())
+    }
+
+    /// Fetches a head's bundle and puts it in force; returns the head if that has to be repeated.
+    async fn take_in(&self, store: &impl store::Store, mut head: Pending) -> Option<Pending> {
+        if head.accepted.generation <= self.feed.generation() {
+            return None;
+        }
+        let key = head::object_key(head.accepted.digest);
+        match self.call(store.get(&key)).await {
+            Ok(Some(object)) => {
+                if self.install(&head.text, &object.value, "store") {
+                    return None;
+                }
+                // What is refused once is refused again, unless the read was damaged.
+                head.refusals += 1;
+                self.pause(head.refusals).await;
+            }
+            Ok(None) => self.feed.fail(Failure::Store),
+            Err(_) => self.pause(0).await,
+        }
+        Some(head)
+    }
+
+    /// Verifies and validates a bundle and puts it in force; returns whether it or a newer one is.
+    pub(super) fn install(&self, head: &str, envelope: &str, source: &str) -> bool {
+        match self.open(head, envelope) {
+            Ok((accepted, snapshot)) => {
+                if self.feed.publish(accepted, snapshot) {
+                    self.reported.set(false);
+                    let (generation, digest) = (accepted.generation, accepted.digest);
+                    log::info!(
+                        "event=bundle-in-force generation={generation} digest={digest} \
+                         source={source}"
+                    );
+                }
+                true
+            }
+            Err((reason, cause)) => {
+                self.refuse(reason, &cause);
+                false
+            }
+        }
+    }
+
+    fn open(
+        &self,
+        text: &str,
+        envelope: &str,
+    ) -> Result<(head::Accepted, feed::Snapshot), (Failure, String)> {
+        let fail = |reason| move |cause: String| (reason, cause);
+        let head = head::Head::parse(text).map_err(|e| fail(Failure::Head)(e.to_string()))?;
+        let digest = Some(head.accepted.digest);
+        let verified = self.options.trust.verify(envelope, digest);
+        let verified = verified.map_err(|e| fail(Failure::Signature)(e.to_string()))?;
+        let bundle = bundle::check::parse(verified.bundle());
+        let bundle = bundle.map_err(|e| fail(Failure::Content)(e.to_string()))?;
+        let raw = |text: &str| value::RawValue::from_string(text.into());
+        let malformed = |e: serde_json::Error| fail(Failure::Head)(e.to_string());
+        let shown = agent::Shown {
+            generation: head.accepted.generation,
+            head: raw(text).map_err(malformed)?,
+            envelope: raw(envelope).map_err(malformed)?,
+        };
+        let snapshot = feed::Snapshot {
+            generation: head.accepted.generation,
+            bundle,
+            shown,
+        };
+        Ok((head.accepted, snapshot))
+    }
+
+    /// Counts a refused bundle, and logs the first of a row.
+    pub(super) fn refuse(&self, reason: Failure, cause: &str) {
+        self.feed.fail(reason);
+        if !self.reported.replace(true) {
+            log::warn!("event=bundle-refused reason={reason} cause={cause:?}");
+        }
+    }
+
+    /// Makes a call of the object service within its time.
+    async fn call<T>(
+        &self,
+        call: impl Future<Output = Result<T, store::Failure>>,
+    ) -> Result<T, store::Failure> {
+        let answer = time::timeout(self.options.timing.call.0, call).await;
+        let answer = answer.unwrap_or(Err(store::Failure::Unanswered));
+        self.note(&answer);
+        answer
+    }
+
+    /// Takes note of whether the object service answers.
+    fn note<T>(&self, answer: &Result<T, store::Failure>) {
+        let down = !matches!(answer, Ok(_) | Err(store::Failure::Compacted));
+        if down {
+            self.feed.fail(Failure::Store);
+        }
+        if self.down.replace(down) != down {
+            let state = if down { "down" } else { "up" };
+            log::info!("event=bundle-store state={state}");
+        }
+    }
+
+    /// Waits before a repetition, longer each time.
+    async fn pause(&self, repetitions: u32) {
+        let factor = f64::from(1 << repetitions.min(6));
+        // Without the random part, a whole fleet would come back at the same moment.
+        let part = rand::rng().random_range(0.5..1.5);
+        time::sleep(self.options.timing.retry.0.mul_f64(factor * part)).await;
+    }
+}
--- /dev/null
+++ b/laburnumcart_daemon/src/bundle/peers.rs
@@ -0,0 +1,90 @@
+//! Bundles from other processes.
+
+use std::{
+    future,
+    net, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use jsonrpsee::{
+    core::client,
+    types::error, //
+};
+
+use laburnumcart::id;
+use laburnumcart_wire::{
+    agent::{
+        self,
+        AgentClient, //
+    },
+    entry::EntryClient,
+    peer,
+    secret, //
+};
+
+/// A peer that could not be asked for its bundle.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+#[display("peer did not answer: {cause}")]
+pub struct PeerError {
+    /// What happened.
+    #[error(not(source))]
+    pub cause: String,
+}
+
+/// How other processes are asked for their bundle.
+pub trait Peers: Send + Sync + 'static {
+    /// Returns the bundle of the process at `peer`, if its generation is at least `least`.
+    fn fetch(
+        &self,
+        peer: net::SocketAddr,
+        least: id::Generation,
+    ) -> impl future::Future<Output = Result<Option<agent::Shown>, PeerError>> + Send;
+}
+
+/// Asks by a connection of its own, as it is rarely done.
+#[derive(Clone, Debug)]
+pub struct Rpc {
+    secret: secret::Secret,
+    limits: peer::Limits,
+}
+
+impl Rpc {
+    /// Creates a client that shows this secret.
+    pub fn new(secret: secret::Secret) -> Self {
+        Self {
+            secret,
+            limits: peer::Limits::default(),
+        }
+    }
+}
+
+impl Peers for Rpc {
+    async fn fetch(
+        &self,
+        addr: net::SocketAddr,
+        least: id::Generation,
+    ) -> Result<Option<agent::Shown>, PeerError> {
+        let client = peer::connect(addr, &self.secret, &self.limits).await;
+        let client = client.map_err(|e| error(&e))?;
+        match EntryClient::bundle(&client, least).await {
+            // An address does not tell an agent from an entry.
+            Err(e) if is_unknown_method(&e) => AgentClient::bundle(&client, least).await,
+            other => other,
+        }
+        .map_err(|e| error(&e))
+    }
+}
+
+fn is_unknown_method(error: &client::Error) -> bool {
+    let code = error::ErrorCode::MethodNotFound.code();
+    matches!(error, client::Error::Call(e) if e.code() == code)
+}
+
+fn error(cause: &impl std::fmt::Display) -> PeerError {
+    PeerError {
+        cause: cause.to_string(),
+    }
+}
--- a/laburnumcart_daemon/src/lib.rs
+++ b/laburnumcart_daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod args;
+pub mod bundle;
 pub mod control;
 pub mod launch;
 pub mod logs;
