--- /dev/null
+++ b/laburnumcart_platform/src/client/answer.rs
@@ -0,0 +1,205 @@
+//! Requests to the object service and what their answers prove.
+
+use std::{
+    net,
+    time, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    Method,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use serde::de;
+
+use crate::store;
+
+/// A call before it is sent.
+pub(super) struct Request<'a> {
+    method: Method,
+    path: Path<'a>,
+    /// State that a write depends on.
+    pub(super) expect: Option<store::Expect>,
+    /// Time that a watch waits.
+    pub(super) wait: Option<time::Duration>,
+    /// JSON text of a write.
+    pub(super) body: Bytes,
+}
+
+enum Path<'a> {
+    Object(&'a str),
+    List(&'a str),
+    Watch(&'a str, store::Revision),
+}
+
+impl<'a> Request<'a> {
+    pub(super) fn object(method: Method, key: &'a str) -> Result<Self, store::Failure> {
+        match store::is_key(key) {
+            true => Ok(Self::new(method, Path::Object(key))),
+            false => Err(store::Failure::Invalid),
+        }
+    }
+
+    pub(super) fn list(prefix: &'a str) -> Result<Self, store::Failure> {
+        match store::is_prefix(prefix) {
+            true => Ok(Self::new(Method::GET, Path::List(prefix))),
+            false => Err(store::Failure::Invalid),
+        }
+    }
+
+    pub(super) fn watch(
+        prefix: &'a str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<Self, store::Failure> {
+        if !store::is_prefix(prefix) {
+            return Err(store::Failure::Invalid);
+        }
+        let mut request = Self::new(Method::GET, Path::Watch(prefix, after));
+        request.wait = Some(wait);
+        Ok(request)
+    }
+
+    fn new(method: Method, path: Path<'a>) -> Self {
+        Self {
+            method,
+            path,
+            expect: None,
+            wait: None,
+            body: Bytes::new(),
+        }
+    }
+
+    fn uri(&self, addr: net::SocketAddr) -> String {
+        match self.path {
+            Path::Object(key) => format!("http://{addr}/v1/objects/{key}"),
+            Path::List(prefix) => format!("http://{addr}/v1/list?prefix={prefix}"),
+            Path::Watch(prefix, after) => {
+                let wait = self.wait.unwrap_or_default().as_millis();
+                format!("http://{addr}/v1/watch?prefix={prefix}&after={after}&wait={wait}")
+            }
+        }
+    }
+
+    fn build(self, addr: net::SocketAddr) -> Result<http::Request<Full<Bytes>>, store::Failure> {
+        let mut builder = http::Request::builder().uri(self.uri(addr));
+        builder = match self.expect {
+            None => builder,
+            Some(store::Expect::Absent) => builder.header(header::IF_NONE_MATCH, "*"),
+            Some(store::Expect::Version(version)) => {
+                builder.header(header::IF_MATCH, format!("\"{version}\""))
+            }
+        };
+        if !self.body.is_empty() {
+            builder = builder.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = builder.method(self.method).body(Full::new(self.body));
+        request.map_err(|_| store::Failure::Invalid)
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Sends a request and reads the whole answer.
+///
+/// An error is [`store::Failure::Unavailable`] only where no byte of the request has left.
+pub(super) async fn send(
+    http: &super::Http,
+    addr: net::SocketAddr,
+    request: Request<'_>,
+    limit: usize,
+) -> Result<Answer, store::Failure> {
+    let request = request.build(addr)?;
+    let answer = http.request(request).await.map_err(|error| {
+        if error.is_connect() {
+            store::Failure::Unavailable { retry: None }
+        } else {
+            store::Failure::Unanswered
+        }
+    })?;
+    let (parts, body) = answer.into_parts();
+    let body = Limited::new(body, limit).collect().await;
+    let body = body.map_err(|_| store::Failure::Unanswered)?;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
+impl Answer {
+    /// Reports whether the service does its work, be it by refusing the call.
+    pub(super) fn is_working(&self) -> bool {
+        !self.status.is_server_error()
+    }
+
+    /// Reports whether the service found the calls too many.
+    pub(super) fn is_limited(&self) -> bool {
+        self.status == StatusCode::TOO_MANY_REQUESTS
+    }
+
+    /// Tells what the status proves.
+    pub(super) fn check(self) -> Result<Self, store::Failure> {
+        match self.status {
+            StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(self),
+            StatusCode::PRECONDITION_FAILED => Err(store::Failure::Conflict),
+            StatusCode::GONE => Err(store::Failure::Compacted),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                let retry = super::retry_after(&self.headers);
+                Err(store::Failure::Unavailable { retry })
+            }
+            status if status.is_client_error() => Err(store::Failure::Invalid),
+            // Any other status may come from something between here and the service, after the
+            // service has done its work.
+            _ => Err(store::Failure::Unanswered),
+        }
+    }
+
+    /// Reads the answer of a write.
+    ///
+    /// A write that is answered with anything but a version may have taken effect.
+    pub(super) fn version(&self) -> Result<store::Version, store::Failure> {
+        if self.status != StatusCode::OK {
+            return Err(store::Failure::Unanswered);
+        }
+        etag(&self.headers).ok_or(store::Failure::Unanswered)
+    }
+
+    /// Reads the answer of a read of `key`.
+    pub(super) fn object(self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        if self.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let version = etag(&self.headers).ok_or(store::Failure::Invalid)?;
+        let value = String::from_utf8(self.body.into());
+        Ok(Some(store::Object {
+            key: key.into(),
+            version,
+            value: value.map_err(|_| store::Failure::Invalid)?,
+        }))
+    }
+
+    /// Reads a listing or changes.
+    pub(super) fn parse<T: de::DeserializeOwned>(&self) -> Result<T, store::Failure> {
+        serde_json::from_slice(&self.body).map_err(|_| store::Failure::Invalid)
+    }
+}
+
+fn etag(headers: &HeaderMap) -> Option<store::Version> {
+    let text = headers.get(header::ETAG)?.to_str().ok()?;
+    let digits = text.strip_prefix('"')?.strip_suffix('"')?;
+    digits.parse().ok().map(store::Version)
+}
--- /dev/null
+++ b/laburnumcart_platform/src/client/metrics.rs
@@ -0,0 +1,82 @@
+//! Counters of the calls to the object service.
+
+use std::sync::atomic;
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        EncodeLabelValue, //
+    },
+    metrics::{
+        counter,
+        family,
+        gauge, //
+    },
+    registry,
+};
+
+use crate::store;
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+pub(super) enum Kind {
+    Get,
+    Put,
+    Delete,
+    List,
+    Watch,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+enum Outcome {
+    Done,
+    Conflict,
+    Unavailable,
+    Unanswered,
+    Compacted,
+    Invalid,
+}
+
+#[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Labels {
+    kind: Kind,
+    outcome: Outcome,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Metrics {
+    calls: family::Family<Labels, counter::Counter>,
+    down: gauge::Gauge<i64, atomic::AtomicI64>,
+}
+
+impl Metrics {
+    pub(super) fn register(&self, registry: &mut registry::Registry) {
+        registry.register(
+            "object_service_calls",
+            "Calls of the object service by kind and outcome",
+            self.calls.clone(),
+        );
+        registry.register(
+            "object_service_down",
+            "Whether the object service is held to be down",
+            self.down.clone(),
+        );
+    }
+
+    pub(super) fn count<T>(&self, kind: Kind, result: &Result<T, store::Failure>) {
+        let outcome = match result {
+            Ok(_) => Outcome::Done,
+            Err(store::Failure::Conflict) => Outcome::Conflict,
+            Err(store::Failure::Unavailable { .. }) => Outcome::Unavailable,
+            Err(store::Failure::Unanswered) => Outcome::Unanswered,
+            Err(store::Failure::Compacted) => Outcome::Compacted,
+            Err(store::Failure::Invalid) => Outcome::Invalid,
+        };
+        self.calls.get_or_create(&Labels { kind, outcome }).inc();
+    }
+
+    pub(super) fn down(&self, down: bool) {
+        self.down.set(i64::from(down));
+    }
+}
--- /dev/null
+++ b/laburnumcart_platform/src/follow.rs
@@ -0,0 +1,1 @@
+//! Keeps a prefix mirrored.
--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -1,3 +1,12 @@
 //! Client of the platform's object service.
+//!
+//! [`store::Store`] is what the system asks of the service. [`client::Client`] reaches it over
+//! HTTP, [`memory::Memory`] takes its place in tests; [`settle`] and [`follow`] work over both.
 
+pub mod budget;
+pub mod client;
+pub mod follow;
+pub mod memory;
+pub mod outage;
+pub mod settle;
 pub mod store;
--- /dev/null
+++ b/laburnumcart_platform/src/memory.rs
@@ -0,0 +1,334 @@
+//! An object service in memory, for tests and embedders without a platform.
+//!
+//! Versions are the revisions of the writes that made them, so that a key which is deleted and
+//! created again never has an old version again.
+
+use std::{
+    sync,
+    time, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize,
+    de, //
+};
+use tokio::time::Instant;
+
+use laburnumcart::unit;
+
+use crate::store;
+
+mod history;
+
+/// What goes wrong at the service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Every call is refused.
+    pub down: bool,
+    /// Delay of every call, before it takes effect.
+    pub slow: unit::Period,
+    /// Number of writes to come that take effect and are not answered.
+    pub lose_answers: u32,
+    /// Number of writes to come that are lost before they take effect, and are not answered.
+    pub lose_calls: u32,
+    /// Age of what reads, lists and watches see.
+    pub stale: unit::Period,
+}
+
+/// Part of the keys whose reads always lag.
+#[derive(Clone, Debug)]
+struct Lag {
+    prefix: String,
+    period: time::Duration,
+}
+
+#[derive(Debug)]
+struct Inner {
+    history: history::History,
+    faults: Faults,
+}
+
+#[derive(Debug)]
+struct Shared {
+    inner: sync::Mutex<Inner>,
+    changed: tokio::sync::watch::Sender<store::Revision>,
+    lag: Option<Lag>,
+}
+
+/// The service; clones share its objects.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    shared: sync::Arc<Shared>,
+}
+
+/// Settings of a [`Memory`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    history: usize,
+    start: store::Revision,
+    lag: Option<Lag>,
+}
+
+impl Default for Builder {
+    fn default() -> Self {
+        Self {
+            history: history::CHANGES,
+            start: store::Revision(0),
+            lag: None,
+        }
+    }
+}
+
+impl Builder {
+    /// Sets the number of changes that a watch can still ask for.
+    pub fn history(mut self, changes: usize) -> Self {
+        self.history = changes;
+        self
+    }
+
+    /// Sets the revision before the first write.
+    pub fn start(mut self, revision: store::Revision) -> Self {
+        self.start = revision;
+        self
+    }
+
+    /// Makes reads, lists and watches of keys under `prefix` see what was `period` ago.
+    pub fn lag(mut self, prefix: impl Into<String>, period: unit::Period) -> Self {
+        self.lag = Some(Lag {
+            prefix: prefix.into(),
+            period: period.0,
+        });
+        self
+    }
+
+    /// Creates the service.
+    pub fn build(self) -> Memory {
+        let inner = Inner {
+            history: history::History::new(self.start, self.history),
+            faults: Faults::default(),
+        };
+        let shared = Shared {
+            inner: sync::Mutex::new(inner),
+            changed: tokio::sync::watch::Sender::new(self.start),
+            lag: self.lag,
+        };
+        Memory {
+            shared: sync::Arc::new(shared),
+        }
+    }
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Builder::default().build()
+    }
+}
+
+impl Memory {
+    /// Creates an empty service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts the settings of a service.
+    pub fn builder() -> Builder {
+        Builder::default()
+    }
+
+    /// Returns the faults in force; the numbers of losses count down.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults
+    }
+
+    /// Replaces the faults; waiting watches see the change.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+        self.shared.changed.send_modify(|_| ());
+    }
+
+    /// Returns the latest revision.
+    pub fn revision(&self) -> store::Revision {
+        self.lock().history.revision()
+    }
+
+    /// Forgets all changes, so that a watch of any older revision must list again.
+    pub fn compact(&self) {
+        self.lock().history.compact();
+        self.shared.changed.send_modify(|_| ());
+    }
+
+    /// Deletes an object as [`store::Store::delete`] does and tells whether it existed.
+    pub async fn remove(&self, key: &str, version: store::Version) -> Result<bool, store::Failure> {
+        check_key(key)?;
+        self.enter().await?;
+        self.write(|history| history.delete(key, version, Instant::now()))
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Inner> {
+        // Nothing in a locked section panics between two changes that belong together.
+        let poisoned = sync::PoisonError::into_inner;
+        self.shared.inner.lock().unwrap_or_else(poisoned)
+    }
+
+    /// Applies outage and delay to a call.
+    async fn enter(&self) -> Result<(), store::Failure> {
+        self.check()?;
+        let slow = self.faults().slow.0;
+        if !slow.is_zero() {
+            tokio::time::sleep(slow).await;
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), store::Failure> {
+        if self.faults().down {
+            let retry = Some(unit::Period::from_secs(1));
+            return Err(store::Failure::Unavailable { retry });
+        }
+        Ok(())
+    }
+
+    /// Returns the age of what a read of `key` sees.
+    fn age(&self, inner: &Inner, key: &str) -> time::Duration {
+        let stale = inner.faults.stale.0;
+        match &self.shared.lag {
+            Some(lag) if key.starts_with(&lag.prefix) => stale.max(lag.period),
+            _ => stale,
+        }
+    }
+
+    /// Returns the revision that a read of `key` sees.
+    fn seen(&self, inner: &Inner, key: &str) -> store::Revision {
+        let age = self.age(inner, key);
+        if age.is_zero() {
+            return inner.history.revision();
+        }
+        match Instant::now().checked_sub(age) {
+            Some(then) => inner.history.at(then),
+            None => inner.history.floor(),
+        }
+    }
+
+    fn write<T>(
+        &self,
+        apply: impl FnOnce(&mut history::History) -> Result<T, store::Failure>,
+    ) -> Result<T, store::Failure> {
+        let mut inner = self.lock();
+        if inner.faults.lose_calls > 0 {
+            inner.faults.lose_calls -= 1;
+            return Err(store::Failure::Unanswered);
+        }
+        let result = apply(&mut inner.history)?;
+        self.shared.changed.send_replace(inner.history.revision());
+        if inner.faults.lose_answers > 0 {
+            inner.faults.lose_answers -= 1;
+            return Err(store::Failure::Unanswered);
+        }
+        Ok(result)
+    }
+
+    /// Returns the changes that a watch can be answered with, or when to look again.
+    fn poll(&self, prefix: &str, after: store::Revision) -> Result<Poll, store::Failure> {
+        let inner = self.lock();
+        let seen = self.seen(&inner, prefix);
+        let changes = inner.history.changes(prefix, after, seen)?;
+        if !changes.events.is_empty() {
+            return Ok(Poll::Ready(changes));
+        }
+        let age = self.age(&inner, prefix);
+        let next = inner.history.after(seen).map(|at| at + age);
+        Ok(Poll::Pending(changes, next))
+    }
+}
+
+enum Poll {
+    Ready(store::Changes),
+    Pending(store::Changes, Option<Instant>),
+}
+
+impl store::Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        check_key(key)?;
+        self.enter().await?;
+        let inner = self.lock();
+        let seen = self.seen(&inner, key);
+        Ok(inner.history.get(key, seen))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        check_key(key)?;
+        check_value(value)?;
+        self.enter().await?;
+        self.write(|history| history.put(key, expect, value, Instant::now()))
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.remove(key, version).await.map(|_| ())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        check_prefix(prefix)?;
+        self.enter().await?;
+        let inner = self.lock();
+        let seen = self.seen(&inner, prefix);
+        Ok(inner.history.list(prefix, seen))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        check_prefix(prefix)?;
+        self.enter().await?;
+        let end = Instant::now() + wait;
+        let mut changed = self.shared.changed.subscribe();
+        loop {
+            self.check()?;
+            changed.mark_unchanged();
+            let (changes, next) = match self.poll(prefix, after)? {
+                Poll::Ready(changes) => return Ok(changes),
+                Poll::Pending(changes, next) => (changes, next),
+            };
+            if Instant::now() >= end {
+                return Ok(changes);
+            }
+            let until = next.map_or(end, |at| at.min(end));
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
+        }
+    }
+}
+
+fn check_key(key: &str) -> Result<(), store::Failure> {
+    match store::is_key(key) {
+        true => Ok(()),
+        false => Err(store::Failure::Invalid),
+    }
+}
+
+fn check_prefix(prefix: &str) -> Result<(), store::Failure> {
+    match store::is_prefix(prefix) {
+        true => Ok(()),
+        false => Err(store::Failure::Invalid),
+    }
+}
+
+fn check_value(value: &str) -> Result<(), store::Failure> {
+    let json = || serde_json::from_str::<de::IgnoredAny>(value).is_ok();
+    match value.len() <= store::VALUE_MAX && json() {
+        true => Ok(()),
+        false => Err(store::Failure::Invalid),
+    }
+}
--- /dev/null
+++ b/laburnumcart_platform/src/settle.rs
@@ -0,0 +1,1 @@
+//! Settles writes whose answer was lost.
--- a/laburnumcart_platform/src/store.rs
+++ b/laburnumcart_platform/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future,
+    sync,
     time, //
 };
 
@@ -19,6 +20,24 @@
 /// Largest value of an object in bytes.
 pub const VALUE_MAX: usize = 1 << 20;
 
+/// Longest key in bytes.
+pub const KEY_MAX: usize = 512;
+
+/// Reports whether `key` can name an object.
+///
+/// A key is 1 to [`KEY_MAX`] bytes of `A-Z a-z 0-9 . _ - ~ /`, which a URL carries as they are.
+pub fn is_key(key: &str) -> bool {
+    let whole = !key.starts_with('/') && !key.ends_with('/') && !key.contains("//");
+    !key.is_empty() && whole && is_prefix(key)
+}
+
+/// Reports whether `prefix` can start a key.
+pub fn is_prefix(prefix: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-' | b'~' | b'/');
+    let relative = |segment: &str| matches!(segment, "." | "..");
+    prefix.len() <= KEY_MAX && prefix.bytes().all(plain) && !prefix.split('/').any(relative)
+}
+
 /// Version of one object; grows with every write of it.
 #[derive(
     Clone, Copy, Debug, Default, Display, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
@@ -142,3 +161,30 @@
         wait: time::Duration,
     ) -> impl future::Future<Output = Result<Changes, Failure>> + Send;
 }
+
+impl<S: Store> Store for sync::Arc<S> {
+    async fn get(&self, key: &str) -> Result<Option<Object>, Failure> {
+        S::get(self, key).await
+    }
+
+    async fn put(&self, key: &str, expect: Expect, value: &str) -> Result<Version, Failure> {
+        S::put(self, key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: Version) -> Result<(), Failure> {
+        S::delete(self, key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Failure> {
+        S::list(self, prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: time::Duration,
+    ) -> Result<Changes, Failure> {
+        S::watch(self, prefix, after, wait).await
+    }
+}
