Add the operators' command line

Each command prints text or JSON and has an exit code that tells bad input, conflict, unavailability and refusal apart. A change of the head is driven until its outcome is proven; a call without an answer is settled by the nonce.

--- /dev/null
+++ b/laburnumcart_ctl/src/command/schema.rs
@@ -0,0 +1,26 @@
+//! JSON Schemas of what operators write.
+
+use laburnumcart::{
+    bundle,
+    document, //
+};
+
+use crate::{
+    args,
+    error,
+    output,
+    settings, //
+};
+
+/// Prints a schema.
+pub(super) fn schema(args: &args::Args) -> Result<output::Output, error::Error> {
+    let schema = match args.first() {
+        "bundle" => document::schema::<bundle::Bundle>(),
+        "settings" => document::schema::<settings::Settings>(),
+        name => {
+            let problem = document::unknown("document", name, ["bundle", "settings"].into_iter());
+            return Err(error::Error::Usage(problem));
+        }
+    };
+    Ok(output::Output::document(schema))
+}
--- /dev/null
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -0,0 +1,141 @@
+//! State of the head and of the processes.
+
+use std::{
+    fmt,
+    net, //
+};
+
+use serde::Serialize;
+use tokio::task;
+
+use laburnumcart::head;
+use laburnumcart_platform::store::{
+    self,
+    Store, //
+};
+
+use crate::{
+    args,
+    error,
+    output,
+    peers,
+    settings, //
+};
+
+/// What `status` prints.
+#[derive(Serialize)]
+struct Status {
+    head: Result<Option<head::Head>, String>,
+    processes: Vec<Process>,
+}
+
+/// One process, or why it could not be asked.
+#[derive(Serialize)]
+struct Process {
+    address: net::SocketAddr,
+    state: Result<peers::State, String>,
+}
+
+/// Shows the head and the processes.
+pub(super) async fn status(args: &args::Args) -> Result<output::Output, error::Error> {
+    let settings = args.settings()?;
+    let addrs = addresses(args, &settings)?;
+    let mut asked = task::JoinSet::new();
+    for address in addrs {
+        let fleet = settings.settings.fleet.clone();
+        asked.spawn(async move {
+            let state = ask(address, &fleet).await;
+            Process {
+                address,
+                state: state.map_err(|e| e.to_string()),
+            }
+        });
+    }
+    let head = read_head(&settings.store()).await;
+    let mut processes = asked.join_all().await;
+    processes.sort_by_key(|process| process.address);
+    let silent = processes.iter().all(|process| process.state.is_err());
+    if head.is_err() && silent {
+        return Err(error::Error::Unavailable);
+    }
+    Ok(output::Output::new(&Status { head, processes }))
+}
+
+/// Returns the addresses from the command line, or else those from the settings.
+pub(super) fn addresses(
+    args: &args::Args,
+    settings: &settings::Checked,
+) -> Result<Vec<net::SocketAddr>, error::Error> {
+    if args.free().is_empty() {
+        return Ok(settings.peers().to_vec());
+    }
+    let texts = args.free().iter();
+    texts
+        .map(|text| args::parse_value("ADDRESS", text))
+        .collect()
+}
+
+async fn ask(
+    address: net::SocketAddr,
+    fleet: &laburnumcart_daemon::settings::Fleet,
+) -> Result<peers::State, error::Error> {
+    peers::Process::connect(address, fleet).await?.state().await
+}
+
+async fn read_head(store: &impl Store) -> Result<Option<head::Head>, String> {
+    let object = store.get(head::KEY).await;
+    let object = object.map_err(|e: store::Failure| e.to_string())?;
+    let head = object.map(|object| head::Head::parse(&object.value));
+    head.transpose().map_err(|e| e.to_string())
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.head {
+            Ok(Some(head)) => {
+                for (number, a) in head.history().enumerate() {
+                    let mark = if number == 0 { "accepted" } else { "earlier" };
+                    writeln!(f, "{mark} generation={} digest={}", a.generation, a.digest)?;
+                }
+            }
+            Ok(None) => writeln!(f, "no bundle was accepted yet")?,
+            Err(cause) => writeln!(f, "head unknown: {cause}")?,
+        }
+        for process in &self.processes {
+            writeln!(f, "{process}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Process {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ", self.address)?;
+        match &self.state {
+            Ok(state) => describe(f, state),
+            Err(cause) => write!(f, "silent: {cause}"),
+        }
+    }
+}
+
+fn describe(f: &mut fmt::Formatter<'_>, state: &peers::State) -> fmt::Result {
+    match state {
+        peers::State::Entry(s) => write!(
+            f,
+            "entry {} zone={} generation={} leaving={} running={} agents={}",
+            s.instance, s.zone, s.generation, s.leaving, s.running, s.agents
+        ),
+        peers::State::Agent(r) => write!(
+            f,
+            "agent {} service={} zone={} generation={} leaving={} ready={} running={} queued={}",
+            r.target,
+            r.service,
+            r.zone,
+            r.facts.generation,
+            r.leaving,
+            r.ready,
+            r.load.running,
+            r.load.queued
+        ),
+    }
+}
--- /dev/null
+++ b/laburnumcart_ctl/src/main.rs
@@ -0,0 +1,11 @@
+//! Operator command line.
+
+use std::{
+    env,
+    process, //
+};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> process::ExitCode {
+    laburnumcart_ctl::run(env::args().skip(1)).await
+}
--- /dev/null
+++ b/laburnumcart_ctl/src/peers.rs
@@ -0,0 +1,110 @@
+//! Calls of the processes of the fleet.
+
+use std::net;
+
+use jsonrpsee::{
+    core::client,
+    types::error as code, //
+};
+use serde::Serialize;
+
+use laburnumcart::{
+    facts,
+    id, //
+};
+use laburnumcart_daemon::settings;
+use laburnumcart_wire::{
+    agent::{
+        self,
+        AgentClient, //
+    },
+    entry::{
+        self,
+        EntryClient, //
+    },
+    lane,
+    peer, //
+};
+
+use crate::error;
+
+/// What a process says of itself.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "role")]
+pub enum State {
+    /// An entry.
+    Entry(entry::Status),
+    /// An agent.
+    Agent(agent::Report),
+}
+
+/// A connection to one process.
+pub struct Process {
+    addr: net::SocketAddr,
+    client: peer::Client,
+}
+
+impl Process {
+    /// Connects with the fleet's secret.
+    pub async fn connect(
+        addr: net::SocketAddr,
+        fleet: &settings::Fleet,
+    ) -> Result<Self, error::Error> {
+        let secret = fleet.secret().ok_or_else(|| {
+            let text = "fleet.secrets in the settings is empty";
+            error::Error::Usage(text.into())
+        })?;
+        let client = peer::connect(addr, secret, &peer::Limits::default()).await;
+        let client = client.map_err(|e| match e {
+            peer::ConnectError::Unauthorized => error::Error::Refused(format!("{addr}: {e}")),
+            e => error::Error::Unreachable(format!("{addr}: {e}")),
+        })?;
+        Ok(Self { addr, client })
+    }
+
+    /// Asks for its state.
+    pub async fn state(&self) -> Result<State, error::Error> {
+        match EntryClient::status(&self.client).await {
+            Err(e) if is_unknown_method(&e) => self.hello().await,
+            other => other.map(State::Entry).map_err(|e| self.failed(&e)),
+        }
+    }
+
+    /// Lets it finish what it has and exit.
+    pub async fn drain(&self) -> Result<State, error::Error> {
+        match EntryClient::drain(&self.client).await {
+            Err(e) if is_unknown_method(&e) => {
+                let report = AgentClient::drain(&self.client).await;
+                report.map(State::Agent).map_err(|e| self.failed(&e))
+            }
+            other => other.map(State::Entry).map_err(|e| self.failed(&e)),
+        }
+    }
+
+    /// Opens a lane that is never used, which an agent answers with its state.
+    async fn hello(&self) -> Result<State, error::Error> {
+        let hello = agent::Hello {
+            instance: "laburnumctl".parse().expect("a valid name"),
+            session: lane::Session {
+                lane: id::Incarnation::random(),
+                number: 1,
+            },
+            facts: facts::Facts::default(),
+        };
+        let report = AgentClient::hello(&self.client, hello).await;
+        report.map(State::Agent).map_err(|e| self.failed(&e))
+    }
+
+    fn failed(&self, cause: &client::Error) -> error::Error {
+        let text = format!("{}: {cause}", self.addr);
+        match cause {
+            client::Error::Call(_) => error::Error::Refused(text),
+            _ => error::Error::Unreachable(text),
+        }
+    }
+}
+
+fn is_unknown_method(error: &client::Error) -> bool {
+    let code = code::ErrorCode::MethodNotFound.code();
+    matches!(error, client::Error::Call(e) if e.code() == code)
+}
--- /dev/null
+++ b/laburnumcart_ctl/src/publish.rs
@@ -0,0 +1,104 @@
+//! Drives a change of the head against the object service.
+
+use std::time;
+
+use tokio::time::Instant;
+
+use laburnumcart::{
+    head,
+    unit, //
+};
+use laburnumcart_platform::store;
+
+use crate::error;
+
+/// Pause before a refused call is repeated.
+const PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Performs a change until its outcome is proven, for at most `limit`.
+///
+/// A call without an answer is settled by reading, so that a change is never made twice and never
+/// reported wrongly.
+pub async fn publish(
+    store: &impl store::Store,
+    mut change: head::Publish<store::Version>,
+    limit: unit::Period,
+) -> Result<head::Head, error::Error> {
+    let end = Instant::now() + limit.0;
+    loop {
+        if let head::Step::Done(outcome) = change.step() {
+            return outcome.map_err(error::Error::Lost);
+        }
+        let step = tokio::time::timeout_at(end, perform(store, &mut change)).await;
+        match step {
+            Ok(Ok(())) => {}
+            Ok(Err(Retry::Head(e))) => return Err(error::Error::Head(e)),
+            // A write cut off by the end of the time may take effect as well.
+            Err(_) => return Err(cut_off(&change)),
+            Ok(Err(Retry::Later)) if Instant::now() + PAUSE < end => {
+                tokio::time::sleep(PAUSE).await;
+            }
+            Ok(Err(Retry::Later)) => return Err(given_up(&change)),
+        }
+    }
+}
+
+/// Why a step has to be performed again.
+enum Retry {
+    /// The service does not answer now.
+    Later,
+    /// The head is not one.
+    Head(head::Malformed),
+}
+
+fn cut_off(change: &head::Publish<store::Version>) -> error::Error {
+    match change.step() {
+        head::Step::Write { .. } => error::Error::InDoubt,
+        _ => given_up(change),
+    }
+}
+
+fn given_up(change: &head::Publish<store::Version>) -> error::Error {
+    if change.in_doubt() {
+        error::Error::InDoubt
+    } else {
+        error::Error::Unavailable
+    }
+}
+
+async fn perform(
+    store: &impl store::Store,
+    change: &mut head::Publish<store::Version>,
+) -> Result<(), Retry> {
+    match change.step() {
+        head::Step::Create { digest, value } => {
+            let key = head::object_key(digest);
+            match store.put(&key, store::Expect::Absent, &value).await {
+                // The name is the digest of the content: what exists under it is the same.
+                Ok(_) | Err(store::Failure::Conflict) => change.created(),
+                Err(_) => return Err(Retry::Later),
+            }
+        }
+        head::Step::Read => change.read(read(store).await?),
+        head::Step::Write { expect, value } => {
+            let expect = expect.map_or(store::Expect::Absent, store::Expect::Version);
+            match store.put(head::KEY, expect, &value).await {
+                Ok(_) => change.wrote(head::Wrote::Applied),
+                Err(store::Failure::Conflict) => change.wrote(head::Wrote::Conflict),
+                Err(store::Failure::Unanswered) => change.wrote(head::Wrote::Unknown),
+                Err(_) => return Err(Retry::Later),
+            }
+        }
+        head::Step::Done(_) => {}
+    }
+    Ok(())
+}
+
+async fn read(store: &impl store::Store) -> Result<Option<(store::Version, head::Head)>, Retry> {
+    let object = store.get(head::KEY).await.map_err(|_| Retry::Later)?;
+    let Some(object) = object else {
+        return Ok(None);
+    };
+    let head = head::Head::parse(&object.value).map_err(Retry::Head)?;
+    Ok(Some((object.version, head)))
+}
