--- /dev/null
+++ b/laburnumcart_system/tests/whole_path.rs
@@ -0,0 +1,166 @@
+//! A request's whole way through the real binaries, as separate processes.
+
+use std::collections;
+
+use futures_util::future;
+use laburnumcart_fakes::expected;
+use laburnumcart_system::{
+    fleet,
+    http,
+    sample, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+const IDEMPOTENT: usize = 200;
+const CLAIMED: usize = 50;
+
+/// Tokens that the stand-in engine of the sample generates.
+const TOKENS: u32 = 12;
+
+fn body(number: usize) -> Value {
+    json!({"applicant": number, "text": format!("statement {number}").repeat(20)})
+}
+
+/// What the stages before the last one must yield for an input.
+fn front(input: &Value) -> Value {
+    ["encode", "retrieve", "rerank"]
+        .iter()
+        .fold(Value::Null, |previous, stage| {
+            expected::pool(stage, input, &previous)
+        })
+}
+
+fn check_output(input: &Value) -> Value {
+    expected::generated("generate", input, &front(input), TOKENS)
+}
+
+fn open_output(input: &Value) -> Value {
+    expected::pool("open", input, &front(input))
+}
+
+/// Returns the answer's JSON, whether it came as one body or as the end of a stream of events.
+fn answer(answer: Result<http::Answer, http::Failure>) -> Value {
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    if answer.header("content-type") == Some("text/event-stream") {
+        return streamed(&answer.body);
+    }
+    answer.json()
+}
+
+/// Checks that the pieces of a stream join to the text of its end, and returns the end.
+fn streamed(text: &str) -> Value {
+    let mut pieces = String::new();
+    let mut end = Value::Null;
+    for event in text.split("\n\n").filter(|event| !event.trim().is_empty()) {
+        let field = |name: &str| {
+            let line = event.lines().find(|line| line.starts_with(name));
+            line.map_or("", |line| line[name.len()..].trim())
+        };
+        let data: Value = serde_json::from_str(field("data:")).expect("JSON data");
+        match field("event:") {
+            "chunk" => pieces.push_str(data["text"].as_str().expect("text")),
+            "end" => end = data,
+            other => panic!("event {other}: {event}"),
+        }
+    }
+    assert_eq!(end["output"]["text"], json!(pieces));
+    end
+}
+
+/// Counts the executions of a service that completed, by request.
+async fn executed(fleet: &fleet::Fleet, service: &str) -> collections::HashMap<String, usize> {
+    let mut counts = collections::HashMap::new();
+    for row in fleet.executions(service).await {
+        assert_eq!(row["outcome"], "done", "{row}");
+        let request = row["request"].as_str().expect("request").to_owned();
+        *counts.entry(request).or_default() += 1;
+    }
+    counts
+}
+
+// Callers send 250 requests at once through two entries, a fifth of them not to be repeated, and
+// each must get the answer that its own input yields, as JSON or as events. Then each target's own
+// record is read: every request executed each of its stages, once, since nothing failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_request_gets_its_own_answer() {
+    let plan = fleet::Plan::new(sample::services(2), sample::bundle());
+    let fleet = fleet::Fleet::start(plan).await;
+    let check = |number: usize| {
+        let call = fleet::Call::new(sample::CHECK, sample::CLINIC, body(number));
+        if number.is_multiple_of(2) {
+            call
+        } else {
+            call.events()
+        }
+    };
+    let open = |number: usize| {
+        fleet::Call::new(sample::OPEN, sample::FEDERATION, body(number))
+            .key(format!("case-{number}"))
+    };
+    let checks = (0..IDEMPOTENT).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.call(number % 2, &check(number)).await }
+    });
+    let opens = (0..CLAIMED).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.call(number % 2, &open(number)).await }
+    });
+    let (checks, opens) = tokio::join!(future::join_all(checks), future::join_all(opens));
+    for (number, reply) in checks.into_iter().enumerate() {
+        assert_eq!(answer(reply)["output"], check_output(&body(number)));
+    }
+    let mut cases = collections::HashSet::new();
+    for (number, reply) in opens.into_iter().enumerate() {
+        let reply = answer(reply);
+        assert_eq!(reply["output"], open_output(&body(number)));
+        cases.insert(reply["request"].as_str().expect("request").to_owned());
+    }
+    let desk = executed(&fleet, "clinic-desk").await;
+    assert_eq!(desk.len(), CLAIMED);
+    assert!(
+        desk.iter()
+            .all(|(request, count)| *count == 1 && cases.contains(request))
+    );
+    assert_eq!(executed(&fleet, "case-model").await.len(), IDEMPOTENT);
+    for service in ["encoders", "retrievers", "rerankers", "case-model"] {
+        let counts = executed(&fleet, service).await;
+        assert!(
+            counts.values().all(|count| *count == 1),
+            "{service}: {counts:?}"
+        );
+    }
+    check_processes(&fleet);
+}
+
+/// Checks that no process uses io_uring or has started another.
+fn check_processes(fleet: &fleet::Fleet) {
+    for process in fleet.daemons() {
+        let open = process.descriptors().expect("descriptors");
+        let ring = open.iter().any(|link| link.contains("io_uring"));
+        assert!(!ring, "{}: {open:?}", process.name());
+        assert!(process.children().is_empty(), "{}", process.name());
+    }
+}
+
+// A caller sends a non-idempotent request without a key. It could not be told from its own resend,
+// so it is refused as "not run" before any stage executes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_not_to_be_repeated_needs_a_key() {
+    let plan = fleet::Plan::new(sample::services(1), sample::bundle()).entries(1);
+    let fleet = fleet::Fleet::start(plan).await;
+    let call = fleet::Call::new(sample::OPEN, sample::CLINIC, body(1));
+    let answer = fleet.call(0, &call).await.expect("an answer");
+    assert!((400..500).contains(&answer.status), "{}", answer.status);
+    assert_eq!(
+        answer.header("content-type"),
+        Some("application/problem+json")
+    );
+    assert_eq!(answer.json()["verdict"], "not-run");
+    assert_eq!(answer.json()["reason"], "key-missing");
+    assert!(fleet.executions("encoders").await.is_empty());
+    assert!(fleet.executions("clinic-desk").await.is_empty());
+}
