Add stand-in targets that serve the target protocol

One process serves one or several engines and pools. A crash stops the target's own server at once, which drops its connections and listener, so no process needs to start another. The output is a function of the call's body alone and carries a digest of the input, so that a mixed-up answer is seen. The record of executions outlives crashes, as the observer's.

--- /dev/null
+++ b/laburnumcart_fakes/src/bin/laburnum-fake-target.rs
@@ -0,0 +1,135 @@
+//! Serves stand-in targets.
+
+use std::{
+    env,
+    error,
+    process, //
+};
+
+use getopts::{
+    Matches,
+    Options, //
+};
+use laburnumcart::{
+    bundle,
+    unit, //
+};
+use laburnumcart_fakes::target::{
+    self,
+    settings, //
+};
+use tokio::signal::unix;
+
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+fn main() -> process::ExitCode {
+    let options = options();
+    let arguments: Vec<_> = env::args().skip(1).collect();
+    if arguments.iter().any(|a| a == "-h" || a == "--help") {
+        print!("{}", options.usage("Usage: laburnum-fake-target [options]"));
+        return process::ExitCode::SUCCESS;
+    }
+    match parse(&options, &arguments).and_then(run) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("laburnum-fake-target: {error}");
+            process::ExitCode::from(2)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options
+        .optmulti("", "target", "target to serve", "NAME=engine|pool@IP:PORT")
+        .optopt("", "slots", "calls at full speed (4)", "N")
+        .optopt("", "queue", "calls that wait (64)", "N")
+        .optopt(
+            "",
+            "service-time",
+            "mean time of a pool's call (20ms)",
+            "PERIOD",
+        )
+        .optopt("", "token-time", "time of a token (2ms)", "PERIOD")
+        .optopt("", "prefill-time", "time to read a prompt (20ms)", "PERIOD")
+        .optopt("", "tokens", "tokens of an answer (20)", "N")
+        .optopt("", "spread", "variation of times (20%)", "SHARE")
+        .optopt(
+            "",
+            "orders",
+            "what old orders meet (fenced)",
+            "fenced|unfenced",
+        )
+        .optopt("", "prefixes", "prompt prefixes in the cache (64)", "N")
+        .optopt("", "load-lag", "age of the load report (500ms)", "PERIOD")
+        .optopt("", "cache-lag", "delay of cache events (1s)", "PERIOD")
+        .optopt("", "restart", "time down after a crash (500ms)", "PERIOD")
+        .optflag("", "exit-on-crash", "let a crash end the process")
+        .optflag("h", "help", "show this text");
+    options
+}
+
+/// Reads the arguments into the settings of each target.
+fn parse(options: &Options, arguments: &[String]) -> Result<Vec<settings::Settings>> {
+    let matches = options.parse(arguments)?;
+    let names = matches.opt_strs("target");
+    if names.is_empty() {
+        return Err("no --target given".into());
+    }
+    let targets = names.iter().map(|name| settings(&matches, name));
+    targets.collect()
+}
+
+fn settings(matches: &Matches, name: &str) -> Result<settings::Settings> {
+    let mut settings: settings::Settings = name.parse()?;
+    let period = |name: &str, default| -> Result<_> {
+        let period = matches.opt_get::<unit::Period>(name)?;
+        Ok(period.map_or(default, |period| period.0))
+    };
+    settings.service = period("service-time", settings.service)?;
+    settings.token = period("token-time", settings.token)?;
+    settings.prefill = period("prefill-time", settings.prefill)?;
+    settings.load_lag = period("load-lag", settings.load_lag)?;
+    settings.cache_lag = period("cache-lag", settings.cache_lag)?;
+    settings.restart = period("restart", settings.restart)?;
+    settings.slots = matches.opt_get_default("slots", settings.slots)?.max(1);
+    settings.queue = matches.opt_get_default("queue", settings.queue)?;
+    settings.tokens = matches.opt_get_default("tokens", settings.tokens)?;
+    settings.prefixes = matches.opt_get_default("prefixes", settings.prefixes)?;
+    if let Some(unit::Share(spread)) = matches.opt_get("spread")? {
+        settings.spread = spread;
+    }
+    settings.orders = match matches.opt_str("orders").as_deref() {
+        None | Some("fenced") => bundle::Orders::Fenced,
+        Some("unfenced") => bundle::Orders::Unfenced,
+        Some(other) => return Err(format!("unknown orders: {other}").into()),
+    };
+    settings.exit_on_crash = matches.opt_present("exit-on-crash");
+    Ok(settings)
+}
+
+fn run(targets: Vec<settings::Settings>) -> Result<()> {
+    let level = simplelog::LevelFilter::Info;
+    simplelog::SimpleLogger::init(level, simplelog::Config::default())?;
+    let mut running = Vec::new();
+    for settings in targets {
+        let name = settings.name.clone();
+        let target = target::start(settings)?;
+        println!("target={name} address={}", target.address());
+        running.push(target);
+    }
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(stopped())
+}
+
+async fn stopped() -> Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/laburnumcart_fakes/src/client.rs
@@ -0,0 +1,154 @@
+//! HTTP client of the load tool and the tests, and the reading of event streams.
+
+use bytes::Bytes;
+use derive_more::{
+    Display,
+    Error, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper_util::{
+    client::legacy,
+    rt, //
+};
+
+/// A call without a whole answer.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection was made, so that nothing was sent.
+    #[display("not connected")]
+    Unconnected,
+    /// The connection ended before the answer's end.
+    #[display("connection lost")]
+    Lost,
+    /// The address or a header is malformed.
+    #[display("malformed call")]
+    Malformed,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Seconds of `Retry-After`, if any.
+    pub retry: Option<u64>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body as JSON; `None` if it is not valid.
+    pub fn json(&self) -> Option<serde_json::Value> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+/// Client with a pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .build(connector);
+        Self { inner }
+    }
+}
+
+impl Client {
+    /// Sends a GET call.
+    pub async fn get(&self, url: &str) -> Result<Answer, Failure> {
+        self.send(http::Request::get(url), Bytes::new()).await
+    }
+
+    /// Sends a POST call.
+    pub async fn post(
+        &self,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, Failure> {
+        let start = http::Request::post(url).header("content-type", "application/json");
+        let call = headers
+            .iter()
+            .fold(start, |call, (name, value)| call.header(*name, *value));
+        self.send(call, body.into()).await
+    }
+
+    async fn send(&self, call: http::request::Builder, body: Bytes) -> Result<Answer, Failure> {
+        let call = call.body(Full::new(body)).map_err(|_| Failure::Malformed)?;
+        let answer = self.inner.request(call).await.map_err(failure)?;
+        let status = answer.status().as_u16();
+        let retry = answer.headers().get("retry-after");
+        let retry = retry.and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = answer.into_body().collect().await;
+        Ok(Answer {
+            status,
+            retry,
+            body: body.map_err(|_| Failure::Lost)?.to_bytes(),
+        })
+    }
+}
+
+fn failure(error: legacy::Error) -> Failure {
+    if error.is_connect() {
+        Failure::Unconnected
+    } else {
+        Failure::Lost
+    }
+}
+
+/// One server-sent event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Name, `message` if none is given.
+    pub name: String,
+    /// Data, lines joined.
+    pub data: String,
+}
+
+/// Reads the whole events of a stream; what comes after the last blank line is not one.
+pub fn events(text: &str) -> Vec<Event> {
+    let Some((whole, _)) = text.rsplit_once("\n\n") else {
+        return Vec::new();
+    };
+    whole.split("\n\n").map(event).collect()
+}
+
+fn event(text: &str) -> Event {
+    let mut name = "message";
+    let mut data = Vec::new();
+    for line in text.lines() {
+        if let Some(rest) = line.strip_prefix("event:") {
+            name = rest.trim_start();
+        } else if let Some(rest) = line.strip_prefix("data:") {
+            data.push(rest.strip_prefix(' ').unwrap_or(rest));
+        }
+    }
+    Event {
+        name: name.into(),
+        data: data.join("\n"),
+    }
+}
+
+/// Joins the text of an engine's stream; `None` unless it has its end event.
+pub fn generated(body: &[u8]) -> Option<String> {
+    let events = events(std::str::from_utf8(body).ok()?);
+    let (end, pieces) = events.split_last()?;
+    if end.name != "end" {
+        return None;
+    }
+    let piece = |event: &Event| {
+        let data: serde_json::Value = serde_json::from_str(&event.data).ok()?;
+        data.get("text")?.as_str().map(String::from)
+    };
+    pieces.iter().map(piece).collect()
+}
--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -1,1 +1,5 @@
 //! Stand-ins for the platform, engines and services, and a load tool.
+
+pub mod client;
+pub mod expected;
+pub mod target;
--- /dev/null
+++ b/laburnumcart_fakes/tests/target.rs
@@ -0,0 +1,441 @@
+//! Protocol of the stand-in targets.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use laburnumcart::{
+    bundle,
+    unit, //
+};
+use laburnumcart_fakes::{
+    client, expected,
+    target::{
+        self,
+        behaviour,
+        ledger,
+        settings, //
+    },
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Bound of every wait.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Bench {
+    target: target::Target,
+    client: client::Client,
+}
+
+fn quick(kind: bundle::Kind) -> settings::Settings {
+    let address = "127.0.0.1:0".parse().unwrap();
+    let mut settings = settings::Settings::new("t-1".parse().unwrap(), kind, address);
+    settings.service = Duration::from_millis(1);
+    settings.token = Duration::from_millis(1);
+    settings.prefill = Duration::from_millis(1);
+    settings.load_lag = Duration::ZERO;
+    settings.cache_lag = Duration::ZERO;
+    settings.restart = Duration::from_millis(50);
+    settings
+}
+
+fn bench(settings: settings::Settings) -> Bench {
+    Bench {
+        target: target::start(settings).unwrap(),
+        client: client::Client::default(),
+    }
+}
+
+impl Bench {
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.target.address())
+    }
+
+    async fn post(&self, path: &str, body: Value) -> client::Answer {
+        let url = self.url(path);
+        let answer = self.client.post(&url, &[], body.to_string()).await;
+        answer.unwrap()
+    }
+
+    async fn get(&self, path: &str) -> Value {
+        let answer = self.client.get(&self.url(path)).await.unwrap();
+        assert_eq!(answer.status, 200);
+        answer.json().unwrap()
+    }
+
+    async fn call(
+        &self,
+        path: &str,
+        attempt: &str,
+        body: Value,
+    ) -> Result<client::Answer, client::Failure> {
+        let headers = [
+            ("x-request-id", "r1"),
+            ("x-attempt-id", attempt),
+            ("x-idempotent", "false"),
+        ];
+        let url = self.url(path);
+        self.client.post(&url, &headers, body.to_string()).await
+    }
+
+    async fn behave(&self, change: behaviour::Change) {
+        let answer = self.post("/admin/behave", json!(change)).await;
+        assert_eq!(answer.status, 200);
+    }
+
+    async fn executions(&self) -> Vec<ledger::Execution> {
+        let book = self.get("/admin/executions").await;
+        serde_json::from_value::<ledger::Executions>(book)
+            .unwrap()
+            .executions
+    }
+
+    /// Waits until the executions are as wanted.
+    async fn until(&self, wanted: impl Fn(&[ledger::Execution]) -> bool) {
+        let wait = async {
+            while !wanted(&self.executions().await) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.unwrap();
+    }
+
+    async fn state(&self) -> Result<Value, client::Failure> {
+        let answer = self.client.get(&self.url("/v1/state")).await?;
+        Ok(answer.json().unwrap())
+    }
+}
+
+fn body(input: Value) -> Value {
+    json!({ "stage": "s", "input": input, "previous": null })
+}
+
+fn outcomes(executions: &[ledger::Execution]) -> Vec<ledger::Outcome> {
+    executions.iter().map(|e| e.outcome).collect()
+}
+
+#[tokio::test]
+async fn pool_answers_from_its_body_alone_and_counts() {
+    let bench = bench(quick(bundle::Kind::Pool));
+    for n in 0..3 {
+        let input = json!({ "n": n });
+        let answer = bench
+            .call("/v1/run", "a", body(input.clone()))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(
+            answer.json(),
+            Some(expected::pool("s", &input, &Value::Null))
+        );
+    }
+    let executions = bench.executions().await;
+    assert_eq!(outcomes(&executions), [ledger::Outcome::Done; 3]);
+    assert_eq!(executions[0].request, "r1");
+    assert!(!executions[0].idempotent);
+    let cost: ledger::Cost = serde_json::from_value(bench.get("/admin/cost").await).unwrap();
+    assert_eq!(cost.repeated, 2);
+    assert_eq!(cost.stages["s"].executions, 3);
+    assert!(cost.stages["s"].done > 0.0 && cost.stages["s"].wasted > 0.0);
+}
+
+#[tokio::test]
+async fn engine_streams_its_text_with_an_end() {
+    let bench = bench(quick(bundle::Kind::Engine));
+    let input = json!({ "tokens": 7 });
+    let answer = bench
+        .call("/v1/generate", "a", body(input.clone()))
+        .await
+        .unwrap();
+    let text = expected::engine("s", &input, &Value::Null, 7);
+    assert_eq!(client::generated(&answer.body), Some(text));
+    let events = client::events(std::str::from_utf8(&answer.body).unwrap());
+    assert_eq!(events.len(), 8);
+    assert_eq!(events[7].data, r#"{"tokens":7}"#);
+}
+
+#[rstest]
+#[case::nothing(0)]
+#[case::whole_pieces(16)]
+#[case::within_a_piece(19)]
+#[case::all(usize::MAX)]
+#[tokio::test]
+async fn engine_resumes_after_what_was_received(#[case] length: usize) {
+    let bench = bench(quick(bundle::Kind::Engine));
+    let input = json!({ "tokens": 5 });
+    let text = expected::engine("s", &input, &Value::Null, 5);
+    let (received, rest) = text.split_at(length.min(text.len()));
+    let mut call = body(input);
+    call["received"] = received.into();
+    let answer = bench.call("/v1/generate", "a", call).await.unwrap();
+    assert_eq!(client::generated(&answer.body).as_deref(), Some(rest));
+}
+
+#[tokio::test]
+async fn malformed_calls_are_refused_and_not_counted() {
+    let bench = bench(quick(bundle::Kind::Engine));
+    let mut other = body(json!({}));
+    other["received"] = "another text".into();
+    for (path, call) in [
+        ("/v1/generate", other),
+        ("/v1/generate", json!({ "input": 1 })),
+        ("/v1/run", body(json!({}))),
+    ] {
+        let answer = bench.call(path, "a", call).await.unwrap();
+        assert_eq!(answer.status, 400);
+    }
+    let bare = bench.post("/v1/generate", body(json!({}))).await;
+    assert_eq!(bare.status, 400);
+    assert!(bench.executions().await.is_empty());
+}
+
+#[tokio::test]
+async fn full_queue_is_refused_and_load_reported() {
+    let mut settings = quick(bundle::Kind::Pool);
+    settings.slots = 1;
+    settings.queue = 1;
+    let bench = bench(settings);
+    let frozen = behaviour::Change {
+        slow: Some(1e6),
+        ..Default::default()
+    };
+    bench.behave(frozen).await;
+    let bench = Arc::new(bench);
+    let run = |attempt: &'static str| {
+        let bench = bench.clone();
+        tokio::spawn(async move { bench.call("/v1/run", attempt, body(json!({}))).await })
+    };
+    let wait = async |running: u64, queued: u64| {
+        let wait = async {
+            loop {
+                let load = bench.get("/v1/load").await;
+                if load["running"] == running && load["queued"] == queued {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.unwrap();
+    };
+    let first = run("a1");
+    wait(1, 0).await;
+    let second = run("a2");
+    wait(1, 1).await;
+    let third = bench.call("/v1/run", "a3", body(json!({}))).await.unwrap();
+    assert_eq!((third.status, third.retry), (503, Some(1)));
+    // Cancelled in the queue is a proof that it did not run; cancelled in its slot is not.
+    bench.post("/v1/cancel", json!({ "attempt": "a2" })).await;
+    assert_eq!(second.await.unwrap().unwrap().status, 503);
+    bench.post("/v1/cancel", json!({ "attempt": "a1" })).await;
+    assert_eq!(first.await.unwrap().unwrap().status, 499);
+    wait(0, 0).await;
+    let executions = bench.executions().await;
+    assert_eq!(outcomes(&executions), [ledger::Outcome::Cancelled]);
+}
+
+#[tokio::test]
+async fn cancelled_stream_ends_without_end_event() {
+    let bench = Arc::new(bench(quick(bundle::Kind::Engine)));
+    let running = bench.clone();
+    let input = json!({ "tokens": 100_000 });
+    let call = async move { running.call("/v1/generate", "a", body(input)).await };
+    let call = tokio::spawn(call);
+    bench.until(|e| e.len() == 1).await;
+    bench.post("/v1/cancel", json!({ "attempt": "a" })).await;
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(client::generated(&answer.body), None);
+    let executions = bench.executions().await;
+    assert_eq!(outcomes(&executions), [ledger::Outcome::Cancelled]);
+}
+
+/// The caller of one request sees its connection end, and so does every other caller of the
+/// target: one body crashes the target, which drops all connections, refuses new ones for its
+/// restart time and comes back with another boot number and without its models. The record of
+/// executions is the observer's and stays.
+#[rstest]
+#[case(bundle::Kind::Pool, "/v1/run")]
+#[case(bundle::Kind::Engine, "/v1/generate")]
+#[tokio::test]
+async fn crash_drops_everything_but_the_record(
+    #[case] kind: bundle::Kind,
+    #[case] path: &'static str,
+) {
+    let mut settings = quick(kind);
+    settings.service = Duration::from_secs(3600);
+    settings.restart = Duration::from_secs(1);
+    let bench = Arc::new(bench(settings));
+    bench
+        .behave(behaviour::Change {
+            crash_on: Some("poison".into()),
+            ..Default::default()
+        })
+        .await;
+    let order = json!({ "term": 1, "sequence": 1, "load": ["m@1"] });
+    assert_eq!(bench.post("/v1/orders", order).await.status, 200);
+    let before = bench.state().await.unwrap();
+    assert_eq!(before["models"], json!(["m@1"]));
+    let beside = bench.clone();
+    let input = json!({ "tokens": 100_000 });
+    let beside = tokio::spawn(async move { beside.call(path, "a1", body(input)).await });
+    bench.until(|e| e.len() == 1).await;
+    let poison = bench.call(path, "a2", body(json!("poison"))).await;
+    assert_eq!(poison.unwrap_err(), client::Failure::Lost);
+    assert!(beside.await.unwrap().is_err());
+    // A connection made while the target goes down may still be lost instead of refused.
+    let mut refused = false;
+    let back = async {
+        loop {
+            match bench.state().await {
+                Ok(state) => return state,
+                Err(failure) => refused |= failure == client::Failure::Unconnected,
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let after = tokio::time::timeout(PATIENCE, back).await.unwrap();
+    assert!(refused);
+    assert_ne!(after["boot"], before["boot"]);
+    assert_eq!(after["models"], json!([]));
+    let executions = bench.executions().await;
+    assert_eq!(outcomes(&executions), [ledger::Outcome::Crashed; 2]);
+}
+
+/// A paused agent's order arrives after its successor's. A target that checks numbers refuses
+/// it; one that doesn't unloads the successor's model again.
+#[rstest]
+#[case::fenced(bundle::Orders::Fenced, 409, json!(["new@1"]), 2)]
+#[case::unfenced(bundle::Orders::Unfenced, 200, json!(["old@1"]), 1)]
+#[tokio::test]
+async fn old_order_after_a_new_one(
+    #[case] orders: bundle::Orders,
+    #[case] status: u16,
+    #[case] models: Value,
+    #[case] term: u64,
+) {
+    let mut settings = quick(bundle::Kind::Engine);
+    settings.orders = orders;
+    let bench = bench(settings);
+    let new = json!({ "term": 2, "sequence": 1, "load": ["new@1"] });
+    assert_eq!(bench.post("/v1/orders", new).await.status, 200);
+    let old = json!({ "term": 1, "sequence": 9, "load": ["old@1"], "unload": ["new@1"] });
+    assert_eq!(bench.post("/v1/orders", old).await.status, status);
+    let state = bench.state().await.unwrap();
+    assert_eq!(state["models"], models);
+    assert_eq!(state["term"], term);
+}
+
+/// A slow order of an old agent is still in flight when its successor's order is accepted: a
+/// fenced target lets it have no effect, in an unfenced one it lands late.
+#[rstest]
+#[case::fenced(bundle::Orders::Fenced, 409, json!(["new@1"]))]
+#[case::unfenced(bundle::Orders::Unfenced, 200, json!(["new@1", "old@1"]))]
+#[tokio::test]
+async fn slow_order_is_overtaken(
+    #[case] orders: bundle::Orders,
+    #[case] status: u16,
+    #[case] models: Value,
+) {
+    let mut settings = quick(bundle::Kind::Engine);
+    settings.orders = orders;
+    let bench = Arc::new(bench(settings));
+    let period = |millis| behaviour::Change {
+        order_time: Some(unit::Period::from_millis(millis)),
+        ..Default::default()
+    };
+    bench.behave(period(400)).await;
+    let slow = bench.clone();
+    let slow = tokio::spawn(async move {
+        let old = json!({ "term": 1, "sequence": 1, "load": ["old@1"] });
+        slow.post("/v1/orders", old).await.status
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    bench.behave(period(0)).await;
+    let new = json!({ "term": 2, "sequence": 1, "load": ["new@1"] });
+    assert_eq!(bench.post("/v1/orders", new).await.status, 200);
+    assert_eq!(slow.await.unwrap(), status);
+    assert_eq!(bench.state().await.unwrap()["models"], models);
+}
+
+#[tokio::test]
+async fn frozen_target_answers_once_thawed() {
+    let bench = Arc::new(bench(quick(bundle::Kind::Pool)));
+    let freeze = |freeze| behaviour::Change {
+        freeze: Some(freeze),
+        ..Default::default()
+    };
+    bench.behave(freeze(true)).await;
+    let running = bench.clone();
+    let call = async move { running.call("/v1/run", "a", body(json!({}))).await };
+    let mut call = tokio::spawn(call);
+    let early = tokio::time::timeout(Duration::from_millis(100), &mut call).await;
+    assert!(early.is_err());
+    bench.behave(freeze(false)).await;
+    let answer = tokio::time::timeout(PATIENCE, call).await.unwrap();
+    assert_eq!(answer.unwrap().unwrap().status, 200);
+}
+
+#[rstest]
+#[case(bundle::Kind::Pool, "/v1/run", true)]
+#[case(bundle::Kind::Pool, "/v1/run", false)]
+#[case(bundle::Kind::Engine, "/v1/generate", true)]
+#[case(bundle::Kind::Engine, "/v1/generate", false)]
+#[tokio::test]
+async fn failing_target_leaves_it_open_whether_it_ran(
+    #[case] kind: bundle::Kind,
+    #[case] path: &str,
+    #[case] fast: bool,
+) {
+    let bench = bench(quick(kind));
+    bench
+        .behave(behaviour::Change {
+            fail: Some(1.0),
+            fail_fast: Some(fast),
+            ..Default::default()
+        })
+        .await;
+    let answer = bench.call(path, "a", body(json!({}))).await.unwrap();
+    if kind == bundle::Kind::Pool || fast {
+        assert_eq!(answer.status, 500);
+    } else {
+        assert_eq!(client::generated(&answer.body), None);
+    }
+    let executions = bench.executions().await;
+    assert_eq!(outcomes(&executions), [ledger::Outcome::Failed]);
+}
+
+#[tokio::test]
+async fn cache_events_tell_of_prefixes_with_gaps() {
+    let mut settings = quick(bundle::Kind::Engine);
+    settings.prefixes = 2;
+    let bench = bench(settings);
+    let input = |n| json!({ "tokens": 1, "prefix": format!("p{n}") });
+    for n in 0..5 {
+        bench
+            .call("/v1/generate", "a", body(input(n)))
+            .await
+            .unwrap();
+    }
+    let events = bench.get("/v1/cache?after=0").await["events"].clone();
+    let numbers: Vec<_> = events
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|e| &e["number"])
+        .collect();
+    assert_eq!(json!(numbers), json!([1, 2, 3, 4, 5, 6, 8]));
+    assert_eq!(events[0]["prefix"], expected::prefix(&input(0)));
+    assert_eq!(
+        events[3],
+        json!({
+            "number": 4,
+            "prefix": expected::prefix(&input(0)),
+            "kept": false,
+        })
+    );
+    assert_eq!(bench.get("/v1/cache?after=8").await["events"], json!([]));
+}
