Add the load tool and its baselines

Arrivals are open-loop: latency counts from the scheduled time, sent late or not, so that a stalled system cannot hide its stall. Baselines route in the tool itself, straight to the stand-in targets. Cost comes from the targets' own records; an execution counts as useful only if a right answer in time was made from it.

--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod expected;
+pub mod load;
 pub mod target;
--- /dev/null
+++ b/laburnumcart_fakes/src/load/report.rs
@@ -0,0 +1,286 @@
+//! Counts of a load, for each team and in all, and their print-out.
+
+use std::{
+    collections,
+    fmt,
+    time, //
+};
+
+use hdrhistogram::Histogram;
+use laburnumcart::id;
+use serde::Serialize;
+
+use crate::load::cost;
+
+/// How a request ended, as its caller saw it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The whole answer came.
+    Whole {
+        /// Id under which the targets know the request.
+        request: String,
+        /// Whether it is the answer that the request alone must yield.
+        right: bool,
+    },
+    /// It was refused.
+    Refused {
+        /// Whether it may have run.
+        verdict: String,
+        /// Cause.
+        reason: String,
+    },
+    /// Neither an answer nor a refusal came.
+    Lost,
+}
+
+/// One request that ended.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// Team that sent it.
+    pub team: id::TeamName,
+    /// Number of stages of its pipeline.
+    pub stages: usize,
+    /// Whether it went straight to the targets.
+    pub direct: bool,
+    /// Whether it was non-idempotent.
+    pub single: bool,
+    /// Time from its scheduled arrival to its end.
+    pub latency: time::Duration,
+    /// Time that it was allowed.
+    pub deadline: time::Duration,
+    /// Times that it was sent again after a refusal.
+    pub resent: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+impl Sample {
+    /// Reports whether the right answer came whole and in time.
+    pub fn attained(&self) -> bool {
+        let right = matches!(self.outcome, Outcome::Whole { right: true, .. });
+        right && self.latency <= self.deadline
+    }
+}
+
+/// Quantiles of latency in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Median.
+    pub p50: f64,
+    /// 90 of 100.
+    pub p90: f64,
+    /// 99 of 100.
+    pub p99: f64,
+}
+
+/// Counts of some requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tally {
+    /// Requests that were to be sent.
+    pub offered: u64,
+    /// Right and whole answers within the deadline.
+    pub attained: u64,
+    /// Right and whole answers after the deadline.
+    pub late: u64,
+    /// Whole answers that the request alone would not yield.
+    pub wrong: u64,
+    /// Requests without answer or refusal.
+    pub lost: u64,
+    /// Refusals by verdict and reason.
+    pub refused: collections::BTreeMap<String, u64>,
+    /// Times that a request was sent again.
+    pub resent: u64,
+    /// Attained part of the offered.
+    pub attainment: f64,
+    /// Attained requests a second.
+    pub goodput: f64,
+    /// Latency of whole answers.
+    pub latency: Quantiles,
+    #[serde(skip)]
+    micros: Option<Histogram<u64>>,
+}
+
+impl Tally {
+    /// Counts a request.
+    pub fn add(&mut self, sample: &Sample) {
+        self.offered += 1;
+        self.resent += u64::from(sample.resent);
+        match &sample.outcome {
+            Outcome::Whole { right: false, .. } => self.wrong += 1,
+            Outcome::Whole { .. } if sample.attained() => self.attained += 1,
+            Outcome::Whole { .. } => self.late += 1,
+            Outcome::Refused { verdict, reason } => {
+                let key = format!("{verdict} {reason}");
+                *self.refused.entry(key).or_default() += 1;
+            }
+            Outcome::Lost => self.lost += 1,
+        }
+        if matches!(sample.outcome, Outcome::Whole { .. }) {
+            let micros = sample.latency.as_micros() as u64;
+            self.micros
+                .get_or_insert_with(histogram)
+                .saturating_record(micros);
+        }
+    }
+
+    /// Works out the parts and quantiles over a time.
+    pub fn finish(&mut self, seconds: f64) {
+        self.attainment = self.attained as f64 / (self.offered.max(1)) as f64;
+        self.goodput = self.attained as f64 / seconds;
+        if let Some(micros) = &self.micros {
+            let millis = |q| micros.value_at_quantile(q) as f64 / 1e3;
+            self.latency = Quantiles {
+                p50: millis(0.5),
+                p90: millis(0.9),
+                p99: millis(0.99),
+            };
+        }
+    }
+
+    /// Returns the number of refusals.
+    pub fn refusals(&self) -> u64 {
+        self.refused.values().sum()
+    }
+}
+
+/// Creates a histogram of microseconds up to an hour with three digits.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap()
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Quantiles { p50, p90, p99 } = self.latency;
+        write!(
+            f,
+            "offered={} attained={} attainment={:.4} late={} wrong={} lost={} refused={} resent={} \
+             goodput={:.1}/s p50={p50:.1}ms p90={p90:.1}ms p99={p99:.1}ms",
+            self.offered,
+            self.attained,
+            self.attainment,
+            self.late,
+            self.wrong,
+            self.lost,
+            self.refusals(),
+            self.resent,
+            self.goodput,
+        )
+    }
+}
+
+/// Latency through the system against calling the targets directly, for pipelines of one length.
+#[derive(Clone, Debug, Serialize)]
+pub struct Overhead {
+    /// Number of stages.
+    pub stages: usize,
+    /// Through the system.
+    pub system: Quantiles,
+    /// Straight to the targets.
+    pub direct: Quantiles,
+    /// Difference divided by the number of stages.
+    pub each: Quantiles,
+}
+
+/// Result of a load.
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    /// Length of the load.
+    pub seconds: f64,
+    /// All requests, without those of a comparison that went straight to the targets.
+    pub all: Tally,
+    /// By team.
+    pub teams: collections::BTreeMap<id::TeamName, Tally>,
+    /// Cost by stage.
+    pub cost: cost::Summary,
+    /// Overhead by number of stages; only when the two were compared.
+    pub overhead: Vec<Overhead>,
+    #[serde(skip)]
+    compared: collections::BTreeMap<(usize, bool), Tally>,
+    #[serde(skip)]
+    completed: collections::HashSet<String>,
+}
+
+impl Report {
+    /// Counts a request; `aside` ones only serve the comparison.
+    pub fn add(&mut self, sample: &Sample, aside: bool) {
+        if !aside {
+            self.all.add(sample);
+            self.teams
+                .entry(sample.team.clone())
+                .or_default()
+                .add(sample);
+        }
+        // A non-idempotent request is claimed first, which a direct call has no part of.
+        if !sample.single {
+            let key = (sample.stages, sample.direct);
+            self.compared.entry(key).or_default().add(sample);
+        }
+        if let Outcome::Whole { request, .. } = &sample.outcome
+            && sample.attained()
+        {
+            self.completed.insert(request.clone());
+        }
+    }
+
+    /// Works out what needs all counts.
+    pub fn finish(&mut self, seconds: f64) {
+        self.seconds = seconds;
+        self.all.finish(seconds);
+        let tallies = self.teams.values_mut().chain(self.compared.values_mut());
+        tallies.for_each(|tally| tally.finish(seconds));
+        self.overhead = self.overheads();
+    }
+
+    /// Returns the ids of requests whose answers were right and in time.
+    pub fn completed(&self) -> &collections::HashSet<String> {
+        &self.completed
+    }
+
+    fn overheads(&self) -> Vec<Overhead> {
+        let systems = self.compared.iter().filter(|((_, direct), _)| !direct);
+        let pair = |((stages, _), system): (&(usize, bool), &Tally)| {
+            let direct = self.compared.get(&(*stages, true))?.latency;
+            let system = system.latency;
+            let each = |a: f64, b: f64| (a - b) / *stages as f64;
+            Some(Overhead {
+                stages: *stages,
+                system,
+                direct,
+                each: Quantiles {
+                    p50: each(system.p50, direct.p50),
+                    p90: each(system.p90, direct.p90),
+                    p99: each(system.p99, direct.p99),
+                },
+            })
+        };
+        systems.filter_map(pair).collect()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (team, tally) in &self.teams {
+            writeln!(f, "team={team} {tally}")?;
+        }
+        writeln!(f, "all seconds={:.1} {}", self.seconds, self.all)?;
+        for (cause, count) in &self.all.refused {
+            writeln!(f, "refused cause={cause:?} count={count}")?;
+        }
+        write!(f, "{}", self.cost)?;
+        for overhead in &self.overhead {
+            writeln!(
+                f,
+                "overhead stages={} system p50={:.2}ms p99={:.2}ms direct p50={:.2}ms p99={:.2}ms \
+                 each stage p50={:.2}ms p99={:.2}ms",
+                overhead.stages,
+                overhead.system.p50,
+                overhead.system.p99,
+                overhead.direct.p50,
+                overhead.direct.p99,
+                overhead.each.p50,
+                overhead.each.p99,
+            )?;
+        }
+        Ok(())
+    }
+}
