Add the demo's planner and its script

laburnum-plan writes what each process is given, for either user or both, small or at today's sizes. extra/demo.sh runs the whole of it; it has not been run to its end yet, as the daemons are still being written.

--- /dev/null
+++ b/laburnumcart_fakes/src/bin/laburnum-plan.rs
@@ -0,0 +1,79 @@
+//! Writes the settings of a whole demo into a folder.
+
+use std::{
+    env,
+    error,
+    process, //
+};
+
+use getopts::Options;
+use laburnumcart_fakes::demo::{
+    self,
+    layout,
+    shape, //
+};
+
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+/// First port unless one is given.
+const BASE_PORT: u16 = 17_000;
+
+/// What the arguments ask for.
+struct Arguments {
+    layout: layout::Layout,
+    dir: String,
+    keys: Vec<(String, String)>,
+}
+
+fn main() -> process::ExitCode {
+    let options = options();
+    let arguments: Vec<_> = env::args().skip(1).collect();
+    if arguments.iter().any(|a| a == "-h" || a == "--help") {
+        print!(
+            "{}",
+            options.usage("Usage: laburnum-plan --dir DIR --key NAME=BASE64")
+        );
+        return process::ExitCode::SUCCESS;
+    }
+    match parse(&options, &arguments).and_then(run) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("laburnum-plan: {error}");
+            process::ExitCode::from(2)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options
+        .optopt("", "shape", "whose services (both)", "araya|quetzal|both")
+        .optopt("", "size", "number of targets (small)", "small|brief")
+        .reqopt("", "dir", "folder to write", "DIR")
+        .optopt("", "base-port", "first port (17000)", "PORT")
+        .optmulti("", "key", "public key that signs bundles", "NAME=BASE64")
+        .optflag("h", "help", "show this text");
+    options
+}
+
+fn parse(options: &Options, arguments: &[String]) -> Result<Arguments> {
+    let matches = options.parse(arguments)?;
+    let shape = matches.opt_get_default("shape", shape::Shape::Both)?;
+    let size = matches.opt_get_default("size", shape::Size::Small)?;
+    let base = matches.opt_get_default("base-port", BASE_PORT)?;
+    let keys = matches.opt_strs("key");
+    let key = |text: &String| {
+        let pair = text.split_once('=').ok_or("--key is not NAME=BASE64")?;
+        Ok((pair.0.into(), pair.1.into()))
+    };
+    Ok(Arguments {
+        layout: layout::Layout::new(shape, size, base),
+        dir: matches.opt_str("dir").unwrap_or_default(),
+        keys: keys.iter().map(key).collect::<Result<_>>()?,
+    })
+}
+
+fn run(arguments: Arguments) -> Result<()> {
+    demo::write(&arguments.layout, &arguments.dir, &arguments.keys)?;
+    Ok(())
+}
--- /dev/null
+++ b/laburnumcart_fakes/src/demo/shape.rs
@@ -0,0 +1,150 @@
+//! The users' services, pipelines and teams, by size.
+
+use std::str;
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use laburnumcart::bundle;
+
+mod araya;
+mod common;
+mod quetzal;
+
+/// Whose services and teams a demo has.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "lowercase")]
+pub enum Shape {
+    /// Legal aid eligibility.
+    Araya,
+    /// Race timing.
+    Quetzal,
+    /// Both users in one system.
+    Both,
+}
+
+/// How many targets a demo has.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "lowercase")]
+pub enum Size {
+    /// One to three targets for each service.
+    Small,
+    /// As many as the users run today.
+    Brief,
+}
+
+/// A text that names no shape or size.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("unknown {kind}")]
+pub struct Unknown {
+    kind: &'static str,
+}
+
+impl str::FromStr for Shape {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Unknown> {
+        match text {
+            "araya" => Ok(Self::Araya),
+            "quetzal" => Ok(Self::Quetzal),
+            "both" => Ok(Self::Both),
+            _ => Err(Unknown { kind: "shape" }),
+        }
+    }
+}
+
+impl str::FromStr for Size {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Unknown> {
+        match text {
+            "small" => Ok(Self::Small),
+            "brief" => Ok(Self::Brief),
+            _ => Err(Unknown { kind: "size" }),
+        }
+    }
+}
+
+impl Shape {
+    /// Returns the users of the shape.
+    pub fn users(self) -> Vec<&'static User> {
+        match self {
+            Self::Araya => vec![&araya::USER],
+            Self::Quetzal => vec![&quetzal::USER],
+            Self::Both => vec![&araya::USER, &quetzal::USER],
+        }
+    }
+
+    /// Returns all services, those of every user and the pools that they share.
+    pub fn services(self) -> Vec<&'static Service> {
+        let own = self.users().into_iter().flat_map(|user| user.services);
+        own.chain(&common::POOLS).collect()
+    }
+}
+
+/// One of the users.
+#[derive(Debug)]
+pub struct User {
+    /// Services of its own.
+    pub services: &'static [Service],
+    /// Pipelines, each open to all its teams.
+    pub pipelines: &'static [Pipeline],
+    /// Teams.
+    pub teams: &'static [Team],
+}
+
+/// A service and its stand-ins.
+#[derive(Debug)]
+pub struct Service {
+    /// Name.
+    pub name: &'static str,
+    /// Protocol.
+    pub kind: bundle::Kind,
+    /// What its targets do with an order's number.
+    pub orders: bundle::Orders,
+    /// Models that its targets load.
+    pub models: &'static [&'static str],
+    /// Targets in a small demo.
+    pub small: usize,
+    /// Targets that the users run today.
+    pub brief: usize,
+    /// Mean time of a pool's call, or of an engine's token.
+    pub time: &'static str,
+}
+
+impl Service {
+    /// Returns the number of targets.
+    pub fn targets(&self, size: Size) -> usize {
+        match size {
+            Size::Small => self.small,
+            Size::Brief => self.brief,
+        }
+    }
+}
+
+/// A pipeline with its promise and its part of the load.
+#[derive(Debug)]
+pub struct Pipeline {
+    /// Name.
+    pub name: &'static str,
+    /// Stages with their services.
+    pub stages: &'static [(&'static str, &'static str)],
+    /// Whether a request may execute more than once.
+    pub idempotent: bool,
+    /// Promised time.
+    pub deadline: &'static str,
+    /// Priority.
+    pub priority: bundle::Priority,
+    /// Part of a team's requests, in hundredths.
+    pub part: u32,
+}
+
+/// A team.
+#[derive(Debug)]
+pub struct Team {
+    /// Name.
+    pub name: &'static str,
+    /// Weight of its share, also of the offered load.
+    pub weight: u32,
+}
--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform, engines and services, and a load tool.
 
 pub mod client;
+pub mod demo;
 pub mod expected;
 pub mod load;
 pub mod target;
--- /dev/null
+++ b/laburnumcart_fakes/tests/demo.rs
@@ -0,0 +1,101 @@
+//! The documents of a demo agree with each other and with their readers.
+
+use std::{
+    collections,
+    env,
+    fs,
+    path, //
+};
+
+use laburnumcart::bundle;
+use laburnumcart_fakes::{
+    demo::{
+        self,
+        layout,
+        shape, //
+    },
+    load::plan,
+};
+use rstest::rstest;
+use serde_json::Value;
+
+/// A folder that is removed when dropped.
+struct Folder(path::PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Folder {
+    fn new() -> Self {
+        let name = format!("laburnum-plan-{:016x}", rand::random::<u64>());
+        Self(env::temp_dir().join(name))
+    }
+
+    fn text(&self, name: &str) -> String {
+        fs::read_to_string(self.0.join(name)).unwrap()
+    }
+
+    fn json(&self, name: &str) -> Value {
+        serde_json::from_str(&self.text(name)).unwrap()
+    }
+}
+
+#[rstest]
+fn documents_agree(
+    #[values(shape::Shape::Araya, shape::Shape::Quetzal, shape::Shape::Both)] shape: shape::Shape,
+    #[values(shape::Size::Small, shape::Size::Brief)] size: shape::Size,
+) {
+    let folder = Folder::new();
+    let layout = layout::Layout::new(shape, size, 20_000);
+    demo::write(&layout, &folder.0, &[("ops".into(), "AAAA".into())]).unwrap();
+    let bundle: bundle::Bundle = serde_json::from_value(folder.json("bundle.json")).unwrap();
+    let load: plan::Plan = serde_json::from_value(folder.json("load.json")).unwrap();
+    assert_eq!(load.check(), Vec::<String>::new());
+    assert_eq!(load.entries.len(), 2);
+    assert!(load.teams.keys().eq(bundle.teams.keys()));
+    assert!(load.pipelines.keys().eq(bundle.pipelines.keys()));
+    assert!(load.services.keys().eq(bundle.services.keys()));
+    for (name, pipeline) in &bundle.pipelines {
+        assert_eq!(pipeline.idempotent, load.pipelines[name].idempotent);
+        for stage in &pipeline.stages {
+            assert!(bundle.services.contains_key(&stage.service));
+        }
+    }
+    let processes = folder.text("processes.txt");
+    let daemons: Vec<_> = processes
+        .lines()
+        .filter(|l| l.contains("--settings"))
+        .collect();
+    assert_eq!(daemons.len(), layout.nodes.len() + 2);
+    let ready = folder.text("ready.txt");
+    for (daemon, ready) in daemons.iter().zip(ready.lines()) {
+        let name = daemon.split(' ').next().unwrap();
+        assert_eq!(ready.split(' ').next(), Some(name));
+        let settings = folder.json(&format!("{name}.json"));
+        let instance = folder.json(&format!("instances/{name}.json"));
+        assert_eq!(settings["instance"], instance["name"]);
+        assert_eq!(settings["peer"], instance["addr"]);
+        assert_eq!(settings["zone"], instance["zone"]);
+        assert_eq!(settings["fleet"]["keys"]["ops"], "AAAA");
+    }
+}
+
+#[test]
+fn ports_differ_and_data_centres_are_three() {
+    let layout = layout::Layout::new(shape::Shape::Both, shape::Size::Brief, 20_000);
+    let mut ports: Vec<_> = vec![layout.store];
+    for entry in &layout.entries {
+        ports.extend([entry.callers, entry.peer]);
+    }
+    for node in &layout.nodes {
+        ports.extend([node.target, node.peer, node.admin]);
+    }
+    let distinct: collections::HashSet<_> = ports.iter().collect();
+    assert_eq!(distinct.len(), ports.len());
+    let zones: collections::HashSet<_> = layout.nodes.iter().map(|node| node.zone).collect();
+    assert_eq!(zones.len(), 3);
+    assert_ne!(layout.entries[0].zone, layout.entries[1].zone);
+}
