--- a/laburnumcart/src/attempts.rs
+++ b/laburnumcart/src/attempts.rs
@@ -329,6 +329,14 @@
         self.get(id)?.stage.as_ref().map(Stage::ticket)
     }
 
+    /// Returns when a running attempt began.
+    pub fn begun(&self, id: id::AttemptId) -> Option<time::Instant> {
+        match self.get(id)?.stage.as_ref()? {
+            Stage::Running(attempt) => Some(attempt.state.begun),
+            _ => None,
+        }
+    }
+
     /// Returns the bytes of its result that wait to be acknowledged.
     pub fn pending(&self, id: id::AttemptId) -> usize {
         match self.get(id).and_then(|entry| entry.stage.as_ref()) {
--- a/laburnumcart_agent/src/lib.rs
+++ b/laburnumcart_agent/src/lib.rs
@@ -1,1 +1,12 @@
 //! Agent daemon: the one process of the system beside each target.
+//!
+//! It admits attempts from entries, queues them, executes them on its target, keeps the results
+//! until they are settled, and gives the target its orders.
+
+pub mod execute;
+pub mod service;
+pub mod settings;
+pub mod shared;
+pub mod snapshot;
+pub mod target;
+pub mod work;
--- /dev/null
+++ b/laburnumcart_agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts an agent.
+
+fn main() {}
--- /dev/null
+++ b/laburnumcart_agent/src/service.rs
@@ -0,0 +1,243 @@
+//! The agent's methods for entries, other agents and operators.
+
+use std::sync;
+
+use jsonrpsee::{
+    core::{
+        RpcResult,
+        async_trait, //
+    },
+    types, //
+};
+use laburnumcart::{
+    attempts,
+    id,
+    verdict, //
+};
+use laburnumcart_wire::{
+    agent,
+    stage, //
+};
+use tokio::time;
+
+use crate::{
+    execute,
+    shared,
+    work, //
+};
+
+/// Longest time that a call waits for news of an attempt.
+const WAIT_MAX: time::Duration = time::Duration::from_secs(1);
+
+/// Most bytes of text in one answer.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// Methods over the shared state.
+#[derive(Clone, Debug)]
+pub struct Service {
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl Service {
+    /// Creates the methods over `shared`.
+    pub fn new(shared: sync::Arc<shared::Shared>) -> Self {
+        Self { shared }
+    }
+
+    /// Admits a call; the lock makes one step of the check of its session and the admission.
+    fn admit(&self, call: stage::Call) -> Result<sync::Arc<work::Job>, verdict::Refusal> {
+        if call.incarnation != self.shared.incarnation {
+            return Err(verdict::Refusal::not_run(verdict::Reason::WrongIncarnation));
+        }
+        let mut work = self.shared.work();
+        if work.table.data(call.attempt).is_none() {
+            self.open()?;
+        }
+        work.admit(call, time::Instant::now())
+    }
+
+    /// Refuses new work while the agent cannot execute it.
+    fn open(&self) -> Result<(), verdict::Refusal> {
+        let snapshot = self.shared.snapshot.load();
+        if self.shared.is_leaving() {
+            return Err(verdict::Refusal::not_run(verdict::Reason::Leaving));
+        }
+        if snapshot.kind.is_none() {
+            return Err(verdict::Refusal::not_run(verdict::Reason::NoBundle));
+        }
+        if !snapshot.ready {
+            return Err(verdict::Refusal::not_run(verdict::Reason::NoTarget));
+        }
+        Ok(())
+    }
+
+    /// Waits until there are chunks from `from` on or the attempt has ended.
+    async fn news(
+        &self,
+        job: &work::Job,
+        from: u32,
+        wait: time::Duration,
+    ) -> RpcResult<stage::Progress> {
+        let until = time::Instant::now() + wait.min(WAIT_MAX);
+        loop {
+            let changed = job.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let progress = self.read(job.call.attempt, from)?;
+            let waits = matches!(progress.state, stage::State::Queued | stage::State::Running);
+            if !waits || !progress.chunks.is_empty() {
+                return Ok(progress);
+            }
+            if time::timeout_at(until, changed).await.is_err() {
+                return Ok(progress);
+            }
+        }
+    }
+
+    fn read(&self, id: id::AttemptId, from: u32) -> RpcResult<stage::Progress> {
+        match self.shared.work().table.read(id, from, ANSWER_MAX) {
+            Some(Ok(view)) => Ok(progress(id, view)),
+            Some(Err(position)) => Err(error(agent::INVALID, position)),
+            None => Err(error(agent::UNKNOWN, "attempt not known")),
+        }
+    }
+
+    /// Answers a query about an attempt that is not in the table.
+    fn doubt(&self, query: &stage::Query) -> verdict::Refusal {
+        let lane = query.session.lane;
+        let refusal = match self.shared.work().lanes.doubt(lane, query.sent) {
+            verdict::Verdict::NotRun => verdict::Refusal::not_run,
+            verdict::Verdict::MayHaveRun => verdict::Refusal::may_have_run,
+        };
+        refusal(verdict::Reason::Lost)
+    }
+}
+
+#[async_trait]
+impl agent::AgentServer for Service {
+    async fn hello(&self, hello: agent::Hello) -> RpcResult<agent::Report> {
+        let session = hello.session;
+        let now = time::Instant::now();
+        let opened = self
+            .shared
+            .work()
+            .lanes
+            .open(session.lane, session.number, now);
+        opened.map_err(|refusal| error(agent::FENCED, refusal))?;
+        Ok(self.shared.report())
+    }
+
+    async fn beat(&self, beat: agent::Beat) -> RpcResult<agent::Report> {
+        let session = beat.session;
+        let now = time::Instant::now();
+        let checked = self
+            .shared
+            .work()
+            .lanes
+            .check(session.lane, session.number, now);
+        checked.map_err(|refusal| error(agent::FENCED, refusal))?;
+        Ok(self.shared.report())
+    }
+
+    async fn start(&self, call: stage::Call) -> RpcResult<stage::Progress> {
+        let (request, attempt) = (call.request, call.attempt);
+        match self.admit(call) {
+            Ok(job) => {
+                execute::pump(&self.shared);
+                self.news(&job, 0, WAIT_MAX).await
+            }
+            Err(refusal) => Ok(stage::Progress {
+                request,
+                attempt,
+                chunks: Vec::new(),
+                state: stage::State::Refused(refusal),
+            }),
+        }
+    }
+
+    async fn next(&self, next: stage::Next) -> RpcResult<stage::Progress> {
+        let job = {
+            let mut work = self.shared.work();
+            work.table.acknowledge(next.attempt, next.from);
+            work.table.data(next.attempt).cloned()
+        };
+        let job = job.ok_or_else(|| error(agent::UNKNOWN, "attempt not known"))?;
+        job.drained.notify_one();
+        self.news(&job, next.from, next.wait.0).await
+    }
+
+    async fn query(&self, query: stage::Query) -> RpcResult<stage::Progress> {
+        let lane = query.session;
+        let refused = |refusal| stage::Progress {
+            request: id::RequestId(0),
+            attempt: query.attempt,
+            chunks: Vec::new(),
+            state: stage::State::Refused(refusal),
+        };
+        if query.incarnation != self.shared.incarnation {
+            let reason = verdict::Reason::WrongIncarnation;
+            return Ok(refused(verdict::Refusal::may_have_run(reason)));
+        }
+        let now = time::Instant::now();
+        let checked = self.shared.work().lanes.check(lane.lane, lane.number, now);
+        checked.map_err(|refusal| error(agent::FENCED, refusal))?;
+        if query.sent >= lane.number {
+            return Err(error(
+                agent::INVALID,
+                "session of the attempt is not fenced",
+            ));
+        }
+        if self.shared.work().table.data(query.attempt).is_none() {
+            return Ok(refused(self.doubt(&query)));
+        }
+        self.read(query.attempt, query.from)
+    }
+
+    async fn cancel(&self, cancel: stage::Cancel) -> RpcResult<()> {
+        self.shared
+            .work()
+            .cancel(cancel.attempt, time::Instant::now());
+        execute::pump(&self.shared);
+        Ok(())
+    }
+
+    async fn bundle(&self, _least: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(None)
+    }
+
+    async fn drain(&self) -> RpcResult<agent::Report> {
+        self.shared.leaving.send_replace(true);
+        Ok(self.shared.report())
+    }
+}
+
+fn error(code: i32, message: impl ToString) -> types::ErrorObjectOwned {
+    types::ErrorObject::owned(code, message.to_string(), None::<()>)
+}
+
+fn progress(id: id::AttemptId, view: attempts::View) -> stage::Progress {
+    let chunk = |chunk: attempts::Chunk| stage::Chunk {
+        number: chunk.number,
+        text: chunk.text.as_ref().into(),
+    };
+    stage::Progress {
+        request: view.request,
+        attempt: id,
+        chunks: view.chunks.into_iter().map(chunk).collect(),
+        state: state(view.state),
+    }
+}
+
+fn state(state: attempts::State) -> stage::State {
+    match state {
+        attempts::State::Queued => stage::State::Queued,
+        attempts::State::Running => stage::State::Running,
+        attempts::State::Refused(refusal) => stage::State::Refused(refusal),
+        attempts::State::Done(end) => stage::State::Done(stage::End {
+            count: end.count,
+            checksum: end.checksum,
+            busy: laburnumcart::unit::Period(end.busy),
+            queued: laburnumcart::unit::Period(end.queued),
+        }),
+    }
+}
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -21,6 +21,15 @@
     stage, //
 };
 
+/// Error code: the call names a session that is fenced or unknown; nothing is said of any attempt.
+pub const FENCED: i32 = 1;
+
+/// Error code: the attempt is not known; unlike the answer to a query this proves nothing.
+pub const UNKNOWN: i32 = 2;
+
+/// Error code: the call breaks the protocol.
+pub const INVALID: i32 = 3;
+
 /// Opens a connection of a lane and fences the older ones.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Hello {
