--- /dev/null
+++ b/laburnumcart_agent/src/agent.rs
@@ -0,0 +1,116 @@
+//! A running agent within its process.
+
+use std::{
+    io,
+    net,
+    sync, //
+};
+
+use laburnumcart::verdict;
+use laburnumcart_daemon::{
+    control as thread,
+    event,
+    stop, //
+};
+use laburnumcart_wire::{
+    agent::AgentServer,
+    peer, //
+};
+use tokio::time;
+
+use crate::{
+    control,
+    execute,
+    service,
+    settings,
+    shared,
+    work, //
+};
+
+/// Time between two looks for attempts and lanes whose time has passed.
+const SWEEP: time::Duration = time::Duration::from_millis(50);
+
+/// An agent that serves its peers.
+#[derive(Debug)]
+pub struct Agent {
+    shared: sync::Arc<shared::Shared>,
+    running: stop::Running,
+    peers: peer::Handle,
+    control: thread::Control<()>,
+}
+
+impl Agent {
+    /// Starts to serve on `listener`, on the current runtime and a control thread.
+    pub fn start(
+        settings: settings::Settings,
+        limits: work::Limits,
+        listener: net::TcpListener,
+    ) -> io::Result<Self> {
+        let running = stop::Running::new();
+        let secrets = settings.fleet.secrets.clone();
+        let shared = sync::Arc::new(shared::Shared::new(settings, limits, running.gate()));
+        let methods = service::Service::new(shared.clone()).into_rpc();
+        let peers = peer::serve(listener, &secrets, methods, &peer::Limits::default())?;
+        let control = thread::spawn({
+            let shared = shared.clone();
+            move || control::run(shared)
+        })?;
+        tokio::spawn(sweep(shared.clone()));
+        event!(
+            Info,
+            "started",
+            incarnation = shared.incarnation,
+            peer = peers.addr()
+        );
+        Ok(Self {
+            shared,
+            running,
+            peers,
+            control,
+        })
+    }
+
+    /// Returns the state that its threads share.
+    pub fn shared(&self) -> &sync::Arc<shared::Shared> {
+        &self.shared
+    }
+
+    /// Returns the address that peers reach it at.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.peers.addr()
+    }
+
+    /// Refuses new work, finishes what runs and keeps results until they are settled, within the
+    /// stop limit; returns the number of attempts that were left.
+    pub async fn stop(self) -> usize {
+        self.shared.leave();
+        let draining = self.running.drain();
+        // What still waits can run elsewhere sooner; that it did not run here is proven.
+        let now = time::Instant::now();
+        self.shared.work().clear(verdict::Reason::Leaving, now);
+        let stopped = draining.wait(self.shared.settings.stop_limit).await;
+        self.peers.stop();
+        stopped.left
+    }
+
+    /// Reports whether the control thread has ended.
+    pub fn is_finished(&self) -> bool {
+        self.control.is_finished()
+    }
+}
+
+/// Ends attempts whose time has passed and forgets results that were kept long enough.
+async fn sweep(shared: sync::Arc<shared::Shared>) {
+    let mut ticks = time::interval(SWEEP);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = time::Instant::now();
+        {
+            let mut work = shared.work();
+            work.expire(now);
+            work.sweep(now);
+        }
+        execute::pump(&shared);
+    }
+}
--- a/laburnumcart_agent/src/lib.rs
+++ b/laburnumcart_agent/src/lib.rs
@@ -3,7 +3,10 @@
 //! It admits attempts from entries, queues them, executes them on its target, keeps the results
 //! until they are settled, and gives the target its orders.
 
+pub mod agent;
+pub mod control;
 pub mod execute;
+pub mod run;
 pub mod service;
 pub mod settings;
 pub mod shared;
--- /dev/null
+++ b/laburnumcart_agent/src/run.rs
@@ -0,0 +1,91 @@
+//! Life of the process: start, wait for a stop, graceful shutdown.
+
+use std::{
+    io,
+    net,
+    process,
+    sync, //
+};
+
+use laburnumcart_daemon::{
+    admin,
+    event,
+    metrics,
+    process as usage,
+    stop,
+    traces, //
+};
+use tokio::runtime;
+
+use crate::{
+    agent,
+    settings,
+    shared,
+    work, //
+};
+
+/// Threads that execute attempts and serve peers.
+const TRAFFIC_THREADS: usize = 2;
+
+/// Runs an agent until it is stopped; returns the process's exit code.
+pub fn run(settings: settings::Settings) -> process::ExitCode {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .thread_name("traffic")
+        .enable_all()
+        .build();
+    let served = runtime.and_then(|runtime| runtime.block_on(serve(settings)));
+    match served {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            event!(Error, "failed", error = error);
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: settings::Settings) -> io::Result<()> {
+    let mut signals = stop::Signals::listen()?;
+    let _traces = start_traces(&settings);
+    let metrics = metrics::Metrics::new();
+    usage::register(&metrics);
+    let peer = net::TcpListener::bind(settings.peer)?;
+    let listener = net::TcpListener::bind(settings.admin)?;
+    let agent = agent::Agent::start(settings, work::Limits::default(), peer)?;
+    let shared = agent.shared().clone();
+    let pages = admin::Pages::new(metrics, move || ready(&shared));
+    let admin = admin::serve(listener, pages)?;
+    tokio::select! {
+        signal = signals.next() => event!(Info, "stopping", cause = signal),
+        () = agent.shared().left() => event!(Info, "stopping", cause = "drain"),
+    }
+    let left = agent.stop().await;
+    event!(Info, "stopped", left = left);
+    admin.stop();
+    Ok(())
+}
+
+fn start_traces(settings: &settings::Settings) -> Option<traces::Traces> {
+    let collector = settings.telemetry.traces?;
+    match traces::start("laburnum-agent", &settings.instance, collector) {
+        Ok(traces) => Some(traces),
+        Err(error) => {
+            event!(Warn, "traces-failed", error = error);
+            None
+        }
+    }
+}
+
+fn ready(shared: &sync::Arc<shared::Shared>) -> Result<(), String> {
+    let snapshot = shared.snapshot.load();
+    if shared.is_leaving() {
+        return Err("leaving".into());
+    }
+    if snapshot.kind.is_none() {
+        return Err("no bundle with the target's service".into());
+    }
+    if !snapshot.ready {
+        return Err("target does not answer".into());
+    }
+    Ok(())
+}
--- a/laburnumcart_agent/src/service.rs
+++ b/laburnumcart_agent/src/service.rs
@@ -12,6 +12,8 @@
 use laburnumcart::{
     attempts,
     id,
+    lanes,
+    unit,
     verdict, //
 };
 use laburnumcart_wire::{
@@ -50,10 +52,13 @@
             return Err(verdict::Refusal::not_run(verdict::Reason::WrongIncarnation));
         }
         let mut work = self.shared.work();
-        if work.table.data(call.attempt).is_none() {
-            self.open()?;
+        if let Some(job) = work.table.data(call.attempt) {
+            return Ok(job.clone());
         }
-        work.admit(call, time::Instant::now())
+        let leaving = verdict::Refusal::not_run(verdict::Reason::Leaving);
+        let guard = self.shared.gate.enter().ok_or(leaving)?;
+        self.open()?;
+        work.admit(call, guard, time::Instant::now())
     }
 
     /// Refuses new work while the agent cannot execute it.
@@ -101,16 +106,6 @@
             None => Err(error(agent::UNKNOWN, "attempt not known")),
         }
     }
-
-    /// Answers a query about an attempt that is not in the table.
-    fn doubt(&self, query: &stage::Query) -> verdict::Refusal {
-        let lane = query.session.lane;
-        let refusal = match self.shared.work().lanes.doubt(lane, query.sent) {
-            verdict::Verdict::NotRun => verdict::Refusal::not_run,
-            verdict::Verdict::MayHaveRun => verdict::Refusal::may_have_run,
-        };
-        refusal(verdict::Reason::Lost)
-    }
 }
 
 #[async_trait]
@@ -169,7 +164,7 @@
     async fn query(&self, query: stage::Query) -> RpcResult<stage::Progress> {
         let lane = query.session;
         let refused = |refusal| stage::Progress {
-            request: id::RequestId(0),
+            request: query.request,
             attempt: query.attempt,
             chunks: Vec::new(),
             state: stage::State::Refused(refusal),
@@ -178,18 +173,20 @@
             let reason = verdict::Reason::WrongIncarnation;
             return Ok(refused(verdict::Refusal::may_have_run(reason)));
         }
-        let now = time::Instant::now();
-        let checked = self.shared.work().lanes.check(lane.lane, lane.number, now);
-        checked.map_err(|refusal| error(agent::FENCED, refusal))?;
         if query.sent >= lane.number {
             return Err(error(
                 agent::INVALID,
                 "session of the attempt is not fenced",
             ));
         }
-        if self.shared.work().table.data(query.attempt).is_none() {
-            return Ok(refused(self.doubt(&query)));
+        let mut work = self.shared.work();
+        work.lanes
+            .check(lane.lane, lane.number, time::Instant::now())
+            .map_err(|refusal| error(agent::FENCED, refusal))?;
+        if work.table.data(query.attempt).is_none() {
+            return Ok(refused(doubt(&work.lanes, &query)));
         }
+        drop(work);
         self.read(query.attempt, query.from)
     }
 
@@ -206,11 +203,19 @@
     }
 
     async fn drain(&self) -> RpcResult<agent::Report> {
-        self.shared.leaving.send_replace(true);
+        self.shared.leave();
         Ok(self.shared.report())
     }
 }
 
+/// Answers a query about an attempt that is not in the table.
+fn doubt(lanes: &lanes::Lanes, query: &stage::Query) -> verdict::Refusal {
+    match lanes.doubt(query.session.lane, query.sent) {
+        verdict::Verdict::NotRun => verdict::Refusal::not_run(verdict::Reason::Lost),
+        verdict::Verdict::MayHaveRun => verdict::Refusal::may_have_run(verdict::Reason::Lost),
+    }
+}
+
 fn error(code: i32, message: impl ToString) -> types::ErrorObjectOwned {
     types::ErrorObject::owned(code, message.to_string(), None::<()>)
 }
@@ -236,8 +241,8 @@
         attempts::State::Done(end) => stage::State::Done(stage::End {
             count: end.count,
             checksum: end.checksum,
-            busy: laburnumcart::unit::Period(end.busy),
-            queued: laburnumcart::unit::Period(end.queued),
+            busy: unit::Period(end.busy),
+            queued: unit::Period(end.queued),
         }),
     }
 }
--- a/laburnumcart_agent/src/settings.rs
+++ b/laburnumcart_agent/src/settings.rs
@@ -6,6 +6,7 @@
     id,
     unit, //
 };
+use laburnumcart_daemon::settings;
 use serde::Deserialize;
 
 /// Settings of one agent.
@@ -17,11 +18,20 @@
     /// Its data centre.
     pub zone: id::DataCentre,
     /// Address for entries, other agents and operators.
+    #[schemars(with = "String")]
     pub peer: net::SocketAddr,
     /// Address for health checks and metrics.
+    #[schemars(with = "String")]
     pub admin: net::SocketAddr,
     /// The target beside it.
     pub target: Target,
+    /// What the processes of the fleet have in common.
+    pub fleet: settings::Fleet,
+    /// The object service.
+    pub platform: settings::Platform,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: settings::Telemetry,
     /// Longest time that a planned stop may take.
     #[serde(default = "default_stop")]
     pub stop_limit: unit::Period,
@@ -36,9 +46,20 @@
     /// Service that it belongs to.
     pub service: id::ServiceName,
     /// Address of its HTTP port.
+    #[schemars(with = "String")]
     pub address: net::SocketAddr,
 }
 
+impl settings::Settings for Settings {
+    fn telemetry(&self) -> &settings::Telemetry {
+        &self.telemetry
+    }
+
+    fn check(&self) -> Vec<settings::Fault> {
+        self.fleet.check("$.fleet")
+    }
+}
+
 fn default_stop() -> unit::Period {
     unit::Period::from_secs(30)
 }
--- a/laburnumcart_agent/src/shared.rs
+++ b/laburnumcart_agent/src/shared.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use laburnumcart::id;
+use laburnumcart_daemon::stop;
 use laburnumcart_wire::agent;
 use tokio::sync::watch;
 
@@ -27,21 +28,24 @@
     pub snapshot: ArcSwap<snapshot::Snapshot>,
     /// HTTP client of the target.
     pub target: target::Target,
-    /// Whether new work is refused.
-    pub leaving: watch::Sender<bool>,
+    /// Where work enters.
+    pub gate: stop::Gate,
+    /// Whether a stop was asked for.
+    leaving: watch::Sender<bool>,
     /// Number of crashes of the target that were noticed.
     pub crashes: watch::Sender<u64>,
 }
 
 impl Shared {
     /// Creates the state of a starting agent.
-    pub fn new(settings: settings::Settings, limits: work::Limits) -> Self {
+    pub fn new(settings: settings::Settings, limits: work::Limits, gate: stop::Gate) -> Self {
         Self {
             target: target::Target::new(settings.target.address),
             settings,
             incarnation: id::Incarnation::random(),
             work: sync::Mutex::new(work::Work::new(limits)),
             snapshot: ArcSwap::default(),
+            gate,
             leaving: watch::Sender::new(false),
             crashes: watch::Sender::new(0),
         }
@@ -60,6 +64,17 @@
         *self.leaving.borrow()
     }
 
+    /// Asks for a graceful shutdown; every report says so from now on.
+    pub fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+
+    /// Waits until a graceful shutdown is asked for.
+    pub async fn left(&self) {
+        // The sender is a field of this, so that it cannot be gone.
+        let _ = self.leaving.subscribe().wait_for(|leaving| *leaving).await;
+    }
+
     /// Returns the answer to a heartbeat.
     pub fn report(&self) -> agent::Report {
         let snapshot = self.snapshot.load();
--- /dev/null
+++ b/laburnumcart_agent/src/target/http.rs
@@ -0,0 +1,192 @@
+//! Connections to the target.
+
+use std::{
+    net,
+    time, //
+};
+
+use bytes::Bytes;
+use derive_more::{
+    Display,
+    Error, //
+};
+use http::{
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{
+        self,
+        connect, //
+    },
+    rt, //
+};
+
+/// Longest answer to a call of control in bytes.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// A call that did not succeed.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection could be opened, so that nothing was sent.
+    #[display("target not reached")]
+    Unreached,
+    /// The connection failed after the call may have been sent.
+    #[display("connection to the target failed")]
+    Broken,
+    /// No answer came in time.
+    #[display("target did not answer in time")]
+    Timeout,
+    /// The target answered with another status than success.
+    #[display("target answered {_0}")]
+    Status(#[error(not(source))] StatusCode),
+    /// The answer is not what the protocol says.
+    #[display("malformed answer of the target")]
+    Malformed,
+}
+
+type Inner = legacy::Client<connect::HttpConnector, Full<Bytes>>;
+
+/// Pools of connections to one address.
+#[derive(Debug)]
+pub struct Client {
+    address: net::SocketAddr,
+    /// Reuses connections.
+    kept: Inner,
+    /// Opens a connection for each call.
+    fresh: Inner,
+}
+
+/// An answer whose body is still to be read.
+///
+/// Unless [`Answer::tidy`] is called, the connection is closed when the answer is dropped. Otherwise
+/// the rest of an abandoned answer could be taken for the answer to a later call.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    captured: Option<connect::CaptureConnection>,
+}
+
+impl Answer {
+    /// Notes that the answer was read to its end, so that its connection can serve another call.
+    pub fn tidy(mut self) {
+        self.captured = None;
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some(captured) = &self.captured
+            && let Some(connected) = captured.connection_metadata().as_ref()
+        {
+            connected.poison();
+        }
+    }
+}
+
+impl Client {
+    /// Creates the pools; nothing is connected yet.
+    pub fn new(address: net::SocketAddr, limit: time::Duration) -> Self {
+        let mut connector = connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(limit));
+        let builder = || legacy::Client::builder(rt::TokioExecutor::new());
+        Self {
+            address,
+            kept: builder().build(connector.clone()),
+            fresh: builder().pool_max_idle_per_host(0).build(connector),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// A connection that idled may be closed by the target in the moment it is used again, and then
+    /// it is unknown whether the call arrived. With `once` the call gets a connection of its own.
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        once: bool,
+    ) -> Result<Answer, Failure> {
+        let captured = connect::capture_connection(&mut request);
+        let client = if once { &self.fresh } else { &self.kept };
+        match client.request(request).await {
+            Ok(response) => Ok(Answer {
+                response,
+                captured: Some(captured),
+            }),
+            Err(error) if error.is_connect() => Err(Failure::Unreached),
+            Err(_) => Err(Failure::Broken),
+        }
+    }
+
+    /// Returns a request with a JSON body.
+    pub fn post(&self, path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+        let mut request = self.request(path, body);
+        *request.method_mut() = Method::POST;
+        let json = header::HeaderValue::from_static("application/json");
+        request.headers_mut().insert(header::CONTENT_TYPE, json);
+        request
+    }
+
+    /// Posts to `path` and returns the whole answer.
+    pub async fn control(
+        &self,
+        path: &str,
+        body: impl Into<Bytes>,
+        limit: time::Duration,
+    ) -> Result<Bytes, Failure> {
+        self.whole(self.post(path, body), limit).await
+    }
+
+    /// Reads `path` and returns the whole answer.
+    pub async fn get(&self, path: &str, limit: time::Duration) -> Result<Bytes, Failure> {
+        self.whole(self.request(path, Bytes::new()), limit).await
+    }
+
+    async fn whole(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: time::Duration,
+    ) -> Result<Bytes, Failure> {
+        let read = async {
+            let mut answer = self.send(request, false).await?;
+            let status = answer.response.status();
+            let body = collect(&mut answer, ANSWER_MAX).await?;
+            answer.tidy();
+            match status.is_success() {
+                true => Ok(body),
+                false => Err(Failure::Status(status)),
+            }
+        };
+        tokio::time::timeout(limit, read)
+            .await
+            .unwrap_or(Err(Failure::Timeout))
+    }
+
+    fn request(&self, path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body.into()));
+        let uri = format!("http://{}{path}", self.address);
+        // An address and one of our constant paths always make a valid URI.
+        *request.uri_mut() = uri.parse().unwrap_or_default();
+        request
+    }
+}
+
+/// Reads the whole body of an answer.
+pub async fn collect(answer: &mut Answer, limit: usize) -> Result<Bytes, Failure> {
+    let body = Limited::new(answer.response.body_mut(), limit);
+    match body.collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(_) => Err(Failure::Broken),
+    }
+}
--- /dev/null
+++ b/laburnumcart_agent/src/target/run.rs
@@ -0,0 +1,188 @@
+//! Execution of a stage on the target, with the verdict of every way that it can end.
+
+use std::collections;
+
+use bytes::Bytes;
+use http::{
+    HeaderValue,
+    Request,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use laburnumcart::{
+    bundle,
+    unit,
+    verdict, //
+};
+use laburnumcart_wire::stage;
+use serde_json::value;
+
+use super::{
+    Target,
+    events,
+    http as client, //
+};
+use crate::work;
+
+/// Longest output of a pool in bytes.
+const OUTPUT_MAX: usize = 8 << 20;
+
+/// Size of the chunks that a pool's output is cut into, in bytes.
+const CHUNK: usize = 64 << 10;
+
+/// Receives the parts of a result in order.
+pub trait Sink: Send {
+    /// Takes a part; waits while too many bytes are not acknowledged.
+    fn push(&mut self, text: &str) -> impl Future<Output = ()> + Send;
+}
+
+impl Target {
+    /// Executes a stage and passes its result to `sink`.
+    pub async fn run(
+        &self,
+        kind: bundle::Kind,
+        call: &stage::Call,
+        remaining: unit::Period,
+        sink: &mut impl Sink,
+    ) -> work::Outcome {
+        let Some(request) = self.stage(kind, call, remaining) else {
+            return work::Outcome::NotRun(verdict::Reason::Invalid, None);
+        };
+        let answer = match self.http.send(request, !call.idempotent).await {
+            Ok(answer) => answer,
+            Err(failure) => return broken(failure),
+        };
+        if answer.response.status() != StatusCode::OK {
+            return declined(answer);
+        }
+        match kind {
+            bundle::Kind::Pool => output(answer, sink).await,
+            bundle::Kind::Engine => stream(answer, sink).await,
+        }
+    }
+
+    fn stage(
+        &self,
+        kind: bundle::Kind,
+        call: &stage::Call,
+        remaining: unit::Period,
+    ) -> Option<Request<Full<Bytes>>> {
+        let path = match kind {
+            bundle::Kind::Engine => "/v1/generate",
+            bundle::Kind::Pool => "/v1/run",
+        };
+        let mut request = self.http.post(path, body(call)?);
+        let headers = request.headers_mut();
+        let mut set = |name: &'static str, text: &str| {
+            HeaderValue::from_str(text).map(|value| headers.insert(name, value))
+        };
+        set("x-request-id", &call.request.to_string()).ok()?;
+        set("x-attempt-id", &call.attempt.to_string()).ok()?;
+        set("x-team", call.team.as_str()).ok()?;
+        set("x-priority", &call.priority.to_string()).ok()?;
+        set(
+            "x-idempotent",
+            if call.idempotent { "true" } else { "false" },
+        )
+        .ok()?;
+        set("x-deadline-ms", &remaining.as_millis().to_string()).ok()?;
+        if let Some(parent) = &call.traceparent {
+            set("traceparent", parent).ok()?;
+        }
+        Some(request)
+    }
+}
+
+/// Returns the body for the target: the caller's, with the text received so far if there is any.
+fn body(call: &stage::Call) -> Option<String> {
+    let Some(received) = &call.received else {
+        return Some(call.body.get().into());
+    };
+    type Fields = collections::BTreeMap<String, Box<value::RawValue>>;
+    let mut fields: Fields = serde_json::from_str(call.body.get()).ok()?;
+    let received = value::to_raw_value(received).ok()?;
+    fields.insert("received".into(), received);
+    serde_json::to_string(&fields).ok()
+}
+
+/// Returns the outcome of a call that got no answer.
+fn broken(failure: client::Failure) -> work::Outcome {
+    match failure {
+        client::Failure::Unreached => work::Outcome::NotRun(verdict::Reason::NoTarget, None),
+        _ => work::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
+    }
+}
+
+/// Returns the outcome of a call that the target did not execute to its end.
+fn declined(answer: client::Answer) -> work::Outcome {
+    match answer.response.status() {
+        StatusCode::BAD_REQUEST => work::Outcome::NotRun(verdict::Reason::TargetRefused, None),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            work::Outcome::NotRun(verdict::Reason::Overloaded, retry(&answer))
+        }
+        _ => work::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
+    }
+}
+
+fn retry(answer: &client::Answer) -> Option<unit::Period> {
+    let value = answer.response.headers().get(header::RETRY_AFTER)?;
+    let secs = value.to_str().ok()?.parse().ok()?;
+    Some(unit::Period::from_secs(secs))
+}
+
+/// Reads a pool's output, which is passed on only when it is whole.
+async fn output(mut answer: client::Answer, sink: &mut impl Sink) -> work::Outcome {
+    let body = match client::collect(&mut answer, OUTPUT_MAX).await {
+        Ok(body) => body,
+        Err(failure) => return broken(failure),
+    };
+    answer.tidy();
+    let Ok(json) = serde_json::from_slice::<&value::RawValue>(&body) else {
+        return work::Outcome::MayHaveRun(verdict::Reason::Corrupt);
+    };
+    let mut rest = json.get();
+    while !rest.is_empty() {
+        let (part, after) = rest.split_at(rest.floor_char_boundary(CHUNK));
+        sink.push(part).await;
+        rest = after;
+    }
+    work::Outcome::Whole
+}
+
+/// Passes on the pieces of an engine's stream up to its end mark.
+async fn stream(mut answer: client::Answer, sink: &mut impl Sink) -> work::Outcome {
+    let mut parser = events::Parser::default();
+    let mut events = Vec::new();
+    loop {
+        // A stream that stops before its end mark is not whole, however tidily it was closed.
+        let Some(Ok(frame)) = answer.response.body_mut().frame().await else {
+            return work::Outcome::MayHaveRun(verdict::Reason::TargetFailed);
+        };
+        let Some(bytes) = frame.data_ref() else {
+            continue;
+        };
+        if parser.push(bytes, &mut events).is_err() {
+            return work::Outcome::MayHaveRun(verdict::Reason::Corrupt);
+        }
+        for event in events.drain(..) {
+            match event {
+                events::Event::Piece(text) => sink.push(&text).await,
+                events::Event::End => {
+                    close(answer);
+                    return work::Outcome::Whole;
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the connection of a whole stream if its body has ended with the end mark.
+fn close(answer: client::Answer) {
+    if hyper::body::Body::is_end_stream(answer.response.body()) {
+        answer.tidy();
+    }
+}
--- a/laburnumcart_agent/src/work.rs
+++ b/laburnumcart_agent/src/work.rs
@@ -12,6 +12,7 @@
     unit,
     verdict, //
 };
+use laburnumcart_daemon::stop;
 use laburnumcart_wire::{
     lane,
     stage, //
@@ -34,6 +35,8 @@
     pub drained: Notify,
     /// Signals that the sender gave the attempt up.
     pub cancelled: Notify,
+    /// Holds up a graceful shutdown until the result is settled.
+    _guard: stop::Work,
 }
 
 /// Limits of the work that one agent takes on.
@@ -120,17 +123,15 @@
         }
     }
 
-    /// Admits a call to the queue; a known attempt is left as it is.
+    /// Admits a call of an attempt that is not in the table to the queue.
     pub fn admit(
         &mut self,
         call: stage::Call,
+        guard: stop::Work,
         now: time::Instant,
     ) -> Result<sync::Arc<Job>, verdict::Refusal> {
         let lane::Session { lane, number } = call.session;
         self.lanes.check(lane, number, now)?;
-        if let Some(job) = self.table.data(call.attempt) {
-            return Ok(job.clone());
-        }
         if self.queue.len() >= self.limits.queue {
             return Err(verdict::Refusal::not_run(verdict::Reason::Overloaded));
         }
@@ -151,6 +152,7 @@
             changed: Notify::new(),
             drained: Notify::new(),
             cancelled: Notify::new(),
+            _guard: guard,
         });
         self.table.admit(ticket, job.clone())?;
         self.queue.push_back(ticket.attempt);
