--- /dev/null
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -0,0 +1,209 @@
+//! An agent with a target, and a sender with a lane to it.
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic, //
+    },
+    time, //
+};
+
+use laburnumcart::{
+    bundle,
+    id,
+    unit, //
+};
+use laburnumcart_agent::{
+    agent,
+    settings,
+    work, //
+};
+use laburnumcart_wire::{
+    agent::{
+        AgentClient,
+        Hello,
+        Report, //
+    },
+    lane,
+    peer,
+    secret,
+    stage, //
+};
+use serde_json::{
+    json,
+    value, //
+};
+
+/// Bound on every wait for a condition; far above what any of them takes.
+pub(crate) const BOUND: time::Duration = time::Duration::from_secs(20);
+
+const SECRET: &str = "a-secret-of-the-fleet-0123456789";
+
+/// Fails the test when the condition does not come true in time.
+pub(crate) async fn bounded<T>(wait: impl Future<Output = T>) -> T {
+    tokio::time::timeout(BOUND, wait).await.expect("in time")
+}
+
+pub(crate) fn settings(target: net::SocketAddr) -> settings::Settings {
+    let text = json!({
+        "instance": "agent-1",
+        "zone": "dc-a",
+        "peer": "127.0.0.1:0",
+        "admin": "127.0.0.1:0",
+        "target": {"name": "pool-1", "service": "pool", "address": target.to_string()},
+        "fleet": {"secrets": [SECRET], "keys": {"ops": "AAAA"}},
+        "platform": {"address": "127.0.0.1:9"},
+        "stop_limit": "10s",
+    });
+    serde_json::from_value(text).unwrap()
+}
+
+/// Starts an agent whose target is of the given kind and waits until it is ready.
+pub(crate) async fn start(target: net::SocketAddr, kind: bundle::Kind) -> agent::Agent {
+    start_at("127.0.0.1:0".parse().unwrap(), target, kind).await
+}
+
+pub(crate) async fn start_at(
+    peer: net::SocketAddr,
+    target: net::SocketAddr,
+    kind: bundle::Kind,
+) -> agent::Agent {
+    let listener = net::TcpListener::bind(peer).unwrap();
+    let agent = agent::Agent::start(settings(target), work::Limits::default(), listener).unwrap();
+    ready(&agent, kind).await;
+    agent
+}
+
+async fn ready(agent: &agent::Agent, kind: bundle::Kind) {
+    let shared = agent.shared();
+    bounded(async {
+        loop {
+            let snapshot = shared.snapshot.load_full();
+            if snapshot.ready && snapshot.kind == Some(kind) {
+                return;
+            }
+            let mut wanted = (*snapshot).clone();
+            wanted.kind = Some(kind);
+            shared.snapshot.store(Arc::new(wanted));
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    })
+    .await;
+}
+
+/// One process that sends attempts, over one connection after the other.
+pub(crate) struct Sender {
+    addr: net::SocketAddr,
+    lane: id::Incarnation,
+    number: atomic::AtomicU64,
+}
+
+/// One connection of a sender.
+pub(crate) struct Connection {
+    pub(crate) client: peer::Client,
+    pub(crate) session: lane::Session,
+    pub(crate) report: Report,
+}
+
+impl Sender {
+    pub(crate) fn new(addr: net::SocketAddr) -> Self {
+        Self {
+            addr,
+            lane: id::Incarnation::random(),
+            number: atomic::AtomicU64::new(0),
+        }
+    }
+
+    /// Opens the next session of the lane.
+    pub(crate) async fn connect(&self) -> Connection {
+        let number = self.number.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        let secret: secret::Secret = SECRET.parse().unwrap();
+        let client = peer::connect(self.addr, &secret, &peer::Limits::default())
+            .await
+            .unwrap();
+        let session = lane::Session {
+            lane: self.lane,
+            number,
+        };
+        let hello = Hello {
+            instance: "entry-1".parse().unwrap(),
+            session,
+            facts: Default::default(),
+        };
+        let report = client.hello(hello).await.unwrap();
+        Connection {
+            client,
+            session,
+            report,
+        }
+    }
+}
+
+impl Connection {
+    /// Prepares a call with its own ids.
+    pub(crate) fn call(&self) -> stage::Call {
+        let body = json!({"stage": "encode", "input": {"n": 7}, "previous": null});
+        stage::Call {
+            session: self.session,
+            incarnation: self.report.incarnation,
+            request: id::RequestId::random(),
+            attempt: id::AttemptId::random(),
+            team: "araya".parse().unwrap(),
+            pipeline: "check".parse().unwrap(),
+            stage: "encode".parse().unwrap(),
+            generation: id::Generation(1),
+            fingerprint: id::Fingerprint(5),
+            priority: bundle::Priority::Normal,
+            idempotent: false,
+            remaining: unit::Period::from_secs(15),
+            traceparent: None,
+            received: None,
+            body: value::to_raw_value(&body).unwrap(),
+        }
+    }
+
+    /// Starts a call and reads its result to the end.
+    pub(crate) async fn run(&self, call: &stage::Call) -> (String, stage::State) {
+        let mut progress = self.client.start(call.clone()).await.unwrap();
+        let mut joiner = stage::Joiner::default();
+        loop {
+            assert_eq!(
+                (progress.request, progress.attempt),
+                (call.request, call.attempt)
+            );
+            for chunk in &progress.chunks {
+                joiner.push(chunk).unwrap();
+            }
+            match progress.state {
+                stage::State::Done(end) => {
+                    return (joiner.finish(&end).unwrap(), progress.state);
+                }
+                stage::State::Refused(_) => return (joiner.text().into(), progress.state),
+                _ => (),
+            }
+            let next = self.next(call, joiner.next());
+            progress = self.client.next(next).await.unwrap();
+        }
+    }
+
+    pub(crate) fn next(&self, call: &stage::Call, from: u32) -> stage::Next {
+        stage::Next {
+            attempt: call.attempt,
+            from,
+            wait: unit::Period::from_secs(1),
+        }
+    }
+
+    /// Asks about a call that an earlier session has sent.
+    pub(crate) fn query(&self, call: &stage::Call, from: u32) -> stage::Query {
+        stage::Query {
+            session: self.session,
+            incarnation: call.incarnation,
+            sent: call.session.number,
+            request: call.request,
+            attempt: call.attempt,
+            from,
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_agent/tests/agent/phases.rs
@@ -0,0 +1,174 @@
+//! Each phase of an attempt in which its target can fail, and the verdict that follows.
+
+use laburnumcart::{
+    bundle::Kind,
+    verdict::{
+        Reason,
+        Refusal,
+        Verdict, //
+    },
+};
+use laburnumcart_wire::{
+    agent::AgentClient,
+    stage::{
+        Cancel,
+        State, //
+    },
+};
+use rstest::rstest;
+
+use crate::{
+    fixture::{
+        self,
+        bounded, //
+    },
+    target::{
+        Finish,
+        Mode,
+        Target, //
+    },
+};
+
+fn refusal(state: State) -> Refusal {
+    match state {
+        State::Refused(refusal) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// The caller gets the whole output of its own stage.
+#[tokio::test(flavor = "multi_thread")]
+async fn pool_answers_whole() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let (text, state) = bounded(lane.run(&lane.call())).await;
+    assert_eq!(text, r#"{"echo":{"n":7}}"#);
+    assert!(matches!(state, State::Done(end) if end.count == 1));
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The caller is told "not run": the target says by its status that it did not start the stage, or
+/// could not be reached before a byte was sent. All other failures after that may have run.
+#[rstest]
+#[case(400, Verdict::NotRun, Reason::TargetRefused)]
+#[case(429, Verdict::NotRun, Reason::Overloaded)]
+#[case(503, Verdict::NotRun, Reason::Overloaded)]
+#[case(404, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(409, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(500, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(502, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(504, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(302, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[case(204, Verdict::MayHaveRun, Reason::TargetFailed)]
+#[tokio::test(flavor = "multi_thread")]
+async fn status_gives_verdict(
+    #[case] status: u16,
+    #[case] verdict: Verdict,
+    #[case] reason: Reason,
+) {
+    let target = Target::start(Mode::Status(status, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let (_, state) = bounded(lane.run(&lane.call())).await;
+    let refusal = refusal(state);
+    assert_eq!((refusal.verdict, refusal.reason), (verdict, reason));
+    assert_eq!(refusal.retry.is_some(), reason == Reason::Overloaded);
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The caller is told "not run". The target's port is closed when the stage should go there, so
+/// that nothing has left the agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn fails_before_send() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    bounded(target.stop()).await;
+    let (_, state) = bounded(lane.run(&lane.call())).await;
+    let refusal = refusal(state);
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::NotRun, Reason::NoTarget)
+    );
+}
+
+/// The caller is told "may have run". The target has executed the stage and dies before it answers;
+/// nothing that the agent sees tells this from a target that died before it executed.
+#[tokio::test(flavor = "multi_thread")]
+async fn fails_after_send() {
+    let target = Target::start(Mode::Close).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let (_, state) = bounded(lane.run(&lane.call())).await;
+    let refusal = refusal(state);
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::MayHaveRun, Reason::TargetFailed)
+    );
+    assert_eq!(target.seen().len(), 1, "the stage was not sent again");
+}
+
+/// The caller gets the pieces and then "may have run", never an end. The engine's stream stops in
+/// the middle, or ends tidily without its end mark; both would pass for a whole answer if the end
+/// of the connection were taken for the end of the stream.
+#[rstest]
+#[case(Finish::Cut)]
+#[case(Finish::NoMark)]
+#[tokio::test(flavor = "multi_thread")]
+async fn fails_before_end_mark(#[case] finish: Finish) {
+    let target = Target::start(Mode::Stream(vec!["a", "b"], finish)).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let call = lane.call();
+    let reader = lane.run(&call);
+    let (result, ()) = tokio::join!(bounded(reader), async {
+        target.wait_seen(1).await;
+        target.release();
+    });
+    let refusal = refusal(result.1);
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::MayHaveRun, Reason::TargetFailed)
+    );
+}
+
+/// The caller gets the whole stream, piece by piece, with its end mark.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_whole() {
+    let target = Target::start(Mode::Stream(vec!["a", "b", "c"], Finish::Whole)).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let mut call = lane.call();
+    call.received = Some("before".into());
+    target.release();
+    let (text, state) = bounded(lane.run(&call)).await;
+    assert_eq!(text, "abc");
+    assert!(matches!(state, State::Done(end) if end.count == 3));
+    assert_eq!(target.seen()[0].body["received"], "before");
+}
+
+/// The next caller gets its own answer. A stream is cancelled in the middle; if its connection were
+/// used again, the rest of that stream would be read as the answer to the next stage.
+#[tokio::test(flavor = "multi_thread")]
+async fn untidy_connection_is_not_reused() {
+    let target = Target::start(Mode::Stream(vec!["a"], Finish::Whole)).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let mut first = lane.call();
+    first.idempotent = true;
+    let progress = bounded(lane.client.start(first.clone())).await.unwrap();
+    assert_eq!(progress.chunks.len(), 1);
+    let cancel = Cancel {
+        attempt: first.attempt,
+    };
+    bounded(lane.client.cancel(cancel)).await.unwrap();
+    bounded(target.wait_cancelled(&first.attempt.to_string())).await;
+    target.release();
+    let mut second = lane.call();
+    second.idempotent = true;
+    let (text, _) = bounded(lane.run(&second)).await;
+    assert_eq!(text, "a");
+    let seen = target.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
--- /dev/null
+++ b/laburnumcart_agent/tests/agent/target.rs
@@ -0,0 +1,318 @@
+//! A target of which each test says byte by byte how it behaves.
+
+use std::{
+    net,
+    sync, //
+};
+
+use serde_json::Value;
+use tokio::{
+    io::{
+        AsyncBufReadExt,
+        AsyncReadExt,
+        AsyncWriteExt,
+        BufReader, //
+    },
+    net as aio,
+    sync::{
+        Notify,
+        watch, //
+    },
+    task, //
+};
+
+/// How the target treats a stage.
+#[derive(Clone, Debug)]
+pub(crate) enum Mode {
+    /// Answers with this status, after counting the execution if it is 200.
+    Status(u16, &'static str),
+    /// Executes, then closes the connection without an answer.
+    Close,
+    /// Executes, then waits for [`Target::release`] and answers.
+    Hold,
+    /// Streams these pieces, then waits for [`Target::release`], then ends as told.
+    Stream(Vec<&'static str>, Finish),
+}
+
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Finish {
+    /// With the end mark.
+    Whole,
+    /// With a tidy end of the body but no end mark.
+    NoMark,
+    /// With the connection closed in the middle of the body.
+    Cut,
+}
+
+/// A request for a stage as it came in.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    /// Number of the connection.
+    pub(crate) connection: usize,
+    /// Value of `x-attempt-id`.
+    pub(crate) attempt: String,
+    /// Value of `traceparent`.
+    pub(crate) traceparent: Option<String>,
+    /// Whole body.
+    pub(crate) body: Value,
+}
+
+#[derive(Debug)]
+struct Inner {
+    mode: sync::Mutex<Mode>,
+    boot: sync::Mutex<String>,
+    models: sync::Mutex<Vec<String>>,
+    seen: watch::Sender<Vec<Seen>>,
+    cancelled: watch::Sender<Vec<String>>,
+    orders: watch::Sender<Vec<Value>>,
+    go: Notify,
+}
+
+/// A listening target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) addr: net::SocketAddr,
+    inner: sync::Arc<Inner>,
+    tasks: task::JoinHandle<()>,
+}
+
+impl Target {
+    pub(crate) async fn start(mode: Mode) -> Self {
+        let listener = aio::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let inner = sync::Arc::new(Inner {
+            mode: sync::Mutex::new(mode),
+            boot: sync::Mutex::new("first".into()),
+            models: sync::Mutex::default(),
+            seen: watch::Sender::default(),
+            cancelled: watch::Sender::default(),
+            orders: watch::Sender::default(),
+            go: Notify::new(),
+        });
+        let tasks = task::spawn(accept(listener, inner.clone()));
+        Self { addr, inner, tasks }
+    }
+
+    pub(crate) fn set(&self, mode: Mode) {
+        *self.inner.mode.lock().unwrap() = mode;
+    }
+
+    /// Looks as a new process does.
+    pub(crate) fn reboot(&self) {
+        *self.inner.boot.lock().unwrap() = "second".into();
+    }
+
+    pub(crate) fn release(&self) {
+        self.inner.go.notify_waiters();
+        self.inner.go.notify_one();
+    }
+
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.inner.seen.borrow().clone()
+    }
+
+    pub(crate) fn models(&self) -> Vec<String> {
+        self.inner.models.lock().unwrap().clone()
+    }
+
+    pub(crate) fn set_models(&self, models: &[&str]) {
+        *self.inner.models.lock().unwrap() = models.iter().map(|m| (*m).into()).collect();
+    }
+
+    /// Closes the port and all connections.
+    pub(crate) async fn stop(mut self) {
+        self.tasks.abort();
+        let ended = (&mut self.tasks).await;
+        assert!(ended.is_err_and(|error| error.is_cancelled()));
+    }
+
+    /// Waits until `count` stages have come in.
+    pub(crate) async fn wait_seen(&self, count: usize) {
+        let mut seen = self.inner.seen.subscribe();
+        seen.wait_for(|seen| seen.len() >= count).await.unwrap();
+    }
+
+    /// Waits until an attempt is cancelled.
+    pub(crate) async fn wait_cancelled(&self, attempt: &str) {
+        let mut cancelled = self.inner.cancelled.subscribe();
+        let found = |all: &Vec<String>| all.iter().any(|one| one == attempt);
+        cancelled.wait_for(found).await.unwrap();
+    }
+
+    /// Waits until `count` orders have been taken.
+    pub(crate) async fn wait_orders(&self, count: usize) -> Vec<Value> {
+        let mut orders = self.inner.orders.subscribe();
+        let taken = orders.wait_for(|all| all.len() >= count).await.unwrap();
+        taken.clone()
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.tasks.abort();
+    }
+}
+
+async fn accept(listener: aio::TcpListener, inner: sync::Arc<Inner>) {
+    let mut connections = task::JoinSet::new();
+    for number in 0.. {
+        let (stream, _) = listener.accept().await.unwrap();
+        connections.spawn(serve(stream, number, inner.clone()));
+    }
+}
+
+struct Request {
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> Option<String> {
+        let found = self.headers.iter().find(|(key, _)| key == name)?;
+        Some(found.1.clone())
+    }
+}
+
+async fn read(stream: &mut BufReader<aio::TcpStream>) -> Option<Request> {
+    let mut line = String::new();
+    stream.read_line(&mut line).await.ok()?;
+    let path = line.split(' ').nth(1)?.into();
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).await.ok()?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else {
+            break;
+        };
+        headers.push((name.to_ascii_lowercase(), value.into()));
+    }
+    let mut request = Request {
+        path,
+        headers,
+        body: Vec::new(),
+    };
+    let length = request.header("content-length");
+    request.body = vec![0; length.map_or(0, |text| text.parse().unwrap())];
+    stream.read_exact(&mut request.body).await.ok()?;
+    Some(request)
+}
+
+async fn serve(stream: aio::TcpStream, number: usize, inner: sync::Arc<Inner>) {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read(&mut stream).await {
+        let keep = match request.path.as_str() {
+            "/v1/state" => state(&mut stream, &inner).await,
+            "/v1/cancel" => cancel(&mut stream, &inner, &request).await,
+            "/v1/orders" => order(&mut stream, &inner, &request).await,
+            _ => stage(&mut stream, number, &inner, &request).await,
+        };
+        if keep.is_none() {
+            return;
+        }
+    }
+}
+
+async fn answer(stream: &mut BufReader<aio::TcpStream>, status: u16, body: &str) -> Option<()> {
+    let head = format!("HTTP/1.1 {status} x\r\nretry-after: 2\r\n");
+    let text = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(text.as_bytes()).await.ok()
+}
+
+async fn state(stream: &mut BufReader<aio::TcpStream>, inner: &Inner) -> Option<()> {
+    let boot = inner.boot.lock().unwrap().clone();
+    let models = inner.models.lock().unwrap().clone();
+    let body = serde_json::json!({"boot": boot, "models": models, "term": 0, "sequence": 0});
+    answer(stream, 200, &body.to_string()).await
+}
+
+async fn cancel(
+    stream: &mut BufReader<aio::TcpStream>,
+    inner: &Inner,
+    request: &Request,
+) -> Option<()> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap();
+    let attempt = body["attempt"].as_str().unwrap().to_owned();
+    inner.cancelled.send_modify(|all| all.push(attempt));
+    answer(stream, 204, "").await
+}
+
+async fn order(
+    stream: &mut BufReader<aio::TcpStream>,
+    inner: &Inner,
+    request: &Request,
+) -> Option<()> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap();
+    let names = |key: &str| -> Vec<String> {
+        serde_json::from_value(body[key].clone()).unwrap_or_default()
+    };
+    {
+        let mut models = inner.models.lock().unwrap();
+        let unload = names("unload");
+        models.retain(|model| !unload.contains(model));
+        models.extend(names("load"));
+    }
+    inner.orders.send_modify(|all| all.push(body));
+    answer(stream, 200, "{}").await
+}
+
+async fn stage(
+    stream: &mut BufReader<aio::TcpStream>,
+    connection: usize,
+    inner: &Inner,
+    request: &Request,
+) -> Option<()> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap();
+    let mode = inner.mode.lock().unwrap().clone();
+    let seen = Seen {
+        connection,
+        attempt: request.header("x-attempt-id").unwrap(),
+        traceparent: request.header("traceparent"),
+        body: body.clone(),
+    };
+    let whole = format!("{{\"echo\":{}}}", body["input"]);
+    inner.seen.send_modify(|all| all.push(seen));
+    match mode {
+        Mode::Status(200, _) => answer(stream, 200, &whole).await,
+        Mode::Status(status, text) => answer(stream, status, text).await,
+        Mode::Close => None,
+        Mode::Hold => {
+            inner.go.notified().await;
+            answer(stream, 200, &whole).await
+        }
+        Mode::Stream(pieces, finish) => events(stream, inner, &pieces, finish).await,
+    }
+}
+
+async fn events(
+    stream: &mut BufReader<aio::TcpStream>,
+    inner: &Inner,
+    pieces: &[&str],
+    finish: Finish,
+) -> Option<()> {
+    let head = "HTTP/1.1 200 x\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked";
+    stream
+        .write_all(format!("{head}\r\n\r\n").as_bytes())
+        .await
+        .ok()?;
+    for text in pieces {
+        let data = serde_json::json!({"text": text});
+        chunk(stream, &format!("data: {data}\n\n")).await?;
+    }
+    inner.go.notified().await;
+    match finish {
+        Finish::Cut => return None,
+        Finish::NoMark => (),
+        Finish::Whole => {
+            let data = serde_json::json!({"tokens": pieces.len()});
+            chunk(stream, &format!("event: end\ndata: {data}\n\n")).await?;
+        }
+    }
+    stream.write_all(b"0\r\n\r\n").await.ok()
+}
+
+async fn chunk(stream: &mut BufReader<aio::TcpStream>, text: &str) -> Option<()> {
+    let framed = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(framed.as_bytes()).await.ok()
+}
