--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod facts;
 pub mod id;
 pub mod lanes;
+pub mod orders;
 pub mod unit;
 pub mod verdict;
