Read the hot messages with visitors and tell doubt from proof

Unknown fields are skipped, so that versions can be mixed while a fleet is upgraded; missing and doubled fields and too many chunks are refused.

An error of a call is a proof of "not run" only where the peer turned it away before a method ran; timeouts, lost connections and oversized answers are not.

--- a/laburnumcart_wire/src/peer.rs
+++ b/laburnumcart_wire/src/peer.rs
@@ -23,10 +23,14 @@
         middleware, //
     },
     server,
+    types,
     ws_client, //
 };
 
-use laburnumcart::unit;
+use laburnumcart::{
+    unit,
+    verdict, //
+};
 
 use crate::secret;
 
@@ -159,6 +163,30 @@
     }
 }
 
+/// Tells from a call's error whether the peer may have executed the call.
+///
+/// Methods answer refusals by value. An error of the protocol itself is a proof of "not run" only
+/// where the call was turned away before it reached a method.
+pub fn verdict(error: &client::Error) -> verdict::Verdict {
+    use types::ErrorCode::{
+        InvalidParams,
+        InvalidRequest,
+        MethodNotFound,
+        OversizedRequest,
+        ParseError, //
+    };
+
+    let client::Error::Call(object) = error else {
+        return verdict::Verdict::MayHaveRun;
+    };
+    match object.code().into() {
+        ParseError | InvalidRequest | MethodNotFound | InvalidParams | OversizedRequest => {
+            verdict::Verdict::NotRun
+        }
+        _ => verdict::Verdict::MayHaveRun,
+    }
+}
+
 /// Accepts connections of peers that know one of the secrets.
 pub struct Server {
     secrets: Vec<secret::Secret>,
--- a/laburnumcart_wire/src/stage.rs
+++ b/laburnumcart_wire/src/stage.rs
@@ -15,8 +15,16 @@
 
 use crate::lane;
 
+mod visit;
+
+/// Most chunks that one message carries.
+pub const CHUNKS_MAX: usize = 4096;
+
+/// Longest trace context in bytes.
+pub const TRACEPARENT_MAX: usize = 256;
+
 /// Asks an agent to execute one stage on its target.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Call {
     /// Connection that carries the call.
     pub session: lane::Session,
@@ -43,10 +51,10 @@
     /// Time left until the caller's deadline.
     pub remaining: unit::Period,
     /// W3C trace context of the sender's span.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub traceparent: Option<String>,
     /// Text that an earlier attempt has already received; the engine goes on after it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub received: Option<String>,
     /// Request body for the target.
     pub body: Box<value::RawValue>,
@@ -79,21 +87,20 @@
 }
 
 /// What an agent knows of an attempt, with a part of its result.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Progress {
     /// Echo of the request.
     pub request: id::RequestId,
     /// Echo of the attempt.
     pub attempt: id::AttemptId,
     /// Chunks in order, starting with the number that was asked for.
-    #[serde(default)]
     pub chunks: Vec<Chunk>,
     /// Where the attempt stands.
     pub state: State,
 }
 
 /// A numbered part of a result.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Chunk {
     /// Number within the attempt, from 0.
     pub number: u32,
--- /dev/null
+++ b/laburnumcart_wire/tests/peer.rs
@@ -0,0 +1,311 @@
+//! Connections between processes: secrets, bounds and malformed frames.
+
+use std::{
+    net,
+    sync::{
+        self,
+        atomic, //
+    },
+    time, //
+};
+
+use futures_util::io::{
+    BufReader,
+    BufWriter, //
+};
+use jsonrpsee::{
+    core::client::ClientT,
+    rpc_params,
+    server, //
+};
+use laburnumcart::{
+    unit,
+    verdict, //
+};
+use laburnumcart_wire::{
+    peer,
+    secret, //
+};
+use rstest::rstest;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+const SECRET: &str = "a-secret-of-the-fleet";
+const OTHER: &str = "the-secret-after-next";
+
+/// Longest time that a test waits for what must happen.
+const BOUND: time::Duration = time::Duration::from_secs(20);
+
+fn secret(text: &str) -> secret::Secret {
+    text.parse().unwrap()
+}
+
+fn listener() -> net::TcpListener {
+    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).unwrap()
+}
+
+/// Methods: `echo` answers at once, `held` when the gate opens.
+fn methods(gate: &sync::Arc<tokio::sync::Notify>) -> server::RpcModule<()> {
+    let mut module = server::RpcModule::new(());
+    module
+        .register_method("echo", |params, (), _| params.one::<String>())
+        .unwrap();
+    let gate = gate.clone();
+    module
+        .register_async_method("held", move |_, _, _| {
+            let gate = gate.clone();
+            async move {
+                gate.notified().await;
+                "done"
+            }
+        })
+        .unwrap();
+    module
+}
+
+fn serve(
+    secrets: &[&str],
+    limits: &peer::Limits,
+) -> (peer::Handle, sync::Arc<tokio::sync::Notify>) {
+    let gate = sync::Arc::new(tokio::sync::Notify::new());
+    let secrets: Vec<secret::Secret> = secrets.iter().map(|s| secret(s)).collect();
+    let handle = peer::serve(listener(), &secrets, methods(&gate), limits).unwrap();
+    (handle, gate)
+}
+
+async fn echo(client: &peer::Client, text: &str) -> Result<String, jsonrpsee::core::ClientError> {
+    client.request("echo", rpc_params![text]).await
+}
+
+#[rstest]
+#[case::too_short("fifteen-letters")]
+#[case::space("a secret with spaces")]
+#[case::newline("a-secret-of-the-fleet\n")]
+fn bad_secret_is_refused_unseen(#[case] text: &str) {
+    let error = text.parse::<secret::Secret>().unwrap_err();
+    assert!(!format!("{error} {error:?}").contains(text));
+}
+
+#[test]
+fn secret_is_not_shown() {
+    let shown = format!("{:?}", [secret(SECRET)]);
+    assert_eq!(shown, "[Secret(..)]");
+}
+
+/// While secrets are rotated the caller sees no failure: a server with the old and the new one takes
+/// calls under both.
+#[tokio::test]
+async fn each_valid_secret_opens_a_connection() {
+    let limits = peer::Limits::default();
+    let (handle, _) = serve(&[SECRET, OTHER], &limits);
+    for text in [SECRET, OTHER] {
+        let client = peer::connect(handle.addr(), &secret(text), &limits)
+            .await
+            .unwrap();
+        assert_eq!(echo(&client, text).await.unwrap(), text);
+    }
+}
+
+#[tokio::test]
+async fn wrong_secret_is_refused_and_counted() {
+    let limits = peer::Limits::default();
+    let count = sync::Arc::new(atomic::AtomicU32::new(0));
+    let counter = count.clone();
+    let handle = peer::Server::new(&[secret(SECRET)])
+        .on_refused(move || {
+            counter.fetch_add(1, atomic::Ordering::Relaxed);
+        })
+        .serve(listener(), server::RpcModule::new(()))
+        .unwrap();
+    let error = peer::connect(handle.addr(), &secret(OTHER), &limits)
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(error, peer::ConnectError::Unauthorized),
+        "{error:?}"
+    );
+    assert!(!format!("{error:?}").contains(OTHER));
+    assert_eq!(count.load(atomic::Ordering::Relaxed), 1);
+}
+
+/// The peer accepts the connection and then says nothing, as one behind a failed switch does. The
+/// caller gets a timeout after the bound and can try another peer.
+#[tokio::test]
+async fn silent_peer_is_a_timeout() {
+    let listener = listener();
+    let limits = peer::Limits::default().connect(unit::Period::from_millis(50));
+    let addr = listener.local_addr().unwrap();
+    let error = peer::connect(addr, &secret(SECRET), &limits)
+        .await
+        .unwrap_err();
+    assert!(matches!(
+        error,
+        peer::ConnectError::Timeout(_) | peer::ConnectError::Failed(_)
+    ));
+}
+
+/// One call on the connection waits at the peer while another one is larger than the bound. The
+/// large one fails at once, unsent; the waiting one gets its answer over the same connection.
+#[tokio::test]
+async fn large_call_fails_alone() {
+    let limits = peer::Limits::default().message(unit::Size(4096));
+    let (handle, gate) = serve(&[SECRET], &limits);
+    let client = peer::connect(handle.addr(), &secret(SECRET), &limits)
+        .await
+        .unwrap();
+    let held = client.request::<String, _>("held", rpc_params![]);
+    let large = async {
+        let error = echo(&client, &"x".repeat(5000)).await.unwrap_err();
+        assert!(
+            matches!(error, jsonrpsee::core::ClientError::Call(_)),
+            "{error:?}"
+        );
+        assert_eq!(peer::verdict(&error), verdict::Verdict::NotRun);
+        assert_eq!(echo(&client, "small").await.unwrap(), "small");
+        gate.notify_one();
+    };
+    let (held, ()) = tokio::time::timeout(BOUND, async { tokio::join!(held, large) })
+        .await
+        .unwrap();
+    assert_eq!(held.unwrap(), "done");
+}
+
+/// A call fills the bound to the byte; it must pass, or what one end takes the other would refuse.
+#[tokio::test]
+async fn largest_call_passes() {
+    let limits = peer::Limits::default().message(unit::Size(4096));
+    let (handle, _) = serve(&[SECRET], &limits);
+    let client = peer::connect(handle.addr(), &secret(SECRET), &limits)
+        .await
+        .unwrap();
+    // The parameters are the text in quotes and brackets; the answer adds its own envelope.
+    let text = "x".repeat(4096 - 4);
+    let answer = echo(&client, &text).await;
+    assert!(
+        !matches!(answer, Err(jsonrpsee::core::ClientError::RestartNeeded(_))),
+        "{answer:?}"
+    );
+    assert_eq!(echo(&client, "small").await.unwrap(), "small");
+}
+
+/// A raw WebSocket, to send what our own client never would.
+struct Raw {
+    sender: soketto::Sender<Stream>,
+    receiver: soketto::Receiver<Stream>,
+}
+
+type Stream = BufReader<BufWriter<tokio_util::compat::Compat<tokio::net::TcpStream>>>;
+
+impl Raw {
+    async fn open(addr: net::SocketAddr) -> Self {
+        let stream = tokio::net::TcpStream::connect(addr).await.unwrap();
+        let stream = BufReader::new(BufWriter::new(stream.compat()));
+        let host = addr.to_string();
+        let credentials = format!("Bearer {SECRET}");
+        let headers = [soketto::handshake::client::Header {
+            name: "authorization",
+            value: credentials.as_bytes(),
+        }];
+        let mut client = soketto::handshake::Client::new(stream, &host, "/");
+        client.set_headers(&headers);
+        client.handshake().await.unwrap();
+        let (sender, receiver) = client.into_builder().finish();
+        Self { sender, receiver }
+    }
+
+    async fn send(&mut self, text: &str) {
+        self.sender.send_text(text).await.unwrap();
+        self.sender.flush().await.unwrap();
+    }
+
+    async fn receive(&mut self) -> serde_json::Value {
+        let mut data = Vec::new();
+        let receiving = self.receiver.receive_data(&mut data);
+        tokio::time::timeout(BOUND, receiving)
+            .await
+            .unwrap()
+            .unwrap();
+        serde_json::from_slice(&data).unwrap()
+    }
+}
+
+/// A peer sends a frame that is no call, while a call of its own waits. It gets a typed error for the
+/// frame, and later the answer to the call: one bad frame costs the connection nothing else.
+#[rstest]
+#[case::no_json("{", -32700)]
+#[case::no_call(r#"{"id":9}"#, -32600)]
+#[case::no_method(r#"{"jsonrpc":"2.0","id":9,"method":"absent"}"#, -32601)]
+#[case::bad_params(r#"{"jsonrpc":"2.0","id":9,"method":"echo","params":[1]}"#, -32602)]
+#[case::batch(r#"[{"jsonrpc":"2.0","id":9,"method":"echo","params":["a"]}]"#, -32005)]
+#[tokio::test]
+async fn malformed_frame_harms_no_other_call(#[case] frame: &str, #[case] code: i64) {
+    let (handle, gate) = serve(&[SECRET], &peer::Limits::default());
+    let mut raw = Raw::open(handle.addr()).await;
+    raw.send(r#"{"jsonrpc":"2.0","id":1,"method":"held"}"#)
+        .await;
+    raw.send(frame).await;
+    let error = raw.receive().await;
+    assert_eq!(error["error"]["code"], code, "{error}");
+    gate.notify_one();
+    let answer = raw.receive().await;
+    assert_eq!(answer["id"], 1);
+    assert_eq!(answer["result"], "done");
+}
+
+/// A process stops while it executes a call. The caller still gets the answer; new connections are
+/// refused.
+#[tokio::test]
+async fn stop_answers_what_runs() {
+    let limits = peer::Limits::default();
+    let (handle, gate) = serve(&[SECRET], &limits);
+    let addr = handle.addr();
+    let client = peer::connect(addr, &secret(SECRET), &limits).await.unwrap();
+    let held = client.request::<String, _>("held", rpc_params![]);
+    let stop = async {
+        // The answer to a later call shows that the first one has arrived.
+        echo(&client, "after").await.unwrap();
+        handle.stop();
+        gate.notify_one();
+    };
+    let (held, ()) = tokio::time::timeout(BOUND, async { tokio::join!(held, stop) })
+        .await
+        .unwrap();
+    assert_eq!(held.unwrap(), "done");
+    drop(client);
+    tokio::time::timeout(BOUND, handle.stopped()).await.unwrap();
+    assert!(peer::connect(addr, &secret(SECRET), &limits).await.is_err());
+}
+
+/// A peer's connection breaks while it executes a call. The caller must not take the error for a
+/// proof that the call did not run; neither an answer that was too large to send, nor a timeout.
+#[tokio::test]
+async fn doubt_is_not_taken_for_proof() {
+    let short = peer::Limits::default().request(unit::Period::from_millis(20));
+    let (handle, _gate) = serve(&[SECRET], &short);
+    let client = peer::connect(handle.addr(), &secret(SECRET), &short)
+        .await
+        .unwrap();
+    let held = client.request::<String, _>("held", rpc_params![]).await;
+    assert_eq!(
+        peer::verdict(&held.unwrap_err()),
+        verdict::Verdict::MayHaveRun
+    );
+    // A call that the peer turned away is proven, whatever the timeout.
+    let patient = peer::Limits::default();
+    let client = peer::connect(handle.addr(), &secret(SECRET), &patient)
+        .await
+        .unwrap();
+    let absent = client.request::<String, _>("absent", rpc_params![]).await;
+    assert_eq!(
+        peer::verdict(&absent.unwrap_err()),
+        verdict::Verdict::NotRun
+    );
+    for code in [-32603, -32008, -32000, 7] {
+        let object = jsonrpsee::types::ErrorObject::owned(code, "", None::<()>);
+        let error = jsonrpsee::core::ClientError::Call(object);
+        assert_eq!(
+            peer::verdict(&error),
+            verdict::Verdict::MayHaveRun,
+            "{code}"
+        );
+    }
+}
