--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -6,8 +6,11 @@
 pub mod attempt;
 pub mod attempts;
 pub mod bundle;
+pub mod document;
 pub mod facts;
+pub mod head;
 pub mod id;
 pub mod lanes;
+pub mod seal;
 pub mod unit;
 pub mod verdict;
