--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -6,9 +6,12 @@
 pub mod attempt;
 pub mod attempts;
 pub mod bundle;
+pub mod document;
 pub mod facts;
+pub mod head;
 pub mod id;
 pub mod lanes;
 pub mod orders;
+pub mod seal;
 pub mod unit;
 pub mod verdict;
