--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod client;
 pub mod expected;
 pub mod target;
+pub mod store;
