--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod attempt;
 pub mod bundle;
 pub mod facts;
+pub mod fair;
 pub mod id;
+pub mod limit;
 pub mod unit;
 pub mod verdict;
--- /dev/null
+++ b/laburnumcart/src/limit.rs
@@ -0,0 +1,199 @@
+//! Concurrency limit of a target, found from measured latency.
+//!
+//! The limit follows the ratio of the least latency in a sliding window to the present one. Both
+//! are medians of small batches, so that neither a slow call nor a fast one decides alone. Where
+//! the work of calls differs widely, the caller passes the latency per unit of work.
+
+use std::time;
+
+use tokio::time::Instant;
+
+/// Limit of a target that was never measured.
+const INITIAL: f64 = 4.0;
+
+/// Latency above the least that is not yet taken for congestion.
+const TOLERANCE: f64 = 1.2;
+
+/// Most that one batch can lower the limit.
+const GRADIENT_MIN: f64 = 0.5;
+
+/// Factor for a batch in which the target refused calls.
+const REFUSED: f64 = 0.8;
+
+/// Fewest and most samples of a batch.
+const BATCH: (usize, usize) = (8, 64);
+
+/// Drop of latency at half the limit that shows that the target was congested before.
+const RELIEF: f64 = 0.85;
+
+/// Half of the sliding window.
+const HALF: time::Duration = time::Duration::from_secs(15);
+
+/// Pause after which a batch that was begun is void.
+const STALE: time::Duration = time::Duration::from_secs(2);
+
+/// Concurrency limit of one target.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use laburnumcart::limit;
+/// use tokio::time::Instant;
+///
+/// let mut now = Instant::now();
+/// let mut limit = limit::Limit::new();
+/// let before = limit.get();
+/// for _ in 0..100 {
+///     now += Duration::from_millis(5);
+///     limit.observe(Duration::from_millis(20), limit.get(), now);
+/// }
+/// assert!(limit.get() > before);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Limit {
+    value: f64,
+    batch: Vec<time::Duration>,
+    /// Most calls in flight during the batch.
+    peak: u32,
+    refused: bool,
+    /// Latency before the last cut of a search for the uncongested latency.
+    probe: Option<time::Duration>,
+    /// Time of the last sample.
+    last: Option<Instant>,
+    /// Least batch median in this half of the window and in the one before.
+    least: Option<time::Duration>,
+    before: Option<time::Duration>,
+    /// Start of this half.
+    since: Option<Instant>,
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Limit {
+    /// Creates the limit of a target that was never measured.
+    pub fn new() -> Self {
+        Self {
+            value: INITIAL,
+            batch: Vec::with_capacity(BATCH.1),
+            peak: 0,
+            refused: false,
+            probe: None,
+            last: None,
+            least: None,
+            before: None,
+            since: None,
+        }
+    }
+
+    /// Returns the number of calls that may be in flight; at least 1.
+    pub fn get(&self) -> u32 {
+        self.value.max(1.0) as u32
+    }
+
+    /// Returns the least latency in the window.
+    pub fn base(&self) -> Option<time::Duration> {
+        self.least.into_iter().chain(self.before).min()
+    }
+
+    /// Takes in a completed call; `in_flight` includes it.
+    pub fn observe(&mut self, latency: time::Duration, in_flight: u32, now: Instant) {
+        // Calls that started under a higher limit measure that one, not the present.
+        if in_flight > self.get() {
+            return;
+        }
+        self.restart_stale(now);
+        self.last = Some(now);
+        self.peak = self.peak.max(in_flight);
+        self.batch.push(latency);
+        if self.batch.len() >= (self.get() as usize).clamp(BATCH.0, BATCH.1) {
+            self.close(now);
+        }
+    }
+
+    /// Takes in a refusal by the target itself.
+    pub fn refuse(&mut self) {
+        if !self.refused {
+            self.value = (self.value * REFUSED).max(1.0);
+        }
+        self.refused = true;
+    }
+
+    /// Forgets a batch that was interrupted by an idle period.
+    fn restart_stale(&mut self, now: Instant) {
+        let stale = |last: Instant| now.saturating_duration_since(last) > STALE;
+        if self.last.is_some_and(stale) {
+            self.batch.clear();
+            self.peak = 0;
+        }
+    }
+
+    /// Ends a batch and moves the limit.
+    fn close(&mut self, now: Instant) {
+        let middle = self.batch.len() / 2;
+        let median = *self.batch.select_nth_unstable(middle).1;
+        let saturated = self.peak >= self.get().div_ceil(2);
+        self.least = Some(self.least.map_or(median, |least| least.min(median)));
+        if !self.search(median, saturated) {
+            self.step(median, saturated);
+            self.rotate(median, saturated, now);
+        }
+        self.batch.clear();
+        self.peak = 0;
+        self.refused = false;
+    }
+
+    fn step(&mut self, median: time::Duration, saturated: bool) {
+        let base = self.base().unwrap_or(median).as_secs_f64();
+        let ratio = TOLERANCE * base / median.as_secs_f64().max(f64::MIN_POSITIVE);
+        let gradient = ratio.clamp(GRADIENT_MIN, 1.0);
+        // An idle target is fast at any limit, which says nothing of a higher one.
+        let growth = if saturated && !self.refused {
+            self.value.sqrt()
+        } else {
+            0.0
+        };
+        if saturated || gradient < 1.0 {
+            self.value = (self.value * gradient + growth).max(1.0);
+        }
+    }
+
+    /// Goes on with a search for the uncongested latency, if there is one.
+    ///
+    /// Under lasting load the least latency would be forgotten, the congested one taken for it,
+    /// and the limit would creep up without end. Cutting the limit until latency no longer falls
+    /// with it measures the uncongested latency afresh, whatever the limit was before.
+    fn search(&mut self, median: time::Duration, saturated: bool) -> bool {
+        let Some(before) = self.probe.take() else {
+            return false;
+        };
+        let relieved = median < before.mul_f64(RELIEF);
+        if !relieved || !saturated || self.value <= 1.0 {
+            return false;
+        }
+        self.cut(median);
+        true
+    }
+
+    fn cut(&mut self, median: time::Duration) {
+        self.probe = Some(median);
+        self.value = (self.value / 2.0).max(1.0);
+    }
+
+    /// Moves the window on; only measured time counts, so that idleness forgets nothing.
+    fn rotate(&mut self, median: time::Duration, saturated: bool, now: Instant) {
+        let first = self.since.is_none();
+        let since = *self.since.get_or_insert(now);
+        if !first && now.saturating_duration_since(since) < HALF {
+            return;
+        }
+        self.before = self.least.take();
+        self.since = Some(now);
+        if saturated {
+            self.cut(median);
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart/tests/limit.rs
@@ -0,0 +1,74 @@
+//! The limit finds a target's capacity and keeps to it.
+
+use std::time;
+
+use laburnumcart::limit;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const BASE: time::Duration = time::Duration::from_millis(20);
+
+/// Runs calls at a target of the given capacity, with as many in flight as the limit allows.
+fn saturate(limit: &mut limit::Limit, capacity: u32, secs: u64, now: &mut Instant) -> u32 {
+    let end = *now + time::Duration::from_secs(secs);
+    let mut peak = 0;
+    while *now < end {
+        let n = limit.get();
+        let latency = BASE.mul_f64((f64::from(n) / f64::from(capacity)).max(1.0));
+        *now += latency / n;
+        limit.observe(latency, n, *now);
+        peak = peak.max(limit.get());
+    }
+    peak
+}
+
+#[rstest]
+#[case(1)]
+#[case(4)]
+#[case(16)]
+#[case(64)]
+fn finds_capacity_and_stays_there(#[case] capacity: u32) {
+    let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
+    saturate(&mut limit, capacity, 5, &mut now);
+    // Ten windows of lasting saturation must not let the limit creep up.
+    let peak = saturate(&mut limit, capacity, 300, &mut now);
+    assert!(peak <= 3 * capacity + 4, "{peak}");
+    saturate(&mut limit, capacity, 2, &mut now);
+    assert!(limit.get() >= capacity.div_ceil(2), "{}", limit.get());
+}
+
+#[test]
+fn one_slow_call_changes_nothing() {
+    let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
+    saturate(&mut limit, 16, 5, &mut now);
+    let before = limit.get();
+    limit.observe(BASE * 100, before, now);
+    saturate(&mut limit, 16, 1, &mut now);
+    assert!(limit.get() * 10 >= before * 7, "{before} {}", limit.get());
+}
+
+/// The target is idle for an hour but for a few calls. These are fast, yet prove nothing of a
+/// higher limit: it must neither grow nor be forgotten.
+#[test]
+fn idle_period_changes_nothing() {
+    let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
+    saturate(&mut limit, 16, 5, &mut now);
+    let before = limit.get();
+    for _ in 0..60 {
+        now += time::Duration::from_secs(60);
+        limit.observe(BASE, 1, now);
+    }
+    assert_eq!((limit.get(), limit.base()), (before, Some(BASE)));
+}
+
+#[test]
+fn never_below_one() {
+    let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
+    saturate(&mut limit, 4, 1, &mut now);
+    for i in 0..1000 {
+        now += BASE;
+        limit.refuse();
+        limit.observe(BASE * i, limit.get(), now);
+        assert!(limit.get() >= 1);
+    }
+}
