Add routing, retries, hedges and their budgets

Routing draws two targets, one of them in the own data centre, and takes the earlier expected finish. Reported load loses half its weight to the mean of all targets each second: taken at face value, one target that was idle in a 5 s old report draws all traffic; aged towards nothing, a target whose reports have stopped would look idle. Prefixes use rendezvous hashing with a bound of 1.25 of the mean.

Retries keep the verdict of the request as a whole: the last attempt alone could say "not run" of a request whose earlier attempt ran. A budget counts over ten slots of a second and is shut while more than a tenth of requests are refused for lack of room.

--- /dev/null
+++ b/laburnumcart/src/budget.rs
@@ -0,0 +1,125 @@
+//! Budget of extra attempts, as a share of recent ones.
+//!
+//! Retries and hedges repair single failures. When many requests fail, they multiply the load just
+//! when there is least room. A budget allows extra attempts up to a share of the successes in the
+//! last [`WINDOW`], and none while the fleet refuses work as overloaded.
+
+use std::time;
+
+use tokio::time::Instant;
+
+use crate::unit;
+
+/// Time that a success counts.
+pub const WINDOW: time::Duration = time::Duration::from_secs(10);
+
+/// Extra attempts in a window that need no success, so that little traffic can recover too.
+pub const RESERVE: u32 = 3;
+
+/// Share of refusals as overloaded above which the budget is shut.
+const OVERLOAD: f64 = 0.1;
+
+/// Fewest refusals that shut it.
+const REFUSALS: u32 = 5;
+
+const SLOTS: usize = 10;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    earned: u32,
+    spent: u32,
+    refused: u32,
+}
+
+/// Budget of extra attempts.
+///
+/// ```
+/// use laburnumcart::{budget, unit};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut budget = budget::Budget::new(unit::Share(0.1), now);
+/// for _ in 0..100 {
+///     budget.earn(now);
+/// }
+/// let spent = (0..100).filter(|_| budget.spend(now)).count();
+/// assert_eq!(spent, 10 + budget::RESERVE as usize);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Budget {
+    ratio: f64,
+    slots: [Slot; SLOTS],
+    /// Index of the present slot, and its start.
+    present: usize,
+    since: Instant,
+}
+
+impl Budget {
+    /// Creates a budget of a share of recent successes.
+    pub fn new(ratio: unit::Share, now: Instant) -> Self {
+        Self {
+            ratio: ratio.0,
+            slots: [Slot::default(); SLOTS],
+            present: 0,
+            since: now,
+        }
+    }
+
+    /// Changes the share.
+    pub fn set_ratio(&mut self, ratio: unit::Share) {
+        self.ratio = ratio.0;
+    }
+
+    /// Counts a success, or a request where the share is one of requests.
+    pub fn earn(&mut self, now: Instant) {
+        self.slot(now).earned += 1;
+    }
+
+    /// Counts a refusal for lack of room.
+    pub fn refuse(&mut self, now: Instant) {
+        self.slot(now).refused += 1;
+    }
+
+    /// Takes one extra attempt from the budget, if it is open.
+    pub fn spend(&mut self, now: Instant) -> bool {
+        if !self.is_open(now) {
+            return false;
+        }
+        self.slot(now).spent += 1;
+        true
+    }
+
+    /// Reports whether an extra attempt is allowed.
+    pub fn is_open(&mut self, now: Instant) -> bool {
+        self.slot(now);
+        let sum = self.sum();
+        let allowed = self.ratio * f64::from(sum.earned) + f64::from(RESERVE);
+        !Self::is_overloaded(sum) && f64::from(sum.spent + 1) <= allowed
+    }
+
+    fn is_overloaded(sum: Slot) -> bool {
+        let all = f64::from(sum.earned + sum.refused);
+        sum.refused >= REFUSALS && f64::from(sum.refused) > OVERLOAD * all
+    }
+
+    fn sum(&self) -> Slot {
+        self.slots.iter().fold(Slot::default(), |sum, slot| Slot {
+            earned: sum.earned + slot.earned,
+            spent: sum.spent + slot.spent,
+            refused: sum.refused + slot.refused,
+        })
+    }
+
+    /// Returns the present slot, after clearing those whose time has passed.
+    fn slot(&mut self, now: Instant) -> &mut Slot {
+        let length = WINDOW / SLOTS as u32;
+        let elapsed = now.saturating_duration_since(self.since);
+        let steps = (elapsed.as_nanos() / length.as_nanos()) as u32;
+        for _ in 0..steps.min(SLOTS as u32) {
+            self.present = (self.present + 1) % SLOTS;
+            self.slots[self.present] = Slot::default();
+        }
+        self.since += length * steps;
+        &mut self.slots[self.present]
+    }
+}
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -4,10 +4,14 @@
 //! runtime's clock, so that a test can pause and advance it.
 
 pub mod attempt;
+pub mod budget;
 pub mod bundle;
 pub mod facts;
 pub mod fair;
+pub mod hedge;
 pub mod id;
 pub mod limit;
+pub mod retry;
+pub mod route;
 pub mod unit;
 pub mod verdict;
--- /dev/null
+++ b/laburnumcart/src/route/table.rs
@@ -0,0 +1,61 @@
+//! Immutable snapshot of the targets of one service.
+
+use crate::route;
+
+/// Targets of one service, as the control thread publishes them.
+#[derive(Clone, Debug)]
+pub struct Table {
+    targets: Vec<route::Target>,
+    /// Digest of each target's name.
+    seeds: Vec<u64>,
+    /// Number of local targets, which come first.
+    near: usize,
+    mean: f64,
+}
+
+impl Table {
+    /// Creates a table; local targets move to the front, otherwise the order is kept.
+    pub fn new(mut targets: Vec<route::Target>) -> Self {
+        targets.sort_by_key(|target| !target.local);
+        let near = targets.iter().filter(|target| target.local).count();
+        let digest = |t: &route::Target| xxhash_rust::xxh3::xxh3_64(t.name.as_str().as_bytes());
+        let seeds = targets.iter().map(digest).collect();
+        let mean = mean(&targets);
+        Self {
+            targets,
+            seeds,
+            near,
+            mean,
+        }
+    }
+
+    /// Returns the targets in the order of their positions.
+    pub fn targets(&self) -> &[route::Target] {
+        &self.targets
+    }
+
+    /// Returns the number of local targets, which come first.
+    pub(super) fn near(&self) -> usize {
+        self.near
+    }
+
+    /// Returns the mean load by others, in attempts for each that a target executes at once.
+    pub(super) fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Returns the rendezvous score of a prefix at a target.
+    pub(super) fn score(&self, i: usize, prefix: u64) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(&prefix.to_le_bytes(), self.seeds[i])
+    }
+}
+
+fn mean(targets: &[route::Target]) -> f64 {
+    let ready = targets.iter().filter(|t| t.state == route::State::Ready);
+    let loads = ready.map(|target| {
+        let load = &target.load;
+        f64::from(load.pending.saturating_sub(load.own)) / f64::from(load.limit.max(1))
+    });
+    let (count, sum) = loads.fold((0u32, 0.0), |(n, sum), load| (n + 1, sum + load));
+    sum / f64::from(count.max(1))
+}
--- /dev/null
+++ b/laburnumcart/tests/retry.rs
@@ -0,0 +1,168 @@
+//! Retries, hedges and their budgets.
+
+use std::time;
+
+use laburnumcart::{
+    budget, hedge, retry, unit,
+    verdict::{
+        Reason,
+        Refusal,
+        Verdict, //
+    },
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const LONG: time::Duration = time::Duration::from_secs(5);
+
+fn decide(
+    idempotent: bool,
+    refusal: Refusal,
+    remaining: time::Duration,
+    budget: &mut budget::Budget,
+) -> retry::Decision {
+    let now = Instant::now();
+    let needed = time::Duration::from_millis(100);
+    let time = retry::Time {
+        remaining,
+        needed,
+        now,
+    };
+    let failure = retry::Failure {
+        refusal,
+        resumable: false,
+    };
+    retry::Attempts::new(idempotent, Verdict::NotRun).decide(&failure, time, budget)
+}
+
+#[rstest]
+#[case::proof(false, Refusal::not_run(Reason::Leaving), LONG, true)]
+#[case::no_proof(false, Refusal::may_have_run(Reason::Lost), LONG, false)]
+#[case::crash(false, Refusal::may_have_run(Reason::TargetFailed), LONG, false)]
+#[case::idempotent(true, Refusal::may_have_run(Reason::Lost), LONG, true)]
+#[case::wrong_anywhere(true, Refusal::not_run(Reason::TargetRefused), LONG, false)]
+#[case::quarantined(true, Refusal::not_run(Reason::Quarantined), LONG, false)]
+#[case::too_late(
+    true,
+    Refusal::not_run(Reason::Leaving),
+    time::Duration::from_millis(50),
+    false
+)]
+fn retries(
+    #[case] idempotent: bool,
+    #[case] refusal: Refusal,
+    #[case] remaining: time::Duration,
+    #[case] again: bool,
+) {
+    let mut budget = budget::Budget::new(unit::Share(0.1), Instant::now());
+    let decision = decide(idempotent, refusal, remaining, &mut budget);
+    assert_eq!(
+        decision == retry::Decision::Elsewhere,
+        again,
+        "{decision:?}"
+    );
+}
+
+/// The first attempt of an idempotent request is lost, the second is refused as "not run" by a
+/// full target. The caller must not read "not run": the first may have executed.
+#[test]
+fn verdict_covers_all_attempts() {
+    let now = Instant::now();
+    let mut budget = budget::Budget::new(unit::Share(0.0), now);
+    let time = retry::Time {
+        remaining: LONG,
+        needed: time::Duration::ZERO,
+        now,
+    };
+    let mut attempts = retry::Attempts::new(true, Verdict::NotRun);
+    let lost = retry::Failure {
+        refusal: Refusal::may_have_run(Reason::Lost),
+        resumable: true,
+    };
+    assert_eq!(
+        attempts.decide(&lost, time, &mut budget),
+        retry::Decision::Resume
+    );
+    let wrong = Refusal::not_run(Reason::TargetRefused);
+    let wrong = retry::Failure {
+        refusal: wrong,
+        resumable: false,
+    };
+    let refusal = Refusal::may_have_run(Reason::TargetRefused);
+    assert_eq!(
+        attempts.decide(&wrong, time, &mut budget),
+        retry::Decision::GiveUp(refusal)
+    );
+}
+
+/// The fleet refuses a fifth of all requests as overloaded. Retries would add to the load, so the
+/// budget is shut, and opens again once the refusals are out of the window.
+#[test]
+fn overload_shuts_the_budget() {
+    let now = Instant::now();
+    let mut budget = budget::Budget::new(unit::Share(0.5), now);
+    for i in 0..100 {
+        if i % 5 == 0 {
+            budget.refuse(now)
+        } else {
+            budget.earn(now)
+        }
+    }
+    let full = Refusal::not_run(Reason::Overloaded);
+    assert_eq!(
+        decide(true, full, LONG, &mut budget),
+        retry::Decision::GiveUp(full)
+    );
+    let later = now + budget::WINDOW;
+    budget.earn(later);
+    assert!(budget.spend(later));
+}
+
+proptest! {
+    #[test]
+    fn budget_is_never_exceeded(
+        ratio in 0.0f64..0.5,
+        steps in prop::collection::vec((any::<bool>(), 0u64..3000), 1..300),
+    ) {
+        let mut now = Instant::now();
+        let mut budget = budget::Budget::new(unit::Share(ratio), now);
+        let (mut earned, mut spent) = (Vec::new(), Vec::new());
+        for (earn, millis) in steps {
+            now += time::Duration::from_millis(millis / 30);
+            if earn {
+                budget.earn(now);
+                earned.push(now);
+                continue;
+            }
+            if !budget.spend(now) {
+                continue;
+            }
+            spent.push(now);
+            // The budget counts whole slots, so its window is up to a tenth shorter than the full.
+            let recent = |times: &[Instant], window: time::Duration| {
+                times.iter().filter(|t| now.duration_since(**t) < window).count() as f64
+            };
+            let allowed = ratio * recent(&earned, budget::WINDOW) + f64::from(budget::RESERVE);
+            prop_assert!(recent(&spent, budget::WINDOW * 9 / 10) <= allowed);
+        }
+    }
+}
+
+#[rstest]
+#[case::early(true, 10, hedge::Decision::Wait(time::Duration::from_millis(90)))]
+#[case::late(true, 100, hedge::Decision::Hedge)]
+#[case::non_idempotent(false, 100, hedge::Decision::Never)]
+fn hedges(#[case] idempotent: bool, #[case] millis: u64, #[case] wanted: hedge::Decision) {
+    let now = Instant::now();
+    let mut budget = budget::Budget::new(unit::Share(0.05), now);
+    let attempt = hedge::Attempt {
+        idempotent,
+        hedged: false,
+        elapsed: time::Duration::from_millis(millis),
+        remaining: LONG,
+        median: Some(time::Duration::from_millis(20)),
+        quantile: Some(time::Duration::from_millis(100)),
+    };
+    assert_eq!(hedge::decide(&attempt, &mut budget, now), wanted);
+}
--- /dev/null
+++ b/laburnumcart/tests/route.rs
@@ -0,0 +1,145 @@
+//! Choice of targets under load, lag, failure and affinity.
+
+use std::{
+    cell,
+    time, //
+};
+
+use laburnumcart::route;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn target(name: usize, pending: u32, local: bool, now: Instant) -> route::Target {
+    route::Target {
+        name: format!("t{name}").parse().unwrap(),
+        state: route::State::Ready,
+        load: route::Load {
+            pending,
+            own: 0,
+            limit: 4,
+            service: time::Duration::from_millis(40),
+            at: now,
+        },
+        local,
+        crossing: time::Duration::from_millis(if local { 0 } else { 5 }),
+    }
+}
+
+fn rng() -> rand::rngs::StdRng {
+    rand::rngs::StdRng::seed_from_u64(7)
+}
+
+proptest! {
+    #[test]
+    fn only_eligible_targets(
+        states in prop::collection::vec(0usize..4, 1..20),
+        tried in prop::collection::vec(0usize..20, 0..20),
+        prefix in prop::option::of(any::<u64>()),
+        seed: u64,
+    ) {
+        use route::State;
+        let now = Instant::now();
+        let all = [State::Ready, State::Down, State::Leaving, State::Ejected];
+        let targets = states.iter().enumerate().map(|(i, state)| route::Target {
+            state: all[*state],
+            ..target(i, 0, i % 2 == 0, now)
+        });
+        let table = route::Table::new(targets.collect());
+        let ask = route::Ask { tried: &tried, prefix, own: &|_| 0, now };
+        let choose = || table.choose(&ask, &mut rand::rngs::StdRng::seed_from_u64(seed));
+        let fits = |i: usize| table.targets()[i].state == State::Ready && !tried.contains(&i);
+        let any = (0..states.len()).any(fits);
+        let chosen = choose();
+        prop_assert_eq!(chosen.is_some(), any);
+        prop_assert!(chosen.is_none_or(fits));
+        prop_assert_eq!(chosen, choose());
+    }
+}
+
+#[rstest]
+#[case::equal_load_stays(0, 0, true)]
+#[case::remote_much_faster(40, 0, false)]
+fn crosses_only_where_it_is_faster(#[case] near: u32, #[case] far: u32, #[case] stays: bool) {
+    let now = Instant::now();
+    let table = route::Table::new(vec![target(0, far, false, now), target(1, near, true, now)]);
+    let ask = route::Ask {
+        tried: &[],
+        prefix: None,
+        own: &|_| 0,
+        now,
+    };
+    let chosen = table.choose(&ask, &mut rng()).unwrap();
+    assert_eq!(table.targets()[chosen].local, stays);
+}
+
+/// Reports are 5 s old and show one idle target among busy ones. All traffic since would run to
+/// it; the process's own attempts and the age of the report must spread it instead.
+#[test]
+fn late_reports_draw_no_herd() {
+    let now = Instant::now();
+    let old = now;
+    let now = now + time::Duration::from_secs(5);
+    let targets = (0..10).map(|i| target(i, if i == 0 { 0 } else { 12 }, true, old));
+    let table = route::Table::new(targets.collect());
+    let own = cell::RefCell::new(vec![0u32; 10]);
+    let mut rng = rng();
+    for _ in 0..200 {
+        let read = |i: usize| own.borrow()[i];
+        let ask = route::Ask {
+            tried: &[],
+            prefix: None,
+            own: &read,
+            now,
+        };
+        let chosen = table.choose(&ask, &mut rng).unwrap();
+        own.borrow_mut()[chosen] += 1;
+    }
+    assert!(*own.borrow().iter().max().unwrap() <= 30, "{own:?}");
+}
+
+#[test]
+fn popular_prefix_stays_within_its_bound() {
+    let now = Instant::now();
+    let table = route::Table::new((0..10).map(|i| target(i, 0, true, now)).collect());
+    let own = cell::RefCell::new(vec![0u32; 10]);
+    let mut rng = rng();
+    for i in 0..400u64 {
+        let read = |i: usize| own.borrow()[i];
+        let prefix = if i % 2 == 0 { 1 } else { i };
+        let ask = route::Ask {
+            tried: &[],
+            prefix: Some(prefix),
+            own: &read,
+            now,
+        };
+        let chosen = table.choose(&ask, &mut rng).unwrap();
+        own.borrow_mut()[chosen] += 1;
+    }
+    // 1.25 times the mean of 40, and the attempt that reaches it.
+    assert!(*own.borrow().iter().max().unwrap() <= 51, "{own:?}");
+}
+
+#[test]
+fn prefix_keeps_its_target_when_another_leaves() {
+    let now = Instant::now();
+    let all: Vec<_> = (0..10).map(|i| target(i, 0, true, now)).collect();
+    let ask = |prefix| route::Ask {
+        tried: &[],
+        prefix: Some(prefix),
+        own: &|_| 0,
+        now,
+    };
+    let name = |targets: &[route::Target], prefix| {
+        let table = route::Table::new(targets.to_vec());
+        let chosen = table.choose(&ask(prefix), &mut rng()).unwrap();
+        table.targets()[chosen].name.clone()
+    };
+    for prefix in 0..100 {
+        let before = name(&all, prefix);
+        if before != all[9].name {
+            assert_eq!(name(&all[..9], prefix), before);
+        }
+    }
+}
