--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -5,13 +5,19 @@
 
 pub mod attempt;
 pub mod attempts;
+pub mod budget;
 pub mod bundle;
 pub mod document;
 pub mod facts;
+pub mod fair;
 pub mod head;
+pub mod hedge;
 pub mod id;
 pub mod lanes;
+pub mod limit;
 pub mod orders;
+pub mod retry;
+pub mod route;
 pub mod seal;
 pub mod unit;
 pub mod verdict;
