--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod client;
 pub mod expected;
+pub mod load;
 pub mod target;
 pub mod store;
