Add claims: the log, its owner and the service that entries call

A non-idempotent request executes only after its key is claimed durably. The service answers a grant when its batch is in the object service, takes a shard over by raising the epoch and sealing the old ones, and refuses as not run when the object service cannot be used.

Holder moves from the wire crate into the library, which needs it for its records; the wire crate still exports it.

--- /dev/null
+++ b/laburnumcart/src/claim.rs
@@ -0,0 +1,81 @@
+//! Claims, which make a non-idempotent request execute at most once.
+//!
+//! Keys are spread over shards. Each shard has one owner at a time, which keeps a [`table`] of the
+//! granted keys and appends every change to a [`log`] in the object service before it answers.
+//! [`record`] is what the log holds; [`route`] says whom to ask and when to take over.
+//!
+//! # Examples
+//!
+//! ```
+//! use laburnumcart::{claim, claim::log, claim::record, id, unit};
+//! use tokio::time::Instant;
+//!
+//! let team = "clinic".parse().unwrap();
+//! let grant = record::Grant {
+//!     key: claim::key(&team, "file-17"),
+//!     content: id::Fingerprint(7),
+//!     request: id::RequestId(1),
+//!     holder: claim::Holder {
+//!         addr: "10.0.0.1:7000".parse().unwrap(),
+//!         incarnation: id::Incarnation(1),
+//!     },
+//!     keep: unit::Period::from_secs(3600),
+//!     age: unit::Period::default(),
+//! };
+//! let now = Instant::now();
+//! let mut log = log::Log::new(1, Default::default(), 1000);
+//! assert!(matches!(log.claim(grant.clone(), now), log::Step::Queued(_)));
+//!
+//! // Nothing is granted before the append is durable.
+//! let append = log.begin().unwrap();
+//! assert_eq!(append.number, 0);
+//! log.durable(now);
+//! assert_eq!(log.claim(grant, now), log::Step::Granted);
+//! ```
+
+pub mod log;
+pub mod record;
+pub mod route;
+pub mod table;
+
+use std::net;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use sha2::Digest;
+
+use crate::id;
+
+/// Process that executes a claimed request and keeps its answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Address of its peer port.
+    pub addr: net::SocketAddr,
+    /// Its life; another one there has not the answer.
+    pub incarnation: id::Incarnation,
+}
+
+/// Digests a team and its caller's idempotency key.
+///
+/// The digest is a cut SHA-256, so that a team cannot craft a key that collides with the key of
+/// another team and takes its claim.
+pub fn key(team: &id::TeamName, text: &str) -> id::Fingerprint {
+    let mut hash = sha2::Sha256::new();
+    hash.update(team.as_str().as_bytes());
+    // A zero byte cannot occur in a name, so no two pairs run together.
+    hash.update([0]);
+    hash.update(text.as_bytes());
+    let digest: [u8; 32] = hash.finalize().into();
+    let (head, _) = digest.split_at(16);
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(head);
+    id::Fingerprint(u128::from_be_bytes(bytes))
+}
+
+/// Returns the shard of a key, below `shards`; `shards` of zero counts as one.
+pub fn shard(key: id::Fingerprint, shards: u16) -> u16 {
+    let shards = u128::from(shards.max(1));
+    (key.0 % shards) as u16
+}
--- /dev/null
+++ b/laburnumcart/src/claim/log.rs
@@ -0,0 +1,307 @@
+//! The owner's side of a shard's log: group commit with one append in flight.
+
+use std::{
+    collections,
+    mem, //
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    claim::{
+        record,
+        table, //
+    },
+    id, //
+};
+
+/// Most records of one batch; keeps a segment well under the largest value of an object.
+pub const BATCH_MAX: usize = 2048;
+
+/// Most claims of one part of a snapshot.
+pub const PART_MAX: usize = 2048;
+
+/// Fewest segments between two snapshots.
+const SNAPSHOT_MIN: u64 = 256;
+
+/// Segments that each part of a snapshot must replace, which bounds the share of writes that
+/// snapshots take to an eighth.
+const SNAPSHOT_RATIO: u64 = 8;
+
+/// Number of a batch; grows by one with each.
+pub type Batch = u64;
+
+/// What becomes of a claim at the owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Already durable for this very request.
+    Granted,
+    /// Granted once the batch is durable.
+    Queued(Batch),
+    /// The key is changed by a batch that is not settled; ask again when it is.
+    Wait(Batch),
+    /// Claimed by another request.
+    Taken(record::Grant),
+    /// No room for another claim; nothing was recorded.
+    Full,
+}
+
+/// An append to be made by create-if-absent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Append {
+    /// Number of the segment in its epoch.
+    pub number: u64,
+    /// Batch that it makes durable.
+    pub batch: Batch,
+    /// Value of the object.
+    pub segment: record::Segment,
+}
+
+/// State of the owner of a shard for one epoch.
+///
+/// At most one append is in flight. With two, the second could take effect without the first, and
+/// a successor that seals the gap would miss a claim that was granted.
+#[derive(Debug)]
+pub struct Log {
+    epoch: record::Epoch,
+    table: table::Table,
+    limit: usize,
+    next: u64,
+    /// First number that the newest snapshot does not supersede.
+    first: u64,
+    /// Number at which a snapshot failed last.
+    postponed: u64,
+    batch: Batch,
+    gathering: Vec<record::Record>,
+    flight: Vec<record::Record>,
+    in_flight: bool,
+    pending: collections::HashMap<id::Fingerprint, (id::RequestId, Batch)>,
+}
+
+impl Log {
+    /// Creates the state for an epoch without segments, with at most `limit` claims.
+    pub fn new(epoch: record::Epoch, table: table::Table, limit: usize) -> Self {
+        Self {
+            epoch,
+            table,
+            limit,
+            next: 0,
+            first: 0,
+            postponed: 0,
+            batch: 0,
+            gathering: Vec::new(),
+            flight: Vec::new(),
+            in_flight: false,
+            pending: collections::HashMap::new(),
+        }
+    }
+
+    /// Returns the epoch.
+    pub fn epoch(&self) -> record::Epoch {
+        self.epoch
+    }
+
+    /// Returns the claims that are durable.
+    pub fn table(&self) -> &table::Table {
+        &self.table
+    }
+
+    /// Returns the number of the next segment.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the first batch that is not settled.
+    pub fn settled(&self) -> Batch {
+        match self.in_flight {
+            true => self.batch - 1,
+            false => self.batch,
+        }
+    }
+
+    /// Reports whether an append is in flight.
+    pub fn in_flight(&self) -> bool {
+        self.in_flight
+    }
+
+    /// Reports whether records wait for an append.
+    pub fn has_records(&self) -> bool {
+        !self.gathering.is_empty()
+    }
+
+    /// Asks for a claim; its record gathers in the next batch if the key is free.
+    pub fn claim(&mut self, grant: record::Grant, now: Instant) -> Step {
+        self.table.expire(now);
+        if let Some((_, batch)) = self.pending.get(&grant.key) {
+            return self.step_pending(&grant, *batch);
+        }
+        if let Some(old) = self.table.get(grant.key) {
+            // Its holder asks again because an answer was lost; it acts on one answer only.
+            if old.request == grant.request {
+                return Step::Granted;
+            }
+            return Step::Taken(old.clone());
+        }
+        if self.table.len() + self.pending.len() >= self.limit || self.gathering.len() >= BATCH_MAX
+        {
+            return Step::Full;
+        }
+        Step::Queued(self.gather(record::Record::Grant(grant)))
+    }
+
+    fn step_pending(&self, grant: &record::Grant, batch: Batch) -> Step {
+        let records = self.gathering.iter().chain(&self.flight);
+        let same = |record: &&record::Record| match record {
+            record::Record::Grant(old) => old.key == grant.key && old.request == grant.request,
+            record::Record::Release { .. } => false,
+        };
+        match records.into_iter().any(|record| same(&record)) {
+            true => Step::Queued(batch),
+            false => Step::Wait(batch),
+        }
+    }
+
+    /// Gives back a claim whose request provably never started; returns the batch that records it,
+    /// or `None` if the request does not hold the key.
+    pub fn release(&mut self, key: id::Fingerprint, request: id::RequestId) -> Option<Batch> {
+        if self.pending.contains_key(&key) {
+            return None;
+        }
+        self.table.get(key).filter(|old| old.request == request)?;
+        Some(self.gather(record::Record::Release { key, request }))
+    }
+
+    fn gather(&mut self, record: record::Record) -> Batch {
+        let pending = (record.request(), self.batch);
+        self.pending.insert(record.key(), pending);
+        self.gathering.push(record);
+        self.batch
+    }
+
+    /// Takes back the gathered grants that `keep` refuses; they were never in an append.
+    pub fn withdraw(&mut self, mut keep: impl FnMut(id::Fingerprint, id::RequestId) -> bool) {
+        let pending = &mut self.pending;
+        self.gathering.retain(|record| {
+            let kept = match record {
+                record::Record::Grant(grant) => keep(grant.key, grant.request),
+                record::Record::Release { .. } => true,
+            };
+            if !kept {
+                pending.remove(&record.key());
+            }
+            kept
+        });
+    }
+
+    /// Starts the next append, unless one is in flight or nothing waits.
+    pub fn begin(&mut self) -> Option<Append> {
+        if self.in_flight || self.gathering.is_empty() {
+            return None;
+        }
+        self.flight = mem::take(&mut self.gathering);
+        self.in_flight = true;
+        let batch = self.batch;
+        self.batch += 1;
+        Some(Append {
+            number: self.next,
+            batch,
+            segment: record::Segment::Batch(self.flight.clone()),
+        })
+    }
+
+    /// Records that the append in flight is in the log.
+    pub fn durable(&mut self, now: Instant) {
+        for record in mem::take(&mut self.flight) {
+            self.pending.remove(&record.key());
+            self.table.apply(&record, now);
+        }
+        self.next += 1;
+        self.in_flight = false;
+    }
+
+    /// Records that the append in flight is provably not in the log and never will be.
+    pub fn rejected(&mut self) {
+        for record in mem::take(&mut self.flight) {
+            self.pending.remove(&record.key());
+        }
+        self.in_flight = false;
+    }
+
+    /// Reports whether enough segments have come since the last snapshot for a new one.
+    pub fn wants_snapshot(&self) -> bool {
+        let parts = (self.table.len() / PART_MAX + 1) as u64;
+        let least = SNAPSHOT_MIN.max(SNAPSHOT_RATIO * parts);
+        !self.in_flight && self.next - self.first.max(self.postponed) >= least
+    }
+
+    /// Returns the parts of a snapshot with their numbers; appended in order by the owner, each
+    /// confirmed by [`Log::part_durable`].
+    pub fn snapshot(&mut self, now: Instant) -> Vec<(u64, record::Segment)> {
+        self.table.expire(now);
+        let first = self.next;
+        let grants: Vec<_> = self.table.grants(now).collect();
+        let mut parts: Vec<_> = grants.chunks(PART_MAX).map(<[_]>::to_vec).collect();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        let count = parts.len();
+        let part = |(index, grants)| {
+            let last = index + 1 == count;
+            let segment = record::Segment::Snapshot {
+                first,
+                last,
+                grants,
+            };
+            (first + index as u64, segment)
+        };
+        parts.into_iter().enumerate().map(part).collect()
+    }
+
+    /// Puts a snapshot off that could not be completed.
+    pub fn postpone(&mut self) {
+        self.postponed = self.next;
+    }
+
+    /// Records that the next part of a snapshot is in the log.
+    pub fn part_durable(&mut self, segment: &record::Segment) {
+        self.next += 1;
+        if let record::Segment::Snapshot {
+            first, last: true, ..
+        } = segment
+        {
+            self.first = *first;
+        }
+    }
+}
+
+/// Replays the segments of one sealed epoch, in the order of their numbers, onto `table`.
+///
+/// A snapshot supersedes everything before it once its last part is there; an incomplete one is
+/// ignored, as nothing was deleted for it.
+pub fn replay(table: &mut table::Table, segments: &[record::Segment], now: Instant) {
+    let mut partial = (0, Vec::new());
+    for segment in segments {
+        match segment {
+            record::Segment::Batch(records) => {
+                records.iter().for_each(|record| table.apply(record, now));
+            }
+            record::Segment::Snapshot {
+                first,
+                last,
+                grants,
+            } => {
+                if partial.0 != *first {
+                    partial = (*first, Vec::new());
+                }
+                partial.1.extend(grants.iter().cloned());
+                if *last {
+                    *table = table::Table::default();
+                    mem::take(&mut partial.1)
+                        .into_iter()
+                        .for_each(|grant| table.insert(grant, now));
+                }
+            }
+            record::Segment::Seal(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart/src/claim/route.rs
@@ -0,0 +1,122 @@
+//! Whom to ask about a shard, and when to take it over.
+
+use std::{
+    net,
+    time, //
+};
+
+use tokio::time::Instant;
+
+/// Returns the process that should own a shard, by rendezvous hashing over the live addresses.
+///
+/// This is a preference that spreads the shards. Safety does not rest on it: two processes with
+/// different lists may both try, and the log lets one through.
+pub fn preferred(shard: u16, live: &[net::SocketAddr]) -> Option<net::SocketAddr> {
+    let weight = |addr: &&net::SocketAddr| {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        hash.update(&shard.to_be_bytes());
+        hash.update(addr.to_string().as_bytes());
+        (hash.digest(), **addr)
+    };
+    live.iter().max_by_key(weight).copied()
+}
+
+/// When an owner that cannot be reached is replaced.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Time for which the owner must have been out of reach.
+    pub silence: time::Duration,
+    /// Time after a change of owner before the next one, doubled with each that follows soon.
+    pub settle: time::Duration,
+    /// Longest such time.
+    pub settle_max: time::Duration,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            silence: time::Duration::from_millis(250),
+            settle: time::Duration::from_millis(500),
+            settle_max: time::Duration::from_secs(30),
+        }
+    }
+}
+
+/// What to do about an owner that did not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Advice {
+    /// Ask it again after this time.
+    Again(time::Duration),
+    /// Take the shard over.
+    Take,
+    /// The shard changed hands a short while ago; refuse until this time has passed.
+    Settle(time::Duration),
+}
+
+/// Memory of an owner's silence and of a shard's changes of owner.
+///
+/// Two entries that cannot reach each other but do reach the object service would take a shard
+/// from one another with every claim, each time at the cost of a replay. The doubling wait leaves
+/// the shard with one of them for longer and longer; the other refuses, which is safe.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    patience: Patience,
+    silent: Option<(Instant, Instant)>,
+    changed: Option<Instant>,
+    wait: time::Duration,
+}
+
+impl Suspicion {
+    /// Creates the memory for a shard of which nothing is known.
+    pub fn new(patience: Patience) -> Self {
+        Self {
+            patience,
+            silent: None,
+            changed: None,
+            wait: time::Duration::ZERO,
+        }
+    }
+
+    /// Records that the owner answered.
+    pub fn answered(&mut self) {
+        self.silent = None;
+    }
+
+    /// Records that the shard has a new owner.
+    pub fn changed(&mut self, now: Instant) {
+        self.silent = None;
+        let soon = self
+            .changed
+            .is_some_and(|last| now.saturating_duration_since(last) < self.wait * 4);
+        self.wait = match soon {
+            true => (self.wait * 2).min(self.patience.settle_max),
+            false => self.patience.settle,
+        };
+        self.changed = Some(now);
+    }
+
+    /// Records that the owner did not answer, and says what to do.
+    pub fn unreachable(&mut self, now: Instant) -> Advice {
+        let silence = self.silence(now);
+        if silence < self.patience.silence {
+            return Advice::Again(self.patience.silence - silence);
+        }
+        let settled = self.changed.map_or(time::Duration::MAX, |last| {
+            now.saturating_duration_since(last)
+        });
+        if settled < self.wait {
+            return Advice::Settle(self.wait - settled);
+        }
+        Advice::Take
+    }
+
+    /// Returns how long the owner has been silent; a try long ago says nothing about today.
+    fn silence(&mut self, now: Instant) -> time::Duration {
+        let recent = |(_, last): &(Instant, Instant)| {
+            now.saturating_duration_since(*last) < self.patience.silence * 4
+        };
+        let (first, _) = self.silent.filter(recent).unwrap_or((now, now));
+        self.silent = Some((first, now));
+        now.saturating_duration_since(first)
+    }
+}
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod bundle;
+pub mod claim;
 pub mod facts;
 pub mod id;
 pub mod unit;
--- /dev/null
+++ b/laburnumcart_entry/src/claims.rs
@@ -0,0 +1,492 @@
+//! Claims of non-idempotent requests, over shards that the entries own among themselves.
+//!
+//! [`Service::claim`] answers [`entry::Decision::Granted`] only after the claim is durable in the
+//! object service. Nothing may execute before that, and what executes does so once. See
+//! [`laburnumcart::claim`] for the log itself.
+
+mod actor;
+mod append;
+pub mod metrics;
+mod owned;
+pub mod resend;
+mod sweep;
+mod takeover;
+
+use std::{
+    future,
+    net,
+    sync,
+    time, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use tokio::{
+    runtime,
+    sync::{
+        OnceCell,
+        mpsc,
+        oneshot, //
+    },
+    time as clock,
+};
+
+use laburnumcart::{
+    claim::{
+        self,
+        record,
+        route, //
+    },
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::entry;
+
+/// Time after which a refused claim is worth a new try, when nothing better is known.
+pub const RETRY: unit::Period = unit::Period::from_secs(1);
+
+/// Commands that wait at one shard; more are refused.
+const INBOX: usize = 4096;
+
+/// Pause before asking again about a shard whose owner is not agreed on.
+const DISAGREEMENT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// A peer did not answer; what was asked of it may have taken effect.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+#[display("peer did not answer")]
+pub struct Unreachable;
+
+/// Calls of other entries.
+pub trait Peers: Send + Sync + 'static {
+    /// Asks the entry at `addr` for a claim.
+    fn claim(
+        &self,
+        addr: net::SocketAddr,
+        claim: entry::Claim,
+    ) -> impl future::Future<Output = Result<entry::Decision, Unreachable>> + Send;
+
+    /// Gives a claim back to the entry at `addr`.
+    fn release(
+        &self,
+        addr: net::SocketAddr,
+        release: entry::Release,
+    ) -> impl future::Future<Output = Result<bool, Unreachable>> + Send;
+
+    /// Asks the entry at `addr` for a final answer.
+    fn fetch(
+        &self,
+        addr: net::SocketAddr,
+        fetch: entry::Fetch,
+    ) -> impl future::Future<Output = Result<entry::Answer, Unreachable>> + Send;
+}
+
+/// What a request claims.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Team and idempotency key together, from [`claim::key`].
+    pub key: id::Fingerprint,
+    /// Content of the request.
+    pub content: id::Fingerprint,
+    /// Request that executes if the claim is granted.
+    pub request: id::RequestId,
+    /// How long the claim is kept.
+    pub retention: unit::Period,
+}
+
+/// Settings of the service.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    me: claim::Holder,
+    shards: u16,
+    write_rate: unit::Rate,
+    limit: usize,
+    call_limit: time::Duration,
+    serve_limit: time::Duration,
+    patience: route::Patience,
+    metrics: metrics::Metrics,
+}
+
+impl Builder {
+    /// Creates the settings for the process `me`.
+    pub fn new(me: claim::Holder) -> Self {
+        Self {
+            me,
+            shards: 16,
+            write_rate: unit::Rate(200.0),
+            limit: 20_000,
+            call_limit: time::Duration::from_secs(2),
+            serve_limit: time::Duration::from_secs(5),
+            patience: route::Patience::default(),
+            metrics: metrics::Metrics::default(),
+        }
+    }
+
+    /// Sets the number of shards, which counts only if no process has fixed it before.
+    #[must_use]
+    pub fn shards(mut self, shards: u16) -> Self {
+        self.shards = shards.max(1);
+        self
+    }
+
+    /// Sets the appends a second that all shards together may make; batches gather meanwhile.
+    #[must_use]
+    pub fn write_rate(mut self, rate: unit::Rate) -> Self {
+        self.write_rate = rate;
+        self
+    }
+
+    /// Sets the most claims held for one shard; more are refused as not run.
+    #[must_use]
+    pub fn limit(mut self, limit: usize) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets the longest wait for one call of the object service.
+    #[must_use]
+    pub fn call_limit(mut self, limit: time::Duration) -> Self {
+        self.call_limit = limit;
+        self
+    }
+
+    /// Sets when an owner that cannot be reached is replaced.
+    #[must_use]
+    pub fn patience(mut self, patience: route::Patience) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Sets the counters to count on.
+    #[must_use]
+    pub fn metrics(mut self, metrics: metrics::Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
+    /// Starts the service on the current runtime.
+    pub fn start<S: store::Store, P: Peers>(
+        self,
+        store: sync::Arc<S>,
+        peers: sync::Arc<P>,
+    ) -> sync::Arc<Service<S, P>> {
+        sync::Arc::new(Service {
+            config: self,
+            store,
+            peers,
+            runtime: runtime::Handle::current(),
+            live: sync::RwLock::default(),
+            shards: OnceCell::new(),
+        })
+    }
+
+    fn pace(&self, shards: usize) -> time::Duration {
+        time::Duration::from_secs_f64(shards as f64 / self.write_rate.0.max(1.0))
+    }
+}
+
+/// Access to the task of one shard.
+#[derive(Debug)]
+struct Shard {
+    inbox: mpsc::Sender<actor::Command>,
+    suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
+}
+
+/// Claims and releases, wherever their shards are owned.
+#[derive(Debug)]
+pub struct Service<S, P> {
+    config: Builder,
+    store: sync::Arc<S>,
+    peers: sync::Arc<P>,
+    runtime: runtime::Handle,
+    live: sync::RwLock<Vec<net::SocketAddr>>,
+    shards: OnceCell<Vec<Shard>>,
+}
+
+impl<S: store::Store, P: Peers> Service<S, P> {
+    /// Sets the peer addresses of the live entries, over which ownership spreads.
+    pub fn set_live(&self, live: Vec<net::SocketAddr>) {
+        *self.live.write().expect("lock is not poisoned") = live;
+    }
+
+    /// Returns the address and life of this process.
+    pub fn holder(&self) -> claim::Holder {
+        self.config.me
+    }
+
+    /// Claims a key for a request that executes in this process, at its owner.
+    ///
+    /// Never answers `Elsewhere`. A key that was claimed with other content is refused as
+    /// `KeyReused`. At the deadline an undecided claim is refused as not run: only this process
+    /// could have executed the request, and it gives the claim back.
+    pub async fn claim(
+        self: &sync::Arc<Self>,
+        ask: Ask,
+        deadline: clock::Instant,
+    ) -> entry::Decision {
+        let decided = clock::timeout_at(deadline, self.decide(&ask)).await;
+        match decided {
+            Ok(entry::Decision::Taken { content, .. }) if content != ask.content => {
+                refused(verdict::Reason::KeyReused, None)
+            }
+            Ok(decision) => decision,
+            Err(_) => {
+                let service = self.clone();
+                self.runtime
+                    .spawn(async move { service.release(ask.key, ask.request).await });
+                refused(verdict::Reason::ClaimUnavailable, Some(RETRY))
+            }
+        }
+    }
+
+    /// Answers a claim that another entry asks for.
+    ///
+    /// `Elsewhere` if this process does not own the shard.
+    pub async fn serve(&self, claim: entry::Claim) -> entry::Decision {
+        let Ok(shard) = self.shard_of(claim.key).await else {
+            return refused(verdict::Reason::ClaimUnavailable, Some(RETRY));
+        };
+        let grant = record::Grant {
+            key: claim.key,
+            content: claim.content,
+            request: claim.request,
+            holder: claim.holder,
+            keep: claim.retention,
+            age: unit::Period::default(),
+        };
+        let (reply, mut answer) = oneshot::channel();
+        let mode = actor::Mode::Serve;
+        let command = actor::Command::Claim { grant, mode, reply };
+        if self.send(shard, command).is_err() {
+            return refused(verdict::Reason::Overloaded, Some(RETRY));
+        }
+        let limit = self.config.serve_limit;
+        if let Ok(Ok(decision)) = clock::timeout(limit, &mut answer).await {
+            return decision;
+        }
+        // The answer may have come between the timeout and now; closed, it would be given back.
+        answer.close();
+        answer
+            .try_recv()
+            .unwrap_or_else(|_| refused(verdict::Reason::ClaimUnavailable, Some(RETRY)))
+    }
+
+    /// Gives back a claim whose request provably never started; returns whether it is recorded.
+    ///
+    /// Unless it is recorded the key stays claimed, which is safe.
+    pub async fn release(&self, key: id::Fingerprint, request: id::RequestId) -> bool {
+        let Ok(shard) = self.shard_of(key).await else {
+            return false;
+        };
+        let release = entry::Release {
+            shard,
+            key,
+            request,
+        };
+        match self.release_here(&release).await {
+            actor::Released::Here(recorded) => recorded,
+            actor::Released::Elsewhere(Some(owner)) if owner.addr != self.config.me.addr => {
+                let answer = self.peers.release(owner.addr, release).await;
+                answer.unwrap_or(false)
+            }
+            actor::Released::Elsewhere(_) => false,
+        }
+    }
+
+    /// Answers a release that another entry asks for.
+    pub async fn serve_release(&self, release: entry::Release) -> bool {
+        matches!(
+            self.release_here(&release).await,
+            actor::Released::Here(true)
+        )
+    }
+
+    /// Ends the ownership of every shard, so that the next asker takes over without waiting.
+    pub async fn drain(&self) {
+        let Some(shards) = self.shards.get() else {
+            return;
+        };
+        let mut answers = Vec::new();
+        for shard in shards {
+            let (reply, answer) = oneshot::channel();
+            let sent = shard.inbox.send(actor::Command::Drain { reply }).await;
+            if sent.is_ok() {
+                answers.push(answer);
+            }
+        }
+        for answer in answers {
+            // A shard whose task is gone has nothing to hand over.
+            answer.await.ok();
+        }
+    }
+
+    async fn release_here(&self, release: &entry::Release) -> actor::Released {
+        let Ok(shard) = self.shard_of(release.key).await else {
+            return actor::Released::Here(false);
+        };
+        let (reply, answer) = oneshot::channel();
+        let command = actor::Command::Release {
+            key: release.key,
+            request: release.request,
+            reply,
+        };
+        if self.send(shard, command).is_err() {
+            return actor::Released::Here(false);
+        }
+        answer.await.unwrap_or(actor::Released::Here(false))
+    }
+
+    async fn decide(&self, ask: &Ask) -> entry::Decision {
+        let shard = match self.shard_of(ask.key).await {
+            Ok(shard) => shard,
+            Err(_) => return refused(verdict::Reason::ClaimUnavailable, Some(RETRY)),
+        };
+        let mut mode = actor::Mode::Cached;
+        loop {
+            let owner = match self.ask_here(shard, ask, mode).await {
+                entry::Decision::Elsewhere { owner } => owner,
+                decision => return decision,
+            };
+            mode = match self.ask_there(shard, ask, owner).await {
+                Ok(decision) => return decision,
+                Err(mode) => mode,
+            };
+        }
+    }
+
+    /// Asks the task of the shard in this process.
+    async fn ask_here(&self, shard: u16, ask: &Ask, mode: actor::Mode) -> entry::Decision {
+        let grant = record::Grant {
+            key: ask.key,
+            content: ask.content,
+            request: ask.request,
+            holder: self.config.me,
+            keep: ask.retention,
+            age: unit::Period::default(),
+        };
+        let (reply, answer) = oneshot::channel();
+        let command = actor::Command::Claim { grant, mode, reply };
+        if self.send(shard, command).is_err() {
+            return refused(verdict::Reason::Overloaded, Some(RETRY));
+        }
+        let lost = |_| refused(verdict::Reason::ClaimUnavailable, Some(RETRY));
+        answer.await.unwrap_or_else(lost)
+    }
+
+    /// Asks the owner, or who should become it; otherwise returns how to ask here next.
+    async fn ask_there(
+        &self,
+        shard: u16,
+        ask: &Ask,
+        owner: Option<claim::Holder>,
+    ) -> Result<entry::Decision, actor::Mode> {
+        let me = self.config.me.addr;
+        let addr = owner.map_or_else(|| self.preferred(shard), |owner| owner.addr);
+        if addr == me {
+            // Nobody owns it, or an earlier life at this address did.
+            return Err(actor::Mode::Take(owner));
+        }
+        let claim = entry::Claim {
+            shard,
+            key: ask.key,
+            content: ask.content,
+            request: ask.request,
+            holder: self.config.me,
+            retention: ask.retention,
+        };
+        match self.peers.claim(addr, claim).await {
+            Ok(entry::Decision::Elsewhere { .. }) => {
+                self.suspicion(shard, route::Suspicion::answered);
+                clock::sleep(DISAGREEMENT_PAUSE).await;
+                Err(actor::Mode::Refresh)
+            }
+            Ok(decision) => {
+                self.suspicion(shard, route::Suspicion::answered);
+                Ok(decision)
+            }
+            Err(Unreachable) => self.replace(shard, owner).await,
+        }
+    }
+
+    /// Follows the advice about an owner that did not answer.
+    async fn replace(
+        &self,
+        shard: u16,
+        owner: Option<claim::Holder>,
+    ) -> Result<entry::Decision, actor::Mode> {
+        let now = clock::Instant::now();
+        match self.suspicion(shard, |suspicion| suspicion.unreachable(now)) {
+            route::Advice::Again(wait) => {
+                clock::sleep(wait).await;
+                Err(actor::Mode::Refresh)
+            }
+            route::Advice::Take => Err(actor::Mode::Take(owner)),
+            route::Advice::Settle(wait) => {
+                let retry = unit::Period(wait);
+                Ok(refused(verdict::Reason::ClaimUnavailable, Some(retry)))
+            }
+        }
+    }
+
+    fn suspicion<T>(&self, shard: u16, act: impl FnOnce(&mut route::Suspicion) -> T) -> T {
+        let shards = self.shards.get().expect("shards are known");
+        let shard = &shards[usize::from(shard)];
+        act(&mut shard.suspicion.lock().expect("lock is not poisoned"))
+    }
+
+    fn preferred(&self, shard: u16) -> net::SocketAddr {
+        let live = self.live.read().expect("lock is not poisoned");
+        route::preferred(shard, &live).unwrap_or(self.config.me.addr)
+    }
+
+    fn send(&self, shard: u16, command: actor::Command) -> Result<(), ()> {
+        let shards = self.shards.get().ok_or(())?;
+        let shard = shards.get(usize::from(shard)).ok_or(())?;
+        shard.inbox.try_send(command).map_err(|_| ())
+    }
+
+    async fn shard_of(&self, key: id::Fingerprint) -> Result<u16, store::Failure> {
+        let shards = self.shards.get_or_try_init(|| self.open()).await?;
+        Ok(claim::shard(key, shards.len() as u16))
+    }
+
+    /// Learns the number of shards and starts a task for each.
+    async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
+        let count = takeover::shards(&*self.store, self.config.shards).await?;
+        if count != self.config.shards {
+            log::warn!(
+                "event=claim-shards-kept stored={count} configured={}",
+                self.config.shards
+            );
+        }
+        Ok((0..count).map(|shard| self.spawn(shard, count)).collect())
+    }
+
+    fn spawn(&self, shard: u16, count: u16) -> Shard {
+        let (inbox, commands) = mpsc::channel(INBOX);
+        let suspicion = route::Suspicion::new(self.config.patience);
+        let suspicion = sync::Arc::new(sync::Mutex::new(suspicion));
+        let context = actor::Context {
+            shard,
+            me: self.config.me,
+            store: self.store.clone(),
+            runtime: self.runtime.clone(),
+            limit: self.config.limit,
+            pace: self.config.pace(usize::from(count)),
+            call_limit: self.config.call_limit,
+            suspicion: suspicion.clone(),
+            metrics: self.config.metrics.clone(),
+        };
+        self.runtime.spawn(actor::run(context, commands));
+        Shard { inbox, suspicion }
+    }
+}
+
+/// Creates a refusal that proves that the request did not run.
+fn refused(reason: verdict::Reason, retry: Option<unit::Period>) -> entry::Decision {
+    let refusal = verdict::Refusal::not_run(reason);
+    entry::Decision::Refused(verdict::Refusal { retry, ..refusal })
+}
--- /dev/null
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -0,0 +1,308 @@
+//! The task of one shard: follows its owner, or is it.
+
+use std::{
+    sync,
+    time, //
+};
+
+use tokio::{
+    runtime,
+    sync::{
+        mpsc,
+        oneshot, //
+    },
+    time as clock,
+};
+
+use laburnumcart::{
+    claim::{
+        self,
+        record,
+        route, //
+    },
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::entry;
+
+use crate::claims::{
+    self,
+    append,
+    metrics,
+    owned,
+    sweep,
+    takeover, //
+};
+
+/// Time for which a head that was read is good enough to route by.
+const HEAD_AGE_MAX: time::Duration = time::Duration::from_secs(5);
+
+/// How long to refuse at once after the object service could not be used.
+pub(super) const DOWN: time::Duration = time::Duration::from_millis(250);
+
+/// How a claim is to be treated when this process does not own the shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Mode {
+    /// Say whose it is, as last seen.
+    Cached,
+    /// Read the head first.
+    Refresh,
+    /// Take the shard if nobody owns it; a peer asks.
+    Serve,
+    /// Take the shard if nobody owns it, or this owner does.
+    Take(Option<claim::Holder>),
+}
+
+/// Outcome of a release.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Released {
+    /// This process owns the shard; whether the release is in the log.
+    Here(bool),
+    /// Another process owns the shard.
+    Elsewhere(Option<claim::Holder>),
+}
+
+/// What the task is asked to do.
+#[derive(Debug)]
+pub(super) enum Command {
+    /// Claim a key.
+    Claim {
+        /// The claim.
+        grant: record::Grant,
+        /// What to do if the shard is not owned here.
+        mode: Mode,
+        /// Where the decision goes; a closed one withdraws the claim.
+        reply: oneshot::Sender<entry::Decision>,
+    },
+    /// Give a claim back.
+    Release {
+        /// Key of the claim.
+        key: id::Fingerprint,
+        /// Request that held it.
+        request: id::RequestId,
+        /// Where the outcome goes.
+        reply: oneshot::Sender<Released>,
+    },
+    /// Give the shard up.
+    Drain {
+        /// Told at the end.
+        reply: oneshot::Sender<()>,
+    },
+}
+
+/// What the task works with.
+pub(super) struct Context<S> {
+    pub(super) shard: u16,
+    pub(super) me: claim::Holder,
+    pub(super) store: sync::Arc<S>,
+    pub(super) runtime: runtime::Handle,
+    pub(super) limit: usize,
+    pub(super) pace: time::Duration,
+    pub(super) call_limit: time::Duration,
+    pub(super) suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
+    pub(super) metrics: metrics::Metrics,
+}
+
+impl<S> Context<S> {
+    /// Refuses a claim as not run.
+    pub(super) fn refuse(
+        &self,
+        reply: oneshot::Sender<entry::Decision>,
+        reason: verdict::Reason,
+        retry: unit::Period,
+    ) {
+        self.metrics.refused.inc();
+        // A receiver that is gone has no use for a refusal.
+        reply.send(claims::refused(reason, Some(retry))).ok();
+    }
+}
+
+/// What is known of a shard that is owned elsewhere.
+#[derive(Debug, Default)]
+struct Follower {
+    head: Option<record::Head>,
+    read: Option<clock::Instant>,
+    down: Option<(clock::Instant, unit::Period)>,
+    stopped: bool,
+}
+
+/// Runs until the service is dropped.
+pub(super) async fn run<S: store::Store>(context: Context<S>, mut inbox: mpsc::Receiver<Command>) {
+    let mut follower = Follower::default();
+    while let Some(command) = inbox.recv().await {
+        let Some(taken) = follower.handle(&context, command).await else {
+            continue;
+        };
+        let ended = owned::run(&context, &mut inbox, taken).await;
+        follower.lose(&context);
+        match ended {
+            owned::Ended::Sealed => {}
+            owned::Ended::Drained => follower.stopped = true,
+            owned::Ended::Closed => return,
+        }
+    }
+}
+
+impl Follower {
+    /// Handles a command; returns the state of the shard if it was taken over for a claim.
+    async fn handle<S: store::Store>(
+        &mut self,
+        context: &Context<S>,
+        command: Command,
+    ) -> Option<owned::Start> {
+        match command {
+            Command::Claim { grant, mode, reply } => self.claim(context, grant, mode, reply).await,
+            Command::Release { reply, .. } => {
+                // Without the owner's answer the key stays claimed, which is safe.
+                let owner = self.owner(context).await.unwrap_or(None);
+                reply.send(Released::Elsewhere(owner)).ok();
+                None
+            }
+            Command::Drain { reply } => {
+                self.stopped = true;
+                reply.send(()).ok();
+                None
+            }
+        }
+    }
+
+    async fn claim<S: store::Store>(
+        &mut self,
+        context: &Context<S>,
+        grant: record::Grant,
+        mode: Mode,
+        reply: oneshot::Sender<entry::Decision>,
+    ) -> Option<owned::Start> {
+        if reply.is_closed() {
+            return None;
+        }
+        let now = clock::Instant::now();
+        if let Some((until, retry)) = self.down
+            && now < until
+        {
+            context.refuse(reply, verdict::Reason::ClaimUnavailable, retry);
+            return None;
+        }
+        if mode != Mode::Cached {
+            self.read = None;
+        }
+        match self.decide(context, mode).await {
+            Ok(Next::Taken(taken)) => Some(owned::Start {
+                taken,
+                grant,
+                reply,
+            }),
+            Ok(Next::Elsewhere(owner)) => {
+                reply.send(entry::Decision::Elsewhere { owner }).ok();
+                None
+            }
+            Err(failure) => {
+                let retry = append::retry(&failure).unwrap_or(claims::RETRY);
+                self.down = Some((clock::Instant::now() + DOWN, retry));
+                context.refuse(reply, verdict::Reason::ClaimUnavailable, retry);
+                None
+            }
+        }
+    }
+
+    async fn decide<S: store::Store>(
+        &mut self,
+        context: &Context<S>,
+        mode: Mode,
+    ) -> Result<Next, store::Failure> {
+        let owner = self.owner(context).await?;
+        let here = owner.is_none_or(|owner| owner.addr == context.me.addr);
+        let take = match mode {
+            Mode::Cached | Mode::Refresh => false,
+            Mode::Serve => here,
+            Mode::Take(suspect) => here || owner == suspect,
+        };
+        if self.stopped || !take {
+            return Ok(Next::Elsewhere(owner));
+        }
+        self.take(context, owner).await
+    }
+
+    async fn take<S: store::Store>(
+        &mut self,
+        context: &Context<S>,
+        suspect: Option<claim::Holder>,
+    ) -> Result<Next, store::Failure> {
+        let plan = takeover::Plan {
+            shard: context.shard,
+            me: context.me,
+            suspect,
+            limit: context.limit,
+            call_limit: context.call_limit,
+        };
+        self.read = None;
+        match takeover::take(&*context.store, plan).await? {
+            takeover::Outcome::Owner(taken) => {
+                context.metrics.takeovers.inc();
+                log::info!(
+                    "event=claim-shard-taken shard={} epoch={} claims={}",
+                    context.shard,
+                    taken.log.epoch(),
+                    taken.log.table().len()
+                );
+                self.saw(context, Some(taken.base.head));
+                let sweep = sweep::run(
+                    context.store.clone(),
+                    taken.old,
+                    Some(taken.base),
+                    context.pace,
+                    context.call_limit,
+                );
+                context.runtime.spawn(sweep);
+                Ok(Next::Taken(taken.log))
+            }
+            takeover::Outcome::Foreign(head) => {
+                self.saw(context, head);
+                Ok(Next::Elsewhere(head.and_then(|head| head.owner)))
+            }
+        }
+    }
+
+    /// Returns the owner, reading the head if it was read long ago.
+    async fn owner<S: store::Store>(
+        &mut self,
+        context: &Context<S>,
+    ) -> Result<Option<claim::Holder>, store::Failure> {
+        let now = clock::Instant::now();
+        let fresh = self.read.is_some_and(|read| now < read + HEAD_AGE_MAX);
+        if !fresh {
+            let found = takeover::head(&*context.store, context.shard, context.call_limit).await?;
+            self.saw(context, found.map(|(head, _)| head));
+            self.read = Some(clock::Instant::now());
+        }
+        Ok(self.head.and_then(|head| head.owner))
+    }
+
+    /// Remembers a head, and when the shard changed hands.
+    fn saw<S>(&mut self, context: &Context<S>, head: Option<record::Head>) {
+        let known = self.head.map(|head| head.epoch);
+        let epoch = head.map(|head| head.epoch);
+        if known.is_some() && epoch > known {
+            let mut suspicion = context.suspicion.lock().expect("lock is not poisoned");
+            suspicion.changed(clock::Instant::now());
+        }
+        self.head = head.or(self.head);
+    }
+
+    /// Forgets whose the shard is, as it is no longer this process's.
+    fn lose<S>(&mut self, context: &Context<S>) {
+        self.read = None;
+        context.metrics.lost.inc();
+        log::info!("event=claim-shard-lost shard={}", context.shard);
+    }
+}
+
+/// What follows a claim in a shard that was not owned here.
+enum Next {
+    /// The shard was taken over.
+    Taken(claim::log::Log),
+    /// It is owned elsewhere.
+    Elsewhere(Option<claim::Holder>),
+}
--- /dev/null
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -0,0 +1,377 @@
+//! The task of a shard while this process owns it.
+
+use std::{
+    collections, mem, pin,
+    sync::{
+        self,
+        atomic, //
+    },
+};
+
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot, //
+    },
+    time as clock,
+};
+
+use laburnumcart::{
+    claim::{
+        log,
+        record, //
+    },
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::entry;
+
+use crate::claims::{
+    self,
+    actor,
+    append,
+    sweep,
+    takeover, //
+};
+
+type Reply = oneshot::Sender<entry::Decision>;
+type Asked = (record::Grant, Reply);
+type Call = pin::Pin<Box<dyn Future<Output = append::Appended> + Send>>;
+
+/// A shard just taken over, and the claim that it was taken for.
+pub(super) struct Start {
+    pub(super) taken: log::Log,
+    pub(super) grant: record::Grant,
+    pub(super) reply: Reply,
+}
+
+/// Why the ownership ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Ended {
+    /// Another process has sealed the epoch.
+    Sealed,
+    /// This process has sealed it on its way out.
+    Drained,
+    /// The service was dropped.
+    Closed,
+}
+
+/// State of the owner beside its log.
+struct Owner<'a, S> {
+    context: &'a actor::Context<S>,
+    log: log::Log,
+    /// Replies by claim, sent when its batch is durable.
+    waiting: collections::HashMap<(id::Fingerprint, id::RequestId), Vec<Reply>>,
+    /// Claims of keys that a batch changes, asked again when it is settled.
+    parked: Vec<Asked>,
+    releases: collections::BTreeMap<log::Batch, Vec<oneshot::Sender<actor::Released>>>,
+    flight: Vec<record::Record>,
+    segments: Vec<sweep::Old>,
+    doubt: sync::Arc<atomic::AtomicBool>,
+    down: Option<(clock::Instant, unit::Period)>,
+    next_append: clock::Instant,
+}
+
+/// Serves the shard until it is lost or given up.
+pub(super) async fn run<S: store::Store>(
+    context: &actor::Context<S>,
+    inbox: &mut mpsc::Receiver<actor::Command>,
+    start: Start,
+) -> Ended {
+    let mut owner = Owner {
+        context,
+        log: start.taken,
+        waiting: collections::HashMap::new(),
+        parked: Vec::new(),
+        releases: collections::BTreeMap::new(),
+        flight: Vec::new(),
+        segments: Vec::new(),
+        doubt: sync::Arc::default(),
+        down: None,
+        next_append: clock::Instant::now(),
+    };
+    owner.claim(start.grant, start.reply);
+    let ended = owner.serve(inbox).await;
+    if ended != Ended::Closed {
+        owner.step_down();
+    }
+    ended
+}
+
+impl<S: store::Store> Owner<'_, S> {
+    async fn serve(&mut self, inbox: &mut mpsc::Receiver<actor::Command>) -> Ended {
+        let mut call: Option<Call> = None;
+        loop {
+            if call.is_none() && self.log.wants_snapshot() && !self.snapshot().await {
+                return Ended::Sealed;
+            }
+            if call.is_none() && clock::Instant::now() >= self.next_append {
+                call = self.begin();
+            }
+            let due = call.is_none() && self.log.has_records();
+            let next = self.next_append;
+            tokio::select! {
+                appended = in_flight(&mut call) => {
+                    call = None;
+                    if !self.settle(appended) {
+                        return Ended::Sealed;
+                    }
+                }
+                () = clock::sleep_until(next), if due => {}
+                command = inbox.recv() => match command {
+                    None => return Ended::Closed,
+                    Some(actor::Command::Claim { grant, reply, .. }) => self.claim(grant, reply),
+                    Some(actor::Command::Release { key, request, reply }) => {
+                        self.release(key, request, reply);
+                    }
+                    Some(actor::Command::Drain { reply }) => {
+                        let ended = self.drain(call).await;
+                        reply.send(()).ok();
+                        return ended;
+                    }
+                },
+            }
+        }
+    }
+
+    /// Starts the next append with what has gathered, without those who no longer wait.
+    fn begin(&mut self) -> Option<Call> {
+        let waiting = &mut self.waiting;
+        self.log.withdraw(|key, request| {
+            let waits = waiting
+                .get(&(key, request))
+                .is_some_and(|replies| replies.iter().any(|reply| !reply.is_closed()));
+            if !waits {
+                waiting.remove(&(key, request));
+            }
+            waits
+        });
+        let append = self.log.begin()?;
+        self.next_append = clock::Instant::now() + self.context.pace;
+        if let record::Segment::Batch(records) = &append.segment {
+            self.flight = records.clone();
+        }
+        let store = self.context.store.clone();
+        let limit = self.context.call_limit;
+        let doubt = self.doubt.clone();
+        let key = record::segment_key(self.context.shard, self.log.epoch(), append.number);
+        Some(Box::pin(async move {
+            append::append(&*store, &key, &append.segment, limit, &doubt).await
+        }))
+    }
+
+    fn claim(&mut self, grant: record::Grant, reply: Reply) {
+        if reply.is_closed() {
+            return;
+        }
+        let now = clock::Instant::now();
+        let down = self.down.filter(|(until, _)| now < *until);
+        if let Some((_, retry)) = down {
+            let reason = verdict::Reason::ClaimUnavailable;
+            return self.context.refuse(reply, reason, retry);
+        }
+        // Behind an append without an answer there is no telling how long a claim would wait.
+        if self.doubt.load(atomic::Ordering::Relaxed) {
+            let reason = verdict::Reason::ClaimUnavailable;
+            return self.context.refuse(reply, reason, claims::RETRY);
+        }
+        match self.log.claim(grant.clone(), now) {
+            log::Step::Granted => {
+                reply.send(entry::Decision::Granted).ok();
+            }
+            log::Step::Queued(_) => {
+                let waiting = self.waiting.entry((grant.key, grant.request));
+                waiting.or_default().push(reply);
+            }
+            log::Step::Wait(_) => self.parked.push((grant, reply)),
+            log::Step::Taken(old) => {
+                self.context.metrics.taken.inc();
+                let taken = entry::Decision::Taken {
+                    request: old.request,
+                    content: old.content,
+                    holder: old.holder,
+                };
+                reply.send(taken).ok();
+            }
+            log::Step::Full => {
+                let reason = verdict::Reason::Overloaded;
+                self.context.refuse(reply, reason, claims::RETRY);
+            }
+        }
+    }
+
+    fn release(
+        &mut self,
+        key: id::Fingerprint,
+        request: id::RequestId,
+        reply: oneshot::Sender<actor::Released>,
+    ) {
+        // Without a reply the grant is withdrawn, or given back once it is durable.
+        self.waiting.remove(&(key, request));
+        match self.log.release(key, request) {
+            Some(batch) => self.releases.entry(batch).or_default().push(reply),
+            None => {
+                reply.send(actor::Released::Here(false)).ok();
+            }
+        }
+    }
+
+    /// Takes the outcome of the append in flight; `false` when the shard is lost.
+    fn settle(&mut self, appended: append::Appended) -> bool {
+        if self.doubt.swap(false, atomic::Ordering::Relaxed) {
+            self.context.metrics.unanswered.inc();
+        }
+        match appended {
+            append::Appended::Durable(version) => self.durable(version),
+            append::Appended::Refused(retry) => self.refused(retry.unwrap_or(claims::RETRY)),
+            append::Appended::Sealed => return false,
+        }
+        for (grant, reply) in mem::take(&mut self.parked) {
+            self.claim(grant, reply);
+        }
+        true
+    }
+
+    fn durable(&mut self, version: store::Version) {
+        self.context.metrics.appends.inc();
+        let (shard, epoch) = (self.context.shard, self.log.epoch());
+        let key = record::segment_key(shard, epoch, self.log.next());
+        self.segments.push(sweep::Old { key, version });
+        self.log.durable(clock::Instant::now());
+        for record in mem::take(&mut self.flight) {
+            match record {
+                record::Record::Grant(grant) => self.granted(&grant),
+                record::Record::Release { .. } => {
+                    self.context.metrics.released.inc();
+                }
+            }
+        }
+        self.answer_releases(true);
+    }
+
+    /// Answers a grant, or gives it back if nobody is there to execute under it.
+    fn granted(&mut self, grant: &record::Grant) {
+        let replies = self.waiting.remove(&(grant.key, grant.request));
+        let mut heard = false;
+        for reply in replies.into_iter().flatten() {
+            heard |= reply.send(entry::Decision::Granted).is_ok();
+        }
+        if heard {
+            self.context.metrics.granted.inc();
+        } else {
+            self.log.release(grant.key, grant.request);
+        }
+    }
+
+    /// Refuses everything that waits: the object service takes no writes.
+    fn refused(&mut self, retry: unit::Period) {
+        self.log.rejected();
+        self.log.withdraw(|_, _| false);
+        self.flight.clear();
+        self.down = Some((clock::Instant::now() + actor::DOWN, retry));
+        let waiting = mem::take(&mut self.waiting);
+        let parked = mem::take(&mut self.parked);
+        let parked = parked.into_iter().map(|(_, reply)| reply);
+        for reply in waiting.into_values().flatten().chain(parked) {
+            let reason = verdict::Reason::ClaimUnavailable;
+            self.context.refuse(reply, reason, retry);
+        }
+        self.answer_releases(false);
+    }
+
+    fn answer_releases(&mut self, recorded: bool) {
+        let settled = self.log.settled();
+        let later = self.releases.split_off(&settled);
+        let done = mem::replace(&mut self.releases, later);
+        for reply in done.into_values().flatten() {
+            reply.send(actor::Released::Here(recorded)).ok();
+        }
+    }
+
+    /// Appends a snapshot and has the segments before it deleted; `false` when the shard is lost.
+    async fn snapshot(&mut self) -> bool {
+        let now = clock::Instant::now();
+        let mut parts = Vec::new();
+        for (number, segment) in self.log.snapshot(now) {
+            let key = record::segment_key(self.context.shard, self.log.epoch(), number);
+            let (store, limit) = (&*self.context.store, self.context.call_limit);
+            match append::append(store, &key, &segment, limit, &self.doubt).await {
+                append::Appended::Durable(version) => {
+                    self.log.part_durable(&segment);
+                    parts.push(sweep::Old { key, version });
+                }
+                append::Appended::Sealed => return false,
+                append::Appended::Refused(_) => {
+                    // What is there of it is ignored and deleted with the next one.
+                    self.segments.append(&mut parts);
+                    self.log.postpone();
+                    break;
+                }
+            }
+            self.doubt.store(false, atomic::Ordering::Relaxed);
+        }
+        if parts.is_empty() {
+            return true;
+        }
+        let old = mem::replace(&mut self.segments, parts);
+        let (store, pace) = (self.context.store.clone(), self.context.pace);
+        let sweep = sweep::run(store, old, None, pace, self.context.call_limit);
+        self.context.runtime.spawn(sweep);
+        true
+    }
+
+    /// Finishes the append in flight, seals the epoch and leaves the shard without an owner.
+    async fn drain(&mut self, mut call: Option<Call>) -> Ended {
+        if call.is_some() {
+            let appended = in_flight(&mut call).await;
+            if !self.settle(appended) {
+                return Ended::Sealed;
+            }
+        }
+        let store = &*self.context.store;
+        let limit = self.context.call_limit;
+        let (shard, epoch) = (self.context.shard, self.log.epoch());
+        let key = record::segment_key(shard, epoch, self.log.next());
+        let seal = serde_json::to_string(&record::Segment::Seal(epoch)).expect("seals serialize");
+        let call = store.put(&key, store::Expect::Absent, &seal);
+        // The next owner seals the epoch itself if this is lost.
+        append::bounded(limit, call).await.ok();
+        if let Ok(Some((head, version))) = takeover::head(store, shard, limit).await
+            && head.owner == Some(self.context.me)
+        {
+            let head = record::Head {
+                owner: None,
+                ..head
+            };
+            let value = serde_json::to_string(&head).expect("heads serialize");
+            let key = record::head_key(shard);
+            let call = store.put(&key, store::Expect::Version(version), &value);
+            append::bounded(limit, call).await.ok();
+        }
+        Ended::Drained
+    }
+
+    /// Sends everyone who waits to the new owner; nothing of theirs is in the log.
+    fn step_down(&mut self) {
+        let waiting = mem::take(&mut self.waiting);
+        let parked = mem::take(&mut self.parked);
+        let parked = parked.into_iter().map(|(_, reply)| reply);
+        for reply in waiting.into_values().flatten().chain(parked) {
+            reply.send(entry::Decision::Elsewhere { owner: None }).ok();
+        }
+        let releases = mem::take(&mut self.releases);
+        for reply in releases.into_values().flatten() {
+            reply.send(actor::Released::Elsewhere(None)).ok();
+        }
+    }
+}
+
+/// Waits for the append in flight, or for ever without one.
+async fn in_flight(call: &mut Option<Call>) -> append::Appended {
+    match call {
+        Some(call) => call.await,
+        None => std::future::pending().await,
+    }
+}
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -1,1 +1,3 @@
 //! Entry daemon: callers' requests, pipelines and routing.
+
+pub mod claims;
--- a/laburnumcart_wire/src/entry.rs
+++ b/laburnumcart_wire/src/entry.rs
@@ -18,6 +18,8 @@
 
 use crate::agent;
 
+pub use laburnumcart::claim::Holder;
+
 /// State of an entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
@@ -56,15 +58,6 @@
     pub retention: unit::Period,
 }
 
-/// Process that executes a claimed request and keeps its answer.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Holder {
-    /// Address of its peer port.
-    pub addr: std::net::SocketAddr,
-    /// Its life; another one there has not the answer.
-    pub incarnation: id::Incarnation,
-}
-
 /// Decision on a claim.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "decision")]
