--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod bundle;
 pub mod document;
+pub mod claim;
 pub mod facts;
 pub mod fair;
 pub mod head;
