Add the table of facts and the suspects of crashes

A fact keeps the earliest expiry it was told.

Two strikes alone would quarantine an innocent request that ran beside the poison twice, which can happen while news of the first crash is under way. A crash in which two contents with several strikes ran convicts neither until one completes or is struck a third time. The judgement is derived from the set of facts, so that it does not depend on their order.

--- a/laburnumcart/src/facts.rs
+++ b/laburnumcart/src/facts.rs
@@ -10,6 +10,13 @@
     unit, //
 };
 
+mod table;
+
+pub use table::{
+    Table,
+    Version, //
+};
+
 /// Facts that merge monotonically: the highest generation, the union of the lists.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Facts {
--- /dev/null
+++ b/laburnumcart/src/facts/table.rs
@@ -0,0 +1,252 @@
+//! Merged facts of one process.
+
+use std::{
+    collections,
+    hash,
+    time, //
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    facts,
+    id,
+    unit, //
+};
+
+/// Most facts of a kind; beyond it, the one that expires first goes.
+const CAPACITY: usize = 4096;
+
+/// Most suspects of a crash.
+const SUSPECTS: usize = 256;
+
+/// Longest time that a fact is kept, whatever its sender says.
+const TTL_MAX: time::Duration = time::Duration::from_secs(3600);
+
+/// Time for which a life is remembered as leaving; longer than any stop takes.
+const LEAVING: time::Duration = time::Duration::from_secs(600);
+
+/// Difference of two expiries that is due to the time a message takes, and no news.
+const JITTER: time::Duration = time::Duration::from_secs(1);
+
+/// State of a table that a peer has been sent.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Version(u64);
+
+#[derive(Clone, Debug)]
+struct Fact<T> {
+    value: T,
+    expiry: Instant,
+    version: Version,
+}
+
+type Kind<K, V> = collections::HashMap<K, Fact<V>>;
+
+/// Facts of one process, merged with those of its peers.
+///
+/// Merging takes the highest generation, the union of the lists, and the earliest expiry of each
+/// fact. It is commutative, associative and idempotent, so that facts may arrive in any order, by
+/// any way, any number of times.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use laburnumcart::{facts, id};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut table = facts::Table::default();
+/// let mut peer = facts::Table::default();
+/// let sent = facts::Version::default();
+/// table.set_leaving(id::Incarnation(7), now);
+/// peer.merge(&table.changes(sent, now).unwrap(), now);
+/// assert!(peer.is_leaving(id::Incarnation(7), now));
+/// // Only what changed since is sent.
+/// assert_eq!(table.changes(table.version(), now), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    version: Version,
+    generation: (id::Generation, Version),
+    leaving: Kind<id::Incarnation, ()>,
+    crashes: Kind<id::Incarnation, Vec<id::Fingerprint>>,
+    cleared: Kind<(id::Fingerprint, id::Incarnation), ()>,
+}
+
+impl Table {
+    /// Returns the version to remember for a peer once it has received the changes up to now.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the highest generation seen.
+    pub fn generation(&self) -> id::Generation {
+        self.generation.0
+    }
+
+    /// Reports whether a life accepts no new work.
+    pub fn is_leaving(&self, life: id::Incarnation, now: Instant) -> bool {
+        self.leaving.get(&life).is_some_and(|f| f.expiry > now)
+    }
+
+    /// Returns the crashes that are valid, with what ran and until when.
+    pub fn crashes(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (id::Incarnation, &[id::Fingerprint], Instant)> {
+        let valid = self.crashes.iter().filter(move |(_, f)| f.expiry > now);
+        valid.map(|(id, f)| (*id, f.value.as_slice(), f.expiry))
+    }
+
+    /// Reports whether a request's content is cleared of a crash.
+    pub fn is_cleared(&self, print: id::Fingerprint, crash: id::Incarnation, now: Instant) -> bool {
+        let fact = self.cleared.get(&(print, crash));
+        fact.is_some_and(|f| f.expiry > now)
+    }
+
+    /// Returns what changed since a version, with the time that each fact stays valid.
+    pub fn changes(&self, since: Version, now: Instant) -> Option<facts::Facts> {
+        if self.version <= since {
+            return None;
+        }
+        let leaving = fresh(&self.leaving, since, now);
+        let crashes = fresh(&self.crashes, since, now);
+        let cleared = fresh(&self.cleared, since, now);
+        Some(facts::Facts {
+            generation: self.generation.0,
+            leaving: leaving.map(|(life, _)| *life).collect(),
+            crashes: crashes
+                .map(|(id, fact)| facts::Crash {
+                    id: *id,
+                    suspects: fact.value.clone(),
+                    ttl: left(fact.expiry, now),
+                })
+                .collect(),
+            cleared: cleared
+                .map(|((fingerprint, crash), fact)| facts::Cleared {
+                    fingerprint: *fingerprint,
+                    crash: *crash,
+                    ttl: left(fact.expiry, now),
+                })
+                .collect(),
+        })
+    }
+
+    /// Raises the generation; a lower one changes nothing.
+    pub fn set_generation(&mut self, generation: id::Generation) {
+        if generation > self.generation.0 {
+            self.version = Version(self.version.0 + 1);
+            self.generation = (generation, self.version);
+        }
+    }
+
+    /// Adds a life that accepts no new work.
+    pub fn set_leaving(&mut self, life: id::Incarnation, now: Instant) {
+        // A life never comes back, so that the fact cannot turn false and needs no time of its own.
+        if !self.is_leaving(life, now) {
+            insert(
+                &mut self.leaving,
+                life,
+                (),
+                now + LEAVING,
+                &mut self.version,
+            );
+        }
+    }
+
+    /// Adds a crash.
+    pub fn add_crash(&mut self, crash: &facts::Crash, now: Instant) {
+        let expiry = expiry(crash.ttl, now);
+        let suspects = || crash.suspects.iter().take(SUSPECTS).copied().collect();
+        if is_news(&self.crashes, &crash.id, expiry) {
+            insert(
+                &mut self.crashes,
+                crash.id,
+                suspects(),
+                expiry,
+                &mut self.version,
+            );
+        }
+    }
+
+    /// Adds a clearance.
+    pub fn add_cleared(&mut self, cleared: &facts::Cleared, now: Instant) {
+        let key = (cleared.fingerprint, cleared.crash);
+        let expiry = expiry(cleared.ttl, now);
+        if is_news(&self.cleared, &key, expiry) {
+            insert(&mut self.cleared, key, (), expiry, &mut self.version);
+        }
+    }
+
+    /// Merges the facts of a peer; returns whether anything changed.
+    pub fn merge(&mut self, facts: &facts::Facts, now: Instant) -> bool {
+        let before = self.version;
+        self.set_generation(facts.generation);
+        for life in &facts.leaving {
+            self.set_leaving(*life, now);
+        }
+        for crash in &facts.crashes {
+            self.add_crash(crash, now);
+        }
+        for cleared in &facts.cleared {
+            self.add_cleared(cleared, now);
+        }
+        self.version != before
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: Instant) {
+        self.leaving.retain(|_, fact| fact.expiry > now);
+        self.crashes.retain(|_, fact| fact.expiry > now);
+        self.cleared.retain(|_, fact| fact.expiry > now);
+    }
+}
+
+fn expiry(ttl: unit::Period, now: Instant) -> Instant {
+    now + ttl.0.min(TTL_MAX)
+}
+
+fn left(expiry: Instant, now: Instant) -> unit::Period {
+    unit::Period(expiry.saturating_duration_since(now))
+}
+
+/// Returns the valid facts that changed since a version.
+fn fresh<K, V>(
+    kind: &Kind<K, V>,
+    since: Version,
+    now: Instant,
+) -> impl Iterator<Item = (&K, &Fact<V>)> {
+    kind.iter()
+        .filter(move |(_, fact)| fact.version > since && fact.expiry > now)
+}
+
+/// Reports whether a fact is unknown or expires clearly earlier than known.
+///
+/// With the later expiry, a fact that goes round among peers would live longer by the time of
+/// each message, and for ever in the end.
+fn is_news<K: Eq + hash::Hash, V>(kind: &Kind<K, V>, key: &K, expiry: Instant) -> bool {
+    kind.get(key)
+        .is_none_or(|fact| expiry + JITTER < fact.expiry)
+}
+
+fn insert<K: Copy + Eq + hash::Hash, V>(
+    kind: &mut Kind<K, V>,
+    key: K,
+    value: V,
+    expiry: Instant,
+    version: &mut Version,
+) {
+    if kind.len() >= CAPACITY && !kind.contains_key(&key) {
+        let first = kind.iter().min_by_key(|(_, fact)| fact.expiry);
+        let first = first.map(|(key, _)| *key);
+        first.and_then(|key| kind.remove(&key));
+    }
+    *version = Version(version.0 + 1);
+    let version = *version;
+    let fact = Fact {
+        value,
+        expiry,
+        version,
+    };
+    kind.insert(key, fact);
+}
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod limit;
 pub mod retry;
 pub mod route;
+pub mod suspects;
 pub mod unit;
 pub mod verdict;
--- /dev/null
+++ b/laburnumcart/tests/suspects.rs
@@ -0,0 +1,124 @@
+//! One request crashes the targets that execute it, among innocent ones.
+
+use std::time;
+
+use laburnumcart::{
+    facts, id, suspects, unit,
+    verdict::{
+        Reason,
+        Verdict, //
+    },
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const QUARANTINE: unit::Period = unit::Period::from_secs(600);
+const POISON: id::Fingerprint = id::Fingerprint(0);
+
+fn crash(table: &mut facts::Table, ran: &[u128], now: Instant) {
+    let ran = ran.iter().map(|print| id::Fingerprint(*print));
+    table.add_crash(&suspects::crash(ran, QUARANTINE), now);
+}
+
+fn clear(table: &mut facts::Table, print: u128, now: Instant) {
+    let known = suspects::Suspects::new(table, now);
+    for cleared in known.clear(id::Fingerprint(print), now) {
+        table.add_cleared(&cleared, now);
+    }
+}
+
+/// The poison crashes a target on which innocent requests run, is sent again under new ids, and
+/// crashes a second one on which others run. From then on it is refused as "not run" for a bounded
+/// time. All innocent requests stay servable and are cleared as they complete.
+#[test]
+fn poison_crashes_two_targets_and_is_refused_for_a_while() {
+    let now = Instant::now();
+    let mut table = facts::Table::default();
+    crash(&mut table, &[0, 1, 2, 3], now);
+    let known = suspects::Suspects::new(&table, now);
+    assert_eq!(known.standing(POISON, now), suspects::Standing::Suspect);
+    assert!(!known.may_run(POISON, [id::Fingerprint(1)], now));
+    assert!(!known.may_run(POISON, [POISON], now));
+    assert!(known.may_run(POISON, [id::Fingerprint(7), id::Fingerprint(8)], now));
+
+    let later = now + time::Duration::from_secs(500);
+    crash(&mut table, &[0, 7, 8], later);
+    for print in [1, 2, 3, 7, 8] {
+        clear(&mut table, print, later);
+    }
+    let known = suspects::Suspects::new(&table, later);
+    let refusal = known.refusal(POISON, later).unwrap();
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::NotRun, Reason::Quarantined)
+    );
+    assert!(refusal.retry.unwrap() >= QUARANTINE);
+    for print in [1, 2, 3, 7, 8] {
+        assert_eq!(
+            known.standing(id::Fingerprint(print), later),
+            suspects::Standing::Clean
+        );
+    }
+    let end = later + 2 * QUARANTINE.0;
+    assert_eq!(known.refusal(POISON, end), None);
+    table.expire(end);
+    assert!(suspects::Suspects::new(&table, end).is_empty());
+}
+
+/// News of the first crash comes late, and an innocent request runs beside the poison twice. The
+/// two crashes do not tell them apart: neither is quarantined until the innocent one completes.
+#[test]
+fn innocent_beside_poison_twice_is_not_quarantined() {
+    let now = Instant::now();
+    let mut table = facts::Table::default();
+    crash(&mut table, &[0, 1], now);
+    crash(&mut table, &[0, 1], now);
+    let known = suspects::Suspects::new(&table, now);
+    assert_eq!(known.standing(POISON, now), suspects::Standing::Suspect);
+    assert_eq!(
+        known.standing(id::Fingerprint(1), now),
+        suspects::Standing::Suspect
+    );
+
+    clear(&mut table, 1, now);
+    let known = suspects::Suspects::new(&table, now);
+    assert!(known.refusal(POISON, now).is_some());
+    assert_eq!(
+        known.standing(id::Fingerprint(1), now),
+        suspects::Standing::Clean
+    );
+}
+
+/// Facts of the two crashes and of a clearance reach a process in any order. It must come to the
+/// same judgement, or a request refused by one entry would run through another.
+#[rstest]
+#[case([0, 1, 2])]
+#[case([2, 1, 0])]
+#[case([1, 2, 0])]
+fn judgement_does_not_depend_on_order(#[case] order: [usize; 3]) {
+    let now = Instant::now();
+    let mut source = facts::Table::default();
+    let mut parts = Vec::new();
+    for ran in [&[0, 1][..], &[0, 2]] {
+        let before = source.version();
+        crash(&mut source, ran, now);
+        parts.extend(source.changes(before, now));
+    }
+    let before = source.version();
+    clear(&mut source, 1, now);
+    parts.extend(source.changes(before, now));
+    let mut table = facts::Table::default();
+    for i in order {
+        table.merge(&parts[i], now);
+    }
+    let known = suspects::Suspects::new(&table, now);
+    assert!(known.refusal(POISON, now).is_some());
+    assert_eq!(
+        known.standing(id::Fingerprint(1), now),
+        suspects::Standing::Clean
+    );
+    assert_eq!(
+        known.standing(id::Fingerprint(2), now),
+        suspects::Standing::Suspect
+    );
+}
