Add stage estimates, early refusal and admission

Refused callers are each sent to a moment of their own, one completion apart: with one common wait they would come back together.

Admission guarantees each team its weight's part of the total and lends the rest; a refusal for a team's share lowers that team's bound alone. Reserving the unused part of every share was ruled out, as it would leave room idle; the price is up to twice the total in flight until borrowers finish.

--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing in this crate opens a socket or spawns a task. Time comes in as an argument or from the
 //! runtime's clock, so that a test can pause and advance it.
 
+pub mod admit;
 pub mod attempt;
 pub mod attempts;
 pub mod budget;
 pub mod bundle;
+pub mod estimate;
 pub mod facts;
 pub mod fair;
 pub mod hedge;
--- /dev/null
+++ b/laburnumcart/tests/admit.rs
@@ -0,0 +1,137 @@
+//! Admission shares an entry among teams.
+
+use std::time;
+
+use laburnumcart::{
+    admit,
+    bundle::Priority,
+    verdict::{
+        Reason,
+        Verdict, //
+    },
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn rng() -> rand::rngs::StdRng {
+    rand::rngs::StdRng::seed_from_u64(7)
+}
+
+/// Admits until refused; returns the number admitted.
+fn fill(a: &mut admit::Admission, team: admit::TeamKey, level: Priority, now: Instant) -> u32 {
+    let mut rng = rng();
+    (0..)
+        .take_while(|_| a.admit(team, level, now, &mut rng).is_ok())
+        .count() as u32
+}
+
+proptest! {
+    #[test]
+    fn within_share_always_admitted_and_total_bounded(
+        steps in prop::collection::vec((0usize..4, any::<bool>()), 1..2000),
+    ) {
+        let now = Instant::now();
+        let mut rng = rng();
+        let mut admission = admit::Admission::new(now);
+        let teams: Vec<_> = (1..=4).map(|w| admission.add_team(w)).collect();
+        let mut running = [0u32; 4];
+        for (i, start) in steps {
+            let guaranteed = admission.total() * (i as u32 + 1) / 10;
+            if start {
+                let admitted = admission.admit(teams[i], Priority::Low, now, &mut rng).is_ok();
+                prop_assert!(admitted || running[i] >= guaranteed);
+                running[i] += u32::from(admitted);
+            } else if running[i] > 0 {
+                admission.finish(teams[i], admit::Outcome::Done, now);
+                running[i] -= 1;
+            }
+            prop_assert_eq!(admission.running(), running.iter().sum::<u32>());
+            prop_assert!(admission.running() <= 2 * admission.total());
+        }
+    }
+}
+
+#[rstest]
+#[case(Priority::High, 256)]
+#[case(Priority::Normal, 231)]
+#[case(Priority::Low, 192)]
+fn lower_priorities_borrow_less(#[case] level: Priority, #[case] admitted: u32) {
+    let now = Instant::now();
+    let mut admission = admit::Admission::new(now);
+    let (flood, calm) = (admission.add_team(1), admission.add_team(1));
+    admission.admit(calm, level, now, &mut rng()).unwrap();
+    assert_eq!(fill(&mut admission, flood, level, now) + 1, admitted);
+}
+
+/// A team floods the entry and its agents refuse it for its share. Its bound falls, the total and
+/// the other teams' room do not, and after the flood the bound is gone.
+#[test]
+fn refusals_for_share_fall_on_their_team() {
+    let mut now = Instant::now();
+    let mut admission = admit::Admission::new(now);
+    let (flood, calm) = (admission.add_team(1), admission.add_team(1));
+    let before = admission.total();
+    let refused = admit::Outcome::Refused(Reason::OverShare);
+    for _ in 0..40 {
+        now += time::Duration::from_secs(1);
+        for _ in 0..fill(&mut admission, flood, Priority::High, now) {
+            admission.finish(flood, refused, now);
+        }
+    }
+    let held = fill(&mut admission, flood, Priority::High, now);
+    assert!(held <= 2);
+    let refusal = admission
+        .admit(flood, Priority::High, now, &mut rng())
+        .unwrap_err();
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::NotRun, Reason::OverShare)
+    );
+    assert!(refusal.retry.is_some());
+    assert_eq!(admission.total(), before);
+    assert!(fill(&mut admission, calm, Priority::High, now) >= before / 2);
+    for _ in 0..held {
+        admission.finish(flood, admit::Outcome::Done, now);
+    }
+    for _ in 0..100_000 {
+        if admission
+            .admit(flood, Priority::High, now, &mut rng())
+            .is_ok()
+        {
+            admission.finish(flood, admit::Outcome::Done, now);
+        }
+        admission.finish(calm, admit::Outcome::Done, now);
+    }
+    assert!(fill(&mut admission, flood, Priority::High, now) >= before / 2);
+}
+
+/// Agents refuse as overloaded. The total falls once for a burst of refusals, never below its
+/// least, and grows again while it is used in full.
+#[test]
+fn total_follows_overload() {
+    let mut now = Instant::now();
+    let mut admission = admit::Admission::new(now);
+    let team = admission.add_team(1);
+    let overload = admit::Outcome::Refused(Reason::Overloaded);
+    fill(&mut admission, team, Priority::High, now);
+    for _ in 0..100 {
+        admission.finish(team, overload, now);
+    }
+    assert_eq!(admission.total(), 204);
+    for _ in 0..100 {
+        now += time::Duration::from_secs(1);
+        fill(&mut admission, team, Priority::High, now);
+        admission.finish(team, overload, now);
+    }
+    assert_eq!(admission.total(), 8);
+    while admission.running() > 8 {
+        admission.finish(team, admit::Outcome::Done, now);
+    }
+    for _ in 0..1000 {
+        fill(&mut admission, team, Priority::High, now);
+        admission.finish(team, admit::Outcome::Done, now);
+    }
+    assert!(admission.total() > 50);
+}
