Add the entry's driver, lanes and callers' HTTP

A request runs its stages in a task of its own; each attempt is pulled from its agent and asked about over a new connection when the old one goes silent. Tests silence a connection one way and both ways in four phases of an attempt and count executions.

--- /dev/null
+++ b/laburnumcart_entry/src/answers.rs
@@ -0,0 +1,101 @@
+//! Final answers of claimed requests, kept for a resend.
+
+use std::{
+    collections,
+    sync, //
+};
+
+use tokio::{
+    sync::watch,
+    time, //
+};
+
+use laburnumcart::id;
+use laburnumcart_wire::entry;
+
+/// Most bytes of answers that are kept.
+const BYTES_MAX: usize = 64 << 20;
+
+/// Answers by request, bounded in bytes; the oldest goes first.
+#[derive(Debug, Default)]
+pub struct Answers {
+    inner: sync::Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    slots: collections::HashMap<id::RequestId, watch::Receiver<Option<entry::Answer>>>,
+    order: collections::VecDeque<(id::RequestId, usize, time::Instant)>,
+    bytes: usize,
+}
+
+/// Place for the answer of a request that runs.
+#[derive(Debug)]
+pub struct Slot {
+    request: id::RequestId,
+    sender: watch::Sender<Option<entry::Answer>>,
+}
+
+fn size(answer: &entry::Answer) -> usize {
+    match answer {
+        entry::Answer::Whole { body } => body.len() + 256,
+        _ => 256,
+    }
+}
+
+impl Answers {
+    /// Opens the place for a request's answer before the request runs.
+    pub fn open(&self, request: id::RequestId) -> Slot {
+        let (sender, receiver) = watch::channel(None);
+        self.lock().slots.insert(request, receiver);
+        Slot { request, sender }
+    }
+
+    /// Keeps the final answer for `period`, as far as the space allows.
+    pub fn keep(&self, slot: Slot, answer: entry::Answer, period: time::Duration) {
+        let mut inner = self.lock();
+        let bytes = size(&answer);
+        let until = time::Instant::now() + period;
+        inner.order.push_back((slot.request, bytes, until));
+        inner.bytes += bytes;
+        slot.sender.send_replace(Some(answer));
+        inner.shrink(time::Instant::now());
+    }
+
+    /// Forgets a request that provably never started.
+    pub fn forget(&self, slot: Slot) {
+        self.lock().slots.remove(&slot.request);
+    }
+
+    /// Waits at most `wait` for the answer of a request.
+    pub async fn fetch(&self, request: id::RequestId, wait: time::Duration) -> entry::Answer {
+        let Some(mut slot) = self.lock().slots.get(&request).cloned() else {
+            return entry::Answer::Unknown;
+        };
+        match time::timeout(wait, slot.wait_for(Option::is_some)).await {
+            Ok(Ok(answer)) => answer.clone().unwrap_or(entry::Answer::Unknown),
+            Ok(Err(_)) => entry::Answer::Unknown,
+            Err(_) => entry::Answer::Running,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Drops the oldest answers that are out of date or do not fit.
+    fn shrink(&mut self, now: time::Instant) {
+        while let Some((request, bytes, until)) = self.order.front().copied() {
+            if self.bytes <= BYTES_MAX && until > now {
+                return;
+            }
+            self.order.pop_front();
+            self.slots.remove(&request);
+            self.bytes -= bytes;
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/src/callers.rs
@@ -0,0 +1,213 @@
+//! HTTP for callers.
+
+mod events;
+pub mod problem;
+
+use std::{
+    io,
+    net,
+    sync::Arc,
+    time, //
+};
+
+use http::header;
+use xitca_web::{
+    App, WebContext,
+    body::{
+        BodyExt,
+        RequestBody,
+        ResponseBody, //
+    },
+    handler::{
+        body::Body,
+        handler_service, //
+    },
+    http::{
+        WebRequest,
+        WebResponse, //
+    },
+    route,
+};
+
+use laburnumcart::{
+    unit,
+    verdict, //
+};
+
+use crate::{
+    driver,
+    entry,
+    request, //
+};
+
+/// Largest buffer for a request's head in bytes.
+const HEAD_MAX: usize = 16 << 10;
+
+/// Most headers of a request.
+const HEADERS_MAX: usize = 64;
+
+/// Longest time for a request's head to arrive.
+const HEAD_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Longest time that a connection stays idle.
+const IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+
+/// When a caller should come again to another entry.
+const LEAVING: unit::Period = unit::Period::from_secs(1);
+
+type State = Arc<entry::Entry>;
+type Context<'a> = WebContext<'a, State>;
+
+/// Starts the HTTP server on threads of its own; the future ends when it has stopped.
+pub fn serve(
+    entry: State,
+    listener: net::TcpListener,
+    threads: usize,
+) -> io::Result<xitca_server::ServerFuture> {
+    let server = App::new()
+        .with_state(entry)
+        .at("/v1/pipelines/{name}", route::post(handler_service(run)))
+        .at("/healthz", route::get(handler_service(healthz)))
+        .at("/readyz", route::get(handler_service(readyz)))
+        .serve()
+        .disable_signal()
+        .worker_threads(threads)
+        .request_head_timeout(HEAD_LIMIT)
+        .keep_alive_timeout(IDLE_LIMIT)
+        .max_read_buf_size::<HEAD_MAX>()
+        .max_request_headers::<HEADERS_MAX>()
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// Fails while the entry is leaving or has no bundle, so that the balancer takes it out.
+async fn readyz(ctx: &Context<'_>) -> WebResponse {
+    let entry = ctx.state();
+    let reason = match (entry.is_leaving(), &entry.view.load().rules) {
+        (true, _) => verdict::Reason::Leaving,
+        (false, None) => verdict::Reason::NoBundle,
+        (false, Some(_)) => return plain("ready\n"),
+    };
+    problem::response(verdict::Refusal::not_run(reason), None)
+}
+
+fn plain(text: &'static str) -> WebResponse {
+    WebResponse::new(ResponseBody::bytes(text))
+}
+
+/// Answers a caller's request.
+async fn run(ctx: &Context<'_>, Body(body): Body<RequestBody>) -> WebResponse {
+    let (head, guard) = match admit(ctx) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return problem::response(refusal, None),
+    };
+    let id = head.id;
+    match read(head, body).await {
+        Ok(request) => {
+            let driven = driver::start(ctx.state(), request, guard);
+            answer(ctx.req(), id, driven).await
+        }
+        Err(reason) => problem::response(verdict::Refusal::not_run(reason), Some(id)),
+    }
+}
+
+/// Checks all but the body.
+fn admit(ctx: &Context<'_>) -> Result<(request::Head, entry::Running), verdict::Refusal> {
+    let entry = ctx.state();
+    let leaving = verdict::Refusal::not_run(verdict::Reason::Leaving).retry_after(LEAVING);
+    let guard = entry.enter().ok_or(leaving)?;
+    let missing = verdict::Refusal::not_run(verdict::Reason::NoBundle).retry_after(LEAVING);
+    let rules = entry.view.load().rules.clone().ok_or(missing)?;
+    let now = tokio::time::Instant::now();
+    let head = request::Head::check(asked(ctx.req()), rules, now);
+    Ok((head.map_err(verdict::Refusal::not_run)?, guard))
+}
+
+/// Picks out what matters of a request's head.
+fn asked(req: &WebRequest<()>) -> request::Asked {
+    let text = |name: &str| {
+        let value = req.headers().get(name)?;
+        // A value that is no text is passed on as one that no check accepts.
+        Some(value.to_str().unwrap_or("\u{fffd}").to_owned())
+    };
+    let bearer = text(header::AUTHORIZATION.as_str());
+    let token = bearer.as_deref().and_then(|b| b.strip_prefix("Bearer "));
+    let path = req.uri().path();
+    request::Asked {
+        pipeline: path.rsplit('/').next().unwrap_or_default().to_owned(),
+        token: token.map(str::to_owned),
+        key: text("idempotency-key"),
+        idempotent: text("x-idempotent"),
+        deadline: text("x-deadline"),
+        traceparent: text("traceparent"),
+    }
+}
+
+/// Reads the body, at most as long as the pipeline allows.
+async fn read(head: request::Head, body: RequestBody) -> Result<request::Request, verdict::Reason> {
+    let limit = head.stages().body_limit.0;
+    let bytes = tokio::time::timeout_at(head.deadline, collect(body, limit)).await;
+    let bytes = bytes.map_err(|_| verdict::Reason::DeadlineExceeded)??;
+    head.with_body(&bytes)
+}
+
+async fn collect(body: RequestBody, limit: u64) -> Result<Vec<u8>, verdict::Reason> {
+    let mut body = std::pin::pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(data) = body.as_mut().data().await {
+        let data = data.map_err(|_| verdict::Reason::Invalid)?;
+        if (bytes.len() + data.len()) as u64 > limit {
+            return Err(verdict::Reason::TooLarge);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
+/// Answers as one JSON text or as an event stream, as the caller asked.
+async fn answer(
+    req: &WebRequest<()>,
+    id: laburnumcart::id::RequestId,
+    driven: driver::Driven,
+) -> WebResponse {
+    let accept = req.headers().get(header::ACCEPT);
+    let stream = accept
+        .and_then(|a| a.to_str().ok())
+        .is_some_and(|a| a.contains(EVENTS));
+    if stream {
+        let mut response = WebResponse::new(ResponseBody::boxed(events::Events::new(id, driven)));
+        typed(&mut response, EVENTS);
+        return response;
+    }
+    match whole(driven).await {
+        Ok(body) => {
+            let mut response = WebResponse::new(ResponseBody::bytes(body));
+            typed(&mut response, "application/json");
+            response
+        }
+        Err(refusal) => problem::response(refusal, Some(id)),
+    }
+}
+
+/// Media type of event streams.
+const EVENTS: &str = "text/event-stream";
+
+fn typed(response: &mut WebResponse, media: &'static str) {
+    let value = header::HeaderValue::from_static(media);
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+}
+
+/// Waits for the final answer.
+async fn whole(mut driven: driver::Driven) -> driver::Outcome {
+    while let Some(event) = driven.events.recv().await {
+        if let driver::Event::End(outcome) = event {
+            return outcome;
+        }
+    }
+    // The driver's task ended without an answer, which only a fault of ours can cause.
+    Err(verdict::Refusal::may_have_run(verdict::Reason::Lost))
+}
--- /dev/null
+++ b/laburnumcart_entry/src/driver.rs
@@ -0,0 +1,109 @@
+//! Runs the stages of one request, each on a target of its service.
+
+pub mod account;
+mod pick;
+mod stage;
+
+use std::sync::Arc;
+
+use serde_json::value;
+use tokio::{
+    sync::mpsc,
+    time, //
+};
+
+use laburnumcart::verdict;
+
+use crate::{
+    entry,
+    request, //
+};
+
+/// What a caller is told while its request runs.
+#[derive(Debug)]
+pub enum Event {
+    /// A piece of the last stage's text.
+    Piece(String),
+    /// The final answer; nothing follows.
+    End(Outcome),
+}
+
+/// Final answer of a request: the JSON text of its body, or a refusal.
+pub type Outcome = Result<String, verdict::Refusal>;
+
+/// A request that runs in a task of its own.
+///
+/// The channel is not bounded: it holds at most one result, which the driver holds anyway, and a
+/// caller that reads slowly must not keep others' work waiting at the agent.
+#[derive(Debug)]
+pub struct Driven {
+    /// Pieces and the end.
+    pub events: mpsc::UnboundedReceiver<Event>,
+}
+
+/// Starts a request on the traffic runtime.
+pub fn start(
+    entry: &Arc<entry::Entry>,
+    request: request::Request,
+    guard: entry::Running,
+) -> Driven {
+    let (sender, events) = mpsc::unbounded_channel();
+    let mut driver = Driver {
+        entry: entry.clone(),
+        request,
+        events: sender,
+        accounts: Vec::new(),
+        verdict: verdict::Verdict::NotRun,
+    };
+    entry.traffic.spawn(async move {
+        let outcome = driver.run().await;
+        let _ = driver.events.send(Event::End(outcome));
+        drop(guard);
+    });
+    Driven { events }
+}
+
+/// State of a request that runs.
+#[derive(Debug)]
+struct Driver {
+    entry: Arc<entry::Entry>,
+    request: request::Request,
+    events: mpsc::UnboundedSender<Event>,
+    accounts: Vec<account::Account>,
+    /// Whether anything of the request may have executed so far.
+    verdict: verdict::Verdict,
+}
+
+impl Driver {
+    async fn run(&mut self) -> Outcome {
+        let rules = self.request.head.rules.clone();
+        let stages = &rules.bundle.pipelines[&self.request.head.pipeline].stages;
+        let mut previous: Option<Box<value::RawValue>> = None;
+        for (index, stage) in stages.iter().enumerate() {
+            let last = index + 1 == stages.len();
+            let output = self.stage(stage, previous.as_deref(), last).await;
+            previous = Some(output.map_err(|refusal| self.judge(refusal))?);
+        }
+        account::Answer::text(&self.request.head, previous, &self.accounts)
+    }
+
+    /// Widens the verdict on one stage to the whole request and says when to come again.
+    fn judge(&self, mut refusal: verdict::Refusal) -> verdict::Refusal {
+        refusal.verdict = refusal.verdict.and(self.verdict);
+        refusal.retry = refusal.retry.or(Some(RETRY));
+        refusal
+    }
+
+    /// Remembers what an attempt's end proves.
+    fn note(&mut self, verdict: verdict::Verdict) {
+        self.verdict = self.verdict.and(verdict);
+    }
+
+    /// Returns the time that is left.
+    fn remaining(&self) -> time::Duration {
+        self.request.head.remaining()
+    }
+}
+
+/// When a caller should come again if nothing better is known.
+const RETRY: laburnumcart::unit::Period = laburnumcart::unit::Period::from_secs(1);
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -1,1 +1,10 @@
 //! Entry daemon: callers' requests, pipelines and routing.
+
+pub mod answers;
+pub mod callers;
+pub mod control;
+pub mod driver;
+pub mod entry;
+pub mod links;
+pub mod request;
+pub mod settings;
--- /dev/null
+++ b/laburnumcart_entry/src/links.rs
@@ -0,0 +1,282 @@
+//! Lanes to agents: one connection at a time, watched by heartbeats and replaced when it fails.
+
+pub mod pull;
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+};
+
+use arc_swap::ArcSwap;
+use jsonrpsee::ws_client;
+use tokio::{
+    runtime,
+    sync::watch,
+    task,
+    time, //
+};
+
+use laburnumcart::{
+    facts,
+    id, //
+};
+use laburnumcart_wire::{
+    agent::{
+        self,
+        AgentClient, //
+    },
+    lane,
+};
+
+/// Periods of the lanes.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Time between two heartbeats.
+    pub beat: time::Duration,
+    /// Time after which a heartbeat counts as missed.
+    pub answer: time::Duration,
+    /// Number of missed heartbeats in a row that end a connection.
+    pub missed: u32,
+    /// Longest time to open a connection.
+    pub connect: time::Duration,
+    /// Time between two tries to open a connection.
+    pub pause: time::Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            beat: time::Duration::from_millis(500),
+            answer: time::Duration::from_millis(400),
+            missed: 2,
+            connect: time::Duration::from_millis(500),
+            pause: time::Duration::from_millis(100),
+        }
+    }
+}
+
+/// What a lane needs to open connections.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Name of this process.
+    pub instance: id::InstanceName,
+    /// Life of this process.
+    pub incarnation: id::Incarnation,
+    /// Secret that is sent to agents.
+    pub secret: String,
+    /// Periods.
+    pub timing: Timing,
+}
+
+/// Where a lane stands.
+#[derive(Clone, Debug)]
+pub enum Link {
+    /// No connection.
+    Down {
+        /// Whether the address refused the last connection, so that no process listens there.
+        gone: bool,
+    },
+    /// A connection that answers its heartbeats.
+    Up(Arc<Connection>),
+}
+
+/// One connection of a lane.
+#[derive(Debug)]
+pub struct Connection {
+    /// Place in the lane.
+    pub session: lane::Session,
+    /// Life of the agent that answered.
+    pub incarnation: id::Incarnation,
+    /// Last report of the agent.
+    pub report: ArcSwap<agent::Report>,
+    client: ws_client::WsClient,
+    closed: watch::Sender<bool>,
+}
+
+impl Connection {
+    /// Returns the client; calls must be raced against [`Connection::closed`].
+    pub fn client(&self) -> &ws_client::WsClient {
+        &self.client
+    }
+
+    /// Returns whether the connection was given up.
+    pub fn is_closed(&self) -> bool {
+        *self.closed.borrow() || !self.client.is_connected()
+    }
+
+    /// Waits until the connection is given up.
+    pub async fn closed(&self) {
+        let mut closed = self.closed.subscribe();
+        // The sender lives as long as `self`, so that the wait cannot fail.
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+}
+
+/// The way to one agent.
+#[derive(Debug)]
+pub struct Lane {
+    /// Address of the agent.
+    pub addr: net::SocketAddr,
+    /// Attempts that this process has in flight there.
+    pub running: AtomicU32,
+    link: watch::Sender<Link>,
+    task: task::AbortHandle,
+}
+
+impl Lane {
+    /// Opens a lane on a runtime and keeps it open until the value is dropped.
+    pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
+        let (link, _) = watch::channel(Link::Down { gone: false });
+        let task = runtime.spawn(keep(addr, caller, link.clone()));
+        Arc::new(Self {
+            addr,
+            running: AtomicU32::new(0),
+            link,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns the connection, if there is one.
+    pub fn connection(&self) -> Option<Arc<Connection>> {
+        match &*self.link.borrow() {
+            Link::Up(connection) if !connection.is_closed() => Some(connection.clone()),
+            _ => None,
+        }
+    }
+
+    /// Follows the state of the lane.
+    pub fn link(&self) -> watch::Receiver<Link> {
+        self.link.subscribe()
+    }
+
+    /// Counts an attempt in until the value is dropped.
+    pub fn hold(self: &Arc<Self>) -> Held {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Held(self.clone())
+    }
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// An attempt in flight on a lane.
+#[derive(Debug)]
+pub struct Held(Arc<Lane>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Keeps a lane open for good.
+async fn keep(addr: net::SocketAddr, caller: Caller, link: watch::Sender<Link>) {
+    for number in 1.. {
+        let session = lane::Session {
+            lane: caller.incarnation,
+            number,
+        };
+        match connect(addr, &caller, session).await {
+            Ok(connection) => {
+                let connection = Arc::new(connection);
+                link.send_replace(Link::Up(connection.clone()));
+                watch_over(&connection, &caller.timing).await;
+                link.send_replace(Link::Down { gone: false });
+                connection.closed.send_replace(true);
+            }
+            Err(gone) => {
+                link.send_replace(Link::Down { gone });
+                time::sleep(caller.timing.pause).await;
+            }
+        }
+    }
+}
+
+/// Opens one connection; `Err(true)` when the address refuses it.
+async fn connect(
+    addr: net::SocketAddr,
+    caller: &Caller,
+    session: lane::Session,
+) -> Result<Connection, bool> {
+    let tried = time::timeout(caller.timing.connect, tokio::net::TcpStream::connect(addr)).await;
+    let stream = match tried {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return Err(e.kind() == std::io::ErrorKind::ConnectionRefused),
+        Err(_) => return Err(false),
+    };
+    let opened = time::timeout(caller.timing.connect, greet(stream, addr, caller, session)).await;
+    opened.ok().flatten().ok_or(false)
+}
+
+async fn greet(
+    stream: tokio::net::TcpStream,
+    addr: net::SocketAddr,
+    caller: &Caller,
+    session: lane::Session,
+) -> Option<Connection> {
+    stream.set_nodelay(true).ok()?;
+    let mut headers = http::HeaderMap::new();
+    let bearer = format!("Bearer {}", caller.secret).parse().ok()?;
+    headers.insert(http::header::AUTHORIZATION, bearer);
+    let client = ws_client::WsClientBuilder::new()
+        .set_headers(headers)
+        .max_concurrent_requests(CALLS_MAX)
+        .request_timeout(CALL_LIMIT)
+        .build_with_stream(format!("ws://{addr}"), stream)
+        .await
+        .ok()?;
+    let hello = agent::Hello {
+        instance: caller.instance.clone(),
+        session,
+        facts: facts::Facts::default(),
+    };
+    let report = client.hello(hello).await.ok()?;
+    Some(Connection {
+        session,
+        incarnation: report.incarnation,
+        report: ArcSwap::from_pointee(report),
+        client,
+        closed: watch::channel(false).0,
+    })
+}
+
+/// Most calls that wait on one connection.
+const CALLS_MAX: usize = 4096;
+
+/// Longest wait for an answer; above every deadline, as silence is found by heartbeats.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(120);
+
+/// Sends heartbeats until the connection ends or misses too many of them.
+async fn watch_over(connection: &Connection, timing: &Timing) {
+    let mut missed = 0;
+    while missed < timing.missed {
+        if time::timeout(timing.beat, connection.client.on_disconnect())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        let beat = agent::Beat {
+            session: connection.session,
+            facts: None,
+        };
+        match time::timeout(timing.answer, connection.client.beat(beat)).await {
+            Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
+            Ok(Ok(report)) => {
+                connection.report.store(Arc::new(report));
+                missed = 0;
+            }
+            Ok(Err(_)) => return,
+            Err(_) => missed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -0,0 +1,222 @@
+//! An entry with a bundle and lanes to given agents, and callers of it.
+
+use std::{
+    collections,
+    net,
+    sync::Arc,
+    time, //
+};
+
+use laburnumcart::{
+    bundle,
+    id, //
+};
+use laburnumcart_entry::{
+    callers,
+    control,
+    driver,
+    entry,
+    links,
+    request, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
+
+/// Longest wait for a condition; only a fault makes a test wait so long.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Bearer token of the only team.
+pub(crate) const TOKEN: &str = "token-1";
+
+/// SHA-256 of [`TOKEN`].
+const DIGEST: &str = "3f08aace122ee2368432c1ca23a049bc640bafbf00fdf33a52429f38ba12dbf9";
+
+/// Short periods, so that a broken connection is found soon.
+pub(crate) fn timing() -> links::Timing {
+    links::Timing {
+        beat: time::Duration::from_millis(40),
+        answer: time::Duration::from_millis(200),
+        missed: 1,
+        connect: time::Duration::from_secs(2),
+        pause: time::Duration::from_millis(20),
+    }
+}
+
+/// A bundle of one pool, one engine and three pipelines.
+pub(crate) fn bundle() -> bundle::Bundle {
+    serde_json::from_value(serde_json::json!({
+        "format": 1,
+        "services": { "pool": { "kind": "pool" }, "engine": { "kind": "engine" } },
+        "pipelines": {
+            "echo": { "stages": [{ "name": "first", "service": "pool" }] },
+            "report": { "stages": [
+                { "name": "encode", "service": "pool" },
+                { "name": "generate", "service": "engine" },
+            ] },
+            "post": {
+                "stages": [{ "name": "post", "service": "pool" }],
+                "idempotent": false,
+            },
+        },
+        "teams": { "araya": {
+            "tokens": [DIGEST],
+            "weight": 1,
+            "pipelines": {
+                "echo": { "deadline": "20s" },
+                "report": { "deadline": "20s" },
+                "post": { "deadline": "20s" },
+            },
+        } },
+    }))
+    .unwrap()
+}
+
+/// An entry without its own process.
+pub(crate) struct Bench {
+    pub(crate) entry: Arc<entry::Entry>,
+}
+
+impl Bench {
+    /// Starts an entry with lanes to the agents and waits until all are open.
+    pub(crate) async fn start(agents: &[(&str, net::SocketAddr)]) -> Self {
+        let identity = entry::Identity {
+            instance: "entry-1".parse().unwrap(),
+            zone: "dc-1".parse().unwrap(),
+            peer: ([127, 0, 0, 1], 1).into(),
+            incarnation: id::Incarnation::random(),
+        };
+        let caller = links::Caller {
+            instance: identity.instance.clone(),
+            incarnation: identity.incarnation,
+            secret: "secret".to_owned(),
+            timing: timing(),
+        };
+        let traffic = tokio::runtime::Handle::current();
+        let entry = entry::Entry::new(identity, traffic.clone());
+        let mut lanes: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
+        for (service, addr) in agents {
+            let lane = links::Lane::open(&traffic, *addr, caller.clone());
+            lanes
+                .entry(service.parse().unwrap())
+                .or_default()
+                .push(lane);
+        }
+        let bench = Self { entry };
+        bench.publish(bundle(), lanes);
+        bench.connected().await;
+        bench
+    }
+
+    fn publish(
+        &self,
+        bundle: bundle::Bundle,
+        lanes: collections::BTreeMap<id::ServiceName, Vec<Arc<links::Lane>>>,
+    ) {
+        let rules = control::Rules::new(id::Generation(1), bundle);
+        self.entry.view.store(Arc::new(control::View {
+            rules: Some(Arc::new(rules)),
+            lanes,
+        }));
+    }
+
+    /// Waits until all lanes are open.
+    pub(crate) async fn connected(&self) {
+        let view = self.entry.view.load_full();
+        for lane in view.lanes.values().flatten() {
+            let mut link = lane.link();
+            let up = link.wait_for(|link| matches!(link, links::Link::Up(_)));
+            within(up).await.unwrap();
+        }
+    }
+
+    /// Starts a request of the only team.
+    pub(crate) fn run(&self, pipeline: &str, input: serde_json::Value) -> driver::Driven {
+        let asked = request::Asked {
+            pipeline: pipeline.to_owned(),
+            token: Some(TOKEN.to_owned()),
+            key: Some("key-1".to_owned()),
+            ..request::Asked::default()
+        };
+        let rules = self.entry.view.load().rules.clone().unwrap();
+        let head = request::Head::check(asked, rules, tokio::time::Instant::now()).unwrap();
+        let request = head.with_body(input.to_string().as_bytes()).unwrap();
+        driver::start(&self.entry, request, self.entry.enter().unwrap())
+    }
+
+    /// Opens the callers' port and returns its address.
+    pub(crate) fn listen(&self) -> net::SocketAddr {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(callers::serve(self.entry.clone(), listener, 1).unwrap());
+        addr
+    }
+}
+
+/// Waits for a condition that holds soon unless there is a fault.
+pub(crate) async fn within<T>(wait: impl Future<Output = T>) -> T {
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("condition within the limit")
+}
+
+/// Waits for the final answer and collects the pieces before it.
+pub(crate) async fn finish(mut driven: driver::Driven) -> (Vec<String>, driver::Outcome) {
+    let mut pieces = Vec::new();
+    loop {
+        match within(driven.events.recv()).await.expect("an end") {
+            driver::Event::Piece(text) => pieces.push(text),
+            driver::Event::End(outcome) => return (pieces, outcome),
+        }
+    }
+}
+
+/// Returns the output of a whole answer.
+pub(crate) fn output(outcome: driver::Outcome) -> serde_json::Value {
+    let answer: serde_json::Value = serde_json::from_str(&outcome.unwrap()).unwrap();
+    answer["output"].clone()
+}
+
+/// A caller's answer, as text.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+/// Makes one HTTP call with extra header lines, on a connection of its own.
+pub(crate) async fn http(
+    addr: net::SocketAddr,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Reply {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream
+        .write_all(head(line, headers, body).as_bytes())
+        .await
+        .unwrap();
+    let mut bytes = Vec::new();
+    within(stream.read_to_end(&mut bytes)).await.unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    Reply {
+        status: head[9..12].parse().unwrap(),
+        head: head.to_lowercase(),
+        body: body.to_owned(),
+    }
+}
+
+/// Writes a request that closes its connection.
+pub(crate) fn head(line: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!("{line} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    text
+}
--- /dev/null
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -0,0 +1,102 @@
+//! A TCP relay that can silence the connections that are open, one way or both ways.
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream,
+        tcp, //
+    },
+    sync::watch,
+    time,
+};
+
+/// Directions that are silenced.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Silence {
+    /// From the entry to the agent.
+    pub(crate) up: bool,
+    /// From the agent to the entry.
+    pub(crate) down: bool,
+}
+
+/// Relay before one agent.
+pub(crate) struct Relay {
+    pub(crate) addr: net::SocketAddr,
+    open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`.
+    pub(crate) async fn start(target: net::SocketAddr) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let open = Arc::new(Mutex::new(Vec::new()));
+        tokio::spawn(accept(listener, target, open.clone()));
+        Self { addr, open }
+    }
+
+    /// Silences all connections that are open now; new ones work.
+    pub(crate) fn silence(&self, silence: Silence) {
+        for connection in self.open.lock().unwrap().iter() {
+            connection.send_replace(silence);
+        }
+    }
+
+    /// Waits until `count` connections have been opened in all.
+    pub(crate) async fn reopened(&self, count: usize) {
+        while self.open.lock().unwrap().len() < count {
+            time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: net::SocketAddr,
+    open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = TcpStream::connect(target).await else {
+            continue;
+        };
+        near.set_nodelay(true).unwrap();
+        far.set_nodelay(true).unwrap();
+        let (sender, silence) = watch::channel(Silence::default());
+        open.lock().unwrap().push(sender);
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        tokio::spawn(copy(near_read, far_write, silence.clone(), |s| s.up));
+        tokio::spawn(copy(far_read, near_write, silence, |s| s.down));
+    }
+}
+
+/// Copies one direction; what comes while it is silenced waits, its end too.
+async fn copy(
+    mut from: tcp::OwnedReadHalf,
+    mut to: tcp::OwnedWriteHalf,
+    mut silence: watch::Receiver<Silence>,
+    held: impl Fn(&Silence) -> bool,
+) {
+    let mut buffer = vec![0; 64 << 10];
+    loop {
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        if silence.wait_for(|s| !held(s)).await.is_err() || read == 0 {
+            return;
+        }
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
