--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 mod events;
 pub mod problem;
+mod socket;
 
 use std::{
     io,
@@ -30,6 +31,7 @@
 };
 
 use laburnumcart::{
+    id,
     unit,
     verdict, //
 };
@@ -55,17 +57,29 @@
 /// When a caller should come again to another entry.
 const LEAVING: unit::Period = unit::Period::from_secs(1);
 
-type State = Arc<entry::Entry>;
+/// What the handlers share.
+#[derive(Clone, Debug)]
+struct State {
+    entry: Arc<entry::Entry>,
+    connections: socket::Connections,
+}
+
 type Context<'a> = WebContext<'a, State>;
 
 /// Starts the HTTP server on threads of its own; the future ends when it has stopped.
 pub fn serve(
-    entry: State,
+    entry: Arc<entry::Entry>,
     listener: net::TcpListener,
     threads: usize,
 ) -> io::Result<xitca_server::ServerFuture> {
+    let connections = socket::Connections::default();
+    let gate = socket::Gate {
+        listener,
+        connections: connections.clone(),
+        runtime: entry.traffic.clone(),
+    };
     let server = App::new()
-        .with_state(entry)
+        .with_state(State { entry, connections })
         .at("/v1/pipelines/{name}", route::post(handler_service(run)))
         .at("/healthz", route::get(handler_service(healthz)))
         .at("/readyz", route::get(handler_service(readyz)))
@@ -76,7 +90,7 @@
         .keep_alive_timeout(IDLE_LIMIT)
         .max_read_buf_size::<HEAD_MAX>()
         .max_request_headers::<HEADERS_MAX>()
-        .listen(listener)?;
+        .listen(gate)?;
     Ok(server.run())
 }
 
@@ -86,7 +100,7 @@
 
 /// Fails while the entry is leaving or has no bundle, so that the balancer takes it out.
 async fn readyz(ctx: &Context<'_>) -> WebResponse {
-    let entry = ctx.state();
+    let entry = &ctx.state().entry;
     let reason = match (entry.is_leaving(), &entry.view.load().rules) {
         (true, _) => verdict::Reason::Leaving,
         (false, None) => verdict::Reason::NoBundle,
@@ -108,8 +122,8 @@
     let id = head.id;
     match read(head, body).await {
         Ok(request) => {
-            let driven = driver::start(ctx.state(), request, guard);
-            answer(ctx.req(), id, driven).await
+            let driven = driver::start(&ctx.state().entry, request, guard);
+            answer(ctx, id, driven).await
         }
         Err(reason) => problem::response(verdict::Refusal::not_run(reason), Some(id)),
     }
@@ -117,7 +131,7 @@
 
 /// Checks all but the body.
 fn admit(ctx: &Context<'_>) -> Result<(request::Head, entry::Running), verdict::Refusal> {
-    let entry = ctx.state();
+    let entry = &ctx.state().entry;
     let leaving = verdict::Refusal::not_run(verdict::Reason::Leaving).retry_after(LEAVING);
     let guard = entry.enter().ok_or(leaving)?;
     let missing = verdict::Refusal::not_run(verdict::Reason::NoBundle).retry_after(LEAVING);
@@ -169,26 +183,29 @@
 }
 
 /// Answers as one JSON text or as an event stream, as the caller asked.
-async fn answer(
-    req: &WebRequest<()>,
-    id: laburnumcart::id::RequestId,
-    driven: driver::Driven,
-) -> WebResponse {
-    let accept = req.headers().get(header::ACCEPT);
+async fn answer(ctx: &Context<'_>, id: id::RequestId, driven: driver::Driven) -> WebResponse {
+    let accept = ctx.req().headers().get(header::ACCEPT);
     let stream = accept
         .and_then(|a| a.to_str().ok())
         .is_some_and(|a| a.contains(EVENTS));
+    let gone = ctx
+        .state()
+        .connections
+        .gone(*ctx.req().body().socket_addr());
     if stream {
-        let mut response = WebResponse::new(ResponseBody::boxed(events::Events::new(id, driven)));
-        typed(&mut response, EVENTS);
-        return response;
+        let events = events::Events::new(id, driven, gone);
+        return typed(WebResponse::new(ResponseBody::boxed(events)), EVENTS);
     }
-    match whole(driven).await {
-        Ok(body) => {
-            let mut response = WebResponse::new(ResponseBody::bytes(body));
-            typed(&mut response, "application/json");
-            response
-        }
+    let outcome = tokio::select! {
+        outcome = whole(driven) => outcome,
+        // Nobody reads this answer; dropping the events tells the driver.
+        () = gone => Err(verdict::Refusal::may_have_run(verdict::Reason::Cancelled)),
+    };
+    match outcome {
+        Ok(body) => typed(
+            WebResponse::new(ResponseBody::bytes(body)),
+            "application/json",
+        ),
         Err(refusal) => problem::response(refusal, Some(id)),
     }
 }
@@ -196,9 +213,10 @@
 /// Media type of event streams.
 const EVENTS: &str = "text/event-stream";
 
-fn typed(response: &mut WebResponse, media: &'static str) {
+fn typed(mut response: WebResponse, media: &'static str) -> WebResponse {
     let value = header::HeaderValue::from_static(media);
     response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
 }
 
 /// Waits for the final answer.
--- a/laburnumcart_entry/src/callers/events.rs
+++ b/laburnumcart_entry/src/callers/events.rs
@@ -32,18 +32,24 @@
 }
 
 /// Body of a streamed answer; ends with `event: end` or `event: error`.
-#[derive(Debug)]
 pub(super) struct Events {
     request: id::RequestId,
     driven: Option<driver::Driven>,
+    /// Ends when the caller has gone.
+    gone: pin::Pin<Box<dyn Future<Output = ()>>>,
 }
 
 impl Events {
     /// Creates the stream of a request that runs.
-    pub(super) fn new(request: id::RequestId, driven: driver::Driven) -> Self {
+    pub(super) fn new(
+        request: id::RequestId,
+        driven: driver::Driven,
+        gone: impl Future<Output = ()> + 'static,
+    ) -> Self {
         Self {
             request,
             driven: Some(driven),
+            gone: Box::pin(gone),
         }
     }
 
@@ -85,6 +91,10 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Frame<Bytes>, convert::Infallible>>> {
+        if self.gone.as_mut().poll(cx).is_ready() {
+            // Dropping the events tells the driver.
+            self.driven = None;
+        }
         let Some(driven) = self.driven.as_mut() else {
             return task::Poll::Ready(None);
         };
--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -1,6 +1,10 @@
 //! Requests of callers over HTTP.
 
 use rstest::rstest;
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream, //
+};
 
 use crate::{
     agent,
@@ -87,3 +91,93 @@
     assert_eq!(problem["verdict"], "not-run");
     assert!(agents.iter().all(|agent| agent.fake.calls().is_empty()));
 }
+
+// The caller goes away while its idempotent request runs, so that nobody waits for the answer. The
+// entry sees the closed connection although it is writing nothing, and cancels the attempt at the
+// agent; else the target would work on it until the deadline.
+#[rstest]
+#[tokio::test]
+async fn caller_gone_cancels(#[values("application/json", "text/event-stream")] accept: &str) {
+    let plan = agent::Plan {
+        gated: true,
+        ..agent::Plan::default()
+    };
+    let pool = agent::start("pool", plan).await;
+    let bench = bench::Bench::start(&[("pool", pool.addr)]).await;
+    let mut stream = TcpStream::connect(bench.listen()).await.unwrap();
+    let head = bench::head(
+        "POST /v1/pipelines/echo",
+        &[BEARER, ("accept", accept)],
+        "{}",
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    bench::within(pool.fake.called(1)).await;
+    drop(stream);
+    bench::within(pool.fake.cancelled()).await;
+    bench::within(bench.entry.drained()).await;
+}
+
+// The caller is refused as not run while the entry leaves, and told when to come again; the request
+// that was in flight before ends whole, and only then is the entry drained.
+#[tokio::test]
+async fn leaving_finishes_first() {
+    let plan = agent::Plan {
+        gated: true,
+        ..agent::Plan::default()
+    };
+    let pool = agent::start("pool", plan).await;
+    let bench = bench::Bench::start(&[("pool", pool.addr)]).await;
+    let addr = bench.listen();
+    let ready = bench::http(addr, "GET /readyz", &[], "").await;
+    assert_eq!(ready.status, 200);
+    let line = "POST /v1/pipelines/echo";
+    let running = tokio::spawn(async move { bench::http(addr, line, &[BEARER], "{}").await });
+    bench::within(pool.fake.called(1)).await;
+    bench.entry.leave();
+    assert_eq!(bench::http(addr, "GET /readyz", &[], "").await.status, 503);
+    let refused = bench::http(addr, line, &[BEARER], "{}").await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.head.contains("retry-after: 1"));
+    assert!(refused.body.contains("\"not-run\"") && refused.body.contains("\"leaving\""));
+    assert_eq!(bench.entry.running(), 1);
+    pool.fake.gate.add_permits(9);
+    assert_eq!(bench::within(running).await.unwrap().status, 200);
+    bench::within(bench.entry.drained()).await;
+}
+
+// The caller sees one answer although the first target refuses a few times: each refusal proves that
+// nothing ran, so that the request is tried again at once, however often.
+#[tokio::test]
+async fn not_run_is_retried() {
+    let plan = agent::Plan {
+        refuse: 3,
+        ..agent::Plan::default()
+    };
+    let pool = agent::start("pool", plan).await;
+    let bench = bench::Bench::start(&[("pool", pool.addr)]).await;
+    let (_, outcome) = bench::finish(bench.run("post", serde_json::json!(1))).await;
+    assert_eq!(bench::output(outcome)["post"]["input"], 1);
+    assert_eq!(pool.fake.calls().len(), 1);
+}
+
+// The caller of a non-idempotent request gets "may have run" when the target fails while executing;
+// the caller of an idempotent one gets a whole answer from the next attempt.
+#[rstest]
+#[case::once("post", 1)]
+#[case::again("echo", 2)]
+#[tokio::test]
+async fn failed_target(#[case] pipeline: &str, #[case] calls: usize) {
+    let plan = agent::Plan {
+        crash: 1,
+        ..agent::Plan::default()
+    };
+    let pool = agent::start("pool", plan).await;
+    let bench = bench::Bench::start(&[("pool", pool.addr)]).await;
+    let (_, outcome) = bench::finish(bench.run(pipeline, serde_json::json!(1))).await;
+    assert_eq!(outcome.is_ok(), calls == 2);
+    if let Err(refusal) = outcome {
+        assert_eq!(refusal.verdict, laburnumcart::verdict::Verdict::MayHaveRun);
+        assert!(refusal.retry.is_some());
+    }
+    assert_eq!(pool.fake.calls().len(), calls);
+}
