--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -3,6 +3,7 @@
 mod events;
 pub mod problem;
 mod socket;
+mod whole;
 
 use std::{
     io,
@@ -11,7 +12,10 @@
     time, //
 };
 
-use http::header;
+use http::{
+    StatusCode,
+    header, //
+};
 use xitca_web::{
     App, WebContext,
     body::{
@@ -35,6 +39,11 @@
     unit,
     verdict, //
 };
+use laburnumcart_daemon::{
+    admin,
+    metrics,
+    stop, //
+};
 
 use crate::{
     driver,
@@ -62,6 +71,7 @@
 struct State {
     entry: Arc<entry::Entry>,
     connections: socket::Connections,
+    pages: admin::Pages,
 }
 
 type Context<'a> = WebContext<'a, State>;
@@ -69,6 +79,7 @@
 /// Starts the HTTP server on threads of its own; the future ends when it has stopped.
 pub fn serve(
     entry: Arc<entry::Entry>,
+    metrics: metrics::Metrics,
     listener: net::TcpListener,
     threads: usize,
 ) -> io::Result<xitca_server::ServerFuture> {
@@ -78,11 +89,18 @@
         connections: connections.clone(),
         runtime: entry.traffic.clone(),
     };
+    let pages = pages(&entry, metrics);
+    let state = State {
+        entry,
+        connections,
+        pages,
+    };
     let server = App::new()
-        .with_state(State { entry, connections })
+        .with_state(state)
         .at("/v1/pipelines/{name}", route::post(handler_service(run)))
-        .at("/healthz", route::get(handler_service(healthz)))
-        .at("/readyz", route::get(handler_service(readyz)))
+        .at("/metrics", route::get(handler_service(page)))
+        .at("/healthz", route::get(handler_service(page)))
+        .at("/readyz", route::get(handler_service(page)))
         .serve()
         .disable_signal()
         .worker_threads(threads)
@@ -94,51 +112,76 @@
     Ok(server.run())
 }
 
-async fn healthz() -> &'static str {
-    "ok\n"
+/// Creates the operators' pages.
+///
+/// The entry is ready unless it leaves or has no bundle, so that the balancer takes it out then.
+fn pages(entry: &Arc<entry::Entry>, metrics: metrics::Metrics) -> admin::Pages {
+    let entry = entry.clone();
+    admin::Pages::new(metrics, move || {
+        if entry.is_leaving() {
+            return Err(verdict::Reason::Leaving.to_string());
+        }
+        match entry.view.load().rules {
+            Some(_) => Ok(()),
+            None => Err(verdict::Reason::NoBundle.to_string()),
+        }
+    })
 }
 
-/// Fails while the entry is leaving or has no bundle, so that the balancer takes it out.
-async fn readyz(ctx: &Context<'_>) -> WebResponse {
-    let entry = &ctx.state().entry;
-    let reason = match (entry.is_leaving(), &entry.view.load().rules) {
-        (true, _) => verdict::Reason::Leaving,
-        (false, None) => verdict::Reason::NoBundle,
-        (false, Some(_)) => return plain("ready\n"),
+/// Answers with an operators' page.
+async fn page(ctx: &Context<'_>) -> WebResponse {
+    let page = ctx.state().pages.answer(ctx.req().uri().path());
+    let Some(page) = page else {
+        return refuse(ctx, verdict::Refusal::not_run(verdict::Reason::Invalid), None, None);
     };
-    problem::response(verdict::Refusal::not_run(reason), None)
-}
-
-fn plain(text: &'static str) -> WebResponse {
-    WebResponse::new(ResponseBody::bytes(text))
+    let mut response = WebResponse::new(ResponseBody::bytes(page.body));
+    *response.status_mut() = StatusCode::from_u16(page.status).unwrap_or_default();
+    typed(response, page.content_type)
 }
 
 /// Answers a caller's request.
 async fn run(ctx: &Context<'_>, Body(body): Body<RequestBody>) -> WebResponse {
-    let (head, guard) = match admit(ctx) {
+    let (head, work) = match admit(ctx) {
         Ok(admitted) => admitted,
-        Err(refusal) => return problem::response(refusal, None),
+        Err(refusal) => return refuse(ctx, refusal, None, None),
     };
     let id = head.id;
     match read(head, body).await {
         Ok(request) => {
-            let driven = driver::start(&ctx.state().entry, request, guard);
+            let driven = driver::start(&ctx.state().entry, request, work);
             answer(ctx, id, driven).await
         }
-        Err(reason) => problem::response(verdict::Refusal::not_run(reason), Some(id)),
+        Err(reason) => refuse(ctx, verdict::Refusal::not_run(reason), Some(id), None),
     }
 }
 
+/// Counts a refusal and answers with it.
+fn refuse(
+    ctx: &Context<'_>,
+    refusal: verdict::Refusal,
+    request: Option<id::RequestId>,
+    work: Option<stop::Work>,
+) -> WebResponse {
+    ctx.state().entry.metrics.refusal(&refusal);
+    let mut response = problem::response(refusal, request, work);
+    if refusal.reason == verdict::Reason::Leaving {
+        // The next request of this caller should come over a connection to another entry.
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 /// Checks all but the body.
-fn admit(ctx: &Context<'_>) -> Result<(request::Head, entry::Running), verdict::Refusal> {
+fn admit(ctx: &Context<'_>) -> Result<(request::Head, stop::Work), verdict::Refusal> {
     let entry = &ctx.state().entry;
     let leaving = verdict::Refusal::not_run(verdict::Reason::Leaving).retry_after(LEAVING);
-    let guard = entry.enter().ok_or(leaving)?;
+    let work = entry.gate.enter().ok_or(leaving)?;
     let missing = verdict::Refusal::not_run(verdict::Reason::NoBundle).retry_after(LEAVING);
     let rules = entry.view.load().rules.clone().ok_or(missing)?;
     let now = tokio::time::Instant::now();
     let head = request::Head::check(asked(ctx.req()), rules, now);
-    Ok((head.map_err(verdict::Refusal::not_run)?, guard))
+    Ok((head.map_err(verdict::Refusal::not_run)?, work))
 }
 
 /// Picks out what matters of a request's head.
@@ -196,17 +239,20 @@
         let events = events::Events::new(id, driven, gone);
         return typed(WebResponse::new(ResponseBody::boxed(events)), EVENTS);
     }
-    let outcome = tokio::select! {
-        outcome = whole(driven) => outcome,
+    let (outcome, work) = tokio::select! {
+        ended = whole(driven) => ended,
         // Nobody reads this answer; dropping the events tells the driver.
-        () = gone => Err(verdict::Refusal::may_have_run(verdict::Reason::Cancelled)),
+        () = gone => {
+            let refusal = verdict::Refusal::may_have_run(verdict::Reason::Cancelled);
+            return refuse(ctx, refusal, Some(id), None);
+        }
     };
     match outcome {
-        Ok(body) => typed(
-            WebResponse::new(ResponseBody::bytes(body)),
-            "application/json",
-        ),
-        Err(refusal) => problem::response(refusal, Some(id)),
+        Ok(body) => {
+            let body = ResponseBody::boxed(whole::Whole::new(body, work));
+            typed(WebResponse::new(body), "application/json")
+        }
+        Err(refusal) => refuse(ctx, refusal, Some(id), work),
     }
 }
 
@@ -220,12 +266,13 @@
 }
 
 /// Waits for the final answer.
-async fn whole(mut driven: driver::Driven) -> driver::Outcome {
+async fn whole(mut driven: driver::Driven) -> (driver::Outcome, Option<stop::Work>) {
     while let Some(event) = driven.events.recv().await {
-        if let driver::Event::End(outcome) = event {
-            return outcome;
+        if let driver::Event::End(outcome, work) = event {
+            return (outcome, Some(work));
         }
     }
     // The driver's task ended without an answer, which only a fault of ours can cause.
-    Err(verdict::Refusal::may_have_run(verdict::Reason::Lost))
+    let refusal = verdict::Refusal::may_have_run(verdict::Reason::Lost);
+    (Err(refusal), None)
 }
--- a/laburnumcart_entry/src/callers/events.rs
+++ b/laburnumcart_entry/src/callers/events.rs
@@ -19,6 +19,7 @@
     id,
     verdict, //
 };
+use laburnumcart_daemon::stop;
 
 use crate::{
     callers::problem,
@@ -32,11 +33,15 @@
 }
 
 /// Body of a streamed answer; ends with `event: end` or `event: error`.
+///
+/// Its request is in flight until the last event was written, as with an answer in one piece.
 pub(super) struct Events {
     request: id::RequestId,
     driven: Option<driver::Driven>,
     /// Ends when the caller has gone.
     gone: pin::Pin<Box<dyn Future<Output = ()>>>,
+    work: Option<stop::Work>,
+    paused: bool,
 }
 
 impl Events {
@@ -50,6 +55,8 @@
             request,
             driven: Some(driven),
             gone: Box::pin(gone),
+            work: None,
+            paused: false,
         }
     }
 
@@ -60,7 +67,10 @@
                 let chunk = serde_json::to_string(&Chunk { text: &text });
                 return frame("chunk", &chunk.unwrap_or_default());
             }
-            Some(driver::Event::End(outcome)) => outcome,
+            Some(driver::Event::End(outcome, work)) => {
+                self.work = Some(work);
+                outcome
+            }
             None => Err(verdict::Refusal::may_have_run(verdict::Reason::Lost)),
         };
         self.driven = None;
@@ -96,7 +106,12 @@
             self.driven = None;
         }
         let Some(driven) = self.driven.as_mut() else {
-            return task::Poll::Ready(None);
+            if self.paused {
+                return task::Poll::Ready(None);
+            }
+            self.paused = true;
+            cx.waker().wake_by_ref();
+            return task::Poll::Pending;
         };
         let event = task::ready!(driven.events.poll_recv(cx));
         let bytes = self.write(event);
--- a/laburnumcart_entry/src/callers/problem.rs
+++ b/laburnumcart_entry/src/callers/problem.rs
@@ -14,6 +14,9 @@
     id,
     verdict, //
 };
+use laburnumcart_daemon::stop;
+
+use crate::callers::whole;
 
 /// Media type of a problem.
 const MEDIA: &str = "application/problem+json";
@@ -87,9 +90,14 @@
 }
 
 /// Builds the response for a refusal.
-pub fn response(refusal: verdict::Refusal, request: Option<id::RequestId>) -> WebResponse {
+pub(super) fn response(
+    refusal: verdict::Refusal,
+    request: Option<id::RequestId>,
+    work: Option<stop::Work>,
+) -> WebResponse {
     let problem = Problem::new(refusal, request);
-    let mut response = WebResponse::new(ResponseBody::bytes(problem.text()));
+    let body = whole::Whole::new(problem.text(), work);
+    let mut response = WebResponse::new(ResponseBody::boxed(body));
     *response.status_mut() = status(refusal.reason);
     let media = header::HeaderValue::from_static(MEDIA);
     response.headers_mut().insert(header::CONTENT_TYPE, media);
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -13,9 +13,11 @@
 };
 
 use laburnumcart::verdict;
+use laburnumcart_daemon::stop;
 
 use crate::{
     entry,
+    metrics,
     request, //
 };
 
@@ -24,8 +26,8 @@
 pub enum Event {
     /// A piece of the last stage's text.
     Piece(String),
-    /// The final answer; nothing follows.
-    End(Outcome),
+    /// The final answer; nothing follows. The request is in flight until it was written.
+    End(Outcome, stop::Work),
 }
 
 /// Final answer of a request: the JSON text of its body, or a refusal.
@@ -56,9 +58,12 @@
         verdict: verdict::Verdict::NotRun,
     };
     entry.traffic.spawn(async move {
+        driver.entry.metrics.running.inc();
         let outcome = driver.run().await;
-        let _ = driver.events.send(Event::End(outcome));
-        drop(guard);
+        driver.entry.metrics.running.dec();
+        driver.count(&outcome);
+        // Nobody listens if the caller has gone.
+        let _ = driver.events.send(Event::End(outcome, work));
     });
     Driven { events }
 }
@@ -87,6 +92,18 @@
         account::Answer::text(&self.request.head, previous, &self.accounts)
     }
 
+    fn count(&self, outcome: &Outcome) {
+        let head = &self.request.head;
+        let ended = match outcome {
+            Ok(_) if head.remaining().is_zero() => metrics::Ended::Late,
+            Ok(_) => metrics::Ended::Whole,
+            Err(refusal) => refusal.verdict.into(),
+        };
+        let took = head.arrived.elapsed();
+        let metrics = &self.entry.metrics;
+        metrics.request(&head.team, &head.pipeline, ended, took);
+    }
+
     /// Widens the verdict on one stage to the whole request and says when to come again.
     fn judge(&self, mut refusal: verdict::Refusal) -> verdict::Refusal {
         refusal.verdict = refusal.verdict.and(self.verdict);
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -23,6 +23,7 @@
         pick, //
     },
     links::pull,
+    metrics, //
 };
 
 /// Most attempts of one stage that end as "may have run".
@@ -75,7 +76,9 @@
     ) -> Result<Box<value::RawValue>, verdict::Refusal> {
         let mut tries = self.tries(stage, previous, last)?;
         loop {
-            let refusal = match self.attempt(&mut tries).await {
+            let ended = self.attempt(&mut tries).await;
+            self.measure(stage, &ended);
+            let refusal = match ended {
                 Ended::Whole(whole, target) => {
                     self.note(verdict::Verdict::MayHaveRun);
                     return self.finish(tries, whole, target);
@@ -90,6 +93,19 @@
         }
     }
 
+    fn measure(&self, stage: &bundle::Stage, ended: &Ended) {
+        let metrics = &self.entry.metrics;
+        match ended {
+            Ended::Whole(whole, _) => {
+                metrics.attempt(&stage.service, metrics::Ended::Whole);
+                metrics.cost(&stage.service, &whole.end);
+            }
+            Ended::Refused(refusal) => {
+                metrics.attempt(&stage.service, refusal.verdict.into());
+            }
+        }
+    }
+
     fn tries<'a>(
         &self,
         stage: &'a bundle::Stage,
--- a/laburnumcart_entry/src/entry.rs
+++ b/laburnumcart_entry/src/entry.rs
@@ -2,27 +2,22 @@
 
 use std::{
     net,
-    sync::{
-        Arc,
-        atomic::{
-            AtomicBool,
-            AtomicU32,
-            Ordering, //
-        },
-    },
+    sync::Arc, //
 };
 
 use arc_swap::ArcSwap;
 use tokio::{
     runtime,
-    sync, //
+    sync::watch, //
 };
 
 use laburnumcart::id;
+use laburnumcart_daemon::stop;
 
 use crate::{
     answers,
-    control, //
+    control,
+    metrics, //
 };
 
 /// Who this process is.
@@ -47,73 +42,43 @@
     pub view: ArcSwap<control::View>,
     /// Final answers of claimed requests.
     pub answers: answers::Answers,
+    /// Counters.
+    pub metrics: metrics::Metrics,
+    /// Where requests enter.
+    pub gate: stop::Gate,
     /// Runtime of the drivers and lanes.
     pub traffic: runtime::Handle,
-    leaving: AtomicBool,
-    running: AtomicU32,
-    idle: sync::Notify,
+    leave: watch::Sender<bool>,
 }
 
 impl Entry {
     /// Creates the state of an entry that has no bundle yet.
-    pub fn new(identity: Identity, traffic: runtime::Handle) -> Arc<Self> {
+    pub fn new(identity: Identity, gate: stop::Gate, traffic: runtime::Handle) -> Arc<Self> {
         Arc::new(Self {
             identity,
             view: ArcSwap::default(),
             answers: answers::Answers::default(),
+            metrics: metrics::Metrics::default(),
+            gate,
             traffic,
-            leaving: AtomicBool::new(false),
-            running: AtomicU32::new(0),
-            idle: sync::Notify::new(),
+            leave: watch::channel(false).0,
         })
     }
 
-    /// Returns whether new requests are refused.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
-    }
-
-    /// Returns the number of requests in flight.
-    pub fn running(&self) -> u32 {
-        self.running.load(Ordering::SeqCst)
-    }
-
-    /// Refuses new requests from now on.
+    /// Asks for a graceful shutdown.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
-        self.idle.notify_waiters();
+        self.leave.send_replace(true);
     }
 
-    /// Counts a request in; `None` when the entry is leaving.
-    pub fn enter(self: &Arc<Self>) -> Option<Running> {
-        // Counted before the flag is read: a stop that finds no request in flight has then set the
-        // flag already, so that a request which comes in between is refused and none is cut off.
-        self.running.fetch_add(1, Ordering::SeqCst);
-        let guard = Running(self.clone());
-        (!self.is_leaving()).then_some(guard)
+    /// Waits until a graceful shutdown was asked for.
+    pub async fn left(&self) {
+        let mut leave = self.leave.subscribe();
+        // The sender lives as long as `self`, so that the wait cannot fail.
+        let _ = leave.wait_for(|leave| *leave).await;
     }
 
-    /// Waits until no request is in flight.
-    pub async fn drained(&self) {
-        loop {
-            let mut idle = std::pin::pin!(self.idle.notified());
-            idle.as_mut().enable();
-            if self.running() == 0 {
-                return;
-            }
-            idle.await;
-        }
-    }
-}
-
-/// A request in flight; counted out when dropped.
-#[derive(Debug)]
-pub struct Running(Arc<Entry>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        if self.0.running.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.0.idle.notify_waiters();
-        }
+    /// Reports whether new requests are refused, now or at once.
+    pub fn is_leaving(&self) -> bool {
+        *self.leave.borrow() || self.gate.is_closed()
     }
 }
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -6,5 +6,8 @@
 pub mod driver;
 pub mod entry;
 pub mod links;
+pub mod metrics;
+pub mod peers;
 pub mod request;
+pub mod run;
 pub mod settings;
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -14,7 +14,6 @@
 };
 
 use arc_swap::ArcSwap;
-use jsonrpsee::ws_client;
 use tokio::{
     runtime,
     sync::watch,
@@ -24,7 +23,8 @@
 
 use laburnumcart::{
     facts,
-    id, //
+    id,
+    unit, //
 };
 use laburnumcart_wire::{
     agent::{
@@ -32,6 +32,8 @@
         AgentClient, //
     },
     lane,
+    peer,
+    secret, //
 };
 
 /// Periods of the lanes.
@@ -69,7 +71,7 @@
     /// Life of this process.
     pub incarnation: id::Incarnation,
     /// Secret that is sent to agents.
-    pub secret: String,
+    pub secret: secret::Secret,
     /// Periods.
     pub timing: Timing,
 }
@@ -95,13 +97,13 @@
     pub incarnation: id::Incarnation,
     /// Last report of the agent.
     pub report: ArcSwap<agent::Report>,
-    client: ws_client::WsClient,
+    client: peer::Client,
     closed: watch::Sender<bool>,
 }
 
 impl Connection {
     /// Returns the client; calls must be raced against [`Connection::closed`].
-    pub fn client(&self) -> &ws_client::WsClient {
+    pub fn client(&self) -> &peer::Client {
         &self.client
     }
 
@@ -207,39 +209,34 @@
     caller: &Caller,
     session: lane::Session,
 ) -> Result<Connection, bool> {
-    let tried = time::timeout(caller.timing.connect, tokio::net::TcpStream::connect(addr)).await;
-    let stream = match tried {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(e.kind() == std::io::ErrorKind::ConnectionRefused),
-        Err(_) => return Err(false),
-    };
-    let opened = time::timeout(caller.timing.connect, greet(stream, addr, caller, session)).await;
-    opened.ok().flatten().ok_or(false)
+    let limits = peer::Limits::default()
+        .connect(unit::Period(caller.timing.connect))
+        .request(CALL_LIMIT)
+        .concurrent(CALLS_MAX);
+    match peer::connect(addr, &caller.secret, &limits).await {
+        Ok(client) => greet(client, caller, session).await.ok_or(false),
+        Err(peer::ConnectError::Failed(_)) => Err(refuses(addr, caller.timing.connect).await),
+        Err(_) => Err(false),
+    }
 }
 
-async fn greet(
-    stream: tokio::net::TcpStream,
-    addr: net::SocketAddr,
-    caller: &Caller,
-    session: lane::Session,
-) -> Option<Connection> {
-    stream.set_nodelay(true).ok()?;
-    let mut headers = http::HeaderMap::new();
-    let bearer = format!("Bearer {}", caller.secret).parse().ok()?;
-    headers.insert(http::header::AUTHORIZATION, bearer);
-    let client = ws_client::WsClientBuilder::new()
-        .set_headers(headers)
-        .max_concurrent_requests(CALLS_MAX)
-        .request_timeout(CALL_LIMIT)
-        .build_with_stream(format!("ws://{addr}"), stream)
-        .await
-        .ok()?;
+/// Returns whether no process listens at the address.
+async fn refuses(addr: net::SocketAddr, limit: time::Duration) -> bool {
+    match time::timeout(limit, tokio::net::TcpStream::connect(addr)).await {
+        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+/// Opens the session; nothing else goes over the connection before this was answered.
+async fn greet(client: peer::Client, caller: &Caller, session: lane::Session) -> Option<Connection> {
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
         facts: facts::Facts::default(),
     };
-    let report = client.hello(hello).await.ok()?;
+    let answer = time::timeout(caller.timing.connect, client.hello(hello)).await;
+    let report = answer.ok()?.ok()?;
     Some(Connection {
         session,
         incarnation: report.incarnation,
@@ -250,10 +247,10 @@
 }
 
 /// Most calls that wait on one connection.
-const CALLS_MAX: usize = 4096;
+const CALLS_MAX: u32 = 4096;
 
 /// Longest wait for an answer; above every deadline, as silence is found by heartbeats.
-const CALL_LIMIT: time::Duration = time::Duration::from_secs(120);
+const CALL_LIMIT: unit::Period = unit::Period::from_secs(600);
 
 /// Sends heartbeats until the connection ends or misses too many of them.
 async fn watch_over(connection: &Connection, timing: &Timing) {
--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -5,12 +5,14 @@
 //! attempt that the agent does not know then can never start.
 
 use std::{
-    future,
     net,
     sync::Arc, //
 };
 
-use jsonrpsee::core::client;
+use jsonrpsee::{
+    core::client,
+    types, //
+};
 
 use laburnumcart::{
     attempt,
@@ -80,6 +82,7 @@
         }
         Ok(Pull {
             _held: self.lane.hold(),
+            session: self.connection.session.number,
             lane: self.lane,
             connection: self.connection,
             request: call.request,
@@ -97,6 +100,8 @@
     connection: Arc<links::Connection>,
     request: id::RequestId,
     sent: attempt::Sent,
+    /// Number of the session that carries the attempt.
+    session: u64,
     joiner: stage::Joiner,
     call: Option<Box<stage::Call>>,
     _held: links::Held,
@@ -126,10 +131,12 @@
 
 /// Why a call got no answer that can be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Doubt {
+enum Failure {
     /// The connection ended before the answer came.
     Broken,
-    /// The agent answered with an error of the protocol.
+    /// The call is too large and was not sent.
+    Oversized,
+    /// The agent answered with an error of the protocol, which proves nothing.
     Rejected,
 }
 
@@ -156,14 +163,22 @@
 /// Makes a call that ends with its connection at the latest.
 async fn ask<T>(
     connection: &links::Connection,
-    call: impl future::Future<Output = Result<T, client::Error>>,
-) -> Result<T, Doubt> {
+    call: impl Future<Output = Result<T, client::Error>>,
+) -> Result<T, Failure> {
     tokio::select! {
-        answer = call => answer.map_err(|e| match e {
-            client::Error::Call(_) | client::Error::ParseError(_) => Doubt::Rejected,
-            _ => Doubt::Broken,
-        }),
-        () = connection.closed() => Err(Doubt::Broken),
+        answer = call => answer.map_err(|error| sort(connection, &error)),
+        () = connection.closed() => Err(Failure::Broken),
+    }
+}
+
+fn sort(connection: &links::Connection, error: &client::Error) -> Failure {
+    let oversized = types::ErrorCode::OversizedRequest.code();
+    match error {
+        client::Error::Call(object) if object.code() == oversized => Failure::Oversized,
+        // An agent refuses calls of a session that a newer one has fenced.
+        client::Error::Call(_) if connection.is_closed() => Failure::Broken,
+        client::Error::Call(_) | client::Error::ParseError(_) => Failure::Rejected,
+        _ => Failure::Broken,
     }
 }
 
@@ -183,16 +198,18 @@
 
     /// Sends the call or asks for more; resolves doubt if the connection breaks meanwhile.
     pub async fn step(mut self) -> Step {
-        let answer = match self.call.take() {
-            Some(call) => {
-                let client = self.connection.client();
-                ask(&self.connection, client.start(*call)).await
-            }
-            None => self.next().await,
+        let (answer, first) = match self.call.take() {
+            Some(call) => (self.start(*call).await, true),
+            None => (self.next().await, false),
         };
         let progress = match answer {
             Ok(progress) => Ok(progress),
-            Err(doubt) => self.resolve(doubt).await,
+            Err(Failure::Broken) => self.resolve().await,
+            Err(Failure::Oversized) if first => {
+                let refusal = verdict::Refusal::not_run(verdict::Reason::TooLarge);
+                return Step::Refused(self.sent.refused(refusal));
+            }
+            Err(Failure::Oversized | Failure::Rejected) => Err(verdict::Reason::Corrupt),
         };
         match progress {
             Ok(progress) => self.take(progress),
@@ -200,7 +217,11 @@
         }
     }
 
-    async fn next(&self) -> Result<stage::Progress, Doubt> {
+    async fn start(&self, call: stage::Call) -> Result<stage::Progress, Failure> {
+        ask(&self.connection, self.connection.client().start(call)).await
+    }
+
+    async fn next(&self) -> Result<stage::Progress, Failure> {
         let next = stage::Next {
             attempt: self.sent.id,
             from: self.joiner.next(),
@@ -209,20 +230,14 @@
         ask(&self.connection, self.connection.client().next(next)).await
     }
 
-    /// Asks over a newer connection what became of the attempt.
-    async fn resolve(&mut self, doubt: Doubt) -> Result<stage::Progress, verdict::Reason> {
-        // After an error of the protocol the connection still works, and nothing of the call is
-        // under way on it any more: the question can go over the same connection.
-        let mut least = match doubt {
-            Doubt::Broken => self.connection.session.number + 1,
-            Doubt::Rejected => self.connection.session.number,
-        };
+    /// Asks over newer connections, until one answers, what became of the attempt.
+    async fn resolve(&mut self) -> Result<stage::Progress, verdict::Reason> {
         loop {
-            self.connection = self.renew(least).await?;
+            self.connection = self.renew(self.connection.session.number + 1).await?;
             match self.query().await {
                 Ok(progress) => return Ok(progress),
-                Err(Doubt::Rejected) => return Err(verdict::Reason::Corrupt),
-                Err(Doubt::Broken) => least = self.connection.session.number + 1,
+                Err(Failure::Broken) => {}
+                Err(_) => return Err(verdict::Reason::Corrupt),
             }
         }
     }
@@ -250,9 +265,11 @@
         }
     }
 
-    async fn query(&self) -> Result<stage::Progress, Doubt> {
+    async fn query(&self) -> Result<stage::Progress, Failure> {
         let query = stage::Query {
             session: self.connection.session,
+            incarnation: self.sent.incarnation,
+            sent: self.session,
             attempt: self.sent.id,
             from: self.joiner.next(),
         };
@@ -261,7 +278,7 @@
         // A question that comes late, over a connection that was replaced meanwhile, is itself
         // refused as fenced. Taken for the attempt's own state this would be a false "not run".
         if is_fenced(&progress) && self.connection.is_closed() {
-            return Err(Doubt::Broken);
+            return Err(Failure::Broken);
         }
         Ok(progress)
     }
--- /dev/null
+++ b/laburnumcart_entry/src/peers.rs
@@ -0,0 +1,94 @@
+//! What the entry offers to other processes of the system.
+
+use std::sync::Arc;
+
+use jsonrpsee::core::{
+    RpcResult,
+    async_trait, //
+};
+
+use laburnumcart::{
+    facts,
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_wire::{
+    agent,
+    entry::{
+        self,
+        EntryServer, //
+    },
+};
+
+use crate::entry as shared;
+
+/// Longest wait for a kept answer in one call.
+const WAIT_MAX: unit::Period = unit::Period::from_secs(10);
+
+/// Server of the peer port.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    entry: Arc<shared::Entry>,
+}
+
+impl Peers {
+    /// Creates the server.
+    pub fn new(entry: Arc<shared::Entry>) -> Self {
+        Self { entry }
+    }
+
+    fn state(&self) -> entry::Status {
+        let view = self.entry.view.load();
+        let lanes = view.lanes.values().flatten();
+        let open = lanes.filter(|lane| lane.connection().is_some()).count();
+        let rules = view.rules.as_ref();
+        let generation = rules.map(|rules| rules.generation).unwrap_or_default();
+        entry::Status {
+            instance: self.entry.identity.instance.clone(),
+            zone: self.entry.identity.zone.clone(),
+            incarnation: self.entry.identity.incarnation,
+            generation,
+            leaving: self.entry.is_leaving(),
+            running: self.entry.gate.count().try_into().unwrap_or(u32::MAX),
+            agents: open.try_into().unwrap_or(u32::MAX),
+            facts: facts::Facts {
+                generation,
+                ..facts::Facts::default()
+            },
+        }
+    }
+}
+
+#[async_trait]
+impl EntryServer for Peers {
+    async fn status(&self) -> RpcResult<entry::Status> {
+        Ok(self.state())
+    }
+
+    async fn drain(&self) -> RpcResult<entry::Status> {
+        self.entry.leave();
+        Ok(self.state())
+    }
+
+    async fn claim(&self, _: entry::Claim) -> RpcResult<entry::Decision> {
+        let refusal = verdict::Refusal::not_run(verdict::Reason::ClaimUnavailable);
+        Ok(entry::Decision::Refused(refusal))
+    }
+
+    async fn release(&self, _: entry::Release) -> RpcResult<bool> {
+        Ok(false)
+    }
+
+    async fn fetch(&self, fetch: entry::Fetch) -> RpcResult<entry::Answer> {
+        if fetch.incarnation != self.entry.identity.incarnation {
+            return Ok(entry::Answer::Unknown);
+        }
+        let wait = fetch.wait.min(WAIT_MAX);
+        Ok(self.entry.answers.fetch(fetch.request, wait.0).await)
+    }
+
+    async fn bundle(&self, _: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(None)
+    }
+}
--- a/laburnumcart_entry/src/request.rs
+++ b/laburnumcart_entry/src/request.rs
@@ -47,6 +47,8 @@
     pub pipeline: id::PipelineName,
     /// Priority under contention.
     pub priority: bundle::Priority,
+    /// Moment of arrival.
+    pub arrived: time::Instant,
     /// Moment at which the whole answer is due.
     pub deadline: time::Instant,
     /// Whether the whole request may execute more than once.
@@ -109,6 +111,7 @@
             team,
             pipeline: name,
             priority: promise.priority,
+            arrived: now,
             deadline: now + period.0,
             idempotent,
             once,
--- /dev/null
+++ b/laburnumcart_entry/src/run.rs
@@ -0,0 +1,123 @@
+//! From settings to a running entry, and its stop.
+
+use std::{
+    io,
+    net,
+    process,
+    sync::Arc,
+    thread, //
+};
+
+use tokio::runtime;
+
+use laburnumcart::id;
+use laburnumcart_daemon::{
+    metrics,
+    process as usage,
+    stop,
+    traces, //
+};
+use laburnumcart_wire::{
+    entry::EntryServer,
+    peer, //
+};
+
+use crate::{
+    callers,
+    control,
+    entry,
+    peers,
+    settings, //
+};
+
+/// Longest wait for the last bytes of answers after the requests have ended.
+const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Runs an entry until it is told to stop.
+pub fn run(settings: settings::Settings) -> process::ExitCode {
+    match serve(settings) {
+        Ok(code) => code,
+        Err(error) => {
+            log::error!("event=start_failed error={error:?}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns the number of threads for traffic on this machine.
+fn threads() -> usize {
+    let cores = thread::available_parallelism().map_or(2, usize::from);
+    (cores / 2).clamp(1, 4)
+}
+
+fn serve(settings: settings::Settings) -> io::Result<process::ExitCode> {
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(threads())
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let callers = net::TcpListener::bind(settings.callers)?;
+    let peer = net::TcpListener::bind(settings.peer)?;
+    let running = stop::Running::new();
+    let identity = entry::Identity {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        peer: settings.peer,
+        incarnation: id::Incarnation::random(),
+    };
+    let entry = entry::Entry::new(identity, running.gate(), traffic.handle().clone());
+    let code = traffic.block_on(main(settings, entry, running, callers, peer))?;
+    traffic.shutdown_background();
+    Ok(code)
+}
+
+async fn main(
+    settings: settings::Settings,
+    entry: Arc<entry::Entry>,
+    running: stop::Running,
+    callers: net::TcpListener,
+    peer: net::TcpListener,
+) -> io::Result<process::ExitCode> {
+    let mut signals = stop::Signals::listen()?;
+    let _traces = trace(&settings)?;
+    let metrics = metrics::Metrics::new();
+    usage::register(&metrics);
+    entry.metrics.register(&metrics);
+    control::start(&settings, entry.clone())?;
+    let methods = peers::Peers::new(entry.clone()).into_rpc();
+    let peers = peer::serve(peer, &settings.fleet.secrets, methods, &peer::Limits::default())?;
+    let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
+    let handle = server.handle()?;
+    let server = tokio::spawn(server);
+    let identity = &entry.identity;
+    log::info!(
+        "event=started instance={} incarnation={} callers={} peer={}",
+        identity.instance,
+        identity.incarnation,
+        settings.callers,
+        settings.peer
+    );
+    tokio::select! {
+        signal = signals.next() => log::info!("event=leaving cause={signal}"),
+        () = entry.left() => log::info!("event=leaving cause=drain"),
+    }
+    entry.leave();
+    let stopped = running.drain().wait(settings.stop_limit).await;
+    log::info!("event=stopped left={}", stopped.left);
+    handle.stop(true);
+    // Idle connections are kept open by their callers; they are not waited for.
+    let _ = tokio::time::timeout(FLUSH, server).await;
+    peers.stop();
+    Ok(match stopped.left {
+        0 => process::ExitCode::SUCCESS,
+        _ => process::ExitCode::FAILURE,
+    })
+}
+
+fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
+    let Some(collector) = settings.telemetry.traces else {
+        return Ok(None);
+    };
+    let started = traces::start("laburnum-entry", &settings.instance, collector);
+    started.map(Some).map_err(io::Error::other)
+}
--- a/laburnumcart_entry/src/settings.rs
+++ b/laburnumcart_entry/src/settings.rs
@@ -1,9 +1,6 @@
 //! Settings of the entry daemon.
 
-use std::{
-    collections,
-    net, //
-};
+use std::net;
 
 use serde::Deserialize;
 
@@ -11,26 +8,29 @@
     id,
     unit, //
 };
+use laburnumcart_daemon::settings;
 
 /// Settings of one entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this process.
     pub instance: id::InstanceName,
-    /// Data centre.
+    /// Its data centre.
     pub zone: id::DataCentre,
     /// Address for callers.
+    #[schemars(with = "String")]
     pub callers: net::SocketAddr,
     /// Address for other processes of the system.
+    #[schemars(with = "String")]
     pub peer: net::SocketAddr,
-    /// What all processes share.
-    pub fleet: Fleet,
+    /// What all processes have in common.
+    pub fleet: settings::Fleet,
     /// The object service.
-    pub platform: Platform,
+    pub platform: settings::Platform,
     /// Logs and traces.
     #[serde(default)]
-    pub telemetry: serde_json::Value,
+    pub telemetry: settings::Telemetry,
     /// Longest time that a stop waits for requests in flight.
     #[serde(default = "default_stop")]
     pub stop_limit: unit::Period,
@@ -40,27 +40,16 @@
     unit::Period::from_secs(30)
 }
 
-/// What all processes share.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Fleet {
-    /// Secrets of the connections between processes; the first is sent, all are accepted.
-    pub secrets: Vec<String>,
-    /// Keys that sign bundles.
-    #[serde(default)]
-    pub keys: collections::BTreeMap<id::KeyName, String>,
-    /// Number of signatures that a bundle needs.
-    #[serde(default)]
-    pub signers: u32,
-    /// Processes that are asked for the bundle while the object service is down.
-    #[serde(default)]
-    pub peers: Vec<net::SocketAddr>,
-}
+impl settings::Settings for Settings {
+    fn telemetry(&self) -> &settings::Telemetry {
+        &self.telemetry
+    }
 
-/// The object service.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Platform {
-    /// Its address.
-    pub address: net::SocketAddr,
+    fn check(&self) -> Vec<settings::Fault> {
+        let mut faults = self.fleet.check("$.fleet");
+        if self.callers == self.peer {
+            faults.push(settings::Fault::new("$.peer", "is the callers' address"));
+        }
+        faults
+    }
 }
