--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod bundle;
+pub mod claim;
 pub mod document;
 pub mod facts;
 pub mod fair;
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod answers;
 pub mod callers;
+pub mod claims;
 pub mod control;
 pub mod driver;
 pub mod entry;
