--- a/laburnumcart/src/head/publish.rs
+++ b/laburnumcart/src/head/publish.rs
@@ -114,6 +114,7 @@
     change: Change,
     nonce: id::Nonce,
     base: Option<id::Generation>,
+    doubt: bool,
     phase: Phase<V>,
 }
 
@@ -128,6 +129,7 @@
             change,
             nonce,
             base: None,
+            doubt: false,
             phase,
         }
     }
@@ -152,9 +154,11 @@
         }
     }
 
-    /// Returns whether a write may have taken effect without that being known.
+    /// Returns whether a write may have taken effect, or may do so yet, without that being known.
+    ///
+    /// Finding the head unchanged does not end it, as the write may still be under way.
     pub fn in_doubt(&self) -> bool {
-        matches!(self.phase, Phase::Settling { .. })
+        self.doubt && !matches!(self.phase, Phase::Done(_))
     }
 
     fn create(&self) -> Step<V> {
@@ -188,6 +192,7 @@
     /// A conflict is settled by reading as well: it may be the own write, repeated after its answer
     /// was lost, that the service now finds in its way.
     pub fn wrote(&mut self, outcome: Wrote) {
+        self.doubt |= outcome == Wrote::Unknown;
         self.phase = match std::mem::replace(&mut self.phase, Phase::Reading) {
             Phase::Writing { head, .. } if outcome == Wrote::Applied => Phase::Done(Ok(head)),
             Phase::Writing { expect, head } => Phase::Settling { expect, head },
--- /dev/null
+++ b/laburnumcart/tests/head.rs
@@ -0,0 +1,194 @@
+//! The head: one winner for each generation, and a view that only goes up.
+
+use laburnumcart::{
+    head,
+    id,
+    seal, //
+};
+
+type Publish = head::Publish<u64>;
+
+fn digest(text: &str) -> seal::Digest {
+    seal::Digest::of(text.as_bytes())
+}
+
+fn accept(text: &str, nonce: u128) -> Publish {
+    let mut publish = Publish::new(head::Change::Accept(text.into()), id::Nonce(nonce));
+    publish.created();
+    publish
+}
+
+/// Builds a head by accepting texts one after the other, with their positions as nonces.
+fn head_of(texts: &[&str]) -> head::Head {
+    let mut head = None;
+    for (number, text) in texts.iter().enumerate() {
+        let nonce = id::Nonce(number as u128);
+        head = Some(head::Head::after(head.as_ref(), digest(text), nonce));
+    }
+    head.expect("at least one text")
+}
+
+fn written(publish: &Publish) -> head::Head {
+    match publish.step() {
+        head::Step::Write { value, .. } => head::Head::parse(&value).expect("a head"),
+        step => panic!("expected a write, not {step:?}"),
+    }
+}
+
+#[test]
+fn the_object_exists_before_the_head_names_it() {
+    let mut publish = Publish::new(head::Change::Accept("a".into()), id::Nonce(7));
+    assert!(matches!(publish.step(), head::Step::Create { .. }));
+    // Nothing but the object's creation leads on.
+    publish.read(None);
+    publish.wrote(head::Wrote::Applied);
+    assert!(matches!(publish.step(), head::Step::Create { .. }));
+    publish.created();
+    assert_eq!(publish.step(), head::Step::Read);
+    publish.read(None);
+    let head = written(&publish);
+    assert_eq!(head.accepted.generation, id::Generation(1));
+    publish.wrote(head::Wrote::Applied);
+    assert_eq!(publish.step(), head::Step::Done(Ok(head)));
+}
+
+/// The answer to the write is lost. The operator reads the head and finds its own nonce there, or one
+/// generation further down as another operator has moved on: it has won in either case.
+#[test]
+fn a_lost_answer_is_settled_by_the_nonce() {
+    for others in 0..3_u128 {
+        let base = head_of(&["a"]);
+        let mut publish = accept("b", 100);
+        publish.read(Some((1, base)));
+        let own = written(&publish);
+        publish.wrote(head::Wrote::Unknown);
+        assert!(publish.in_doubt());
+        let mut now = own.clone();
+        for other in 0..others {
+            now = head::Head::after(Some(&now), digest("c"), id::Nonce(200 + other));
+        }
+        publish.read(Some((5, now)));
+        assert_eq!(publish.step(), head::Step::Done(Ok(own)));
+    }
+}
+
+/// The call was lost before it took effect: the head is unchanged, and the same write is repeated.
+/// If the first one arrives after all, the repeated one meets a conflict that is no loss.
+#[test]
+fn a_lost_call_is_repeated_with_the_same_expectation() {
+    let base = head_of(&["a"]);
+    let mut publish = accept("b", 100);
+    publish.read(Some((1, base.clone())));
+    let first = publish.step();
+    publish.wrote(head::Wrote::Unknown);
+    publish.read(Some((1, base)));
+    assert_eq!(publish.step(), first);
+    assert!(publish.in_doubt(), "the first write may still arrive");
+    let own = written(&publish);
+    publish.wrote(head::Wrote::Conflict);
+    publish.read(Some((2, own.clone())));
+    assert_eq!(publish.step(), head::Step::Done(Ok(own)));
+    assert!(!publish.in_doubt());
+}
+
+/// Both operators have read the same head. The second to write is told, with what the first one
+/// accepted under the generation that both wanted.
+#[test]
+fn the_loser_of_a_race_is_told_the_winner() {
+    let base = head_of(&["a"]);
+    let mut loser = accept("b", 100);
+    loser.read(Some((1, base.clone())));
+    let winner = head::Head::after(Some(&base), digest("c"), id::Nonce(200));
+    let later = head::Head::after(Some(&winner), digest("d"), id::Nonce(300));
+    loser.wrote(head::Wrote::Conflict);
+    loser.read(Some((3, later)));
+    let winner = winner.accepted;
+    let lost = head::Lost::Conflict { winner };
+    assert_eq!(loser.step(), head::Step::Done(Err(lost)));
+}
+
+/// The answer is lost, and a stale read shows a head from before the one that was read. It proves
+/// nothing, so the operator reads again.
+#[test]
+fn a_stale_read_settles_nothing() {
+    let old = head_of(&["a"]);
+    let base = head::Head::after(Some(&old), digest("b"), id::Nonce(1));
+    let mut publish = accept("c", 100);
+    publish.read(Some((2, base)));
+    publish.wrote(head::Wrote::Unknown);
+    publish.read(Some((1, old)));
+    assert_eq!(publish.step(), head::Step::Read);
+    assert!(publish.in_doubt());
+}
+
+#[test]
+fn too_many_later_generations_leave_it_open() {
+    let mut publish = accept("b", 100);
+    publish.read(Some((1, head_of(&["a"]))));
+    publish.wrote(head::Wrote::Unknown);
+    let now = head_of(&["x"; 2 * head::EARLIER_MAX]);
+    let lost = head::Lost::Forgotten {
+        now: now.accepted.generation,
+    };
+    publish.read(Some((9, now)));
+    assert_eq!(publish.step(), head::Step::Done(Err(lost)));
+}
+
+#[test]
+fn rolling_back_is_a_new_generation_with_an_older_digest() {
+    let change = head::Change::Restore(id::Generation(1));
+    let mut publish = Publish::new(change, id::Nonce(100));
+    publish.read(Some((1, head_of(&["a", "b", "c"]))));
+    let head = written(&publish);
+    assert_eq!(head.accepted.generation, id::Generation(4));
+    assert_eq!(head.accepted.digest, digest("a"));
+}
+
+#[test]
+fn only_a_listed_generation_can_be_restored() {
+    let wanted = id::Generation(9);
+    let mut publish = Publish::new(head::Change::Restore(wanted), id::Nonce(100));
+    publish.read(Some((1, head_of(&["a"]))));
+    let lost = head::Lost::NoSuchGeneration { wanted };
+    assert_eq!(publish.step(), head::Step::Done(Err(lost)));
+}
+
+#[test]
+fn an_expected_generation_is_kept_to() {
+    let mut publish = accept("b", 100).on(id::Generation(4));
+    publish.read(Some((1, head_of(&["a"]))));
+    let lost = head::Lost::Moved {
+        expected: id::Generation(4),
+        found: id::Generation(1),
+    };
+    assert_eq!(publish.step(), head::Step::Done(Err(lost)));
+}
+
+#[test]
+fn a_view_only_goes_up() {
+    let heads = head_of(&["a", "b", "c"]);
+    let mut seen: Vec<_> = heads.history().copied().collect();
+    seen.reverse();
+    let mut view = head::View::default();
+    assert!(view.advance(seen[1]));
+    assert!(!view.advance(seen[0]), "a stale read");
+    assert!(!view.advance(seen[1]), "a replay");
+    assert!(view.advance(seen[2]));
+    assert_eq!(view.generation(), id::Generation(3));
+}
+
+#[test]
+fn the_stored_form_is_read_back_and_bounded() {
+    let head = head_of(&["x"; 2 * head::EARLIER_MAX]);
+    assert_eq!(head.earlier.len(), head::EARLIER_MAX);
+    assert_eq!(head::Head::parse(&head.to_text()), Ok(head));
+    assert_eq!(head::Head::parse("{}"), Err(head::Malformed));
+    // The form without earlier generations, as others may write it.
+    let text = format!(
+        r#"{{"generation":1,"digest":"{}","nonce":"{:032x}"}}"#,
+        digest("a"),
+        5
+    );
+    let head = head::Head::parse(&text).expect("a head");
+    assert_eq!(head.accepted.generation, id::Generation(1));
+}
--- a/laburnumcart_ctl/src/error.rs
+++ b/laburnumcart_ctl/src/error.rs
@@ -47,6 +47,9 @@
     /// The object service does not answer; nothing was changed.
     #[display("the object service does not answer; nothing was changed")]
     Unavailable,
+    /// The object service refuses a call as wrong.
+    #[display("the object service refuses the call as wrong")]
+    Invalid,
     /// The object service stopped answering in the middle of a change.
     #[display("the object service does not answer; unknown whether the change took effect")]
     InDoubt,
@@ -80,7 +83,7 @@
             Self::Lost(head::Lost::NoSuchGeneration { .. }) => 2,
             Self::Lost(_) => 3,
             Self::Unavailable | Self::InDoubt | Self::Unreachable(_) | Self::Random(_) => 4,
-            Self::Rejected { .. } | Self::Refused(_) | Self::Head(_) => 5,
+            Self::Rejected { .. } | Self::Refused(_) | Self::Head(_) | Self::Invalid => 5,
         }
     }
 
@@ -102,6 +105,7 @@
                 "look at what the other operator accepted (`laburnumctl status`), then accept again \
                  if yours is still wanted"
             }
+            Self::Invalid => "check that `platform.address` in the settings is the object service",
             Self::Unavailable => "try again when the object service answers",
             Self::InDoubt => {
                 "see `laburnumctl status` when it answers again; accepting twice is safe"
--- a/laburnumcart_ctl/src/publish.rs
+++ b/laburnumcart_ctl/src/publish.rs
@@ -32,25 +32,37 @@
         let step = tokio::time::timeout_at(end, perform(store, &mut change)).await;
         match step {
             Ok(Ok(())) => {}
-            Ok(Err(Retry::Head(e))) => return Err(error::Error::Head(e)),
+            Ok(Err(Stop::Head(e))) => return Err(error::Error::Head(e)),
+            Ok(Err(Stop::Invalid)) => return Err(error::Error::Invalid),
             // A write cut off by the end of the time may take effect as well.
             Err(_) => return Err(cut_off(&change)),
-            Ok(Err(Retry::Later)) if Instant::now() + PAUSE < end => {
+            Ok(Err(Stop::Later)) if Instant::now() + PAUSE < end => {
                 tokio::time::sleep(PAUSE).await;
             }
-            Ok(Err(Retry::Later)) => return Err(given_up(&change)),
+            Ok(Err(Stop::Later)) => return Err(given_up(&change)),
         }
     }
 }
 
-/// Why a step has to be performed again.
-enum Retry {
-    /// The service does not answer now.
+/// Why a step was not performed.
+enum Stop {
+    /// The service does not answer now; the step is to be performed again.
     Later,
+    /// The service refuses the call as wrong.
+    Invalid,
     /// The head is not one.
     Head(head::Malformed),
 }
 
+impl From<store::Failure> for Stop {
+    fn from(failure: store::Failure) -> Self {
+        match failure {
+            store::Failure::Invalid => Self::Invalid,
+            _ => Self::Later,
+        }
+    }
+}
+
 fn cut_off(change: &head::Publish<store::Version>) -> error::Error {
     match change.step() {
         head::Step::Write { .. } => error::Error::InDoubt,
@@ -69,14 +81,14 @@
 async fn perform(
     store: &impl store::Store,
     change: &mut head::Publish<store::Version>,
-) -> Result<(), Retry> {
+) -> Result<(), Stop> {
     match change.step() {
         head::Step::Create { digest, value } => {
             let key = head::object_key(digest);
             match store.put(&key, store::Expect::Absent, &value).await {
                 // The name is the digest of the content: what exists under it is the same.
                 Ok(_) | Err(store::Failure::Conflict) => change.created(),
-                Err(_) => return Err(Retry::Later),
+                Err(failure) => return Err(Stop::from(failure)),
             }
         }
         head::Step::Read => change.read(read(store).await?),
@@ -86,7 +98,7 @@
                 Ok(_) => change.wrote(head::Wrote::Applied),
                 Err(store::Failure::Conflict) => change.wrote(head::Wrote::Conflict),
                 Err(store::Failure::Unanswered) => change.wrote(head::Wrote::Unknown),
-                Err(_) => return Err(Retry::Later),
+                Err(failure) => return Err(Stop::from(failure)),
             }
         }
         head::Step::Done(_) => {}
@@ -94,11 +106,11 @@
     Ok(())
 }
 
-async fn read(store: &impl store::Store) -> Result<Option<(store::Version, head::Head)>, Retry> {
-    let object = store.get(head::KEY).await.map_err(|_| Retry::Later)?;
+async fn read(store: &impl store::Store) -> Result<Option<(store::Version, head::Head)>, Stop> {
+    let object = store.get(head::KEY).await.map_err(Stop::from)?;
     let Some(object) = object else {
         return Ok(None);
     };
-    let head = head::Head::parse(&object.value).map_err(Retry::Head)?;
+    let head = head::Head::parse(&object.value).map_err(Stop::Head)?;
     Ok(Some((object.version, head)))
 }
--- a/laburnumcart_daemon/src/bundle/follow.rs
+++ b/laburnumcart_daemon/src/bundle/follow.rs
@@ -1,8 +1,11 @@
 //! Follows the head in the object service.
 
 use std::{
-    cell,
-    net, //
+    net,
+    sync::atomic::{
+        AtomicBool,
+        Ordering, //
+    },
 };
 
 use rand::Rng;
@@ -95,8 +98,8 @@
     let follower = Follower {
         feed,
         options,
-        down: cell::Cell::new(false),
-        reported: cell::Cell::new(false),
+        down: AtomicBool::new(false),
+        reported: AtomicBool::new(false),
     };
     tokio::join!(follower.follow(&store), gather::gather(&follower, &peers));
 }
@@ -106,9 +109,9 @@
     pub(super) feed: feed::Feed,
     pub(super) options: Options,
     /// Whether the last call of the object service failed.
-    pub(super) down: cell::Cell<bool>,
+    down: AtomicBool,
     /// Whether a refused bundle was logged since the last one that was taken in.
-    reported: cell::Cell<bool>,
+    reported: AtomicBool,
 }
 
 /// A head that was read and whose bundle is not in force yet.
@@ -120,6 +123,11 @@
 }
 
 impl Follower {
+    /// Returns whether the last call of the object service failed.
+    pub(super) fn is_down(&self) -> bool {
+        self.down.load(Ordering::Relaxed)
+    }
+
     async fn follow(&self, store: &impl store::Store) {
         loop {
             match self.call(store.list(head::KEY)).await {
@@ -218,7 +226,7 @@
         match self.open(head, envelope) {
             Ok((accepted, snapshot)) => {
                 if self.feed.publish(accepted, snapshot) {
-                    self.reported.set(false);
+                    self.reported.store(false, Ordering::Relaxed);
                     let (generation, digest) = (accepted.generation, accepted.digest);
                     log::info!(
                         "event=bundle-in-force generation={generation} digest={digest} \
@@ -264,7 +272,7 @@
     /// Counts a refused bundle, and logs the first of a row.
     pub(super) fn refuse(&self, reason: Failure, cause: &str) {
         self.feed.fail(reason);
-        if !self.reported.replace(true) {
+        if !self.reported.swap(true, Ordering::Relaxed) {
             log::warn!("event=bundle-refused reason={reason} cause={cause:?}");
         }
     }
@@ -286,7 +294,7 @@
         if down {
             self.feed.fail(Failure::Store);
         }
-        if self.down.replace(down) != down {
+        if self.down.swap(down, Ordering::Relaxed) != down {
             let state = if down { "down" } else { "up" };
             log::info!("event=bundle-store state={state}");
         }
--- a/laburnumcart_daemon/src/bundle/gather.rs
+++ b/laburnumcart_daemon/src/bundle/gather.rs
@@ -20,11 +20,11 @@
     loop {
         // A word that comes now is waited for here; one that came during a round is kept.
         let _ = time::timeout(timing.ask.0, follower.feed.woken()).await;
-        if follower.feed.is_behind() && !follower.down.get() {
+        if follower.feed.is_behind() && !follower.is_down() {
             // The object service mostly brings it at the same moment.
             time::sleep(timing.grace.0).await;
         }
-        if follower.feed.is_behind() || follower.down.get() {
+        if follower.feed.is_behind() || follower.is_down() {
             round(follower, peers).await;
         }
     }
