--- /dev/null
+++ b/laburnumcart_fakes/src/target/ledger.rs
@@ -0,0 +1,157 @@
+//! Counts what a stand-in target executed; outlives its crashes, as the observer's record.
+
+use std::{
+    collections,
+    time, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// Still executes.
+    Running,
+    /// Its whole output was produced.
+    Done,
+    /// It was cancelled, or its connection was lost.
+    Cancelled,
+    /// The target crashed meanwhile.
+    Crashed,
+    /// The target failed it.
+    Failed,
+}
+
+/// One execution of one stage.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Request that it belongs to.
+    pub request: String,
+    /// Dispatch that it belongs to.
+    pub attempt: String,
+    /// Stage.
+    pub stage: String,
+    /// Whether the caller allowed repetition.
+    pub idempotent: bool,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Seconds of the whole target spent on it.
+    pub busy: f64,
+}
+
+/// All executions, as `GET /admin/executions` answers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Executions {
+    /// In the order of their start.
+    pub executions: Vec<Execution>,
+}
+
+/// Seconds of a target spent on one stage.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StageCost {
+    /// On executions that were done for the first time.
+    pub done: f64,
+    /// On all others.
+    pub wasted: f64,
+    /// Number of executions.
+    pub executions: u64,
+}
+
+/// Seconds of a target by stage, as `GET /admin/cost` answers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Cost {
+    /// By the stage's name.
+    pub stages: collections::BTreeMap<String, StageCost>,
+    /// Executions of a non-idempotent request and stage after its first.
+    pub repeated: u64,
+}
+
+/// Record of executions.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    book: Executions,
+    /// Number of the oldest entry; grows when the record is cleared.
+    base: usize,
+}
+
+/// Number of an execution in its ledger.
+#[derive(Clone, Copy, Debug)]
+pub struct Number(usize);
+
+impl Ledger {
+    /// Enters an execution that starts.
+    pub fn enter(&mut self, execution: Execution) -> Number {
+        self.book.executions.push(execution);
+        Number(self.base + self.book.executions.len() - 1)
+    }
+
+    /// Charges time of the target to an execution.
+    pub fn charge(&mut self, number: Number, busy: time::Duration) {
+        if let Some(execution) = self.find(number) {
+            execution.busy += busy.as_secs_f64();
+        }
+    }
+
+    /// Settles an execution unless it is settled already.
+    pub fn settle(&mut self, number: Number, outcome: Outcome) {
+        if let Some(execution) = self.find(number)
+            && execution.outcome == Outcome::Running
+        {
+            execution.outcome = outcome;
+        }
+    }
+
+    /// Settles all that runs as crashed.
+    pub fn crash(&mut self) {
+        let running = |e: &&mut Execution| e.outcome == Outcome::Running;
+        for execution in self.book.executions.iter_mut().filter(running) {
+            execution.outcome = Outcome::Crashed;
+        }
+    }
+
+    /// Forgets all executions.
+    pub fn clear(&mut self) {
+        self.base += self.book.executions.len();
+        self.book.executions.clear();
+    }
+
+    /// Returns all executions.
+    pub fn executions(&self) -> &Executions {
+        &self.book
+    }
+
+    /// Sums the time by stage.
+    pub fn cost(&self) -> Cost {
+        cost(&self.book.executions)
+    }
+
+    fn find(&mut self, number: Number) -> Option<&mut Execution> {
+        let index = number.0.checked_sub(self.base)?;
+        self.book.executions.get_mut(index)
+    }
+}
+
+/// Sums the time of executions by stage.
+pub fn cost(executions: &[Execution]) -> Cost {
+    let mut cost = Cost::default();
+    let mut done = collections::HashSet::new();
+    let mut ran = collections::HashSet::new();
+    for execution in executions {
+        let key = (&execution.request, &execution.stage);
+        let stage = cost.stages.entry(execution.stage.clone()).or_default();
+        stage.executions += 1;
+        if execution.outcome == Outcome::Done && done.insert(key) {
+            stage.done += execution.busy;
+        } else {
+            stage.wasted += execution.busy;
+        }
+        if !execution.idempotent && !ran.insert(key) {
+            cost.repeated += 1;
+        }
+    }
+    cost
+}
