Report every fault of settings in one run

Settings go through the library's documents. Addresses and secrets get schemas of their own, as a value that only the type's parser refuses would end the run at the first fault. A signer may list two keys while they are changed.

--- a/laburnumcart/src/document/explain.rs
+++ b/laburnumcart/src/document/explain.rs
@@ -1,5 +1,7 @@
 //! Faults found by a schema, in words that tell an operator what to write instead.
 
+use std::net;
+
 use jsonschema::{
     error, //
     paths,
@@ -22,6 +24,11 @@
     ("period", |text| text.parse::<unit::Period>().map(drop)),
     ("rate", |text| text.parse::<unit::Rate>().map(drop)),
     ("share", |text| text.parse::<unit::Share>().map(drop)),
+    ("socket-address", |text| {
+        let address: Result<net::SocketAddr, _> = text.parse();
+        let error = |_| id::ParseError::new("address and port", text);
+        address.map(drop).map_err(error)
+    }),
     ("public-key", |text| {
         text.parse::<seal::PublicKey>().map(drop)
     }),
--- a/laburnumcart_daemon/src/settings.rs
+++ b/laburnumcart_daemon/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a daemon: one JSON file, read once at the start.
 
+mod schema;
+
 use std::{
     collections,
     fs,
@@ -17,14 +19,23 @@
     de,
 };
 
-use laburnumcart::id;
+use laburnumcart::{
+    document,
+    id,
+    seal, //
+};
 use laburnumcart_wire::secret;
 
+pub use self::schema::{
+    Address,
+    SecretText, //
+};
+
 /// Exit code of a process whose settings or arguments are wrong.
 pub const EXIT_INVALID: u8 = 2;
 
 /// What [`launch`](crate::launch) needs of a daemon's settings.
-pub trait Settings: de::DeserializeOwned + schemars::JsonSchema {
+pub trait Settings: de::DeserializeOwned + schemars::JsonSchema + 'static {
     /// Returns the part on logs and traces.
     fn telemetry(&self) -> &Telemetry;
 
@@ -92,8 +103,7 @@
 /// Reads settings from JSON text.
 pub fn parse<T: Settings>(text: &str) -> Result<T, LoadError> {
     let invalid = |faults| LoadError::Invalid { faults };
-    let settings: T =
-        serde_json::from_str(text).map_err(|e| invalid(vec![Fault::new("$", e.to_string())]))?;
+    let settings: T = document::parse(text).map_err(|f| invalid(convert(&f)))?;
     let faults = settings.check();
     if faults.is_empty() {
         Ok(settings)
@@ -102,25 +112,30 @@
     }
 }
 
+fn convert(faults: &document::Faults) -> Vec<Fault> {
+    let convert = |f: &document::Fault| Fault::new(f.path.to_string(), &f.problem);
+    faults.iter().map(convert).collect()
+}
+
 /// What the processes of one fleet have in common.
 #[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
     /// Secrets that peers accept; the first one is shown to others.
-    #[schemars(with = "Vec<String>")]
+    #[schemars(with = "Vec<SecretText>", length(min = 1))]
     pub secrets: Vec<secret::Secret>,
-    /// Public keys whose signatures on a bundle count, by name.
-    pub keys: collections::BTreeMap<id::KeyName, String>,
-    /// How many of the keys must have signed a bundle.
+    /// Public keys whose signatures on a bundle count, by the signer's name.
+    pub keys: collections::BTreeMap<id::KeyName, Keys>,
+    /// How many of the signers must have signed a bundle.
     #[serde(default = "one")]
-    pub signers: u32,
+    pub signers: u8,
     /// Peer addresses of processes to ask for the bundle when the object service is down.
     #[serde(default)]
-    #[schemars(with = "Vec<String>")]
+    #[schemars(with = "Vec<Address>")]
     pub peers: Vec<net::SocketAddr>,
 }
 
-fn one() -> u32 {
+fn one() -> u8 {
     1
 }
 
@@ -130,23 +145,44 @@
         self.secrets.first()
     }
 
+    /// Returns the keys and the number of signers as the check of a bundle takes them.
+    pub fn trust(&self) -> seal::Trust {
+        let keys = |(name, keys): (&id::KeyName, &Keys)| (name.clone(), keys.list());
+        seal::Trust {
+            keys: self.keys.iter().map(keys).collect(),
+            required: self.signers,
+        }
+    }
+
     /// Lists faults, with paths below `path`.
     pub fn check(&self, path: &str) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        if self.secrets.is_empty() {
-            faults.push(Fault::new(
-                format!("{path}.secrets"),
-                "at least one is needed",
-            ));
-        }
-        if self.keys.is_empty() {
-            faults.push(Fault::new(format!("{path}.keys"), "at least one is needed"));
-        }
-        if self.signers == 0 || self.signers as usize > self.keys.len() {
-            let message = format!("must be from 1 to the number of keys, {}", self.keys.len());
-            faults.push(Fault::new(format!("{path}.signers"), message));
+        let mut faults = document::Faults::default();
+        self.trust().check(&document::Path::root(), &mut faults);
+        let place = |fault: &document::Fault| {
+            let below = fault.path.to_string().replacen('$', path, 1);
+            below.replace(".required", ".signers")
+        };
+        let convert = |fault| Fault::new(place(fault), &fault.problem);
+        faults.iter().map(convert).collect()
+    }
+}
+
+/// Public keys of one signer.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, schemars::JsonSchema)]
+#[serde(untagged)]
+pub enum Keys {
+    /// The usual case.
+    One(seal::PublicKey),
+    /// Old and new, while a signer changes keys.
+    Several(Vec<seal::PublicKey>),
+}
+
+impl Keys {
+    fn list(&self) -> Vec<seal::PublicKey> {
+        match self {
+            Self::One(key) => vec![*key],
+            Self::Several(keys) => keys.clone(),
         }
-        faults
     }
 }
 
@@ -155,7 +191,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Address that it answers on.
-    #[schemars(with = "String")]
+    #[schemars(with = "Address")]
     pub address: net::SocketAddr,
 }
 
@@ -168,7 +204,7 @@
     pub level: Level,
     /// Address of a collector that takes OTLP over HTTP; without one, spans cost nothing.
     #[serde(default)]
-    #[schemars(with = "Option<String>")]
+    #[schemars(with = "Option<Address>")]
     pub traces: Option<net::SocketAddr>,
 }
 
