Test what the daemons share

The test of traces found that the collector got spans without the names of their service and instance: the exporter that runs on the runtime did not pass the resource on. Thread and source location, two attributes that every span carried, are left out.

--- a/laburnumcart_daemon/src/launch.rs
+++ b/laburnumcart_daemon/src/launch.rs
@@ -19,7 +19,16 @@
     program: &args::Program,
     run: impl FnOnce(T) -> process::ExitCode,
 ) -> process::ExitCode {
-    match args::parse(program, env::args().skip(1)) {
+    with_args(program, env::args().skip(1), run)
+}
+
+/// Does what [`launch`] does, with the arguments given.
+pub fn with_args<T: settings::Settings>(
+    program: &args::Program,
+    args: impl IntoIterator<Item = String>,
+    run: impl FnOnce(T) -> process::ExitCode,
+) -> process::ExitCode {
+    match args::parse(program, args) {
         Ok(args::Command::Print(text)) => {
             print!("{text}");
             process::ExitCode::SUCCESS
--- a/laburnumcart_daemon/src/logs.rs
+++ b/laburnumcart_daemon/src/logs.rs
@@ -24,15 +24,18 @@
 
 /// Starts the process's log; a second call changes nothing.
 pub fn start(level: settings::Level) {
-    let level = level.into();
-    let logger = Logger {
-        inner: simplelog::WriteLogger::new(level, config(), io::stderr()),
-    };
-    if log::set_boxed_logger(Box::new(logger)).is_ok() {
-        log::set_max_level(level);
+    if log::set_boxed_logger(logger(level, io::stderr())).is_ok() {
+        log::set_max_level(level.into());
     }
 }
 
+/// Creates a logger that writes to `out`.
+pub fn logger(level: settings::Level, out: impl io::Write + Send + 'static) -> Box<dyn log::Log> {
+    Box::new(Logger {
+        inner: simplelog::WriteLogger::new(level.into(), config(), out),
+    })
+}
+
 fn config() -> simplelog::Config {
     let off = log::LevelFilter::Off;
     simplelog::ConfigBuilder::new()
@@ -47,11 +50,11 @@
 }
 
 /// Puts the level in front of a line as one more key.
-struct Logger {
-    inner: Box<simplelog::WriteLogger<io::Stderr>>,
+struct Logger<W: io::Write + Send + 'static> {
+    inner: Box<simplelog::WriteLogger<W>>,
 }
 
-impl log::Log for Logger {
+impl<W: io::Write + Send + 'static> log::Log for Logger<W> {
     fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
         let wanted = metadata.level() <= log::Level::Warn || metadata.target().starts_with(OWN);
         wanted && self.inner.enabled(metadata)
--- a/laburnumcart_daemon/src/traces.rs
+++ b/laburnumcart_daemon/src/traces.rs
@@ -19,7 +19,8 @@
     fmt,
     net,
     str,
-    sync, //
+    sync,
+    time, //
 };
 
 use derive_more::{
@@ -160,7 +161,10 @@
         .build()
         .map_err(StartError::Exporter)?;
     let provider = provider(service, instance, exporter);
-    let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer(service));
+    let layer = tracing_opentelemetry::layer()
+        .with_tracer(provider.tracer(service))
+        .with_location(false)
+        .with_threads(false);
     let subscriber = tracing_subscriber::registry().with(layer);
     tracing::subscriber::set_global_default(subscriber).map_err(|_| StartError::Twice)?;
     Ok(Traces { provider })
@@ -216,4 +220,15 @@
             |e: tokio::task::JoinError| error::OTelSdkError::InternalFailure(e.to_string());
         sent.await.map_err(failed)?
     }
+
+    fn set_resource(&mut self, resource: &Resource) {
+        // Nothing has been exported yet, so there is no other holder.
+        if let Some(inner) = sync::Arc::get_mut(&mut self.inner) {
+            inner.set_resource(resource);
+        }
+    }
+
+    fn shutdown_with_timeout(&self, timeout: time::Duration) -> error::OTelSdkResult {
+        self.inner.shutdown_with_timeout(timeout)
+    }
 }
--- a/laburnumcart_daemon/tests/settings.rs
+++ b/laburnumcart_daemon/tests/settings.rs
@@ -54,6 +54,7 @@
     assert_eq!(sample.fleet.signers, 1);
     assert_eq!(sample.fleet.trust().keys.len(), 1);
     assert_eq!(sample.fleet.peers[0].port(), 7000);
+    assert_eq!(sample.platform.address.port(), 7100);
 }
 
 #[test]
--- /dev/null
+++ b/laburnumcart_daemon/tests/start.rs
@@ -0,0 +1,171 @@
+//! Command line, start and logs.
+
+use std::{
+    cell,
+    io,
+    process,
+    sync, //
+};
+
+use laburnumcart_daemon::{
+    args,
+    launch,
+    logs,
+    settings, //
+};
+use rstest::rstest;
+use serde::Deserialize;
+
+const PROGRAM: args::Program = args::Program {
+    name: "laburnum-sample",
+    version: "1.2.3",
+    about: "Does nothing.",
+};
+
+#[derive(Debug, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Sample {
+    #[serde(default)]
+    telemetry: settings::Telemetry,
+}
+
+impl settings::Settings for Sample {
+    fn telemetry(&self) -> &settings::Telemetry {
+        &self.telemetry
+    }
+}
+
+fn parse(line: &str) -> Result<args::Command, args::UsageError> {
+    args::parse(&PROGRAM, line.split_whitespace().map(String::from))
+}
+
+#[test]
+fn run_is_the_default() {
+    let wanted = args::Args {
+        settings: "a.json".into(),
+        level: Some(settings::Level::Debug),
+    };
+    let command = parse("--settings a.json --level debug").unwrap();
+    assert_eq!(command, args::Command::Run(wanted));
+}
+
+#[rstest]
+#[case("--help", "Usage: laburnum-sample --settings FILE")]
+#[case("--version", "laburnum-sample 1.2.3\n")]
+fn text_is_printed(#[case] line: &str, #[case] part: &str) {
+    match parse(line).unwrap() {
+        args::Command::Print(text) => assert!(text.contains(part), "{text}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case("", "--settings FILE is required")]
+#[case("--settings a.json --level loud", "--level must be")]
+#[case("--settings a.json more", "unexpected argument: \"more\"")]
+#[case("--setings a.json", "setings")]
+#[case("--settings a.json --settings b.json", "settings")]
+fn wrong_line_is_refused(#[case] line: &str, #[case] part: &str) {
+    let error = parse(line).unwrap_err().to_string();
+    assert!(error.contains(part), "{error}");
+}
+
+/// A file of settings that is deleted with the value.
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(text: &str) -> Self {
+        let name = format!("laburnum-{}.json", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[rstest]
+#[case::valid("{}", false, true, 0)]
+#[case::checked("{}", true, false, 0)]
+#[case::wrong(r#"{"telemtry":{}}"#, false, false, 2)]
+#[case::wrong_checked(r#"{"telemtry":{}}"#, true, false, 2)]
+#[case::no_json("{", false, false, 2)]
+fn exit_code_tells(#[case] text: &str, #[case] check: bool, #[case] runs: bool, #[case] code: u8) {
+    let file = File::new(text);
+    let mut line = vec!["--settings".into(), file.0.display().to_string()];
+    line.extend(check.then(|| "--check".into()));
+    let ran = cell::Cell::new(false);
+    let exit = launch::with_args(&PROGRAM, line, |_: Sample| {
+        ran.set(true);
+        process::ExitCode::SUCCESS
+    });
+    assert_eq!(ran.get(), runs);
+    assert_eq!(
+        format!("{exit:?}"),
+        format!("{:?}", process::ExitCode::from(code))
+    );
+}
+
+#[derive(Clone, Default)]
+struct Out(sync::Arc<sync::Mutex<Vec<u8>>>);
+
+impl io::Write for Out {
+    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(data);
+        Ok(data.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn line(level: log::Level, target: &str, text: &str) -> String {
+    let out = Out::default();
+    let logger = logs::logger(settings::Level::Debug, out.clone());
+    let mut record = log::Record::builder();
+    record.level(level).target(target);
+    logger.log(&record.args(format_args!("{text}")).build());
+    String::from_utf8(out.0.lock().unwrap().clone()).unwrap()
+}
+
+#[test]
+fn line_is_keys_and_values() {
+    let line = line(
+        log::Level::Info,
+        "laburnumcart_entry::run",
+        "event=started port=1",
+    );
+    let (time, rest) = line.split_once(' ').unwrap();
+    assert!(time.starts_with("time=2") && time.ends_with('Z'), "{line}");
+    assert_eq!(rest, "level=info event=started port=1\n");
+}
+
+#[test]
+fn line_of_a_library_is_one_value() {
+    let line = line(log::Level::Warn, "hyper", "a \"b\"\nc");
+    let rest = line.split_once(' ').unwrap().1;
+    assert_eq!(
+        rest,
+        "level=warn event=library source=hyper text=\"a \\\"b\\\"\\nc\"\n"
+    );
+}
+
+#[test]
+fn details_of_a_library_are_left_out() {
+    assert_eq!(line(log::Level::Info, "hyper", "details"), "");
+}
+
+#[rstest]
+#[case("plain-1.5:/", "plain-1.5:/")]
+#[case("", "\"\"")]
+#[case("two words", "\"two words\"")]
+#[case("a=b", "\"a=b\"")]
+#[case("line\nbreak", "\"line\\nbreak\"")]
+fn value_stays_one_word(#[case] value: &str, #[case] written: &str) {
+    assert_eq!(logs::Quoted(value).to_string(), written);
+}
