--- a/laburnumcart/src/document/explain.rs
+++ b/laburnumcart/src/document/explain.rs
@@ -29,9 +29,7 @@
         let error = |_| id::ParseError::new("address and port", text);
         address.map(drop).map_err(error)
     }),
-    ("public-key", |text| {
-        text.parse::<seal::PublicKey>().map(drop)
-    }),
+    ("public-keys", |text| text.parse::<seal::Keys>().map(drop)),
 ];
 
 /// Least similarity, from 0 to 1, at which a name is offered as a correction.
--- a/laburnumcart_daemon/src/settings.rs
+++ b/laburnumcart_daemon/src/settings.rs
@@ -26,6 +26,8 @@
 };
 use laburnumcart_wire::secret;
 
+use crate::bundle;
+
 pub use self::schema::{
     Address,
     SecretText, //
@@ -124,18 +126,19 @@
     /// Secrets that peers accept; the first one is shown to others.
     #[schemars(with = "Vec<SecretText>", length(min = 1))]
     pub secrets: Vec<secret::Secret>,
-    /// Public keys whose signatures on a bundle count, by the signer's name.
-    pub keys: collections::BTreeMap<id::KeyName, Keys>,
+    /// Public keys whose signatures on a bundle count, by the signer's name; two in one
+    /// text, divided by a comma, while a signer changes keys.
+    pub keys: collections::BTreeMap<id::KeyName, seal::Keys>,
     /// How many of the signers must have signed a bundle.
     #[serde(default = "one")]
-    pub signers: u8,
+    pub signers: u32,
     /// Peer addresses of processes to ask for the bundle when the object service is down.
     #[serde(default)]
     #[schemars(with = "Vec<Address>")]
     pub peers: Vec<net::SocketAddr>,
 }
 
-fn one() -> u8 {
+fn one() -> u32 {
     1
 }
 
@@ -145,47 +148,17 @@
         self.secrets.first()
     }
 
-    /// Returns the keys and the number of signers as the check of a bundle takes them.
-    pub fn trust(&self) -> seal::Trust {
-        let keys = |(name, keys): (&id::KeyName, &Keys)| (name.clone(), keys.list());
-        seal::Trust {
-            keys: self.keys.iter().map(keys).collect(),
-            required: self.signers,
-        }
-    }
-
-    /// Lists faults, with paths below `path`.
+    /// Lists faults that no schema can express, with paths below `path`.
     pub fn check(&self, path: &str) -> Vec<Fault> {
-        let mut faults = document::Faults::default();
-        self.trust().check(&document::Path::root(), &mut faults);
-        let place = |fault: &document::Fault| {
-            let below = fault.path.to_string().replacen('$', path, 1);
-            below.replace(".required", ".signers")
+        let Err(faults) = bundle::trust(self) else {
+            return Vec::new();
         };
+        let place = |fault: &document::Fault| fault.path.to_string().replacen("$.fleet", path, 1);
         let convert = |fault| Fault::new(place(fault), &fault.problem);
         faults.iter().map(convert).collect()
     }
 }
 
-/// Public keys of one signer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, schemars::JsonSchema)]
-#[serde(untagged)]
-pub enum Keys {
-    /// The usual case.
-    One(seal::PublicKey),
-    /// Old and new, while a signer changes keys.
-    Several(Vec<seal::PublicKey>),
-}
-
-impl Keys {
-    fn list(&self) -> Vec<seal::PublicKey> {
-        match self {
-            Self::One(key) => vec![*key],
-            Self::Several(keys) => keys.clone(),
-        }
-    }
-}
-
 /// The platform's object service.
 #[derive(Clone, Copy, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
