--- a/laburnumcart/src/seal/key.rs
+++ b/laburnumcart/src/seal/key.rs
@@ -94,7 +94,7 @@
     extend(
         "format" = "public-keys",
         "pattern" = r"^[A-Za-z0-9+/]{43}=(,[A-Za-z0-9+/]{43}=)*$",
-        "examples" = ["lPvf2cANDUq2IBbSe27e5UzFrIpfBgdfm/B1hPmvsrk="]
+        "examples" = ["11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo="]
     )
 )]
 pub struct Keys(Vec<PublicKey>);
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -229,7 +229,11 @@
 }
 
 /// Opens the session; nothing else goes over the connection before this was answered.
-async fn greet(client: peer::Client, caller: &Caller, session: lane::Session) -> Option<Connection> {
+async fn greet(
+    client: peer::Client,
+    caller: &Caller,
+    session: lane::Session,
+) -> Option<Connection> {
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -85,7 +85,12 @@
     entry.metrics.register(&metrics);
     control::start(&settings, entry.clone())?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(peer, &settings.fleet.secrets, methods, &peer::Limits::default())?;
+    let peers = peer::serve(
+        peer,
+        &settings.fleet.secrets,
+        methods,
+        &peer::Limits::default(),
+    )?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
