--- a/laburnumcart_entry/src/claims/takeover.rs
+++ b/laburnumcart_entry/src/claims/takeover.rs
@@ -21,7 +21,10 @@
 };
 
 /// Tries of a write whose answer was lost before the takeover is given up.
-const TRIES: u32 = 5;
+const TRIES: u32 = 8;
+
+/// Pause before such a try, in which a lagging read may catch up.
+const PAUSE: time::Duration = time::Duration::from_millis(20);
 
 /// How a takeover ended.
 #[derive(Debug)]
@@ -71,17 +74,21 @@
 pub(super) async fn shards(store: &impl store::Store, wanted: u16) -> Result<u16, store::Failure> {
     let shards = record::Shards { shards: wanted };
     let value = serde_json::to_string(&shards).expect("shards serialize");
-    loop {
+    for _ in 0..TRIES {
         if let Some(object) = store.get(record::SHARDS_KEY).await? {
             let found: record::Shards = parse(&object.value)?;
             return Ok(found.shards.max(1));
         }
         let call = store.put(record::SHARDS_KEY, store::Expect::Absent, &value);
         match call.await {
-            Ok(_) | Err(store::Failure::Conflict | store::Failure::Unanswered) => {}
+            Ok(_) => return Ok(wanted),
+            Err(store::Failure::Conflict | store::Failure::Unanswered) => {
+                clock::sleep(PAUSE).await;
+            }
             Err(failure) => return Err(failure),
         }
     }
+    Err(store::Failure::Unanswered)
 }
 
 /// Reads the head of a shard.
@@ -173,7 +180,9 @@
         let call = store.put(&key, expect, &value);
         match append::bounded(plan.call_limit, call).await {
             Ok(version) => return Ok(Ok((next, version))),
-            Err(store::Failure::Conflict | store::Failure::Unanswered) => {}
+            Err(store::Failure::Conflict | store::Failure::Unanswered) => {
+                clock::sleep(PAUSE).await;
+            }
             Err(failure) => return Err(failure),
         }
     }
@@ -181,6 +190,10 @@
 }
 
 /// Seals an older epoch at its next free number and returns its segments in order.
+///
+/// Only a listing whose last segment is a seal is whole, so one is read even after the seal was
+/// created. A listing from before may lack segments: its owner may have appended, taken a snapshot
+/// and deleted the slot that looked free, and would go on behind a seal that is created there.
 async fn seal(
     store: &impl store::Store,
     plan: &Plan,
@@ -200,10 +213,11 @@
         let key = record::segment_key(plan.shard, epoch, number);
         let call = store.put(&key, store::Expect::Absent, &value);
         match append::bounded(plan.call_limit, call).await {
-            // Whoever created the number first wins, so the listing was complete.
-            Ok(_) => return Ok(segments),
-            // The owner appended, or another process sealed, or the answer was lost: look again.
-            Err(store::Failure::Conflict | store::Failure::Unanswered) => {}
+            Ok(_) => {}
+            // The owner appended, or another process sealed, or the answer was lost.
+            Err(store::Failure::Conflict | store::Failure::Unanswered) => {
+                clock::sleep(PAUSE).await;
+            }
             Err(failure) => return Err(failure),
         }
     }
