--- /dev/null
+++ b/laburnumcart/tests/subset.rs
@@ -0,0 +1,79 @@
+//! Subsets are bounded, local first and stable.
+
+use laburnumcart::{
+    id,
+    subset, //
+};
+use proptest::prelude::*;
+
+fn names(count: usize) -> Vec<id::TargetName> {
+    (0..count)
+        .map(|i| format!("t{i}").parse().unwrap())
+        .collect()
+}
+
+fn zones() -> Vec<id::DataCentre> {
+    ["a", "b", "c", "d"]
+        .iter()
+        .map(|z| z.parse().unwrap())
+        .collect()
+}
+
+fn members<'a>(
+    names: &'a [id::TargetName],
+    zones: &'a [id::DataCentre],
+) -> Vec<subset::Member<'a>> {
+    let members = names.iter().enumerate();
+    members
+        .map(|(i, name)| subset::Member {
+            name,
+            zone: &zones[i % zones.len()],
+        })
+        .collect()
+}
+
+proptest! {
+    #[test]
+    fn one_change_moves_at_most_one_place(count in 1usize..80, size in 0usize..30, gone: usize) {
+        let (names, zones) = (names(count), zones());
+        let all = members(&names, &zones);
+        let own: id::InstanceName = "entry-1".parse().unwrap();
+        let before = subset::choose(&own, &zones[0], all.clone(), size);
+        prop_assert_eq!(before.len(), size.min(count));
+
+        let mut shuffled = all.clone();
+        shuffled.reverse();
+        prop_assert_eq!(&subset::choose(&own, &zones[0], shuffled.clone(), size), &before);
+
+        let removed = shuffled.remove(gone % count);
+        let after = subset::choose(&own, &zones[0], shuffled, size);
+        let lost: Vec<_> = before.iter().filter(|m| !after.contains(m)).collect();
+        prop_assert!(lost.iter().all(|m| **m == removed));
+    }
+
+    #[test]
+    fn local_first_with_a_part_elsewhere(count in 32usize..80, size in 4usize..8) {
+        let (names, zones) = (names(count), zones());
+        let own: id::InstanceName = "entry-1".parse().unwrap();
+        let chosen = subset::choose(&own, &zones[0], members(&names, &zones), size);
+        let local = chosen.iter().filter(|m| m.zone == &zones[0]).count();
+        prop_assert_eq!(local, size - size / 4);
+    }
+}
+
+/// 350 entries choose 16 of 167 targets each. No target may be left to a few entries only, or its
+/// capacity would lie idle when these have little to do.
+#[test]
+fn targets_are_spread_over_entries() {
+    let (names, zones) = (names(167), zones());
+    let all = members(&names, &zones);
+    let mut counts = std::collections::HashMap::new();
+    for i in 0..350 {
+        let own: id::InstanceName = format!("entry-{i}").parse().unwrap();
+        for member in subset::choose(&own, &zones[i % 4], all.clone(), 16) {
+            *counts.entry(member.name).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(counts.len(), 167);
+    assert!(*counts.values().min().unwrap() >= 33 / 3, "{counts:?}");
+}
