--- /dev/null
+++ b/laburnumcart/examples/decision_cost/main.rs
@@ -0,0 +1,270 @@
+//! Prints what each decision costs in time and memory, at several sizes.
+//!
+//! Run with `cargo run --release -p laburnumcart --example decision_cost`.
+
+use std::time;
+
+use laburnumcart::{
+    admit,
+    bundle::Priority,
+    eject,
+    estimate,
+    facts,
+    fair,
+    id,
+    limit,
+    route,
+    subset,
+    suspects,
+    unit, //
+};
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use tokio::time::Instant;
+
+mod measure;
+
+const TEAMS: [usize; 4] = [10, 100, 1000, 2500];
+const TARGETS: [usize; 4] = [10, 50, 200, 1000];
+const STAGES: [usize; 4] = [6, 24, 84, 168];
+const FACTS: [usize; 4] = [10, 100, 500, 2000];
+
+fn main() {
+    println!("| decision | sizes | nanoseconds (median, least to most of 5) | bytes each |");
+    println!("|---|---|---|---|");
+    TEAMS.iter().for_each(|n| fair_queue(*n));
+    TEAMS.iter().for_each(|n| admission(*n));
+    TARGETS.iter().for_each(|n| routing(*n, None));
+    TARGETS.iter().for_each(|n| routing(*n, Some(0)));
+    TARGETS.iter().for_each(|n| ejection(*n));
+    TARGETS.iter().for_each(|n| limits(*n));
+    TARGETS.iter().for_each(|n| subsets(*n));
+    STAGES.iter().for_each(|n| estimates(*n));
+    FACTS.iter().for_each(|n| merging(*n));
+    FACTS.iter().for_each(|n| judging(*n));
+}
+
+fn rng() -> rand::rngs::StdRng {
+    rand::rngs::StdRng::seed_from_u64(1)
+}
+
+/// Four entries of each team wait; each step adds one and takes one.
+fn fair_queue(teams: usize) {
+    let now = Instant::now();
+    let mut rng = rng();
+    let mut request = || fair::Request {
+        priority: [Priority::High, Priority::Normal, Priority::Low][rng.random_range(0..3)],
+        deadline: now + time::Duration::from_millis(rng.random_range(1_000_000..2_000_000)),
+        cost: 1,
+        value: 0u64,
+    };
+    let ((mut queue, keys), bytes) = measure::bytes(|| {
+        let mut queue = fair::Queue::new(usize::MAX);
+        let keys: Vec<_> = (0..teams)
+            .map(|i| queue.add_team(1 + i as u32 % 9, 1000))
+            .collect();
+        for key in keys.repeat(4) {
+            queue.push(key, request());
+        }
+        (queue, keys)
+    });
+    let times = measure::nanos(|i| {
+        queue.push(keys[i % teams], request());
+        queue.pop(now)
+    });
+    measure::row(
+        "fair: push and pop",
+        format!("{teams} teams, 4 entries each"),
+        times,
+        bytes / teams,
+    );
+}
+
+fn admission(teams: usize) {
+    let now = Instant::now();
+    let mut rng = rng();
+    let ((mut admission, keys), bytes) = measure::bytes(|| {
+        let mut admission = admit::Admission::new(now);
+        let keys: Vec<_> = (0..teams).map(|_| admission.add_team(1)).collect();
+        (admission, keys)
+    });
+    let times = measure::nanos(|i| {
+        let key = keys[i % teams];
+        if admission
+            .admit(key, Priority::Normal, now, &mut rng)
+            .is_ok()
+        {
+            admission.finish(key, admit::Outcome::Done, now);
+        }
+    });
+    measure::row(
+        "admit: admit and finish",
+        format!("{teams} teams"),
+        times,
+        bytes / teams,
+    );
+}
+
+fn targets(count: usize, now: Instant) -> Vec<route::Target> {
+    let target = |i: usize| route::Target {
+        name: format!("target-{i}").parse().expect("The name is valid."),
+        state: route::State::Ready,
+        load: route::Load {
+            pending: i as u32 % 7,
+            own: 0,
+            limit: 4,
+            service: time::Duration::from_millis(50),
+            at: now,
+        },
+        local: i.is_multiple_of(4),
+        crossing: time::Duration::from_millis(1),
+    };
+    (0..count).map(target).collect()
+}
+
+fn routing(count: usize, prefix: Option<u64>) {
+    let now = Instant::now();
+    let mut rng = rng();
+    let (table, bytes) = measure::bytes(|| route::Table::new(targets(count, now)));
+    let own = |i: usize| i as u32 % 3;
+    let times = measure::nanos(|i| {
+        let prefix = prefix.map(|p| p + i as u64);
+        let ask = route::Ask {
+            tried: &[],
+            prefix,
+            own: &own,
+            now,
+        };
+        table.choose(&ask, &mut rng)
+    });
+    let name = if prefix.is_some() {
+        "route: by prefix"
+    } else {
+        "route: two choices"
+    };
+    measure::row(name, format!("{count} targets"), times, bytes / count);
+}
+
+/// Comparisons of all targets are included, one for each 10,000 calls.
+fn ejection(count: usize) {
+    let mut now = Instant::now();
+    let ((mut ejector, keys), bytes) = measure::bytes(|| {
+        let mut ejector = eject::Ejector::new(unit::Share(0.3), now);
+        let keys: Vec<_> = (0..count).map(|_| ejector.add()).collect();
+        (ejector, keys)
+    });
+    let usual = eject::Outcome::Success(time::Duration::from_millis(20));
+    let times = measure::nanos(|i| {
+        now += eject::INTERVAL / 10_000;
+        ejector.record(keys[i % count], usual, now);
+    });
+    measure::row(
+        "eject: record",
+        format!("{count} targets"),
+        times,
+        bytes / count,
+    );
+}
+
+fn limits(count: usize) {
+    let mut now = Instant::now();
+    let (mut all, bytes) = measure::bytes(|| {
+        let all = (0..count).map(|_| limit::Limit::new());
+        all.collect::<Vec<_>>()
+    });
+    let times = measure::nanos(|i| {
+        now += time::Duration::from_micros(100);
+        let limit = &mut all[i % count];
+        limit.observe(time::Duration::from_millis(20), limit.get(), now);
+    });
+    measure::row(
+        "limit: observe",
+        format!("{count} targets"),
+        times,
+        bytes / count,
+    );
+}
+
+fn subsets(count: usize) {
+    let own = "entry-1".parse().expect("The name is valid.");
+    let zones = ["a", "b", "c", "d"].map(|z| z.parse().expect("The name is valid."));
+    let targets = targets(count, Instant::now());
+    let members = || {
+        let members = targets.iter().enumerate();
+        members.map(|(i, t)| subset::Member {
+            name: &t.name,
+            zone: &zones[i % 4],
+        })
+    };
+    let times = measure::nanos(|_| subset::choose(&own, &zones[0], members(), 16));
+    let (_chosen, bytes) = measure::bytes(|| subset::choose(&own, &zones[0], members(), 16));
+    measure::row(
+        "subset: choose 16",
+        format!("{count} targets"),
+        times,
+        bytes / 16,
+    );
+}
+
+fn estimates(stages: usize) {
+    let now = Instant::now();
+    let (mut estimates, bytes) = measure::bytes(|| {
+        let mut estimates = estimate::Estimates::default();
+        for i in 0..stages * 50 {
+            estimates.record(i % stages, time::Duration::from_millis(i as u64 % 997), now);
+        }
+        estimates
+    });
+    let times = measure::nanos(|i| {
+        estimates.record(i % stages, time::Duration::from_millis(i as u64 % 997), now);
+    });
+    let size = format!("{stages} stages");
+    measure::row("estimate: record", size.clone(), times, bytes / stages);
+    let times = measure::nanos(|i| {
+        let rest = (0..4).map(|step| (i + step) % stages);
+        estimates.rest(rest, Priority::Normal, now)
+    });
+    measure::row("estimate: rest of 4 stages", size, times, bytes / stages);
+}
+
+/// Returns a table of crashes with eight suspects each.
+fn crashes(count: usize, now: Instant) -> facts::Table {
+    let mut table = facts::Table::default();
+    for i in 0..count as u128 {
+        let ran = (0..8).map(|step| id::Fingerprint(i * 8 + step));
+        table.add_crash(&suspects::crash(ran, unit::Period::from_secs(600)), now);
+    }
+    table
+}
+
+fn merging(count: usize) {
+    let now = Instant::now();
+    let (mut table, bytes) = measure::bytes(|| crashes(count, now));
+    let known = table
+        .changes(facts::Version::default(), now)
+        .unwrap_or_default();
+    let size = format!("{count} crashes, 8 suspects each");
+    let times = measure::nanos(|_| table.merge(&known, now));
+    measure::row(
+        "facts: merge all, known",
+        size.clone(),
+        times,
+        bytes / count,
+    );
+    let sent = table.version();
+    let times = measure::nanos(|_| table.changes(sent, now));
+    measure::row("facts: nothing new for a peer", size, times, bytes / count);
+}
+
+fn judging(count: usize) {
+    let now = Instant::now();
+    let table = crashes(count, now);
+    let size = format!("{count} crashes, 8 suspects each");
+    let (known, bytes) = measure::bytes(|| suspects::Suspects::new(&table, now));
+    let times = measure::nanos(|_| suspects::Suspects::new(&table, now));
+    measure::row("suspects: derive", size.clone(), times, bytes / count);
+    let times = measure::nanos(|i| known.refusal(id::Fingerprint(i as u128), now));
+    measure::row("suspects: refusal", size, times, bytes / count);
+}
