--- /dev/null
+++ b/laburnumcart_entry/src/entry.rs
@@ -0,0 +1,84 @@
+//! What the threads of one entry share.
+
+use std::{
+    net,
+    sync::Arc, //
+};
+
+use arc_swap::ArcSwap;
+use tokio::{
+    runtime,
+    sync::watch, //
+};
+
+use laburnumcart::id;
+use laburnumcart_daemon::stop;
+
+use crate::{
+    answers,
+    control,
+    metrics, //
+};
+
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name from the settings.
+    pub instance: id::InstanceName,
+    /// Data centre from the settings.
+    pub zone: id::DataCentre,
+    /// Address of the peer port.
+    pub peer: net::SocketAddr,
+    /// Life of this process.
+    pub incarnation: id::Incarnation,
+}
+
+/// State that is shared between the threads of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Who this process is.
+    pub identity: Identity,
+    /// Control state as last published; traffic threads only read it.
+    pub view: ArcSwap<control::View>,
+    /// Final answers of claimed requests.
+    pub answers: answers::Answers,
+    /// Counters.
+    pub metrics: metrics::Metrics,
+    /// Where requests enter.
+    pub gate: stop::Gate,
+    /// Runtime of the drivers and lanes.
+    pub traffic: runtime::Handle,
+    leave: watch::Sender<bool>,
+}
+
+impl Entry {
+    /// Creates the state of an entry that has no bundle yet.
+    pub fn new(identity: Identity, gate: stop::Gate, traffic: runtime::Handle) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            view: ArcSwap::default(),
+            answers: answers::Answers::default(),
+            metrics: metrics::Metrics::default(),
+            gate,
+            traffic,
+            leave: watch::channel(false).0,
+        })
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn leave(&self) {
+        self.leave.send_replace(true);
+    }
+
+    /// Waits until a graceful shutdown was asked for.
+    pub async fn left(&self) {
+        let mut leave = self.leave.subscribe();
+        // The sender lives as long as `self`, so that the wait cannot fail.
+        let _ = leave.wait_for(|leave| *leave).await;
+    }
+
+    /// Reports whether new requests are refused, now or at once.
+    pub fn is_leaving(&self) -> bool {
+        *self.leave.borrow() || self.gate.is_closed()
+    }
+}
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -1,1 +1,14 @@
 //! Entry daemon: callers' requests, pipelines and routing.
+
+pub mod answers;
+pub mod callers;
+pub mod claims;
+pub mod control;
+pub mod driver;
+pub mod entry;
+pub mod links;
+pub mod metrics;
+pub mod peers;
+pub mod request;
+pub mod run;
+pub mod settings;
