--- a/laburnumcart_agent/src/service.rs
+++ b/laburnumcart_agent/src/service.rs
@@ -164,7 +164,8 @@
     async fn query(&self, query: stage::Query) -> RpcResult<stage::Progress> {
         let lane = query.session;
         let refused = |refusal| stage::Progress {
-            request: query.request,
+            // A request that is not known cannot be named.
+            request: id::RequestId(0),
             attempt: query.attempt,
             chunks: Vec::new(),
             state: stage::State::Refused(refusal),
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -129,6 +129,7 @@
         let hello = Hello {
             instance: "entry-1".parse().unwrap(),
             session,
+            peer: None,
             facts: Default::default(),
         };
         let report = client.hello(hello).await.unwrap();
@@ -201,7 +202,6 @@
             session: self.session,
             incarnation: call.incarnation,
             sent: call.session.number,
-            request: call.request,
             attempt: call.attempt,
             from,
         }
--- a/laburnumcart_ctl/src/peers.rs
+++ b/laburnumcart_ctl/src/peers.rs
@@ -89,6 +89,7 @@
                 lane: id::Incarnation::random(),
                 number: 1,
             },
+            peer: None,
             facts: facts::Facts::default(),
         };
         let report = AgentClient::hello(&self.client, hello).await;
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -233,6 +233,7 @@
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
+        peer: None,
         facts: facts::Facts::default(),
     };
     let answer = time::timeout(caller.timing.connect, client.hello(hello)).await;
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -1,5 +1,7 @@
 //! What an agent offers to entries and operators.
 
+use std::net;
+
 use jsonrpsee::{
     core::RpcResult,
     proc_macros::rpc, //
@@ -37,6 +39,9 @@
     pub instance: id::InstanceName,
     /// This connection.
     pub session: lane::Session,
+    /// Address at which the caller shows its bundle.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<net::SocketAddr>,
     /// The caller's facts.
     pub facts: facts::Facts,
 }
--- a/laburnumcart_wire/src/stage.rs
+++ b/laburnumcart_wire/src/stage.rs
@@ -80,8 +80,6 @@
     pub incarnation: id::Incarnation,
     /// Number of the session that carried the attempt; lower than that of the new connection.
     pub sent: u64,
-    /// Request that the attempt belongs to.
-    pub request: id::RequestId,
     /// Attempt in doubt.
     pub attempt: id::AttemptId,
     /// Number of the first chunk wanted.
