--- a/laburnumcart_entry/src/answers.rs
+++ b/laburnumcart_entry/src/answers.rs
@@ -29,13 +29,22 @@
     bytes: usize,
 }
 
-/// Place for the answer of a request that runs.
+/// Place for the answer of a request that runs; given up when dropped without an answer.
 #[derive(Debug)]
 pub struct Slot {
+    answers: sync::Arc<Answers>,
     request: id::RequestId,
     sender: watch::Sender<Option<entry::Answer>>,
 }
 
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.sender.borrow().is_none() {
+            self.answers.lock().slots.remove(&self.request);
+        }
+    }
+}
+
 fn size(answer: &entry::Answer) -> usize {
     match answer {
         entry::Answer::Whole { body } => body.len() + 256,
@@ -45,10 +54,14 @@
 
 impl Answers {
     /// Opens the place for a request's answer before the request runs.
-    pub fn open(&self, request: id::RequestId) -> Slot {
+    pub fn open(self: &sync::Arc<Self>, request: id::RequestId) -> Slot {
         let (sender, receiver) = watch::channel(None);
         self.lock().slots.insert(request, receiver);
-        Slot { request, sender }
+        Slot {
+            answers: self.clone(),
+            request,
+            sender,
+        }
     }
 
     /// Keeps the final answer for `period`, as far as the space allows.
@@ -62,11 +75,6 @@
         inner.shrink(time::Instant::now());
     }
 
-    /// Forgets a request that provably never started.
-    pub fn forget(&self, slot: Slot) {
-        self.lock().slots.remove(&slot.request);
-    }
-
     /// Waits at most `wait` for the answer of a request.
     pub async fn fetch(&self, request: id::RequestId, wait: time::Duration) -> entry::Answer {
         let Some(mut slot) = self.lock().slots.get(&request).cloned() else {
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -67,7 +67,7 @@
 const LEAVING: unit::Period = unit::Period::from_secs(1);
 
 /// What the handlers share.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct State {
     entry: Arc<entry::Entry>,
     connections: socket::Connections,
@@ -132,7 +132,12 @@
 async fn page(ctx: &Context<'_>) -> WebResponse {
     let page = ctx.state().pages.answer(ctx.req().uri().path());
     let Some(page) = page else {
-        return refuse(ctx, verdict::Refusal::not_run(verdict::Reason::Invalid), None, None);
+        return refuse(
+            ctx,
+            verdict::Refusal::not_run(verdict::Reason::Invalid),
+            None,
+            None,
+        );
     };
     let mut response = WebResponse::new(ResponseBody::bytes(page.body));
     *response.status_mut() = StatusCode::from_u16(page.status).unwrap_or_default();
--- a/laburnumcart_entry/src/callers/socket.rs
+++ b/laburnumcart_entry/src/callers/socket.rs
@@ -29,13 +29,13 @@
 
 /// Connections that are open, by the caller's address.
 #[derive(Clone, Debug, Default)]
-pub struct Connections(sync::Arc<sync::Mutex<Open>>);
+pub(super) struct Connections(sync::Arc<sync::Mutex<Open>>);
 
 type Open = collections::HashMap<net::SocketAddr, watch::Receiver<()>>;
 
 impl Connections {
     /// Waits until the caller has closed its side; for good if the address is not known.
-    pub fn gone(&self, addr: net::SocketAddr) -> impl Future<Output = ()> + Send + 'static {
+    pub(super) fn gone(&self, addr: net::SocketAddr) -> impl Future<Output = ()> + Send + 'static {
         let open = self.lock().get(&addr).cloned();
         async move {
             match open {
@@ -76,18 +76,18 @@
 
 /// A listener that is not yet bound to the server's runtime.
 #[derive(Debug)]
-pub struct Gate {
+pub(super) struct Gate {
     /// Socket that listens.
-    pub listener: net::TcpListener,
+    pub(super) listener: net::TcpListener,
     /// Table that new connections enter.
-    pub connections: Connections,
+    pub(super) connections: Connections,
     /// Runtime of the watches.
-    pub runtime: runtime::Handle,
+    pub(super) runtime: runtime::Handle,
 }
 
 /// A listener at work.
 #[derive(Debug)]
-pub struct Accepting {
+pub(super) struct Accepting {
     listener: TcpListener,
     connections: Connections,
     runtime: runtime::Handle,
--- a/laburnumcart_entry/src/callers/whole.rs
+++ b/laburnumcart_entry/src/callers/whole.rs
@@ -62,6 +62,6 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::exact(self.len)
+        SizeHint::Exact(self.len as u64)
     }
 }
--- /dev/null
+++ b/laburnumcart_entry/src/claimed.rs
@@ -0,0 +1,167 @@
+//! A request that executes at most once: claimed first, its answer kept for a resend.
+
+use std::{
+    fmt,
+    sync::Arc, //
+};
+
+use jsonrpsee::core::async_trait;
+use tokio::time;
+
+use laburnumcart::{
+    claim,
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::entry;
+
+use crate::{
+    claims::{
+        self,
+        resend, //
+    },
+    driver,
+    entry as shared,
+    request, //
+};
+
+/// The claims service, whatever store and peers it works with.
+#[async_trait]
+pub trait Claims: fmt::Debug + Send + Sync {
+    /// Claims a key; see [`claims::Service::claim`].
+    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> entry::Decision;
+
+    /// Gives a claim back; see [`claims::Service::release`].
+    async fn release(&self, key: id::Fingerprint, request: id::RequestId) -> bool;
+
+    /// Answers another entry's claim; see [`claims::Service::serve`].
+    async fn serve(&self, claim: entry::Claim) -> entry::Decision;
+
+    /// Answers another entry's release; see [`claims::Service::serve_release`].
+    async fn serve_release(&self, release: entry::Release) -> bool;
+
+    /// Waits for the answer of the request that holds a claim; see [`resend::join`].
+    async fn join(
+        &self,
+        holder: claim::Holder,
+        request: id::RequestId,
+        wait: unit::Period,
+    ) -> Result<String, verdict::Refusal>;
+
+    /// Sets the live entries; see [`claims::Service::set_live`].
+    fn set_live(&self, live: &[std::net::SocketAddr]);
+
+    /// Hands the shards over; see [`claims::Service::drain`].
+    async fn drain(&self);
+}
+
+/// A claims service with the peers that it asks.
+#[derive(Debug)]
+pub struct Local<S, P> {
+    /// The service.
+    pub service: Arc<claims::Service<S, P>>,
+    /// Other entries.
+    pub peers: Arc<P>,
+}
+
+#[async_trait]
+impl<S, P> Claims for Local<S, P>
+where
+    S: store::Store + fmt::Debug,
+    P: claims::Peers + fmt::Debug,
+{
+    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> entry::Decision {
+        self.service.claim(ask, deadline).await
+    }
+
+    async fn release(&self, key: id::Fingerprint, request: id::RequestId) -> bool {
+        self.service.release(key, request).await
+    }
+
+    async fn serve(&self, claim: entry::Claim) -> entry::Decision {
+        self.service.serve(claim).await
+    }
+
+    async fn serve_release(&self, release: entry::Release) -> bool {
+        self.service.serve_release(release).await
+    }
+
+    async fn join(
+        &self,
+        holder: claim::Holder,
+        request: id::RequestId,
+        wait: unit::Period,
+    ) -> Result<String, verdict::Refusal> {
+        resend::join(&*self.peers, holder, request, wait).await
+    }
+
+    fn set_live(&self, live: &[std::net::SocketAddr]) {
+        self.service.set_live(live.to_vec());
+    }
+
+    async fn drain(&self) {
+        self.service.drain().await;
+    }
+}
+
+/// Claims a request, runs it if the claim is granted, and keeps its answer.
+pub async fn run(
+    entry: &Arc<shared::Entry>,
+    head: &request::Head,
+    content: id::Fingerprint,
+    execute: impl Future<Output = driver::Outcome>,
+) -> driver::Outcome {
+    let unavailable = verdict::Refusal::not_run(verdict::Reason::ClaimUnavailable);
+    let claims = entry
+        .claims()
+        .ok_or(unavailable.retry_after(claims::RETRY))?;
+    let text = head.key.as_deref();
+    let text = text.ok_or(verdict::Refusal::not_run(verdict::Reason::KeyMissing))?;
+    let ask = claims::Ask {
+        key: claim::key(&head.team, text),
+        content,
+        request: head.id,
+        retention: head.rules.bundle.claims.retention,
+    };
+    // Opened before the claim exists, so that no resend that sees the claim finds no answer here.
+    let slot = entry.answers.open(head.id);
+    match claims.claim(ask, head.deadline).await {
+        entry::Decision::Granted => {
+            let outcome = execute.await;
+            keep(entry, &*claims, ask, slot, &outcome).await;
+            outcome
+        }
+        entry::Decision::Taken {
+            request, holder, ..
+        } => {
+            drop(slot);
+            claims
+                .join(holder, request, unit::Period(head.remaining()))
+                .await
+        }
+        entry::Decision::Refused(refusal) => Err(refusal),
+        entry::Decision::Elsewhere { .. } => Err(unavailable.retry_after(claims::RETRY)),
+    }
+}
+
+/// Keeps the final answer; gives the claim back when nothing has run.
+async fn keep(
+    entry: &Arc<shared::Entry>,
+    claims: &dyn Claims,
+    ask: claims::Ask,
+    slot: crate::answers::Slot,
+    outcome: &driver::Outcome,
+) {
+    let answer = match outcome {
+        Ok(body) => entry::Answer::Whole { body: body.clone() },
+        Err(refusal) => entry::Answer::Refused(*refusal),
+    };
+    entry.answers.keep(slot, answer, ask.retention.0);
+    let unused = |r: &verdict::Refusal| r.verdict == verdict::Verdict::NotRun;
+    if outcome.as_ref().is_err_and(unused) {
+        // Else a caller that sends again, as it was told to, would be refused until the claim ends.
+        claims.release(ask.key, ask.request).await;
+    }
+}
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -1,7 +1,6 @@
 //! Runs the stages of one request, each on a target of its service.
 
 pub mod account;
-mod pick;
 mod stage;
 
 use std::sync::Arc;
@@ -16,6 +15,7 @@
 use laburnumcart_daemon::stop;
 
 use crate::{
+    claimed,
     entry,
     metrics,
     request, //
@@ -44,11 +44,7 @@
 }
 
 /// Starts a request on the traffic runtime.
-pub fn start(
-    entry: &Arc<entry::Entry>,
-    request: request::Request,
-    guard: entry::Running,
-) -> Driven {
+pub fn start(entry: &Arc<entry::Entry>, request: request::Request, work: stop::Work) -> Driven {
     let (sender, events) = mpsc::unbounded_channel();
     let mut driver = Driver {
         entry: entry.clone(),
@@ -59,7 +55,7 @@
     };
     entry.traffic.spawn(async move {
         driver.entry.metrics.running.inc();
-        let outcome = driver.run().await;
+        let outcome = driver.answer().await;
         driver.entry.metrics.running.dec();
         driver.count(&outcome);
         // Nobody listens if the caller has gone.
@@ -80,6 +76,16 @@
 }
 
 impl Driver {
+    /// Runs the request, under a claim if it must execute at most once.
+    async fn answer(&mut self) -> Outcome {
+        if self.request.head.idempotent {
+            return self.run().await;
+        }
+        let (entry, head) = (self.entry.clone(), self.request.head.clone());
+        let content = self.request.fingerprint;
+        claimed::run(&entry, &head, content, self.run()).await
+    }
+
     async fn run(&mut self) -> Outcome {
         let rules = self.request.head.rules.clone();
         let stages = &rules.bundle.pipelines[&self.request.head.pipeline].stages;
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -19,8 +19,7 @@
     driver::{
         Driver,
         Event,
-        account,
-        pick, //
+        account, //
     },
     links::pull,
     metrics, //
@@ -142,7 +141,9 @@
         let Some(ready) = self.ready(tries).await else {
             return Ended::Refused(verdict::Refusal::not_run(verdict::Reason::NoTarget));
         };
-        let target = ready.target();
+        let Some(target) = ready.target() else {
+            return Ended::Refused(verdict::Refusal::not_run(verdict::Reason::NoTarget));
+        };
         let call = self.call(tries, &ready);
         tries.tried.push(ready.addr());
         let pull = match ready.send(call) {
@@ -161,7 +162,8 @@
             .min(time::Instant::now() + APPEAR);
         loop {
             let view = self.entry.view.load();
-            let lane = pick::pick(&view, &tries.stage.service, &tries.tried);
+            let routes = view.routes.get(&tries.stage.service);
+            let lane = routes.and_then(|routes| routes.choose(&tries.tried, None));
             if let Some(ready) = lane.as_ref().and_then(pull::Ready::new) {
                 return Some(ready);
             }
--- a/laburnumcart_entry/src/entry.rs
+++ b/laburnumcart_entry/src/entry.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net,
-    sync::Arc, //
+    sync::{
+        Arc,
+        OnceLock, //
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -11,11 +14,15 @@
     sync::watch, //
 };
 
-use laburnumcart::id;
+use laburnumcart::{
+    claim,
+    id, //
+};
 use laburnumcart_daemon::stop;
 
 use crate::{
     answers,
+    claimed,
     control,
     metrics, //
 };
@@ -41,13 +48,14 @@
     /// Control state as last published; traffic threads only read it.
     pub view: ArcSwap<control::View>,
     /// Final answers of claimed requests.
-    pub answers: answers::Answers,
+    pub answers: Arc<answers::Answers>,
     /// Counters.
     pub metrics: metrics::Metrics,
     /// Where requests enter.
     pub gate: stop::Gate,
     /// Runtime of the drivers and lanes.
     pub traffic: runtime::Handle,
+    claims: OnceLock<Arc<dyn claimed::Claims>>,
     leave: watch::Sender<bool>,
 }
 
@@ -57,7 +65,8 @@
         Arc::new(Self {
             identity,
             view: ArcSwap::default(),
-            answers: answers::Answers::default(),
+            answers: Arc::default(),
+            claims: OnceLock::new(),
             metrics: metrics::Metrics::default(),
             gate,
             traffic,
@@ -65,6 +74,25 @@
         })
     }
 
+    /// Sets the claims service, once.
+    pub fn set_claims(&self, claims: Arc<dyn claimed::Claims>) {
+        // Set once at the start; a second one would split the shards' tasks in two.
+        let _ = self.claims.set(claims);
+    }
+
+    /// Returns the claims service.
+    pub fn claims(&self) -> Option<Arc<dyn claimed::Claims>> {
+        self.claims.get().cloned()
+    }
+
+    /// Returns this process as the holder of claims.
+    pub fn holder(&self) -> claim::Holder {
+        claim::Holder {
+            addr: self.identity.peer,
+            incarnation: self.identity.incarnation,
+        }
+    }
+
     /// Asks for a graceful shutdown.
     pub fn leave(&self) {
         self.leave.send_replace(true);
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -2,13 +2,16 @@
 
 pub mod answers;
 pub mod callers;
+pub mod claimed;
 pub mod claims;
 pub mod control;
 pub mod driver;
 pub mod entry;
 pub mod links;
+pub mod members;
 pub mod metrics;
 pub mod peers;
 pub mod request;
+pub mod routes;
 pub mod run;
 pub mod settings;
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -13,7 +13,7 @@
     },
 };
 
-use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use tokio::{
     runtime,
     sync::watch,
@@ -95,8 +95,6 @@
     pub session: lane::Session,
     /// Life of the agent that answered.
     pub incarnation: id::Incarnation,
-    /// Last report of the agent.
-    pub report: ArcSwap<agent::Report>,
     client: peer::Client,
     closed: watch::Sender<bool>,
 }
@@ -120,13 +118,25 @@
     }
 }
 
+/// A report with what this process knew when it came.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The report.
+    pub report: agent::Report,
+    /// When it came.
+    pub at: time::Instant,
+    /// Attempts that this process had in flight there.
+    pub own: u32,
+}
+
 /// The way to one agent.
 #[derive(Debug)]
 pub struct Lane {
     /// Address of the agent.
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
-    pub running: AtomicU32,
+    pub running: Arc<AtomicU32>,
+    seen: Arc<ArcSwapOption<Seen>>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -135,10 +145,19 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Down { gone: false });
-        let task = runtime.spawn(keep(addr, caller, link.clone()));
+        let keeper = Keeper {
+            addr,
+            caller,
+            link: link.clone(),
+            seen: Arc::default(),
+            running: Arc::default(),
+        };
+        let (seen, running) = (keeper.seen.clone(), keeper.running.clone());
+        let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
-            running: AtomicU32::new(0),
+            running,
+            seen,
             link,
             task: task.abort_handle(),
         })
@@ -152,6 +171,18 @@
         }
     }
 
+    /// Returns the last report of the agent, if it ever reported.
+    pub fn report(&self) -> Option<Arc<Seen>> {
+        self.seen.load_full()
+    }
+
+    /// Reports whether the agent takes work for a service now, as far as is known.
+    pub fn takes(&self, service: &id::ServiceName) -> bool {
+        let ready =
+            |report: &agent::Report| report.ready && !report.leaving && report.service == *service;
+        self.connection().is_some() && self.report().is_some_and(|seen| ready(&seen.report))
+    }
+
     /// Follows the state of the lane.
     pub fn link(&self) -> watch::Receiver<Link> {
         self.link.subscribe()
@@ -180,24 +211,73 @@
     }
 }
 
-/// Keeps a lane open for good.
-async fn keep(addr: net::SocketAddr, caller: Caller, link: watch::Sender<Link>) {
-    for number in 1.. {
-        let session = lane::Session {
-            lane: caller.incarnation,
-            number,
-        };
-        match connect(addr, &caller, session).await {
-            Ok(connection) => {
-                let connection = Arc::new(connection);
-                link.send_replace(Link::Up(connection.clone()));
-                watch_over(&connection, &caller.timing).await;
-                link.send_replace(Link::Down { gone: false });
-                connection.closed.send_replace(true);
+/// Keeps a lane open.
+#[derive(Debug)]
+struct Keeper {
+    addr: net::SocketAddr,
+    caller: Caller,
+    link: watch::Sender<Link>,
+    seen: Arc<ArcSwapOption<Seen>>,
+    running: Arc<AtomicU32>,
+}
+
+impl Keeper {
+    async fn run(self) {
+        for number in 1.. {
+            let session = lane::Session {
+                lane: self.caller.incarnation,
+                number,
+            };
+            match connect(self.addr, &self.caller, session).await {
+                Ok((connection, report)) => self.hold(connection, report).await,
+                Err(gone) => {
+                    self.link.send_replace(Link::Down { gone });
+                    time::sleep(self.caller.timing.pause).await;
+                }
+            }
+        }
+    }
+
+    /// Holds a connection until it ends or goes silent.
+    async fn hold(&self, connection: Connection, report: agent::Report) {
+        self.note(report);
+        let connection = Arc::new(connection);
+        self.link.send_replace(Link::Up(connection.clone()));
+        self.watch(&connection).await;
+        self.link.send_replace(Link::Down { gone: false });
+        connection.closed.send_replace(true);
+    }
+
+    fn note(&self, report: agent::Report) {
+        self.seen.store(Some(Arc::new(Seen {
+            report,
+            at: time::Instant::now(),
+            own: self.running.load(Ordering::Relaxed),
+        })));
+    }
+
+    /// Sends heartbeats until the connection ends or misses too many of them.
+    async fn watch(&self, connection: &Connection) {
+        let timing = &self.caller.timing;
+        let mut missed = 0;
+        while missed < timing.missed {
+            let ended = time::timeout(timing.beat, connection.client.on_disconnect());
+            if ended.await.is_ok() {
+                return;
             }
-            Err(gone) => {
-                link.send_replace(Link::Down { gone });
-                time::sleep(caller.timing.pause).await;
+            let beat = agent::Beat {
+                session: connection.session,
+                facts: None,
+            };
+            match time::timeout(timing.answer, connection.client.beat(beat)).await {
+                // Another process answers at the same address.
+                Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
+                Ok(Ok(report)) => {
+                    self.note(report);
+                    missed = 0;
+                }
+                Ok(Err(_)) => return,
+                Err(_) => missed += 1,
             }
         }
     }
@@ -208,7 +288,7 @@
     addr: net::SocketAddr,
     caller: &Caller,
     session: lane::Session,
-) -> Result<Connection, bool> {
+) -> Result<(Connection, agent::Report), bool> {
     let limits = peer::Limits::default()
         .connect(unit::Period(caller.timing.connect))
         .request(CALL_LIMIT)
@@ -229,7 +309,11 @@
 }
 
 /// Opens the session; nothing else goes over the connection before this was answered.
-async fn greet(client: peer::Client, caller: &Caller, session: lane::Session) -> Option<Connection> {
+async fn greet(
+    client: peer::Client,
+    caller: &Caller,
+    session: lane::Session,
+) -> Option<(Connection, agent::Report)> {
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
@@ -237,13 +321,13 @@
     };
     let answer = time::timeout(caller.timing.connect, client.hello(hello)).await;
     let report = answer.ok()?.ok()?;
-    Some(Connection {
+    let connection = Connection {
         session,
         incarnation: report.incarnation,
-        report: ArcSwap::from_pointee(report),
         client,
         closed: watch::channel(false).0,
-    })
+    };
+    Some((connection, report))
 }
 
 /// Most calls that wait on one connection.
@@ -251,29 +335,3 @@
 
 /// Longest wait for an answer; above every deadline, as silence is found by heartbeats.
 const CALL_LIMIT: unit::Period = unit::Period::from_secs(600);
-
-/// Sends heartbeats until the connection ends or misses too many of them.
-async fn watch_over(connection: &Connection, timing: &Timing) {
-    let mut missed = 0;
-    while missed < timing.missed {
-        if time::timeout(timing.beat, connection.client.on_disconnect())
-            .await
-            .is_ok()
-        {
-            return;
-        }
-        let beat = agent::Beat {
-            session: connection.session,
-            facts: None,
-        };
-        match time::timeout(timing.answer, connection.client.beat(beat)).await {
-            Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
-            Ok(Ok(report)) => {
-                connection.report.store(Arc::new(report));
-                missed = 0;
-            }
-            Ok(Err(_)) => return,
-            Err(_) => missed += 1,
-        }
-    }
-}
--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -61,8 +61,8 @@
     }
 
     /// Returns the target of the agent.
-    pub fn target(&self) -> id::TargetName {
-        self.connection.report.load().target.clone()
+    pub fn target(&self) -> Option<id::TargetName> {
+        self.lane.report().map(|seen| seen.report.target.clone())
     }
 
     /// Returns the address of the agent.
--- /dev/null
+++ b/laburnumcart_entry/src/members.rs
@@ -0,0 +1,131 @@
+//! Instances of the system: the platform's list says whom to ask, their own reports what holds.
+//!
+//! The list lags behind reality, in both directions. An agent is therefore only looked up in it: a
+//! lane is opened to each that is listed, and whether its target takes work is read from the agent's
+//! reports. An agent that is no longer listed keeps its lane while the lane works.
+
+use std::{
+    collections,
+    net,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::runtime;
+
+use laburnumcart::id;
+
+use crate::links;
+
+/// Prefix of the platform's list.
+pub const PREFIX: &str = "platform/instances/";
+
+/// Kind of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Agent beside a target.
+    Agent,
+    /// Entry.
+    Entry,
+}
+
+/// What the platform thinks of an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Runs.
+    Live,
+    /// Is about to stop.
+    Leaving,
+}
+
+/// One instance in the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Name.
+    pub name: id::InstanceName,
+    /// Data centre.
+    pub zone: id::DataCentre,
+    /// Kind.
+    pub role: Role,
+    /// Service of an agent's target.
+    #[serde(default)]
+    pub service: Option<id::ServiceName>,
+    /// Peer address.
+    pub addr: net::SocketAddr,
+    /// State.
+    pub state: State,
+}
+
+/// Lanes to the agents that are or were listed.
+#[derive(Debug)]
+pub struct Members {
+    caller: links::Caller,
+    runtime: runtime::Handle,
+    lanes: collections::BTreeMap<net::SocketAddr, Member>,
+    entries: Vec<net::SocketAddr>,
+}
+
+/// An agent with its lane.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Service that the list names.
+    pub service: id::ServiceName,
+    /// Data centre that the list names.
+    pub zone: id::DataCentre,
+    /// The lane.
+    pub lane: Arc<links::Lane>,
+}
+
+impl Members {
+    /// Creates an empty set whose lanes run on `runtime`.
+    pub fn new(caller: links::Caller, runtime: runtime::Handle) -> Self {
+        Self {
+            caller,
+            runtime,
+            lanes: collections::BTreeMap::new(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// Takes in a whole list.
+    pub fn apply(&mut self, list: &[Instance]) {
+        let is_entry = |i: &&Instance| i.role == Role::Entry && i.state == State::Live;
+        self.entries = list.iter().filter(is_entry).map(|i| i.addr).collect();
+        for instance in list.iter().filter(|i| i.role == Role::Agent) {
+            if let Some(service) = &instance.service {
+                self.open(instance, service);
+            }
+        }
+        let agents = list.iter().filter(|i| i.role == Role::Agent);
+        let listed: collections::HashSet<_> = agents.map(|i| i.addr).collect();
+        let works = |member: &Member| member.lane.connection().is_some();
+        self.lanes
+            .retain(|addr, member| listed.contains(addr) || works(member));
+    }
+
+    fn open(&mut self, instance: &Instance, service: &id::ServiceName) {
+        let (caller, runtime) = (&self.caller, &self.runtime);
+        let member = self.lanes.entry(instance.addr).or_insert_with(|| Member {
+            service: service.clone(),
+            zone: instance.zone.clone(),
+            lane: links::Lane::open(runtime, instance.addr, caller.clone()),
+        });
+        member.service = service.clone();
+        member.zone = instance.zone.clone();
+    }
+
+    /// Iterates over the agents.
+    pub fn agents(&self) -> impl Iterator<Item = &Member> {
+        self.lanes.values()
+    }
+
+    /// Returns the peer addresses of the live entries.
+    pub fn entries(&self) -> &[net::SocketAddr] {
+        &self.entries
+    }
+}
--- a/laburnumcart_entry/src/peers.rs
+++ b/laburnumcart_entry/src/peers.rs
@@ -1,5 +1,7 @@
 //! What the entry offers to other processes of the system.
 
+pub mod calls;
+
 use std::sync::Arc;
 
 use jsonrpsee::core::{
@@ -40,7 +42,7 @@
 
     fn state(&self) -> entry::Status {
         let view = self.entry.view.load();
-        let lanes = view.lanes.values().flatten();
+        let lanes = view.routes.values().flat_map(|routes| routes.lanes());
         let open = lanes.filter(|lane| lane.connection().is_some()).count();
         let rules = view.rules.as_ref();
         let generation = rules.map(|rules| rules.generation).unwrap_or_default();
@@ -71,13 +73,19 @@
         Ok(self.state())
     }
 
-    async fn claim(&self, _: entry::Claim) -> RpcResult<entry::Decision> {
+    async fn claim(&self, claim: entry::Claim) -> RpcResult<entry::Decision> {
         let refusal = verdict::Refusal::not_run(verdict::Reason::ClaimUnavailable);
-        Ok(entry::Decision::Refused(refusal))
+        Ok(match self.entry.claims() {
+            Some(claims) => claims.serve(claim).await,
+            None => entry::Decision::Refused(refusal),
+        })
     }
 
-    async fn release(&self, _: entry::Release) -> RpcResult<bool> {
-        Ok(false)
+    async fn release(&self, release: entry::Release) -> RpcResult<bool> {
+        Ok(match self.entry.claims() {
+            Some(claims) => claims.serve_release(release).await,
+            None => false,
+        })
     }
 
     async fn fetch(&self, fetch: entry::Fetch) -> RpcResult<entry::Answer> {
--- /dev/null
+++ b/laburnumcart_entry/src/peers/calls.rs
@@ -0,0 +1,165 @@
+//! Calls of other entries.
+
+use std::{
+    collections, net,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+};
+
+use tokio::time;
+
+use laburnumcart::{
+    claim,
+    unit, //
+};
+use laburnumcart_wire::{
+    entry::{
+        self,
+        EntryClient, //
+    },
+    peer,
+    secret, //
+};
+
+use crate::{
+    answers,
+    claims, //
+};
+
+/// Longest wait for an answer that does not depend on a running request.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Longest wait for a running request in one call.
+///
+/// A connection can go silent for good; short calls find out soon, and the next goes over a new one.
+const SLICE: time::Duration = time::Duration::from_secs(1);
+
+/// Failed calls in a row after which an entry counts as gone.
+const FAILURES_MAX: u32 = 3;
+
+/// Connections to other entries, opened when they are needed.
+#[derive(Debug)]
+pub struct Calls {
+    me: claim::Holder,
+    secret: secret::Secret,
+    answers: Arc<answers::Answers>,
+    open: Mutex<collections::HashMap<net::SocketAddr, Arc<peer::Client>>>,
+}
+
+impl Calls {
+    /// Creates calls of the process `me`, which answers for itself.
+    pub fn new(me: claim::Holder, secret: secret::Secret, answers: Arc<answers::Answers>) -> Self {
+        Self {
+            me,
+            secret,
+            answers,
+            open: Mutex::default(),
+        }
+    }
+
+    async fn client(
+        &self,
+        addr: net::SocketAddr,
+    ) -> Result<Arc<peer::Client>, claims::Unreachable> {
+        let known = self.lock().get(&addr).cloned();
+        if let Some(client) = known.filter(|client| client.is_connected()) {
+            return Ok(client);
+        }
+        let limits = peer::Limits::default();
+        let opened = peer::connect(addr, &self.secret, &limits).await;
+        let client = Arc::new(opened.map_err(|_| claims::Unreachable)?);
+        self.lock().insert(addr, client.clone());
+        Ok(client)
+    }
+
+    /// Makes one call; a connection on which it fails is not used again.
+    async fn call<T, F>(
+        &self,
+        addr: net::SocketAddr,
+        limit: time::Duration,
+        make: impl FnOnce(Arc<peer::Client>) -> F,
+    ) -> Result<T, claims::Unreachable>
+    where
+        F: Future<Output = Result<T, jsonrpsee::core::ClientError>>,
+    {
+        let client = self.client(addr).await?;
+        match time::timeout(limit, make(client.clone())).await {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => {
+                self.forget(addr, &client);
+                Err(claims::Unreachable)
+            }
+        }
+    }
+
+    fn forget(&self, addr: net::SocketAddr, client: &Arc<peer::Client>) {
+        let mut open = self.lock();
+        if open
+            .get(&addr)
+            .is_some_and(|known| Arc::ptr_eq(known, client))
+        {
+            open.remove(&addr);
+        }
+    }
+
+    fn lock(
+        &self,
+    ) -> std::sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Arc<peer::Client>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl claims::Peers for Calls {
+    async fn claim(
+        &self,
+        addr: net::SocketAddr,
+        claim: entry::Claim,
+    ) -> Result<entry::Decision, claims::Unreachable> {
+        self.call(addr, CALL_LIMIT, |c| async move { c.claim(claim).await })
+            .await
+    }
+
+    async fn release(
+        &self,
+        addr: net::SocketAddr,
+        release: entry::Release,
+    ) -> Result<bool, claims::Unreachable> {
+        self.call(
+            addr,
+            CALL_LIMIT,
+            |c| async move { c.release(release).await },
+        )
+        .await
+    }
+
+    async fn fetch(
+        &self,
+        addr: net::SocketAddr,
+        fetch: entry::Fetch,
+    ) -> Result<entry::Answer, claims::Unreachable> {
+        if fetch.incarnation == self.me.incarnation {
+            return Ok(self.answers.fetch(fetch.request, fetch.wait.0).await);
+        }
+        let until = time::Instant::now() + fetch.wait.0;
+        let mut failures = 0;
+        loop {
+            let wait = until
+                .saturating_duration_since(time::Instant::now())
+                .min(SLICE);
+            let slice = entry::Fetch {
+                wait: unit::Period(wait),
+                ..fetch.clone()
+            };
+            let call = |c: Arc<peer::Client>| async move { c.fetch(slice).await };
+            match self.call(addr, wait + CALL_LIMIT, call).await {
+                Ok(entry::Answer::Running) if time::Instant::now() < until => failures = 0,
+                Ok(answer) => return Ok(answer),
+                Err(claims::Unreachable) if failures < FAILURES_MAX => failures += 1,
+                Err(claims::Unreachable) => return Err(claims::Unreachable),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/src/routes.rs
@@ -0,0 +1,125 @@
+//! Targets of one service with the lanes to them.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+    time, //
+};
+
+use tokio::time::Instant;
+
+use laburnumcart::{
+    id,
+    route, //
+};
+
+use crate::links;
+
+/// Time that a call to another data centre takes longer than one in the own.
+const CROSSING: time::Duration = time::Duration::from_millis(1);
+
+/// Immutable table of one service's targets; positions are those of the lanes.
+#[derive(Clone, Debug)]
+pub struct Routes {
+    service: id::ServiceName,
+    table: route::Table,
+    lanes: Vec<Arc<links::Lane>>,
+}
+
+/// Lane with the data centre it leads to.
+#[derive(Clone, Debug)]
+pub struct Way {
+    /// The lane.
+    pub lane: Arc<links::Lane>,
+    /// Whether it leads to the own data centre.
+    pub local: bool,
+    /// Whether its target is excluded as an outlier.
+    pub ejected: bool,
+}
+
+impl Routes {
+    /// Creates the table from the last reports; agents that never reported are left out.
+    pub fn new(service: id::ServiceName, mut ways: Vec<Way>) -> Self {
+        ways.retain(|way| way.lane.report().is_some());
+        // The table puts local targets first and keeps the order otherwise; so does this.
+        ways.sort_by_key(|way| !way.local);
+        let targets = ways
+            .iter()
+            .filter_map(|way| target(&service, way))
+            .collect();
+        Self {
+            service,
+            table: route::Table::new(targets),
+            lanes: ways.into_iter().map(|way| way.lane).collect(),
+        }
+    }
+
+    /// Chooses a lane that works now; what is in `tried` comes last.
+    pub fn choose(
+        &self,
+        tried: &[std::net::SocketAddr],
+        prefix: Option<u64>,
+    ) -> Option<Arc<links::Lane>> {
+        let is_tried = |i: &usize| tried.contains(&self.lanes[*i].addr);
+        let mut out: Vec<usize> = (0..self.lanes.len()).filter(is_tried).collect();
+        // When all were tried the last refusal was a moment ago, but it proved that nothing ran.
+        self.search(&mut out, prefix)
+            .or_else(|| self.search(&mut Vec::new(), prefix))
+    }
+
+    fn search(&self, out: &mut Vec<usize>, prefix: Option<u64>) -> Option<Arc<links::Lane>> {
+        let own = |i: usize| self.lanes[i].running.load(Ordering::Relaxed);
+        loop {
+            let ask = route::Ask {
+                tried: out,
+                prefix,
+                own: &own,
+                now: Instant::now(),
+            };
+            let chosen = self.table.choose(&ask, &mut rand::rng())?;
+            // The table is a moment old: the agent may have left since, or its connection broken.
+            if self.lanes[chosen].takes(&self.service) {
+                return Some(self.lanes[chosen].clone());
+            }
+            out.push(chosen);
+        }
+    }
+
+    /// Returns the lanes.
+    pub fn lanes(&self) -> &[Arc<links::Lane>] {
+        &self.lanes
+    }
+}
+
+fn target(service: &id::ServiceName, way: &Way) -> Option<route::Target> {
+    let seen = way.lane.report()?;
+    let report = &seen.report;
+    let state = if way.lane.connection().is_none() || !report.ready || report.service != *service {
+        route::State::Down
+    } else if report.leaving {
+        route::State::Leaving
+    } else if way.ejected {
+        route::State::Ejected
+    } else {
+        route::State::Ready
+    };
+    Some(route::Target {
+        name: report.target.clone(),
+        state,
+        load: route::Load {
+            pending: report.load.running + report.load.queued,
+            own: seen.own,
+            limit: report.load.limit,
+            service: report.load.service.0,
+            at: seen.at,
+        },
+        local: way.local,
+        crossing: if way.local {
+            time::Duration::ZERO
+        } else {
+            CROSSING
+        },
+    })
+}
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -10,13 +10,17 @@
 
 use tokio::runtime;
 
-use laburnumcart::id;
+use laburnumcart::{
+    id,
+    seal, //
+};
 use laburnumcart_daemon::{
     metrics,
     process as usage,
     stop,
     traces, //
 };
+use laburnumcart_platform::client;
 use laburnumcart_wire::{
     entry::EntryServer,
     peer, //
@@ -24,9 +28,15 @@
 
 use crate::{
     callers,
+    claimed,
+    claims,
     control,
     entry,
-    peers,
+    links,
+    peers::{
+        self,
+        calls, //
+    },
     settings, //
 };
 
@@ -83,9 +93,14 @@
     let metrics = metrics::Metrics::new();
     usage::register(&metrics);
     entry.metrics.register(&metrics);
-    control::start(&settings, entry.clone())?;
+    start_control(&settings, &entry, &metrics)?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(peer, &settings.fleet.secrets, methods, &peer::Limits::default())?;
+    let peers = peer::serve(
+        peer,
+        &settings.fleet.secrets,
+        methods,
+        &peer::Limits::default(),
+    )?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
@@ -114,6 +129,51 @@
     })
 }
 
+/// Starts the claims service and the control thread.
+fn start_control(
+    settings: &settings::Settings,
+    entry: &Arc<entry::Entry>,
+    metrics: &metrics::Metrics,
+) -> io::Result<()> {
+    let store = client::Client::builder([settings.platform.address]).build();
+    let store = Arc::new(store.map_err(io::Error::other)?);
+    metrics.register("laburnum_entry", |r| store.register(r));
+    let secret = settings.fleet.secret().cloned();
+    let secret = secret.ok_or(io::ErrorKind::InvalidInput)?;
+    let counters = claims::metrics::Metrics::default();
+    metrics.register("laburnum_entry", |r| counters.register(r));
+    let calls = calls::Calls::new(entry.holder(), secret.clone(), entry.answers.clone());
+    let peers = Arc::new(calls);
+    let service = claims::Builder::new(entry.holder())
+        .metrics(counters)
+        .start(store.clone(), peers.clone());
+    entry.set_claims(Arc::new(claimed::Local { service, peers }));
+    let caller = links::Caller {
+        instance: settings.instance.clone(),
+        incarnation: entry.identity.incarnation,
+        secret,
+        timing: links::Timing::default(),
+    };
+    let start = control::thread::Start {
+        entry: entry.clone(),
+        store,
+        caller,
+        trust: trust(&settings.fleet)?,
+    };
+    control::thread::start(start).map(|_| ())
+}
+
+fn trust(fleet: &laburnumcart_daemon::settings::Fleet) -> io::Result<seal::Trust> {
+    let keys = fleet.keys.iter().map(|(name, text)| {
+        let key = text.parse().map_err(io::Error::other)?;
+        Ok((name.clone(), vec![key]))
+    });
+    Ok(seal::Trust {
+        keys: keys.collect::<io::Result<_>>()?,
+        required: fleet.signers.try_into().unwrap_or(u8::MAX),
+    })
+}
+
 fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
     let Some(collector) = settings.telemetry.traces else {
         return Ok(None);
--- a/laburnumcart_entry/tests/it/agent.rs
+++ b/laburnumcart_entry/tests/it/agent.rs
@@ -8,12 +8,9 @@
     },
 };
 
-use jsonrpsee::{
-    core::{
-        RpcResult,
-        async_trait, //
-    },
-    server,
+use jsonrpsee::core::{
+    RpcResult,
+    async_trait, //
 };
 use tokio::sync;
 
@@ -27,9 +24,12 @@
     agent,
     agent::AgentServer,
     lane,
+    peer,
     stage, //
 };
 
+use crate::bench;
+
 /// How the target behaves.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Plan {
@@ -77,13 +77,13 @@
 pub(crate) struct Running {
     pub(crate) fake: Arc<Fake>,
     pub(crate) addr: net::SocketAddr,
-    handle: server::ServerHandle,
+    handle: peer::Handle,
 }
 
 impl Running {
     /// Ends the agent, with all its connections.
     pub(crate) async fn kill(self) {
-        let _ = self.handle.stop();
+        self.handle.stop();
         self.handle.stopped().await;
     }
 }
@@ -108,9 +108,11 @@
         changed: sync::Notify::new(),
         gate: sync::Semaphore::new(0),
     });
-    let server = server::Server::builder().build(addr).await.unwrap();
-    let addr = server.local_addr().unwrap();
-    let handle = server.start(Shared(fake.clone()).into_rpc());
+    let listener = net::TcpListener::bind(addr).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let secrets = [bench::SECRET.parse().unwrap()];
+    let methods = Shared(fake.clone()).into_rpc();
+    let handle = peer::serve(listener, &secrets, methods, &peer::Limits::default()).unwrap();
     Running { fake, addr, handle }
 }
 
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -11,13 +11,30 @@
     bundle,
     id, //
 };
+use laburnumcart_daemon::{
+    metrics,
+    stop, //
+};
 use laburnumcart_entry::{
     callers,
+    claimed,
+    claims,
     control,
     driver,
     entry,
     links,
-    request, //
+    peers::{
+        self,
+        calls, //
+    },
+    request,
+    routes, //
+};
+use laburnumcart_platform::memory;
+use laburnumcart_wire::{
+    entry::EntryServer,
+    peer,
+    secret, //
 };
 use tokio::{
     io::{
@@ -33,6 +50,9 @@
 /// Bearer token of the only team.
 pub(crate) const TOKEN: &str = "token-1";
 
+/// Secret of the fleet.
+pub(crate) const SECRET: &str = "secret-of-the-fleet";
+
 /// SHA-256 of [`TOKEN`].
 const DIGEST: &str = "3f08aace122ee2368432c1ca23a049bc640bafbf00fdf33a52429f38ba12dbf9";
 
@@ -79,55 +99,92 @@
 /// An entry without its own process.
 pub(crate) struct Bench {
     pub(crate) entry: Arc<entry::Entry>,
+    pub(crate) running: stop::Running,
+    pub(crate) store: memory::Memory,
+    lanes: Vec<Arc<links::Lane>>,
 }
 
 impl Bench {
     /// Starts an entry with lanes to the agents and waits until all are open.
     pub(crate) async fn start(agents: &[(&str, net::SocketAddr)]) -> Self {
+        Self::start_on(memory::Memory::new(), agents).await
+    }
+
+    /// Starts an entry that shares an object service with others.
+    pub(crate) async fn start_on(
+        store: memory::Memory,
+        agents: &[(&str, net::SocketAddr)],
+    ) -> Self {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let identity = entry::Identity {
             instance: "entry-1".parse().unwrap(),
             zone: "dc-1".parse().unwrap(),
-            peer: ([127, 0, 0, 1], 1).into(),
+            peer: listener.local_addr().unwrap(),
             incarnation: id::Incarnation::random(),
         };
         let caller = links::Caller {
             instance: identity.instance.clone(),
             incarnation: identity.incarnation,
-            secret: "secret".to_owned(),
+            secret: SECRET.parse().unwrap(),
             timing: timing(),
         };
         let traffic = tokio::runtime::Handle::current();
-        let entry = entry::Entry::new(identity, traffic.clone());
-        let mut lanes: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
-        for (service, addr) in agents {
+        let running = stop::Running::new();
+        let entry = entry::Entry::new(identity, running.gate(), traffic.clone());
+        let open = |(service, addr): &(&str, net::SocketAddr)| {
             let lane = links::Lane::open(&traffic, *addr, caller.clone());
-            lanes
-                .entry(service.parse().unwrap())
-                .or_default()
-                .push(lane);
-        }
-        let bench = Self { entry };
-        bench.publish(bundle(), lanes);
+            (service.parse().unwrap(), lane)
+        };
+        let lanes: Vec<(id::ServiceName, _)> = agents.iter().map(open).collect();
+        let bench = Self {
+            entry,
+            running,
+            store,
+            lanes: lanes.iter().map(|(_, lane)| lane.clone()).collect(),
+        };
         bench.connected().await;
+        bench.publish(lanes);
+        bench.serve_peers(listener);
         bench
     }
 
-    fn publish(
-        &self,
-        bundle: bundle::Bundle,
-        lanes: collections::BTreeMap<id::ServiceName, Vec<Arc<links::Lane>>>,
-    ) {
-        let rules = control::Rules::new(id::Generation(1), bundle);
+    fn publish(&self, lanes: Vec<(id::ServiceName, Arc<links::Lane>)>) {
+        let mut ways: collections::BTreeMap<id::ServiceName, Vec<_>> = collections::BTreeMap::new();
+        for (service, lane) in lanes {
+            ways.entry(service).or_default().push(routes::Way {
+                lane,
+                local: true,
+                ejected: false,
+            });
+        }
+        let table = |(service, ways): (id::ServiceName, _)| {
+            (service.clone(), routes::Routes::new(service, ways))
+        };
+        let rules = control::Rules::new(id::Generation(1), bundle());
         self.entry.view.store(Arc::new(control::View {
             rules: Some(Arc::new(rules)),
-            lanes,
+            routes: ways.into_iter().map(table).collect(),
         }));
     }
 
+    fn serve_peers(&self, listener: net::TcpListener) {
+        let secret: secret::Secret = SECRET.parse().unwrap();
+        let entry = &self.entry;
+        let calls = calls::Calls::new(entry.holder(), secret.clone(), entry.answers.clone());
+        let peers = Arc::new(calls);
+        let service = claims::Builder::new(entry.holder())
+            .shards(2)
+            .start(Arc::new(self.store.clone()), peers.clone());
+        entry.set_claims(Arc::new(claimed::Local { service, peers }));
+        let methods = peers::Peers::new(entry.clone()).into_rpc();
+        let handle = peer::serve(listener, &[secret], methods, &peer::Limits::default()).unwrap();
+        // The server ends with the test's runtime.
+        std::mem::forget(handle);
+    }
+
     /// Waits until all lanes are open.
     pub(crate) async fn connected(&self) {
-        let view = self.entry.view.load_full();
-        for lane in view.lanes.values().flatten() {
+        for lane in &self.lanes {
             let mut link = lane.link();
             let up = link.wait_for(|link| matches!(link, links::Link::Up(_)));
             within(up).await.unwrap();
@@ -136,23 +193,35 @@
 
     /// Starts a request of the only team.
     pub(crate) fn run(&self, pipeline: &str, input: serde_json::Value) -> driver::Driven {
+        self.run_key(pipeline, input, "key-1")
+    }
+
+    /// Starts a request of the only team with an idempotency key.
+    pub(crate) fn run_key(
+        &self,
+        pipeline: &str,
+        input: serde_json::Value,
+        key: &str,
+    ) -> driver::Driven {
         let asked = request::Asked {
             pipeline: pipeline.to_owned(),
             token: Some(TOKEN.to_owned()),
-            key: Some("key-1".to_owned()),
+            key: Some(key.to_owned()),
             ..request::Asked::default()
         };
         let rules = self.entry.view.load().rules.clone().unwrap();
         let head = request::Head::check(asked, rules, tokio::time::Instant::now()).unwrap();
         let request = head.with_body(input.to_string().as_bytes()).unwrap();
-        driver::start(&self.entry, request, self.entry.enter().unwrap())
+        driver::start(&self.entry, request, self.entry.gate.enter().unwrap())
     }
 
     /// Opens the callers' port and returns its address.
     pub(crate) fn listen(&self) -> net::SocketAddr {
         let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let addr = listener.local_addr().unwrap();
-        tokio::spawn(callers::serve(self.entry.clone(), listener, 1).unwrap());
+        let metrics = metrics::Metrics::new();
+        self.entry.metrics.register(&metrics);
+        tokio::spawn(callers::serve(self.entry.clone(), metrics, listener, 1).unwrap());
         addr
     }
 }
@@ -170,7 +239,7 @@
     loop {
         match within(driven.events.recv()).await.expect("an end") {
             driver::Event::Piece(text) => pieces.push(text),
-            driver::Event::End(outcome) => return (pieces, outcome),
+            driver::Event::End(outcome, _) => return (pieces, outcome),
         }
     }
 }
--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -6,6 +6,8 @@
     net::TcpStream, //
 };
 
+use laburnumcart::unit;
+
 use crate::{
     agent,
     bench, //
@@ -114,7 +116,7 @@
     bench::within(pool.fake.called(1)).await;
     drop(stream);
     bench::within(pool.fake.cancelled()).await;
-    bench::within(bench.entry.drained()).await;
+    bench::within(bench.running.drain().wait(unit::Period(bench::LIMIT))).await;
 }
 
 // The caller is refused as not run while the entry leaves, and told when to come again; the request
@@ -134,15 +136,18 @@
     let running = tokio::spawn(async move { bench::http(addr, line, &[BEARER], "{}").await });
     bench::within(pool.fake.called(1)).await;
     bench.entry.leave();
+    let draining = bench.running.drain();
     assert_eq!(bench::http(addr, "GET /readyz", &[], "").await.status, 503);
     let refused = bench::http(addr, line, &[BEARER], "{}").await;
     assert_eq!(refused.status, 503);
     assert!(refused.head.contains("retry-after: 1"));
     assert!(refused.body.contains("\"not-run\"") && refused.body.contains("\"leaving\""));
-    assert_eq!(bench.entry.running(), 1);
+    assert_eq!(draining.count(), 1);
     pool.fake.gate.add_permits(9);
-    assert_eq!(bench::within(running).await.unwrap().status, 200);
-    bench::within(bench.entry.drained()).await;
+    let reply = bench::within(running).await.unwrap();
+    assert_eq!(reply.status, 200);
+    let stopped = draining.wait(unit::Period(bench::LIMIT)).await;
+    assert_eq!(stopped.left, 0);
 }
 
 // The caller sees one answer although the first target refuses a few times: each refusal proves that
