--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -8,8 +8,6 @@
 pub mod attempts;
 pub mod budget;
 pub mod bundle;
-pub mod document;
-pub mod eject;
 pub mod claim;
 pub mod document;
 pub mod eject;
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -67,7 +67,7 @@
 const LEAVING: unit::Period = unit::Period::from_secs(1);
 
 /// What the handlers share.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct State {
     entry: Arc<entry::Entry>,
     connections: socket::Connections,
