--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -1,1 +1,218 @@
-//! Keeps a prefix mirrored.
+//! Keeps the objects under a prefix mirrored in a process.
+
+use std::{
+    collections,
+    sync,
+    time, //
+};
+
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+use laburnumcart::unit;
+
+use crate::{
+    pause,
+    store, //
+};
+
+/// Objects under the prefix, as last heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Whether the service has been reached at all.
+    pub listed: bool,
+    /// Revision up to which the objects are complete.
+    pub revision: store::Revision,
+    /// Objects by key.
+    pub objects: collections::BTreeMap<String, sync::Arc<store::Object>>,
+}
+
+/// A listing that is older than what is known.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
+#[display("stale listing")]
+pub struct Stale;
+
+impl Snapshot {
+    /// Replaces the objects by those of a listing.
+    ///
+    /// A stale read would bring back objects that were changed or deleted: an instance that has
+    /// left would get work again, or an accepted bundle would revert. Revisions only grow, so an
+    /// older listing shows itself by its revision.
+    pub fn apply(&mut self, listing: store::Listing) -> Result<(), Stale> {
+        if self.listed && listing.revision < self.revision {
+            return Err(Stale);
+        }
+        let mut old = std::mem::take(&mut self.objects);
+        for object in listing.objects {
+            let known = old.remove(&object.key);
+            let newer = known.filter(|known| known.version >= object.version);
+            let object = newer.unwrap_or_else(|| sync::Arc::new(object));
+            self.objects.insert(object.key.clone(), object);
+        }
+        self.listed = true;
+        self.revision = listing.revision;
+        Ok(())
+    }
+
+    /// Applies changes; returns whether any object differs.
+    pub fn update(&mut self, changes: store::Changes) -> bool {
+        let mut differs = false;
+        for event in changes.events {
+            differs |= self.apply_event(event);
+        }
+        self.revision = self.revision.max(changes.revision);
+        differs
+    }
+
+    fn apply_event(&mut self, event: store::Event) -> bool {
+        let known = self.objects.get(&event.key);
+        if known.is_some_and(|object| object.version >= event.version) {
+            return false;
+        }
+        let Some(value) = event.value else {
+            return self.objects.remove(&event.key).is_some();
+        };
+        let object = store::Object {
+            key: event.key.clone(),
+            version: event.version,
+            value,
+        };
+        self.objects.insert(event.key, sync::Arc::new(object));
+        true
+    }
+}
+
+/// Settings of a [`Follower`].
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Time that one watch waits.
+    ///
+    /// A connection that has gone silent hides changes until the watch times out. The wait and the
+    /// client's timeout together stay below the 8 s in which a bundle must be in force.
+    pub wait: unit::Period,
+    /// Least time between two watches, so that a burst of changes is fetched in few calls.
+    pub interval: unit::Period,
+    /// Longest pause while the service is down.
+    pub longest: unit::Period,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            wait: unit::Period::from_secs(4),
+            interval: unit::Period::from_millis(500),
+            longest: unit::Period::from_secs(5),
+        }
+    }
+}
+
+/// First pause after a failure.
+const FIRST: time::Duration = time::Duration::from_millis(100);
+
+/// Follows a prefix by a listing and watches.
+pub struct Follower<S> {
+    store: S,
+    prefix: String,
+    settings: Settings,
+    snapshot: Snapshot,
+    sender: watch::Sender<sync::Arc<Snapshot>>,
+    pause: pause::Pause,
+    /// Whether the changes since the snapshot are out of reach.
+    lost: bool,
+    /// Whether the last call failed.
+    behind: bool,
+}
+
+/// Creates a follower and the receiver of its snapshots; nothing is called before
+/// [`Follower::run`].
+pub fn follower<S: store::Store>(
+    store: S,
+    prefix: impl Into<String>,
+    settings: Settings,
+) -> (Follower<S>, watch::Receiver<sync::Arc<Snapshot>>) {
+    let (sender, receiver) = watch::channel(sync::Arc::default());
+    let follower = Follower {
+        store,
+        prefix: prefix.into(),
+        settings,
+        snapshot: Snapshot::default(),
+        sender,
+        pause: pause::Pause::new(FIRST, settings.longest.0),
+        lost: true,
+        behind: false,
+    };
+    (follower, receiver)
+}
+
+impl<S: store::Store> Follower<S> {
+    /// Follows until the last receiver is gone.
+    pub async fn run(mut self) {
+        let sender = self.sender.clone();
+        tokio::select! {
+            () = sender.closed() => {}
+            () = self.follow() => {}
+        }
+    }
+
+    async fn follow(&mut self) {
+        loop {
+            let start = Instant::now();
+            let result = match self.lost {
+                true => self.list().await,
+                false => self.watch().await,
+            };
+            self.report(result.is_err());
+            let next = match result {
+                Ok(()) => {
+                    self.pause.reset();
+                    start + self.settings.interval.0
+                }
+                Err(failure) => Instant::now() + self.wait(&failure),
+            };
+            tokio::time::sleep_until(next).await;
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), store::Failure> {
+        let listing = self.store.list(&self.prefix).await?;
+        let applied = self.snapshot.apply(listing);
+        applied.map_err(|Stale| store::Failure::Unavailable { retry: None })?;
+        self.lost = false;
+        self.publish();
+        Ok(())
+    }
+
+    async fn watch(&mut self) -> Result<(), store::Failure> {
+        let after = self.snapshot.revision;
+        let wait = self.settings.wait.0;
+        let changes = self.store.watch(&self.prefix, after, wait).await;
+        self.lost = changes == Err(store::Failure::Compacted);
+        if self.snapshot.update(changes?) {
+            self.publish();
+        }
+        Ok(())
+    }
+
+    fn publish(&self) {
+        let snapshot = sync::Arc::new(self.snapshot.clone());
+        self.sender.send_replace(snapshot);
+    }
+
+    fn wait(&mut self, failure: &store::Failure) -> time::Duration {
+        let retry = match failure {
+            store::Failure::Unavailable { retry: Some(retry) } => retry.0,
+            _ => time::Duration::ZERO,
+        };
+        self.pause.next(retry.min(self.settings.longest.0))
+    }
+
+    fn report(&mut self, behind: bool) {
+        if self.behind != behind {
+            let state = if behind { "behind" } else { "current" };
+            log::info!("event=mirror prefix={} state={state}", self.prefix);
+        }
+        self.behind = behind;
+    }
+}
