Test the object service's client and stand-in under failures

Each answer of a write is checked for what it proves, by a scripted service; lost answers, late writes, outages, rates and stale reads by the stand-in.

--- /dev/null
+++ b/laburnumcart_fakes/tests/store_failures.rs
@@ -0,0 +1,329 @@
+//! Failures of the object service as the real client meets them.
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net,
+    sync::{
+        self,
+        atomic, //
+    },
+    thread, time,
+};
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use laburnumcart::unit;
+use laburnumcart_fakes::store as fake;
+use laburnumcart_platform::{
+    budget, client, memory, outage, settle,
+    store::{
+        self,
+        Failure,
+        Store, //
+    },
+};
+
+/// Bound of a wait that ends much earlier when all is well.
+const LONG: time::Duration = time::Duration::from_secs(20);
+
+/// Time after which a call to a silent service is given up.
+const SHORT: unit::Period = unit::Period::from_millis(200);
+
+fn client(addr: net::SocketAddr) -> client::Client {
+    let client = client::Client::builder([addr]);
+    client.timeout(unit::Period(LONG)).build().unwrap()
+}
+
+fn unavailable(seconds: Option<u64>) -> Failure {
+    let retry = seconds.map(unit::Period::from_secs);
+    Failure::Unavailable { retry }
+}
+
+/// A service that answers every request with the same bytes and then closes the connection, or
+/// says nothing and keeps it.
+struct Canned {
+    addr: net::SocketAddr,
+    connections: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Canned {
+    fn start(answer: &'static str) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let connections = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let count = connections.clone();
+        thread::spawn(move || {
+            let mut open = Vec::new();
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                count.fetch_add(1, atomic::Ordering::SeqCst);
+                read_request(&mut stream);
+                match answer {
+                    "" => open.push(stream),
+                    _ => stream.write_all(answer.as_bytes()).unwrap(),
+                }
+            }
+        });
+        Self { addr, connections }
+    }
+
+    fn connections(&self) -> usize {
+        self.connections.load(atomic::Ordering::SeqCst)
+    }
+}
+
+/// Reads one request whose body, if any, is a single byte.
+fn read_request(stream: &mut net::TcpStream) {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap() == 1 {
+        text.push(byte[0]);
+    }
+    if text.starts_with(b"PUT") {
+        let _ = stream.read(&mut byte);
+    }
+}
+
+#[rstest]
+#[case::limited(
+    "HTTP/1.1 429 x\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n",
+    unavailable(Some(2))
+)]
+#[case::down(
+    "HTTP/1.1 503 x\r\nretry-after: 7\r\ncontent-length: 0\r\n\r\n",
+    unavailable(Some(7))
+)]
+#[case::down_without_time("HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n", unavailable(None))]
+#[case::conflict("HTTP/1.1 412 x\r\ncontent-length: 0\r\n\r\n", Failure::Conflict)]
+#[case::too_large("HTTP/1.1 413 x\r\ncontent-length: 0\r\n\r\n", Failure::Invalid)]
+#[case::server_error("HTTP/1.1 500 x\r\ncontent-length: 0\r\n\r\n", Failure::Unanswered)]
+#[case::gateway("HTTP/1.1 504 x\r\ncontent-length: 0\r\n\r\n", Failure::Unanswered)]
+#[case::no_version("HTTP/1.1 200 x\r\ncontent-length: 0\r\n\r\n", Failure::Unanswered)]
+#[case::bad_version(
+    "HTTP/1.1 200 x\r\netag: 7\r\ncontent-length: 0\r\n\r\n",
+    Failure::Unanswered
+)]
+#[case::cut_head("HTTP/1.1 200 x\r\netag: \"7\"", Failure::Unanswered)]
+#[case::cut_body(
+    "HTTP/1.1 200 x\r\netag: \"7\"\r\ncontent-length: 5\r\n\r\nab",
+    Failure::Unanswered
+)]
+#[case::not_http("nonsense\r\n\r\n", Failure::Unanswered)]
+#[tokio::test]
+async fn answer_of_a_write_means_only_what_it_proves(
+    #[case] answer: &'static str,
+    #[case] expected: Failure,
+) {
+    let service = Canned::start(answer);
+    let put = client(service.addr)
+        .put("a", store::Expect::Absent, "1")
+        .await;
+    assert_eq!(put, Err(expected));
+}
+
+#[tokio::test]
+async fn refused_connection_is_unavailable() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let put = client(addr).put("a", store::Expect::Absent, "1").await;
+    assert_eq!(put, Err(unavailable(None)));
+}
+
+// The caller is told that its write is in doubt, and the next call is not stuck as well. The
+// connection goes silent after the request; the call times out and takes the connection with it.
+#[tokio::test]
+async fn silent_connection_is_left() {
+    let service = Canned::start("");
+    let client = client::Client::builder([service.addr]).timeout(SHORT);
+    let client = client.build().unwrap();
+    for used in 1..=2 {
+        let put = client.put("a", store::Expect::Absent, "1").await;
+        assert_eq!(put, Err(Failure::Unanswered));
+        assert_eq!(service.connections(), used);
+    }
+}
+
+#[tokio::test]
+async fn second_address_serves_when_the_first_is_gone() {
+    let server = fake::Server::builder().start().unwrap();
+    let gone = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addrs = [gone.local_addr().unwrap(), server.addr()];
+    drop(gone);
+    let client = client::Client::builder(addrs).build().unwrap();
+    assert_eq!(client.get("a").await, Err(unavailable(None)));
+    assert_eq!(client.get("a").await, Ok(None));
+}
+
+// The caller sees one success. The service takes the write and breaks the connection off before its
+// answer is complete; the client reports doubt, and a read shows the caller's own value.
+#[tokio::test]
+async fn lost_answer_is_settled() {
+    let server = fake::Server::builder().start().unwrap();
+    let client = client(server.addr());
+    let faults = memory::Faults {
+        lose_answers: 1,
+        ..memory::Faults::default()
+    };
+    server.memory().set_faults(faults);
+    let write = settle::Write {
+        key: "a",
+        expect: store::Expect::Absent,
+        value: "{\"nonce\":1}",
+    };
+    let until = Instant::now() + LONG;
+    let outcome = settle::put(&client, write, until, settle::created(write)).await;
+    let object = server.memory().get("a").await.unwrap().unwrap();
+    assert_eq!(outcome, Ok(settle::Outcome::Written(object.version)));
+    assert_eq!(server.memory().faults().lose_answers, 0);
+    assert_eq!(server.counts().prefixes["a"].writes, 1);
+}
+
+// The caller sees one success and the object is written once. The first call is held up at the
+// service, the caller gives it up and reads that the object does not exist yet, and sends it again.
+// The held call goes on after that and is refused, as the object exists.
+#[tokio::test]
+async fn late_write_is_refused_behind_its_repetition() {
+    let server = fake::Server::builder().start().unwrap();
+    let addr = server.addr();
+    let slow = memory::Faults {
+        slow: unit::Period::from_millis(600),
+        ..memory::Faults::default()
+    };
+    server.memory().set_faults(slow);
+    let hasty = client::Client::builder([addr]).timeout(SHORT);
+    let hasty = hasty.build().unwrap();
+    let write = settle::Write {
+        key: "a",
+        expect: store::Expect::Absent,
+        value: "{\"nonce\":1}",
+    };
+    let first = hasty.put(write.key, write.expect, write.value).await;
+    assert_eq!(first, Err(Failure::Unanswered));
+    server.memory().set_faults(memory::Faults::default());
+    let until = Instant::now() + LONG;
+    let outcome = settle::resolve(&client(addr), write, until, settle::created(write)).await;
+    tokio::time::sleep(slow.slow.0 * 2).await;
+    let object = server.memory().get("a").await.unwrap().unwrap();
+    assert_eq!(outcome, settle::Outcome::Written(object.version));
+}
+
+// The caller is refused at once while the service is down, the service is not hammered, and calls
+// succeed again soon after its return without anyone's help.
+#[tokio::test]
+async fn outage_is_not_hammered_and_ends() {
+    let server = fake::Server::builder().start().unwrap();
+    let limits = outage::Limits {
+        longest: time::Duration::from_millis(200),
+        ..outage::Limits::default()
+    };
+    let client = client::Client::builder([server.addr()]).outage(limits);
+    let client = client.timeout(unit::Period(LONG)).build().unwrap();
+    let down = memory::Faults {
+        down: true,
+        ..memory::Faults::default()
+    };
+    server.memory().set_faults(down);
+    let start = Instant::now();
+    for _ in 0..500 {
+        let get = client.get("a").await;
+        assert!(matches!(get, Err(Failure::Unavailable { .. })));
+    }
+    assert!(client.is_down());
+    // Three calls find the outage; later ones are probes, each after a pause of 50 ms or more.
+    let probes = start.elapsed().as_millis() as u64 / 50;
+    assert!(server.counts().total.reads <= 3 + probes);
+    server.memory().set_faults(memory::Faults::default());
+    let back = async {
+        while client.get("a").await.is_err() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LONG, back).await.unwrap();
+    assert!(!client.is_down());
+}
+
+#[tokio::test]
+async fn calls_beyond_the_budget_never_reach_the_service() {
+    let server = fake::Server::builder().start().unwrap();
+    let rates = budget::Rates {
+        reads: unit::Rate(20.0),
+        writes: unit::Rate(20.0),
+    };
+    let start = Instant::now();
+    let client = client::Client::builder([server.addr()]).rates(rates);
+    let client = client.timeout(unit::Period(LONG)).build().unwrap();
+    let mut refused = 0;
+    for _ in 0..200 {
+        let retry = |failure| matches!(failure, Failure::Unavailable { retry: Some(_) });
+        refused += u64::from(client.get("a").await.is_err_and(retry));
+    }
+    let reads = server.counts().total.reads;
+    assert_eq!(reads, 200 - refused);
+    assert!(reads as f64 <= 5.0 + 20.0 * start.elapsed().as_secs_f64());
+    assert!(!client.is_down());
+}
+
+#[tokio::test]
+async fn service_refuses_calls_beyond_its_rate() {
+    let server = fake::Server::builder().writes(unit::Rate(0.001));
+    let server = server.start().unwrap();
+    let client = client(server.addr());
+    client.put("a", store::Expect::Absent, "1").await.unwrap();
+    let second = client.put("b", store::Expect::Absent, "1").await;
+    assert_eq!(second, Err(unavailable(Some(1))));
+    assert_eq!(server.counts().prefixes["b"].refused, 1);
+    assert_eq!(client.get("b").await, Ok(None));
+}
+
+#[tokio::test]
+async fn waiting_watches_take_the_rate_of_reads() {
+    let server = fake::Server::builder().reads(unit::Rate(4.0));
+    let server = server.start().unwrap();
+    let mut clients = Vec::new();
+    let mut tasks = Vec::new();
+    while server.counts().total.watches < 4 {
+        let client = client(server.addr());
+        let from = server.memory().revision();
+        clients.push(client.clone());
+        tasks.push(tokio::spawn(
+            async move { client.watch("a", from, LONG).await },
+        ));
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    let refused = clients[0].get("a").await;
+    assert!(matches!(
+        refused,
+        Err(Failure::Unavailable { retry: Some(_) })
+    ));
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+// A reader sees an older value for a while, and its conditional write on that value is refused; the
+// service's writes are never stale.
+#[tokio::test]
+async fn stale_read_can_not_overwrite() {
+    let server = fake::Server::builder().start().unwrap();
+    let client = client(server.addr());
+    let first = client.put("a", store::Expect::Absent, "1").await.unwrap();
+    let expect = store::Expect::Version(first);
+    tokio::time::sleep(time::Duration::from_millis(5)).await;
+    let between = Instant::now();
+    tokio::time::sleep(time::Duration::from_millis(5)).await;
+    let second = client.put("a", expect, "2").await.unwrap();
+    let stale = memory::Faults {
+        stale: unit::Period(between.elapsed()),
+        ..memory::Faults::default()
+    };
+    server.memory().set_faults(stale);
+    let object = client.get("a").await.unwrap();
+    let version = object.map(|object| object.version);
+    assert!(version == Some(first) || version == Some(second));
+    assert_eq!(client.put("a", expect, "3").await, Err(Failure::Conflict));
+    server.memory().set_faults(memory::Faults::default());
+    assert_eq!(client.get("a").await.unwrap().unwrap().value, "2");
+}
