--- /dev/null
+++ b/laburnumcart_entry/src/driver.rs
@@ -0,0 +1,132 @@
+//! Runs the stages of one request, each on a target of its service.
+
+pub mod account;
+mod stage;
+
+use std::sync::Arc;
+
+use serde_json::value;
+use tokio::{
+    sync::mpsc,
+    time, //
+};
+
+use laburnumcart::verdict;
+use laburnumcart_daemon::stop;
+
+use crate::{
+    claimed,
+    entry,
+    metrics,
+    request, //
+};
+
+/// What a caller is told while its request runs.
+#[derive(Debug)]
+pub enum Event {
+    /// A piece of the last stage's text.
+    Piece(String),
+    /// The final answer; nothing follows. The request is in flight until it was written.
+    End(Outcome, stop::Work),
+}
+
+/// Final answer of a request: the JSON text of its body, or a refusal.
+pub type Outcome = Result<String, verdict::Refusal>;
+
+/// A request that runs in a task of its own.
+///
+/// The channel is not bounded: it holds at most one result, which the driver holds anyway, and a
+/// caller that reads slowly must not keep others' work waiting at the agent.
+#[derive(Debug)]
+pub struct Driven {
+    /// Pieces and the end.
+    pub events: mpsc::UnboundedReceiver<Event>,
+}
+
+/// Starts a request on the traffic runtime.
+pub fn start(entry: &Arc<entry::Entry>, request: request::Request, work: stop::Work) -> Driven {
+    let (sender, events) = mpsc::unbounded_channel();
+    let mut driver = Driver {
+        entry: entry.clone(),
+        request,
+        events: sender,
+        accounts: Vec::new(),
+        verdict: verdict::Verdict::NotRun,
+    };
+    entry.traffic.spawn(async move {
+        driver.entry.metrics.running.inc();
+        let outcome = driver.answer().await;
+        driver.entry.metrics.running.dec();
+        driver.count(&outcome);
+        // Nobody listens if the caller has gone.
+        let _ = driver.events.send(Event::End(outcome, work));
+    });
+    Driven { events }
+}
+
+/// State of a request that runs.
+#[derive(Debug)]
+struct Driver {
+    entry: Arc<entry::Entry>,
+    request: request::Request,
+    events: mpsc::UnboundedSender<Event>,
+    accounts: Vec<account::Account>,
+    /// Whether anything of the request may have executed so far.
+    verdict: verdict::Verdict,
+}
+
+impl Driver {
+    /// Runs the request, under a claim if it must execute at most once.
+    async fn answer(&mut self) -> Outcome {
+        if self.request.head.idempotent {
+            return self.run().await;
+        }
+        let (entry, head) = (self.entry.clone(), self.request.head.clone());
+        let content = self.request.fingerprint;
+        claimed::run(&entry, &head, content, self.run()).await
+    }
+
+    async fn run(&mut self) -> Outcome {
+        let rules = self.request.head.rules.clone();
+        let stages = &rules.bundle.pipelines[&self.request.head.pipeline].stages;
+        let mut previous: Option<Box<value::RawValue>> = None;
+        for (index, stage) in stages.iter().enumerate() {
+            let last = index + 1 == stages.len();
+            let output = self.stage(stage, previous.as_deref(), last).await;
+            previous = Some(output.map_err(|refusal| self.judge(refusal))?);
+        }
+        account::Answer::text(&self.request.head, previous, &self.accounts)
+    }
+
+    fn count(&self, outcome: &Outcome) {
+        let head = &self.request.head;
+        let ended = match outcome {
+            Ok(_) if head.remaining().is_zero() => metrics::Ended::Late,
+            Ok(_) => metrics::Ended::Whole,
+            Err(refusal) => refusal.verdict.into(),
+        };
+        let took = head.arrived.elapsed();
+        let metrics = &self.entry.metrics;
+        metrics.request(&head.team, &head.pipeline, ended, took);
+    }
+
+    /// Widens the verdict on one stage to the whole request and says when to come again.
+    fn judge(&self, mut refusal: verdict::Refusal) -> verdict::Refusal {
+        refusal.verdict = refusal.verdict.and(self.verdict);
+        refusal.retry = refusal.retry.or(Some(RETRY));
+        refusal
+    }
+
+    /// Remembers what an attempt's end proves.
+    fn note(&mut self, verdict: verdict::Verdict) {
+        self.verdict = self.verdict.and(verdict);
+    }
+
+    /// Returns the time that is left.
+    fn remaining(&self) -> time::Duration {
+        self.request.head.remaining()
+    }
+}
+
+/// When a caller should come again if nothing better is known.
+const RETRY: laburnumcart::unit::Period = laburnumcart::unit::Period::from_secs(1);
