--- a/laburnumcart/src/claim.rs
+++ b/laburnumcart/src/claim.rs
@@ -23,11 +23,11 @@
 //!     age: unit::Period::default(),
 //! };
 //! let now = Instant::now();
-//! let mut log = log::Log::new(1, Default::default(), 1000);
+//! let mut log = log::Log::new(1, Default::default(), Default::default(), now);
 //! assert!(matches!(log.claim(grant.clone(), now), log::Step::Queued(_)));
 //!
 //! // Nothing is granted before the append is durable.
-//! let append = log.begin().unwrap();
+//! let append = log.begin(now).unwrap();
 //! assert_eq!(append.number, 0);
 //! log.durable(now);
 //! assert_eq!(log.claim(grant, now), log::Step::Granted);
--- a/laburnumcart/src/claim/log.rs
+++ b/laburnumcart/src/claim/log.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections,
-    mem, //
+    mem,
+    time, //
 };
 
 use tokio::time::Instant;
@@ -12,7 +13,8 @@
         record,
         table, //
     },
-    id, //
+    id,
+    unit, //
 };
 
 /// Most records of one batch; keeps a segment well under the largest value of an object.
@@ -21,13 +23,28 @@
 /// Most claims of one part of a snapshot.
 pub const PART_MAX: usize = 2048;
 
-/// Fewest segments between two snapshots.
-const SNAPSHOT_MIN: u64 = 256;
-
 /// Segments that each part of a snapshot must replace, which bounds the share of writes that
 /// snapshots take to an eighth.
 const SNAPSHOT_RATIO: u64 = 8;
 
+/// Bounds of one shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Most claims held; more are refused.
+    pub claims: usize,
+    /// Fewest segments between two snapshots.
+    pub segments: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            claims: 20_000,
+            segments: 256,
+        }
+    }
+}
+
 /// Number of a batch; grows by one with each.
 pub type Batch = u64;
 
@@ -64,8 +81,9 @@
 #[derive(Debug)]
 pub struct Log {
     epoch: record::Epoch,
+    start: Instant,
     table: table::Table,
-    limit: usize,
+    limits: Limits,
     next: u64,
     /// First number that the newest snapshot does not supersede.
     first: u64,
@@ -79,12 +97,13 @@
 }
 
 impl Log {
-    /// Creates the state for an epoch without segments, with at most `limit` claims.
-    pub fn new(epoch: record::Epoch, table: table::Table, limit: usize) -> Self {
+    /// Creates the state for an epoch that starts now without segments, within `limits`.
+    pub fn new(epoch: record::Epoch, table: table::Table, limits: Limits, now: Instant) -> Self {
         Self {
             epoch,
+            start: now,
             table,
-            limit,
+            limits,
             next: 0,
             first: 0,
             postponed: 0,
@@ -142,7 +161,8 @@
             }
             return Step::Taken(old.clone());
         }
-        if self.table.len() + self.pending.len() >= self.limit || self.gathering.len() >= BATCH_MAX
+        if self.table.len() + self.pending.len() >= self.limits.claims
+            || self.gathering.len() >= BATCH_MAX
         {
             return Step::Full;
         }
@@ -193,8 +213,12 @@
         });
     }
 
+    fn at(&self, now: Instant) -> unit::Period {
+        unit::Period(now.saturating_duration_since(self.start))
+    }
+
     /// Starts the next append, unless one is in flight or nothing waits.
-    pub fn begin(&mut self) -> Option<Append> {
+    pub fn begin(&mut self, now: Instant) -> Option<Append> {
         if self.in_flight || self.gathering.is_empty() {
             return None;
         }
@@ -205,7 +229,10 @@
         Some(Append {
             number: self.next,
             batch,
-            segment: record::Segment::Batch(self.flight.clone()),
+            segment: record::Segment::Batch {
+                at: self.at(now),
+                records: self.flight.clone(),
+            },
         })
     }
 
@@ -230,7 +257,7 @@
     /// Reports whether enough segments have come since the last snapshot for a new one.
     pub fn wants_snapshot(&self) -> bool {
         let parts = (self.table.len() / PART_MAX + 1) as u64;
-        let least = SNAPSHOT_MIN.max(SNAPSHOT_RATIO * parts);
+        let least = self.limits.segments.max(SNAPSHOT_RATIO * (parts - 1));
         !self.in_flight && self.next - self.first.max(self.postponed) >= least
     }
 
@@ -239,6 +266,7 @@
     pub fn snapshot(&mut self, now: Instant) -> Vec<(u64, record::Segment)> {
         self.table.expire(now);
         let first = self.next;
+        let at = self.at(now);
         let grants: Vec<_> = self.table.grants(now).collect();
         let mut parts: Vec<_> = grants.chunks(PART_MAX).map(<[_]>::to_vec).collect();
         if parts.is_empty() {
@@ -248,6 +276,7 @@
         let part = |(index, grants)| {
             let last = index + 1 == count;
             let segment = record::Segment::Snapshot {
+                at,
                 first,
                 last,
                 grants,
@@ -277,31 +306,63 @@
 /// Replays the segments of one sealed epoch, in the order of their numbers, onto `table`.
 ///
 /// A snapshot supersedes everything before it once its last part is there; an incomplete one is
-/// ignored, as nothing was deleted for it.
+/// ignored, as nothing was deleted for it. A claim is as old as the epoch's owner saw it become,
+/// up to its last append.
 pub fn replay(table: &mut table::Table, segments: &[record::Segment], now: Instant) {
-    let mut partial = (0, Vec::new());
+    let end = segments.iter().filter_map(record::Segment::at).max();
+    let end = end.unwrap_or_default();
+    let mut parts = Parts::default();
     for segment in segments {
+        let held = segment.at().map(|at| end.0.saturating_sub(at.0));
+        let held = held.unwrap_or_default();
         match segment {
-            record::Segment::Batch(records) => {
-                records.iter().for_each(|record| table.apply(record, now));
+            record::Segment::Batch { records, .. } => {
+                for record in records {
+                    table.apply(&aged(record, held), now);
+                }
             }
             record::Segment::Snapshot {
                 first,
                 last,
                 grants,
+                ..
             } => {
-                if partial.0 != *first {
-                    partial = (*first, Vec::new());
+                if parts.first != *first {
+                    parts = Parts::default();
                 }
-                partial.1.extend(grants.iter().cloned());
+                parts.first = *first;
+                parts
+                    .grants
+                    .extend(grants.iter().map(|grant| older(grant, held)));
                 if *last {
                     *table = table::Table::default();
-                    mem::take(&mut partial.1)
-                        .into_iter()
-                        .for_each(|grant| table.insert(grant, now));
+                    for grant in mem::take(&mut parts.grants) {
+                        table.insert(grant, now);
+                    }
                 }
             }
             record::Segment::Seal(_) => {}
         }
     }
 }
+
+/// Parts of a snapshot, read so far.
+#[derive(Default)]
+struct Parts {
+    first: u64,
+    grants: Vec<record::Grant>,
+}
+
+fn older(grant: &record::Grant, held: time::Duration) -> record::Grant {
+    record::Grant {
+        age: unit::Period(grant.age.0.saturating_add(held)),
+        ..grant.clone()
+    }
+}
+
+fn aged(record: &record::Record, held: time::Duration) -> record::Record {
+    match record {
+        record::Record::Grant(grant) => record::Record::Grant(older(grant, held)),
+        release => release.clone(),
+    }
+}
--- a/laburnumcart/src/claim/record.rs
+++ b/laburnumcart/src/claim/record.rs
@@ -97,10 +97,17 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Segment {
-    /// Changes, in order.
-    Batch(Vec<Record>),
+    /// Changes.
+    Batch {
+        /// Age of the epoch when the batch was written.
+        at: unit::Period,
+        /// Changes, in order.
+        records: Vec<Record>,
+    },
     /// A part of the whole table; supersedes what is before its first part, once it is complete.
     Snapshot {
+        /// Age of the epoch when the part was written.
+        at: unit::Period,
         /// Number of the first part.
         first: u64,
         /// Whether this is the last part.
@@ -115,6 +122,16 @@
     Seal(Epoch),
 }
 
+impl Segment {
+    /// Returns the age of the epoch when the segment was written, as its owner measured it.
+    pub fn at(&self) -> Option<unit::Period> {
+        match self {
+            Self::Batch { at, .. } | Self::Snapshot { at, .. } => Some(*at),
+            Self::Seal(_) => None,
+        }
+    }
+}
+
 /// Returns the key of a shard's head.
 pub fn head_key(shard: u16) -> String {
     format!("claims/{shard}/head")
--- a/laburnumcart/src/claim/table.rs
+++ b/laburnumcart/src/claim/table.rs
@@ -35,9 +35,9 @@
 
 /// Claims by key.
 ///
-/// An age is what a chain of owners measured with clocks of their own, each while it held the
-/// claim. The time between two owners is not counted, so a claim may be kept longer than its
-/// retention but never shorter, whatever the clocks show.
+/// An age is what a chain of owners measured, each with a clock of its own and while it held the
+/// claim. The time between an owner's last append and the replay by its successor is not counted,
+/// so a claim may be kept longer than its retention but never shorter, whatever the clocks show.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     claims: collections::HashMap<id::Fingerprint, Entry>,
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -36,6 +36,7 @@
 use laburnumcart::{
     claim::{
         self,
+        log,
         record,
         route, //
     },
@@ -103,7 +104,7 @@
     me: claim::Holder,
     shards: u16,
     write_rate: unit::Rate,
-    limit: usize,
+    limits: log::Limits,
     call_limit: time::Duration,
     serve_limit: time::Duration,
     patience: route::Patience,
@@ -117,7 +118,7 @@
             me,
             shards: 16,
             write_rate: unit::Rate(200.0),
-            limit: 20_000,
+            limits: log::Limits::default(),
             call_limit: time::Duration::from_secs(2),
             serve_limit: time::Duration::from_secs(5),
             patience: route::Patience::default(),
@@ -142,7 +143,14 @@
     /// Sets the most claims held for one shard; more are refused as not run.
     #[must_use]
     pub fn limit(mut self, limit: usize) -> Self {
-        self.limit = limit;
+        self.limits.claims = limit;
+        self
+    }
+
+    /// Sets the fewest segments of a shard's log between two snapshots.
+    #[must_use]
+    pub fn segments(mut self, segments: u64) -> Self {
+        self.limits.segments = segments.max(1);
         self
     }
 
@@ -286,14 +294,16 @@
             key,
             request,
         };
-        match self.release_here(&release).await {
-            actor::Released::Here(recorded) => recorded,
-            actor::Released::Elsewhere(Some(owner)) if owner.addr != self.config.me.addr => {
-                let answer = self.peers.release(owner.addr, release).await;
-                answer.unwrap_or(false)
-            }
-            actor::Released::Elsewhere(_) => false,
+        let owner = match self.release_here(&release).await {
+            actor::Released::Here(recorded) => return recorded,
+            actor::Released::Elsewhere(owner) => owner,
+        };
+        let addr = owner.map_or_else(|| self.preferred(shard), |owner| owner.addr);
+        if addr == self.config.me.addr {
+            return false;
         }
+        let answer = self.peers.release(addr, release).await;
+        answer.unwrap_or(false)
     }
 
     /// Answers a release that another entry asks for.
@@ -457,7 +467,7 @@
     async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
         let count = takeover::shards(&*self.store, self.config.shards).await?;
         if count != self.config.shards {
-            log::warn!(
+            ::log::warn!(
                 "event=claim-shards-kept stored={count} configured={}",
                 self.config.shards
             );
@@ -474,7 +484,7 @@
             me: self.config.me,
             store: self.store.clone(),
             runtime: self.runtime.clone(),
-            limit: self.config.limit,
+            limits: self.config.limits,
             pace: self.config.pace(usize::from(count)),
             call_limit: self.config.call_limit,
             suspicion: suspicion.clone(),
--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -98,7 +98,7 @@
     pub(super) me: claim::Holder,
     pub(super) store: sync::Arc<S>,
     pub(super) runtime: runtime::Handle,
-    pub(super) limit: usize,
+    pub(super) limits: claim::log::Limits,
     pub(super) pace: time::Duration,
     pub(super) call_limit: time::Duration,
     pub(super) suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
@@ -156,6 +156,7 @@
             Command::Claim { grant, mode, reply } => self.claim(context, grant, mode, reply).await,
             Command::Release { reply, .. } => {
                 // Without the owner's answer the key stays claimed, which is safe.
+                self.read = None;
                 let owner = self.owner(context).await.unwrap_or(None);
                 reply.send(Released::Elsewhere(owner)).ok();
                 None
@@ -234,7 +235,7 @@
             shard: context.shard,
             me: context.me,
             suspect,
-            limit: context.limit,
+            limits: context.limits,
             call_limit: context.call_limit,
         };
         self.read = None;
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -148,9 +148,10 @@
             }
             waits
         });
-        let append = self.log.begin()?;
-        self.next_append = clock::Instant::now() + self.context.pace;
-        if let record::Segment::Batch(records) = &append.segment {
+        let now = clock::Instant::now();
+        let append = self.log.begin(now)?;
+        self.next_append = now + self.context.pace;
+        if let record::Segment::Batch { records, .. } = &append.segment {
             self.flight = records.clone();
         }
         let store = self.context.store.clone();
--- a/laburnumcart_entry/src/claims/takeover.rs
+++ b/laburnumcart_entry/src/claims/takeover.rs
@@ -55,8 +55,8 @@
     pub(super) me: claim::Holder,
     /// Owner to replace; any other owner is left in place.
     pub(super) suspect: Option<claim::Holder>,
-    /// Most claims in the shard.
-    pub(super) limit: usize,
+    /// Bounds of the shard.
+    pub(super) limits: log::Limits,
     /// Longest wait for one call.
     pub(super) call_limit: time::Duration,
 }
@@ -130,7 +130,7 @@
             version: object.version,
         }));
     }
-    let mut log = log::Log::new(head.epoch, table, plan.limit);
+    let mut log = log::Log::new(head.epoch, table, plan.limits, clock::Instant::now());
     if !snapshot(store, &plan, &mut log).await? {
         return Ok(Outcome::Foreign(None));
     }
--- /dev/null
+++ b/laburnumcart_entry/tests/claims/support.rs
@@ -0,0 +1,238 @@
+//! Entries of one fleet in one process, with a store and connections that fail on demand.
+
+use std::{
+    collections,
+    net,
+    sync::{
+        self,
+        atomic, //
+    },
+    time, //
+};
+
+use tokio::sync::watch;
+
+use laburnumcart::{
+    claim,
+    id,
+    unit, //
+};
+use laburnumcart_entry::claims;
+use laburnumcart_platform::{
+    memory,
+    store::{
+        self,
+        Store, //
+    },
+};
+use laburnumcart_wire::entry;
+
+/// Number of shards in tests; one, so that all keys meet.
+pub(crate) const SHARDS: u16 = 1;
+
+/// The store as one entry reaches it; a gate holds its writes, as a pause of its process does.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    memory: memory::Memory,
+    held: watch::Sender<Option<&'static str>>,
+    pub(crate) writes: atomic::AtomicU64,
+}
+
+impl Gate {
+    /// Holds the writes of keys under a prefix, or lets all go.
+    pub(crate) fn hold(&self, prefix: Option<&'static str>) {
+        self.held.send_replace(prefix);
+    }
+
+    async fn pass(&self, key: &str) {
+        let mut held = self.held.subscribe();
+        let open = |held: &Option<&str>| held.is_none_or(|prefix| !key.starts_with(prefix));
+        held.wait_for(open).await.expect("gate lives");
+    }
+}
+
+impl Store for Gate {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.pass(key).await;
+        self.writes.fetch_add(1, atomic::Ordering::Relaxed);
+        self.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.pass(key).await;
+        self.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        self.memory.watch(prefix, after, wait).await
+    }
+}
+
+type Entry = sync::Arc<claims::Service<Gate, Net>>;
+
+/// Connections between entries.
+#[derive(Clone, Default)]
+pub(crate) struct Net {
+    entries: sync::Arc<sync::Mutex<collections::HashMap<net::SocketAddr, Entry>>>,
+    cut: sync::Arc<sync::Mutex<collections::HashSet<net::SocketAddr>>>,
+}
+
+impl Net {
+    /// Makes an entry unreachable for others, or reachable again.
+    pub(crate) fn set_cut(&self, entry: &Entry, cut: bool) {
+        let addr = entry.holder().addr;
+        let mut cuts = self.cut.lock().unwrap();
+        match cut {
+            true => cuts.insert(addr),
+            false => cuts.remove(&addr),
+        };
+    }
+
+    fn reach(&self, addr: net::SocketAddr) -> Result<Entry, claims::Unreachable> {
+        if self.cut.lock().unwrap().contains(&addr) {
+            return Err(claims::Unreachable);
+        }
+        let entries = self.entries.lock().unwrap();
+        entries.get(&addr).cloned().ok_or(claims::Unreachable)
+    }
+}
+
+impl claims::Peers for Net {
+    async fn claim(
+        &self,
+        addr: net::SocketAddr,
+        claim: entry::Claim,
+    ) -> Result<entry::Decision, claims::Unreachable> {
+        Ok(self.reach(addr)?.serve(claim).await)
+    }
+
+    async fn release(
+        &self,
+        addr: net::SocketAddr,
+        release: entry::Release,
+    ) -> Result<bool, claims::Unreachable> {
+        Ok(self.reach(addr)?.serve_release(release).await)
+    }
+
+    async fn fetch(
+        &self,
+        addr: net::SocketAddr,
+        fetch: entry::Fetch,
+    ) -> Result<entry::Answer, claims::Unreachable> {
+        let entry = self.reach(addr)?;
+        if entry.holder().incarnation != fetch.incarnation {
+            return Ok(entry::Answer::Unknown);
+        }
+        let body = fetch.request.to_string();
+        Ok(entry::Answer::Whole { body })
+    }
+}
+
+/// A store, and the entries over it.
+pub(crate) struct World {
+    pub(crate) memory: memory::Memory,
+    pub(crate) net: Net,
+    live: Vec<net::SocketAddr>,
+    limit: usize,
+    segments: u64,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        Self {
+            memory: memory::Memory::new(),
+            net: Net::default(),
+            live: Vec::new(),
+            limit: 20_000,
+            segments: 256,
+        }
+    }
+
+    pub(crate) fn with_limit(limit: usize) -> Self {
+        Self {
+            limit,
+            ..Self::new()
+        }
+    }
+
+    /// Creates a world whose owners take a snapshot after a few segments.
+    pub(crate) fn with_segments(segments: u64) -> Self {
+        Self {
+            segments,
+            ..Self::new()
+        }
+    }
+
+    /// Starts an entry with its own way to the store; the first one is preferred by all.
+    pub(crate) fn start(&mut self, number: u16) -> (Entry, sync::Arc<Gate>) {
+        self.start_with(number, SHARDS)
+    }
+
+    pub(crate) fn start_with(&mut self, number: u16, shards: u16) -> (Entry, sync::Arc<Gate>) {
+        let addr = net::SocketAddr::from(([127, 0, 0, 1], number));
+        let holder = claim::Holder {
+            addr,
+            incarnation: id::Incarnation::random(),
+        };
+        let gate = sync::Arc::new(Gate {
+            memory: self.memory.clone(),
+            held: watch::Sender::new(None),
+            writes: atomic::AtomicU64::new(0),
+        });
+        let service = claims::Builder::new(holder)
+            .shards(shards)
+            .write_rate(unit::Rate(1000.0))
+            .limit(self.limit)
+            .segments(self.segments)
+            .start(gate.clone(), sync::Arc::new(self.net.clone()));
+        if self.live.is_empty() {
+            self.live.push(addr);
+        }
+        service.set_live(self.live.clone());
+        let mut entries = self.net.entries.lock().unwrap();
+        entries.insert(addr, service.clone());
+        (service, gate)
+    }
+}
+
+/// Returns what a request with key and number asks for.
+pub(crate) fn ask(key: u128, request: u128) -> claims::Ask {
+    claims::Ask {
+        key: id::Fingerprint(key),
+        content: id::Fingerprint(key),
+        request: id::RequestId(request),
+        retention: unit::Period::from_secs(3600),
+    }
+}
+
+/// Claims with a deadline of ten seconds.
+pub(crate) async fn claim(entry: &Entry, ask: claims::Ask) -> entry::Decision {
+    let deadline = tokio::time::Instant::now() + time::Duration::from_secs(10);
+    entry.claim(ask, deadline).await
+}
+
+/// Returns the request that holds a key, from a decision.
+pub(crate) fn taken_by(decision: &entry::Decision) -> Option<id::RequestId> {
+    match decision {
+        entry::Decision::Taken { request, .. } => Some(*request),
+        _ => None,
+    }
+}
