--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -257,7 +257,7 @@
                     context.call_limit,
                 );
                 context.runtime.spawn(sweep);
-                Ok(Next::Taken(taken.log))
+                Ok(Next::Taken(Box::new(taken.log)))
             }
             takeover::Outcome::Foreign(head) => {
                 self.saw(context, head);
@@ -303,7 +303,7 @@
 /// What follows a claim in a shard that was not owned here.
 enum Next {
     /// The shard was taken over.
-    Taken(claim::log::Log),
+    Taken(Box<claim::log::Log>),
     /// It is owned elsewhere.
     Elsewhere(Option<claim::Holder>),
 }
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -42,7 +42,7 @@
 
 /// A shard just taken over, and the claim that it was taken for.
 pub(super) struct Start {
-    pub(super) taken: log::Log,
+    pub(super) taken: Box<log::Log>,
     pub(super) grant: record::Grant,
     pub(super) reply: Reply,
 }
@@ -61,7 +61,7 @@
 /// State of the owner beside its log.
 struct Owner<'a, S> {
     context: &'a actor::Context<S>,
-    log: log::Log,
+    log: Box<log::Log>,
     /// Replies by claim, sent when its batch is durable.
     waiting: collections::HashMap<(id::Fingerprint, id::RequestId), Vec<Reply>>,
     /// Claims of keys that a batch changes, asked again when it is settled.
