--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -1,3 +1,8 @@
 //! Stand-ins for the platform, engines and services, and a load tool.
 
+pub mod client;
+pub mod demo;
+pub mod expected;
+pub mod load;
 pub mod store;
+pub mod target;
