Queue by fair shares, follow bundle and target, hold the term and give orders

Orders run in a loop of their own beside the looks at the target: in one loop a model load of several seconds would have kept a crash and a new bundle unnoticed for that time.

A target that does not answer is taken for crashed only if it starts again with another boot, or if its port is closed after all that ran there has failed; one that is slow or paused keeps its connections.

--- a/laburnumcart/src/attempts.rs
+++ b/laburnumcart/src/attempts.rs
@@ -56,7 +56,6 @@
 };
 use crate::{
     id,
-    unit,
     verdict, //
 };
 
@@ -212,15 +211,14 @@
     pub fn refuse(
         &mut self,
         id: id::AttemptId,
-        reason: verdict::Reason,
-        retry: Option<unit::Period>,
+        refusal: verdict::Refusal,
         proof: bool,
         now: time::Instant,
     ) -> bool {
         self.end(id, |stage| match stage {
-            Stage::Queued(attempt) => (Stage::Refused(attempt.refuse(reason, retry, now)), true),
+            Stage::Queued(attempt) => (Stage::Refused(attempt.refuse(refusal, now)), true),
             Stage::Running(attempt) if proof => {
-                (Stage::Refused(attempt.disprove(reason, retry, now)), true)
+                (Stage::Refused(attempt.disprove(refusal, now)), true)
             }
             other => (other, false),
         })
@@ -337,6 +335,14 @@
         }
     }
 
+    /// Returns the number of chunks of a running attempt so far.
+    pub fn count(&self, id: id::AttemptId) -> u32 {
+        match self.get(id).and_then(|entry| entry.stage.as_ref()) {
+            Some(Stage::Running(attempt)) => attempt.state.chunks.count(),
+            _ => 0,
+        }
+    }
+
     /// Returns the bytes of its result that wait to be acknowledged.
     pub fn pending(&self, id: id::AttemptId) -> usize {
         match self.get(id).and_then(|entry| entry.stage.as_ref()) {
--- a/laburnumcart/src/attempts/cycle.rs
+++ b/laburnumcart/src/attempts/cycle.rs
@@ -101,20 +101,8 @@
     }
 
     /// Ends an attempt that never left the queue, which proves that it did not run.
-    pub fn refuse(
-        self,
-        reason: verdict::Reason,
-        retry: Option<crate::unit::Period>,
-        now: time::Instant,
-    ) -> Attempt<Refused> {
-        let refusal = verdict::Refusal {
-            retry,
-            ..verdict::Refusal::not_run(reason)
-        };
-        self.with(Refused {
-            refusal,
-            ended: now,
-        })
+    pub fn refuse(self, refusal: verdict::Refusal, now: time::Instant) -> Attempt<Refused> {
+        self.with(Refused::not_run(refusal, now))
     }
 }
 
@@ -144,20 +132,19 @@
     }
 
     /// Ends the attempt when the target has proven that it did not start it.
-    pub fn disprove(
-        self,
-        reason: verdict::Reason,
-        retry: Option<crate::unit::Period>,
-        now: time::Instant,
-    ) -> Attempt<Refused> {
-        let refusal = verdict::Refusal {
-            retry,
-            ..verdict::Refusal::not_run(reason)
-        };
-        self.with(Refused {
-            refusal,
+    pub fn disprove(self, refusal: verdict::Refusal, now: time::Instant) -> Attempt<Refused> {
+        self.with(Refused::not_run(refusal, now))
+    }
+}
+
+impl Refused {
+    /// Takes cause and retry time of `refusal`; the verdict follows from the state.
+    fn not_run(refusal: verdict::Refusal, now: time::Instant) -> Self {
+        let verdict = verdict::Verdict::NotRun;
+        Self {
+            refusal: verdict::Refusal { verdict, ..refusal },
             ended: now,
-        })
+        }
     }
 }
 
--- a/laburnumcart/src/lanes.rs
+++ b/laburnumcart/src/lanes.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Reports whether a lane is known.
+    pub fn is_known(&self, lane: id::Incarnation) -> bool {
+        self.lanes.contains_key(&lane)
+    }
+
     /// Returns the number of lanes known.
     pub fn len(&self) -> usize {
         self.lanes.len()
--- a/laburnumcart_agent/src/agent.rs
+++ b/laburnumcart_agent/src/agent.rs
@@ -8,10 +8,13 @@
 
 use laburnumcart::verdict;
 use laburnumcart_daemon::{
+    bundle,
     control as thread,
     event,
+    metrics,
     stop, //
 };
+use laburnumcart_platform::store;
 use laburnumcart_wire::{
     agent::AgentServer,
     peer, //
@@ -30,6 +33,17 @@
 /// Time between two looks for attempts and lanes whose time has passed.
 const SWEEP: time::Duration = time::Duration::from_millis(50);
 
+/// What an agent is made of beside its settings.
+#[derive(Debug, Default)]
+pub struct Parts {
+    /// Limits of the work that it takes on.
+    pub limits: work::Limits,
+    /// Where its metrics go.
+    pub metrics: metrics::Metrics,
+    /// How it follows the bundle; without this it stays with none.
+    pub options: Option<bundle::Options>,
+}
+
 /// An agent that serves its peers.
 #[derive(Debug)]
 pub struct Agent {
@@ -43,17 +57,20 @@
     /// Starts to serve on `listener`, on the current runtime and a control thread.
     pub fn start(
         settings: settings::Settings,
-        limits: work::Limits,
+        parts: Parts,
         listener: net::TcpListener,
+        store: impl store::Store,
     ) -> io::Result<Self> {
         let running = stop::Running::new();
         let secrets = settings.fleet.secrets.clone();
-        let shared = sync::Arc::new(shared::Shared::new(settings, limits, running.gate()));
+        let gate = running.gate();
+        let (shared, news) = shared::Shared::new(settings, parts.limits, gate, &parts.metrics);
+        let shared = sync::Arc::new(shared);
         let methods = service::Service::new(shared.clone()).into_rpc();
         let peers = peer::serve(listener, &secrets, methods, &peer::Limits::default())?;
         let control = thread::spawn({
             let shared = shared.clone();
-            move || control::run(shared)
+            move || control::run(shared, news, store, parts.options)
         })?;
         tokio::spawn(sweep(shared.clone()));
         event!(
@@ -108,8 +125,11 @@
         let now = time::Instant::now();
         {
             let mut work = shared.work();
-            work.expire(now);
             work.sweep(now);
+            let counters = &shared.counters;
+            counters.running.set(work.running() as i64);
+            counters.queued.set(work.queued() as i64);
+            counters.limit.set(i64::from(work.limit()));
         }
         execute::pump(&shared);
     }
--- a/laburnumcart_agent/src/control.rs
+++ b/laburnumcart_agent/src/control.rs
@@ -1,39 +1,158 @@
-//! The control thread: health of the target and what follows from it.
+//! The control thread: bundle, facts, health of the target, term and orders.
+
+mod ordering;
+mod term;
+mod watching;
 
 use std::sync;
 
-use laburnumcart::bundle;
-use laburnumcart_daemon::event;
-use tokio::time;
+use laburnumcart::{
+    facts,
+    id,
+    suspects, //
+};
+use laburnumcart_daemon::{
+    bundle,
+    event, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::secret;
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time, //
+};
 
 use crate::{
     shared,
-    snapshot, //
+    snapshot,
+    target, //
 };
 
 /// Time between two looks at the target.
 const POLL: time::Duration = time::Duration::from_millis(250);
 
-/// Runs the control loop for as long as the process lives.
-pub async fn run(shared: sync::Arc<shared::Shared>) {
-    let mut ticks = time::interval(POLL);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let state = shared.target.state().await;
-        let before = shared.snapshot.load_full();
-        let ready = state.is_ok();
-        if ready != before.ready {
-            event!(Info, "target", ready = ready);
+/// Control state, owned by the control thread.
+pub(crate) struct Control {
+    shared: sync::Arc<shared::Shared>,
+    news: mpsc::Receiver<shared::News>,
+    facts: facts::Table,
+    watching: watching::Watching,
+    /// State of the target for the orders, `None` while it is not known.
+    states: watch::Sender<Option<target::State>>,
+    next: snapshot::Snapshot,
+}
+
+/// Runs the control loops; never returns.
+pub(crate) async fn run<S: store::Store>(
+    shared: sync::Arc<shared::Shared>,
+    news: mpsc::Receiver<shared::News>,
+    store: S,
+    options: Option<bundle::Options>,
+) {
+    let store = sync::Arc::new(store);
+    let control = Control {
+        shared: shared.clone(),
+        news,
+        facts: facts::Table::default(),
+        watching: watching::Watching::default(),
+        states: watch::Sender::new(None),
+        next: snapshot::Snapshot::default(),
+    };
+    let secret = shared.settings.fleet.secret().cloned();
+    let states = control.states.subscribe();
+    // An order can take seconds, in which the target must still be looked at.
+    tokio::join!(
+        control.run(),
+        ordering::run(shared.clone(), store.clone(), states),
+        follow(shared, store, secret, options),
+    );
+}
+
+/// Follows the bundle in force.
+async fn follow<S: store::Store>(
+    shared: sync::Arc<shared::Shared>,
+    store: sync::Arc<S>,
+    secret: Option<secret::Secret>,
+    options: Option<bundle::Options>,
+) {
+    if let (Some(secret), Some(options)) = (secret, options) {
+        let peers = bundle::Rpc::new(secret);
+        bundle::run(shared.feed.clone(), store, peers, options).await;
+    }
+}
+
+impl Control {
+    async fn run(mut self) {
+        let mut generations = self.shared.feed.changes();
+        let mut ticks = time::interval(POLL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                news = self.news.recv() => self.take(news).await,
+                _ = generations.changed() => self.adopt(),
+                _ = ticks.tick() => self.look().await,
+            }
+            self.publish();
+        }
+    }
+
+    async fn take(&mut self, news: Option<shared::News>) {
+        let now = time::Instant::now();
+        match news {
+            Some(shared::News::Facts(facts)) => drop(self.facts.merge(&facts, now)),
+            Some(shared::News::Cleared(all)) => {
+                for cleared in all {
+                    self.facts.add_cleared(&cleared, now);
+                }
+            }
+            Some(shared::News::Failed) => self.look().await,
+            None => (),
+        }
+    }
+
+    /// Takes over the bundle in force.
+    fn adopt(&mut self) {
+        let Some(current) = self.shared.feed.current() else {
+            return;
+        };
+        let bundle = &current.bundle;
+        let service = bundle.services.get(&self.shared.settings.target.service);
+        self.shared.work().configure(bundle);
+        self.watching.quarantine = bundle.limits.quarantine;
+        self.next.service = service.cloned().map(sync::Arc::new);
+        self.next.generation = current.generation;
+        event!(Info, "bundle", generation = current.generation);
+    }
+
+    /// Looks at the target and at the facts.
+    async fn look(&mut self) {
+        self.watch().await;
+        let now = time::Instant::now();
+        self.facts.expire(now);
+        if self.shared.is_leaving() {
+            self.facts.set_leaving(self.shared.incarnation, now);
+        }
+        self.shared.prune();
+    }
+
+    fn publish(&mut self) {
+        let now = time::Instant::now();
+        if self.next.facts.version() != self.facts.version() {
+            self.next.facts = self.facts.clone();
+            self.next.suspects = sync::Arc::new(suspects::Suspects::new(&self.facts, now));
         }
-        let kind = state.ok().map(|state| match state.models.is_empty() {
-            true => bundle::Kind::Pool,
-            false => bundle::Kind::Engine,
-        });
-        shared.snapshot.store(sync::Arc::new(snapshot::Snapshot {
-            ready,
-            kind: kind.or(before.kind),
-            facts: before.facts.clone(),
-        }));
+        self.next.ready = self.watching.is_ready();
+        self.shared
+            .snapshot
+            .store(sync::Arc::new(self.next.clone()));
+    }
+
+    fn add_crash(&mut self, suspects: Vec<id::Fingerprint>) {
+        let now = time::Instant::now();
+        let crash = suspects::crash(suspects, self.watching.quarantine);
+        self.facts.add_crash(&crash, now);
     }
 }
--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -9,9 +9,9 @@
 use tokio::time;
 
 use crate::{
+    job,
     shared,
-    target::run,
-    work, //
+    target::run, //
 };
 
 /// Bytes of one result that may wait to be acknowledged before its stream is held back.
@@ -20,7 +20,9 @@
 /// Starts every queued attempt that has a slot.
 pub fn pump(shared: &sync::Arc<shared::Shared>) {
     loop {
-        let Some(job) = shared.work().next(time::Instant::now()) else {
+        let snapshot = shared.snapshot.load();
+        let next = shared.work().next(&snapshot.suspects, time::Instant::now());
+        let Some(job) = next else {
             return;
         };
         tokio::spawn(execute(shared.clone(), job));
@@ -28,15 +30,38 @@
 }
 
 /// Executes one attempt to its end.
-async fn execute(shared: sync::Arc<shared::Shared>, job: sync::Arc<work::Job>) {
+async fn execute(shared: sync::Arc<shared::Shared>, job: sync::Arc<job::Job>) {
     let outcome = attempt(&shared, &job).await;
-    shared.work().end(&job, outcome, time::Instant::now());
+    let now = time::Instant::now();
+    shared.work().end(&job, outcome, now);
+    report(&shared, &job, outcome, now);
     pump(&shared);
 }
 
-async fn attempt(shared: &sync::Arc<shared::Shared>, job: &work::Job) -> work::Outcome {
-    let Some(kind) = shared.snapshot.load().kind else {
-        return work::Outcome::NotRun(verdict::Reason::NoBundle, None);
+/// Counts an outcome and tells the control thread what concerns it.
+fn report(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, now: time::Instant) {
+    let refusal = match outcome {
+        job::Outcome::Whole => {
+            shared.counters.done.inc();
+            let suspects = &shared.snapshot.load().suspects;
+            let cleared = suspects.clear(job.call.fingerprint, now);
+            if !cleared.is_empty() {
+                shared.tell(shared::News::Cleared(cleared));
+            }
+            return;
+        }
+        job::Outcome::NotRun(reason, _) => verdict::Refusal::not_run(reason),
+        job::Outcome::MayHaveRun(reason) => verdict::Refusal::may_have_run(reason),
+    };
+    shared.counters.refuse(&refusal);
+    if refusal.reason == verdict::Reason::TargetFailed {
+        shared.tell(shared::News::Failed);
+    }
+}
+
+async fn attempt(shared: &sync::Arc<shared::Shared>, job: &job::Job) -> job::Outcome {
+    let Some(kind) = shared.snapshot.load().kind() else {
+        return job::Outcome::NotRun(verdict::Reason::NoBundle, None);
     };
     let mut crashes = shared.crashes.subscribe();
     let remaining = unit::Period(job.deadline - time::Instant::now());
@@ -54,12 +79,12 @@
         let id = job.call.attempt;
         async move { shared.target.cancel(id).await }
     });
-    work::Outcome::MayHaveRun(reason)
+    job::Outcome::MayHaveRun(reason)
 }
 
 struct Sink<'a> {
     shared: &'a shared::Shared,
-    job: &'a work::Job,
+    job: &'a job::Job,
 }
 
 impl run::Sink for Sink<'_> {
--- a/laburnumcart_agent/src/lib.rs
+++ b/laburnumcart_agent/src/lib.rs
@@ -4,8 +4,10 @@
 //! until they are settled, and gives the target its orders.
 
 pub mod agent;
-pub mod control;
+mod control;
+pub mod counters;
 pub mod execute;
+pub mod job;
 pub mod run;
 pub mod service;
 pub mod settings;
--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -7,14 +7,17 @@
     sync, //
 };
 
+use laburnumcart::document;
 use laburnumcart_daemon::{
     admin,
+    bundle,
     event,
     metrics,
     process as usage,
     stop,
     traces, //
 };
+use laburnumcart_platform::client;
 use tokio::runtime;
 
 use crate::{
@@ -51,7 +54,17 @@
     usage::register(&metrics);
     let peer = net::TcpListener::bind(settings.peer)?;
     let listener = net::TcpListener::bind(settings.admin)?;
-    let agent = agent::Agent::start(settings, work::Limits::default(), peer)?;
+    let store = client::Client::builder([settings.platform.address])
+        .build()
+        .map_err(io::Error::other)?;
+    metrics.register("laburnum_agent_store", |registry| store.register(registry));
+    let options = options(&settings).map_err(io::Error::other)?;
+    let parts = agent::Parts {
+        limits: work::Limits::default(),
+        metrics: metrics.clone(),
+        options: Some(options),
+    };
+    let agent = agent::Agent::start(settings, parts, peer, store)?;
     let shared = agent.shared().clone();
     let pages = admin::Pages::new(metrics, move || ready(&shared));
     let admin = admin::serve(listener, pages)?;
@@ -65,6 +78,11 @@
     Ok(())
 }
 
+fn options(settings: &settings::Settings) -> Result<bundle::Options, document::Faults> {
+    let trust = bundle::trust(&settings.fleet)?;
+    Ok(bundle::Options::new(trust).peers(settings.fleet.peers.clone()))
+}
+
 fn start_traces(settings: &settings::Settings) -> Option<traces::Traces> {
     let collector = settings.telemetry.traces?;
     match traces::start("laburnum-agent", &settings.instance, collector) {
@@ -81,7 +99,7 @@
     if shared.is_leaving() {
         return Err("leaving".into());
     }
-    if snapshot.kind.is_none() {
+    if snapshot.kind().is_none() {
         return Err("no bundle with the target's service".into());
     }
     if !snapshot.ready {
--- a/laburnumcart_agent/src/service.rs
+++ b/laburnumcart_agent/src/service.rs
@@ -24,8 +24,8 @@
 
 use crate::{
     execute,
-    shared,
-    work, //
+    job,
+    shared, //
 };
 
 /// Longest time that a call waits for news of an attempt.
@@ -47,7 +47,7 @@
     }
 
     /// Admits a call; the lock makes one step of the check of its session and the admission.
-    fn admit(&self, call: stage::Call) -> Result<sync::Arc<work::Job>, verdict::Refusal> {
+    fn admit(&self, call: stage::Call) -> Result<sync::Arc<job::Job>, verdict::Refusal> {
         if call.incarnation != self.shared.incarnation {
             return Err(verdict::Refusal::not_run(verdict::Reason::WrongIncarnation));
         }
@@ -57,29 +57,38 @@
         }
         let leaving = verdict::Refusal::not_run(verdict::Reason::Leaving);
         let guard = self.shared.gate.enter().ok_or(leaving)?;
-        self.open()?;
-        work.admit(call, guard, time::Instant::now())
+        let now = time::Instant::now();
+        self.open(&call, now)?;
+        let job = work.admit(call, guard, now)?;
+        self.shared.counters.admitted.inc();
+        Ok(job)
+    }
+
+    fn fenced(&self, refusal: verdict::Refusal) -> types::ErrorObjectOwned {
+        self.shared.counters.fenced.inc();
+        error(agent::FENCED, refusal)
     }
 
     /// Refuses new work while the agent cannot execute it.
-    fn open(&self) -> Result<(), verdict::Refusal> {
+    fn open(&self, call: &stage::Call, now: time::Instant) -> Result<(), verdict::Refusal> {
         let snapshot = self.shared.snapshot.load();
         if self.shared.is_leaving() {
             return Err(verdict::Refusal::not_run(verdict::Reason::Leaving));
         }
-        if snapshot.kind.is_none() {
+        if snapshot.kind().is_none() {
             return Err(verdict::Refusal::not_run(verdict::Reason::NoBundle));
         }
         if !snapshot.ready {
             return Err(verdict::Refusal::not_run(verdict::Reason::NoTarget));
         }
-        Ok(())
+        let refusal = snapshot.suspects.refusal(call.fingerprint, now);
+        refusal.map_or(Ok(()), Err)
     }
 
     /// Waits until there are chunks from `from` on or the attempt has ended.
     async fn news(
         &self,
-        job: &work::Job,
+        job: &job::Job,
         from: u32,
         wait: time::Duration,
     ) -> RpcResult<stage::Progress> {
@@ -118,8 +127,10 @@
             .work()
             .lanes
             .open(session.lane, session.number, now);
-        opened.map_err(|refusal| error(agent::FENCED, refusal))?;
-        Ok(self.shared.report())
+        opened.map_err(|refusal| self.fenced(refusal))?;
+        self.shared.hear(hello.facts, hello.peer);
+        self.shared.resend(session.lane);
+        Ok(self.shared.report(Some(session.lane)))
     }
 
     async fn beat(&self, beat: agent::Beat) -> RpcResult<agent::Report> {
@@ -130,8 +141,11 @@
             .work()
             .lanes
             .check(session.lane, session.number, now);
-        checked.map_err(|refusal| error(agent::FENCED, refusal))?;
-        Ok(self.shared.report())
+        checked.map_err(|refusal| self.fenced(refusal))?;
+        if let Some(facts) = beat.facts {
+            self.shared.hear(facts, None);
+        }
+        Ok(self.shared.report(Some(session.lane)))
     }
 
     async fn start(&self, call: stage::Call) -> RpcResult<stage::Progress> {
@@ -141,12 +155,15 @@
                 execute::pump(&self.shared);
                 self.news(&job, 0, WAIT_MAX).await
             }
-            Err(refusal) => Ok(stage::Progress {
-                request,
-                attempt,
-                chunks: Vec::new(),
-                state: stage::State::Refused(refusal),
-            }),
+            Err(refusal) => {
+                self.shared.counters.refuse(&refusal);
+                Ok(stage::Progress {
+                    request,
+                    attempt,
+                    chunks: Vec::new(),
+                    state: stage::State::Refused(refusal),
+                })
+            }
         }
     }
 
@@ -170,6 +187,7 @@
             chunks: Vec::new(),
             state: stage::State::Refused(refusal),
         };
+        self.shared.counters.queries.inc();
         if query.incarnation != self.shared.incarnation {
             let reason = verdict::Reason::WrongIncarnation;
             return Ok(refused(verdict::Refusal::may_have_run(reason)));
@@ -183,7 +201,7 @@
         let mut work = self.shared.work();
         work.lanes
             .check(lane.lane, lane.number, time::Instant::now())
-            .map_err(|refusal| error(agent::FENCED, refusal))?;
+            .map_err(|refusal| self.fenced(refusal))?;
         if work.table.data(query.attempt).is_none() {
             return Ok(refused(doubt(&work.lanes, &query)));
         }
@@ -199,13 +217,13 @@
         Ok(())
     }
 
-    async fn bundle(&self, _least: id::Generation) -> RpcResult<Option<agent::Shown>> {
-        Ok(None)
+    async fn bundle(&self, least: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(self.shared.feed.show(least))
     }
 
     async fn drain(&self) -> RpcResult<agent::Report> {
         self.shared.leave();
-        Ok(self.shared.report())
+        Ok(self.shared.report(None))
     }
 }
 
--- a/laburnumcart_agent/src/shared.rs
+++ b/laburnumcart_agent/src/shared.rs
@@ -1,20 +1,52 @@
 //! State that the threads of an agent share.
 
-use std::sync;
+use std::{
+    collections,
+    net,
+    sync, //
+};
 
 use arc_swap::ArcSwap;
-use laburnumcart::id;
-use laburnumcart_daemon::stop;
+use laburnumcart::{
+    facts,
+    id, //
+};
+use laburnumcart_daemon::{
+    bundle,
+    metrics,
+    stop, //
+};
 use laburnumcart_wire::agent;
-use tokio::sync::watch;
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time,
+};
 
 use crate::{
+    counters,
     settings,
     snapshot,
     target,
     work, //
 };
 
+/// News that may wait for the control thread.
+const NEWS_MAX: usize = 1024;
+
+/// What traffic threads tell the control thread.
+#[derive(Debug)]
+pub enum News {
+    /// A peer's facts.
+    Facts(facts::Facts),
+    /// Content that was suspected has completed.
+    Cleared(Vec<facts::Cleared>),
+    /// The target has failed an attempt.
+    Failed,
+}
+
 /// State that all threads reach.
 #[derive(Debug)]
 pub struct Shared {
@@ -26,33 +58,50 @@
     pub work: sync::Mutex<work::Work>,
     /// Control state.
     pub snapshot: ArcSwap<snapshot::Snapshot>,
+    /// The bundle in force.
+    pub feed: bundle::Feed,
     /// HTTP client of the target.
     pub target: target::Target,
+    /// Counters.
+    pub counters: counters::Counters,
     /// Where work enters.
     pub gate: stop::Gate,
-    /// Whether a stop was asked for.
-    leaving: watch::Sender<bool>,
     /// Number of crashes of the target that were noticed.
     pub crashes: watch::Sender<u64>,
+    /// Whether a stop was asked for.
+    leaving: watch::Sender<bool>,
+    news: mpsc::Sender<News>,
+    /// What each lane has been sent of the facts.
+    sent: sync::Mutex<collections::HashMap<id::Incarnation, facts::Version>>,
 }
 
 impl Shared {
-    /// Creates the state of a starting agent.
-    pub fn new(settings: settings::Settings, limits: work::Limits, gate: stop::Gate) -> Self {
-        Self {
+    /// Creates the state of a starting agent, and what the control thread reads.
+    pub fn new(
+        settings: settings::Settings,
+        limits: work::Limits,
+        gate: stop::Gate,
+        metrics: &metrics::Metrics,
+    ) -> (Self, mpsc::Receiver<News>) {
+        let (news, received) = mpsc::channel(NEWS_MAX);
+        let shared = Self {
             target: target::Target::new(settings.target.address),
             settings,
             incarnation: id::Incarnation::random(),
-            work: sync::Mutex::new(work::Work::new(limits)),
+            work: sync::Mutex::new(work::Work::new(limits, time::Instant::now())),
             snapshot: ArcSwap::default(),
+            feed: bundle::Feed::new(metrics),
+            counters: counters::Counters::new(metrics),
             gate,
-            leaving: watch::Sender::new(false),
             crashes: watch::Sender::new(0),
-        }
+            leaving: watch::Sender::new(false),
+            news,
+            sent: sync::Mutex::default(),
+        };
+        (shared, received)
     }
 
-    /// Locks the work; a panic of another holder leaves it in a valid state, as each of its
-    /// methods completes its change before it can panic.
+    /// Locks the work; a panic of another holder is taken for the end of its one change.
     pub fn work(&self) -> sync::MutexGuard<'_, work::Work> {
         self.work
             .lock()
@@ -75,16 +124,31 @@
         let _ = self.leaving.subscribe().wait_for(|leaving| *leaving).await;
     }
 
-    /// Returns the answer to a heartbeat.
-    pub fn report(&self) -> agent::Report {
+    /// Tells the control thread.
+    ///
+    /// News that finds the channel full is dropped: facts come again with the next connection, and
+    /// the target is looked at periodically.
+    pub fn tell(&self, news: News) {
+        if self.news.try_send(news).is_err() {
+            self.counters.news_dropped.inc();
+        }
+    }
+
+    /// Takes in the facts of a peer.
+    pub fn hear(&self, facts: facts::Facts, peer: Option<net::SocketAddr>) {
+        if let Some(peer) = peer {
+            self.feed.hear(facts.generation, peer);
+        }
+        if facts != facts::Facts::default() {
+            self.tell(News::Facts(facts));
+        }
+    }
+
+    /// Returns the answer to a heartbeat of `lane`, with the facts that it has not been sent yet.
+    pub fn report(&self, lane: Option<id::Incarnation>) -> agent::Report {
         let snapshot = self.snapshot.load();
-        let work = self.work();
-        let load = agent::Load {
-            running: work.running() as u32,
-            queued: work.queued() as u32,
-            limit: work.slots() as u32,
-            service: work.service(),
-        };
+        let since = self.since(lane, snapshot.facts.version());
+        let facts = snapshot.changes(since, time::Instant::now());
         agent::Report {
             target: self.settings.target.name.clone(),
             service: self.settings.target.service.clone(),
@@ -92,8 +156,42 @@
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
             ready: snapshot.ready,
-            load,
-            facts: snapshot.facts.clone(),
+            load: self.load(),
+            facts,
         }
     }
+
+    /// Forgets what a lane has been sent; the answers of a broken connection may not have arrived.
+    pub fn resend(&self, lane: id::Incarnation) {
+        self.sent().remove(&lane);
+    }
+
+    /// Forgets lanes that are gone.
+    pub fn prune(&self) {
+        let work = self.work();
+        self.sent().retain(|lane, _| work.lanes.is_known(*lane));
+    }
+
+    fn load(&self) -> agent::Load {
+        let work = self.work();
+        agent::Load {
+            running: work.running() as u32,
+            queued: work.queued() as u32,
+            limit: work.limit(),
+            service: work.service(),
+        }
+    }
+
+    fn since(&self, lane: Option<id::Incarnation>, now: facts::Version) -> facts::Version {
+        let Some(lane) = lane else {
+            return facts::Version::default();
+        };
+        self.sent().insert(lane, now).unwrap_or_default()
+    }
+
+    fn sent(&self) -> sync::MutexGuard<'_, collections::HashMap<id::Incarnation, facts::Version>> {
+        self.sent
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
 }
--- a/laburnumcart_agent/src/target.rs
+++ b/laburnumcart_agent/src/target.rs
@@ -9,7 +9,10 @@
     time, //
 };
 
-use laburnumcart::id;
+use laburnumcart::{
+    id,
+    orders, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -63,6 +66,17 @@
         Ok(())
     }
 
+    /// Gives an order, which takes at most `limit`.
+    pub async fn order(
+        &self,
+        order: &orders::Order,
+        limit: time::Duration,
+    ) -> Result<(), http::Failure> {
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        self.http.control("/v1/orders", body, limit).await?;
+        Ok(())
+    }
+
     /// Reads the state of the target.
     pub async fn state(&self) -> Result<State, http::Failure> {
         let body = self.http.get("/v1/state", CONTROL_LIMIT).await?;
--- a/laburnumcart_agent/src/target/run.rs
+++ b/laburnumcart_agent/src/target/run.rs
@@ -26,7 +26,7 @@
     events,
     http as client, //
 };
-use crate::work;
+use crate::job;
 
 /// Longest output of a pool in bytes.
 const OUTPUT_MAX: usize = 8 << 20;
@@ -48,9 +48,9 @@
         call: &stage::Call,
         remaining: unit::Period,
         sink: &mut impl Sink,
-    ) -> work::Outcome {
+    ) -> job::Outcome {
         let Some(request) = self.stage(kind, call, remaining) else {
-            return work::Outcome::NotRun(verdict::Reason::Invalid, None);
+            return job::Outcome::NotRun(verdict::Reason::Invalid, None);
         };
         let answer = match self.http.send(request, !call.idempotent).await {
             Ok(answer) => answer,
@@ -110,21 +110,21 @@
 }
 
 /// Returns the outcome of a call that got no answer.
-fn broken(failure: client::Failure) -> work::Outcome {
+fn broken(failure: client::Failure) -> job::Outcome {
     match failure {
-        client::Failure::Unreached => work::Outcome::NotRun(verdict::Reason::NoTarget, None),
-        _ => work::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
+        client::Failure::Unreached => job::Outcome::NotRun(verdict::Reason::NoTarget, None),
+        _ => job::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
     }
 }
 
 /// Returns the outcome of a call that the target did not execute to its end.
-fn declined(answer: client::Answer) -> work::Outcome {
+fn declined(answer: client::Answer) -> job::Outcome {
     match answer.response.status() {
-        StatusCode::BAD_REQUEST => work::Outcome::NotRun(verdict::Reason::TargetRefused, None),
+        StatusCode::BAD_REQUEST => job::Outcome::NotRun(verdict::Reason::TargetRefused, None),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            work::Outcome::NotRun(verdict::Reason::Overloaded, retry(&answer))
+            job::Outcome::NotRun(verdict::Reason::Overloaded, retry(&answer))
         }
-        _ => work::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
+        _ => job::Outcome::MayHaveRun(verdict::Reason::TargetFailed),
     }
 }
 
@@ -135,14 +135,14 @@
 }
 
 /// Reads a pool's output, which is passed on only when it is whole.
-async fn output(mut answer: client::Answer, sink: &mut impl Sink) -> work::Outcome {
+async fn output(mut answer: client::Answer, sink: &mut impl Sink) -> job::Outcome {
     let body = match client::collect(&mut answer, OUTPUT_MAX).await {
         Ok(body) => body,
         Err(failure) => return broken(failure),
     };
     answer.tidy();
     let Ok(json) = serde_json::from_slice::<&value::RawValue>(&body) else {
-        return work::Outcome::MayHaveRun(verdict::Reason::Corrupt);
+        return job::Outcome::MayHaveRun(verdict::Reason::Corrupt);
     };
     let mut rest = json.get();
     while !rest.is_empty() {
@@ -150,30 +150,30 @@
         sink.push(part).await;
         rest = after;
     }
-    work::Outcome::Whole
+    job::Outcome::Whole
 }
 
 /// Passes on the pieces of an engine's stream up to its end mark.
-async fn stream(mut answer: client::Answer, sink: &mut impl Sink) -> work::Outcome {
+async fn stream(mut answer: client::Answer, sink: &mut impl Sink) -> job::Outcome {
     let mut parser = events::Parser::default();
     let mut events = Vec::new();
     loop {
         // A stream that stops before its end mark is not whole, however tidily it was closed.
         let Some(Ok(frame)) = answer.response.body_mut().frame().await else {
-            return work::Outcome::MayHaveRun(verdict::Reason::TargetFailed);
+            return job::Outcome::MayHaveRun(verdict::Reason::TargetFailed);
         };
         let Some(bytes) = frame.data_ref() else {
             continue;
         };
         if parser.push(bytes, &mut events).is_err() {
-            return work::Outcome::MayHaveRun(verdict::Reason::Corrupt);
+            return job::Outcome::MayHaveRun(verdict::Reason::Corrupt);
         }
         for event in events.drain(..) {
             match event {
                 events::Event::Piece(text) => sink.push(&text).await,
                 events::Event::End => {
                     close(answer);
-                    return work::Outcome::Whole;
+                    return job::Outcome::Whole;
                 }
             }
         }
--- a/laburnumcart_agent/src/work.rs
+++ b/laburnumcart_agent/src/work.rs
@@ -1,5 +1,7 @@
 //! Admission, queue and slots of one target, under one lock.
 
+mod teams;
+
 use std::{
     collections,
     sync, //
@@ -7,8 +9,13 @@
 
 use laburnumcart::{
     attempts,
+    bundle,
+    estimate,
+    fair,
     id,
     lanes,
+    limit,
+    suspects,
     unit,
     verdict, //
 };
@@ -17,35 +24,21 @@
     lane,
     stage, //
 };
-use tokio::{
-    sync::Notify,
-    time, //
-};
+use tokio::time;
 
-/// An admitted attempt as its executor and its readers share it.
-#[derive(Debug)]
-pub struct Job {
-    /// The call.
-    pub call: stage::Call,
-    /// Time after which the result is of no use.
-    pub deadline: time::Instant,
-    /// Signals a new chunk or the end.
-    pub changed: Notify,
-    /// Signals that chunks were acknowledged.
-    pub drained: Notify,
-    /// Signals that the sender gave the attempt up.
-    pub cancelled: Notify,
-    /// Holds up a graceful shutdown until the result is settled.
-    _guard: stop::Work,
-}
+use crate::job;
+
+/// Quantile of a stage's time below which an attempt is hopeless.
+const LEAST: f64 = 0.05;
+
+/// Content of failed attempts that is remembered until the target is seen well again.
+const LOST_MAX: usize = 64;
 
 /// Limits of the work that one agent takes on.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Attempts that may wait.
     pub queue: usize,
-    /// Attempts that the target executes at once.
-    pub slots: usize,
     /// Bounds of the table of attempts.
     pub bounds: attempts::Bounds,
     /// Time after which an unused lane is forgotten.
@@ -55,8 +48,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            queue: 256,
-            slots: 16,
+            queue: 1024,
             bounds: attempts::Bounds {
                 retention: time::Duration::from_secs(60),
                 bytes: 64 << 20,
@@ -67,77 +59,67 @@
     }
 }
 
+type Shared = sync::Arc<job::Job>;
+type Stage = (id::PipelineName, id::StageName);
+
 /// Lanes, attempts and queue of one agent.
 #[derive(Debug)]
 pub struct Work {
-    limits: Limits,
     /// Sessions of the lanes.
     pub lanes: lanes::Lanes,
     /// What is known of the attempts.
-    pub table: attempts::Table<sync::Arc<Job>>,
-    queue: collections::VecDeque<id::AttemptId>,
-    running: usize,
-    service: Estimate,
-}
-
-/// Smoothed mean and deviation of the time that an attempt takes.
-#[derive(Clone, Copy, Debug, Default)]
-struct Estimate {
-    mean: f64,
-    deviation: f64,
-    seen: bool,
-}
-
-impl Estimate {
-    fn add(&mut self, sample: time::Duration) {
-        let secs = sample.as_secs_f64();
-        if !self.seen {
-            *self = Self {
-                mean: secs,
-                deviation: secs / 2.0,
-                seen: true,
-            };
-            return;
-        }
-        let error = secs - self.mean;
-        self.mean += error / 8.0;
-        self.deviation += (error.abs() - self.deviation) / 4.0;
-    }
-
-    /// Returns a time below which an attempt almost never finishes.
-    fn least(&self) -> time::Duration {
-        time::Duration::from_secs_f64((self.mean - 2.0 * self.deviation).max(0.0))
-    }
+    pub table: attempts::Table<Shared>,
+    queue: fair::Queue<Shared>,
+    teams: teams::Teams,
+    /// Places in the queue.
+    waiting: collections::HashMap<id::AttemptId, fair::EntryKey>,
+    /// Suspects that wait until no other suspect runs.
+    held: collections::VecDeque<Shared>,
+    running: collections::HashMap<id::AttemptId, Shared>,
+    limit: limit::Limit,
+    times: estimate::Estimates<Stage>,
+    drain: estimate::Drain,
+    mean: Option<time::Duration>,
+    /// Content of attempts that the target has failed since it was last seen well.
+    lost: Vec<id::Fingerprint>,
 }
 
 impl Work {
     /// Creates the state of an idle agent.
-    pub fn new(limits: Limits) -> Self {
+    pub fn new(limits: Limits, now: time::Instant) -> Self {
         Self {
-            limits,
             lanes: lanes::Lanes::new(limits.idle),
             table: attempts::Table::new(limits.bounds),
-            queue: collections::VecDeque::new(),
-            running: 0,
-            service: Estimate::default(),
+            queue: fair::Queue::new(limits.queue),
+            teams: teams::Teams::default(),
+            waiting: collections::HashMap::new(),
+            held: collections::VecDeque::new(),
+            running: collections::HashMap::new(),
+            limit: limit::Limit::new(),
+            times: estimate::Estimates::default(),
+            drain: estimate::Drain::new(now),
+            mean: None,
+            lost: Vec::new(),
         }
     }
 
+    /// Takes over what a bundle says of teams and retention.
+    pub fn configure(&mut self, bundle: &bundle::Bundle) {
+        self.teams.configure(bundle, &mut self.queue);
+        self.table.set_retention(bundle.limits.result_retention.0);
+    }
+
     /// Admits a call of an attempt that is not in the table to the queue.
     pub fn admit(
         &mut self,
         call: stage::Call,
         guard: stop::Work,
         now: time::Instant,
-    ) -> Result<sync::Arc<Job>, verdict::Refusal> {
+    ) -> Result<Shared, verdict::Refusal> {
         let lane::Session { lane, number } = call.session;
         self.lanes.check(lane, number, now)?;
-        if self.queue.len() >= self.limits.queue {
-            return Err(verdict::Refusal::not_run(verdict::Reason::Overloaded));
-        }
-        if call.remaining.0 < self.service.least() {
-            return Err(verdict::Refusal::not_run(verdict::Reason::DeadlineTooShort));
-        }
+        let stage = (call.pipeline.clone(), call.stage.clone());
+        self.check(&call, &stage, now)?;
         let ticket = attempts::Ticket {
             request: call.request,
             attempt: call.attempt,
@@ -146,144 +128,247 @@
             arrived: now,
             deadline: now + call.remaining.0,
         };
-        let job = sync::Arc::new(Job {
-            call,
-            deadline: ticket.deadline,
-            changed: Notify::new(),
-            drained: Notify::new(),
-            cancelled: Notify::new(),
-            _guard: guard,
-        });
+        let team = self.teams.key(&call.team, &mut self.queue);
+        let cost = self.cost(&stage, now);
+        let job = job::Job::new(call, ticket.deadline, team, cost, guard);
+        let job = sync::Arc::new(job);
         self.table.admit(ticket, job.clone())?;
-        self.queue.push_back(ticket.attempt);
+        let pushed = self.queue.push(team, request(&job));
+        self.waiting.insert(ticket.attempt, pushed.key);
+        if let Some(dropped) = pushed.dropped {
+            self.refuse(&dropped.request.value, dropped.refusal, now);
+        }
         Ok(job)
     }
 
     /// Takes the next attempt that can run now and marks it as running.
-    pub fn next(&mut self, now: time::Instant) -> Option<sync::Arc<Job>> {
-        while self.running < self.limits.slots {
-            let id = self.queue.pop_front()?;
-            let Some(job) = self.table.data(id).cloned() else {
-                continue;
+    pub fn next(&mut self, suspects: &suspects::Suspects, now: time::Instant) -> Option<Shared> {
+        while self.running.len() < self.limit.get() as usize {
+            let job = match self.take_held(suspects, now) {
+                Some(job) => job,
+                None => self.queue.pop(now)?.request.value,
             };
-            if let Some(reason) = self.hopeless(&job, now) {
-                self.refuse(&job, reason, now);
-                continue;
-            }
-            if self.table.begin(id, now) {
-                self.running += 1;
+            self.waiting.remove(&job.call.attempt);
+            if let Some(refusal) = self.hopeless(&job, suspects, now) {
+                self.refuse(&job, refusal, now);
+            } else if !self.may_run(&job, suspects, now) {
+                self.held.push_back(job);
+            } else if self.table.begin(job.call.attempt, now) {
+                self.running.insert(job.call.attempt, job.clone());
                 return Some(job);
             }
         }
         None
     }
 
-    /// Refuses queued attempts that cannot finish in time any more.
-    pub fn expire(&mut self, now: time::Instant) {
-        let queue = std::mem::take(&mut self.queue);
-        for id in queue {
-            let Some(job) = self.table.data(id).cloned() else {
-                continue;
-            };
-            match self.hopeless(&job, now) {
-                Some(reason) => self.refuse(&job, reason, now),
-                None => self.queue.push_back(id),
-            }
-        }
-    }
-
-    /// Refuses all queued attempts.
-    pub fn clear(&mut self, reason: verdict::Reason, now: time::Instant) {
-        for id in std::mem::take(&mut self.queue) {
-            if let Some(job) = self.table.data(id).cloned() {
-                self.refuse(&job, reason, now);
-            }
-        }
-    }
-
     /// Gives up an attempt on behalf of its sender.
     pub fn cancel(&mut self, id: id::AttemptId, now: time::Instant) {
         let Some(job) = self.table.data(id).cloned() else {
             return;
         };
         job.cancelled.notify_one();
-        self.refuse(&job, verdict::Reason::Cancelled, now);
+        let refusal = verdict::Refusal::not_run(verdict::Reason::Cancelled);
+        self.refuse(&job, refusal, now);
         self.table.release(id);
-        self.queue.retain(|queued| *queued != id);
     }
 
     /// Ends a running attempt and frees its slot.
-    pub fn end(&mut self, job: &Job, outcome: Outcome, now: time::Instant) {
+    pub fn end(&mut self, job: &job::Job, outcome: job::Outcome, now: time::Instant) {
         let id = job.call.attempt;
-        self.running -= 1;
+        let in_flight = self.running.len() as u32;
+        self.running.remove(&id);
+        let begun = self.table.begun(id).unwrap_or(now);
+        self.account(job, now - begun);
         match outcome {
-            Outcome::Whole => {
-                let begun = self.table.begun(id);
+            job::Outcome::Whole => {
+                self.measure(job, now - begun, in_flight, now);
                 self.table.finish(id, now);
-                if let Some(begun) = begun {
-                    self.service.add(now - begun);
-                }
             }
-            Outcome::NotRun(reason, retry) => {
-                self.table.refuse(id, reason, retry, true, now);
+            job::Outcome::NotRun(reason, retry) => {
+                if reason == verdict::Reason::Overloaded {
+                    self.limit.refuse();
+                }
+                let refusal = verdict::Refusal::not_run(reason);
+                self.table
+                    .refuse(id, verdict::Refusal { retry, ..refusal }, true, now);
             }
-            Outcome::MayHaveRun(reason) => {
+            job::Outcome::MayHaveRun(reason) => {
+                if reason == verdict::Reason::TargetFailed && self.lost.len() < LOST_MAX {
+                    self.lost.push(job.call.fingerprint);
+                }
                 self.table.fail(id, reason, now);
             }
         }
         job.changed.notify_waiters();
     }
 
-    /// Forgets lanes and results whose time has passed.
+    /// Ends what waits in vain, and forgets lanes and results whose time has passed.
     pub fn sweep(&mut self, now: time::Instant) {
+        self.queue.expire(now);
+        for dropped in self.queue.take_expired() {
+            self.refuse(&dropped.request.value, dropped.refusal, now);
+        }
+        let held = std::mem::take(&mut self.held);
+        let late: Vec<Shared>;
+        (late, self.held) = split(held, now);
+        for job in late {
+            let reason = verdict::Reason::DeadlineExceeded;
+            self.refuse(&job, verdict::Refusal::not_run(reason), now);
+        }
         for forgotten in self.table.sweep(now) {
             self.lanes.forget(forgotten.lane, forgotten.sent);
         }
         self.lanes.sweep(now);
     }
 
+    /// Refuses all that waits.
+    pub fn clear(&mut self, reason: verdict::Reason, now: time::Instant) {
+        let held = std::mem::take(&mut self.held);
+        let queued = std::iter::from_fn(|| self.queue.pop(now).map(|p| p.request.value));
+        let queued: Vec<Shared> = queued.collect();
+        for job in held.into_iter().chain(queued) {
+            self.refuse(&job, verdict::Refusal::not_run(reason), now);
+        }
+    }
+
+    /// Takes note that the target was seen well, so that what failed before was not its end.
+    pub fn seen_well(&mut self) {
+        self.lost.clear();
+    }
+
+    /// Takes the content of all that ran on the target when it went down.
+    pub fn take_suspects(&mut self) -> Vec<id::Fingerprint> {
+        let lost = std::mem::take(&mut self.lost);
+        let running = self.running.values().map(|job| job.call.fingerprint);
+        let all: collections::BTreeSet<_> = running.chain(lost).collect();
+        all.into_iter().collect()
+    }
+
+    /// Reports whether attempts have failed since the target was last seen well and none runs.
+    pub fn is_struck(&self) -> bool {
+        !self.lost.is_empty() && self.running.is_empty()
+    }
+
     /// Returns the attempts that the target executes.
     pub fn running(&self) -> usize {
-        self.running
+        self.running.len()
     }
 
     /// Returns the attempts that wait.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.held.len()
     }
 
-    /// Returns the attempts that the target can execute at once.
-    pub fn slots(&self) -> usize {
-        self.limits.slots
+    /// Returns the attempts that the target can execute at once without slowing down.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
     }
 
-    /// Returns the mean time that an attempt takes.
+    /// Returns the smoothed mean of the time that an attempt takes at the target.
     pub fn service(&self) -> unit::Period {
-        unit::Period(time::Duration::from_secs_f64(self.service.mean))
+        unit::Period(self.mean.unwrap_or_default())
+    }
+
+    /// Refuses a call that can't finish in time behind what waits.
+    fn check(
+        &mut self,
+        call: &stage::Call,
+        stage: &Stage,
+        now: time::Instant,
+    ) -> Result<(), verdict::Refusal> {
+        let outlook = estimate::Outlook {
+            remaining: call.remaining.0,
+            // The queue decides by team and priority who waits for whom.
+            ahead: 0,
+            rest: self.times.quantile(stage, LEAST, now).unwrap_or_default(),
+        };
+        estimate::check(&outlook, &mut self.drain, now, &mut rand::rng())
+    }
+
+    fn cost(&self, stage: &Stage, now: time::Instant) -> u32 {
+        let median = self.times.quantile(stage, 0.5, now);
+        median.map_or(1, millis)
     }
 
-    fn hopeless(&self, job: &Job, now: time::Instant) -> Option<verdict::Reason> {
+    fn take_held(&mut self, suspects: &suspects::Suspects, now: time::Instant) -> Option<Shared> {
+        let fits = |job: &Shared| self.may_run(job, suspects, now);
+        let place = self.held.iter().position(fits)?;
+        self.held.remove(place)
+    }
+
+    fn may_run(&self, job: &job::Job, suspects: &suspects::Suspects, now: time::Instant) -> bool {
+        let running = self.running.values().map(|other| other.call.fingerprint);
+        suspects.may_run(job.call.fingerprint, running, now)
+    }
+
+    /// Returns why an attempt that waited must not start any more.
+    fn hopeless(
+        &self,
+        job: &job::Job,
+        suspects: &suspects::Suspects,
+        now: time::Instant,
+    ) -> Option<verdict::Refusal> {
+        let refusal = suspects.refusal(job.call.fingerprint, now);
+        if refusal.is_some() {
+            return refusal;
+        }
         if now >= job.deadline {
-            return Some(verdict::Reason::DeadlineExceeded);
+            return Some(verdict::Refusal::not_run(verdict::Reason::DeadlineExceeded));
         }
-        let short = job.deadline - now < self.service.least();
-        short.then_some(verdict::Reason::DeadlineTooShort)
+        let stage = (job.call.pipeline.clone(), job.call.stage.clone());
+        let least = self.times.quantile(&stage, LEAST, now).unwrap_or_default();
+        let short = job.deadline - now < least;
+        short.then(|| verdict::Refusal::not_run(verdict::Reason::DeadlineTooShort))
     }
 
-    fn refuse(&mut self, job: &Job, reason: verdict::Reason, now: time::Instant) {
-        self.table
-            .refuse(job.call.attempt, reason, None, false, now);
+    fn refuse(&mut self, job: &job::Job, refusal: verdict::Refusal, now: time::Instant) {
+        if let Some(place) = self.waiting.remove(&job.call.attempt) {
+            self.queue.remove(place);
+        }
+        self.table.refuse(job.call.attempt, refusal, false, now);
         job.changed.notify_waiters();
     }
+
+    /// Charges a team what its attempt has really cost.
+    fn account(&mut self, job: &job::Job, busy: time::Duration) {
+        self.queue.settle(job.team, job.cost, millis(busy));
+    }
+
+    fn measure(
+        &mut self,
+        job: &job::Job,
+        busy: time::Duration,
+        in_flight: u32,
+        now: time::Instant,
+    ) {
+        // The time of a stream goes by its length; per piece, streams can be compared.
+        let pieces = self.table.count(job.call.attempt).max(1);
+        self.limit.observe(busy / pieces, in_flight, now);
+        let stage = (job.call.pipeline.clone(), job.call.stage.clone());
+        self.times.record(stage, busy, now);
+        self.drain.record(now);
+        self.mean = Some(self.mean.map_or(busy, |mean| (mean * 7 + busy) / 8));
+    }
 }
 
-/// How the execution of an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Outcome {
-    /// The whole result is in the table.
-    Whole,
-    /// The target proved that it did not start the attempt.
-    NotRun(verdict::Reason, Option<unit::Period>),
-    /// The target may have executed the attempt.
-    MayHaveRun(verdict::Reason),
+/// Parts the jobs whose deadline has passed from the others.
+fn split(
+    jobs: collections::VecDeque<Shared>,
+    now: time::Instant,
+) -> (Vec<Shared>, collections::VecDeque<Shared>) {
+    let (late, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(|job| job.deadline <= now);
+    (late, rest.into())
+}
+
+fn millis(period: time::Duration) -> u32 {
+    period.as_millis().try_into().unwrap_or(u32::MAX).max(1)
+}
+
+fn request(job: &Shared) -> fair::Request<Shared> {
+    fair::Request {
+        priority: job.call.priority,
+        deadline: job.deadline,
+        cost: job.cost,
+        value: job.clone(),
+    }
 }
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -2,10 +2,7 @@
 
 use std::{
     net,
-    sync::{
-        Arc,
-        atomic, //
-    },
+    sync::atomic,
     time, //
 };
 
@@ -16,9 +13,9 @@
 };
 use laburnumcart_agent::{
     agent,
-    settings,
-    work, //
+    settings, //
 };
+use laburnumcart_platform::memory;
 use laburnumcart_wire::{
     agent::{
         AgentClient,
@@ -31,10 +28,13 @@
     stage, //
 };
 use serde_json::{
+    Value,
     json,
     value, //
 };
 
+use crate::sign;
+
 /// Bound on every wait for a condition; far above what any of them takes.
 pub(crate) const BOUND: time::Duration = time::Duration::from_secs(20);
 
@@ -61,35 +61,50 @@
 
 /// Starts an agent whose target is of the given kind and waits until it is ready.
 pub(crate) async fn start(target: net::SocketAddr, kind: bundle::Kind) -> agent::Agent {
-    start_at("127.0.0.1:0".parse().unwrap(), target, kind).await
+    let addr = "127.0.0.1:0".parse().unwrap();
+    start_at(addr, target, kind).await
 }
 
+/// Starts an agent at an address of its own, such as that of one that has gone.
 pub(crate) async fn start_at(
     peer: net::SocketAddr,
     target: net::SocketAddr,
     kind: bundle::Kind,
 ) -> agent::Agent {
-    let listener = net::TcpListener::bind(peer).unwrap();
-    let agent = agent::Agent::start(settings(target), work::Limits::default(), listener).unwrap();
-    ready(&agent, kind).await;
-    agent
+    start_with(peer, target, &rules(kind), memory::Memory::new()).await
 }
 
-async fn ready(agent: &agent::Agent, kind: bundle::Kind) {
+/// Starts an agent under a bundle with the given service, which it reads from `store`.
+pub(crate) async fn start_with(
+    peer: net::SocketAddr,
+    target: net::SocketAddr,
+    service: &Value,
+    store: memory::Memory,
+) -> agent::Agent {
+    let listener = net::TcpListener::bind(peer).unwrap();
+    let signer = sign::accept(&store, service).await;
+    let parts = agent::Parts {
+        options: Some(signer),
+        ..agent::Parts::default()
+    };
+    let agent = agent::Agent::start(settings(target), parts, listener, store).unwrap();
     let shared = agent.shared();
     bounded(async {
         loop {
             let snapshot = shared.snapshot.load_full();
-            if snapshot.ready && snapshot.kind == Some(kind) {
+            if snapshot.ready && snapshot.kind().is_some() {
                 return;
             }
-            let mut wanted = (*snapshot).clone();
-            wanted.kind = Some(kind);
-            shared.snapshot.store(Arc::new(wanted));
             tokio::time::sleep(time::Duration::from_millis(10)).await;
         }
     })
     .await;
+    agent
+}
+
+/// Returns a service of the given kind without orders.
+pub(crate) fn rules(kind: bundle::Kind) -> Value {
+    json!({"kind": kind})
 }
 
 /// One process that sends attempts, over one connection after the other.
--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -2,4 +2,5 @@
 
 mod fixture;
 mod phases;
+mod sign;
 mod target;
