--- a/laburnumcart_daemon/src/bundle.rs
+++ b/laburnumcart_daemon/src/bundle.rs
@@ -3,8 +3,6 @@
 //! The control thread runs [`run`], which follows the head in the object service and asks peers
 //! where that falls short. Everything else holds a [`Feed`] and reads from it without waiting.
 
-use std::collections;
-
 use laburnumcart::{
     document,
     seal, //
@@ -37,14 +35,5 @@
 /// Returns the keys that a fleet trusts, whose settings stand at `$.fleet`.
 pub fn trust(fleet: &settings::Fleet) -> Result<seal::Trust, document::Faults> {
     let at = document::Path::root().key("fleet");
-    let mut faults = document::Faults::default();
-    let mut keys = collections::BTreeMap::new();
-    for (name, text) in &fleet.keys {
-        match text.to_string().parse::<seal::Keys>() {
-            Ok(key) => drop(keys.insert(name.clone(), key)),
-            Err(e) => faults.push(at.key("keys").key(name.as_str()), e.to_string()),
-        }
-    }
-    faults.or(())?;
-    seal::Trust::new(keys, fleet.signers, &at)
+    seal::Trust::new(fleet.keys.clone(), fleet.signers, &at)
 }
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -17,6 +17,7 @@
     stop,
     traces, //
 };
+use laburnumcart_platform::client;
 use laburnumcart_wire::{
     entry::EntryServer,
     peer, //
@@ -24,9 +25,15 @@
 
 use crate::{
     callers,
+    claimed,
+    claims,
     control,
     entry,
-    peers,
+    links,
+    peers::{
+        self,
+        calls, //
+    },
     settings, //
 };
 
@@ -83,9 +90,14 @@
     let metrics = metrics::Metrics::new();
     usage::register(&metrics);
     entry.metrics.register(&metrics);
-    control::start(&settings, entry.clone())?;
+    start_control(&settings, &entry, &metrics)?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(peer, &settings.fleet.secrets, methods, &peer::Limits::default())?;
+    let peers = peer::serve(
+        peer,
+        &settings.fleet.secrets,
+        methods,
+        &peer::Limits::default(),
+    )?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
@@ -114,6 +126,41 @@
     })
 }
 
+/// Starts the claims service and the control thread.
+fn start_control(
+    settings: &settings::Settings,
+    entry: &Arc<entry::Entry>,
+    metrics: &metrics::Metrics,
+) -> io::Result<()> {
+    let store = client::Client::builder([settings.platform.address]).build();
+    let store = Arc::new(store.map_err(io::Error::other)?);
+    metrics.register("laburnum_entry", |r| store.register(r));
+    let secret = settings.fleet.secret().cloned();
+    let secret = secret.ok_or(io::ErrorKind::InvalidInput)?;
+    let counters = claims::metrics::Metrics::default();
+    metrics.register("laburnum_entry", |r| counters.register(r));
+    let calls = calls::Calls::new(entry.holder(), secret.clone(), entry.answers.clone());
+    let peers = Arc::new(calls);
+    let service = claims::Builder::new(entry.holder())
+        .metrics(counters)
+        .start(store.clone(), peers.clone());
+    entry.set_claims(Arc::new(claimed::Local { service, peers }));
+    let caller = links::Caller {
+        instance: settings.instance.clone(),
+        incarnation: entry.identity.incarnation,
+        peer: Some(settings.peer),
+        secret,
+        timing: links::Timing::default(),
+    };
+    let start = control::thread::Start {
+        entry: entry.clone(),
+        store,
+        caller,
+        trust: laburnumcart_daemon::bundle::trust(&settings.fleet).map_err(io::Error::other)?,
+    };
+    control::thread::start(start).map(|_| ())
+}
+
 fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
     let Some(collector) = settings.telemetry.traces else {
         return Ok(None);
