--- a/laburnumcart/src/document/explain.rs
+++ b/laburnumcart/src/document/explain.rs
@@ -1,5 +1,7 @@
 //! Faults found by a schema, in words that tell an operator what to write instead.
 
+use std::net;
+
 use jsonschema::{
     error, //
     paths,
@@ -22,9 +24,12 @@
     ("period", |text| text.parse::<unit::Period>().map(drop)),
     ("rate", |text| text.parse::<unit::Rate>().map(drop)),
     ("share", |text| text.parse::<unit::Share>().map(drop)),
-    ("public-key", |text| {
-        text.parse::<seal::PublicKey>().map(drop)
+    ("socket-address", |text| {
+        let address: Result<net::SocketAddr, _> = text.parse();
+        let error = |_| id::ParseError::new("address and port", text);
+        address.map(drop).map_err(error)
     }),
+    ("public-keys", |text| text.parse::<seal::Keys>().map(drop)),
 ];
 
 /// Least similarity, from 0 to 1, at which a name is offered as a correction.
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -3,12 +3,17 @@
 //! Nothing in this crate opens a socket or spawns a task. Time comes in as an argument or from the
 //! runtime's clock, so that a test can pause and advance it.
 
+pub mod admit;
 pub mod attempt;
 pub mod attempts;
 pub mod budget;
 pub mod bundle;
+pub mod document;
+pub mod eject;
 pub mod claim;
 pub mod document;
+pub mod eject;
+pub mod estimate;
 pub mod facts;
 pub mod fair;
 pub mod head;
@@ -16,8 +21,11 @@
 pub mod id;
 pub mod lanes;
 pub mod limit;
+pub mod orders;
 pub mod retry;
 pub mod route;
 pub mod seal;
+pub mod subset;
+pub mod suspects;
 pub mod unit;
 pub mod verdict;
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -317,6 +317,7 @@
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
+        peer: None,
         facts: facts::Facts::default(),
     };
     let answer = time::timeout(caller.timing.connect, client.hello(hello)).await;
