--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod claim;
 pub mod document;
 pub mod eject;
+pub mod claim;
+pub mod document;
 pub mod estimate;
 pub mod facts;
 pub mod fair;
