--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -48,6 +48,7 @@
 use crate::{
     driver,
     entry,
+    policy,
     request, //
 };
 
@@ -151,12 +152,30 @@
         Err(refusal) => return refuse(ctx, refusal, None, None),
     };
     let id = head.id;
-    match read(head, body).await {
-        Ok(request) => {
-            let driven = driver::start(&ctx.state().entry, request, work);
+    let request = match read(head, body).await {
+        Ok(request) => request,
+        Err(reason) => return refuse(ctx, verdict::Refusal::not_run(reason), Some(id), None),
+    };
+    let entry = &ctx.state().entry;
+    match accept(entry, &request) {
+        Ok(admitted) => {
+            let driven = driver::start(entry, request, admitted, work);
             answer(ctx, id, driven).await
         }
-        Err(reason) => refuse(ctx, verdict::Refusal::not_run(reason), Some(id), None),
+        Err(refusal) => refuse(ctx, refusal, Some(id), None),
+    }
+}
+
+/// Refuses content that crashes targets, and what the entry has no room or time for.
+fn accept(
+    entry: &entry::Entry,
+    request: &request::Request,
+) -> Result<policy::Admitted, verdict::Refusal> {
+    let now = tokio::time::Instant::now();
+    let suspects = entry.view.load().suspects.clone();
+    match suspects.refusal(request.fingerprint, now) {
+        Some(refusal) => Err(refusal),
+        None => entry.policy.admit(&request.head),
     }
 }
 
--- a/laburnumcart_entry/src/control.rs
+++ b/laburnumcart_entry/src/control.rs
@@ -8,7 +8,10 @@
     sync::Arc, //
 };
 
-use laburnumcart::id;
+use laburnumcart::{
+    id,
+    suspects, //
+};
 
 use crate::routes;
 
@@ -19,6 +22,8 @@
 pub struct View {
     /// Bundle in force, if any.
     pub rules: Option<Arc<Rules>>,
+    /// Content that crashed targets.
+    pub suspects: Arc<suspects::Suspects>,
     /// Targets by service.
     pub routes: collections::BTreeMap<id::ServiceName, routes::Routes>,
 }
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -12,13 +12,16 @@
 };
 
 use laburnumcart::{
-    bundle,
-    head,
+    facts,
     id,
-    seal, //
+    suspects, //
+};
+use laburnumcart_daemon::{
+    bundle,
+    control, //
 };
-use laburnumcart_daemon::control;
 use laburnumcart_platform::store;
+use laburnumcart_wire::secret;
 
 use crate::{
     control as views,
@@ -32,7 +35,7 @@
 const TICK: time::Duration = time::Duration::from_millis(100);
 
 /// Longest wait of one watch.
-const WAIT: time::Duration = time::Duration::from_secs(10);
+const WAIT: time::Duration = time::Duration::from_secs(30);
 
 /// Pause after a failed call of the object service.
 const PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -43,109 +46,143 @@
     /// Shared state.
     pub entry: Arc<entry::Entry>,
     /// The object service.
-    pub store: Arc<S>,
+    pub store: S,
     /// What lanes need.
     pub caller: links::Caller,
-    /// Keys that sign bundles.
-    pub trust: seal::Trust,
+    /// Secret that is shown to peers.
+    pub secret: secret::Secret,
+    /// How the bundle is followed.
+    pub options: bundle::Options,
 }
 
 /// Starts the control thread.
-pub fn start<S: store::Store>(start: Start<S>) -> io::Result<control::Control<()>> {
+pub fn start<S: store::Store + Clone>(start: Start<S>) -> io::Result<control::Control<()>> {
     control::spawn(move || run(start))
 }
 
-async fn run<S: store::Store>(start: Start<S>) {
-    let (rules, mut bundles) = watch::channel(None);
-    let (list, mut instances) = watch::channel(Vec::new());
-    let follow = follow_bundle(start.store.clone(), start.trust.clone(), rules);
-    tokio::task::spawn_local(follow);
-    tokio::task::spawn_local(follow_instances(start.store.clone(), list));
-    let mut members = members::Members::new(start.caller, start.entry.traffic.clone());
-    let mut ticks = time::interval(TICK);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            _ = bundles.changed() => {}
-            _ = instances.changed() => members.apply(&instances.borrow_and_update()),
+async fn run<S: store::Store + Clone>(start: Start<S>) {
+    let (list, instances) = watch::channel(Vec::new());
+    tokio::task::spawn_local(follow(start.store.clone(), list));
+    let feed = start.entry.gossip.feed().clone();
+    let rpc = bundle::Rpc::new(start.secret);
+    tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
+    let control = Control {
+        members: members::Members::new(
+            start.caller,
+            start.entry.identity.zone.clone(),
+            start.entry.traffic.clone(),
+        ),
+        entry: start.entry,
+        rules: None,
+        suspects: Arc::default(),
+        version: facts::Version::default(),
+    };
+    control.run(instances).await;
+}
+
+/// Control state of an entry.
+#[derive(Debug)]
+struct Control {
+    entry: Arc<entry::Entry>,
+    members: members::Members,
+    rules: Option<Arc<views::Rules>>,
+    suspects: Arc<suspects::Suspects>,
+    /// State of the facts from which the suspects were derived.
+    version: facts::Version,
+}
+
+impl Control {
+    async fn run(mut self, mut instances: watch::Receiver<Vec<members::Instance>>) {
+        let mut bundles = self.entry.gossip.feed().changes();
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                Ok(()) = bundles.changed() => self.adopt(),
+                Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
+            }
+            self.derive();
+            self.publish();
         }
-        if let Some(claims) = start.entry.claims() {
-            claims.set_live(members.entries());
+    }
+
+    /// Puts the bundle in force.
+    fn adopt(&mut self) {
+        let Some(current) = self.entry.gossip.feed().current() else {
+            return;
+        };
+        self.entry.policy.prune(&current.bundle);
+        let rules = views::Rules::new(current.generation, current.bundle.clone());
+        self.rules = Some(Arc::new(rules));
+    }
+
+    fn list(&mut self, list: &[members::Instance]) {
+        self.members.apply(list);
+        if let Some(claims) = self.entry.claims() {
+            claims.set_live(self.members.entries());
         }
-        let rules = bundles.borrow_and_update().clone();
-        publish(&start.entry, rules, &members);
     }
-}
 
-fn publish(entry: &entry::Entry, rules: Option<Arc<views::Rules>>, members: &members::Members) {
-    let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
-        collections::BTreeMap::new();
-    for member in members.agents() {
-        ways.entry(member.service.clone())
-            .or_default()
-            .push(routes::Way {
-                lane: member.lane.clone(),
-                local: member.zone == entry.identity.zone,
-                ejected: false,
-            });
+    /// Derives the suspects again if the facts have changed.
+    fn derive(&mut self) {
+        let version = self.entry.gossip.refresh();
+        if version > self.version {
+            self.version = version;
+            self.suspects = Arc::new(self.entry.gossip.suspects());
+        }
     }
-    let table = |(service, ways): (id::ServiceName, _)| {
-        (service.clone(), routes::Routes::new(service, ways))
-    };
-    entry.view.store(Arc::new(views::View {
-        rules,
-        routes: ways.into_iter().map(table).collect(),
-    }));
-}
 
-async fn follow_bundle<S: store::Store>(
-    store: Arc<S>,
-    trust: seal::Trust,
-    rules: watch::Sender<Option<Arc<views::Rules>>>,
-) {
-    let mut view = head::View::default();
-    loop {
-        if let Some((accepted, found)) = fetch(&*store, &trust, &view).await {
-            view.advance(accepted);
-            log::info!("event=bundle generation={}", accepted.generation);
-            rules.send_replace(Some(Arc::new(views::Rules::new(
-                accepted.generation,
-                found,
-            ))));
+    fn publish(&self) {
+        let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
+            collections::BTreeMap::new();
+        for member in self.members.agents() {
+            let way = self.way(member);
+            ways.entry(member.service.clone()).or_default().push(way);
         }
-        time::sleep(PAUSE).await;
+        let routes = ways.into_iter().map(|(service, ways)| {
+            let routes = routes::Routes::new(service.clone(), ways);
+            self.entry.policy.keep(&service, &routes.targets());
+            (service, routes)
+        });
+        let open = |m: &&members::Member| m.lane.connection().is_some();
+        let count = self.members.agents().filter(open).count();
+        self.entry.metrics.lanes.set(count as i64);
+        self.entry.view.store(Arc::new(views::View {
+            rules: self.rules.clone(),
+            suspects: self.suspects.clone(),
+            routes: routes.collect(),
+        }));
     }
-}
 
-async fn fetch<S: store::Store>(
-    store: &S,
-    trust: &seal::Trust,
-    view: &head::View,
-) -> Option<(head::Accepted, bundle::Bundle)> {
-    let head = store.get("bundle/head").await.ok()??;
-    let accepted = head::Head::parse(&head.value).ok()?.accepted;
-    if !view.is_newer(&accepted) {
-        return None;
+    fn way(&self, member: &members::Member) -> routes::Way {
+        let report = member.lane.report();
+        let leaving = |seen: &links::Seen| self.entry.gossip.is_leaving(seen.report.incarnation);
+        let ejected = |seen: &links::Seen| {
+            let target = &seen.report.target;
+            self.entry.policy.is_ejected(&member.service, target)
+        };
+        routes::Way {
+            lane: member.lane.clone(),
+            local: member.zone == self.entry.identity.zone,
+            leaving: report.as_deref().is_some_and(leaving),
+            ejected: report.as_deref().is_some_and(ejected),
+        }
     }
-    let key = head::object_key(accepted.digest);
-    let envelope = store.get(&key).await.ok()??;
-    let verified = trust.verify(&envelope.value, Some(accepted.digest)).ok()?;
-    let found = serde_json::from_str(verified.bundle()).ok()?;
-    Some((accepted, found))
 }
 
-async fn follow_instances<S: store::Store>(
-    store: Arc<S>,
-    list: watch::Sender<Vec<members::Instance>>,
-) {
+/// Follows the platform's list of instances.
+async fn follow<S: store::Store>(store: S, list: watch::Sender<Vec<members::Instance>>) {
     loop {
         if let Ok(listing) = store.list(members::PREFIX).await {
             let values = listing.objects.iter();
             let parsed = values.filter_map(|o| serde_json::from_str(&o.value).ok());
             list.send_replace(parsed.collect());
             // An event only says that it is time to list again.
-            let _ = store.watch(members::PREFIX, listing.revision, WAIT).await;
+            let changes = store.watch(members::PREFIX, listing.revision, WAIT).await;
+            if changes.is_ok() {
+                continue;
+            }
         }
         time::sleep(PAUSE).await;
     }
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -1,23 +1,25 @@
 //! Runs the stages of one request, each on a target of its service.
 
 pub mod account;
+mod race;
 mod stage;
 
 use std::sync::Arc;
 
 use serde_json::value;
-use tokio::{
-    sync::mpsc,
-    time, //
-};
+use tokio::sync::mpsc;
 
 use laburnumcart::verdict;
-use laburnumcart_daemon::stop;
+use laburnumcart_daemon::{
+    stop,
+    traces, //
+};
 
 use crate::{
     claimed,
     entry,
     metrics,
+    policy,
     request, //
 };
 
@@ -44,7 +46,20 @@
 }
 
 /// Starts a request on the traffic runtime.
-pub fn start(entry: &Arc<entry::Entry>, request: request::Request, work: stop::Work) -> Driven {
+pub fn start(
+    entry: &Arc<entry::Entry>,
+    request: request::Request,
+    mut admitted: policy::Admitted,
+    work: stop::Work,
+) -> Driven {
+    let head = &request.head;
+    let span = tracing::info_span!(
+        "request",
+        request = %head.id,
+        team = head.team.as_str(),
+        pipeline = head.pipeline.as_str(),
+    );
+    traces::join(&span, head.traceparent.as_ref());
     let (sender, events) = mpsc::unbounded_channel();
     let mut driver = Driver {
         entry: entry.clone(),
@@ -52,12 +67,15 @@
         events: sender,
         accounts: Vec::new(),
         verdict: verdict::Verdict::NotRun,
+        span,
     };
     entry.traffic.spawn(async move {
         driver.entry.metrics.running.inc();
         let outcome = driver.answer().await;
         driver.entry.metrics.running.dec();
         driver.count(&outcome);
+        admitted.end(outcome.as_ref().err());
+        drop(admitted);
         // Nobody listens if the caller has gone.
         let _ = driver.events.send(Event::End(outcome, work));
     });
@@ -73,6 +91,7 @@
     accounts: Vec<account::Account>,
     /// Whether anything of the request may have executed so far.
     verdict: verdict::Verdict,
+    span: tracing::Span,
 }
 
 impl Driver {
@@ -91,8 +110,12 @@
         let stages = &rules.bundle.pipelines[&self.request.head.pipeline].stages;
         let mut previous: Option<Box<value::RawValue>> = None;
         for (index, stage) in stages.iter().enumerate() {
-            let last = index + 1 == stages.len();
-            let output = self.stage(stage, previous.as_deref(), last).await;
+            let place = stage::Place {
+                index,
+                stage,
+                last: index + 1 == stages.len(),
+            };
+            let output = self.stage(place, previous.as_deref()).await;
             previous = Some(output.map_err(|refusal| self.judge(refusal))?);
         }
         account::Answer::text(&self.request.head, previous, &self.accounts)
@@ -121,11 +144,6 @@
     fn note(&mut self, verdict: verdict::Verdict) {
         self.verdict = self.verdict.and(verdict);
     }
-
-    /// Returns the time that is left.
-    fn remaining(&self) -> time::Duration {
-        self.request.head.remaining()
-    }
 }
 
 /// When a caller should come again if nothing better is known.
--- a/laburnumcart_entry/src/entry.rs
+++ b/laburnumcart_entry/src/entry.rs
@@ -18,13 +18,18 @@
     claim,
     id, //
 };
-use laburnumcart_daemon::stop;
+use laburnumcart_daemon::{
+    bundle,
+    stop, //
+};
 
 use crate::{
     answers,
     claimed,
     control,
-    metrics, //
+    gossip,
+    metrics,
+    policy, //
 };
 
 /// Who this process is.
@@ -49,6 +54,10 @@
     pub view: ArcSwap<control::View>,
     /// Final answers of claimed requests.
     pub answers: Arc<answers::Answers>,
+    /// Facts that travel on heartbeats.
+    pub gossip: Arc<gossip::Gossip>,
+    /// Decisions on requests and attempts.
+    pub policy: Arc<policy::Policy>,
     /// Counters.
     pub metrics: metrics::Metrics,
     /// Where requests enter.
@@ -61,12 +70,19 @@
 
 impl Entry {
     /// Creates the state of an entry that has no bundle yet.
-    pub fn new(identity: Identity, gate: stop::Gate, traffic: runtime::Handle) -> Arc<Self> {
+    pub fn new(
+        identity: Identity,
+        feed: bundle::Feed,
+        gate: stop::Gate,
+        traffic: runtime::Handle,
+    ) -> Arc<Self> {
         Arc::new(Self {
             identity,
             view: ArcSwap::default(),
             answers: Arc::default(),
             claims: OnceLock::new(),
+            gossip: Arc::new(gossip::Gossip::new(feed)),
+            policy: Arc::default(),
             metrics: metrics::Metrics::default(),
             gate,
             traffic,
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -14,6 +14,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use prometheus_client::metrics::counter::Counter;
 use tokio::{
     runtime,
     sync::watch,
@@ -36,11 +37,15 @@
     secret, //
 };
 
+use crate::gossip;
+
 /// Periods of the lanes.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Time between two heartbeats.
+    /// Time between two heartbeats while attempts are in flight.
     pub beat: time::Duration,
+    /// Time between two heartbeats otherwise.
+    pub idle: time::Duration,
     /// Time after which a heartbeat counts as missed.
     pub answer: time::Duration,
     /// Number of missed heartbeats in a row that end a connection.
@@ -54,8 +59,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            beat: time::Duration::from_millis(500),
-            answer: time::Duration::from_millis(400),
+            beat: time::Duration::from_secs(1),
+            idle: time::Duration::from_secs(2),
+            answer: time::Duration::from_millis(750),
             missed: 2,
             connect: time::Duration::from_millis(500),
             pause: time::Duration::from_millis(100),
@@ -70,6 +76,12 @@
     pub instance: id::InstanceName,
     /// Life of this process.
     pub incarnation: id::Incarnation,
+    /// Address of this process's peer port.
+    pub peer: net::SocketAddr,
+    /// Facts that heartbeats carry.
+    pub gossip: Arc<gossip::Gossip>,
+    /// Counter of connections that were given up.
+    pub breaks: Counter,
     /// Secret that is sent to agents.
     pub secret: secret::Secret,
     /// Periods.
@@ -244,11 +256,13 @@
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
+        self.caller.breaks.inc();
         self.link.send_replace(Link::Down { gone: false });
         connection.closed.send_replace(true);
     }
 
     fn note(&self, report: agent::Report) {
+        self.caller.gossip.merge(&report.facts, self.addr);
         self.seen.store(Some(Arc::new(Seen {
             report,
             at: time::Instant::now(),
@@ -259,21 +273,24 @@
     /// Sends heartbeats until the connection ends or misses too many of them.
     async fn watch(&self, connection: &Connection) {
         let timing = &self.caller.timing;
+        let mut sent = facts::Version::default();
         let mut missed = 0;
         while missed < timing.missed {
-            let ended = time::timeout(timing.beat, connection.client.on_disconnect());
-            if ended.await.is_ok() {
+            // A missed heartbeat is followed by the next at once, to know soon.
+            if missed == 0 && self.rest(connection).await {
                 return;
             }
+            let (facts, version) = self.caller.gossip.changes(sent);
             let beat = agent::Beat {
                 session: connection.session,
-                facts: None,
+                facts,
             };
             match time::timeout(timing.answer, connection.client.beat(beat)).await {
                 // Another process answers at the same address.
                 Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
                 Ok(Ok(report)) => {
                     self.note(report);
+                    sent = version;
                     missed = 0;
                 }
                 Ok(Err(_)) => return,
@@ -281,6 +298,22 @@
             }
         }
     }
+
+    /// Waits until the next heartbeat is due; returns true when the connection ends first.
+    async fn rest(&self, connection: &Connection) -> bool {
+        let timing = &self.caller.timing;
+        let begun = time::Instant::now();
+        loop {
+            let ended = time::timeout(timing.beat, connection.client.on_disconnect());
+            if ended.await.is_ok() {
+                return true;
+            }
+            let active = self.running.load(Ordering::Relaxed) > 0;
+            if active || begun.elapsed() >= timing.idle {
+                return false;
+            }
+        }
+    }
 }
 
 /// Opens one connection; `Err(true)` when the address refuses it.
@@ -317,8 +350,8 @@
     let hello = agent::Hello {
         instance: caller.instance.clone(),
         session,
-        peer: None,
-        facts: facts::Facts::default(),
+        peer: Some(caller.peer),
+        facts: caller.gossip.all(),
     };
     let answer = time::timeout(caller.timing.connect, client.hello(hello)).await;
     let report = answer.ok()?.ok()?;
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -16,13 +16,22 @@
 };
 use tokio::runtime;
 
-use laburnumcart::id;
+use laburnumcart::{
+    id,
+    subset, //
+};
 
 use crate::links;
 
 /// Prefix of the platform's list.
 pub const PREFIX: &str = "platform/instances/";
 
+/// Bytes a second, both ways, for idle heartbeats; the rest of a process's share is for others.
+const BEAT_BYTES: u64 = 15_000;
+
+/// Fewest agents of a service to keep lanes to.
+const SUBSET_MIN: usize = 8;
+
 /// Kind of a process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -65,6 +74,7 @@
 #[derive(Debug)]
 pub struct Members {
     caller: links::Caller,
+    zone: id::DataCentre,
     runtime: runtime::Handle,
     lanes: collections::BTreeMap<net::SocketAddr, Member>,
     entries: Vec<net::SocketAddr>,
@@ -83,9 +93,10 @@
 
 impl Members {
     /// Creates an empty set whose lanes run on `runtime`.
-    pub fn new(caller: links::Caller, runtime: runtime::Handle) -> Self {
+    pub fn new(caller: links::Caller, zone: id::DataCentre, runtime: runtime::Handle) -> Self {
         Self {
             caller,
+            zone,
             runtime,
             lanes: collections::BTreeMap::new(),
             entries: Vec::new(),
@@ -96,16 +107,48 @@
     pub fn apply(&mut self, list: &[Instance]) {
         let is_entry = |i: &&Instance| i.role == Role::Entry && i.state == State::Live;
         self.entries = list.iter().filter(is_entry).map(|i| i.addr).collect();
-        for instance in list.iter().filter(|i| i.role == Role::Agent) {
+        let chosen = self.subset(list);
+        for instance in &chosen {
             if let Some(service) = &instance.service {
                 self.open(instance, service);
             }
         }
         let agents = list.iter().filter(|i| i.role == Role::Agent);
         let listed: collections::HashSet<_> = agents.map(|i| i.addr).collect();
+        let chosen: collections::HashSet<_> = chosen.iter().map(|i| i.addr).collect();
         let works = |member: &Member| member.lane.connection().is_some();
-        self.lanes
-            .retain(|addr, member| listed.contains(addr) || works(member));
+        self.lanes.retain(|addr, member| {
+            chosen.contains(addr) || !listed.contains(addr) && works(member)
+        });
+    }
+
+    /// Chooses the agents to keep lanes to, so many of each service that heartbeats stay cheap.
+    fn subset<'a>(&self, list: &'a [Instance]) -> Vec<&'a Instance> {
+        let mut services: collections::BTreeMap<_, Vec<(id::TargetName, &Instance)>> =
+            collections::BTreeMap::new();
+        for instance in list.iter().filter(|i| i.role == Role::Agent) {
+            if let (Some(service), Ok(name)) = (&instance.service, instance.name.as_str().parse()) {
+                services.entry(service).or_default().push((name, instance));
+            }
+        }
+        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, services.len());
+        let size = size.max(SUBSET_MIN);
+        let mut chosen = Vec::new();
+        for agents in services.values() {
+            let members = agents.iter().map(|(name, instance)| subset::Member {
+                name,
+                zone: &instance.zone,
+            });
+            let names = subset::choose(&self.caller.instance, &self.zone, members, size);
+            let is_chosen = |name: &id::TargetName| names.iter().any(|m| m.name == name);
+            chosen.extend(
+                agents
+                    .iter()
+                    .filter(|(name, _)| is_chosen(name))
+                    .map(|(_, i)| *i),
+            );
+        }
+        chosen
     }
 
     fn open(&mut self, instance: &Instance, service: &id::ServiceName) {
--- a/laburnumcart_entry/src/metrics.rs
+++ b/laburnumcart_entry/src/metrics.rs
@@ -96,8 +96,8 @@
     attempts: Family<Attempt, Counter>,
     busy: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
     queued: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
-    /// Attempts whose connection broke and that were asked about over a new one.
-    pub doubts: Counter,
+    /// Second attempts beside slow ones.
+    pub hedges: Counter,
     /// Connections to agents that were given up.
     pub breaks: Counter,
     /// Connections to agents that work.
@@ -118,7 +118,7 @@
             attempts: Family::default(),
             busy: Family::default(),
             queued: Family::default(),
-            doubts: Counter::default(),
+            hedges: Counter::default(),
             breaks: Counter::default(),
             lanes: Gauge::default(),
             running: Gauge::default(),
@@ -148,7 +148,7 @@
                 "Time that whole results waited at agents",
                 self.queued.clone(),
             );
-            r.register("doubts", "Attempts asked about", self.doubts.clone());
+            r.register("hedges", "Second attempts", self.hedges.clone());
             r.register("lane_breaks", "Connections given up", self.breaks.clone());
             r.register("lanes", "Connections to agents", self.lanes.clone());
             r.register("running", "Requests in flight", self.running.clone());
--- a/laburnumcart_entry/src/peers.rs
+++ b/laburnumcart_entry/src/peers.rs
@@ -10,7 +10,6 @@
 };
 
 use laburnumcart::{
-    facts,
     id,
     unit,
     verdict, //
@@ -44,8 +43,7 @@
         let view = self.entry.view.load();
         let lanes = view.routes.values().flat_map(|routes| routes.lanes());
         let open = lanes.filter(|lane| lane.connection().is_some()).count();
-        let rules = view.rules.as_ref();
-        let generation = rules.map(|rules| rules.generation).unwrap_or_default();
+        let generation = self.entry.gossip.feed().generation();
         entry::Status {
             instance: self.entry.identity.instance.clone(),
             zone: self.entry.identity.zone.clone(),
@@ -54,10 +52,7 @@
             leaving: self.entry.is_leaving(),
             running: self.entry.gate.count().try_into().unwrap_or(u32::MAX),
             agents: open.try_into().unwrap_or(u32::MAX),
-            facts: facts::Facts {
-                generation,
-                ..facts::Facts::default()
-            },
+            facts: self.entry.gossip.all(),
         }
     }
 }
@@ -96,7 +91,7 @@
         Ok(self.entry.answers.fetch(fetch.request, wait.0).await)
     }
 
-    async fn bundle(&self, _: id::Generation) -> RpcResult<Option<agent::Shown>> {
-        Ok(None)
+    async fn bundle(&self, least: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(self.entry.gossip.feed().show(least))
     }
 }
--- /dev/null
+++ b/laburnumcart_entry/src/policy.rs
@@ -0,0 +1,339 @@
+//! Decisions on requests and attempts, with what they are learnt from.
+//!
+//! The state is small and each decision short, so that one lock serves all traffic threads.
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use tokio::time;
+
+use laburnumcart::{
+    admit,
+    budget,
+    bundle,
+    eject,
+    estimate,
+    hedge,
+    id,
+    retry,
+    unit,
+    verdict, //
+};
+
+use crate::request;
+
+/// Most of a service's targets that are excluded at a time.
+const EJECTED_MAX: unit::Share = unit::Share(0.34);
+
+/// Quantile of a stage's time after which an attempt is a straggler.
+const STRAGGLER: f64 = 0.95;
+
+/// A stage of a pipeline.
+type Key = (id::PipelineName, id::StageName);
+
+/// Decisions of one entry.
+#[derive(Debug)]
+pub struct Policy {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    admission: admit::Admission,
+    teams: collections::HashMap<id::TeamName, admit::TeamKey>,
+    services: collections::HashMap<id::ServiceName, Service>,
+    /// Time that targets spent; tells what can still finish.
+    busy: estimate::Estimates<Key>,
+    /// Time from dispatch to the whole result; tells what is slow.
+    elapsed: estimate::Estimates<Key>,
+    drain: estimate::Drain,
+}
+
+#[derive(Debug)]
+struct Service {
+    retries: budget::Budget,
+    hedges: budget::Budget,
+    ejector: eject::Ejector,
+    targets: collections::HashMap<id::TargetName, eject::TargetKey>,
+}
+
+/// An attempt that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    /// Service of the target.
+    pub service: &'a id::ServiceName,
+    /// The target.
+    pub target: &'a id::TargetName,
+    /// Time since the attempt was sent.
+    pub elapsed: time::Duration,
+    /// `None` when the result is whole.
+    pub refusal: Option<verdict::Refusal>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        let now = time::Instant::now();
+        Self {
+            state: Mutex::new(State {
+                admission: admit::Admission::new(now),
+                teams: collections::HashMap::new(),
+                services: collections::HashMap::new(),
+                busy: estimate::Estimates::default(),
+                elapsed: estimate::Estimates::default(),
+                drain: estimate::Drain::new(now),
+            }),
+        }
+    }
+}
+
+impl Policy {
+    /// Admits a request or refuses it as not run.
+    pub fn admit(self: &Arc<Self>, head: &request::Head) -> Result<Admitted, verdict::Refusal> {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        state.check(head, now)?;
+        let weight = head.rules.bundle.teams[&head.team].weight;
+        let key = state.team(&head.team, weight);
+        state
+            .admission
+            .admit(key, head.priority, now, &mut rand::rng())?;
+        drop(state);
+        Ok(Admitted {
+            policy: self.clone(),
+            key,
+            outcome: admit::Outcome::Refused(verdict::Reason::Cancelled),
+        })
+    }
+
+    /// Forgets the teams that a new bundle has no more.
+    pub fn prune(&self, bundle: &bundle::Bundle) {
+        let mut state = self.lock();
+        let State {
+            teams, admission, ..
+        } = &mut *state;
+        teams.retain(|team, key| {
+            let kept = bundle.teams.contains_key(team);
+            if !kept {
+                admission.remove_team(*key);
+            }
+            kept
+        });
+    }
+
+    /// Returns the least time that a request needs from a stage on.
+    pub fn rest(&self, head: &request::Head, from: usize) -> time::Duration {
+        self.lock().rest(head, from, time::Instant::now())
+    }
+
+    /// Takes note that an attempt is sent.
+    pub fn started(&self, service: &id::ServiceName, target: &id::TargetName) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let service = state.service(service, now);
+        let key = service.key(target);
+        service.ejector.start(key, now);
+        service.hedges.earn(now);
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn ended(&self, ended: &Ended<'_>) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let service = state.service(ended.service, now);
+        let key = service.key(ended.target);
+        let Some(refusal) = ended.refusal else {
+            let outcome = eject::Outcome::Success(ended.elapsed);
+            service.ejector.record(key, outcome, now);
+            service.retries.earn(now);
+            return;
+        };
+        if is_fault(refusal.reason) {
+            service.ejector.record(key, eject::Outcome::Failure, now);
+        }
+        if retry::is_overload(refusal.reason) {
+            service.hedges.refuse(now);
+        }
+    }
+
+    /// Takes in what a whole result took.
+    pub fn took(
+        &self,
+        head: &request::Head,
+        stage: &id::StageName,
+        busy: time::Duration,
+        elapsed: time::Duration,
+    ) {
+        let now = time::Instant::now();
+        let key = (head.pipeline.clone(), stage.clone());
+        let mut state = self.lock();
+        state.busy.record(key.clone(), busy, now);
+        state.elapsed.record(key, elapsed, now);
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn retry(
+        &self,
+        head: &request::Head,
+        service: &id::ServiceName,
+        attempts: &mut retry::Attempts,
+        failure: &retry::Failure,
+        needed: time::Duration,
+    ) -> retry::Decision {
+        let now = time::Instant::now();
+        let time = retry::Time {
+            remaining: head.remaining(),
+            needed,
+            now,
+        };
+        let mut state = self.lock();
+        let retries = &mut state.service(service, now).retries;
+        retries.set_ratio(head.rules.bundle.limits.retry_ratio);
+        attempts.decide(failure, time, retries)
+    }
+
+    /// Decides whether an attempt that runs is raced by a second one.
+    pub fn hedge(
+        &self,
+        head: &request::Head,
+        stage: &bundle::Stage,
+        elapsed: time::Duration,
+    ) -> hedge::Decision {
+        let now = time::Instant::now();
+        let key = (head.pipeline.clone(), stage.name.clone());
+        let mut state = self.lock();
+        let attempt = hedge::Attempt {
+            idempotent: head.stage_idempotent(stage),
+            hedged: false,
+            elapsed,
+            remaining: head.remaining(),
+            median: state.elapsed.quantile(&key, 0.5, now),
+            quantile: state.elapsed.quantile(&key, STRAGGLER, now),
+        };
+        let hedges = &mut state.service(&stage.service, now).hedges;
+        hedges.set_ratio(head.rules.bundle.limits.hedge_ratio);
+        hedge::decide(&attempt, hedges, now)
+    }
+
+    /// Reports whether a target is excluded as an outlier.
+    pub fn is_ejected(&self, service: &id::ServiceName, target: &id::TargetName) -> bool {
+        let now = time::Instant::now();
+        let state = self.lock();
+        let Some(service) = state.services.get(service) else {
+            return false;
+        };
+        let key = service.targets.get(target);
+        key.is_some_and(|key| !service.ejector.allows(*key, now))
+    }
+
+    /// Forgets the targets of a service that are not in `known`.
+    pub fn keep(&self, service: &id::ServiceName, known: &[id::TargetName]) {
+        let mut state = self.lock();
+        let Some(service) = state.services.get_mut(service) else {
+            return;
+        };
+        let Service {
+            targets, ejector, ..
+        } = service;
+        targets.retain(|target, key| {
+            let kept = known.contains(target);
+            if !kept {
+                ejector.remove(*key);
+            }
+            kept
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn check(&mut self, head: &request::Head, now: time::Instant) -> Result<(), verdict::Refusal> {
+        let outlook = estimate::Outlook {
+            remaining: head.remaining(),
+            ahead: 0,
+            rest: self.rest(head, 0, now),
+        };
+        estimate::check(&outlook, &mut self.drain, now, &mut rand::rng())
+    }
+
+    fn rest(&self, head: &request::Head, from: usize, now: time::Instant) -> time::Duration {
+        let stages = head.stages().stages.iter().skip(from);
+        let keys = stages.map(|stage| (head.pipeline.clone(), stage.name.clone()));
+        self.busy.rest(keys, head.priority, now)
+    }
+
+    fn team(&mut self, team: &id::TeamName, weight: u32) -> admit::TeamKey {
+        if let Some(key) = self.teams.get(team) {
+            self.admission.set_weight(*key, weight);
+            return *key;
+        }
+        let key = self.admission.add_team(weight);
+        self.teams.insert(team.clone(), key);
+        key
+    }
+
+    fn service(&mut self, name: &id::ServiceName, now: time::Instant) -> &mut Service {
+        self.services.entry(name.clone()).or_insert_with(|| {
+            let limits = bundle::Limits::default();
+            Service {
+                retries: budget::Budget::new(limits.retry_ratio, now),
+                hedges: budget::Budget::new(limits.hedge_ratio, now),
+                ejector: eject::Ejector::new(EJECTED_MAX, now),
+                targets: collections::HashMap::new(),
+            }
+        })
+    }
+}
+
+impl Service {
+    fn key(&mut self, target: &id::TargetName) -> eject::TargetKey {
+        if let Some(key) = self.targets.get(target) {
+            return *key;
+        }
+        let key = self.ejector.add();
+        self.targets.insert(target.clone(), key);
+        key
+    }
+}
+
+/// Reports whether a refusal speaks against the target.
+fn is_fault(reason: verdict::Reason) -> bool {
+    matches!(
+        reason,
+        verdict::Reason::TargetFailed | verdict::Reason::Lost | verdict::Reason::Corrupt
+    )
+}
+
+/// A request that counts against its team's share until it is dropped.
+#[derive(Debug)]
+pub struct Admitted {
+    policy: Arc<Policy>,
+    key: admit::TeamKey,
+    outcome: admit::Outcome,
+}
+
+impl Admitted {
+    /// Sets how the request ended.
+    pub fn end(&mut self, refusal: Option<&verdict::Refusal>) {
+        self.outcome = refusal.map_or(admit::Outcome::Done, |refusal| {
+            admit::Outcome::Refused(refusal.reason)
+        });
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let now = time::Instant::now();
+        let mut state = self.policy.lock();
+        state.admission.finish(self.key, self.outcome, now);
+    }
+}
--- a/laburnumcart_entry/src/request.rs
+++ b/laburnumcart_entry/src/request.rs
@@ -12,6 +12,8 @@
     verdict, //
 };
 
+use laburnumcart_daemon::traces;
+
 use crate::control;
 
 /// Longest idempotency key in bytes.
@@ -58,7 +60,7 @@
     /// Idempotency key.
     pub key: Option<String>,
     /// W3C trace context of the caller.
-    pub traceparent: Option<String>,
+    pub traceparent: Option<traces::Traceparent>,
 }
 
 /// A request as it runs.
@@ -116,7 +118,8 @@
             idempotent,
             once,
             key: asked.key,
-            traceparent: asked.traceparent,
+            // A malformed context is ignored, as the W3C wants it.
+            traceparent: asked.traceparent.and_then(|text| text.parse().ok()),
             rules,
         })
     }
--- a/laburnumcart_entry/src/routes.rs
+++ b/laburnumcart_entry/src/routes.rs
@@ -35,6 +35,8 @@
     pub lane: Arc<links::Lane>,
     /// Whether it leads to the own data centre.
     pub local: bool,
+    /// Whether its agent is known to accept no new work.
+    pub leaving: bool,
     /// Whether its target is excluded as an outlier.
     pub ejected: bool,
 }
@@ -87,6 +89,12 @@
         }
     }
 
+    /// Returns the names of the targets.
+    pub fn targets(&self) -> Vec<id::TargetName> {
+        let targets = self.table.targets().iter();
+        targets.map(|target| target.name.clone()).collect()
+    }
+
     /// Returns the lanes.
     pub fn lanes(&self) -> &[Arc<links::Lane>] {
         &self.lanes
@@ -98,7 +106,7 @@
     let report = &seen.report;
     let state = if way.lane.connection().is_none() || !report.ready || report.service != *service {
         route::State::Down
-    } else if report.leaving {
+    } else if report.leaving || way.leaving {
         route::State::Leaving
     } else if way.ejected {
         route::State::Ejected
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -10,11 +10,10 @@
 
 use tokio::runtime;
 
-use laburnumcart::{
-    id,
-    seal, //
-};
+use laburnumcart::id;
 use laburnumcart_daemon::{
+    bundle,
+    event,
     metrics,
     process as usage,
     stop,
@@ -48,7 +47,7 @@
     match serve(settings) {
         Ok(code) => code,
         Err(error) => {
-            log::error!("event=start_failed error={error:?}");
+            event!(Error, "failed", error = error);
             process::ExitCode::FAILURE
         }
     }
@@ -69,14 +68,16 @@
     let callers = net::TcpListener::bind(settings.callers)?;
     let peer = net::TcpListener::bind(settings.peer)?;
     let running = stop::Running::new();
+    let metrics = metrics::Metrics::new();
+    let feed = bundle::Feed::new(&metrics);
     let identity = entry::Identity {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         peer: settings.peer,
         incarnation: id::Incarnation::random(),
     };
-    let entry = entry::Entry::new(identity, running.gate(), traffic.handle().clone());
-    let code = traffic.block_on(main(settings, entry, running, callers, peer))?;
+    let entry = entry::Entry::new(identity, feed, running.gate(), traffic.handle().clone());
+    let code = traffic.block_on(main(settings, entry, metrics, running, callers, peer))?;
     traffic.shutdown_background();
     Ok(code)
 }
@@ -84,13 +85,13 @@
 async fn main(
     settings: settings::Settings,
     entry: Arc<entry::Entry>,
+    metrics: metrics::Metrics,
     running: stop::Running,
     callers: net::TcpListener,
     peer: net::TcpListener,
 ) -> io::Result<process::ExitCode> {
     let mut signals = stop::Signals::listen()?;
     let _traces = trace(&settings)?;
-    let metrics = metrics::Metrics::new();
     usage::register(&metrics);
     entry.metrics.register(&metrics);
     start_control(&settings, &entry, &metrics)?;
@@ -105,20 +106,25 @@
     let handle = server.handle()?;
     let server = tokio::spawn(server);
     let identity = &entry.identity;
-    log::info!(
-        "event=started instance={} incarnation={} callers={} peer={}",
-        identity.instance,
-        identity.incarnation,
-        settings.callers,
-        settings.peer
+    event!(
+        Info,
+        "started",
+        instance = identity.instance,
+        incarnation = identity.incarnation,
+        callers = settings.callers,
+        peer = settings.peer
     );
     tokio::select! {
-        signal = signals.next() => log::info!("event=leaving cause={signal}"),
-        () = entry.left() => log::info!("event=leaving cause=drain"),
+        signal = signals.next() => event!(Info, "stopping", cause = signal),
+        () = entry.left() => event!(Info, "stopping", cause = "drain"),
     }
     entry.leave();
     let stopped = running.drain().wait(settings.stop_limit).await;
-    log::info!("event=stopped left={}", stopped.left);
+    event!(Info, "stopped", left = stopped.left);
+    if let Some(claims) = entry.claims() {
+        // The shards' next owners need not wait for this one then.
+        let _ = tokio::time::timeout(FLUSH, claims.drain()).await;
+    }
     handle.stop(true);
     // Idle connections are kept open by their callers; they are not waited for.
     let _ = tokio::time::timeout(FLUSH, server).await;
@@ -136,7 +142,7 @@
     metrics: &metrics::Metrics,
 ) -> io::Result<()> {
     let store = client::Client::builder([settings.platform.address]).build();
-    let store = Arc::new(store.map_err(io::Error::other)?);
+    let store = store.map_err(io::Error::other)?;
     metrics.register("laburnum_entry", |r| store.register(r));
     let secret = settings.fleet.secret().cloned();
     let secret = secret.ok_or(io::ErrorKind::InvalidInput)?;
@@ -146,34 +152,28 @@
     let peers = Arc::new(calls);
     let service = claims::Builder::new(entry.holder())
         .metrics(counters)
-        .start(store.clone(), peers.clone());
+        .start(Arc::new(store.clone()), peers.clone());
     entry.set_claims(Arc::new(claimed::Local { service, peers }));
     let caller = links::Caller {
         instance: settings.instance.clone(),
         incarnation: entry.identity.incarnation,
-        secret,
+        peer: settings.peer,
+        gossip: entry.gossip.clone(),
+        breaks: entry.metrics.breaks.clone(),
+        secret: secret.clone(),
         timing: links::Timing::default(),
     };
+    let trust = bundle::trust(&settings.fleet).map_err(io::Error::other)?;
     let start = control::thread::Start {
         entry: entry.clone(),
         store,
         caller,
-        trust: trust(&settings.fleet)?,
+        secret,
+        options: bundle::Options::new(trust).peers(settings.fleet.peers.clone()),
     };
     control::thread::start(start).map(|_| ())
 }
 
-fn trust(fleet: &laburnumcart_daemon::settings::Fleet) -> io::Result<seal::Trust> {
-    let keys = fleet.keys.iter().map(|(name, text)| {
-        let key = text.parse().map_err(io::Error::other)?;
-        Ok((name.clone(), vec![key]))
-    });
-    Ok(seal::Trust {
-        keys: keys.collect::<io::Result<_>>()?,
-        required: fleet.signers.try_into().unwrap_or(u8::MAX),
-    })
-}
-
 fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
     let Some(collector) = settings.telemetry.traces else {
         return Ok(None);
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -12,6 +12,7 @@
     id, //
 };
 use laburnumcart_daemon::{
+    self as daemon,
     metrics,
     stop, //
 };
@@ -60,6 +61,7 @@
 pub(crate) fn timing() -> links::Timing {
     links::Timing {
         beat: time::Duration::from_millis(40),
+        idle: time::Duration::from_millis(40),
         answer: time::Duration::from_millis(200),
         missed: 1,
         connect: time::Duration::from_secs(2),
@@ -122,15 +124,20 @@
             peer: listener.local_addr().unwrap(),
             incarnation: id::Incarnation::random(),
         };
+        let traffic = tokio::runtime::Handle::current();
+        let running = stop::Running::new();
+        let feed = daemon::bundle::Feed::new(&metrics::Metrics::new());
+        let entry = entry::Entry::new(identity, feed, running.gate(), traffic.clone());
+        let identity = &entry.identity;
         let caller = links::Caller {
             instance: identity.instance.clone(),
             incarnation: identity.incarnation,
+            peer: identity.peer,
+            gossip: entry.gossip.clone(),
+            breaks: entry.metrics.breaks.clone(),
             secret: SECRET.parse().unwrap(),
             timing: timing(),
         };
-        let traffic = tokio::runtime::Handle::current();
-        let running = stop::Running::new();
-        let entry = entry::Entry::new(identity, running.gate(), traffic.clone());
         let open = |(service, addr): &(&str, net::SocketAddr)| {
             let lane = links::Lane::open(&traffic, *addr, caller.clone());
             (service.parse().unwrap(), lane)
@@ -154,6 +161,7 @@
             ways.entry(service).or_default().push(routes::Way {
                 lane,
                 local: true,
+                leaving: false,
                 ejected: false,
             });
         }
@@ -163,6 +171,7 @@
         let rules = control::Rules::new(id::Generation(1), bundle());
         self.entry.view.store(Arc::new(control::View {
             rules: Some(Arc::new(rules)),
+            suspects: Arc::default(),
             routes: ways.into_iter().map(table).collect(),
         }));
     }
@@ -212,7 +221,9 @@
         let rules = self.entry.view.load().rules.clone().unwrap();
         let head = request::Head::check(asked, rules, tokio::time::Instant::now()).unwrap();
         let request = head.with_body(input.to_string().as_bytes()).unwrap();
-        driver::start(&self.entry, request, self.entry.gate.enter().unwrap())
+        let admitted = self.entry.policy.admit(&request.head).unwrap();
+        let work = self.entry.gate.enter().unwrap();
+        driver::start(&self.entry, request, admitted, work)
     }
 
     /// Opens the callers' port and returns its address.
