--- a/laburnumcart_fakes/src/target/routes.rs
+++ b/laburnumcart_fakes/src/target/routes.rs
@@ -98,7 +98,7 @@
         let memory = core.memory();
         let number = memory.orders.applied();
         json!({
-            "boot": memory.boot,
+            "boot": format!("{:08x}", memory.boot),
             "models": memory.orders.models(),
             "term": number.term,
             "sequence": number.sequence,
