--- /dev/null
+++ b/laburnumcart_agent/src/execute.rs
@@ -0,0 +1,99 @@
+//! Execution of admitted attempts on the traffic threads.
+
+use std::sync;
+
+use laburnumcart::{
+    unit,
+    verdict, //
+};
+use tokio::time;
+
+use crate::{
+    job,
+    shared,
+    target::run, //
+};
+
+/// Bytes of one result that may wait to be acknowledged before its stream is held back.
+const PENDING_MAX: usize = 1 << 20;
+
+/// Starts every queued attempt that has a slot.
+pub fn pump(shared: &sync::Arc<shared::Shared>) {
+    loop {
+        let snapshot = shared.snapshot.load();
+        let next = shared.work().next(&snapshot.suspects, time::Instant::now());
+        let Some(job) = next else {
+            return;
+        };
+        tokio::spawn(execute(shared.clone(), job));
+    }
+}
+
+/// Executes one attempt to its end.
+async fn execute(shared: sync::Arc<shared::Shared>, job: sync::Arc<job::Job>) {
+    let outcome = attempt(&shared, &job).await;
+    let now = time::Instant::now();
+    shared.work().end(&job, outcome, now);
+    report(&shared, &job, outcome, now);
+    pump(&shared);
+}
+
+/// Counts an outcome and tells the control thread what concerns it.
+fn report(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, now: time::Instant) {
+    let refusal = match outcome {
+        job::Outcome::Whole => {
+            shared.counters.done.inc();
+            let suspects = &shared.snapshot.load().suspects;
+            let cleared = suspects.clear(job.call.fingerprint, now);
+            if !cleared.is_empty() {
+                shared.tell(shared::News::Cleared(cleared));
+            }
+            return;
+        }
+        job::Outcome::NotRun(reason, _) => verdict::Refusal::not_run(reason),
+        job::Outcome::MayHaveRun(reason) => verdict::Refusal::may_have_run(reason),
+    };
+    shared.counters.refuse(&refusal);
+    if refusal.reason == verdict::Reason::TargetFailed {
+        shared.tell(shared::News::Failed);
+    }
+}
+
+async fn attempt(shared: &sync::Arc<shared::Shared>, job: &job::Job) -> job::Outcome {
+    let Some(kind) = shared.snapshot.load().kind() else {
+        return job::Outcome::NotRun(verdict::Reason::NoBundle, None);
+    };
+    let mut crashes = shared.crashes.subscribe();
+    let remaining = unit::Period(job.deadline - time::Instant::now());
+    let mut sink = Sink { shared, job };
+    let reason = tokio::select! {
+        biased;
+        outcome = shared.target.run(kind, &job.call, remaining, &mut sink) => return outcome,
+        _ = crashes.changed() => verdict::Reason::TargetFailed,
+        () = job.cancelled.notified() => verdict::Reason::Cancelled,
+        () = time::sleep_until(job.deadline) => verdict::Reason::DeadlineExceeded,
+    };
+    // The connection was dropped with the call; a target that does not notice is told as well.
+    tokio::spawn({
+        let shared = shared.clone();
+        let id = job.call.attempt;
+        async move { shared.target.cancel(id).await }
+    });
+    job::Outcome::MayHaveRun(reason)
+}
+
+struct Sink<'a> {
+    shared: &'a shared::Shared,
+    job: &'a job::Job,
+}
+
+impl run::Sink for Sink<'_> {
+    async fn push(&mut self, text: &str) {
+        let id = self.job.call.attempt;
+        while self.shared.work().table.pending(id) >= PENDING_MAX {
+            self.job.drained.notified().await;
+        }
+        self.shared.work().table.push(id, text);
+        self.job.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -0,0 +1,189 @@
+//! The control thread: follows the bundle and the instances, and publishes views.
+
+use std::{
+    collections,
+    io,
+    sync::Arc, //
+};
+
+use tokio::{
+    sync::watch,
+    time, //
+};
+
+use laburnumcart::{
+    facts,
+    id,
+    suspects, //
+};
+use laburnumcart_daemon::{
+    bundle,
+    control, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::secret;
+
+use crate::{
+    control as views,
+    entry,
+    links,
+    members,
+    routes, //
+};
+
+/// Time between two views; a load report is older than that anyway.
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// Longest wait of one watch.
+const WAIT: time::Duration = time::Duration::from_secs(30);
+
+/// Pause after a failed call of the object service.
+const PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// What the control thread starts from.
+#[derive(Debug)]
+pub struct Start<S> {
+    /// Shared state.
+    pub entry: Arc<entry::Entry>,
+    /// The object service.
+    pub store: S,
+    /// What lanes need.
+    pub caller: links::Caller,
+    /// Secret that is shown to peers.
+    pub secret: secret::Secret,
+    /// How the bundle is followed.
+    pub options: bundle::Options,
+}
+
+/// Starts the control thread.
+pub fn start<S: store::Store + Clone>(start: Start<S>) -> io::Result<control::Control<()>> {
+    control::spawn(move || run(start))
+}
+
+async fn run<S: store::Store + Clone>(start: Start<S>) {
+    let (list, instances) = watch::channel(Vec::new());
+    tokio::task::spawn_local(follow(start.store.clone(), list));
+    let feed = start.entry.gossip.feed().clone();
+    let rpc = bundle::Rpc::new(start.secret);
+    tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
+    let control = Control {
+        members: members::Members::new(
+            start.caller,
+            start.entry.identity.zone.clone(),
+            start.entry.traffic.clone(),
+        ),
+        entry: start.entry,
+        rules: None,
+        suspects: Arc::default(),
+        version: facts::Version::default(),
+    };
+    control.run(instances).await;
+}
+
+/// Control state of an entry.
+#[derive(Debug)]
+struct Control {
+    entry: Arc<entry::Entry>,
+    members: members::Members,
+    rules: Option<Arc<views::Rules>>,
+    suspects: Arc<suspects::Suspects>,
+    /// State of the facts from which the suspects were derived.
+    version: facts::Version,
+}
+
+impl Control {
+    async fn run(mut self, mut instances: watch::Receiver<Vec<members::Instance>>) {
+        let mut bundles = self.entry.gossip.feed().changes();
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                Ok(()) = bundles.changed() => self.adopt(),
+                Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
+            }
+            self.derive();
+            self.publish();
+        }
+    }
+
+    /// Puts the bundle in force.
+    fn adopt(&mut self) {
+        let Some(current) = self.entry.gossip.feed().current() else {
+            return;
+        };
+        self.entry.policy.prune(&current.bundle);
+        let rules = views::Rules::new(current.generation, current.bundle.clone());
+        self.rules = Some(Arc::new(rules));
+    }
+
+    fn list(&mut self, list: &[members::Instance]) {
+        self.members.apply(list);
+        if let Some(claims) = self.entry.claims() {
+            claims.set_live(self.members.entries());
+        }
+    }
+
+    /// Derives the suspects again if the facts have changed.
+    fn derive(&mut self) {
+        let version = self.entry.gossip.refresh();
+        if version > self.version {
+            self.version = version;
+            self.suspects = Arc::new(self.entry.gossip.suspects());
+        }
+    }
+
+    fn publish(&self) {
+        let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
+            collections::BTreeMap::new();
+        for member in self.members.agents() {
+            let way = self.way(member);
+            ways.entry(member.service.clone()).or_default().push(way);
+        }
+        let routes = ways.into_iter().map(|(service, ways)| {
+            let routes = routes::Routes::new(service.clone(), ways);
+            self.entry.policy.keep(&service, &routes.targets());
+            (service, routes)
+        });
+        let open = |m: &&members::Member| m.lane.connection().is_some();
+        let count = self.members.agents().filter(open).count();
+        self.entry.metrics.lanes.set(count as i64);
+        self.entry.view.store(Arc::new(views::View {
+            rules: self.rules.clone(),
+            suspects: self.suspects.clone(),
+            routes: routes.collect(),
+        }));
+    }
+
+    fn way(&self, member: &members::Member) -> routes::Way {
+        let report = member.lane.report();
+        let leaving = |seen: &links::Seen| self.entry.gossip.is_leaving(seen.report.incarnation);
+        let ejected = |seen: &links::Seen| {
+            let target = &seen.report.target;
+            self.entry.policy.is_ejected(&member.service, target)
+        };
+        routes::Way {
+            lane: member.lane.clone(),
+            local: member.zone == self.entry.identity.zone,
+            leaving: report.as_deref().is_some_and(leaving),
+            ejected: report.as_deref().is_some_and(ejected),
+        }
+    }
+}
+
+/// Follows the platform's list of instances.
+async fn follow<S: store::Store>(store: S, list: watch::Sender<Vec<members::Instance>>) {
+    loop {
+        if let Ok(listing) = store.list(members::PREFIX).await {
+            let values = listing.objects.iter();
+            let parsed = values.filter_map(|o| serde_json::from_str(&o.value).ok());
+            list.send_replace(parsed.collect());
+            // An event only says that it is time to list again.
+            let changes = store.watch(members::PREFIX, listing.revision, WAIT).await;
+            if changes.is_ok() {
+                continue;
+            }
+        }
+        time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/src/peers.rs
@@ -0,0 +1,97 @@
+//! What the entry offers to other processes of the system.
+
+pub mod calls;
+
+use std::sync::Arc;
+
+use jsonrpsee::core::{
+    RpcResult,
+    async_trait, //
+};
+
+use laburnumcart::{
+    id,
+    unit,
+    verdict, //
+};
+use laburnumcart_wire::{
+    agent,
+    entry::{
+        self,
+        EntryServer, //
+    },
+};
+
+use crate::entry as shared;
+
+/// Longest wait for a kept answer in one call.
+const WAIT_MAX: unit::Period = unit::Period::from_secs(10);
+
+/// Server of the peer port.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    entry: Arc<shared::Entry>,
+}
+
+impl Peers {
+    /// Creates the server.
+    pub fn new(entry: Arc<shared::Entry>) -> Self {
+        Self { entry }
+    }
+
+    fn state(&self) -> entry::Status {
+        let view = self.entry.view.load();
+        let lanes = view.routes.values().flat_map(|routes| routes.lanes());
+        let open = lanes.filter(|lane| lane.connection().is_some()).count();
+        let generation = self.entry.gossip.feed().generation();
+        entry::Status {
+            instance: self.entry.identity.instance.clone(),
+            zone: self.entry.identity.zone.clone(),
+            incarnation: self.entry.identity.incarnation,
+            generation,
+            leaving: self.entry.is_leaving(),
+            running: self.entry.gate.count().try_into().unwrap_or(u32::MAX),
+            agents: open.try_into().unwrap_or(u32::MAX),
+            facts: self.entry.gossip.all(),
+        }
+    }
+}
+
+#[async_trait]
+impl EntryServer for Peers {
+    async fn status(&self) -> RpcResult<entry::Status> {
+        Ok(self.state())
+    }
+
+    async fn drain(&self) -> RpcResult<entry::Status> {
+        self.entry.leave();
+        Ok(self.state())
+    }
+
+    async fn claim(&self, claim: entry::Claim) -> RpcResult<entry::Decision> {
+        let refusal = verdict::Refusal::not_run(verdict::Reason::ClaimUnavailable);
+        Ok(match self.entry.claims() {
+            Some(claims) => claims.serve(claim).await,
+            None => entry::Decision::Refused(refusal),
+        })
+    }
+
+    async fn release(&self, release: entry::Release) -> RpcResult<bool> {
+        Ok(match self.entry.claims() {
+            Some(claims) => claims.serve_release(release).await,
+            None => false,
+        })
+    }
+
+    async fn fetch(&self, fetch: entry::Fetch) -> RpcResult<entry::Answer> {
+        if fetch.incarnation != self.entry.identity.incarnation {
+            return Ok(entry::Answer::Unknown);
+        }
+        let wait = fetch.wait.min(WAIT_MAX);
+        Ok(self.entry.answers.fetch(fetch.request, wait.0).await)
+    }
+
+    async fn bundle(&self, least: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(self.entry.gossip.feed().show(least))
+    }
+}
--- /dev/null
+++ b/laburnumcart_entry/src/run.rs
@@ -0,0 +1,183 @@
+//! From settings to a running entry, and its stop.
+
+use std::{
+    io,
+    net,
+    process,
+    sync::Arc,
+    thread, //
+};
+
+use tokio::runtime;
+
+use laburnumcart::id;
+use laburnumcart_daemon::{
+    bundle,
+    event,
+    metrics,
+    process as usage,
+    stop,
+    traces, //
+};
+use laburnumcart_platform::client;
+use laburnumcart_wire::{
+    entry::EntryServer,
+    peer, //
+};
+
+use crate::{
+    callers,
+    claimed,
+    claims,
+    control,
+    entry,
+    links,
+    peers::{
+        self,
+        calls, //
+    },
+    settings, //
+};
+
+/// Longest wait for the last bytes of answers after the requests have ended.
+const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Runs an entry until it is told to stop.
+pub fn run(settings: settings::Settings) -> process::ExitCode {
+    match serve(settings) {
+        Ok(code) => code,
+        Err(error) => {
+            event!(Error, "failed", error = error);
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns the number of threads for traffic on this machine.
+fn threads() -> usize {
+    let cores = thread::available_parallelism().map_or(2, usize::from);
+    (cores / 2).clamp(1, 4)
+}
+
+fn serve(settings: settings::Settings) -> io::Result<process::ExitCode> {
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(threads())
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let callers = net::TcpListener::bind(settings.callers)?;
+    let peer = net::TcpListener::bind(settings.peer)?;
+    let running = stop::Running::new();
+    let metrics = metrics::Metrics::new();
+    let feed = bundle::Feed::new(&metrics);
+    let identity = entry::Identity {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        peer: settings.peer,
+        incarnation: id::Incarnation::random(),
+    };
+    let entry = entry::Entry::new(identity, feed, running.gate(), traffic.handle().clone());
+    let code = traffic.block_on(main(settings, entry, metrics, running, callers, peer))?;
+    traffic.shutdown_background();
+    Ok(code)
+}
+
+async fn main(
+    settings: settings::Settings,
+    entry: Arc<entry::Entry>,
+    metrics: metrics::Metrics,
+    running: stop::Running,
+    callers: net::TcpListener,
+    peer: net::TcpListener,
+) -> io::Result<process::ExitCode> {
+    let mut signals = stop::Signals::listen()?;
+    let _traces = trace(&settings)?;
+    usage::register(&metrics);
+    entry.metrics.register(&metrics);
+    start_control(&settings, &entry, &metrics)?;
+    let methods = peers::Peers::new(entry.clone()).into_rpc();
+    let peers = peer::serve(
+        peer,
+        &settings.fleet.secrets,
+        methods,
+        &peer::Limits::default(),
+    )?;
+    let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
+    let handle = server.handle()?;
+    let server = tokio::spawn(server);
+    let identity = &entry.identity;
+    event!(
+        Info,
+        "started",
+        instance = identity.instance,
+        incarnation = identity.incarnation,
+        callers = settings.callers,
+        peer = settings.peer
+    );
+    tokio::select! {
+        signal = signals.next() => event!(Info, "stopping", cause = signal),
+        () = entry.left() => event!(Info, "stopping", cause = "drain"),
+    }
+    entry.leave();
+    let stopped = running.drain().wait(settings.stop_limit).await;
+    event!(Info, "stopped", left = stopped.left);
+    if let Some(claims) = entry.claims() {
+        // The shards' next owners need not wait for this one then.
+        let _ = tokio::time::timeout(FLUSH, claims.drain()).await;
+    }
+    handle.stop(true);
+    // Idle connections are kept open by their callers; they are not waited for.
+    let _ = tokio::time::timeout(FLUSH, server).await;
+    peers.stop();
+    Ok(match stopped.left {
+        0 => process::ExitCode::SUCCESS,
+        _ => process::ExitCode::FAILURE,
+    })
+}
+
+/// Starts the claims service and the control thread.
+fn start_control(
+    settings: &settings::Settings,
+    entry: &Arc<entry::Entry>,
+    metrics: &metrics::Metrics,
+) -> io::Result<()> {
+    let store = client::Client::builder([settings.platform.address]).build();
+    let store = store.map_err(io::Error::other)?;
+    metrics.register("laburnum_entry", |r| store.register(r));
+    let secret = settings.fleet.secret().cloned();
+    let secret = secret.ok_or(io::ErrorKind::InvalidInput)?;
+    let counters = claims::metrics::Metrics::default();
+    metrics.register("laburnum_entry", |r| counters.register(r));
+    let calls = calls::Calls::new(entry.holder(), secret.clone(), entry.answers.clone());
+    let peers = Arc::new(calls);
+    let service = claims::Builder::new(entry.holder())
+        .metrics(counters)
+        .start(Arc::new(store.clone()), peers.clone());
+    entry.set_claims(Arc::new(claimed::Local { service, peers }));
+    let caller = links::Caller {
+        instance: settings.instance.clone(),
+        incarnation: entry.identity.incarnation,
+        peer: settings.peer,
+        gossip: entry.gossip.clone(),
+        breaks: entry.metrics.breaks.clone(),
+        secret: secret.clone(),
+        timing: links::Timing::default(),
+    };
+    let trust = bundle::trust(&settings.fleet).map_err(io::Error::other)?;
+    let start = control::thread::Start {
+        entry: entry.clone(),
+        store,
+        caller,
+        secret,
+        options: bundle::Options::new(trust).peers(settings.fleet.peers.clone()),
+    };
+    control::thread::start(start).map(|_| ())
+}
+
+fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
+    let Some(collector) = settings.telemetry.traces else {
+        return Ok(None);
+    };
+    let started = traces::start("laburnum-entry", &settings.instance, collector);
+    started.map(Some).map_err(io::Error::other)
+}
--- /dev/null
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -0,0 +1,302 @@
+//! An entry with a bundle and lanes to given agents, and callers of it.
+
+use std::{
+    collections,
+    net,
+    sync::Arc,
+    time, //
+};
+
+use laburnumcart::{
+    bundle,
+    id, //
+};
+use laburnumcart_daemon::{
+    self as daemon,
+    metrics,
+    stop, //
+};
+use laburnumcart_entry::{
+    callers,
+    claimed,
+    claims,
+    control,
+    driver,
+    entry,
+    links,
+    peers::{
+        self,
+        calls, //
+    },
+    request,
+    routes, //
+};
+use laburnumcart_platform::memory;
+use laburnumcart_wire::{
+    entry::EntryServer,
+    peer,
+    secret, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
+
+/// Longest wait for a condition; only a fault makes a test wait so long.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Bearer token of the only team.
+pub(crate) const TOKEN: &str = "token-1";
+
+/// Secret of the fleet.
+pub(crate) const SECRET: &str = "secret-of-the-fleet";
+
+/// SHA-256 of [`TOKEN`].
+const DIGEST: &str = "3f08aace122ee2368432c1ca23a049bc640bafbf00fdf33a52429f38ba12dbf9";
+
+/// Short periods, so that a broken connection is found soon.
+pub(crate) fn timing() -> links::Timing {
+    links::Timing {
+        beat: time::Duration::from_millis(40),
+        idle: time::Duration::from_millis(40),
+        answer: time::Duration::from_millis(200),
+        missed: 1,
+        connect: time::Duration::from_secs(2),
+        pause: time::Duration::from_millis(20),
+    }
+}
+
+/// A bundle of one pool, one engine and three pipelines.
+pub(crate) fn bundle() -> bundle::Bundle {
+    serde_json::from_value(serde_json::json!({
+        "format": 1,
+        "services": { "pool": { "kind": "pool" }, "engine": { "kind": "engine" } },
+        "pipelines": {
+            "echo": { "stages": [{ "name": "first", "service": "pool" }] },
+            "report": { "stages": [
+                { "name": "encode", "service": "pool" },
+                { "name": "generate", "service": "engine" },
+            ] },
+            "post": {
+                "stages": [{ "name": "post", "service": "pool" }],
+                "idempotent": false,
+            },
+        },
+        "teams": { "araya": {
+            "tokens": [DIGEST],
+            "weight": 1,
+            "pipelines": {
+                "echo": { "deadline": "20s" },
+                "report": { "deadline": "20s" },
+                "post": { "deadline": "20s" },
+            },
+        } },
+    }))
+    .unwrap()
+}
+
+/// An entry without its own process.
+pub(crate) struct Bench {
+    pub(crate) entry: Arc<entry::Entry>,
+    pub(crate) running: stop::Running,
+    pub(crate) store: memory::Memory,
+    lanes: Vec<Arc<links::Lane>>,
+}
+
+impl Bench {
+    /// Starts an entry with lanes to the agents and waits until all are open.
+    pub(crate) async fn start(agents: &[(&str, net::SocketAddr)]) -> Self {
+        Self::start_on(memory::Memory::new(), agents).await
+    }
+
+    /// Starts an entry that shares an object service with others.
+    pub(crate) async fn start_on(
+        store: memory::Memory,
+        agents: &[(&str, net::SocketAddr)],
+    ) -> Self {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let identity = entry::Identity {
+            instance: "entry-1".parse().unwrap(),
+            zone: "dc-1".parse().unwrap(),
+            peer: listener.local_addr().unwrap(),
+            incarnation: id::Incarnation::random(),
+        };
+        let traffic = tokio::runtime::Handle::current();
+        let running = stop::Running::new();
+        let feed = daemon::bundle::Feed::new(&metrics::Metrics::new());
+        let entry = entry::Entry::new(identity, feed, running.gate(), traffic.clone());
+        let identity = &entry.identity;
+        let caller = links::Caller {
+            instance: identity.instance.clone(),
+            incarnation: identity.incarnation,
+            peer: identity.peer,
+            gossip: entry.gossip.clone(),
+            breaks: entry.metrics.breaks.clone(),
+            secret: SECRET.parse().unwrap(),
+            timing: timing(),
+        };
+        let open = |(service, addr): &(&str, net::SocketAddr)| {
+            let lane = links::Lane::open(&traffic, *addr, caller.clone());
+            (service.parse().unwrap(), lane)
+        };
+        let lanes: Vec<(id::ServiceName, _)> = agents.iter().map(open).collect();
+        let bench = Self {
+            entry,
+            running,
+            store,
+            lanes: lanes.iter().map(|(_, lane)| lane.clone()).collect(),
+        };
+        bench.connected().await;
+        bench.publish(lanes);
+        bench.serve_peers(listener);
+        bench
+    }
+
+    fn publish(&self, lanes: Vec<(id::ServiceName, Arc<links::Lane>)>) {
+        let mut ways: collections::BTreeMap<id::ServiceName, Vec<_>> = collections::BTreeMap::new();
+        for (service, lane) in lanes {
+            ways.entry(service).or_default().push(routes::Way {
+                lane,
+                local: true,
+                leaving: false,
+                ejected: false,
+            });
+        }
+        let table = |(service, ways): (id::ServiceName, _)| {
+            (service.clone(), routes::Routes::new(service, ways))
+        };
+        let rules = control::Rules::new(id::Generation(1), bundle());
+        self.entry.view.store(Arc::new(control::View {
+            rules: Some(Arc::new(rules)),
+            suspects: Arc::default(),
+            routes: ways.into_iter().map(table).collect(),
+        }));
+    }
+
+    fn serve_peers(&self, listener: net::TcpListener) {
+        let secret: secret::Secret = SECRET.parse().unwrap();
+        let entry = &self.entry;
+        let calls = calls::Calls::new(entry.holder(), secret.clone(), entry.answers.clone());
+        let peers = Arc::new(calls);
+        let service = claims::Builder::new(entry.holder())
+            .shards(2)
+            .start(Arc::new(self.store.clone()), peers.clone());
+        entry.set_claims(Arc::new(claimed::Local { service, peers }));
+        let methods = peers::Peers::new(entry.clone()).into_rpc();
+        let handle = peer::serve(listener, &[secret], methods, &peer::Limits::default()).unwrap();
+        // The server ends with the test's runtime.
+        std::mem::forget(handle);
+    }
+
+    /// Waits until all lanes are open.
+    pub(crate) async fn connected(&self) {
+        for lane in &self.lanes {
+            let mut link = lane.link();
+            let up = link.wait_for(|link| matches!(link, links::Link::Up(_)));
+            within(up).await.unwrap();
+        }
+    }
+
+    /// Starts a request of the only team.
+    pub(crate) fn run(&self, pipeline: &str, input: serde_json::Value) -> driver::Driven {
+        self.run_key(pipeline, input, "key-1")
+    }
+
+    /// Starts a request of the only team with an idempotency key.
+    pub(crate) fn run_key(
+        &self,
+        pipeline: &str,
+        input: serde_json::Value,
+        key: &str,
+    ) -> driver::Driven {
+        let asked = request::Asked {
+            pipeline: pipeline.to_owned(),
+            token: Some(TOKEN.to_owned()),
+            key: Some(key.to_owned()),
+            ..request::Asked::default()
+        };
+        let rules = self.entry.view.load().rules.clone().unwrap();
+        let head = request::Head::check(asked, rules, tokio::time::Instant::now()).unwrap();
+        let request = head.with_body(input.to_string().as_bytes()).unwrap();
+        let admitted = self.entry.policy.admit(&request.head).unwrap();
+        let work = self.entry.gate.enter().unwrap();
+        driver::start(&self.entry, request, admitted, work)
+    }
+
+    /// Opens the callers' port and returns its address.
+    pub(crate) fn listen(&self) -> net::SocketAddr {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let metrics = metrics::Metrics::new();
+        self.entry.metrics.register(&metrics);
+        tokio::spawn(callers::serve(self.entry.clone(), metrics, listener, 1).unwrap());
+        addr
+    }
+}
+
+/// Waits for a condition that holds soon unless there is a fault.
+pub(crate) async fn within<T>(wait: impl Future<Output = T>) -> T {
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("condition within the limit")
+}
+
+/// Waits for the final answer and collects the pieces before it.
+pub(crate) async fn finish(mut driven: driver::Driven) -> (Vec<String>, driver::Outcome) {
+    let mut pieces = Vec::new();
+    loop {
+        match within(driven.events.recv()).await.expect("an end") {
+            driver::Event::Piece(text) => pieces.push(text),
+            driver::Event::End(outcome, _) => return (pieces, outcome),
+        }
+    }
+}
+
+/// Returns the output of a whole answer.
+pub(crate) fn output(outcome: driver::Outcome) -> serde_json::Value {
+    let answer: serde_json::Value = serde_json::from_str(&outcome.unwrap()).unwrap();
+    answer["output"].clone()
+}
+
+/// A caller's answer, as text.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+/// Makes one HTTP call with extra header lines, on a connection of its own.
+pub(crate) async fn http(
+    addr: net::SocketAddr,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Reply {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream
+        .write_all(head(line, headers, body).as_bytes())
+        .await
+        .unwrap();
+    let mut bytes = Vec::new();
+    within(stream.read_to_end(&mut bytes)).await.unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    Reply {
+        status: head[9..12].parse().unwrap(),
+        head: head.to_lowercase(),
+        body: body.to_owned(),
+    }
+}
+
+/// Writes a request that closes its connection.
+pub(crate) fn head(line: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!("{line} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    text
+}
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -1,5 +1,7 @@
 //! What an agent offers to entries and operators.
 
+use std::net;
+
 use jsonrpsee::{
     core::RpcResult,
     proc_macros::rpc, //
@@ -21,6 +23,15 @@
     stage, //
 };
 
+/// Error code: the call names a session that is fenced or unknown; nothing is said of any attempt.
+pub const FENCED: i32 = 1;
+
+/// Error code: the attempt is not known; unlike the answer to a query this proves nothing.
+pub const UNKNOWN: i32 = 2;
+
+/// Error code: the call breaks the protocol.
+pub const INVALID: i32 = 3;
+
 /// Opens a connection of a lane and fences the older ones.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Hello {
@@ -28,6 +39,9 @@
     pub instance: id::InstanceName,
     /// This connection.
     pub session: lane::Session,
+    /// Address at which the caller shows its bundle.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<net::SocketAddr>,
     /// The caller's facts.
     pub facts: facts::Facts,
 }
