--- a/extra/test.sh
+++ b/extra/test.sh
@@ -12,8 +12,9 @@
 # A backtrace would only hide the message of a failed assertion.
 export RUST_BACKTRACE=0
 
-work=$(mktemp -d "${TMPDIR:-/tmp}/laburnumcart-test.XXXXXX")
-trap 'rm -rf "$work"' EXIT
+# The log of the last run stays here for a closer look.
+work=${CARGO_TARGET_DIR:-target}/verdict
+mkdir -p "$work" || exit 1
 failed=()
 count=0
 
@@ -58,21 +59,25 @@
     spec/check.sh
 }
 
-step "rules" extra/test/rules.sh .
-step "scripts" scripts
-step "verdict of failing tests" extra/test/verdict_test.sh
-step "format" cargo fmt --all --check
-step "lints" cargo clippy --locked --quiet --workspace --all-targets -- -D warnings
-step "build" cargo build --locked --quiet --workspace --bins
-step "tests" extra/test/tests.sh "$work" KNOWN-RED.txt
-step "documentation" docs
-step "specifications" specs
+main() {
+    step "rules" extra/test/rules.sh .
+    step "scripts" scripts
+    step "verdict of failing tests" extra/test/verdict_test.sh
+    step "format" cargo fmt --all --check
+    step "lints" cargo clippy --locked --quiet --workspace --all-targets -- -D warnings
+    step "build" cargo build --locked --quiet --workspace --bins
+    step "tests" extra/test/tests.sh "$work" KNOWN-RED.txt
+    step "documentation" docs
+    step "specifications" specs
 
-if [ ${#failed[@]} -eq 0 ]; then
-    echo "test: PASS, $count steps"
-else
-    printf 'test: FAIL, %s of %s steps:' "${#failed[@]}" "$count"
-    printf ' [%s]' "${failed[@]}"
-    echo
-    exit 1
-fi
+    if [ ${#failed[@]} -eq 0 ]; then
+        echo "test: PASS, $count steps"
+    else
+        printf 'test: FAIL, %s of %s steps:' "${#failed[@]}" "$count"
+        printf ' [%s]' "${failed[@]}"
+        echo
+        exit 1
+    fi
+}
+
+main
--- a/laburnumcart_agent/src/settings.rs
+++ b/laburnumcart_agent/src/settings.rs
@@ -18,10 +18,10 @@
     /// Its data centre.
     pub zone: id::DataCentre,
     /// Address for entries, other agents and operators.
-    #[schemars(with = "String")]
+    #[schemars(with = "settings::Address")]
     pub peer: net::SocketAddr,
     /// Address for health checks and metrics.
-    #[schemars(with = "String")]
+    #[schemars(with = "settings::Address")]
     pub admin: net::SocketAddr,
     /// The target beside it.
     pub target: Target,
@@ -46,7 +46,7 @@
     /// Service that it belongs to.
     pub service: id::ServiceName,
     /// Address of its HTTP port.
-    #[schemars(with = "String")]
+    #[schemars(with = "settings::Address")]
     pub address: net::SocketAddr,
 }
 
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -52,7 +52,7 @@
         "peer": "127.0.0.1:0",
         "admin": "127.0.0.1:0",
         "target": {"name": "pool-1", "service": "pool", "address": target.to_string()},
-        "fleet": {"secrets": [SECRET], "keys": {"ops": "AAAA"}},
+        "fleet": {"secrets": [SECRET], "keys": {"ops": "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo="}},
         "platform": {"address": "127.0.0.1:9"},
         "stop_limit": "10s",
     });
--- a/laburnumcart_entry/src/settings.rs
+++ b/laburnumcart_entry/src/settings.rs
@@ -19,10 +19,10 @@
     /// Its data centre.
     pub zone: id::DataCentre,
     /// Address for callers.
-    #[schemars(with = "String")]
+    #[schemars(with = "settings::Address")]
     pub callers: net::SocketAddr,
     /// Address for other processes of the system.
-    #[schemars(with = "String")]
+    #[schemars(with = "settings::Address")]
     pub peer: net::SocketAddr,
     /// What all processes have in common.
     pub fleet: settings::Fleet,
