--- a/laburnumcart/src/limit.rs
+++ b/laburnumcart/src/limit.rs
@@ -1,8 +1,8 @@
 //! Concurrency limit of a target, found from measured latency.
 //!
 //! The limit follows the ratio of the least latency in a sliding window to the present one. Both
-//! are medians of small batches, so that neither a slow call nor a fast one decides alone. Where
-//! the work of calls differs widely, the caller passes the latency per unit of work.
+//! are means of batches without their slowest tenth, so that no single call decides. Where the work
+//! of calls differs widely, the caller passes the latency per unit of work.
 
 use std::time;
 
@@ -20,8 +20,20 @@
 /// Factor for a batch in which the target refused calls.
 const REFUSED: f64 = 0.8;
 
+/// Standard errors by which batches may differ beside that.
+///
+/// The least of many batches is the lower, the more they differ by chance. Without regard to it,
+/// the limit fell to 6 of 64 where service times were exponentially distributed.
+const NOISE: f64 = 3.0;
+
+/// Samples of a batch, for each call that the limit allows.
+const ROUNDS: usize = 4;
+
 /// Fewest and most samples of a batch.
-const BATCH: (usize, usize) = (8, 64);
+const BATCH: (usize, usize) = (24, 256);
+
+/// Part of a batch, from its slowest on, that is left out: one in so many.
+const TRIMMED: usize = 10;
 
 /// Drop of latency at half the limit that shows that the target was congested before.
 const RELIEF: f64 = 0.85;
@@ -52,15 +64,16 @@
 #[derive(Clone, Debug)]
 pub struct Limit {
     value: f64,
-    batch: Vec<time::Duration>,
-    /// Most calls in flight during the batch.
-    peak: u32,
+    /// Latencies in microseconds.
+    batch: Vec<u32>,
+    /// Samples of the batch with at least half the limit in flight.
+    used: usize,
     refused: bool,
     /// Latency before the last cut of a search for the uncongested latency.
     probe: Option<time::Duration>,
     /// Time of the last sample.
     last: Option<Instant>,
-    /// Least batch median in this half of the window and in the one before.
+    /// Least typical latency of a batch in this half of the window and in the one before.
     least: Option<time::Duration>,
     before: Option<time::Duration>,
     /// Start of this half.
@@ -78,8 +91,8 @@
     pub fn new() -> Self {
         Self {
             value: INITIAL,
-            batch: Vec::with_capacity(BATCH.1),
-            peak: 0,
+            batch: Vec::new(),
+            used: 0,
             refused: false,
             probe: None,
             last: None,
@@ -107,9 +120,11 @@
         }
         self.restart_stale(now);
         self.last = Some(now);
-        self.peak = self.peak.max(in_flight);
-        self.batch.push(latency);
-        if self.batch.len() >= (self.get() as usize).clamp(BATCH.0, BATCH.1) {
+        self.used += usize::from(in_flight >= self.get().div_ceil(2));
+        let micros = latency.as_micros().try_into().unwrap_or(u32::MAX);
+        self.batch.push(micros);
+        let size = ROUNDS * self.get() as usize;
+        if self.batch.len() >= size.clamp(BATCH.0, BATCH.1) {
             self.close(now);
         }
     }
@@ -127,32 +142,34 @@
         let stale = |last: Instant| now.saturating_duration_since(last) > STALE;
         if self.last.is_some_and(stale) {
             self.batch.clear();
-            self.peak = 0;
+            self.used = 0;
         }
     }
 
     /// Ends a batch and moves the limit.
     fn close(&mut self, now: Instant) {
-        let middle = self.batch.len() / 2;
-        let median = *self.batch.select_nth_unstable(middle).1;
-        let saturated = self.peak >= self.get().div_ceil(2);
-        self.least = Some(self.least.map_or(median, |least| least.min(median)));
-        if !self.search(median, saturated) {
-            self.step(median, saturated);
-            self.rotate(median, saturated, now);
+        let (typical, error) = typical(&mut self.batch);
+        let saturated = 2 * self.used >= self.batch.len();
+        // A small batch that was fast by luck must not be what all others are held against.
+        let base = typical.mul_f64(1.0 + error);
+        self.least = Some(self.least.map_or(base, |least| least.min(base)));
+        if !self.search(typical, saturated) {
+            self.step(typical, error, saturated);
+            self.rotate(typical, saturated, now);
         }
         self.batch.clear();
-        self.peak = 0;
+        self.used = 0;
         self.refused = false;
     }
 
-    fn step(&mut self, median: time::Duration, saturated: bool) {
+    fn step(&mut self, typical: time::Duration, error: f64, saturated: bool) {
         // Room that was not used says nothing of a higher limit, and slowness then has other causes.
         if !saturated {
             return;
         }
-        let base = self.base().unwrap_or(median).as_secs_f64();
-        let ratio = TOLERANCE * base / median.as_secs_f64().max(f64::MIN_POSITIVE);
+        let base = self.base().unwrap_or(typical).as_secs_f64();
+        let tolerance = TOLERANCE + NOISE * error;
+        let ratio = tolerance * base / typical.as_secs_f64().max(f64::MIN_POSITIVE);
         let gradient = ratio.clamp(GRADIENT_MIN, 1.0);
         let growth = if self.refused { 0.0 } else { self.value.sqrt() };
         self.value = (self.value * gradient + growth).max(1.0);
@@ -163,25 +180,25 @@
     /// Under lasting load the least latency would be forgotten, the congested one taken for it,
     /// and the limit would creep up without end. Cutting the limit until latency no longer falls
     /// with it measures the uncongested latency afresh, whatever the limit was before.
-    fn search(&mut self, median: time::Duration, saturated: bool) -> bool {
+    fn search(&mut self, typical: time::Duration, saturated: bool) -> bool {
         let Some(before) = self.probe.take() else {
             return false;
         };
-        let relieved = median < before.mul_f64(RELIEF);
+        let relieved = typical < before.mul_f64(RELIEF);
         if !relieved || !saturated || self.value <= 1.0 {
             return false;
         }
-        self.cut(median);
+        self.cut(typical);
         true
     }
 
-    fn cut(&mut self, median: time::Duration) {
-        self.probe = Some(median);
+    fn cut(&mut self, typical: time::Duration) {
+        self.probe = Some(typical);
         self.value = (self.value / 2.0).max(1.0);
     }
 
     /// Moves the window on; only measured time counts, so that idleness forgets nothing.
-    fn rotate(&mut self, median: time::Duration, saturated: bool, now: Instant) {
+    fn rotate(&mut self, typical: time::Duration, saturated: bool, now: Instant) {
         let first = self.since.is_none();
         let since = *self.since.get_or_insert(now);
         if !first && now.saturating_duration_since(since) < HALF {
@@ -190,7 +207,18 @@
         self.before = self.least.take();
         self.since = Some(now);
         if saturated {
-            self.cut(median);
+            self.cut(typical);
         }
     }
 }
+
+/// Returns the mean of a batch without its slowest tenth, and its standard error as a part of it.
+fn typical(batch: &mut [u32]) -> (time::Duration, f64) {
+    let count = batch.len() - batch.len().div_ceil(TRIMMED);
+    let (fast, ..) = batch.select_nth_unstable(count);
+    let values = || fast.iter().copied().map(f64::from);
+    let mean = values().sum::<f64>() / count as f64;
+    let variance = values().map(|v| (v - mean).powi(2)).sum::<f64>() / count as f64;
+    let error = (variance / count as f64).sqrt() / mean.max(1.0);
+    (time::Duration::from_secs_f64(mean / 1e6), error)
+}
--- a/laburnumcart/tests/limit.rs
+++ b/laburnumcart/tests/limit.rs
@@ -56,6 +56,8 @@
     let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
     saturate(&mut limit, 16, 5, &mut now);
     let before = limit.get();
+    // The pause voids the batch that was begun under load.
+    now += time::Duration::from_secs(10);
     for _ in 0..1000 {
         now += time::Duration::from_millis(500);
         limit.observe(BASE, 1, now);
