--- /dev/null
+++ b/laburnumcart_entry/examples/claims_bench.rs
@@ -0,0 +1,315 @@
+//! Measures claims: object-service writes per claim and latency, by rate and by way.
+//!
+//! Ways: one object per key, the sharded log as it is, and the log without pacing. All run against
+//! one kind of store, with a latency of some milliseconds and a limit on writes, in alternation.
+
+use std::{
+    collections,
+    net,
+    sync::{
+        self,
+        atomic, //
+    },
+    time, //
+};
+
+use tokio::{
+    task,
+    time as clock, //
+};
+
+use laburnumcart::{
+    claim,
+    id,
+    unit, //
+};
+use laburnumcart_entry::claims;
+use laburnumcart_platform::{
+    memory,
+    store::{
+        self,
+        Store, //
+    },
+};
+use laburnumcart_wire::entry;
+
+/// Latency of a call of the store: the least, and what is added at most.
+const STORE_DELAY: (u64, u64) = (3_000, 4_000);
+
+/// Writes that the store takes in a second.
+const STORE_WRITES: u64 = 400;
+
+/// Delay of a call between two entries.
+const PEER_DELAY: time::Duration = time::Duration::from_micros(500);
+
+/// Claims a second that are offered.
+const RATES: [u64; 3] = [10, 100, 600];
+
+/// Measured seconds of a run, and unmeasured ones before it.
+const RUN: (u64, u64) = (6, 2);
+
+/// Runs of each way at each rate.
+const ROUNDS: usize = 3;
+
+/// Entries, over which the claims are spread.
+const ENTRIES: u16 = 3;
+
+/// A store with latency, a limit on writes, and counters.
+#[derive(Default)]
+struct Limited {
+    memory: memory::Memory,
+    window: sync::Mutex<Option<(clock::Instant, u64)>>,
+    writes: atomic::AtomicU64,
+    refused: atomic::AtomicU64,
+}
+
+impl Limited {
+    async fn delay(&self) {
+        let extra = rand::random_range(0..STORE_DELAY.1);
+        clock::sleep(time::Duration::from_micros(STORE_DELAY.0 + extra)).await;
+    }
+
+    /// Counts a write, or refuses it past the limit.
+    fn admit(&self) -> Result<(), store::Failure> {
+        let now = clock::Instant::now();
+        let mut window = self.window.lock().expect("lock is not poisoned");
+        let (start, count) = window.get_or_insert((now, 0));
+        if now.duration_since(*start) >= time::Duration::from_millis(100) {
+            (*start, *count) = (now, 0);
+        }
+        if *count >= STORE_WRITES / 10 {
+            self.refused.fetch_add(1, atomic::Ordering::Relaxed);
+            let retry = Some(unit::Period::from_millis(100));
+            return Err(store::Failure::Unavailable { retry });
+        }
+        *count += 1;
+        self.writes.fetch_add(1, atomic::Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+impl Store for Limited {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.delay().await;
+        self.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.delay().await;
+        self.admit()?;
+        self.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.delay().await;
+        self.admit()?;
+        self.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.delay().await;
+        self.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        self.memory.watch(prefix, after, wait).await
+    }
+}
+
+type Entry = sync::Arc<claims::Service<Limited, Peers>>;
+
+#[derive(Clone, Default)]
+struct Peers(sync::Arc<sync::Mutex<collections::HashMap<net::SocketAddr, Entry>>>);
+
+impl Peers {
+    async fn reach(&self, addr: net::SocketAddr) -> Result<Entry, claims::Unreachable> {
+        clock::sleep(PEER_DELAY).await;
+        let entries = self.0.lock().expect("lock is not poisoned");
+        entries.get(&addr).cloned().ok_or(claims::Unreachable)
+    }
+}
+
+impl claims::Peers for Peers {
+    async fn claim(
+        &self,
+        addr: net::SocketAddr,
+        claim: entry::Claim,
+    ) -> Result<entry::Decision, claims::Unreachable> {
+        Ok(self.reach(addr).await?.serve(claim).await)
+    }
+
+    async fn release(
+        &self,
+        addr: net::SocketAddr,
+        release: entry::Release,
+    ) -> Result<bool, claims::Unreachable> {
+        Ok(self.reach(addr).await?.serve_release(release).await)
+    }
+
+    async fn fetch(
+        &self,
+        _: net::SocketAddr,
+        _: entry::Fetch,
+    ) -> Result<entry::Answer, claims::Unreachable> {
+        Err(claims::Unreachable)
+    }
+}
+
+/// How claims are made durable.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    PerKey,
+    Log,
+    LogUnpaced,
+}
+
+/// What makes claims in one run.
+#[derive(Clone)]
+enum Maker {
+    PerKey(sync::Arc<Limited>),
+    Log(Vec<Entry>),
+}
+
+impl Maker {
+    fn new(way: Way, store: &sync::Arc<Limited>) -> Self {
+        let rate = match way {
+            Way::PerKey => return Self::PerKey(store.clone()),
+            Way::Log => unit::Rate(200.0),
+            Way::LogUnpaced => unit::Rate(1e6),
+        };
+        let peers = Peers::default();
+        let addr = |number| net::SocketAddr::from(([127, 0, 0, 1], number));
+        let live: Vec<_> = (1..=ENTRIES).map(addr).collect();
+        let start = |addr| {
+            let incarnation = id::Incarnation::random();
+            let service = claims::Builder::new(claim::Holder { addr, incarnation })
+                .write_rate(rate)
+                .start(store.clone(), sync::Arc::new(peers.clone()));
+            service.set_live(live.clone());
+            let mut entries = peers.0.lock().expect("lock is not poisoned");
+            entries.insert(addr, service.clone());
+            service
+        };
+        Self::Log(live.iter().copied().map(start).collect())
+    }
+
+    /// Claims a fresh key; returns whether it was granted.
+    async fn claim(&self, number: usize) -> bool {
+        let key = id::Fingerprint(rand::random());
+        match self {
+            Self::PerKey(store) => {
+                let path = format!("claims/keys/{key}");
+                let value = format!("{{\"request\":\"{key}\"}}");
+                store
+                    .put(&path, store::Expect::Absent, &value)
+                    .await
+                    .is_ok()
+            }
+            Self::Log(entries) => {
+                let ask = claims::Ask {
+                    key,
+                    content: key,
+                    request: id::RequestId(rand::random()),
+                    retention: unit::Period::from_secs(3600),
+                };
+                let deadline = clock::Instant::now() + time::Duration::from_secs(5);
+                let entry = &entries[number % entries.len()];
+                entry.claim(ask, deadline).await == entry::Decision::Granted
+            }
+        }
+    }
+}
+
+/// Outcome of the runs of one way at one rate.
+#[derive(Default)]
+struct Outcome {
+    offered: usize,
+    writes: u64,
+    refused_writes: u64,
+    micros: Vec<u128>,
+}
+
+impl Outcome {
+    fn quantile(&self, share: f64) -> f64 {
+        let last = self.micros.len().saturating_sub(1) as f64;
+        let index = (last * share).round() as usize;
+        self.micros
+            .get(index)
+            .map_or(f64::NAN, |m| *m as f64 / 1000.0)
+    }
+
+    fn print(&mut self, way: Way, rate: u64) {
+        self.micros.sort_unstable();
+        let granted = self.micros.len();
+        println!(
+            "{way:?} rate={rate}/s offered={} granted={granted} writes={} refused_writes={} \
+             writes_per_claim={:.2} p50={:.1}ms p99={:.1}ms",
+            self.offered,
+            self.writes,
+            self.refused_writes,
+            self.writes as f64 / granted as f64,
+            self.quantile(0.5),
+            self.quantile(0.99),
+        );
+    }
+}
+
+/// Offers claims at a fixed rate and waits for all of them.
+async fn offer(maker: &Maker, rate: u64, seconds: u64) -> Vec<Option<u128>> {
+    let mut ticks = clock::interval(time::Duration::from_secs_f64(1.0 / rate as f64));
+    let mut running: Vec<task::JoinHandle<Option<u128>>> = Vec::new();
+    for number in 0..(rate * seconds) as usize {
+        ticks.tick().await;
+        let maker = maker.clone();
+        running.push(tokio::spawn(async move {
+            let start = clock::Instant::now();
+            let granted = maker.claim(number).await;
+            granted.then(|| start.elapsed().as_micros())
+        }));
+    }
+    let mut done = Vec::with_capacity(running.len());
+    for claim in running {
+        done.push(claim.await.expect("claims do not panic"));
+    }
+    done
+}
+
+async fn run(way: Way, rate: u64, outcome: &mut Outcome) {
+    let store = sync::Arc::new(Limited::default());
+    let maker = Maker::new(way, &store);
+    // Shards find their owners before the measurement.
+    offer(&maker, rate.max(50), RUN.1).await;
+    let before = store.writes.load(atomic::Ordering::Relaxed);
+    let refused = store.refused.load(atomic::Ordering::Relaxed);
+    let done = offer(&maker, rate, RUN.0).await;
+    outcome.offered += done.len();
+    outcome.writes += store.writes.load(atomic::Ordering::Relaxed) - before;
+    outcome.refused_writes += store.refused.load(atomic::Ordering::Relaxed) - refused;
+    outcome.micros.extend(done.into_iter().flatten());
+}
+
+#[tokio::main]
+async fn main() {
+    let ways = [Way::PerKey, Way::Log, Way::LogUnpaced];
+    for rate in RATES {
+        let mut outcomes = ways.map(|way| (way, Outcome::default()));
+        for _ in 0..ROUNDS {
+            for (way, outcome) in &mut outcomes {
+                run(*way, rate, outcome).await;
+            }
+        }
+        for (way, outcome) in &mut outcomes {
+            outcome.print(*way, rate);
+        }
+    }
+}
--- a/laburnumcart_entry/tests/claims.rs
+++ b/laburnumcart_entry/tests/claims.rs
@@ -89,6 +89,8 @@
         taken_by(&claim(&b, ask(1, 4)).await),
         Some(id::RequestId(1))
     );
+    // By now the segments before the seal are deleted.
+    clock::sleep(SECOND).await;
     world.net.set_cut(&a, false);
     gate.hold(None);
     assert_eq!(taken_by(&late.await.unwrap()), Some(id::RequestId(3)));
