--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -6,7 +6,9 @@
     unit,
     verdict, //
 };
+use laburnumcart_daemon::traces;
 use tokio::time;
+use tracing::Instrument;
 
 use crate::{
     job,
@@ -31,7 +33,19 @@
 
 /// Executes one attempt to its end.
 async fn execute(shared: sync::Arc<shared::Shared>, job: sync::Arc<job::Job>) {
-    let outcome = attempt(&shared, &job).await;
+    let call = &job.call;
+    let came = call.traceparent.as_ref().and_then(|text| text.parse().ok());
+    let span = tracing::info_span!(
+        "attempt",
+        request = %call.request,
+        attempt = %call.attempt,
+        team = %call.team,
+        pipeline = %call.pipeline,
+        stage = %call.stage,
+    );
+    traces::join(&span, came.as_ref());
+    let parent = traces::parent(&span, came.as_ref());
+    let outcome = attempt(&shared, &job, parent).instrument(span).await;
     let now = time::Instant::now();
     shared.work().end(&job, outcome, now);
     report(&shared, &job, outcome, now);
@@ -59,16 +73,23 @@
     }
 }
 
-async fn attempt(shared: &sync::Arc<shared::Shared>, job: &job::Job) -> job::Outcome {
+async fn attempt(
+    shared: &sync::Arc<shared::Shared>,
+    job: &job::Job,
+    parent: Option<traces::Traceparent>,
+) -> job::Outcome {
     let Some(kind) = shared.snapshot.load().kind() else {
         return job::Outcome::NotRun(verdict::Reason::NoBundle, None);
     };
     let mut crashes = shared.crashes.subscribe();
-    let remaining = unit::Period(job.deadline - time::Instant::now());
+    let hop = run::Hop {
+        remaining: unit::Period(job.deadline - time::Instant::now()),
+        parent,
+    };
     let mut sink = Sink { shared, job };
     let reason = tokio::select! {
         biased;
-        outcome = shared.target.run(kind, &job.call, remaining, &mut sink) => return outcome,
+        outcome = shared.target.run(kind, &job.call, &hop, &mut sink) => return outcome,
         _ = crashes.changed() => verdict::Reason::TargetFailed,
         () = job.cancelled.notified() => verdict::Reason::Cancelled,
         () = time::sleep_until(job.deadline) => verdict::Reason::DeadlineExceeded,
--- a/laburnumcart_agent/src/target/run.rs
+++ b/laburnumcart_agent/src/target/run.rs
@@ -18,6 +18,7 @@
     unit,
     verdict, //
 };
+use laburnumcart_daemon::traces;
 use laburnumcart_wire::stage;
 use serde_json::value;
 
@@ -34,6 +35,15 @@
 /// Size of the chunks that a pool's output is cut into, in bytes.
 const CHUNK: usize = 64 << 10;
 
+/// What changes of a call from hop to hop.
+#[derive(Clone, Debug)]
+pub struct Hop {
+    /// Time left until the deadline.
+    pub remaining: unit::Period,
+    /// Span that the target's own are children of.
+    pub parent: Option<traces::Traceparent>,
+}
+
 /// Receives the parts of a result in order.
 pub trait Sink: Send {
     /// Takes a part; waits while too many bytes are not acknowledged.
@@ -46,10 +56,10 @@
         &self,
         kind: bundle::Kind,
         call: &stage::Call,
-        remaining: unit::Period,
+        hop: &Hop,
         sink: &mut impl Sink,
     ) -> job::Outcome {
-        let Some(request) = self.stage(kind, call, remaining) else {
+        let Some(request) = self.stage(kind, call, hop) else {
             return job::Outcome::NotRun(verdict::Reason::Invalid, None);
         };
         let answer = match self.http.send(request, !call.idempotent).await {
@@ -69,7 +79,7 @@
         &self,
         kind: bundle::Kind,
         call: &stage::Call,
-        remaining: unit::Period,
+        hop: &Hop,
     ) -> Option<Request<Full<Bytes>>> {
         let path = match kind {
             bundle::Kind::Engine => "/v1/generate",
@@ -89,9 +99,9 @@
             if call.idempotent { "true" } else { "false" },
         )
         .ok()?;
-        set("x-deadline-ms", &remaining.as_millis().to_string()).ok()?;
-        if let Some(parent) = &call.traceparent {
-            set("traceparent", parent).ok()?;
+        set("x-deadline-ms", &hop.remaining.as_millis().to_string()).ok()?;
+        if let Some(parent) = &hop.parent {
+            set("traceparent", &parent.to_string()).ok()?;
         }
         Some(request)
     }
--- /dev/null
+++ b/laburnumcart_agent/tests/agent/doubt.rs
@@ -0,0 +1,231 @@
+//! Doubt about an attempt after its connection was lost, and how it is resolved.
+
+use laburnumcart::{
+    bundle::Kind,
+    id::Incarnation,
+    verdict::{
+        Reason,
+        Verdict, //
+    },
+};
+use laburnumcart_wire::{
+    agent::{
+        self,
+        AgentClient, //
+    },
+    stage::{
+        Cancel,
+        Joiner,
+        State, //
+    },
+};
+use rstest::rstest;
+
+use crate::{
+    fixture::{
+        self,
+        Sender,
+        bounded,
+        code,
+        refusal, //
+    },
+    target::{
+        Finish,
+        Mode,
+        Target, //
+    },
+};
+
+/// The caller gets its answer once. The connection goes silent before the call arrives; over a new
+/// one the agent says "not run", the sender runs the stage elsewhere, and then the call comes out
+/// of the old connection after all. It is refused, or the stage would run twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_call_never_starts() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let sender = Sender::new(agent.addr());
+    let old = sender.connect().await;
+    let call = old.call();
+    let new = sender.connect().await;
+    let answer = bounded(new.client.query(new.query(&call, 0)))
+        .await
+        .unwrap();
+    let proof = refusal(&answer.state);
+    assert_eq!(
+        (proof.verdict, proof.reason),
+        (Verdict::NotRun, Reason::Lost)
+    );
+    let (_, state) = bounded(old.run(&call)).await;
+    let late = refusal(&state);
+    assert_eq!(
+        (late.verdict, late.reason),
+        (Verdict::NotRun, Reason::Fenced)
+    );
+    assert!(target.seen().is_empty());
+}
+
+/// The sender learns nothing, in place of a false "not run", from a question that itself comes late:
+/// over a fenced session, or over the session that carried the attempt, which may still come.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_proves_nothing_over_a_wrong_session() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let sender = Sender::new(agent.addr());
+    let first = sender.connect().await;
+    let call = first.call();
+    let same = bounded(first.client.query(first.query(&call, 0))).await;
+    assert_eq!(code(same), agent::INVALID);
+    let _second = sender.connect().await;
+    let mut late = first.query(&call, 0);
+    late.sent = 0;
+    let late = bounded(first.client.query(late)).await;
+    assert_eq!(code(late), agent::FENCED);
+    let beat = agent::Beat {
+        session: first.session,
+        facts: None,
+    };
+    assert_eq!(code(bounded(first.client.beat(beat)).await), agent::FENCED);
+}
+
+/// The caller gets the whole stream, each piece once. The connection is lost in the middle; the
+/// sender asks over a new one from the piece it lacks and reads on.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumes_over_a_new_connection() {
+    let target = Target::start(Mode::Stream(vec!["a", "b", "c"], Finish::Whole)).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let sender = Sender::new(agent.addr());
+    let old = sender.connect().await;
+    let call = old.call();
+    let mut joiner = Joiner::default();
+    let first = bounded(old.client.start(call.clone())).await.unwrap();
+    joiner.push(&first.chunks[0]).unwrap();
+    drop(old);
+    target.release();
+    let new = sender.connect().await;
+    let mut progress = bounded(new.client.query(new.query(&call, joiner.next())))
+        .await
+        .unwrap();
+    let end = bounded(async {
+        loop {
+            for chunk in &progress.chunks {
+                joiner.push(chunk).unwrap();
+            }
+            if let State::Done(end) = progress.state {
+                return end;
+            }
+            let next = new.next(&call, joiner.next());
+            progress = new.client.next(next).await.unwrap();
+        }
+    })
+    .await;
+    assert_eq!(joiner.finish(&end).unwrap(), "abc");
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The caller gets the answer that was kept. The connection is lost after the stage has ended and
+/// before its end mark arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_result_is_fetched() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let sender = Sender::new(agent.addr());
+    let old = sender.connect().await;
+    let call = old.call();
+    bounded(old.run(&call)).await;
+    drop(old);
+    let new = sender.connect().await;
+    let kept = bounded(new.client.query(new.query(&call, 0)))
+        .await
+        .unwrap();
+    assert_eq!(kept.chunks[0].text, r#"{"echo":{"n":7}}"#);
+    assert!(matches!(kept.state, State::Done(_)));
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The target executes once. The sender repeats a call with the same attempt id over a new session;
+/// it joins the attempt that runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn duplicate_joins() {
+    let target = Target::start(Mode::Hold).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let sender = Sender::new(agent.addr());
+    let old = sender.connect().await;
+    let call = old.call();
+    let started = tokio::spawn(async move { old.client.start(call).await });
+    bounded(target.wait_seen(1)).await;
+    let seen = target.seen().remove(0);
+    let new = sender.connect().await;
+    let mut again = new.call();
+    again.attempt = seen.attempt.parse().unwrap();
+    again.request = seen.request.parse().unwrap();
+    target.release();
+    let (text, _) = bounded(new.run(&again)).await;
+    assert_eq!(text, r#"{"echo":{"n":7}}"#);
+    bounded(started).await.unwrap().unwrap();
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The caller is told "may have run". The agent was replaced at the same address; the new process
+/// knows nothing of the attempt, and its ignorance must not pass for a proof. What was addressed to
+/// the old life and arrives late is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_agent_proves_nothing() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let first = fixture::start(target.addr, Kind::Pool).await;
+    let addr = first.addr();
+    let sender = Sender::new(addr);
+    let old = sender.connect().await;
+    let call = old.call();
+    bounded(old.run(&call)).await;
+    let cancel = Cancel {
+        attempt: call.attempt,
+    };
+    bounded(old.client.cancel(cancel)).await.unwrap();
+    drop(old);
+    bounded(first.stop()).await;
+    let _second = bounded(fixture::replace(addr, target.addr, Kind::Pool)).await;
+    let new = sender.connect().await;
+    assert_ne!(new.report.incarnation, call.incarnation);
+    let answer = bounded(new.client.query(new.query(&call, 0)))
+        .await
+        .unwrap();
+    let doubt = refusal(&answer.state);
+    assert_eq!(
+        (doubt.verdict, doubt.reason),
+        (Verdict::MayHaveRun, Reason::WrongIncarnation)
+    );
+    let mut late = call.clone();
+    late.session = new.session;
+    let (_, state) = bounded(new.run(&late)).await;
+    let late = refusal(&state);
+    assert_eq!(
+        (late.verdict, late.reason),
+        (Verdict::NotRun, Reason::WrongIncarnation)
+    );
+    // Even one that names the new life by mistake is not denied, as its session is older than
+    // what the new agent knows of the lane.
+    let mut query = new.query(&call, 0);
+    query.incarnation = new.report.incarnation;
+    let answer = bounded(new.client.query(query)).await.unwrap();
+    assert_eq!(refusal(&answer.state).verdict, Verdict::MayHaveRun);
+    assert_eq!(target.seen().len(), 1);
+}
+
+/// The sender is refused for sure: calls of a lane without `hello`, and of a session to come.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_session_is_fenced(#[case] ahead: u64) {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Pool).await;
+    let lane = Sender::new(agent.addr()).connect().await;
+    let mut call = lane.call();
+    call.session.number += ahead;
+    if ahead == 0 {
+        call.session.lane = Incarnation::random();
+    }
+    let (_, state) = bounded(lane.run(&call)).await;
+    assert_eq!(refusal(&state).reason, Reason::Fenced);
+    assert!(target.seen().is_empty());
+}
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -6,10 +6,14 @@
     time, //
 };
 
+use jsonrpsee::core::client::Error;
 use laburnumcart::{
     bundle,
+    facts,
     id,
-    unit, //
+    seal,
+    unit,
+    verdict, //
 };
 use laburnumcart_agent::{
     agent,
@@ -19,6 +23,7 @@
 use laburnumcart_wire::{
     agent::{
         AgentClient,
+        Beat,
         Hello,
         Report, //
     },
@@ -46,13 +51,14 @@
 }
 
 pub(crate) fn settings(target: net::SocketAddr) -> settings::Settings {
+    let key = seal::SecretKey::generate().unwrap().public().to_string();
     let text = json!({
         "instance": "agent-1",
         "zone": "dc-a",
         "peer": "127.0.0.1:0",
         "admin": "127.0.0.1:0",
         "target": {"name": "pool-1", "service": "pool", "address": target.to_string()},
-        "fleet": {"secrets": [SECRET], "keys": {"ops": "AAAA"}},
+        "fleet": {"secrets": [SECRET], "keys": {"ops": key}},
         "platform": {"address": "127.0.0.1:9"},
         "stop_limit": "10s",
     });
@@ -102,6 +108,35 @@
     agent
 }
 
+/// Starts an agent at the address of one that has stopped, once its port is free.
+pub(crate) async fn replace(
+    addr: net::SocketAddr,
+    target: net::SocketAddr,
+    kind: bundle::Kind,
+) -> agent::Agent {
+    while let Err(error) = net::TcpListener::bind(addr) {
+        assert_eq!(error.kind(), std::io::ErrorKind::AddrInUse);
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    start_at(addr, target, kind).await
+}
+
+/// Returns the refusal of an attempt that must have got one.
+pub(crate) fn refusal(state: &stage::State) -> verdict::Refusal {
+    match state {
+        stage::State::Refused(refusal) => *refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Returns the code of a call that must have failed with one.
+pub(crate) fn code<T: std::fmt::Debug>(answer: Result<T, Error>) -> i32 {
+    match answer {
+        Err(Error::Call(error)) => error.code(),
+        other => panic!("no error of the call: {other:?}"),
+    }
+}
+
 /// Returns a service of the given kind without orders.
 pub(crate) fn rules(kind: bundle::Kind) -> Value {
     json!({"kind": kind})
@@ -181,7 +216,36 @@
 
     /// Starts a call and reads its result to the end.
     pub(crate) async fn run(&self, call: &stage::Call) -> (String, stage::State) {
-        let mut progress = self.client.start(call.clone()).await.unwrap();
+        let progress = self.client.start(call.clone()).await.unwrap();
+        self.rest(call, progress).await
+    }
+
+    /// Reads the result of a call that another connection has started.
+    pub(crate) async fn read(&self, call: &stage::Call) -> (String, stage::State) {
+        let progress = self.client.next(self.next(call, 0)).await.unwrap();
+        self.rest(call, progress).await
+    }
+
+    /// Waits until the agent has sent the facts.
+    pub(crate) async fn wait_facts(&self, fits: impl Fn(&facts::Facts) -> bool) -> facts::Facts {
+        loop {
+            let beat = Beat {
+                session: self.session,
+                facts: None,
+            };
+            let report = self.client.beat(beat).await.unwrap();
+            if fits(&report.facts) {
+                return report.facts;
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn rest(
+        &self,
+        call: &stage::Call,
+        mut progress: stage::Progress,
+    ) -> (String, stage::State) {
         let mut joiner = stage::Joiner::default();
         loop {
             assert_eq!(
--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -1,6 +1,8 @@
 //! An agent over real connections, with a target that fails as each test says.
 
+mod doubt;
 mod fixture;
 mod phases;
 mod sign;
+mod stopping;
 mod target;
--- a/laburnumcart_agent/tests/agent/phases.rs
+++ b/laburnumcart_agent/tests/agent/phases.rs
@@ -4,7 +4,6 @@
     bundle::Kind,
     verdict::{
         Reason,
-        Refusal,
         Verdict, //
     },
 };
@@ -20,7 +19,8 @@
 use crate::{
     fixture::{
         self,
-        bounded, //
+        bounded,
+        refusal, //
     },
     target::{
         Finish,
@@ -29,21 +29,18 @@
     },
 };
 
-fn refusal(state: State) -> Refusal {
-    match state {
-        State::Refused(refusal) => refusal,
-        other => panic!("not refused: {other:?}"),
-    }
-}
-
 /// The caller gets the whole output of its own stage.
 #[tokio::test(flavor = "multi_thread")]
 async fn pool_answers_whole() {
     let target = Target::start(Mode::Status(200, "")).await;
     let agent = fixture::start(target.addr, Kind::Pool).await;
     let lane = fixture::Sender::new(agent.addr()).connect().await;
-    let (text, state) = bounded(lane.run(&lane.call())).await;
+    let mut call = lane.call();
+    let parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    call.traceparent = Some(parent.into());
+    let (text, state) = bounded(lane.run(&call)).await;
     assert_eq!(text, r#"{"echo":{"n":7}}"#);
+    assert_eq!(target.seen()[0].traceparent.as_deref(), Some(parent));
     assert!(matches!(state, State::Done(end) if end.count == 1));
     assert_eq!(target.seen().len(), 1);
 }
@@ -71,7 +68,7 @@
     let agent = fixture::start(target.addr, Kind::Pool).await;
     let lane = fixture::Sender::new(agent.addr()).connect().await;
     let (_, state) = bounded(lane.run(&lane.call())).await;
-    let refusal = refusal(state);
+    let refusal = refusal(&state);
     assert_eq!((refusal.verdict, refusal.reason), (verdict, reason));
     assert_eq!(refusal.retry.is_some(), reason == Reason::Overloaded);
     assert_eq!(target.seen().len(), 1);
@@ -86,7 +83,7 @@
     let lane = fixture::Sender::new(agent.addr()).connect().await;
     bounded(target.stop()).await;
     let (_, state) = bounded(lane.run(&lane.call())).await;
-    let refusal = refusal(state);
+    let refusal = refusal(&state);
     assert_eq!(
         (refusal.verdict, refusal.reason),
         (Verdict::NotRun, Reason::NoTarget)
@@ -101,7 +98,7 @@
     let agent = fixture::start(target.addr, Kind::Pool).await;
     let lane = fixture::Sender::new(agent.addr()).connect().await;
     let (_, state) = bounded(lane.run(&lane.call())).await;
-    let refusal = refusal(state);
+    let refusal = refusal(&state);
     assert_eq!(
         (refusal.verdict, refusal.reason),
         (Verdict::MayHaveRun, Reason::TargetFailed)
@@ -126,7 +123,7 @@
         target.wait_seen(1).await;
         target.release();
     });
-    let refusal = refusal(result.1);
+    let refusal = refusal(&result.1);
     assert_eq!(
         (refusal.verdict, refusal.reason),
         (Verdict::MayHaveRun, Reason::TargetFailed)
--- a/laburnumcart_agent/tests/agent/target.rs
+++ b/laburnumcart_agent/tests/agent/target.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Seen {
     /// Number of the connection.
     pub(crate) connection: usize,
+    /// Value of `x-request-id`.
+    pub(crate) request: String,
     /// Value of `x-attempt-id`.
     pub(crate) attempt: String,
     /// Value of `traceparent`.
@@ -66,6 +68,7 @@
     seen: watch::Sender<Vec<Seen>>,
     cancelled: watch::Sender<Vec<String>>,
     orders: watch::Sender<Vec<Value>>,
+    looks: watch::Sender<usize>,
     go: Notify,
 }
 
@@ -88,16 +91,13 @@
             seen: watch::Sender::default(),
             cancelled: watch::Sender::default(),
             orders: watch::Sender::default(),
+            looks: watch::Sender::default(),
             go: Notify::new(),
         });
         let tasks = task::spawn(accept(listener, inner.clone()));
         Self { addr, inner, tasks }
     }
 
-    pub(crate) fn set(&self, mode: Mode) {
-        *self.inner.mode.lock().unwrap() = mode;
-    }
-
     /// Looks as a new process does.
     pub(crate) fn reboot(&self) {
         *self.inner.boot.lock().unwrap() = "second".into();
@@ -133,6 +133,21 @@
         seen.wait_for(|seen| seen.len() >= count).await.unwrap();
     }
 
+    /// Waits until it has these models.
+    pub(crate) async fn wait_models(&self, models: &[&str]) {
+        let mut looks = self.inner.looks.subscribe();
+        while self.models() != models {
+            looks.changed().await.unwrap();
+        }
+    }
+
+    /// Waits until its state was read so many times again.
+    pub(crate) async fn wait_looks(&self, count: usize) {
+        let mut looks = self.inner.looks.subscribe();
+        let until = *looks.borrow() + count;
+        looks.wait_for(|now| *now >= until).await.unwrap();
+    }
+
     /// Waits until an attempt is cancelled.
     pub(crate) async fn wait_cancelled(&self, attempt: &str) {
         let mut cancelled = self.inner.cancelled.subscribe();
@@ -221,6 +236,7 @@
 }
 
 async fn state(stream: &mut BufReader<aio::TcpStream>, inner: &Inner) -> Option<()> {
+    inner.looks.send_modify(|count| *count += 1);
     let boot = inner.boot.lock().unwrap().clone();
     let models = inner.models.lock().unwrap().clone();
     let body = serde_json::json!({"boot": boot, "models": models, "term": 0, "sequence": 0});
@@ -267,6 +283,7 @@
     let mode = inner.mode.lock().unwrap().clone();
     let seen = Seen {
         connection,
+        request: request.header("x-request-id").unwrap(),
         attempt: request.header("x-attempt-id").unwrap(),
         traceparent: request.header("traceparent"),
         body: body.clone(),
