--- a/extra/demo.sh
+++ b/extra/demo.sh
@@ -104,7 +104,7 @@
 echo "demo: building"
 flags=()
 [ $profile = release ] && flags+=(--release)
-cargo build --quiet --workspace --bins "${flags[@]}"
+cargo build --quiet ${CARGO_FLAGS:-} --workspace --bins "${flags[@]}"
 bin=${CARGO_TARGET_DIR:-target}/$profile
 bin=$(cd "$bin" && pwd)
 
