--- a/laburnumcart_agent/src/lib.rs
+++ b/laburnumcart_agent/src/lib.rs
@@ -4,8 +4,9 @@
 //! until they are settled, and gives the target its orders.
 
 pub mod agent;
-pub mod control;
+pub mod counters;
 pub mod execute;
+pub mod job;
 pub mod run;
 pub mod service;
 pub mod settings;
@@ -13,3 +14,4 @@
 pub mod snapshot;
 pub mod target;
 pub mod work;
+mod control;
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -2,26 +2,28 @@
 
 use std::{
     net,
-    sync::{
-        Arc,
-        atomic, //
-    },
+    sync::atomic,
     time, //
 };
 
+use jsonrpsee::core::client::Error;
 use laburnumcart::{
     bundle,
+    facts,
     id,
-    unit, //
+    seal,
+    unit,
+    verdict, //
 };
 use laburnumcart_agent::{
     agent,
-    settings,
-    work, //
+    settings, //
 };
+use laburnumcart_platform::memory;
 use laburnumcart_wire::{
     agent::{
         AgentClient,
+        Beat,
         Hello,
         Report, //
     },
@@ -31,10 +33,13 @@
     stage, //
 };
 use serde_json::{
+    Value,
     json,
     value, //
 };
 
+use crate::sign;
+
 /// Bound on every wait for a condition; far above what any of them takes.
 pub(crate) const BOUND: time::Duration = time::Duration::from_secs(20);
 
@@ -46,13 +51,14 @@
 }
 
 pub(crate) fn settings(target: net::SocketAddr) -> settings::Settings {
+    let key = seal::SecretKey::generate().unwrap().public().to_string();
     let text = json!({
         "instance": "agent-1",
         "zone": "dc-a",
         "peer": "127.0.0.1:0",
         "admin": "127.0.0.1:0",
         "target": {"name": "pool-1", "service": "pool", "address": target.to_string()},
-        "fleet": {"secrets": [SECRET], "keys": {"ops": "AAAA"}},
+        "fleet": {"secrets": [SECRET], "keys": {"ops": key}},
         "platform": {"address": "127.0.0.1:9"},
         "stop_limit": "10s",
     });
@@ -61,35 +67,79 @@
 
 /// Starts an agent whose target is of the given kind and waits until it is ready.
 pub(crate) async fn start(target: net::SocketAddr, kind: bundle::Kind) -> agent::Agent {
-    start_at("127.0.0.1:0".parse().unwrap(), target, kind).await
+    let addr = "127.0.0.1:0".parse().unwrap();
+    start_at(addr, target, kind).await
 }
 
+/// Starts an agent at an address of its own, such as that of one that has gone.
 pub(crate) async fn start_at(
     peer: net::SocketAddr,
     target: net::SocketAddr,
     kind: bundle::Kind,
 ) -> agent::Agent {
-    let listener = net::TcpListener::bind(peer).unwrap();
-    let agent = agent::Agent::start(settings(target), work::Limits::default(), listener).unwrap();
-    ready(&agent, kind).await;
-    agent
+    start_with(peer, target, &rules(kind), memory::Memory::new()).await
 }
 
-async fn ready(agent: &agent::Agent, kind: bundle::Kind) {
+/// Starts an agent under a bundle with the given service, which it reads from `store`.
+pub(crate) async fn start_with(
+    peer: net::SocketAddr,
+    target: net::SocketAddr,
+    service: &Value,
+    store: memory::Memory,
+) -> agent::Agent {
+    let listener = net::TcpListener::bind(peer).unwrap();
+    let signer = sign::accept(&store, service).await;
+    let parts = agent::Parts {
+        options: Some(signer),
+        ..agent::Parts::default()
+    };
+    let agent = agent::Agent::start(settings(target), parts, listener, store).unwrap();
     let shared = agent.shared();
     bounded(async {
         loop {
             let snapshot = shared.snapshot.load_full();
-            if snapshot.ready && snapshot.kind == Some(kind) {
+            if snapshot.ready && snapshot.kind().is_some() {
                 return;
             }
-            let mut wanted = (*snapshot).clone();
-            wanted.kind = Some(kind);
-            shared.snapshot.store(Arc::new(wanted));
             tokio::time::sleep(time::Duration::from_millis(10)).await;
         }
     })
     .await;
+    agent
+}
+
+/// Starts an agent at the address of one that has stopped, once its port is free.
+pub(crate) async fn replace(
+    addr: net::SocketAddr,
+    target: net::SocketAddr,
+    kind: bundle::Kind,
+) -> agent::Agent {
+    while let Err(error) = net::TcpListener::bind(addr) {
+        assert_eq!(error.kind(), std::io::ErrorKind::AddrInUse);
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    start_at(addr, target, kind).await
+}
+
+/// Returns the refusal of an attempt that must have got one.
+pub(crate) fn refusal(state: &stage::State) -> verdict::Refusal {
+    match state {
+        stage::State::Refused(refusal) => *refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Returns the code of a call that must have failed with one.
+pub(crate) fn code<T: std::fmt::Debug>(answer: Result<T, Error>) -> i32 {
+    match answer {
+        Err(Error::Call(error)) => error.code(),
+        other => panic!("no error of the call: {other:?}"),
+    }
+}
+
+/// Returns a service of the given kind without orders.
+pub(crate) fn rules(kind: bundle::Kind) -> Value {
+    json!({"kind": kind})
 }
 
 /// One process that sends attempts, over one connection after the other.
@@ -166,7 +216,36 @@
 
     /// Starts a call and reads its result to the end.
     pub(crate) async fn run(&self, call: &stage::Call) -> (String, stage::State) {
-        let mut progress = self.client.start(call.clone()).await.unwrap();
+        let progress = self.client.start(call.clone()).await.unwrap();
+        self.rest(call, progress).await
+    }
+
+    /// Reads the result of a call that another connection has started.
+    pub(crate) async fn read(&self, call: &stage::Call) -> (String, stage::State) {
+        let progress = self.client.next(self.next(call, 0)).await.unwrap();
+        self.rest(call, progress).await
+    }
+
+    /// Waits until the agent has sent the facts.
+    pub(crate) async fn wait_facts(&self, fits: impl Fn(&facts::Facts) -> bool) -> facts::Facts {
+        loop {
+            let beat = Beat {
+                session: self.session,
+                facts: None,
+            };
+            let report = self.client.beat(beat).await.unwrap();
+            if fits(&report.facts) {
+                return report.facts;
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn rest(
+        &self,
+        call: &stage::Call,
+        mut progress: stage::Progress,
+    ) -> (String, stage::State) {
         let mut joiner = stage::Joiner::default();
         loop {
             assert_eq!(
--- a/laburnumcart_entry/src/callers/socket.rs
+++ b/laburnumcart_entry/src/callers/socket.rs
@@ -34,13 +34,12 @@
 type Open = collections::HashMap<net::SocketAddr, watch::Receiver<()>>;
 
 impl Connections {
-    /// Waits until the caller has closed its side; for good if the address is not known.
+    /// Waits until the caller has closed its side; an address that is not known has done so.
     pub(super) fn gone(&self, addr: net::SocketAddr) -> impl Future<Output = ()> + Send + 'static {
         let open = self.lock().get(&addr).cloned();
         async move {
-            match open {
-                Some(mut open) => while open.changed().await.is_ok() {},
-                None => std::future::pending().await,
+            if let Some(mut open) = open {
+                while open.changed().await.is_ok() {}
             }
         }
     }
@@ -49,13 +48,25 @@
         self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Keeps a connection in the table until its caller closes it.
-    async fn follow(self, stream: TcpStream, addr: net::SocketAddr) {
+    /// Enters a connection into the table; the sender tells by its end that the caller has gone.
+    fn enter(&self, addr: net::SocketAddr) -> watch::Sender<()> {
         let (sender, receiver) = watch::channel(());
         self.lock().insert(addr, receiver);
+        sender
+    }
+
+    /// Removes a connection when its caller closes it.
+    async fn follow(self, stream: TcpStream, addr: net::SocketAddr, sender: watch::Sender<()>) {
         closed(&stream).await;
-        self.lock().remove(&addr);
-        drop(sender);
+        let mut open = self.lock();
+        // The caller may have opened the next connection from the same port already.
+        let own = sender.subscribe();
+        if open
+            .get(&addr)
+            .is_some_and(|known| known.same_channel(&own))
+        {
+            open.remove(&addr);
+        }
     }
 }
 
@@ -119,7 +130,9 @@
             let _runtime = self.runtime.enter();
             TcpStream::from_std(stream.try_clone()?)?
         };
-        let follow = self.connections.clone().follow(twin, addr);
+        // Entered before the first request can be read, else its caller would count as gone.
+        let sender = self.connections.enter(addr);
+        let follow = self.connections.clone().follow(twin, addr, sender);
         self.runtime.spawn(async move {
             follow.await;
             drop(permit);
--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod outage;
 pub mod settle;
 pub mod store;
+mod pause;
