--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod process;
 pub mod relay;
 pub mod sample;
+pub mod schema;
 pub mod wait;
