--- a/laburnumcart_ctl/src/command/status.rs
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -27,6 +27,8 @@
 struct Status {
     head: Result<Option<head::Head>, String>,
     processes: Vec<Process>,
+    /// Processes that have the highest generation seen, in the head or in any process.
+    current: usize,
 }
 
 /// One process, or why it could not be asked.
@@ -58,7 +60,26 @@
     if head.is_err() && silent {
         return Err(error::Error::Unavailable);
     }
-    Ok(output::Output::new(&Status { head, processes }))
+    let current = count_current(&head, &processes);
+    Ok(output::Output::new(&Status {
+        head,
+        processes,
+        current,
+    }))
+}
+
+/// Counts the processes that have the highest generation seen.
+fn count_current(head: &Result<Option<head::Head>, String>, processes: &[Process]) -> usize {
+    let generation = |process: &Process| process.state.as_ref().ok().map(peers::State::generation);
+    let accepted = head.as_ref().ok().and_then(Option::as_ref);
+    let accepted = accepted.map(|head| head.accepted.generation);
+    let highest = processes
+        .iter()
+        .filter_map(generation)
+        .chain(accepted)
+        .max();
+    let current = |process: &&Process| generation(process) == highest && highest.is_some();
+    processes.iter().filter(current).count()
 }
 
 /// Returns the addresses from the command line, or else those from the settings.
@@ -104,7 +125,12 @@
         for process in &self.processes {
             writeln!(f, "{process}")?;
         }
-        Ok(())
+        writeln!(
+            f,
+            "in force in {} of {} processes",
+            self.current,
+            self.processes.len()
+        )
     }
 }
 
--- a/laburnumcart_ctl/src/peers.rs
+++ b/laburnumcart_ctl/src/peers.rs
@@ -38,6 +38,16 @@
     Agent(agent::Report),
 }
 
+impl State {
+    /// Returns the generation in force.
+    pub fn generation(&self) -> id::Generation {
+        match self {
+            Self::Entry(status) => status.generation,
+            Self::Agent(report) => report.facts.generation,
+        }
+    }
+}
+
 /// A connection to one process.
 pub struct Process {
     addr: net::SocketAddr,
