--- a/laburnumcart_daemon/tests/bundle.rs
+++ b/laburnumcart_daemon/tests/bundle.rs
@@ -145,6 +145,21 @@
         );
     }
 
+    /// Waits until a failure was counted and met again.
+    async fn counted(&self, reason: bundle::Failure) {
+        let counted = async {
+            while self.feed.failures(reason) < 3 {
+                tokio::time::sleep(time::Duration::from_millis(100)).await;
+            }
+        };
+        let counted = tokio::time::timeout(10 * SOON, counted).await;
+        let generation = self.feed.generation();
+        assert!(
+            counted.is_ok(),
+            "{reason} not counted; generation {generation} in force"
+        );
+    }
+
     fn title(&self) -> String {
         let snapshot = self.feed.current().expect("a bundle in force");
         snapshot.bundle.title.clone()
@@ -261,9 +276,7 @@
 
     let bad = bad(&fleet);
     fleet.accept(&bad).await;
-    while process.feed.failures(reason) < 3 {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
+    process.counted(reason).await;
     assert_eq!(process.feed.generation(), first);
     assert_eq!(process.title(), "good");
 
@@ -280,9 +293,7 @@
     let accepted = seal::Digest::of(fleet.sign(&titled("accepted")).as_bytes());
     let other = fleet.sign(&titled("signed too, and not what was accepted"));
     fleet.accept_as(accepted, &other).await;
-    while process.feed.failures(bundle::Failure::Signature) < 3 {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
+    process.counted(bundle::Failure::Signature).await;
     assert!(process.feed.current().is_none());
 }
 
@@ -392,9 +403,7 @@
         feed,
         task: task::spawn(run),
     };
-    while process.feed.failures(reason) < 3 {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
+    process.counted(reason).await;
     assert!(process.feed.current().is_none());
 }
 
