Wait for the own budget of the object service instead of refusing claims

Cause: the first 50 claims take over four shards at once; their calls exceed the process's burst of 12, and the client refused them with 9 ms to wait, which the claims service took for an outage (503 claim-unavailable). Ruled out: the stand-in's own limits, which were not reached. A call now waits for the budget up to a bound set by its process.

--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -10,7 +10,10 @@
 
 use tokio::runtime;
 
-use laburnumcart::id;
+use laburnumcart::{
+    id,
+    unit, //
+};
 use laburnumcart_daemon::{
     bundle,
     event,
@@ -42,6 +45,9 @@
 /// Longest wait for the last bytes of answers after the requests have ended.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
+/// Longest wait of a call for this process's share of the object service's rates.
+const STORE_PATIENCE: unit::Period = unit::Period::from_millis(500);
+
 /// Runs an entry until it is told to stop.
 pub fn run(settings: settings::Settings) -> process::ExitCode {
     match serve(settings) {
@@ -141,7 +147,9 @@
     entry: &Arc<entry::Entry>,
     metrics: &metrics::Metrics,
 ) -> io::Result<()> {
-    let store = client::Client::builder([settings.platform.address]).build();
+    let store = client::Client::builder([settings.platform.address])
+        .patience(STORE_PATIENCE)
+        .build();
     let store = store.map_err(io::Error::other)?;
     metrics.register("laburnum_entry", |r| store.register(r));
     let secret = settings.fleet.secret().cloned();
--- a/laburnumcart_fakes/tests/store_failures.rs
+++ b/laburnumcart_fakes/tests/store_failures.rs
@@ -268,6 +268,26 @@
     assert!(!client.is_down());
 }
 
+// A caller makes more calls at once than its share allows. Each is refused or, with patience, sent
+// a little later; refused at once, the burst of a takeover would look like an outage.
+#[tokio::test]
+async fn a_burst_waits_for_the_budget() {
+    let server = fake::Server::builder().start().unwrap();
+    let rates = budget::Rates {
+        reads: unit::Rate(20.0),
+        writes: unit::Rate(20.0),
+    };
+    let client = client::Client::builder([server.addr()]).rates(rates);
+    let client = client
+        .timeout(unit::Period(LONG))
+        .patience(unit::Period(LONG));
+    let client = client.build().unwrap();
+    for _ in 0..15 {
+        assert_eq!(client.get("a").await, Ok(None));
+    }
+    assert_eq!(server.counts().total.reads, 15);
+}
+
 #[tokio::test]
 async fn service_refuses_calls_beyond_its_rate() {
     let server = fake::Server::builder().writes(unit::Rate(0.001));
--- a/laburnumcart_platform/src/client.rs
+++ b/laburnumcart_platform/src/client.rs
@@ -53,6 +53,8 @@
     /// Connections for calls that do not wait.
     slots: Semaphore,
     timeout: time::Duration,
+    /// Longest wait for the own budget.
+    patience: time::Duration,
     answer_max: usize,
     control: sync::Mutex<Control>,
     metrics: metrics::Metrics,
@@ -72,6 +74,14 @@
     Wait(time::Duration),
 }
 
+/// Why a call is not sent.
+enum Refused {
+    /// This process has used up its own rate.
+    Budget(unit::Period),
+    /// The service is held to be down.
+    Outage(unit::Period),
+}
+
 /// Counts a waiting watch against the budget until it ends, also when its task is dropped.
 struct Held<'a>(&'a Inner);
 
@@ -123,7 +133,7 @@
         mut request: answer::Request<'_>,
     ) -> Result<answer::Answer, store::Failure> {
         let start = Instant::now();
-        let admission = self.admit(cost, start)?;
+        let admission = self.admitted(cost, start).await?;
         let _held = matches!(cost, Cost::Wait(_)).then_some(Held(self));
         let (_slot, limit) = match cost {
             Cost::Read | Cost::Write => (Some(self.slot().await?), self.timeout),
@@ -144,22 +154,44 @@
         result.and_then(answer::Answer::check)
     }
 
-    fn admit(&self, cost: Cost, now: Instant) -> Result<outage::Admission, store::Failure> {
+    /// Waits for the own budget as long as that is worth it.
+    ///
+    /// A burst of calls, such as taking over several shards, exceeds the budget for milliseconds.
+    /// Refused at once, it would look like an outage. The wait is bounded, so calls cannot pile up.
+    async fn admitted(
+        &self,
+        cost: Cost,
+        start: Instant,
+    ) -> Result<outage::Admission, store::Failure> {
+        loop {
+            let now = Instant::now();
+            let retry = match self.admit(cost, now) {
+                Ok(admission) => return Ok(admission),
+                Err(Refused::Outage(retry)) => return Err(unavailable(retry)),
+                Err(Refused::Budget(retry)) => retry,
+            };
+            if now + retry.0 > start + self.patience || self.control().outage.is_open() {
+                return Err(unavailable(retry));
+            }
+            tokio::time::sleep(retry.0).await;
+        }
+    }
+
+    fn admit(&self, cost: Cost, now: Instant) -> Result<outage::Admission, Refused> {
         let mut control = self.control();
-        let refuse = |retry| store::Failure::Unavailable { retry: Some(retry) };
         // The budget goes first: a call that it refuses must not count as the probe.
         match cost {
             Cost::Read => control.budget.reads.take(now),
             Cost::Write => control.budget.writes.take(now),
             Cost::Wait(_) => control.budget.reads.hold(now),
         }
-        .map_err(refuse)?;
+        .map_err(Refused::Budget)?;
         let admission = control.outage.admit(now);
         if let outage::Admission::Refuse(retry) = admission {
             if matches!(cost, Cost::Wait(_)) {
                 control.budget.reads.release(now);
             }
-            return Err(refuse(retry));
+            return Err(Refused::Outage(retry));
         }
         Ok(admission)
     }
@@ -206,6 +238,10 @@
     }
 }
 
+fn unavailable(retry: unit::Period) -> store::Failure {
+    store::Failure::Unavailable { retry: Some(retry) }
+}
+
 fn state(open: bool) -> &'static str {
     if open { "down" } else { "working" }
 }
--- a/laburnumcart_platform/src/client/builder.rs
+++ b/laburnumcart_platform/src/client/builder.rs
@@ -55,6 +55,7 @@
     connections: usize,
     answer_max: unit::Size,
     rates: budget::Rates,
+    patience: unit::Period,
     outage: outage::Limits,
 }
 
@@ -69,6 +70,7 @@
             connections: 8,
             answer_max: unit::Size(64 << 20),
             rates: budget::Rates::default(),
+            patience: unit::Period::default(),
             outage: outage::Limits::default(),
         }
     }
@@ -103,6 +105,12 @@
         self
     }
 
+    /// Sets how long a call waits for this process's share of the rates; not at all unless set.
+    pub fn patience(mut self, patience: unit::Period) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Sets how failures of the service are met.
     pub fn outage(mut self, limits: outage::Limits) -> Self {
         self.outage = limits;
@@ -127,6 +135,7 @@
             current: atomic::AtomicUsize::new(0),
             slots: Semaphore::new(self.connections),
             timeout: self.timeout.0,
+            patience: self.patience.0,
             answer_max: self.answer_max.0.try_into().unwrap_or(usize::MAX),
             control: sync::Mutex::new(control),
             metrics: metrics::Metrics::default(),
