--- a/laburnumcart/src/claim.rs
+++ b/laburnumcart/src/claim.rs
@@ -2,7 +2,7 @@
 //!
 //! Keys are spread over shards. Each shard has one owner at a time, which keeps a [`table`] of the
 //! granted keys and appends every change to a [`log`] in the object service before it answers.
-//! [`record`] is what the log holds; [`route`] says whom to ask and when to take over.
+//! [`record`] is what the log holds; [`pace`] limits the appends; [`route`] says whom to ask and when to take over.
 //!
 //! # Examples
 //!
@@ -34,6 +34,7 @@
 //! ```
 
 pub mod log;
+pub mod pace;
 pub mod record;
 pub mod route;
 pub mod table;
--- /dev/null
+++ b/laburnumcart/src/claim/pace.rs
@@ -0,0 +1,59 @@
+//! When the next append may start, so that claims leave room for other writes.
+
+use std::time;
+
+use tokio::time::Instant;
+
+use crate::unit;
+
+/// Appends that may start at once after a quiet time.
+const BURST: u32 = 8;
+
+/// Rate limit of the appends of one process, over all shards that it owns.
+///
+/// Batches of a shard gather while it waits for its slot, so that under load the appends keep to
+/// the rate and grow instead, and without load a claim does not wait.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    rate: f64,
+    shards: u16,
+    owned: u16,
+    next: Option<Instant>,
+}
+
+impl Pace {
+    /// Creates the limit of a process without shards; `rate` holds for all `shards` together.
+    pub fn new(rate: unit::Rate, shards: u16) -> Self {
+        Self {
+            rate: rate.0.max(1.0),
+            shards: shards.max(1),
+            owned: 0,
+            next: None,
+        }
+    }
+
+    /// Counts a shard that the process has taken over.
+    pub fn gain(&mut self) {
+        self.owned = self.owned.saturating_add(1);
+    }
+
+    /// Counts a shard that the process has lost.
+    pub fn lose(&mut self) {
+        self.owned = self.owned.saturating_sub(1);
+    }
+
+    /// Returns the time between two appends in the long run.
+    pub fn interval(&self) -> time::Duration {
+        let owned = f64::from(self.owned.max(1));
+        time::Duration::from_secs_f64(f64::from(self.shards) / (self.rate * owned))
+    }
+
+    /// Reserves the next slot and returns its time, which is `now` unless the rate is used up.
+    pub fn reserve(&mut self, now: Instant) -> Instant {
+        let interval = self.interval();
+        let earliest = now.checked_sub(interval * BURST).unwrap_or(now);
+        let slot = self.next.unwrap_or(earliest).max(earliest);
+        self.next = Some(slot + interval);
+        slot.max(now)
+    }
+}
--- a/laburnumcart/tests/claim.rs
+++ b/laburnumcart/tests/claim.rs
@@ -10,6 +10,7 @@
     claim::{
         self,
         log,
+        pace,
         record,
         route,
         table, //
@@ -290,3 +291,18 @@
     let first = patience.settle;
     assert_eq!(waits, [first, first * 2, first * 4, first * 8]);
 }
+
+/// Appends start at once after a quiet time, and keep to the rate in the long run; a process that
+/// owns a quarter of the shards has a quarter of the rate.
+#[test]
+fn pace_keeps_the_rate() {
+    let mut pace = pace::Pace::new(unit::Rate(200.0), 16);
+    (0..4).for_each(|_| pace.gain());
+    let start = Instant::now() + 10 * SECOND;
+    assert_eq!(pace.reserve(start), start);
+    let last = (0..500).map(|_| pace.reserve(start)).last().unwrap();
+    let taken = (last - start).as_secs_f64();
+    assert!((9.0..=10.0).contains(&taken), "{taken}");
+    let later = last + 10 * SECOND;
+    assert_eq!(pace.reserve(later), later);
+}
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -37,6 +37,7 @@
     claim::{
         self,
         log,
+        pace,
         record,
         route, //
     },
@@ -190,10 +191,6 @@
             shards: OnceCell::new(),
         })
     }
-
-    fn pace(&self, shards: usize) -> time::Duration {
-        time::Duration::from_secs_f64(shards as f64 / self.write_rate.0.max(1.0))
-    }
 }
 
 /// Access to the task of one shard.
@@ -472,10 +469,13 @@
                 self.config.shards
             );
         }
-        Ok((0..count).map(|shard| self.spawn(shard, count)).collect())
+        let pace = pace::Pace::new(self.config.write_rate, count);
+        let pace = sync::Arc::new(sync::Mutex::new(pace));
+        let spawn = |shard| self.spawn(shard, pace.clone());
+        Ok((0..count).map(spawn).collect())
     }
 
-    fn spawn(&self, shard: u16, count: u16) -> Shard {
+    fn spawn(&self, shard: u16, pace: sync::Arc<sync::Mutex<pace::Pace>>) -> Shard {
         let (inbox, commands) = mpsc::channel(INBOX);
         let suspicion = route::Suspicion::new(self.config.patience);
         let suspicion = sync::Arc::new(sync::Mutex::new(suspicion));
@@ -485,7 +485,7 @@
             store: self.store.clone(),
             runtime: self.runtime.clone(),
             limits: self.config.limits,
-            pace: self.config.pace(usize::from(count)),
+            pace,
             call_limit: self.config.call_limit,
             suspicion: suspicion.clone(),
             metrics: self.config.metrics.clone(),
--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -99,13 +99,18 @@
     pub(super) store: sync::Arc<S>,
     pub(super) runtime: runtime::Handle,
     pub(super) limits: claim::log::Limits,
-    pub(super) pace: time::Duration,
+    pub(super) pace: sync::Arc<sync::Mutex<claim::pace::Pace>>,
     pub(super) call_limit: time::Duration,
     pub(super) suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
     pub(super) metrics: metrics::Metrics,
 }
 
 impl<S> Context<S> {
+    /// Returns the rate limit of this process.
+    pub(super) fn pace(&self) -> sync::MutexGuard<'_, claim::pace::Pace> {
+        self.pace.lock().expect("lock is not poisoned")
+    }
+
     /// Refuses a claim as not run.
     pub(super) fn refuse(
         &self,
@@ -135,7 +140,9 @@
         let Some(taken) = follower.handle(&context, command).await else {
             continue;
         };
+        context.pace().gain();
         let ended = owned::run(&context, &mut inbox, taken).await;
+        context.pace().lose();
         follower.lose(&context);
         match ended {
             owned::Ended::Sealed => {}
@@ -253,7 +260,7 @@
                     context.store.clone(),
                     taken.old,
                     Some(taken.base),
-                    context.pace,
+                    context.pace().interval(),
                     context.call_limit,
                 );
                 context.runtime.spawn(sweep);
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -71,7 +71,8 @@
     segments: Vec<sweep::Old>,
     doubt: sync::Arc<atomic::AtomicBool>,
     down: Option<(clock::Instant, unit::Period)>,
-    next_append: clock::Instant,
+    /// Time reserved for the next append.
+    slot: Option<clock::Instant>,
 }
 
 /// Serves the shard until it is lost or given up.
@@ -90,7 +91,7 @@
         segments: Vec::new(),
         doubt: sync::Arc::default(),
         down: None,
-        next_append: clock::Instant::now(),
+        slot: None,
     };
     owner.claim(start.grant, start.reply);
     let ended = owner.serve(inbox).await;
@@ -107,11 +108,12 @@
             if call.is_none() && self.log.wants_snapshot() && !self.snapshot().await {
                 return Ended::Sealed;
             }
-            if call.is_none() && clock::Instant::now() >= self.next_append {
+            let now = clock::Instant::now();
+            if call.is_none() && self.slot(now).is_some_and(|slot| slot <= now) {
+                self.slot = None;
                 call = self.begin();
             }
-            let due = call.is_none() && self.log.has_records();
-            let next = self.next_append;
+            let slot = self.slot.filter(|_| call.is_none());
             tokio::select! {
                 appended = in_flight(&mut call) => {
                     call = None;
@@ -119,7 +121,7 @@
                         return Ended::Sealed;
                     }
                 }
-                () = clock::sleep_until(next), if due => {}
+                () = clock::sleep_until(slot.unwrap_or(now)), if slot.is_some() => {}
                 command = inbox.recv() => match command {
                     None => return Ended::Closed,
                     Some(actor::Command::Claim { grant, reply, .. }) => self.claim(grant, reply),
@@ -136,6 +138,14 @@
         }
     }
 
+    /// Returns the time reserved for the next append, if anything waits for one.
+    fn slot(&mut self, now: clock::Instant) -> Option<clock::Instant> {
+        if self.slot.is_none() && self.log.has_records() {
+            self.slot = Some(self.context.pace().reserve(now));
+        }
+        self.slot
+    }
+
     /// Starts the next append with what has gathered, without those who no longer wait.
     fn begin(&mut self) -> Option<Call> {
         let waiting = &mut self.waiting;
@@ -150,7 +160,6 @@
         });
         let now = clock::Instant::now();
         let append = self.log.begin(now)?;
-        self.next_append = now + self.context.pace;
         if let record::Segment::Batch { records, .. } = &append.segment {
             self.flight = records.clone();
         }
@@ -317,7 +326,8 @@
             return true;
         }
         let old = mem::replace(&mut self.segments, parts);
-        let (store, pace) = (self.context.store.clone(), self.context.pace);
+        let store = self.context.store.clone();
+        let pace = self.context.pace().interval();
         let sweep = sweep::run(store, old, None, pace, self.context.call_limit);
         self.context.runtime.spawn(sweep);
         true
