--- a/laburnumcart/src/lanes.rs
+++ b/laburnumcart/src/lanes.rs
@@ -101,8 +101,8 @@
 
     /// Forgets lanes that were not used for long.
     ///
-    /// This is safe: a call of a forgotten lane is refused until `hello`, and no call is sent before
-    /// its `hello` was answered, so nothing under way in an old connection can open a session again.
+    /// This is safe: a call of a forgotten lane is refused until `hello`, and whichever session that
+    /// opens, nothing that an earlier one has sent is denied from then on.
     pub fn sweep(&mut self, now: time::Instant) {
         let idle = self.idle;
         self.lanes.retain(|_, lane| now - lane.seen < idle);
--- /dev/null
+++ b/laburnumcart/tests/lanes.rs
@@ -0,0 +1,102 @@
+//! Sessions of lanes and what they prove.
+
+use laburnumcart::{
+    id::Incarnation,
+    lanes::Lanes,
+    verdict::{
+        Reason,
+        Verdict, //
+    },
+};
+use rstest::rstest;
+use tokio::time::{
+    self,
+    Duration,
+    Instant, //
+};
+
+const IDLE: Duration = Duration::from_secs(600);
+const LANE: Incarnation = Incarnation(1);
+
+fn lanes(sessions: &[u64]) -> Lanes {
+    let mut lanes = Lanes::new(IDLE);
+    for number in sessions {
+        lanes.open(LANE, *number, Instant::now()).unwrap();
+    }
+    lanes
+}
+
+#[rstest]
+#[case::unknown_lane(&[], 1, false)]
+#[case::newest(&[1], 1, true)]
+#[case::older(&[1, 2], 1, false)]
+#[case::to_come(&[1], 2, false)]
+#[case::skipped(&[1, 5], 5, true)]
+#[tokio::test(start_paused = true)]
+async fn only_the_newest_session_may_call(
+    #[case] sessions: &[u64],
+    #[case] number: u64,
+    #[case] allowed: bool,
+) {
+    let checked = lanes(sessions).check(LANE, number, Instant::now());
+    assert_eq!(checked.is_ok(), allowed);
+    let refusal = checked.err();
+    assert!(refusal.is_none_or(|r| r.reason == Reason::Fenced && r.verdict == Verdict::NotRun));
+}
+
+/// A `hello` that was overtaken by a newer one, or comes twice, opens nothing.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[tokio::test(start_paused = true)]
+async fn sessions_only_go_up(#[case] number: u64) {
+    let mut lanes = lanes(&[2]);
+    assert!(lanes.open(LANE, number, Instant::now()).is_err());
+    assert!(lanes.check(LANE, 2, Instant::now()).is_ok());
+}
+
+#[rstest]
+#[case::fenced(&[1, 2], 1, Verdict::NotRun)]
+#[case::long_fenced(&[1, 2, 3], 1, Verdict::NotRun)]
+#[case::not_fenced(&[1], 1, Verdict::MayHaveRun)]
+#[case::older_than_the_agent(&[4, 5], 3, Verdict::MayHaveRun)]
+#[case::unknown_lane(&[], 1, Verdict::MayHaveRun)]
+#[tokio::test(start_paused = true)]
+async fn unknown_attempt(#[case] sessions: &[u64], #[case] sent: u64, #[case] verdict: Verdict) {
+    assert_eq!(lanes(sessions).doubt(LANE, sent), verdict);
+}
+
+/// The sender is told "may have run" of an attempt whose result was forgotten before it asked.
+/// Without the note of its session it would be told "not run" and run the request twice.
+#[tokio::test(start_paused = true)]
+async fn forgotten_result_is_not_denied() {
+    let mut lanes = lanes(&[1, 2, 3]);
+    lanes.forget(LANE, 2);
+    assert_eq!(lanes.doubt(LANE, 1), Verdict::MayHaveRun);
+    assert_eq!(lanes.doubt(LANE, 2), Verdict::MayHaveRun);
+    lanes.open(LANE, 4, Instant::now()).unwrap();
+    assert_eq!(lanes.doubt(LANE, 3), Verdict::NotRun);
+}
+
+/// A lane that was idle for long is forgotten; its old calls stay refused, and after the next
+/// `hello` nothing that went before is denied.
+#[tokio::test(start_paused = true)]
+async fn forgotten_lane_denies_nothing() {
+    let mut lanes = lanes(&[1, 2]);
+    time::advance(IDLE - Duration::from_millis(1)).await;
+    lanes.sweep(Instant::now());
+    assert_eq!(lanes.len(), 1);
+    lanes.check(LANE, 2, Instant::now()).unwrap();
+    time::advance(IDLE).await;
+    lanes.sweep(Instant::now());
+    assert!(lanes.is_empty());
+    assert!(lanes.check(LANE, 2, Instant::now()).is_err());
+    lanes.open(LANE, 3, Instant::now()).unwrap();
+    assert_eq!(lanes.doubt(LANE, 2), Verdict::MayHaveRun);
+    // An old `hello` that comes out of a connection after the lane was forgotten.
+    time::advance(IDLE).await;
+    lanes.sweep(Instant::now());
+    lanes.open(LANE, 1, Instant::now()).unwrap();
+    lanes.open(LANE, 4, Instant::now()).unwrap();
+    assert_eq!(lanes.doubt(LANE, 4), Verdict::MayHaveRun);
+}
--- a/laburnumcart_wire/src/lane.rs
+++ b/laburnumcart_wire/src/lane.rs
@@ -5,9 +5,9 @@
 //! of the lane, so that a call which it has not seen by then can never start: "unknown" is a proof
 //! of "not run", with two numbers of state a lane.
 //!
-//! Two rules bind the caller. It sends nothing over a connection before `hello` was answered over it;
-//! else a late `hello` could open a session for the call behind it. And it asks about an attempt only
-//! over a newer session than the one that carried it.
+//! The caller sends nothing over a connection before `hello` was answered over it, as it would be
+//! refused. It asks about an attempt only over a newer session than the one that carried it: the
+//! agent works on the calls of one connection at once, so that the question can overtake the call.
 
 use serde::{
     Deserialize,
