--- a/laburnumcart/src/lanes.rs
+++ b/laburnumcart/src/lanes.rs
@@ -26,6 +26,9 @@
     verdict, //
 };
 
+/// Sessions remembered of a lane; a sender asks soon after it has lost a connection.
+const WHOLE_MAX: usize = 16;
+
 /// Newest session of each lane.
 #[derive(Debug)]
 pub struct Lanes {
@@ -37,8 +40,9 @@
 struct Lane {
     /// Newest session; older ones are fenced.
     number: u64,
-    /// First session of which no executed attempt was forgotten before it was acknowledged.
-    since: u64,
+    /// Sessions that were opened here, and of which no attempt that may have run was forgotten
+    /// unacknowledged; in order, at most [`WHOLE_MAX`].
+    whole: Vec<u64>,
     seen: time::Instant,
 }
 
@@ -60,12 +64,9 @@
         number: u64,
         now: time::Instant,
     ) -> Result<(), verdict::Refusal> {
-        // Attempts that an unknown lane sent earlier could have run and been forgotten with the
-        // lane, or have run at another agent at the same address; hence only what this session and
-        // later ones send is known to the end.
         let known = self.lanes.entry(lane).or_insert(Lane {
             number: 0,
-            since: number,
+            whole: Vec::new(),
             seen: now,
         });
         if number <= known.number {
@@ -73,6 +74,14 @@
         }
         known.number = number;
         known.seen = now;
+        // Sessions that were not opened here say nothing. Their attempts may have run and been
+        // forgotten with the lane, or have run at another agent at the same address. A lower bound
+        // in place of the list would be wrong: after the lane was forgotten, an old `hello` that
+        // was still under way could set it too low.
+        known.whole.push(number);
+        if known.whole.len() > WHOLE_MAX {
+            known.whole.remove(0);
+        }
         Ok(())
     }
 
@@ -95,7 +104,7 @@
     /// Notes that an attempt of session `sent` which may have run was forgotten unacknowledged.
     pub fn forget(&mut self, lane: id::Incarnation, sent: u64) {
         if let Some(known) = self.lanes.get_mut(&lane) {
-            known.since = known.since.max(sent + 1);
+            known.whole.retain(|session| *session != sent);
         }
     }
 
@@ -111,7 +120,9 @@
     /// Returns what is proven about an attempt of the fenced session `sent` that is not in the table.
     pub fn doubt(&self, lane: id::Incarnation, sent: u64) -> verdict::Verdict {
         match self.lanes.get(&lane) {
-            Some(known) if (known.since..known.number).contains(&sent) => verdict::Verdict::NotRun,
+            Some(known) if sent < known.number && known.whole.contains(&sent) => {
+                verdict::Verdict::NotRun
+            }
             _ => verdict::Verdict::MayHaveRun,
         }
     }
--- a/laburnumcart_wire/src/lane.rs
+++ b/laburnumcart_wire/src/lane.rs
@@ -3,7 +3,7 @@
 //! A connection can go silent for good while bytes of it are still under way. The caller then opens
 //! a new one with the next session number. The agent refuses every call that names an older session
 //! of the lane, so that a call which it has not seen by then can never start: "unknown" is a proof
-//! of "not run", with two numbers of state a lane.
+//! of "not run", with a few numbers of state a lane.
 //!
 //! The caller sends nothing over a connection before `hello` was answered over it, as it would be
 //! refused. It asks about an attempt only over a newer session than the one that carried it: the
