--- a/laburnumcart_fakes/src/target/engine.rs
+++ b/laburnumcart_fakes/src/target/engine.rs
@@ -1,8 +1,11 @@
 //! A call of a model engine: one sequence in the batch, streamed token by token.
 
 use std::{
+    future,
+    io,
     sync,
-    time, //
+    time,
+    vec, //
 };
 
 use bytes::Bytes;
@@ -139,7 +142,7 @@
     running: Running,
     _permit: gate::Permit,
     gate: sync::Arc<gate::Gate>,
-    pieces: std::vec::IntoIter<String>,
+    pieces: vec::IntoIter<String>,
     tokens: usize,
     prefill: Option<time::Duration>,
     /// Pieces after which the sequence fails.
@@ -158,7 +161,7 @@
     };
     let running = Running::start(core, &call);
     if core.provoke(&call.raw) {
-        return std::future::pending().await;
+        return future::pending().await;
     }
     let fails = core.fails();
     if fails && core.behaviour.borrow().fail_fast {
@@ -204,7 +207,7 @@
 
 impl Sequence {
     /// Returns the event stream of the sequence; it has no end event if it was cut off.
-    pub(super) fn events(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+    pub(super) fn events(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
         stream::unfold(self, |mut sequence| async {
             let event = sequence.next().await?;
             Some((Ok(Bytes::from(event)), sequence))
--- a/laburnumcart_fakes/src/target/pool.rs
+++ b/laburnumcart_fakes/src/target/pool.rs
@@ -1,6 +1,10 @@
 //! A call of a pool or plain service.
 
-use std::sync;
+use std::{
+    future,
+    sync,
+    time, //
+};
 
 use tokio::time::Instant;
 
@@ -35,12 +39,12 @@
     };
     let running = engine::Running::start(core, &call);
     if core.provoke(&call.raw) {
-        return std::future::pending().await;
+        return future::pending().await;
     }
     let start = Instant::now();
     let fails = core.fails();
     let mean = match fails {
-        true if core.behaviour.borrow().fail_fast => std::time::Duration::ZERO,
+        true if core.behaviour.borrow().fail_fast => time::Duration::ZERO,
         true => core.settings.service / 2,
         false => core.settings.service,
     };
