--- a/laburnumcart_platform/src/client/metrics.rs
+++ b/laburnumcart_platform/src/client/metrics.rs
@@ -1,9 +1,14 @@
 //! Counters of the calls to the object service.
 
-use std::sync::atomic;
+use std::{
+    fmt,
+    sync::atomic, //
+};
 
+use derive_more::Display;
 use prometheus_client::{
     encoding::{
+        self,
         EncodeLabelSet,
         EncodeLabelValue, //
     },
@@ -18,7 +23,8 @@
 use crate::store;
 
 /// Kind of a call.
-#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "lowercase")]
 pub(super) enum Kind {
     Get,
     Put,
@@ -28,7 +34,8 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "lowercase")]
 enum Outcome {
     Done,
     Conflict,
@@ -38,6 +45,18 @@
     Invalid,
 }
 
+impl EncodeLabelValue for Kind {
+    fn encode(&self, encoder: &mut encoding::LabelValueEncoder<'_>) -> fmt::Result {
+        EncodeLabelValue::encode(&self.to_string(), encoder)
+    }
+}
+
+impl EncodeLabelValue for Outcome {
+    fn encode(&self, encoder: &mut encoding::LabelValueEncoder<'_>) -> fmt::Result {
+        EncodeLabelValue::encode(&self.to_string(), encoder)
+    }
+}
+
 #[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Labels {
     kind: Kind,
