Leave out a tolerance of the limit that does nothing

A seeded fault that removed the three standard errors from the tolerance survived: the one added to the least latency is enough.

--- a/laburnumcart/src/limit.rs
+++ b/laburnumcart/src/limit.rs
@@ -20,12 +20,6 @@
 /// Factor for a batch in which the target refused calls.
 const REFUSED: f64 = 0.8;
 
-/// Standard errors by which batches may differ beside that.
-///
-/// The least of many batches is the lower, the more they differ by chance. Without regard to it,
-/// the limit fell to 6 of 64 where service times were exponentially distributed.
-const NOISE: f64 = 3.0;
-
 /// Samples of a batch, for each call that the limit allows.
 const ROUNDS: usize = 4;
 
@@ -150,11 +144,12 @@
     fn close(&mut self, now: Instant) {
         let (typical, error) = typical(&mut self.batch);
         let saturated = 2 * self.used >= self.batch.len();
-        // A small batch that was fast by luck must not be what all others are held against.
+        // A batch that was fast by luck must not be what all others are held against. The least of
+        // many is the lower, the more they differ by chance, and the usual one looks congested.
         let base = typical.mul_f64(1.0 + error);
         self.least = Some(self.least.map_or(base, |least| least.min(base)));
         if !self.search(typical, saturated) {
-            self.step(typical, error, saturated);
+            self.step(typical, saturated);
             self.rotate(typical, saturated, now);
         }
         self.batch.clear();
@@ -162,14 +157,13 @@
         self.refused = false;
     }
 
-    fn step(&mut self, typical: time::Duration, error: f64, saturated: bool) {
+    fn step(&mut self, typical: time::Duration, saturated: bool) {
         // Room that was not used says nothing of a higher limit, and slowness then has other causes.
         if !saturated {
             return;
         }
         let base = self.base().unwrap_or(typical).as_secs_f64();
-        let tolerance = TOLERANCE + NOISE * error;
-        let ratio = tolerance * base / typical.as_secs_f64().max(f64::MIN_POSITIVE);
+        let ratio = TOLERANCE * base / typical.as_secs_f64().max(f64::MIN_POSITIVE);
         let gradient = ratio.clamp(GRADIENT_MIN, 1.0);
         let growth = if self.refused { 0.0 } else { self.value.sqrt() };
         self.value = (self.value * gradient + growth).max(1.0);
