Give back the claim of a caller that hung up, and refuse behind doubt

A dropped claim stayed in the log for its retention although nothing ran under it. Claims that had gathered behind an append without an answer waited out their deadlines although they were provably in no append.

--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -200,6 +200,26 @@
     suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
 }
 
+/// A claim whose asker has not heard the decision; gives the claim back when it is dropped.
+///
+/// The caller may hang up, or its deadline pass, while the append is on its way. The request never
+/// runs then, and a claim that stayed behind would answer each resend with "may have run".
+struct Undecided<S: store::Store, P: Peers> {
+    service: Option<sync::Arc<Service<S, P>>>,
+    ask: Ask,
+}
+
+impl<S: store::Store, P: Peers> Drop for Undecided<S, P> {
+    fn drop(&mut self) {
+        let Some(service) = self.service.take() else {
+            return;
+        };
+        let (key, request) = (self.ask.key, self.ask.request);
+        let runtime = service.runtime.clone();
+        runtime.spawn(async move { service.release(key, request).await });
+    }
+}
+
 /// Claims and releases, wherever their shards are owned.
 #[derive(Debug)]
 pub struct Service<S, P> {
@@ -232,18 +252,20 @@
         ask: Ask,
         deadline: clock::Instant,
     ) -> entry::Decision {
+        let mut undecided = Undecided {
+            service: Some(self.clone()),
+            ask,
+        };
         let decided = clock::timeout_at(deadline, self.decide(&ask)).await;
-        match decided {
-            Ok(entry::Decision::Taken { content, .. }) if content != ask.content => {
+        let Ok(decision) = decided else {
+            return refused(verdict::Reason::ClaimUnavailable, Some(RETRY));
+        };
+        undecided.service = None;
+        match decision {
+            entry::Decision::Taken { content, .. } if content != ask.content => {
                 refused(verdict::Reason::KeyReused, None)
             }
-            Ok(decision) => decision,
-            Err(_) => {
-                let service = self.clone();
-                self.runtime
-                    .spawn(async move { service.release(ask.key, ask.request).await });
-                refused(verdict::Reason::ClaimUnavailable, Some(RETRY))
-            }
+            decision => decision,
         }
     }
 
--- a/laburnumcart_entry/src/claims/append.rs
+++ b/laburnumcart_entry/src/claims/append.rs
@@ -1,11 +1,11 @@
 //! One write to the log whose outcome is known in the end.
 
-use std::{
-    sync::atomic,
-    time, //
-};
+use std::time;
 
-use tokio::time as clock;
+use tokio::{
+    sync::watch,
+    time as clock, //
+};
 
 use laburnumcart::{
     claim::record,
@@ -47,7 +47,7 @@
     key: &str,
     segment: &record::Segment,
     limit: time::Duration,
-    doubt: &atomic::AtomicBool,
+    doubt: &watch::Sender<bool>,
 ) -> Appended {
     let value = serde_json::to_string(segment).expect("segments serialize");
     loop {
@@ -60,12 +60,12 @@
                 }
             }
             Err(store::Failure::Unanswered) => {}
-            Err(failure) if !doubt.load(atomic::Ordering::Relaxed) => {
+            Err(failure) if !*doubt.borrow() => {
                 return Appended::Refused(retry(&failure));
             }
             Err(_) => {}
         }
-        if !doubt.swap(true, atomic::Ordering::Relaxed) {
+        if !doubt.send_replace(true) {
             continue;
         }
         clock::sleep(SETTLE_PAUSE).await;
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -1,19 +1,19 @@
 //! The task of a shard while this process owns it.
 
 use std::{
-    collections, mem, pin,
-    sync::{
-        self,
-        atomic, //
-    },
+    collections,
+    mem,
+    pin,
+    sync, //
 };
 
 use tokio::{
     sync::{
         mpsc,
-        oneshot, //
+        oneshot,
+        watch, //
     },
-    time as clock,
+    time as clock, //
 };
 
 use laburnumcart::{
@@ -69,7 +69,8 @@
     releases: collections::BTreeMap<log::Batch, Vec<oneshot::Sender<actor::Released>>>,
     flight: Vec<record::Record>,
     segments: Vec<sweep::Old>,
-    doubt: sync::Arc<atomic::AtomicBool>,
+    /// Whether an append has had no answer and is being settled.
+    doubt: sync::Arc<watch::Sender<bool>>,
     down: Option<(clock::Instant, unit::Period)>,
     /// Time reserved for the next append.
     slot: Option<clock::Instant>,
@@ -89,7 +90,7 @@
         releases: collections::BTreeMap::new(),
         flight: Vec::new(),
         segments: Vec::new(),
-        doubt: sync::Arc::default(),
+        doubt: sync::Arc::new(watch::Sender::new(false)),
         down: None,
         slot: None,
     };
@@ -104,6 +105,7 @@
 impl<S: store::Store> Owner<'_, S> {
     async fn serve(&mut self, inbox: &mut mpsc::Receiver<actor::Command>) -> Ended {
         let mut call: Option<Call> = None;
+        let mut doubt = self.doubt.subscribe();
         loop {
             if call.is_none() && self.log.wants_snapshot() && !self.snapshot().await {
                 return Ended::Sealed;
@@ -121,6 +123,11 @@
                         return Ended::Sealed;
                     }
                 }
+                Ok(()) = doubt.changed() => {
+                    if *doubt.borrow_and_update() {
+                        self.refuse_gathered();
+                    }
+                }
                 () = clock::sleep_until(slot.unwrap_or(now)), if slot.is_some() => {}
                 command = inbox.recv() => match command {
                     None => return Ended::Closed,
@@ -183,7 +190,7 @@
             return self.context.refuse(reply, reason, retry);
         }
         // Behind an append without an answer there is no telling how long a claim would wait.
-        if self.doubt.load(atomic::Ordering::Relaxed) {
+        if *self.doubt.borrow() {
             let reason = verdict::Reason::ClaimUnavailable;
             return self.context.refuse(reply, reason, claims::RETRY);
         }
@@ -230,7 +237,7 @@
 
     /// Takes the outcome of the append in flight; `false` when the shard is lost.
     fn settle(&mut self, appended: append::Appended) -> bool {
-        if self.doubt.swap(false, atomic::Ordering::Relaxed) {
+        if self.doubt.send_replace(false) {
             self.context.metrics.unanswered.inc();
         }
         match appended {
@@ -291,6 +298,21 @@
         self.answer_releases(false);
     }
 
+    /// Refuses what is in no append, as one before it has had no answer.
+    fn refuse_gathered(&mut self) {
+        self.log.withdraw(|_, _| false);
+        let sent = |record: &record::Record| (record.key(), record.request());
+        let sent: collections::HashSet<_> = self.flight.iter().map(sent).collect();
+        let gathered = self.waiting.extract_if(|claim, _| !sent.contains(claim));
+        let gathered: Vec<_> = gathered.flat_map(|(_, replies)| replies).collect();
+        let parked = mem::take(&mut self.parked);
+        let parked = parked.into_iter().map(|(_, reply)| reply);
+        for reply in gathered.into_iter().chain(parked) {
+            let reason = verdict::Reason::ClaimUnavailable;
+            self.context.refuse(reply, reason, claims::RETRY);
+        }
+    }
+
     fn answer_releases(&mut self, recorded: bool) {
         let settled = self.log.settled();
         let later = self.releases.split_off(&settled);
@@ -320,7 +342,7 @@
                     break;
                 }
             }
-            self.doubt.store(false, atomic::Ordering::Relaxed);
+            self.doubt.send_replace(false);
         }
         if parts.is_empty() {
             return true;
--- a/laburnumcart_entry/src/claims/takeover.rs
+++ b/laburnumcart_entry/src/claims/takeover.rs
@@ -1,11 +1,11 @@
 //! Taking a shard over, without a lease and without a clock.
 
-use std::{
-    sync::atomic,
-    time, //
-};
+use std::time;
 
-use tokio::time as clock;
+use tokio::{
+    sync::watch,
+    time as clock, //
+};
 
 use laburnumcart::claim::{
     self,
@@ -247,7 +247,7 @@
     plan: &Plan,
     log: &mut log::Log,
 ) -> Result<bool, store::Failure> {
-    let doubt = atomic::AtomicBool::new(false);
+    let doubt = watch::Sender::new(false);
     for (number, segment) in log.snapshot(clock::Instant::now()) {
         let key = record::segment_key(plan.shard, log.epoch(), number);
         match append::append(store, &key, &segment, plan.call_limit, &doubt).await {
--- a/laburnumcart_entry/tests/claims.rs
+++ b/laburnumcart_entry/tests/claims.rs
@@ -211,6 +211,55 @@
     assert_eq!(claim(&a, ask(7, 3)).await, Decision::Granted);
 }
 
+/// The object service stops answering without refusing. The claim that is on its way stays open,
+/// but those that gather behind it are told "not run" once it is in doubt, long before their
+/// deadlines, and later ones at once.
+#[tokio::test(start_paused = true)]
+async fn claims_behind_a_silent_append_are_refused() {
+    let mut world = World::new();
+    let (a, gate) = world.start(1);
+    assert_eq!(claim(&a, ask(1, 1)).await, Decision::Granted);
+    gate.hold(Some("claims/"));
+    let first = tokio::spawn({
+        let a = a.clone();
+        async move { claim(&a, ask(2, 2)).await }
+    });
+    clock::sleep(SECOND / 10).await;
+    let start = clock::Instant::now();
+    let unavailable = verdict::Reason::ClaimUnavailable;
+    assert_eq!(refusal(&claim(&a, ask(3, 3)).await).reason, unavailable);
+    assert!(start.elapsed() < 3 * SECOND);
+    let start = clock::Instant::now();
+    assert_eq!(refusal(&claim(&a, ask(4, 4)).await).reason, unavailable);
+    assert!(start.elapsed() < SECOND / 20);
+    gate.hold(None);
+    assert_eq!(first.await.unwrap(), Decision::Granted);
+    assert_eq!(claim(&a, ask(3, 5)).await, Decision::Granted);
+}
+
+/// The caller hangs up while its claim is on its way to the log. The claim must not stay behind:
+/// nothing will run under it, and a resend would be told for an hour that it may have run.
+#[rstest]
+#[case::at_the_owner(1)]
+#[case::elsewhere(2)]
+#[tokio::test(start_paused = true)]
+async fn claim_of_a_caller_that_hung_up_is_given_back(#[case] number: u16) {
+    let mut world = World::new();
+    let (a, _) = world.start(1);
+    let (b, _) = world.start(2);
+    let asker = if number == 1 { &a } else { &b };
+    assert_eq!(claim(asker, ask(1, 1)).await, Decision::Granted);
+    world.memory.set_faults(memory::Faults {
+        slow: unit::Period::from_millis(500),
+        ..memory::Faults::default()
+    });
+    let hung_up = clock::timeout(SECOND / 5, claim(asker, ask(7, 2))).await;
+    assert!(hung_up.is_err());
+    world.memory.set_faults(memory::Faults::default());
+    clock::sleep(3 * SECOND).await;
+    assert_eq!(claim(&a, ask(7, 3)).await, Decision::Granted);
+}
+
 /// A request that found no target gives its claim back, and the caller's next try is granted. A
 /// release by any other request changes nothing.
 #[tokio::test(start_paused = true)]
