--- a/laburnumcart_entry/tests/claims/support.rs
+++ b/laburnumcart_entry/tests/claims/support.rs
@@ -121,7 +121,10 @@
         addr: net::SocketAddr,
         claim: entry::Claim,
     ) -> Result<entry::Decision, claims::Unreachable> {
-        Ok(self.reach(addr)?.serve(claim).await)
+        // The callee goes on when its caller has hung up.
+        let entry = self.reach(addr)?;
+        let serve = tokio::spawn(async move { entry.serve(claim).await });
+        serve.await.map_err(|_| claims::Unreachable)
     }
 
     async fn release(
