--- a/laburnumcart/src/claim/log.rs
+++ b/laburnumcart/src/claim/log.rs
@@ -39,7 +39,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            claims: 20_000,
+            claims: 60_000,
             segments: 256,
         }
     }
--- a/laburnumcart_entry/examples/claims_bench.rs
+++ b/laburnumcart_entry/examples/claims_bench.rs
@@ -19,7 +19,12 @@
 };
 
 use laburnumcart::{
-    claim,
+    claim::{
+        self,
+        log,
+        record,
+        table, //
+    },
     id,
     unit, //
 };
@@ -46,11 +51,17 @@
 const RATES: [u64; 3] = [10, 100, 600];
 
 /// Measured seconds of a run, and unmeasured ones before it.
-const RUN: (u64, u64) = (5, 2);
+const RUN: (u64, u64) = (5, 4);
 
 /// Runs of each way at each rate.
 const ROUNDS: usize = 2;
 
+/// Segments between two snapshots; few, so that a run sees the deletions of the long run.
+const SEGMENTS: u64 = 32;
+
+/// Claims in the table whose size is measured.
+const TABLE: u64 = 140_000;
+
 /// Entries, over which the claims are spread.
 const ENTRIES: u16 = 3;
 
@@ -61,6 +72,7 @@
     window: sync::Mutex<Option<(clock::Instant, u64)>>,
     writes: atomic::AtomicU64,
     refused: atomic::AtomicU64,
+    deletes: atomic::AtomicU64,
 }
 
 impl Limited {
@@ -108,6 +120,7 @@
     async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
         self.delay().await;
         self.admit()?;
+        self.deletes.fetch_add(1, atomic::Ordering::Relaxed);
         self.memory.delete(key, version).await
     }
 
@@ -186,7 +199,7 @@
     fn new(way: Way, store: &sync::Arc<Limited>) -> Self {
         let (rate, shards) = match way {
             Way::PerKey => return Self::PerKey(store.clone()),
-            Way::Log(shards) => (unit::Rate(200.0), shards),
+            Way::Log(shards) => (unit::Rate(250.0), shards),
             Way::LogUnpaced(shards) => (unit::Rate(1e6), shards),
         };
         let peers = Peers::default();
@@ -197,6 +210,7 @@
             let service = claims::Builder::new(claim::Holder { addr, incarnation })
                 .write_rate(rate)
                 .shards(shards)
+                .segments(SEGMENTS)
                 .start(store.clone(), sync::Arc::new(peers.clone()));
             service.set_live(live.clone());
             let mut entries = peers.0.lock().expect("lock is not poisoned");
@@ -239,6 +253,7 @@
     offered: usize,
     writes: u64,
     refused_writes: u64,
+    deletes: u64,
     micros: Vec<u128>,
 }
 
@@ -255,10 +270,11 @@
         self.micros.sort_unstable();
         let granted = self.micros.len();
         println!(
-            "{way:?} rate={rate}/s offered={} granted={granted} writes={} refused_writes={} \
-             writes_per_claim={:.2} p50={:.1}ms p99={:.1}ms",
+            "{way:?} rate={rate}/s offered={} granted={granted} writes={} deletes={} \
+             refused_writes={} writes_per_claim={:.2} p50={:.1}ms p99={:.1}ms",
             self.offered,
             self.writes,
+            self.deletes,
             self.refused_writes,
             self.writes as f64 / granted as f64,
             self.quantile(0.5),
@@ -294,15 +310,62 @@
     offer(&maker, rate.max(50), RUN.1).await;
     let before = store.writes.load(atomic::Ordering::Relaxed);
     let refused = store.refused.load(atomic::Ordering::Relaxed);
+    let deletes = store.deletes.load(atomic::Ordering::Relaxed);
     let done = offer(&maker, rate, RUN.0).await;
     outcome.offered += done.len();
     outcome.writes += store.writes.load(atomic::Ordering::Relaxed) - before;
+    outcome.deletes += store.deletes.load(atomic::Ordering::Relaxed) - deletes;
     outcome.refused_writes += store.refused.load(atomic::Ordering::Relaxed) - refused;
     outcome.micros.extend(done.into_iter().flatten());
 }
 
+/// Returns the resident memory of this process in bytes.
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+/// Prints what a claim takes in its owner's memory and in a snapshot.
+fn print_sizes() {
+    let now = clock::Instant::now();
+    let before = resident();
+    let mut table = table::Table::default();
+    for number in 0..TABLE {
+        let grant = record::Grant {
+            key: id::Fingerprint(rand::random()),
+            content: id::Fingerprint(rand::random()),
+            request: id::RequestId(rand::random()),
+            holder: claim::Holder {
+                addr: net::SocketAddr::from(([10, 0, 0, 1], 7000)),
+                incarnation: id::Incarnation(number),
+            },
+            keep: unit::Period::from_secs(3600),
+            age: unit::Period::default(),
+        };
+        table.insert(grant, now);
+    }
+    let memory = resident() - before;
+    let later = now + time::Duration::from_micros(1_234_567_891);
+    let part: Vec<_> = table.grants(later).take(log::PART_MAX).collect();
+    let segment = record::Segment::Snapshot {
+        at: unit::Period::default(),
+        first: 0,
+        last: true,
+        grants: part,
+    };
+    let text = serde_json::to_string(&segment).expect("segments serialize");
+    println!(
+        "claims={} memory_per_claim={}B snapshot_per_claim={}B",
+        table.len(),
+        memory / TABLE,
+        text.len() / log::PART_MAX
+    );
+}
+
 #[tokio::main]
 async fn main() {
+    print_sizes();
     let ways = [Way::PerKey, Way::Log(16), Way::Log(4), Way::LogUnpaced(16)];
     for rate in RATES {
         let mut outcomes = ways.map(|way| (way, Outcome::default()));
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -118,7 +118,7 @@
         Self {
             me,
             shards: 16,
-            write_rate: unit::Rate(200.0),
+            write_rate: unit::Rate(250.0),
             limits: log::Limits::default(),
             call_limit: time::Duration::from_secs(2),
             serve_limit: time::Duration::from_secs(5),
@@ -134,7 +134,8 @@
         self
     }
 
-    /// Sets the appends a second that all shards together may make; batches gather meanwhile.
+    /// Sets the writes a second that all shards together may make, appends and deletions;
+    /// batches gather meanwhile.
     #[must_use]
     pub fn write_rate(mut self, rate: unit::Rate) -> Self {
         self.write_rate = rate;
--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -208,7 +208,7 @@
             }
             Err(failure) => {
                 let retry = append::retry(&failure).unwrap_or(claims::RETRY);
-                self.down = Some((clock::Instant::now() + DOWN, retry));
+                self.down = Some((clock::Instant::now() + DOWN.min(retry.0), retry));
                 context.refuse(reply, verdict::Reason::ClaimUnavailable, retry);
                 None
             }
@@ -260,7 +260,7 @@
                     context.store.clone(),
                     taken.old,
                     Some(taken.base),
-                    context.pace().interval(),
+                    context.pace.clone(),
                     context.call_limit,
                 );
                 context.runtime.spawn(sweep);
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -287,7 +287,7 @@
         self.log.rejected();
         self.log.withdraw(|_, _| false);
         self.flight.clear();
-        self.down = Some((clock::Instant::now() + actor::DOWN, retry));
+        self.down = Some((clock::Instant::now() + actor::DOWN.min(retry.0), retry));
         let waiting = mem::take(&mut self.waiting);
         let parked = mem::take(&mut self.parked);
         let parked = parked.into_iter().map(|(_, reply)| reply);
@@ -349,7 +349,7 @@
         }
         let old = mem::replace(&mut self.segments, parts);
         let store = self.context.store.clone();
-        let pace = self.context.pace().interval();
+        let pace = self.context.pace.clone();
         let sweep = sweep::run(store, old, None, pace, self.context.call_limit);
         self.context.runtime.spawn(sweep);
         true
--- a/laburnumcart_entry/src/claims/sweep.rs
+++ b/laburnumcart_entry/src/claims/sweep.rs
@@ -7,7 +7,10 @@
 
 use tokio::time as clock;
 
-use laburnumcart::claim::record;
+use laburnumcart::claim::{
+    pace,
+    record, //
+};
 use laburnumcart_platform::store;
 
 use crate::claims::append;
@@ -32,18 +35,22 @@
     pub(super) version: store::Version,
 }
 
-/// Deletes what is old, one object each `pace`, then moves the base of the head.
+/// Deletes what is old, then moves the base of the head.
+///
+/// A deletion is a write as an append is, so it takes a slot of the same rate limit.
 ///
 /// Stops at the first failure: what is left lies within the base and is found by the next owner.
 pub(super) async fn run<S: store::Store>(
     store: sync::Arc<S>,
     old: Vec<Old>,
     base: Option<Base>,
-    pace: time::Duration,
+    pace: sync::Arc<sync::Mutex<pace::Pace>>,
     limit: time::Duration,
 ) {
     for object in old {
-        clock::sleep(pace).await;
+        let now = clock::Instant::now();
+        let slot = pace.lock().expect("lock is not poisoned").reserve(now);
+        clock::sleep_until(slot).await;
         let call = store.delete(&object.key, object.version);
         if append::bounded(limit, call).await.is_err() {
             return;
