--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -9,6 +9,7 @@
 pub mod metrics;
 mod owned;
 pub mod resend;
+mod settings;
 mod sweep;
 mod takeover;
 
@@ -36,7 +37,6 @@
 use laburnumcart::{
     claim::{
         self,
-        log,
         pace,
         record,
         route, //
@@ -48,6 +48,8 @@
 use laburnumcart_platform::store;
 use laburnumcart_wire::entry;
 
+pub use settings::Builder;
+
 /// Time after which a refused claim is worth a new try, when nothing better is known.
 pub const RETRY: unit::Period = unit::Period::from_secs(1);
 
@@ -99,101 +101,6 @@
     pub retention: unit::Period,
 }
 
-/// Settings of the service.
-#[derive(Clone, Debug)]
-pub struct Builder {
-    me: claim::Holder,
-    shards: u16,
-    write_rate: unit::Rate,
-    limits: log::Limits,
-    call_limit: time::Duration,
-    serve_limit: time::Duration,
-    patience: route::Patience,
-    metrics: metrics::Metrics,
-}
-
-impl Builder {
-    /// Creates the settings for the process `me`.
-    pub fn new(me: claim::Holder) -> Self {
-        Self {
-            me,
-            shards: 16,
-            write_rate: unit::Rate(250.0),
-            limits: log::Limits::default(),
-            call_limit: time::Duration::from_secs(2),
-            serve_limit: time::Duration::from_secs(5),
-            patience: route::Patience::default(),
-            metrics: metrics::Metrics::default(),
-        }
-    }
-
-    /// Sets the number of shards, which counts only if no process has fixed it before.
-    #[must_use]
-    pub fn shards(mut self, shards: u16) -> Self {
-        self.shards = shards.max(1);
-        self
-    }
-
-    /// Sets the writes a second that all shards together may make, appends and deletions;
-    /// batches gather meanwhile.
-    #[must_use]
-    pub fn write_rate(mut self, rate: unit::Rate) -> Self {
-        self.write_rate = rate;
-        self
-    }
-
-    /// Sets the most claims held for one shard; more are refused as not run.
-    #[must_use]
-    pub fn limit(mut self, limit: usize) -> Self {
-        self.limits.claims = limit;
-        self
-    }
-
-    /// Sets the fewest segments of a shard's log between two snapshots.
-    #[must_use]
-    pub fn segments(mut self, segments: u64) -> Self {
-        self.limits.segments = segments.max(1);
-        self
-    }
-
-    /// Sets the longest wait for one call of the object service.
-    #[must_use]
-    pub fn call_limit(mut self, limit: time::Duration) -> Self {
-        self.call_limit = limit;
-        self
-    }
-
-    /// Sets when an owner that cannot be reached is replaced.
-    #[must_use]
-    pub fn patience(mut self, patience: route::Patience) -> Self {
-        self.patience = patience;
-        self
-    }
-
-    /// Sets the counters to count on.
-    #[must_use]
-    pub fn metrics(mut self, metrics: metrics::Metrics) -> Self {
-        self.metrics = metrics;
-        self
-    }
-
-    /// Starts the service on the current runtime.
-    pub fn start<S: store::Store, P: Peers>(
-        self,
-        store: sync::Arc<S>,
-        peers: sync::Arc<P>,
-    ) -> sync::Arc<Service<S, P>> {
-        sync::Arc::new(Service {
-            config: self,
-            store,
-            peers,
-            runtime: runtime::Handle::current(),
-            live: sync::RwLock::default(),
-            shards: OnceCell::new(),
-        })
-    }
-}
-
 /// Access to the task of one shard.
 #[derive(Debug)]
 struct Shard {
@@ -233,6 +140,17 @@
 }
 
 impl<S: store::Store, P: Peers> Service<S, P> {
+    fn new(config: Builder, store: sync::Arc<S>, peers: sync::Arc<P>) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
+            config,
+            store,
+            peers,
+            runtime: runtime::Handle::current(),
+            live: sync::RwLock::default(),
+            shards: OnceCell::new(),
+        })
+    }
+
     /// Sets the peer addresses of the live entries, over which ownership spreads.
     pub fn set_live(&self, live: Vec<net::SocketAddr>) {
         *self.live.write().expect("lock is not poisoned") = live;
@@ -487,7 +405,7 @@
     async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
         let count = takeover::shards(&*self.store, self.config.shards).await?;
         if count != self.config.shards {
-            ::log::warn!(
+            log::warn!(
                 "event=claim-shards-kept stored={count} configured={}",
                 self.config.shards
             );
--- /dev/null
+++ b/laburnumcart_entry/src/claims/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of the claim service.
+
+use std::{
+    sync,
+    time, //
+};
+
+use laburnumcart::{
+    claim::{
+        self,
+        log,
+        route, //
+    },
+    unit, //
+};
+use laburnumcart_platform::store;
+
+use crate::claims::{
+    self,
+    metrics, //
+};
+
+/// Settings of the service.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    pub(super) me: claim::Holder,
+    pub(super) shards: u16,
+    pub(super) write_rate: unit::Rate,
+    pub(super) limits: log::Limits,
+    pub(super) call_limit: time::Duration,
+    pub(super) serve_limit: time::Duration,
+    pub(super) patience: route::Patience,
+    pub(super) metrics: metrics::Metrics,
+}
+
+impl Builder {
+    /// Creates the settings for the process `me`.
+    pub fn new(me: claim::Holder) -> Self {
+        Self {
+            me,
+            shards: 16,
+            write_rate: unit::Rate(250.0),
+            limits: log::Limits::default(),
+            call_limit: time::Duration::from_secs(2),
+            serve_limit: time::Duration::from_secs(5),
+            patience: route::Patience::default(),
+            metrics: metrics::Metrics::default(),
+        }
+    }
+
+    /// Sets the number of shards, which counts only if no process has fixed it before.
+    #[must_use]
+    pub fn shards(mut self, shards: u16) -> Self {
+        self.shards = shards.max(1);
+        self
+    }
+
+    /// Sets the writes a second that all shards together may make, appends and deletions;
+    /// batches gather meanwhile.
+    #[must_use]
+    pub fn write_rate(mut self, rate: unit::Rate) -> Self {
+        self.write_rate = rate;
+        self
+    }
+
+    /// Sets the most claims held for one shard; more are refused as not run.
+    #[must_use]
+    pub fn limit(mut self, limit: usize) -> Self {
+        self.limits.claims = limit;
+        self
+    }
+
+    /// Sets the fewest segments of a shard's log between two snapshots.
+    #[must_use]
+    pub fn segments(mut self, segments: u64) -> Self {
+        self.limits.segments = segments.max(1);
+        self
+    }
+
+    /// Sets the longest wait for one call of the object service.
+    #[must_use]
+    pub fn call_limit(mut self, limit: time::Duration) -> Self {
+        self.call_limit = limit;
+        self
+    }
+
+    /// Sets when an owner that cannot be reached is replaced.
+    #[must_use]
+    pub fn patience(mut self, patience: route::Patience) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Sets the counters to count on.
+    #[must_use]
+    pub fn metrics(mut self, metrics: metrics::Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
+    /// Starts the service on the current runtime.
+    pub fn start<S: store::Store, P: claims::Peers>(
+        self,
+        store: sync::Arc<S>,
+        peers: sync::Arc<P>,
+    ) -> sync::Arc<claims::Service<S, P>> {
+        claims::Service::new(self, store, peers)
+    }
+}
