--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -346,6 +346,10 @@
             retention: ask.retention,
         };
         match self.peers.claim(addr, claim).await {
+            // Who should own it does not want it: it stops, or knows of others than this process.
+            Ok(entry::Decision::Elsewhere { owner: None }) if owner.is_none() => {
+                Err(actor::Mode::Take(None))
+            }
             Ok(entry::Decision::Elsewhere { .. }) => {
                 self.suspicion(shard, route::Suspicion::answered);
                 clock::sleep(DISAGREEMENT_PAUSE).await;
--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -193,6 +193,10 @@
             context.refuse(reply, verdict::Reason::ClaimUnavailable, retry);
             return None;
         }
+        if self.stopped && matches!(mode, Mode::Take(_)) {
+            context.refuse(reply, verdict::Reason::Leaving, claims::RETRY);
+            return None;
+        }
         if mode != Mode::Cached {
             self.read = None;
         }
