--- a/laburnumcart_agent/src/lib.rs
+++ b/laburnumcart_agent/src/lib.rs
@@ -4,7 +4,6 @@
 //! until they are settled, and gives the target its orders.
 
 pub mod agent;
-mod control;
 pub mod counters;
 pub mod execute;
 pub mod job;
@@ -15,3 +14,4 @@
 pub mod snapshot;
 pub mod target;
 pub mod work;
+mod control;
