--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -22,10 +22,7 @@
     stop,
     traces, //
 };
-use laburnumcart_platform::{
-    budget,
-    client, //
-};
+use laburnumcart_platform::client;
 use laburnumcart_wire::{
     entry::EntryServer,
     peer, //
@@ -48,11 +45,8 @@
 /// Longest wait for the last bytes of answers after the requests have ended.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
-/// Most calls of the object service; claims need more than their even share for a moment.
-const RATES: budget::Rates = budget::Rates {
-    reads: unit::Rate(200.0),
-    writes: unit::Rate(100.0),
-};
+/// Longest wait of a call for this process's share of the object service's rates.
+const STORE_PATIENCE: unit::Period = unit::Period::from_millis(500);
 
 /// Runs an entry until it is told to stop.
 pub fn run(settings: settings::Settings) -> process::ExitCode {
@@ -153,8 +147,10 @@
     entry: &Arc<entry::Entry>,
     metrics: &metrics::Metrics,
 ) -> io::Result<()> {
-    let store = client::Client::builder([settings.platform.address]).rates(RATES);
-    let store = store.build().map_err(io::Error::other)?;
+    let store = client::Client::builder([settings.platform.address])
+        .patience(STORE_PATIENCE)
+        .build();
+    let store = store.map_err(io::Error::other)?;
     metrics.register("laburnum_entry", |r| store.register(r));
     let secret = settings.fleet.secret().cloned();
     let secret = secret.ok_or(io::ErrorKind::InvalidInput)?;
