Be ready only when the agents were called once, and ask often until a target is ready

A run of the whole-path test met an agent whose first report said not ready; the next came with the idle heartbeat, two seconds later, and the first requests were refused for want of a target.

--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -115,17 +115,19 @@
 
 /// Creates the operators' pages.
 ///
-/// The entry is ready unless it leaves or has no bundle, so that the balancer takes it out then.
+/// The entry is not ready while it leaves, has no bundle or has yet to call the agents, so that the
+/// balancer sends no caller into a refusal.
 fn pages(entry: &Arc<entry::Entry>, metrics: metrics::Metrics) -> admin::Pages {
     let entry = entry.clone();
     admin::Pages::new(metrics, move || {
-        if entry.is_leaving() {
-            return Err(verdict::Reason::Leaving.to_string());
-        }
-        match entry.view.load().rules {
-            Some(_) => Ok(()),
-            None => Err(verdict::Reason::NoBundle.to_string()),
-        }
+        let view = entry.view.load();
+        let missing = match (&view.rules, view.settled) {
+            _ if entry.is_leaving() => verdict::Reason::Leaving,
+            (None, _) => verdict::Reason::NoBundle,
+            (Some(_), false) => verdict::Reason::NoTarget,
+            (Some(_), true) => return Ok(()),
+        };
+        Err(missing.to_string())
     })
 }
 
--- a/laburnumcart_entry/src/control.rs
+++ b/laburnumcart_entry/src/control.rs
@@ -22,6 +22,8 @@
 pub struct View {
     /// Bundle in force, if any.
     pub rules: Option<Arc<Rules>>,
+    /// Whether the instances are known and each chosen agent was called once.
+    pub settled: bool,
     /// Content that crashed targets.
     pub suspects: Arc<suspects::Suspects>,
     /// Targets by service.
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -74,6 +74,8 @@
         ),
         entry: start.entry,
         rules: None,
+        listed: false,
+        settled: false,
         suspects: Arc::default(),
         version: facts::Version::default(),
     };
@@ -86,6 +88,8 @@
     entry: Arc<entry::Entry>,
     members: members::Members,
     rules: Option<Arc<views::Rules>>,
+    listed: bool,
+    settled: bool,
     suspects: Arc<suspects::Suspects>,
     /// State of the facts from which the suspects were derived.
     version: facts::Version,
@@ -119,6 +123,7 @@
 
     fn list(&mut self, list: &[members::Instance]) {
         self.members.apply(list);
+        self.listed = true;
         if let Some(claims) = self.entry.claims() {
             claims.set_live(self.members.entries());
         }
@@ -133,7 +138,9 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        let opening = self.members.agents().any(|member| member.lane.is_opening());
+        self.settled |= self.listed && !opening;
         let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
             collections::BTreeMap::new();
         for member in self.members.agents() {
@@ -150,6 +157,7 @@
         self.entry.metrics.lanes.set(count as i64);
         self.entry.view.store(Arc::new(views::View {
             rules: self.rules.clone(),
+            settled: self.settled,
             suspects: self.suspects.clone(),
             routes: routes.collect(),
         }));
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -52,7 +52,7 @@
     pub missed: u32,
     /// Longest time to open a connection.
     pub connect: time::Duration,
-    /// Time between two tries to open a connection.
+    /// Time between two tries to open a connection, and between two questions for readiness.
     pub pause: time::Duration,
 }
 
@@ -64,7 +64,7 @@
             answer: time::Duration::from_millis(750),
             missed: 2,
             connect: time::Duration::from_millis(500),
-            pause: time::Duration::from_millis(100),
+            pause: time::Duration::from_millis(200),
         }
     }
 }
@@ -91,6 +91,8 @@
 /// Where a lane stands.
 #[derive(Clone, Debug)]
 pub enum Link {
+    /// The first connection is being opened.
+    Opening,
     /// No connection.
     Down {
         /// Whether the address refused the last connection, so that no process listens there.
@@ -156,7 +158,7 @@
 impl Lane {
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
-        let (link, _) = watch::channel(Link::Down { gone: false });
+        let (link, _) = watch::channel(Link::Opening);
         let keeper = Keeper {
             addr,
             caller,
@@ -195,6 +197,11 @@
         self.connection().is_some() && self.report().is_some_and(|seen| ready(&seen.report))
     }
 
+    /// Reports whether the first connection is still being opened.
+    pub fn is_opening(&self) -> bool {
+        matches!(*self.link.borrow(), Link::Opening)
+    }
+
     /// Follows the state of the lane.
     pub fn link(&self) -> watch::Receiver<Link> {
         self.link.subscribe()
@@ -304,7 +311,14 @@
         let timing = &self.caller.timing;
         let begun = time::Instant::now();
         loop {
-            let ended = time::timeout(timing.beat, connection.client.on_disconnect());
+            // Until its target is ready an agent is asked often: each wait delays its first work.
+            let seen = self.seen.load();
+            let ready = seen.as_ref().is_none_or(|seen| seen.report.ready);
+            if !ready && begun.elapsed() >= timing.pause {
+                return false;
+            }
+            let wait = if ready { timing.beat } else { timing.pause };
+            let ended = time::timeout(wait, connection.client.on_disconnect());
             if ended.await.is_ok() {
                 return true;
             }
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -171,6 +171,7 @@
         let rules = control::Rules::new(id::Generation(1), bundle());
         self.entry.view.store(Arc::new(control::View {
             rules: Some(Arc::new(rules)),
+            settled: true,
             suspects: Arc::default(),
             routes: ways.into_iter().map(table).collect(),
         }));
