--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -14,6 +14,8 @@
     types, //
 };
 
+use tokio::time;
+
 use laburnumcart::{
     attempt,
     id,
@@ -31,6 +33,9 @@
 /// Longest wait of one call for more of a result.
 const WAIT: unit::Period = unit::Period::from_secs(1);
 
+/// Longest wait for a new connection when the attempt may be made elsewhere instead.
+const PATIENCE: time::Duration = time::Duration::from_millis(1500);
+
 /// An attempt that can still be given up without a trace.
 #[derive(Debug)]
 pub struct Ready {
@@ -88,6 +93,7 @@
             request: call.request,
             sent: self.prepared.send(),
             joiner: stage::Joiner::default(),
+            patient: !call.idempotent,
             call: Some(Box::new(call)),
         })
     }
@@ -103,6 +109,8 @@
     /// Number of the session that carries the attempt.
     session: u64,
     joiner: stage::Joiner,
+    /// Whether certainty is waited for until the deadline, as there can be no second attempt.
+    patient: bool,
     call: Option<Box<stage::Call>>,
     _held: links::Held,
 }
@@ -233,7 +241,13 @@
     /// Asks over newer connections, until one answers, what became of the attempt.
     async fn resolve(&mut self) -> Result<stage::Progress, verdict::Reason> {
         loop {
-            self.connection = self.renew(self.connection.session.number + 1).await?;
+            let renewed = self.renew(self.connection.session.number + 1);
+            self.connection = if self.patient {
+                renewed.await?
+            } else {
+                let limited = time::timeout(PATIENCE, renewed).await;
+                limited.map_err(|_| verdict::Reason::Lost)??
+            };
             match self.query().await {
                 Ok(progress) => return Ok(progress),
                 Err(Failure::Broken) => {}
--- a/laburnumcart_entry/tests/it/doubt.rs
+++ b/laburnumcart_entry/tests/it/doubt.rs
@@ -145,3 +145,59 @@
     bench::within(bench.connected()).await;
     assert!(second.fake.calls().is_empty());
 }
+
+// The caller of a non-idempotent request sees its whole answer although the connection went silent
+// before or after the call was sent. The stage executes once: what the agent does not know after the
+// old connection was fenced has provably not run and is sent again; what it knows is gone on with.
+#[rstest]
+#[tokio::test]
+async fn silence_runs_once(
+    #[values(Phase::BeforeSend, Phase::AfterSend)] phase: Phase,
+    #[values(UP, DOWN, BOTH)] silence: relay::Silence,
+) {
+    let plan = agent::Plan {
+        gated: true,
+        ..agent::Plan::default()
+    };
+    let pool = agent::start("pool", plan).await;
+    let relay = relay::Relay::start(pool.addr).await;
+    let bench = bench::Bench::start(&[("pool", relay.addr)]).await;
+    if let Phase::BeforeSend = phase {
+        relay.silence(silence);
+    }
+    let driven = bench.run("post", serde_json::json!({ "finish": 1 }));
+    if let Phase::AfterSend = phase {
+        bench::within(pool.fake.called(1)).await;
+        relay.silence(silence);
+    }
+    bench::within(relay.reopened(2)).await;
+    pool.fake.gate.add_permits(9);
+    let (_, outcome) = bench::finish(driven).await;
+    assert_eq!(bench::output(outcome)["post"]["input"]["finish"], 1);
+    assert_eq!(pool.fake.calls().len(), 1, "executions");
+}
+
+// All callers see whole answers although one of two machines is cut off without a word, so that
+// neither its old connections nor new ones answer. Whoever's attempt went there cannot be told what
+// became of it; an idempotent one is made again at the other target, long before its deadline.
+#[tokio::test]
+async fn cut_off_fails_over() {
+    let gated = agent::Plan {
+        gated: true,
+        ..agent::Plan::default()
+    };
+    let lost = agent::start("pool", gated).await;
+    let other = agent::start("pool", agent::Plan::default()).await;
+    let relay = relay::Relay::start(lost.addr).await;
+    let bench = bench::Bench::start(&[("pool", relay.addr), ("pool", other.addr)]).await;
+    let mut running = Vec::new();
+    while lost.fake.calls().is_empty() {
+        running.push(bench.run("echo", serde_json::json!(running.len())));
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    relay.cut_off();
+    for (number, driven) in running.into_iter().enumerate() {
+        let (_, outcome) = bench::finish(driven).await;
+        assert_eq!(bench::output(outcome)["first"]["input"], number);
+    }
+}
--- a/laburnumcart_entry/tests/it/main.rs
+++ b/laburnumcart_entry/tests/it/main.rs
@@ -2,6 +2,8 @@
 
 mod agent;
 mod bench;
+mod claims;
 mod doubt;
+mod policy;
 mod relay;
 mod requests;
--- a/laburnumcart_entry/tests/it/relay.rs
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -35,6 +35,7 @@
 pub(crate) struct Relay {
     pub(crate) addr: net::SocketAddr,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+    first: watch::Sender<Silence>,
 }
 
 impl Relay {
@@ -43,8 +44,9 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let open = Arc::new(Mutex::new(Vec::new()));
-        tokio::spawn(accept(listener, target, open.clone()));
-        Self { addr, open }
+        let first = watch::Sender::new(Silence::default());
+        tokio::spawn(accept(listener, target, open.clone(), first.subscribe()));
+        Self { addr, open, first }
     }
 
     /// Silences all connections that are open now; new ones work.
@@ -54,6 +56,16 @@
         }
     }
 
+    /// Silences all connections both ways, those to come too, as when a machine is cut off.
+    pub(crate) fn cut_off(&self) {
+        let both = Silence {
+            up: true,
+            down: true,
+        };
+        self.first.send_replace(both);
+        self.silence(both);
+    }
+
     /// Waits until `count` connections have been opened in all.
     pub(crate) async fn reopened(&self, count: usize) {
         while self.open.lock().unwrap().len() < count {
@@ -66,6 +78,7 @@
     listener: TcpListener,
     target: net::SocketAddr,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+    first: watch::Receiver<Silence>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
         let Ok(far) = TcpStream::connect(target).await else {
@@ -73,7 +86,7 @@
         };
         near.set_nodelay(true).unwrap();
         far.set_nodelay(true).unwrap();
-        let (sender, silence) = watch::channel(Silence::default());
+        let (sender, silence) = watch::channel(*first.borrow());
         open.lock().unwrap().push(sender);
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
