--- a/laburnumcart_fakes/src/target/orders.rs
+++ b/laburnumcart_fakes/src/target/orders.rs
@@ -41,6 +41,7 @@
     newest: Option<Number>,
     applied: Number,
     models: collections::BTreeSet<String>,
+    pending: u32,
 }
 
 impl Orders {
@@ -50,6 +51,7 @@
             newest: None,
             applied: Number::default(),
             models: collections::BTreeSet::new(),
+            pending: 0,
         }
     }
 
@@ -60,11 +62,13 @@
             return Err(Stale);
         }
         self.newest = self.newest.max(number);
+        self.pending += 1;
         Ok(())
     }
 
     /// Puts an accepted order into effect; a fenced one only if none newer came meanwhile.
     pub(super) fn apply(&mut self, order: Order) -> Result<(), Stale> {
+        self.pending -= 1;
         if self.fenced && Some(order.number) < self.newest {
             return Err(Stale);
         }
@@ -81,6 +85,11 @@
         self.applied
     }
 
+    /// Returns the number of accepted orders that have yet to take effect.
+    pub(super) fn pending(&self) -> u32 {
+        self.pending
+    }
+
     /// Returns the loaded models.
     pub(super) fn models(&self) -> &collections::BTreeSet<String> {
         &self.models
--- a/laburnumcart_fakes/src/target/routes.rs
+++ b/laburnumcart_fakes/src/target/routes.rs
@@ -153,6 +153,11 @@
     json(200, &core.ledger.lock().unwrap().cost())
 }
 
+pub(super) async fn pending(StateRef(core): StateRef<'_, Core>) -> Response {
+    let pending = core.memory().orders.pending();
+    json(200, &json!({ "pending": pending }))
+}
+
 pub(super) async fn reset(StateRef(core): StateRef<'_, Core>) -> Response {
     core.ledger.lock().unwrap().clear();
     empty(204)
--- a/laburnumcart_fakes/src/target/server.rs
+++ b/laburnumcart_fakes/src/target/server.rs
@@ -147,6 +147,7 @@
                     get(handler_service(routes::executions)),
                 )
                 .at("/admin/cost", get(handler_service(routes::cost)))
+                .at("/admin/orders", get(handler_service(routes::pending)))
                 .at("/admin/reset", post(handler_service(routes::reset)))
                 .at("/admin/behave", post(handler_service(routes::behave)))
                 .serve()
--- a/laburnumcart_fakes/tests/target.rs
+++ b/laburnumcart_fakes/tests/target.rs
@@ -267,7 +267,7 @@
 ) {
     let mut settings = quick(kind);
     settings.service = Duration::from_secs(3600);
-    settings.restart = Duration::from_secs(1);
+    settings.restart = Duration::from_secs(2);
     let bench = Arc::new(bench(settings));
     bench
         .behave(behaviour::Change {
@@ -347,13 +347,18 @@
         order_time: Some(unit::Period::from_millis(millis)),
         ..Default::default()
     };
-    bench.behave(period(400)).await;
+    bench.behave(period(2000)).await;
     let slow = bench.clone();
     let slow = tokio::spawn(async move {
         let old = json!({ "term": 1, "sequence": 1, "load": ["old@1"] });
         slow.post("/v1/orders", old).await.status
     });
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    let accepted = async {
+        while bench.get("/admin/orders").await["pending"] != 1 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, accepted).await.unwrap();
     bench.behave(period(0)).await;
     let new = json!({ "term": 2, "sequence": 1, "load": ["new@1"] });
     assert_eq!(bench.post("/v1/orders", new).await.status, 200);
