--- a/laburnumcart/tests/head.rs
+++ b/laburnumcart/tests/head.rs
@@ -86,6 +86,10 @@
     assert!(publish.in_doubt(), "the first write may still arrive");
     let own = written(&publish);
     publish.wrote(head::Wrote::Conflict);
+    assert!(
+        publish.in_doubt(),
+        "the first write may be what is in the way"
+    );
     publish.read(Some((2, own.clone())));
     assert_eq!(publish.step(), head::Step::Done(Ok(own)));
     assert!(!publish.in_doubt());
