--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod follow;
 pub mod memory;
 pub mod outage;
+mod pause;
 pub mod settle;
 pub mod store;
-mod pause;
