--- a/laburnumcart_daemon/src/bundle.rs
+++ b/laburnumcart_daemon/src/bundle.rs
@@ -15,10 +15,10 @@
     Feed,
     Snapshot, //
 };
-pub use follow::{
+pub use follow::run;
+pub use options::{
     Options,
-    Timing,
-    run, //
+    Timing, //
 };
 pub use peers::{
     PeerError,
@@ -30,6 +30,7 @@
 mod feed;
 mod follow;
 mod gather;
+mod options;
 mod peers;
 
 /// Returns the keys that a fleet trusts, whose settings stand at `$.fleet`.
--- a/laburnumcart_daemon/src/bundle/follow.rs
+++ b/laburnumcart_daemon/src/bundle/follow.rs
@@ -1,11 +1,8 @@
 //! Follows the head in the object service.
 
-use std::{
-    net,
-    sync::atomic::{
-        AtomicBool,
-        Ordering, //
-    },
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
 };
 
 use rand::Rng;
@@ -13,9 +10,7 @@
 
 use laburnumcart::{
     bundle,
-    head,
-    seal,
-    unit, //
+    head, //
 };
 use laburnumcart_platform::store;
 use laburnumcart_wire::agent;
@@ -25,75 +20,16 @@
     counters::Failure,
     feed,
     gather,
+    options,
     peers, //
 };
 
-/// Periods of [`run`].
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// Longest wait of one watch; a waiting watch counts as a call of the object service.
-    pub wait: unit::Period,
-    /// Longest time for any other call.
-    pub call: unit::Period,
-    /// Mean pause after a failed call.
-    pub retry: unit::Period,
-    /// Pause between two rounds of asking peers while the object service is down.
-    pub ask: unit::Period,
-    /// Time that the object service gets before a peer is asked for what was heard of.
-    pub grace: unit::Period,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            wait: unit::Period::from_secs(30),
-            call: unit::Period::from_secs(5),
-            retry: unit::Period::from_millis(500),
-            ask: unit::Period::from_secs(2),
-            grace: unit::Period::from_millis(250),
-        }
-    }
-}
-
-/// Settings of [`run`].
-#[derive(Clone, Debug)]
-pub struct Options {
-    pub(super) trust: seal::Trust,
-    pub(super) peers: Vec<net::SocketAddr>,
-    pub(super) timing: Timing,
-}
-
-impl Options {
-    /// Creates settings with no peers and the default periods.
-    pub fn new(trust: seal::Trust) -> Self {
-        Self {
-            trust,
-            peers: Vec::new(),
-            timing: Timing::default(),
-        }
-    }
-
-    /// Sets the peers to ask while the object service is down.
-    #[must_use]
-    pub fn peers(mut self, peers: impl Into<Vec<net::SocketAddr>>) -> Self {
-        self.peers = peers.into();
-        self
-    }
-
-    /// Sets the periods.
-    #[must_use]
-    pub fn timing(mut self, timing: Timing) -> Self {
-        self.timing = timing;
-        self
-    }
-}
-
 /// Keeps `feed` up to date; never returns, and can be dropped at any time.
 pub async fn run(
     feed: feed::Feed,
     store: impl store::Store,
     peers: impl peers::Peers,
-    options: Options,
+    options: options::Options,
 ) {
     let follower = Follower {
         feed,
@@ -107,7 +43,7 @@
 /// State of [`run`] that its two loops share.
 pub(super) struct Follower {
     pub(super) feed: feed::Feed,
-    pub(super) options: Options,
+    pub(super) options: options::Options,
     /// Whether the last call of the object service failed.
     down: AtomicBool,
     /// Whether a refused bundle was logged since the last one that was taken in.
