--- a/laburnumcart_wire/tests/peer.rs
+++ b/laburnumcart_wire/tests/peer.rs
@@ -309,3 +309,43 @@
         );
     }
 }
+
+/// A server holds as many connections as it may. One more is refused at once, and the others work on.
+#[tokio::test]
+async fn connections_are_bounded() {
+    let limits = peer::Limits::default().connections(1);
+    let (handle, _) = serve(&[SECRET], &limits);
+    let secret = secret(SECRET);
+    let client = peer::connect(handle.addr(), &secret, &limits)
+        .await
+        .unwrap();
+    let error = peer::connect(handle.addr(), &secret, &limits)
+        .await
+        .unwrap_err();
+    assert!(matches!(error, peer::ConnectError::Failed(_)), "{error:?}");
+    assert_eq!(echo(&client, "in").await.unwrap(), "in");
+}
+
+/// A peer opens the one connection that the server holds and goes silent, as behind a switch that lost
+/// track of it. Another one gets in once the server has noticed: silent connections do not fill the
+/// server for good.
+#[tokio::test]
+async fn silent_connection_makes_room() {
+    let limits = peer::Limits::default()
+        .connections(1)
+        .idle(unit::Period::from_millis(300));
+    let (handle, _) = serve(&[SECRET], &limits);
+    // Nothing reads from this one, so it answers no ping.
+    let _silent = Raw::open(handle.addr()).await;
+    let secret = secret(SECRET);
+    let entered = async {
+        loop {
+            if let Ok(client) = peer::connect(handle.addr(), &secret, &limits).await {
+                return client;
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    let client = tokio::time::timeout(BOUND, entered).await.unwrap();
+    assert_eq!(echo(&client, "in").await.unwrap(), "in");
+}
