--- a/laburnumcart_entry/tests/it/doubt.rs
+++ b/laburnumcart_entry/tests/it/doubt.rs
@@ -177,6 +177,31 @@
     assert_eq!(pool.fake.calls().len(), 1, "executions");
 }
 
+// The caller of a non-idempotent request sees "may have run", at once, when another process answers
+// at its agent's address. That process does not know the attempt, which proves nothing: it would
+// say so of one that the process before it has executed.
+#[tokio::test]
+async fn replaced_agent_is_final() {
+    let plan = agent::Plan {
+        gated: true,
+        ..agent::Plan::default()
+    };
+    let first = agent::start("pool", plan.clone()).await;
+    let second = agent::start("pool", plan).await;
+    let relay = relay::Relay::start(first.addr).await;
+    let bench = bench::Bench::start(&[("pool", relay.addr)]).await;
+    let driven = bench.run("post", serde_json::json!({}));
+    bench::within(first.fake.called(1)).await;
+    relay.lead(second.addr);
+    relay.silence(BOTH);
+    second.fake.gate.add_permits(9);
+    let (_, outcome) = bench::finish(driven).await;
+    let refusal = outcome.unwrap_err();
+    assert_eq!(refusal.verdict, laburnumcart::verdict::Verdict::MayHaveRun);
+    assert_eq!(refusal.reason, laburnumcart::verdict::Reason::Lost);
+    assert!(second.fake.calls().is_empty());
+}
+
 // All callers see whole answers although one of two machines is cut off without a word, so that
 // neither its old connections nor new ones answer. Whoever's attempt went there cannot be told what
 // became of it; an idempotent one is made again at the other target, long before its deadline.
--- a/laburnumcart_entry/tests/it/relay.rs
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -36,6 +36,7 @@
     pub(crate) addr: net::SocketAddr,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
     first: watch::Sender<Silence>,
+    target: watch::Sender<net::SocketAddr>,
 }
 
 impl Relay {
@@ -45,8 +46,20 @@
         let addr = listener.local_addr().unwrap();
         let open = Arc::new(Mutex::new(Vec::new()));
         let first = watch::Sender::new(Silence::default());
-        tokio::spawn(accept(listener, target, open.clone(), first.subscribe()));
-        Self { addr, open, first }
+        let target = watch::Sender::new(target);
+        let accept = accept(
+            listener,
+            target.subscribe(),
+            open.clone(),
+            first.subscribe(),
+        );
+        tokio::spawn(accept);
+        Self {
+            addr,
+            open,
+            first,
+            target,
+        }
     }
 
     /// Silences all connections that are open now; new ones work.
@@ -56,6 +69,11 @@
         }
     }
 
+    /// Leads new connections elsewhere, as when a process is replaced at its address.
+    pub(crate) fn lead(&self, target: net::SocketAddr) {
+        self.target.send_replace(target);
+    }
+
     /// Silences all connections both ways, those to come too, as when a machine is cut off.
     pub(crate) fn cut_off(&self) {
         let both = Silence {
@@ -76,11 +94,12 @@
 
 async fn accept(
     listener: TcpListener,
-    target: net::SocketAddr,
+    target: watch::Receiver<net::SocketAddr>,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
     first: watch::Receiver<Silence>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
+        let target = *target.borrow();
         let Ok(far) = TcpStream::connect(target).await else {
             continue;
         };
