--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -13,6 +13,8 @@
     bench, //
 };
 
+const PARENT: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
 const BEARER: (&str, &str) = ("authorization", "Bearer token-1");
 
 async fn start() -> (bench::Bench, std::net::SocketAddr, [agent::Running; 2]) {
@@ -31,7 +33,8 @@
 async fn answers_json() {
     let (_bench, addr, agents) = start().await;
     let line = "POST /v1/pipelines/report";
-    let reply = bench::http(addr, line, &[BEARER], "{\"case\":7}").await;
+    let headers = [BEARER, ("traceparent", PARENT)];
+    let reply = bench::http(addr, line, &headers, "{\"case\":7}").await;
     assert_eq!(reply.status, 200, "{}", reply.body);
     let answer: serde_json::Value = serde_json::from_str(&reply.body).unwrap();
     assert_eq!(answer["output"], serde_json::json!({ "text": "one two" }));
@@ -41,6 +44,15 @@
     let body: serde_json::Value = serde_json::from_str(calls[0].body.get()).unwrap();
     assert_eq!(body["input"], serde_json::json!({ "case": 7 }));
     assert_eq!(body["previous"]["encode"]["input"], body["input"]);
+    assert_eq!(calls[0].traceparent.as_deref(), Some(PARENT));
+    let page = bench::http(addr, "GET /metrics", &[], "").await;
+    for line in [
+        "laburnum_entry_requests_total{team=\"araya\",pipeline=\"report\",ended=\"Whole\"} 1",
+        "laburnum_entry_attempts_total{service=\"engine\",ended=\"Whole\"} 1",
+        "laburnum_entry_stage_busy_seconds_total{service=\"pool\"} 0.001",
+    ] {
+        assert!(page.body.contains(line), "{line} in {}", page.body);
+    }
 }
 
 #[tokio::test]
--- /dev/null
+++ b/laburnumcart_entry/tests/process.rs
@@ -0,0 +1,131 @@
+//! The entry as a process: start without anything else, stop, and wrong settings.
+
+use std::{
+    fs,
+    io::{
+        Read,
+        Write, //
+    },
+    net,
+    path,
+    process,
+    thread,
+    time, //
+};
+
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// A public key; nothing is signed with it here.
+const KEY: &str = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=";
+
+struct Entry {
+    child: process::Child,
+    callers: net::SocketAddr,
+    dir: path::PathBuf,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // It has ended already unless the test failed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn free() -> net::SocketAddr {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings(callers: net::SocketAddr, secret: &str) -> String {
+    serde_json::json!({
+        "instance": "entry-1",
+        "zone": "dc-1",
+        "callers": callers.to_string(),
+        "peer": free().to_string(),
+        "fleet": { "secrets": [secret], "keys": { "ops": KEY }, "signers": 1 },
+        "platform": { "address": free().to_string() },
+        "stop_limit": "5s",
+    })
+    .to_string()
+}
+
+fn start(secret: &str) -> Entry {
+    let dir = std::env::temp_dir().join(format!("laburnum-entry-{}", free().port()));
+    fs::create_dir_all(&dir).unwrap();
+    let callers = free();
+    let file = dir.join("entry.json");
+    fs::write(&file, settings(callers, secret)).unwrap();
+    let child = process::Command::new(env!("CARGO_BIN_EXE_laburnum-entry"))
+        .arg("--settings")
+        .arg(&file)
+        .stderr(process::Stdio::null())
+        .spawn()
+        .unwrap();
+    Entry {
+        child,
+        callers,
+        dir,
+    }
+}
+
+fn ask(addr: net::SocketAddr, line: &str) -> Option<String> {
+    let mut stream = net::TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    let head = format!(
+        "{line} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer x\r\n\
+         connection: close\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    Some(text)
+}
+
+fn wait<T>(mut check: impl FnMut() -> Option<T>) -> T {
+    let begun = time::Instant::now();
+    loop {
+        if let Some(found) = check() {
+            return found;
+        }
+        assert!(begun.elapsed() < LIMIT, "not within the limit");
+        thread::sleep(time::Duration::from_millis(20));
+    }
+}
+
+// The entry starts while the object service is down, so it has no bundle. It lives but is not ready,
+// and a caller who reaches it all the same is told that nothing ran and when to come again. SIGTERM
+// ends it with exit code 0.
+#[test]
+fn starts_and_stops_alone() {
+    let mut entry = start("secret-of-the-fleet");
+    let health = wait(|| ask(entry.callers, "GET /healthz"));
+    assert!(health.starts_with("HTTP/1.1 200"), "{health}");
+    let ready = ask(entry.callers, "GET /readyz").unwrap();
+    assert!(ready.starts_with("HTTP/1.1 503"), "{ready}");
+    let metrics = ask(entry.callers, "GET /metrics").unwrap();
+    assert!(metrics.contains("laburnum_entry_lanes 0"), "{metrics}");
+    let refused = ask(entry.callers, "POST /v1/pipelines/echo").unwrap();
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(
+        refused.to_lowercase().contains("retry-after: 1"),
+        "{refused}"
+    );
+    assert!(
+        refused.contains("\"no-bundle\"") && refused.contains("\"not-run\""),
+        "{refused}"
+    );
+    let pid = entry.child.id().to_string();
+    let sent = process::Command::new("kill").args(["-TERM", &pid]).status();
+    assert!(sent.unwrap().success());
+    let status = wait(|| entry.child.try_wait().unwrap());
+    assert_eq!(status.code(), Some(0));
+}
+
+#[test]
+fn wrong_settings_exit_2() {
+    let mut entry = start("short");
+    let status = wait(|| entry.child.try_wait().unwrap());
+    assert_eq!(status.code(), Some(2));
+}
