Confirm by an append what an owner answers from its table

Cause: an owner that was replaced does not know it until its next append. A resend that reached it was told of the request in its table, although that claim had been given back since and another request had run under the key; the resend then got the kept refusal, "not run".

A read of the next slot was ruled out, as reads may lag. Now such an answer waits for the next append, an empty one if nothing else is gathered. In append_without_answer_is_settled the log holds one segment more for that.

--- a/laburnumcart/src/claim/log.rs
+++ b/laburnumcart/src/claim/log.rs
@@ -51,13 +51,13 @@
 /// What becomes of a claim at the owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
-    /// Already durable for this very request.
+    /// Already durable for this very request; valid once [`Log::confirm`] is durable.
     Granted,
     /// Granted once the batch is durable.
     Queued(Batch),
     /// The key is changed by a batch that is not settled; ask again when it is.
     Wait(Batch),
-    /// Claimed by another request.
+    /// Claimed by another request; valid once [`Log::confirm`] is durable.
     Taken(record::Grant),
     /// No room for another claim; nothing was recorded.
     Full,
@@ -91,6 +91,8 @@
     postponed: u64,
     batch: Batch,
     gathering: Vec<record::Record>,
+    /// Whether the next append is wanted even without records.
+    probe: bool,
     flight: Vec<record::Record>,
     in_flight: bool,
     pending: collections::HashMap<id::Fingerprint, (id::RequestId, Batch)>,
@@ -109,6 +111,7 @@
             postponed: 0,
             batch: 0,
             gathering: Vec::new(),
+            probe: false,
             flight: Vec::new(),
             in_flight: false,
             pending: collections::HashMap::new(),
@@ -143,9 +146,19 @@
         self.in_flight
     }
 
-    /// Reports whether records wait for an append.
-    pub fn has_records(&self) -> bool {
-        !self.gathering.is_empty()
+    /// Reports whether an append is wanted.
+    pub fn wants_append(&self) -> bool {
+        self.probe || !self.gathering.is_empty()
+    }
+
+    /// Asks for an append, if only an empty one, and returns its batch.
+    ///
+    /// An owner that was sealed out does not know it, and what its table says may be out of date:
+    /// a claim may have been given back since and its key granted again. That its append is
+    /// durable proves that it was the owner until then.
+    pub fn confirm(&mut self) -> Batch {
+        self.probe = true;
+        self.batch
     }
 
     /// Asks for a claim; its record gathers in the next batch if the key is free.
@@ -219,9 +232,10 @@
 
     /// Starts the next append, unless one is in flight or nothing waits.
     pub fn begin(&mut self, now: Instant) -> Option<Append> {
-        if self.in_flight || self.gathering.is_empty() {
+        if self.in_flight || !self.wants_append() {
             return None;
         }
+        self.probe = false;
         self.flight = mem::take(&mut self.gathering);
         self.in_flight = true;
         let batch = self.batch;
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -66,6 +66,8 @@
     waiting: collections::HashMap<(id::Fingerprint, id::RequestId), Vec<Reply>>,
     /// Claims of keys that a batch changes, asked again when it is settled.
     parked: Vec<Asked>,
+    /// Decisions that hold if this process still is the owner when the batch is durable.
+    unconfirmed: collections::BTreeMap<log::Batch, Vec<(entry::Decision, Reply)>>,
     releases: collections::BTreeMap<log::Batch, Vec<oneshot::Sender<actor::Released>>>,
     flight: Vec<record::Record>,
     segments: Vec<sweep::Old>,
@@ -87,6 +89,7 @@
         log: start.taken,
         waiting: collections::HashMap::new(),
         parked: Vec::new(),
+        unconfirmed: collections::BTreeMap::new(),
         releases: collections::BTreeMap::new(),
         flight: Vec::new(),
         segments: Vec::new(),
@@ -147,7 +150,7 @@
 
     /// Returns the time reserved for the next append, if anything waits for one.
     fn slot(&mut self, now: clock::Instant) -> Option<clock::Instant> {
-        if self.slot.is_none() && self.log.has_records() {
+        if self.slot.is_none() && self.log.wants_append() {
             let mut pace = self.context.appends.lock().expect("lock is not poisoned");
             self.slot = Some(pace.reserve(now));
         }
@@ -196,9 +199,7 @@
             return self.context.refuse(reply, reason, claims::RETRY);
         }
         match self.log.claim(grant.clone(), now) {
-            log::Step::Granted => {
-                reply.send(entry::Decision::Granted).ok();
-            }
+            log::Step::Granted => self.confirm(entry::Decision::Granted, reply),
             log::Step::Queued(_) => {
                 let waiting = self.waiting.entry((grant.key, grant.request));
                 waiting.or_default().push(reply);
@@ -211,7 +212,7 @@
                     content: old.content,
                     holder: old.holder,
                 };
-                reply.send(taken).ok();
+                self.confirm(taken, reply);
             }
             log::Step::Full => {
                 let reason = verdict::Reason::Overloaded;
@@ -220,6 +221,16 @@
         }
     }
 
+    /// Answers from the table once an append has proved that the table is still in force.
+    ///
+    /// From a paused owner's table, a resend would be sent to a request that gave the key back,
+    /// and be told "not run" although another request has run under the key since.
+    fn confirm(&mut self, decision: entry::Decision, reply: Reply) {
+        let batch = self.log.confirm();
+        let waiting = self.unconfirmed.entry(batch).or_default();
+        waiting.push((decision, reply));
+    }
+
     fn release(
         &mut self,
         key: id::Fingerprint,
@@ -267,6 +278,25 @@
             }
         }
         self.answer_releases(true);
+        for (decision, reply) in self.take_confirmed() {
+            reply.send(decision).ok();
+        }
+    }
+
+    fn take_confirmed(&mut self) -> Vec<(entry::Decision, Reply)> {
+        let later = self.unconfirmed.split_off(&self.log.settled());
+        let done = mem::replace(&mut self.unconfirmed, later);
+        done.into_values().flatten().collect()
+    }
+
+    /// Takes everyone who waits for a decision.
+    fn take_waiting(&mut self) -> Vec<Reply> {
+        let waiting = mem::take(&mut self.waiting).into_values().flatten();
+        let parked = mem::take(&mut self.parked).into_iter();
+        let unconfirmed = mem::take(&mut self.unconfirmed).into_values().flatten();
+        let parked = parked.map(|(_, reply)| reply);
+        let unconfirmed = unconfirmed.map(|(_, reply)| reply);
+        waiting.chain(parked).chain(unconfirmed).collect()
     }
 
     /// Answers a grant, or gives it back if nobody is there to execute under it.
@@ -289,10 +319,7 @@
         self.log.withdraw(|_, _| false);
         self.flight.clear();
         self.down = Some((clock::Instant::now() + actor::DOWN.min(retry.0), retry));
-        let waiting = mem::take(&mut self.waiting);
-        let parked = mem::take(&mut self.parked);
-        let parked = parked.into_iter().map(|(_, reply)| reply);
-        for reply in waiting.into_values().flatten().chain(parked) {
+        for reply in self.take_waiting() {
             let reason = verdict::Reason::ClaimUnavailable;
             self.context.refuse(reply, reason, retry);
         }
@@ -308,7 +335,10 @@
         let gathered: Vec<_> = gathered.flat_map(|(_, replies)| replies).collect();
         let parked = mem::take(&mut self.parked);
         let parked = parked.into_iter().map(|(_, reply)| reply);
-        for reply in gathered.into_iter().chain(parked) {
+        let unconfirmed = self.unconfirmed.split_off(&(self.log.settled() + 1));
+        let unconfirmed = unconfirmed.into_values().flatten();
+        let unconfirmed = unconfirmed.map(|(_, reply)| reply);
+        for reply in gathered.into_iter().chain(parked).chain(unconfirmed) {
             let reason = verdict::Reason::ClaimUnavailable;
             self.context.refuse(reply, reason, claims::RETRY);
         }
@@ -389,10 +419,7 @@
 
     /// Sends everyone who waits to the new owner; nothing of theirs is in the log.
     fn step_down(&mut self) {
-        let waiting = mem::take(&mut self.waiting);
-        let parked = mem::take(&mut self.parked);
-        let parked = parked.into_iter().map(|(_, reply)| reply);
-        for reply in waiting.into_values().flatten().chain(parked) {
+        for reply in self.take_waiting() {
             reply.send(entry::Decision::Elsewhere { owner: None }).ok();
         }
         let releases = mem::take(&mut self.releases);
--- a/laburnumcart_entry/tests/claims.rs
+++ b/laburnumcart_entry/tests/claims.rs
@@ -96,6 +96,23 @@
     assert_eq!(taken_by(&late.await.unwrap()), Some(id::RequestId(3)));
 }
 
+/// An owner does not know that it was replaced. Meanwhile a claim in its table was given back and
+/// its key granted to another request, which has run. A resend that reaches the old owner must
+/// learn of that request; sent to the earlier one it would be told "not run".
+#[tokio::test(start_paused = true)]
+async fn replaced_owner_answers_no_resend_from_its_table() {
+    let mut world = World::new();
+    let (a, _) = world.start(1);
+    let (b, _) = world.start(2);
+    assert_eq!(claim(&a, ask(7, 1)).await, Decision::Granted);
+    world.net.set_cut(&a, true);
+    assert!(taken_by(&claim(&b, ask(7, 2)).await).is_some());
+    assert!(b.release(id::Fingerprint(7), id::RequestId(1)).await);
+    assert_eq!(claim(&b, ask(7, 3)).await, Decision::Granted);
+    let resend = claim(&a, ask(7, 4)).await;
+    assert_eq!(taken_by(&resend), Some(id::RequestId(3)));
+}
+
 /// The object service performs the append and its answer is lost, or the call is lost before it.
 /// The caller sees one grant; a resend sees the key taken, and the batch is in the log once.
 #[rstest]
@@ -118,7 +135,8 @@
         Some(id::RequestId(2))
     );
     let log = world.memory.list("claims/0/1/").await.unwrap();
-    assert_eq!(log.objects.len(), 3);
+    // The first snapshot, two grants, and the proof that the owner could answer the resend.
+    assert_eq!(log.objects.len(), 4);
 }
 
 /// The owner dies. Two entries notice at the same time, each with a request under the same key.
--- a/laburnumcart_entry/tests/claims/interleaved.rs
+++ b/laburnumcart_entry/tests/claims/interleaved.rs
@@ -5,6 +5,7 @@
     time, //
 };
 
+use laburnumcart::unit;
 use laburnumcart_platform::{
     memory,
     store::Store, //
@@ -35,6 +36,8 @@
     Cut { entry: usize, cut: bool },
     /// Answers of the next writes are lost, or the calls.
     Lose { answers: u32, calls: u32 },
+    /// Calls of the store take a while, so that those of the entries overlap.
+    Slow { millis: u64 },
     /// All calls of the store are refused, or not.
     Down { down: bool },
     /// Time passes.
@@ -48,6 +51,7 @@
         2 => (entry.clone(), any::<bool>()).prop_map(|(entry, held)| Step::Pause { entry, held }),
         2 => (entry, any::<bool>()).prop_map(|(entry, cut)| Step::Cut { entry, cut }),
         2 => (0..3u32, 0..3u32).prop_map(|(answers, calls)| Step::Lose { answers, calls }),
+        2 => (0..800u64).prop_map(|millis| Step::Slow { millis }),
         1 => any::<bool>().prop_map(|down| Step::Down { down }),
         4 => (1..3000u64).prop_map(|millis| Step::Wait { millis }),
     ]
@@ -78,6 +82,13 @@
                     ..faults
                 });
             }
+            Step::Slow { millis } => {
+                let faults = world.memory.faults();
+                world.memory.set_faults(memory::Faults {
+                    slow: unit::Period::from_millis(millis),
+                    ..faults
+                });
+            }
             Step::Down { down } => {
                 let faults = world.memory.faults();
                 world.memory.set_faults(memory::Faults { down, ..faults });
