--- a/laburnumcart_agent/src/target/http.rs
+++ b/laburnumcart_agent/src/target/http.rs
@@ -68,8 +68,10 @@
 
 /// An answer whose body is still to be read.
 ///
-/// Unless [`Answer::tidy`] is called, the connection is closed when the answer is dropped. Otherwise
-/// the rest of an abandoned answer could be taken for the answer to a later call.
+/// Unless [`Answer::tidy`] is called, the connection is closed when the answer is dropped. The HTTP
+/// library closes it by itself in the middle of a body, but not after a body that ended without
+/// what our protocol wants at its end; a target that lost its place there may not have found it for
+/// the next answer either, which would go to another caller.
 #[derive(Debug)]
 pub struct Answer {
     /// Head and body.
--- a/laburnumcart_agent/tests/agent/phases.rs
+++ b/laburnumcart_agent/tests/agent/phases.rs
@@ -175,6 +175,23 @@
     assert_ne!(seen[0].connection, seen[1].connection);
 }
 
+/// The next caller gets its answer over a new connection. The stream before has ended tidily as a
+/// body but without its end mark, so that the target's place in the connection is not trusted.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_without_end_mark_is_not_reused() {
+    let target = Target::start(Mode::Status(200, "")).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    for _ in 0..2 {
+        let mut call = lane.call();
+        call.idempotent = true;
+        let (_, state) = bounded(lane.run(&call)).await;
+        assert_eq!(refusal(&state).verdict, Verdict::MayHaveRun);
+    }
+    let seen = target.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
+
 /// The next caller gets its own answer. A stream is cancelled in the middle; if its connection were
 /// used again, the rest of that stream would be read as the answer to the next stage.
 #[tokio::test(flavor = "multi_thread")]
