--- a/laburnumcart_entry/tests/it/relay.rs
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -35,6 +35,8 @@
 pub(crate) struct Relay {
     pub(crate) addr: net::SocketAddr,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+    first: watch::Sender<Silence>,
+    target: watch::Sender<net::SocketAddr>,
 }
 
 impl Relay {
@@ -43,8 +45,21 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let open = Arc::new(Mutex::new(Vec::new()));
-        tokio::spawn(accept(listener, target, open.clone()));
-        Self { addr, open }
+        let first = watch::Sender::new(Silence::default());
+        let target = watch::Sender::new(target);
+        let accept = accept(
+            listener,
+            target.subscribe(),
+            open.clone(),
+            first.subscribe(),
+        );
+        tokio::spawn(accept);
+        Self {
+            addr,
+            open,
+            first,
+            target,
+        }
     }
 
     /// Silences all connections that are open now; new ones work.
@@ -54,6 +69,21 @@
         }
     }
 
+    /// Leads new connections elsewhere, as when a process is replaced at its address.
+    pub(crate) fn lead(&self, target: net::SocketAddr) {
+        self.target.send_replace(target);
+    }
+
+    /// Silences all connections both ways, those to come too, as when a machine is cut off.
+    pub(crate) fn cut_off(&self) {
+        let both = Silence {
+            up: true,
+            down: true,
+        };
+        self.first.send_replace(both);
+        self.silence(both);
+    }
+
     /// Waits until `count` connections have been opened in all.
     pub(crate) async fn reopened(&self, count: usize) {
         while self.open.lock().unwrap().len() < count {
@@ -64,16 +94,18 @@
 
 async fn accept(
     listener: TcpListener,
-    target: net::SocketAddr,
+    target: watch::Receiver<net::SocketAddr>,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
+    first: watch::Receiver<Silence>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
+        let target = *target.borrow();
         let Ok(far) = TcpStream::connect(target).await else {
             continue;
         };
         near.set_nodelay(true).unwrap();
         far.set_nodelay(true).unwrap();
-        let (sender, silence) = watch::channel(Silence::default());
+        let (sender, silence) = watch::channel(*first.borrow());
         open.lock().unwrap().push(sender);
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
