--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -102,6 +102,7 @@
         .at("/metrics", route::get(handler_service(page)))
         .at("/healthz", route::get(handler_service(page)))
         .at("/readyz", route::get(handler_service(page)))
+        .at("/{*path}", handler_service(unknown))
         .serve()
         .disable_signal()
         .worker_threads(threads)
@@ -131,6 +132,12 @@
     })
 }
 
+/// Answers a call of a path that does not exist.
+async fn unknown(ctx: &Context<'_>) -> WebResponse {
+    let refusal = verdict::Refusal::not_run(verdict::Reason::UnknownPipeline);
+    refuse(ctx, refusal, None, None)
+}
+
 /// Answers with an operators' page.
 async fn page(ctx: &Context<'_>) -> WebResponse {
     let page = ctx.state().pages.answer(ctx.req().uri().path());
--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -77,6 +77,7 @@
 #[rstest]
 #[case::no_token("echo", &[], "{}", 401, "unauthorized")]
 #[case::bad_token("echo", &[("authorization", "Bearer x")], "{}", 401, "unauthorized")]
+#[case::no_path("a/b", &[BEARER], "{}", 404, "unknown-pipeline")]
 #[case::unknown("nothing", &[BEARER], "{}", 404, "unknown-pipeline")]
 #[case::no_json("echo", &[BEARER], "{", 400, "invalid")]
 #[case::no_key("post", &[BEARER], "{}", 400, "key-missing")]
