--- a/laburnumcart_fakes/src/bin/laburnum-plan.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-plan.rs
@@ -50,6 +50,7 @@
         .optopt("", "shape", "whose services (both)", "araya|quetzal|both")
         .optopt("", "size", "number of targets (small)", "small|brief")
         .reqopt("", "dir", "folder to write", "DIR")
+        .optopt("", "pace", "factor on the times of targets (1)", "N")
         .optopt("", "base-port", "first port (17000)", "PORT")
         .optmulti("", "key", "public key that signs bundles", "NAME=BASE64")
         .optflag("h", "help", "show this text");
@@ -66,8 +67,10 @@
         let pair = text.split_once('=').ok_or("--key is not NAME=BASE64")?;
         Ok((pair.0.into(), pair.1.into()))
     };
+    let mut layout = layout::Layout::new(shape, size, base);
+    layout.pace = matches.opt_get_default("pace", layout.pace)?.max(1);
     Ok(Arguments {
-        layout: layout::Layout::new(shape, size, base),
+        layout,
         dir: matches.opt_str("dir").unwrap_or_default(),
         keys: keys.iter().map(key).collect::<Result<_>>()?,
     })
--- a/laburnumcart_fakes/src/demo/documents.rs
+++ b/laburnumcart_fakes/src/demo/documents.rs
@@ -20,9 +20,6 @@
 /// Secret of the demo's processes; a real fleet has its own.
 const SECRET: &str = "laburnumcart-demo-secret";
 
-/// Tokens of an engine's answer.
-pub(super) const TOKENS: u32 = 20;
-
 /// Requests a second for each unit of a team's weight.
 const RATE: f64 = 3.0;
 
@@ -187,7 +184,7 @@
         let targets = targets.map(|node| (node.name.clone(), json!(node.target)));
         let value = json!({
             "kind": service.kind,
-            "tokens": TOKENS,
+            "tokens": shape::TOKENS,
             "targets": targets.collect::<Value>(),
         });
         (service.name, value)
@@ -197,6 +194,7 @@
         "teams": teams.collect::<Value>(),
         "pipelines": pipelines.collect::<Value>(),
         "services": services.collect::<Value>(),
+        "capacity": format!("{:.3}/s", layout.capacity()),
     })
 }
 
@@ -213,6 +211,7 @@
     };
     json!({
         "token": token(team),
+        "weight": team.weight,
         "streams": user.pipelines.iter().map(stream).collect::<Vec<_>>(),
     })
 }
--- a/laburnumcart_fakes/src/demo/files.rs
+++ b/laburnumcart_fakes/src/demo/files.rs
@@ -6,17 +6,18 @@
     path, //
 };
 
-use laburnumcart::bundle;
+use laburnumcart::{
+    bundle,
+    unit, //
+};
 use serde_json::Value;
 
 use crate::demo::{
     documents,
-    layout, //
+    layout,
+    shape, //
 };
 
-/// Calls that a stand-in runs at full speed.
-const SLOTS: u32 = 4;
-
 /// Writes the documents of a demo and the list of its processes.
 ///
 /// `processes.txt` has one process a line, its name, binary and arguments divided by spaces, in
@@ -69,12 +70,14 @@
             bundle::Orders::Fenced | bundle::Orders::None => "fenced",
         };
         lines.push(format!(
-            "targets-{} laburnum-fake-target {} {time} {} --slots {SLOTS} --tokens {} \
+            "targets-{} laburnum-fake-target {} {time} {} --prefill-time {} --slots {} --tokens {} \
              --orders {orders}",
             service.name,
             targets.collect::<Vec<_>>().join(" "),
-            service.time,
-            documents::TOKENS,
+            unit::Period(service.step(layout.pace)),
+            unit::Period(shape::PREFILL * layout.pace),
+            layout::SLOTS,
+            shape::TOKENS,
         ));
     }
     let daemon = |name: &str, binary| {
--- a/laburnumcart_fakes/src/demo/layout.rs
+++ b/laburnumcart_fakes/src/demo/layout.rs
@@ -7,6 +7,9 @@
 /// Data centres that instances are spread over.
 pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
+/// Calls that a stand-in runs at full speed.
+pub(super) const SLOTS: u32 = 4;
+
 /// Entries, each in another data centre.
 const ENTRIES: usize = 2;
 
@@ -15,6 +18,8 @@
 pub struct Layout {
     /// Whose services it has.
     pub shape: shape::Shape,
+    /// Factor on the times of all targets.
+    pub pace: u32,
     /// Address of the object service.
     pub store: net::SocketAddr,
     /// Entries.
@@ -83,12 +88,26 @@
         }
         Self {
             shape,
+            pace: 1,
             store,
             entries,
             nodes,
         }
     }
 
+    /// Returns the requests a second that the slowest service can keep up with.
+    ///
+    /// The mixture is that of the load's rates; each engine has the prefixes in its cache.
+    pub fn capacity(&self) -> f64 {
+        let services = self.shape.services().into_iter();
+        let bounds = services.map(|service| {
+            let targets = self.targets(service.name).count() as f64;
+            let slots = f64::from(SLOTS);
+            targets * slots / service.call(self.pace).as_secs_f64() / self.shape.part(service.name)
+        });
+        bounds.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns the targets of a service.
     pub fn targets(&self, service: &str) -> impl Iterator<Item = &Node> {
         let nodes = self.nodes.iter();
--- a/laburnumcart_fakes/src/demo/shape.rs
+++ b/laburnumcart_fakes/src/demo/shape.rs
@@ -1,17 +1,29 @@
 //! The users' services, pipelines and teams, by size.
 
-use std::str;
+use std::{
+    str,
+    time, //
+};
 
 use derive_more::{
     Display,
     Error, //
 };
-use laburnumcart::bundle;
+use laburnumcart::{
+    bundle,
+    unit, //
+};
 
 mod araya;
 mod common;
 mod quetzal;
 
+/// Tokens of an engine's answer.
+pub(super) const TOKENS: u32 = 20;
+
+/// Time in which an engine reads a prompt that is not in its cache.
+pub(super) const PREFILL: time::Duration = time::Duration::from_millis(20);
+
 /// Whose services and teams a demo has.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[display(rename_all = "lowercase")]
@@ -81,6 +93,20 @@
         let own = self.users().into_iter().flat_map(|user| user.services);
         own.chain(&common::POOLS).collect()
     }
+
+    /// Returns the part of all requests that call a service.
+    pub fn part(self, service: &str) -> f64 {
+        let users = self.users();
+        let load = |user: &User| user.teams.iter().map(|team| team.weight).sum::<u32>();
+        let calls = |user: &User| {
+            let pipelines = user.pipelines.iter();
+            let calling = pipelines.filter(|p| p.stages.iter().any(|(_, s)| *s == service));
+            calling.map(|p| p.part).sum::<u32>() * load(user)
+        };
+        let called: u32 = users.iter().map(|user| calls(user)).sum();
+        let all: u32 = users.iter().map(|user| load(user)).sum();
+        f64::from(called) / f64::from(100 * all)
+    }
 }
 
 /// One of the users.
@@ -114,6 +140,21 @@
 }
 
 impl Service {
+    /// Returns the mean time of a pool's call, or of an engine's token.
+    pub fn step(&self, pace: u32) -> time::Duration {
+        let step: Result<unit::Period, _> = self.time.parse();
+        step.map_or(time::Duration::ZERO, |step| step.0 * pace)
+    }
+
+    /// Returns the mean time of a call at full speed, with its prefix in the cache.
+    pub fn call(&self, pace: u32) -> time::Duration {
+        let step = self.step(pace);
+        match self.kind {
+            bundle::Kind::Pool => step,
+            bundle::Kind::Engine => step * TOKENS + PREFILL * pace / 10,
+        }
+    }
+
     /// Returns the number of targets.
     pub fn targets(&self, size: Size) -> usize {
         match size {
--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod demo;
 pub mod expected;
 pub mod load;
+pub mod measure;
 pub mod store;
 pub mod target;
--- a/laburnumcart_fakes/src/load/cost.rs
+++ b/laburnumcart_fakes/src/load/cost.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections,
-    fmt, //
+    fmt,
+    time, //
 };
 
 use laburnumcart::id;
@@ -14,6 +15,12 @@
     target::ledger, //
 };
 
+/// Tries to read a target's record.
+const READS: u32 = 20;
+
+/// Time between them.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// Time of targets spent on one stage.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Stage {
@@ -52,6 +59,21 @@
     unreachable
 }
 
+/// Waits for a bounded time until nothing is executing, as what goes on is still to be charged.
+pub async fn settle(client: &client::Client, plan: &plan::Plan) {
+    for (_, address) in plan.targets() {
+        let url = format!("http://{address}/admin/executions");
+        for _ in 0..READS {
+            let book = read(client, &url).await.unwrap_or_default();
+            let running = |e: &ledger::Execution| e.outcome == ledger::Outcome::Running;
+            if !book.executions.iter().any(running) {
+                break;
+            }
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+    }
+}
+
 /// Reads the records of all targets and sums them up.
 pub async fn collect(
     client: &client::Client,
@@ -71,9 +93,15 @@
     summary
 }
 
+/// Reads a target's record; a target that is down may come back meanwhile.
 async fn read(client: &client::Client, url: &str) -> Option<ledger::Executions> {
-    let answer = client.get(url).await.ok()?;
-    serde_json::from_slice(&answer.body).ok()
+    for _ in 0..READS {
+        if let Ok(answer) = client.get(url).await {
+            return serde_json::from_slice(&answer.body).ok();
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+    None
 }
 
 /// Sums executions by stage; useful is the first done one of each completed request and stage.
--- a/laburnumcart_fakes/src/load/plan.rs
+++ b/laburnumcart_fakes/src/load/plan.rs
@@ -29,6 +29,9 @@
     pub pipelines: collections::BTreeMap<id::PipelineName, Pipeline>,
     /// Targets by service.
     pub services: collections::BTreeMap<id::ServiceName, Service>,
+    /// Requests a second that the slowest service can keep up with, in the mixture of the rates.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<unit::Rate>,
     /// Faults during the load.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub faults: Vec<Fault>,
@@ -40,6 +43,9 @@
 pub struct Team {
     /// Bearer token.
     pub token: String,
+    /// Weight of its promised share.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
     /// Its streams of requests.
     pub streams: Vec<Stream>,
 }
@@ -71,6 +77,10 @@
     pub burst: Option<Burst>,
 }
 
+fn default_weight() -> u32 {
+    1
+}
+
 fn default_prefixes() -> u32 {
     8
 }
@@ -139,6 +149,12 @@
         targets.map(|(name, address)| (name, *address))
     }
 
+    /// Returns the sum of all rates in requests a second.
+    pub fn rate(&self) -> f64 {
+        let streams = self.teams.values().flat_map(|team| &team.streams);
+        streams.map(|stream| stream.rate.0).sum()
+    }
+
     /// Returns every fault of the plan: names that are used but not given.
     pub fn check(&self) -> Vec<String> {
         let mut faults = Vec::new();
--- a/laburnumcart_fakes/src/load/report.rs
+++ b/laburnumcart_fakes/src/load/report.rs
@@ -188,6 +188,8 @@
     pub seconds: f64,
     /// All requests, without those of a comparison that went straight to the targets.
     pub all: Tally,
+    /// Those of them that may execute more than once.
+    pub idempotent: Tally,
     /// By team.
     pub teams: collections::BTreeMap<id::TeamName, Tally>,
     /// Cost by stage.
@@ -205,6 +207,9 @@
     pub fn add(&mut self, sample: &Sample, aside: bool) {
         if !aside {
             self.all.add(sample);
+            if !sample.single {
+                self.idempotent.add(sample);
+            }
             self.teams
                 .entry(sample.team.clone())
                 .or_default()
@@ -226,6 +231,7 @@
     pub fn finish(&mut self, seconds: f64) {
         self.seconds = seconds;
         self.all.finish(seconds);
+        self.idempotent.finish(seconds);
         let tallies = self.teams.values_mut().chain(self.compared.values_mut());
         tallies.for_each(|tally| tally.finish(seconds));
         self.overhead = self.overheads();
--- a/laburnumcart_fakes/src/load/run.rs
+++ b/laburnumcart_fakes/src/load/run.rs
@@ -95,6 +95,7 @@
     poll.abort();
     fault.abort();
     report.finish(settings.duration.as_secs_f64());
+    cost::settle(&client, &plan).await;
     report.cost = cost::collect(&client, &plan, report.completed()).await;
     report
 }
--- /dev/null
+++ b/laburnumcart_fakes/src/measure.rs
@@ -0,0 +1,7 @@
+//! Measurement of whole cases: the system against the baselines, alternated in one run.
+
+pub mod case;
+pub mod figures;
+pub mod plot;
+pub mod series;
+pub mod table;
--- /dev/null
+++ b/laburnumcart_fakes/src/measure/plot.rs
@@ -0,0 +1,100 @@
+//! Draws attainment and goodput against the offered load.
+
+use std::{
+    error,
+    path, //
+};
+
+use plotters::prelude::{
+    self as draw,
+    IntoDrawingArea, //
+};
+
+use crate::measure::{
+    figures,
+    series, //
+};
+
+/// Width and height in pixels.
+const SIZE: (u32, u32) = (760, 800);
+
+const FONT: (&str, u32) = ("sans-serif", 15);
+
+/// Colours of the ways, in their order.
+const COLOURS: [draw::RGBColor; 3] = [draw::BLUE, draw::RED, draw::BLACK];
+
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+type Area<'a> = draw::DrawingArea<draw::SVGBackend<'a>, plotters::coord::Shift>;
+
+/// What is drawn above each other.
+struct Chart {
+    title: &'static str,
+    value: fn(&figures::Figures) -> figures::Spread,
+}
+
+/// Writes the plot of a sweep as SVG.
+pub fn write(outcomes: &[series::Outcome], path: impl AsRef<path::Path>) -> Result<()> {
+    let path = path.as_ref();
+    let root = draw::SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&draw::WHITE)?;
+    let charts = [
+        Chart {
+            title: "attainment, %",
+            value: |figures| figures.attainment.times(100.0),
+        },
+        Chart {
+            title: "goodput, requests/s",
+            value: |figures| figures.goodput,
+        },
+    ];
+    for (area, chart) in root.split_evenly((2, 1)).iter().zip(charts) {
+        panel(area, &chart, outcomes)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn panel(area: &Area<'_>, chart: &Chart, outcomes: &[series::Outcome]) -> Result<()> {
+    let figures = outcomes.iter().flat_map(|outcome| &outcome.ways);
+    let values = figures.map(|(_, figures)| (chart.value)(figures).high);
+    let top = values.fold(0.0, f64::max) * 1.1;
+    let right = outcomes.iter().map(|o| o.load).fold(0.0, f64::max) * 1.05;
+    let mut context = draw::ChartBuilder::on(area)
+        .caption(chart.title, FONT)
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..right, 0.0..top.max(f64::MIN_POSITIVE))?;
+    context
+        .configure_mesh()
+        .light_line_style(draw::TRANSPARENT)
+        .x_desc("offered load / capacity")
+        .draw()?;
+    for (index, colour) in COLOURS.into_iter().enumerate() {
+        let ways = outcomes
+            .iter()
+            .filter_map(|o| Some((o.load, o.ways.get(index)?)));
+        let points: Vec<_> = ways
+            .map(|(load, (way, figures))| (*way, load, (chart.value)(figures)))
+            .collect();
+        let Some((way, ..)) = points.first() else {
+            continue;
+        };
+        let line = points.iter().map(|(_, load, spread)| (*load, spread.mid));
+        context
+            .draw_series(draw::LineSeries::new(line, colour).point_size(3))?
+            .label(way.to_string())
+            .legend(move |(x, y)| draw::PathElement::new([(x, y), (x + 20, y)], colour));
+        let bars = points
+            .iter()
+            .map(|(_, load, s)| draw::PathElement::new([(*load, s.low), (*load, s.high)], colour));
+        context.draw_series(bars)?;
+    }
+    context
+        .configure_series_labels()
+        .border_style(draw::BLACK)
+        .background_style(draw::WHITE)
+        .draw()?;
+    Ok(())
+}
--- /dev/null
+++ b/laburnumcart_fakes/src/measure/series.rs
@@ -0,0 +1,180 @@
+//! Runs a case by each way in turn, again and again, and puts everything back between.
+
+use std::{
+    net,
+    path,
+    time, //
+};
+
+use derive_more::Display;
+use laburnumcart::unit;
+use serde::Serialize;
+
+use crate::{
+    client,
+    load::{
+        plan,
+        report,
+        run, //
+    },
+    measure::{
+        case,
+        figures, //
+    },
+    target::behaviour,
+};
+
+/// Age of the reported load unless a case changes it.
+const LOAD_LAG: time::Duration = time::Duration::from_millis(500);
+
+/// Time for queues and reports to come to rest between two runs.
+const REST: time::Duration = time::Duration::from_millis(700);
+
+/// How requests reach the targets.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
+pub enum Way {
+    /// Through the entries.
+    #[display("ours")]
+    Ours,
+    /// In turn, without retries.
+    #[display("round robin")]
+    RoundRobin,
+    /// The least loaded, with three blind retries.
+    #[display("least loaded")]
+    LeastLoaded,
+}
+
+/// All ways, in the order in which they take turns.
+pub const WAYS: [Way; 3] = [Way::Ours, Way::RoundRobin, Way::LeastLoaded];
+
+/// Result of one case.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Name of the case.
+    pub case: String,
+    /// Offered load as a part of capacity.
+    pub load: f64,
+    /// Load average of the machine during the runs.
+    pub machine: figures::Spread,
+    /// Figures by way.
+    pub ways: Vec<(Way, figures::Figures)>,
+}
+
+/// Runs cases against one fleet.
+#[derive(Debug)]
+pub struct Series {
+    client: client::Client,
+    store: net::SocketAddr,
+    repetitions: u64,
+    pages: Option<path::PathBuf>,
+}
+
+impl Series {
+    /// Creates a series; the entries' metrics after each of our runs go to the folder `pages`.
+    pub fn new(store: net::SocketAddr, repetitions: u64, pages: Option<path::PathBuf>) -> Self {
+        Self {
+            client: client::Client::default(),
+            store,
+            repetitions,
+            pages,
+        }
+    }
+
+    /// Runs a case by all ways, alternated.
+    pub async fn run(&self, case: &case::Case) -> Outcome {
+        let mut reports = WAYS.map(|_| Vec::new());
+        let mut machine = Vec::new();
+        for seed in 1..=self.repetitions {
+            for (way, reports) in WAYS.iter().zip(&mut reports) {
+                reports.push(self.once(case, *way, seed).await);
+                machine.extend(load_average());
+            }
+        }
+        let figures = reports.iter().map(|reports| figures::Figures::of(reports));
+        Outcome {
+            case: case.name.clone(),
+            load: case.load,
+            machine: figures::Spread::of(machine),
+            ways: WAYS.into_iter().zip(figures).collect(),
+        }
+    }
+
+    async fn once(&self, case: &case::Case, way: Way, seed: u64) -> report::Report {
+        self.outage(case.outage).await;
+        let plan = &case.plan;
+        let capacity = plan.capacity.map_or(plan.rate(), |rate| rate.0);
+        let settings = run::Settings {
+            route: route(way),
+            duration: case.duration,
+            scale: case.load * capacity / plan.rate(),
+            seed,
+            ..Default::default()
+        };
+        let report = run::run(plan.clone(), settings).await;
+        eprintln!("case={:?} way={way} seed={seed} {}", case.name, report.all);
+        if way == Way::Ours {
+            self.keep(case, seed).await;
+        }
+        self.reset(plan).await;
+        report
+    }
+
+    async fn outage(&self, down: bool) {
+        let url = format!("http://{}/admin/faults", self.store);
+        let faults = if down { "{\"down\":true}" } else { "{}" };
+        if let Err(error) = self.client.post(&url, &[], faults).await {
+            log::warn!("store={} error={error}", self.store);
+        }
+    }
+
+    /// Ends all faults and waits for rest.
+    async fn reset(&self, plan: &plan::Plan) {
+        self.outage(false).await;
+        let calm = behaviour::Change {
+            crash_on: Some(String::new()),
+            freeze: Some(false),
+            slow: Some(1.0),
+            fail: Some(0.0),
+            fail_fast: Some(false),
+            load_lag: Some(unit::Period(LOAD_LAG)),
+            ..Default::default()
+        };
+        let body = serde_json::to_string(&calm).unwrap_or_default();
+        for (name, address) in plan.targets() {
+            let url = format!("http://{address}/admin/behave");
+            if let Err(error) = self.client.post(&url, &[], body.clone()).await {
+                log::warn!("target={name} error={error}");
+            }
+        }
+        tokio::time::sleep(REST).await;
+    }
+
+    /// Keeps the entries' metrics for a later look.
+    async fn keep(&self, case: &case::Case, seed: u64) {
+        let Some(pages) = &self.pages else { return };
+        for (number, entry) in case.plan.entries.iter().enumerate() {
+            let url = format!("http://{entry}/metrics");
+            let Ok(answer) = self.client.get(&url).await else {
+                continue;
+            };
+            let name = format!("{}-{seed}-{number}.txt", case.name.replace([' ', ','], "_"));
+            if let Err(error) = std::fs::write(pages.join(name), answer.body) {
+                log::warn!("page={url} error={error}");
+            }
+        }
+    }
+}
+
+fn route(way: Way) -> run::Route {
+    match way {
+        Way::Ours => run::Route::System,
+        Way::RoundRobin => run::Route::Baseline(run::Policy::RoundRobin),
+        Way::LeastLoaded => run::Route::Baseline(run::Policy::LeastLoaded),
+    }
+}
+
+/// Returns the load average of the last minute, if the machine tells.
+fn load_average() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    text.split(' ').next()?.parse().ok()
+}
--- /dev/null
+++ b/laburnumcart_fakes/src/measure/table.rs
@@ -0,0 +1,143 @@
+//! Prints results as tables in Markdown.
+
+use std::{
+    collections,
+    fmt,
+    fmt::Write, //
+};
+
+use laburnumcart::id;
+
+use crate::measure::{
+    figures,
+    series, //
+};
+
+/// Results with what their tables need besides.
+#[derive(Debug)]
+pub struct Page<'a> {
+    /// Results, in order.
+    pub outcomes: &'a [series::Outcome],
+    /// Weights of the teams.
+    pub weights: collections::BTreeMap<id::TeamName, u32>,
+}
+
+impl fmt::Display for Page<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.overall(f)?;
+        self.stages(f)?;
+        self.teams(f)?;
+        self.refusals(f)
+    }
+}
+
+impl Page<'_> {
+    fn overall(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "### In all\n")?;
+        writeln!(
+            f,
+            "| case (load average) | way | attainment, % | of idempotent, % | p50, ms | p99, ms \
+             | goodput, /s | useful, ms | wasted, ms | wrong | lost | ran twice |"
+        )?;
+        writeln!(f, "|---|---|---|---|---|---|---|---|---|---|---|---|")?;
+        for outcome in self.outcomes {
+            for (way, figures) in &outcome.ways {
+                writeln!(
+                    f,
+                    "| {} ({:.0}) | {way} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+                    outcome.case,
+                    outcome.machine.mid,
+                    cell(figures.attainment.times(100.0), 1),
+                    cell(figures.idempotent.times(100.0), 1),
+                    cell(figures.p50, 0),
+                    cell(figures.p99, 0),
+                    cell(figures.goodput, 0),
+                    cell(figures.useful.times(1e3), 0),
+                    cell(figures.wasted.times(1e3), 1),
+                    figures.wrong,
+                    figures.lost,
+                    figures.repeated,
+                )?;
+            }
+        }
+        writeln!(f)
+    }
+
+    fn stages(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names = self.outcomes.iter().flat_map(|o| &o.ways);
+        let names = names.flat_map(|(_, figures)| figures.stages.keys());
+        let names: collections::BTreeSet<_> = names.collect();
+        writeln!(f, "### Cost by stage: useful + wasted, ms\n")?;
+        let titles: Vec<_> = names.iter().map(|name| name.as_str()).collect();
+        writeln!(f, "| case | way | {} |", titles.join(" | "))?;
+        writeln!(f, "|---|---|{}", "---|".repeat(names.len()))?;
+        for outcome in self.outcomes {
+            for (way, figures) in &outcome.ways {
+                write!(f, "| {} | {way} |", outcome.case)?;
+                for name in &names {
+                    let cost = figures.stages.get(*name).copied().unwrap_or_default();
+                    let (useful, wasted) = (cost.useful.mid * 1e3, cost.wasted.mid * 1e3);
+                    write!(f, " {useful:.1} + {wasted:.1} |")?;
+                }
+                writeln!(f)?;
+            }
+        }
+        writeln!(f)
+    }
+
+    fn teams(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let all: u32 = self.weights.values().sum();
+        writeln!(f, "### By team\n")?;
+        let ways: Vec<_> = series::WAYS.iter().map(|way| format!("{way}")).collect();
+        let titles: Vec<_> = ways
+            .iter()
+            .map(|way| format!("{way}: attainment, % | share, %"))
+            .collect();
+        writeln!(
+            f,
+            "| case | team | promised share, % | offered, /s | {} |",
+            titles.join(" | ")
+        )?;
+        writeln!(f, "|---|---|---|---|{}", "---|---|".repeat(ways.len()))?;
+        for outcome in self.outcomes {
+            for (team, weight) in &self.weights {
+                let promised = 100.0 * f64::from(*weight) / f64::from(all.max(1));
+                let mut row = String::new();
+                let mut offered = 0.0;
+                for (_, figures) in &outcome.ways {
+                    let own = figures.teams.get(team).copied().unwrap_or_default();
+                    let sum: f64 = figures.teams.values().map(|t| t.goodput.mid).sum();
+                    offered = own.offered.mid;
+                    let share = 100.0 * own.goodput.mid / sum.max(f64::MIN_POSITIVE);
+                    let attainment = cell(own.attainment.times(100.0), 1);
+                    write!(row, " {attainment} | {share:.0} |")?;
+                }
+                let case = &outcome.case;
+                writeln!(f, "| {case} | {team} | {promised:.0} | {offered:.0} |{row}")?;
+            }
+        }
+        writeln!(f)
+    }
+
+    fn refusals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "### Refusals and failures, all repetitions\n")?;
+        writeln!(f, "| case | way | verdict, reason and count |")?;
+        writeln!(f, "|---|---|---|")?;
+        for outcome in self.outcomes {
+            for (way, figures) in &outcome.ways {
+                let causes = figures.refused.iter();
+                let causes: Vec<_> = causes.map(|(c, n)| format!("{c}: {n}")).collect();
+                if !causes.is_empty() {
+                    writeln!(f, "| {} | {way} | {} |", outcome.case, causes.join("; "))?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Prints a median with its spread.
+fn cell(spread: figures::Spread, digits: usize) -> String {
+    let figures::Spread { low, mid, high } = spread;
+    format!("{mid:.digits$} ({low:.digits$} to {high:.digits$})")
+}
--- a/laburnumcart_fakes/src/target/behaviour.rs
+++ b/laburnumcart_fakes/src/target/behaviour.rs
@@ -23,6 +23,8 @@
     pub fail_fast: bool,
     /// Time from an order's acceptance to its effect.
     pub order_time: unit::Period,
+    /// Age of the load that is reported, if not that of the settings.
+    pub load_lag: Option<unit::Period>,
 }
 
 impl Default for Behaviour {
@@ -34,6 +36,7 @@
             fail: 0.0,
             fail_fast: false,
             order_time: unit::Period(time::Duration::ZERO),
+            load_lag: None,
         }
     }
 }
@@ -60,6 +63,12 @@
     /// See [`Behaviour::order_time`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub order_time: Option<unit::Period>,
+    /// See [`Behaviour::load_lag`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load_lag: Option<unit::Period>,
+    /// Crashes the target now and keeps it down for this time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub down: Option<unit::Period>,
 }
 
 impl Behaviour {
@@ -73,5 +82,6 @@
         self.fail = change.fail.unwrap_or(self.fail);
         self.fail_fast = change.fail_fast.unwrap_or(self.fail_fast);
         self.order_time = change.order_time.unwrap_or(self.order_time);
+        self.load_lag = change.load_lag.or(self.load_lag);
     }
 }
--- a/laburnumcart_fakes/src/target/core.rs
+++ b/laburnumcart_fakes/src/target/core.rs
@@ -30,6 +30,7 @@
     pub(super) ledger: sync::Mutex<ledger::Ledger>,
     pub(super) behaviour: watch::Sender<behaviour::Behaviour>,
     memory: sync::Mutex<Memory>,
+    down: sync::Mutex<Option<time::Duration>>,
     crash: Box<dyn Fn() + Send + Sync>,
 }
 
@@ -70,6 +71,7 @@
             settings,
             ledger: sync::Mutex::default(),
             behaviour: watch::Sender::default(),
+            down: sync::Mutex::default(),
             crash: Box::new(crash),
         }
     }
@@ -89,15 +91,42 @@
         let text = self.behaviour.borrow().crash_on.clone();
         let provoked = text.is_some_and(|text| contains(body, text.as_bytes()));
         if provoked {
-            self.ledger.lock().unwrap().crash();
-            (self.crash)();
+            self.fall();
         }
         provoked
     }
 
+    fn fall(&self) {
+        self.ledger.lock().unwrap().crash();
+        (self.crash)();
+    }
+
+    /// Puts a change of the faults into force.
+    pub(super) fn behave(&self, change: behaviour::Change) {
+        if let Some(lag) = change.load_lag {
+            self.gate().set_lag(lag.0);
+        }
+        let down = change.down;
+        self.behaviour
+            .send_modify(|behaviour| behaviour.apply(change));
+        if let Some(period) = down {
+            *self.down.lock().unwrap() = Some(period.0);
+            self.fall();
+        }
+    }
+
+    /// Returns how long the target stays down after a crash; an ordered time counts once.
+    pub(super) fn downtime(&self) -> time::Duration {
+        let ordered = self.down.lock().unwrap().take();
+        ordered.unwrap_or(self.settings.restart)
+    }
+
     /// Forgets what a crash loses; no handler of the old life may be left.
     pub(super) fn reboot(&self) {
         *self.memory() = Memory::new(&self.settings);
+        if let Some(lag) = self.behaviour.borrow().load_lag {
+            self.gate().set_lag(lag.0);
+        }
     }
 
     /// Waits while the target is frozen.
--- a/laburnumcart_fakes/src/target/gate.rs
+++ b/laburnumcart_fakes/src/target/gate.rs
@@ -32,12 +32,12 @@
 pub(super) struct Gate {
     slots: u32,
     limit: u32,
-    lag: time::Duration,
     state: sync::Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    lag: time::Duration,
     running: u32,
     serial: u64,
     waiting: collections::BTreeMap<(u8, u64), oneshot::Sender<Permit>>,
@@ -59,11 +59,18 @@
         Self {
             slots,
             limit,
-            lag,
-            state: sync::Mutex::default(),
+            state: sync::Mutex::new(State {
+                lag,
+                ..State::default()
+            }),
         }
     }
 
+    /// Changes the age of the load that is reported.
+    pub(super) fn set_lag(&self, lag: time::Duration) {
+        self.state.lock().unwrap().lag = lag;
+    }
+
     /// Waits for a slot; lower `rank` goes first.
     pub(super) async fn enter(self: &sync::Arc<Self>, rank: u8) -> Result<Permit, Full> {
         let (key, receiver) = {
@@ -95,9 +102,9 @@
     /// Returns the load as it was one lag ago.
     pub(super) fn lagging(&self) -> Load {
         let mut state = self.state.lock().unwrap();
-        self.prune(&mut state);
+        prune(&mut state);
         match state.history.front() {
-            Some((at, load)) if at.elapsed() >= self.lag => *load,
+            Some((at, load)) if at.elapsed() >= state.lag => *load,
             _ => Load::default(),
         }
     }
@@ -125,16 +132,15 @@
     fn note(&self, state: &mut State) {
         let sample = (Instant::now(), load(state));
         state.history.push_back(sample);
-        self.prune(state);
+        prune(state);
     }
+}
 
-    fn prune(&self, state: &mut State) {
-        let old = |sample: Option<&(Instant, Load)>| {
-            sample.is_some_and(|(at, _)| at.elapsed() >= self.lag)
-        };
-        while old(state.history.get(1)) {
-            state.history.pop_front();
-        }
+fn prune(state: &mut State) {
+    let lag = state.lag;
+    let old = |sample: Option<&(Instant, Load)>| sample.is_some_and(|(at, _)| at.elapsed() >= lag);
+    while old(state.history.get(1)) {
+        state.history.pop_front();
     }
 }
 
--- a/laburnumcart_fakes/src/target/routes.rs
+++ b/laburnumcart_fakes/src/target/routes.rs
@@ -87,7 +87,8 @@
 pub(super) async fn load(StateRef(core): StateRef<'_, Core>) -> Response {
     core.thaw().await;
     let load = core.gate().lagging();
-    let age = core.settings.load_lag.as_millis() as u64;
+    let lag = core.behaviour.borrow().load_lag;
+    let age = lag.map_or(core.settings.load_lag, |lag| lag.0).as_millis() as u64;
     let load = json!({ "running": load.running, "queued": load.queued, "age_ms": age });
     json(200, &load)
 }
@@ -167,8 +168,7 @@
     let Ok(change) = serde_json::from_slice::<behaviour::Change>(&raw) else {
         return empty(400);
     };
-    core.behaviour
-        .send_modify(|behaviour| behaviour.apply(change));
+    core.behave(change);
     json(200, &*core.behaviour.borrow())
 }
 
--- a/laburnumcart_fakes/src/target/server.rs
+++ b/laburnumcart_fakes/src/target/server.rs
@@ -113,7 +113,7 @@
                 log::error!("target={} error={error}", self.core.settings.name);
                 return;
             }
-            let restart = self.core.settings.restart;
+            let restart = self.core.downtime();
             if self.core.settings.exit_on_crash && !self.stops(time::Duration::ZERO) {
                 process::exit(CRASH_CODE);
             }
