agent: make a crash a fact before its attempt fails

Cause: the sender of an attempt was told of its failure before the control thread had looked at the target. It sent the same content to the next target at once, as content that nothing was known of. A crash was counted twice: when the target was found down, and when its next life was seen.

Now a failed attempt is told only when it is known whether the target crashed; until then content that has just failed there, and suspects, do not start. Facts of crashes are in force when the heartbeat that brought them is answered.

Ruled out: to put the facts into the answer of the attempt. It would change the hot message for a rare case, and the heartbeat carries them both ways already.

--- a/laburnumcart_agent/src/control.rs
+++ b/laburnumcart_agent/src/control.rs
@@ -43,6 +43,10 @@
     /// State of the target for the orders, `None` while it is not known.
     states: watch::Sender<Option<target::State>>,
     next: snapshot::Snapshot,
+    /// Who waits until it is known whether the target crashed.
+    doubtful: Vec<shared::Taken>,
+    /// Who waits for the next publication.
+    taken: Vec<shared::Taken>,
 }
 
 /// Runs the control loops; never returns.
@@ -60,6 +64,8 @@
         watching: watching::Watching::default(),
         states: watch::Sender::new(None),
         next: snapshot::Snapshot::default(),
+        doubtful: Vec::new(),
+        taken: Vec::new(),
     };
     let secret = shared.settings.fleet.secret().cloned();
     let states = control.states.subscribe();
@@ -102,13 +108,19 @@
     async fn take(&mut self, news: Option<shared::News>) {
         let now = time::Instant::now();
         match news {
-            Some(shared::News::Facts(facts)) => drop(self.facts.merge(&facts, now)),
+            Some(shared::News::Facts(facts, taken)) => {
+                self.facts.merge(&facts, now);
+                self.taken.push(taken);
+            }
             Some(shared::News::Cleared(all)) => {
                 for cleared in all {
                     self.facts.add_cleared(&cleared, now);
                 }
             }
-            Some(shared::News::Failed) => self.look().await,
+            Some(shared::News::Failed(taken)) => {
+                self.doubtful.push(taken);
+                self.look().await;
+            }
             None => (),
         }
     }
@@ -148,6 +160,13 @@
         self.shared
             .snapshot
             .store(sync::Arc::new(self.next.clone()));
+        if !self.shared.work().is_doubtful() {
+            self.taken.append(&mut self.doubtful);
+        }
+        for taken in self.taken.drain(..) {
+            // Nobody waits any more if it took too long.
+            let _ = taken.send(());
+        }
     }
 
     fn add_crash(&mut self, suspects: Vec<id::Fingerprint>) {
--- a/laburnumcart_agent/src/control/watching.rs
+++ b/laburnumcart_agent/src/control/watching.rs
@@ -42,6 +42,14 @@
         self.misses = 0;
         before.is_some_and(|before| before != state.boot)
     }
+
+    /// Takes in that the target crashed and is down.
+    fn fall(&mut self) {
+        self.misses = MISSES;
+        // The next life that is seen comes of this crash. Taken for a crash of its own, what had
+        // started on that life would be ended and suspected.
+        self.boot = None;
+    }
 }
 
 impl control::Control {
@@ -75,6 +83,7 @@
         // A process that is gone closes its port and all connections. One that is only slow or
         // paused keeps them, and what it runs must not be counted against its content.
         if closed && self.shared.work().is_struck() {
+            self.watching.fall();
             self.crashed();
         }
     }
--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -48,6 +48,10 @@
     let outcome = attempt(&shared, &job, parent).instrument(span).await;
     let now = time::Instant::now();
     shared.work().end(&job, outcome, now);
+    if let job::Outcome::MayHaveRun(reason @ verdict::Reason::TargetFailed) = outcome {
+        shared.failed().await;
+        shared.work().fail(&job, reason, time::Instant::now());
+    }
     report(&shared, &job, outcome, now);
     pump(&shared);
 }
@@ -68,9 +72,6 @@
         job::Outcome::MayHaveRun(reason) => verdict::Refusal::may_have_run(reason),
     };
     shared.counters.refuse(&refusal);
-    if refusal.reason == verdict::Reason::TargetFailed {
-        shared.tell(shared::News::Failed);
-    }
 }
 
 async fn attempt(
--- a/laburnumcart_agent/src/service.rs
+++ b/laburnumcart_agent/src/service.rs
@@ -128,7 +128,7 @@
             .lanes
             .open(session.lane, session.number, now);
         opened.map_err(|refusal| self.fenced(refusal))?;
-        self.shared.hear(hello.facts, hello.peer);
+        self.shared.hear(hello.facts, hello.peer).await;
         self.shared.resend(session.lane);
         Ok(self.shared.report(Some(session.lane)))
     }
@@ -143,7 +143,7 @@
             .check(session.lane, session.number, now);
         checked.map_err(|refusal| self.fenced(refusal))?;
         if let Some(facts) = beat.facts {
-            self.shared.hear(facts, None);
+            self.shared.hear(facts, None).await;
         }
         Ok(self.shared.report(Some(session.lane)))
     }
--- a/laburnumcart_agent/src/shared.rs
+++ b/laburnumcart_agent/src/shared.rs
@@ -20,6 +20,7 @@
 use tokio::{
     sync::{
         mpsc,
+        oneshot,
         watch, //
     },
     time,
@@ -36,17 +37,26 @@
 /// News that may wait for the control thread.
 const NEWS_MAX: usize = 1024;
 
+/// Longest wait until facts are in force; well below what a heartbeat may take.
+const HEARD_LIMIT: time::Duration = time::Duration::from_millis(300);
+
+/// Longest wait until it is known why the target failed; a look at it takes up to a second.
+const FAILED_LIMIT: time::Duration = time::Duration::from_millis(1500);
+
 /// What traffic threads tell the control thread.
 #[derive(Debug)]
 pub enum News {
-    /// A peer's facts.
-    Facts(facts::Facts),
+    /// A peer's facts, and whom to tell once they are in force.
+    Facts(facts::Facts, Taken),
     /// Content that was suspected has completed.
     Cleared(Vec<facts::Cleared>),
-    /// The target has failed an attempt.
-    Failed,
+    /// The target has failed an attempt; tells once it is known whether it crashed.
+    Failed(Taken),
 }
 
+/// Told when the control thread has published what follows from news.
+pub type Taken = oneshot::Sender<()>;
+
 /// State that all threads reach.
 #[derive(Debug)]
 pub struct Shared {
@@ -134,14 +144,34 @@
         }
     }
 
-    /// Takes in the facts of a peer.
-    pub fn hear(&self, facts: facts::Facts, peer: Option<net::SocketAddr>) {
+    /// Takes in the facts of a peer; those of crashes are in force when this returns.
+    ///
+    /// An entry tells what it knows of a suspect before it sends it. Were the call admitted first,
+    /// the target would execute content that has crashed two others.
+    pub async fn hear(&self, facts: facts::Facts, peer: Option<net::SocketAddr>) {
         if let Some(peer) = peer {
             self.feed.hear(facts.generation, peer);
         }
-        if facts != facts::Facts::default() {
-            self.tell(News::Facts(facts));
+        if facts == facts::Facts::default() {
+            return;
         }
+        let urgent = !facts.crashes.is_empty();
+        let (taken, wait) = oneshot::channel();
+        self.tell(News::Facts(facts, taken));
+        if urgent {
+            let _ = time::timeout(HEARD_LIMIT, wait).await;
+        }
+    }
+
+    /// Has the control thread look at the target that failed an attempt, and waits until it is
+    /// known whether it crashed.
+    ///
+    /// The sender repeats the attempt as soon as it is told. Told before the crash is a fact, it
+    /// would send the content that crashed the target to the next one as any other.
+    pub async fn failed(&self) {
+        let (taken, wait) = oneshot::channel();
+        self.tell(News::Failed(taken));
+        let _ = time::timeout(FAILED_LIMIT, wait).await;
     }
 
     /// Returns the answer to a heartbeat of `lane`, with the facts that it has not been sent yet.
--- a/laburnumcart_agent/src/work.rs
+++ b/laburnumcart_agent/src/work.rs
@@ -193,15 +193,25 @@
                     .refuse(id, verdict::Refusal { retry, ..refusal }, true, now);
             }
             job::Outcome::MayHaveRun(reason) => {
-                if reason == verdict::Reason::TargetFailed && self.lost.len() < LOST_MAX {
+                if reason != verdict::Reason::TargetFailed {
+                    self.fail(job, reason, now);
+                } else if self.lost.len() < LOST_MAX {
                     self.lost.push(job.call.fingerprint);
                 }
-                self.table.fail(id, reason, now);
             }
         }
         job.changed.notify_waiters();
     }
 
+    /// Tells the sender that an attempt may have run.
+    ///
+    /// An attempt that the target failed has ended before: its sender is told only when it is known
+    /// whether the target crashed.
+    pub fn fail(&mut self, job: &job::Job, reason: verdict::Reason, now: time::Instant) {
+        self.table.fail(job.call.attempt, reason, now);
+        job.changed.notify_waiters();
+    }
+
     /// Ends what waits in vain, and forgets lanes and results whose time has passed.
     pub fn sweep(&mut self, now: time::Instant) {
         self.queue.expire(now);
@@ -244,9 +254,14 @@
         all.into_iter().collect()
     }
 
+    /// Reports whether attempts have failed since the target was last seen well.
+    pub fn is_doubtful(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Reports whether attempts have failed since the target was last seen well and none runs.
     pub fn is_struck(&self) -> bool {
-        !self.lost.is_empty() && self.running.is_empty()
+        self.is_doubtful() && self.running.is_empty()
     }
 
     /// Returns the attempts that the target executes.
@@ -291,14 +306,24 @@
     }
 
     fn take_held(&mut self, suspects: &suspects::Suspects, now: time::Instant) -> Option<Shared> {
-        let fits = |job: &Shared| self.may_run(job, suspects, now);
+        // One that was found guilty while it was held can never run; it is taken to be refused.
+        let fits = |job: &Shared| {
+            self.may_run(job, suspects, now) || self.hopeless(job, suspects, now).is_some()
+        };
         let place = self.held.iter().position(fits)?;
         self.held.remove(place)
     }
 
     fn may_run(&self, job: &job::Job, suspects: &suspects::Suspects, now: time::Instant) -> bool {
+        let print = job.call.fingerprint;
+        // Until it is known why the target failed, its end is not among the facts: content that has
+        // just crashed it would start again at once when it comes back.
+        let known = suspects.standing(print, now) != suspects::Standing::Clean;
+        if self.is_doubtful() && (known || self.lost.contains(&print)) {
+            return false;
+        }
         let running = self.running.values().map(|other| other.call.fingerprint);
-        suspects.may_run(job.call.fingerprint, running, now)
+        suspects.may_run(print, running, now)
     }
 
     /// Returns why an attempt that waited must not start any more.
--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -5,4 +5,5 @@
 mod phases;
 mod sign;
 mod stopping;
+mod suspects;
 mod target;
--- a/laburnumcart_agent/tests/agent/target.rs
+++ b/laburnumcart_agent/tests/agent/target.rs
@@ -82,7 +82,18 @@
 
 impl Target {
     pub(crate) async fn start(mode: Mode) -> Self {
-        let listener = aio::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at("127.0.0.1:0".parse().unwrap(), mode).await
+    }
+
+    /// Starts at the address of one that has stopped, once its port is free.
+    pub(crate) async fn start_at(addr: net::SocketAddr, mode: Mode) -> Self {
+        let listener = loop {
+            match aio::TcpListener::bind(addr).await {
+                Ok(listener) => break listener,
+                Err(error) => assert_eq!(error.kind(), std::io::ErrorKind::AddrInUse),
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        };
         let addr = listener.local_addr().unwrap();
         let inner = sync::Arc::new(Inner {
             mode: sync::Mutex::new(mode),
