agent: keep suspects back until the crash is in force

Cause: what a target had failed was forgotten when its crash was noticed, a moment before the suspects that follow from it were published. A suspect that was held could be started in between, was refused for want of the target, and its entry sent it on to one that did not know the crash.

Ruled out: a longer hold by time; the publication itself is the condition.

--- a/laburnumcart_agent/src/control.rs
+++ b/laburnumcart_agent/src/control.rs
@@ -43,6 +43,8 @@
     /// State of the target for the orders, `None` while it is not known.
     states: watch::Sender<Option<target::State>>,
     next: snapshot::Snapshot,
+    /// Whether it is known why attempts failed up to now.
+    explained: bool,
     /// Who waits until it is known whether the target crashed.
     doubtful: Vec<shared::Taken>,
     /// Who waits for the next publication.
@@ -64,6 +66,7 @@
         watching: watching::Watching::default(),
         states: watch::Sender::new(None),
         next: snapshot::Snapshot::default(),
+        explained: false,
         doubtful: Vec::new(),
         taken: Vec::new(),
     };
@@ -160,6 +163,10 @@
         self.shared
             .snapshot
             .store(sync::Arc::new(self.next.clone()));
+        if std::mem::take(&mut self.explained) {
+            // Not before the crash is in force: a suspect that was held would start meanwhile.
+            self.shared.work().explain();
+        }
         if !self.shared.work().is_doubtful() {
             self.taken.append(&mut self.doubtful);
         }
--- a/laburnumcart_agent/src/control/watching.rs
+++ b/laburnumcart_agent/src/control/watching.rs
@@ -69,7 +69,7 @@
         if self.watching.see(state) {
             self.crashed();
         }
-        self.shared.work().seen_well();
+        self.explained = true;
         self.states.send_replace(Some(state.clone()));
     }
 
@@ -90,7 +90,8 @@
 
     /// Ends all that ran on the target and names it as suspect.
     fn crashed(&mut self) {
-        let suspects = self.shared.work().take_suspects();
+        let suspects = self.shared.work().suspects();
+        self.explained = true;
         self.shared.crashes.send_modify(|count| *count += 1);
         self.shared.counters.crashes.inc();
         event!(Warn, "target-crashed", suspects = suspects.len());
--- a/laburnumcart_agent/src/work.rs
+++ b/laburnumcart_agent/src/work.rs
@@ -241,14 +241,14 @@
         }
     }
 
-    /// Takes note that the target was seen well, so that what failed before was not its end.
-    pub fn seen_well(&mut self) {
+    /// Takes note that it is known why attempts failed: the target is well, or its crash a fact.
+    pub fn explain(&mut self) {
         self.lost.clear();
     }
 
-    /// Takes the content of all that ran on the target when it went down.
-    pub fn take_suspects(&mut self) -> Vec<id::Fingerprint> {
-        let lost = std::mem::take(&mut self.lost);
+    /// Returns the content of all that ran on the target when it went down.
+    pub fn suspects(&self) -> Vec<id::Fingerprint> {
+        let lost = self.lost.iter().copied();
         let running = self.running.values().map(|job| job.call.fingerprint);
         let all: collections::BTreeSet<_> = running.chain(lost).collect();
         all.into_iter().collect()
