retry: try another target when one is down

Cause: an agent whose target has just crashed refuses with "no target", which was final, as it is when the entry itself finds none. Each request that went there in the moment of a crash was refused to its caller.

Now the refusal of one agent is followed by another attempt, as for one that is leaving; the entry ends a request itself when no target appears.

tests/retry.rs, case target_down: new.

--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -167,7 +167,6 @@
         | Reason::AlreadyClaimed
         | Reason::ClaimUnavailable
         | Reason::DeadlineExceeded
-        | Reason::NoTarget
         | Reason::Quarantined
         | Reason::TargetRefused
         | Reason::Cancelled
@@ -176,6 +175,7 @@
         | Reason::OverShare
         | Reason::Overloaded
         | Reason::Leaving
+        | Reason::NoTarget
         | Reason::WrongIncarnation
         | Reason::Fenced
         | Reason::TargetFailed
--- a/laburnumcart/tests/retry.rs
+++ b/laburnumcart/tests/retry.rs
@@ -42,6 +42,7 @@
 #[case::crash(false, Refusal::may_have_run(Reason::TargetFailed), LONG, false)]
 #[case::idempotent(true, Refusal::may_have_run(Reason::Lost), LONG, true)]
 #[case::wrong_anywhere(true, Refusal::not_run(Reason::TargetRefused), LONG, false)]
+#[case::target_down(false, Refusal::not_run(Reason::NoTarget), LONG, true)]
 #[case::quarantined(true, Refusal::not_run(Reason::Quarantined), LONG, false)]
 #[case::too_late(
     true,
