entry: send suspects to one home and spread crashes at once

Cause: an entry learnt of a crash with the next heartbeat, up to two seconds later, and sent a failed request on to another target at once. A request that crashes its targets was sent to all of them, by its entry's own retries, by another entry, and by its caller's resends.

Now an entry asks the agent that failed an attempt for its facts before it decides on a retry. Suspects go to the first target in the rendezvous order of their fingerprint, after an exchange of facts with its agent, and are not hedged. Judgement follows the facts at once, not the view of the last tick. A heartbeat's late answer is taken in: its facts would not be sent again over that connection.

Ruled out: facts in each call and answer (cost on the hot path); waiting for the ordinary heartbeats before a retry (two seconds for every failure).

--- a/laburnumcart/src/route.rs
+++ b/laburnumcart/src/route.rs
@@ -127,6 +127,14 @@
         Some(if sooner { two } else { one })
     }
 
+    /// Returns the first target that `fits` in the order of a key, by rendezvous hashing.
+    ///
+    /// All processes that know the same targets find the same order, whatever they know of load.
+    pub fn home(&self, key: u64, fits: impl Fn(usize) -> bool) -> Option<usize> {
+        let fitting = (0..self.targets().len()).filter(|i| fits(*i));
+        fitting.max_by_key(|i| self.score(*i, key))
+    }
+
     /// Returns the expected time until an attempt sent now has finished.
     pub fn finish(&self, i: usize, ask: &Ask<'_>) -> time::Duration {
         let target = &self.targets()[i];
--- a/laburnumcart/tests/route.rs
+++ b/laburnumcart/tests/route.rs
@@ -58,6 +58,27 @@
     }
 }
 
+/// Two processes in different data centres, with other loads known and other orders of the targets,
+/// find the same home for a key, and the same next one where that does not fit.
+#[test]
+fn home_is_the_same_for_all() {
+    let now = Instant::now();
+    let here = route::Table::new((0..8).map(|i| target(i, 0, i < 3, now)).collect());
+    let there = (0..8).rev().map(|i| target(i, i as u32, i > 4, now));
+    let there = route::Table::new(there.collect());
+    let name = |table: &route::Table, i: usize| table.targets()[i].name.clone();
+    let mut homes = std::collections::HashSet::new();
+    for key in 0..100 {
+        let first = name(&here, here.home(key, |_| true).unwrap());
+        assert_eq!(name(&there, there.home(key, |_| true).unwrap()), first);
+        let next = |table: &route::Table| table.home(key, |i| name(table, i) != first).unwrap();
+        assert_eq!(name(&here, next(&here)), name(&there, next(&there)));
+        homes.insert(first);
+    }
+    assert_eq!(homes.len(), 8);
+    assert_eq!(here.home(0, |_| false), None);
+}
+
 #[rstest]
 #[case::equal_load_stays(0, 0, true)]
 #[case::remote_faster_by_less_than_the_crossing(1, 0, true)]
--- a/laburnumcart/tests/suspects.rs
+++ b/laburnumcart/tests/suspects.rs
@@ -89,6 +89,30 @@
     );
 }
 
+/// An innocent request runs beside one poison and then, as a suspect, beside another that nothing is
+/// known of. It alone has two strikes, so it is refused, although not for longer than the poison
+/// would be. When both poisons have struck again they explain its strikes, and it may run.
+#[test]
+fn innocent_beside_two_poisons_is_refused_until_both_are_known() {
+    let now = Instant::now();
+    let innocent = id::Fingerprint(1);
+    let mut table = facts::Table::default();
+    crash(&mut table, &[0, 1], now);
+    crash(&mut table, &[9, 1], now);
+    let known = suspects::Suspects::new(&table, now);
+    assert!(known.refusal(innocent, now).is_some());
+    assert_eq!(known.refusal(innocent, now + 2 * QUARANTINE.0), None);
+
+    crash(&mut table, &[0, 2], now);
+    crash(&mut table, &[9, 3], now);
+    let known = suspects::Suspects::new(&table, now);
+    for poison in [POISON, id::Fingerprint(9)] {
+        assert!(known.refusal(poison, now).is_some());
+    }
+    assert_eq!(known.standing(innocent, now), suspects::Standing::Suspect);
+    assert!(known.may_run(innocent, [], now));
+}
+
 /// Facts of the two crashes and of a clearance reach a process in any order. It must come to the
 /// same judgement, or a request refused by one entry would run through another.
 #[rstest]
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -181,8 +181,7 @@
     request: &request::Request,
 ) -> Result<policy::Admitted, verdict::Refusal> {
     let now = tokio::time::Instant::now();
-    let suspects = entry.view.load().suspects.clone();
-    match suspects.refusal(request.fingerprint, now) {
+    match entry.gossip.suspects().refusal(request.fingerprint, now) {
         Some(refusal) => Err(refusal),
         None => entry.policy.admit(&request.head),
     }
--- a/laburnumcart_entry/src/control.rs
+++ b/laburnumcart_entry/src/control.rs
@@ -8,10 +8,7 @@
     sync::Arc, //
 };
 
-use laburnumcart::{
-    id,
-    suspects, //
-};
+use laburnumcart::id;
 
 use crate::routes;
 
@@ -24,8 +21,6 @@
     pub rules: Option<Arc<Rules>>,
     /// Whether the instances are known and each chosen agent was called once.
     pub settled: bool,
-    /// Content that crashed targets.
-    pub suspects: Arc<suspects::Suspects>,
     /// Targets by service.
     pub routes: collections::BTreeMap<id::ServiceName, routes::Routes>,
 }
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -11,11 +11,7 @@
     time, //
 };
 
-use laburnumcart::{
-    facts,
-    id,
-    suspects, //
-};
+use laburnumcart::id;
 use laburnumcart_daemon::{
     bundle,
     control, //
@@ -76,8 +72,6 @@
         rules: None,
         listed: false,
         settled: false,
-        suspects: Arc::default(),
-        version: facts::Version::default(),
     };
     control.run(instances).await;
 }
@@ -90,9 +84,6 @@
     rules: Option<Arc<views::Rules>>,
     listed: bool,
     settled: bool,
-    suspects: Arc<suspects::Suspects>,
-    /// State of the facts from which the suspects were derived.
-    version: facts::Version,
 }
 
 impl Control {
@@ -106,7 +97,7 @@
                 Ok(()) = bundles.changed() => self.adopt(),
                 Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
             }
-            self.derive();
+            self.entry.gossip.refresh();
             self.publish();
         }
     }
@@ -129,15 +120,6 @@
         }
     }
 
-    /// Derives the suspects again if the facts have changed.
-    fn derive(&mut self) {
-        let version = self.entry.gossip.refresh();
-        if version > self.version {
-            self.version = version;
-            self.suspects = Arc::new(self.entry.gossip.suspects());
-        }
-    }
-
     fn publish(&mut self) {
         let opening = self.members.agents().any(|member| member.lane.is_opening());
         self.settled |= self.listed && !opening;
@@ -158,7 +140,6 @@
         self.entry.view.store(Arc::new(views::View {
             rules: self.rules.clone(),
             settled: self.settled,
-            suspects: self.suspects.clone(),
             routes: routes.collect(),
         }));
     }
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -1,6 +1,7 @@
 //! Runs the stages of one request, each on a target of its service.
 
 pub mod account;
+mod place;
 mod race;
 mod stage;
 
--- a/laburnumcart_entry/src/driver/race.rs
+++ b/laburnumcart_entry/src/driver/race.rs
@@ -21,6 +21,7 @@
     driver::{
         Driver,
         Event,
+        place,
         stage::Tries, //
     },
     links::pull,
@@ -35,6 +36,8 @@
     Whole(Box<Won>),
     /// All attempts failed; the verdict covers them all.
     Refused(verdict::Refusal),
+    /// No attempt was made, and none can be.
+    Unplaced(verdict::Refusal),
 }
 
 /// The attempt that is whole.
@@ -78,8 +81,13 @@
 impl Driver {
     /// Makes an attempt, and a second one if the first is slow.
     pub(super) async fn race(&mut self, tries: &mut Tries<'_>) -> Ended {
-        let Some((ready, chosen)) = self.ready(tries).await else {
-            return Ended::Refused(verdict::Refusal::not_run(verdict::Reason::NoTarget));
+        let place::Placed {
+            ready,
+            chosen,
+            suspect,
+        } = match self.place(tries).await {
+            Ok(placed) => placed,
+            Err(refusal) => return Ended::Unplaced(refusal),
         };
         let runner = match self.launch(tries, ready) {
             Ok(runner) => runner,
@@ -89,7 +97,8 @@
             runners: vec![runner],
             expected: chosen.expected,
             verdict: verdict::Verdict::NotRun,
-            hedged: !tries.idempotent,
+            // A suspect that is slow to crash its target would crash a second one.
+            hedged: !tries.idempotent || suspect,
             check: None,
         };
         loop {
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -22,16 +22,12 @@
         account,
         race, //
     },
-    links::pull,
-    routes, //
+    links::pull, //
 };
 
 /// Pause before a try after every target was tried; doubles with each further one.
 const PAUSE: time::Duration = time::Duration::from_millis(10);
 
-/// Longest wait for a first target to appear.
-const APPEAR: time::Duration = time::Duration::from_millis(500);
-
 /// Body of a call as targets expect it.
 #[derive(Serialize)]
 struct Body<'a> {
@@ -81,7 +77,9 @@
                     return self.finish(tries, *whole);
                 }
                 race::Ended::Refused(refusal) => refusal,
+                race::Ended::Unplaced(refusal) => return Err(refusal),
             };
+            self.learn(&tries, &refusal).await;
             let failure = retry::Failure {
                 refusal,
                 resumable: tries.received.len() > before,
@@ -157,30 +155,6 @@
         routes.map_or(0, |routes| routes.lanes().len())
     }
 
-    /// Waits for a target, for a short time only.
-    pub(super) async fn ready(&self, tries: &Tries<'_>) -> Option<(pull::Ready, routes::Chosen)> {
-        let until = self
-            .request
-            .head
-            .deadline
-            .min(time::Instant::now() + APPEAR);
-        loop {
-            let chosen = self.choose(tries);
-            let ready = chosen.and_then(|c| Some((pull::Ready::new(&c.lane)?, c)));
-            if ready.is_some() || time::Instant::now() >= until {
-                return ready;
-            }
-            time::sleep(PAUSE).await;
-        }
-    }
-
-    /// Chooses a target, one that was not tried if there is one.
-    pub(super) fn choose(&self, tries: &Tries<'_>) -> Option<routes::Chosen> {
-        let view = self.entry.view.load();
-        let routes = view.routes.get(&tries.stage.service)?;
-        routes.choose(&tries.tried, None)
-    }
-
     /// Writes the call of an attempt.
     pub(super) fn call(
         &self,
--- a/laburnumcart_entry/src/gossip.rs
+++ b/laburnumcart_entry/src/gossip.rs
@@ -3,6 +3,7 @@
 use std::{
     net,
     sync::{
+        Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
@@ -21,15 +22,23 @@
 /// Facts of this process; shared by its lanes.
 #[derive(Debug)]
 pub struct Gossip {
-    table: Mutex<facts::Table>,
+    state: Mutex<State>,
     feed: bundle::Feed,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    table: facts::Table,
+    /// Suspects, and the state of the table that they were derived from.
+    suspects: Arc<suspects::Suspects>,
+    derived: facts::Version,
+}
+
 impl Gossip {
     /// Creates an empty table beside a feed of bundles.
     pub fn new(feed: bundle::Feed) -> Self {
         Self {
-            table: Mutex::default(),
+            state: Mutex::default(),
             feed,
         }
     }
@@ -41,7 +50,7 @@
 
     /// Returns what changed since a version, and the version it brings a peer to.
     pub fn changes(&self, since: facts::Version) -> (Option<facts::Facts>, facts::Version) {
-        let table = self.lock();
+        let table = &self.lock().table;
         (table.changes(since, time::Instant::now()), table.version())
     }
 
@@ -62,28 +71,35 @@
             generation: id::Generation::default(),
             ..facts.clone()
         };
-        self.lock().merge(&others, time::Instant::now());
+        self.lock().table.merge(&others, time::Instant::now());
     }
 
     /// Tells the generation that is in force here, and forgets what has expired.
     pub fn refresh(&self) -> facts::Version {
-        let mut table = self.lock();
+        let table = &mut self.lock().table;
         table.set_generation(self.feed.generation());
         table.expire(time::Instant::now());
         table.version()
     }
 
-    /// Derives the suspects.
-    pub fn suspects(&self) -> suspects::Suspects {
-        suspects::Suspects::new(&self.lock(), time::Instant::now())
+    /// Returns the suspects that follow from all that was heard up to now.
+    pub fn suspects(&self) -> Arc<suspects::Suspects> {
+        let mut state = self.lock();
+        let version = state.table.version();
+        if version > state.derived {
+            let derived = suspects::Suspects::new(&state.table, time::Instant::now());
+            state.suspects = Arc::new(derived);
+            state.derived = version;
+        }
+        state.suspects.clone()
     }
 
     /// Reports whether a life accepts no new work.
     pub fn is_leaving(&self, life: id::Incarnation) -> bool {
-        self.lock().is_leaving(life, time::Instant::now())
+        self.lock().table.is_leaving(life, time::Instant::now())
     }
 
-    fn lock(&self) -> MutexGuard<'_, facts::Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -150,7 +150,7 @@
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
-    seen: Arc<ArcSwapOption<Seen>>,
+    ear: Arc<Ear>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -159,19 +159,24 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Opening);
+        let ear = Arc::new(Ear {
+            addr,
+            answer: caller.timing.answer,
+            gossip: caller.gossip.clone(),
+            seen: ArcSwapOption::empty(),
+            running: Arc::default(),
+        });
         let keeper = Keeper {
             addr,
             caller,
             link: link.clone(),
-            seen: Arc::default(),
-            running: Arc::default(),
+            ear: ear.clone(),
         };
-        let (seen, running) = (keeper.seen.clone(), keeper.running.clone());
         let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
-            running,
-            seen,
+            running: ear.running.clone(),
+            ear,
             link,
             task: task.abort_handle(),
         })
@@ -185,9 +190,24 @@
         }
     }
 
+    /// Exchanges all facts of crashes with the agent now, and waits for at most a heartbeat's time.
+    ///
+    /// With the next heartbeat they would come up to two seconds later, in which content that
+    /// crashes targets can be sent to several more.
+    pub async fn exchange(&self) {
+        let Some(connection) = self.connection() else {
+            return;
+        };
+        let beat = agent::Beat {
+            session: connection.session,
+            facts: Some(self.ear.gossip.all()),
+        };
+        self.ear.beat(&connection, beat).await;
+    }
+
     /// Returns the last report of the agent, if it ever reported.
     pub fn report(&self) -> Option<Arc<Seen>> {
-        self.seen.load_full()
+        self.ear.seen.load_full()
     }
 
     /// Reports whether the agent takes work for a service now, as far as is known.
@@ -230,14 +250,74 @@
     }
 }
 
+/// Takes in an agent's reports.
+#[derive(Debug)]
+struct Ear {
+    addr: net::SocketAddr,
+    /// Time after which a heartbeat counts as missed.
+    answer: time::Duration,
+    gossip: Arc<gossip::Gossip>,
+    seen: ArcSwapOption<Seen>,
+    running: Arc<AtomicU32>,
+}
+
+/// What came of a heartbeat.
+enum Heard {
+    /// The agent has answered.
+    Live,
+    /// No answer came in time.
+    Missed,
+    /// The connection is of no use any more.
+    Ended,
+}
+
+impl Ear {
+    fn note(&self, report: agent::Report) {
+        self.gossip.merge(&report.facts, self.addr);
+        self.seen.store(Some(Arc::new(Seen {
+            report,
+            at: time::Instant::now(),
+            own: self.running.load(Ordering::Relaxed),
+        })));
+    }
+
+    /// Sends a heartbeat and takes in its answer, also when that comes late.
+    ///
+    /// An agent sends each fact once over a connection. Were a late answer dropped, its facts would
+    /// not be known here before the next connection.
+    async fn beat(self: &Arc<Self>, connection: &Arc<Connection>, beat: agent::Beat) -> Heard {
+        let (ear, connection) = (self.clone(), connection.clone());
+        let task = tokio::spawn(async move {
+            let answer = tokio::select! {
+                answer = connection.client.beat(beat) => answer,
+                // A connection that is given up must not be kept open by a question.
+                () = connection.closed() => return Heard::Ended,
+            };
+            match answer {
+                // Another process answers at the same address.
+                Ok(report) if report.incarnation != connection.incarnation => Heard::Ended,
+                Ok(report) => {
+                    ear.note(report);
+                    Heard::Live
+                }
+                Err(_) => Heard::Ended,
+            }
+        });
+        match time::timeout(self.answer, task).await {
+            Ok(Ok(heard)) => heard,
+            Ok(Err(_)) => Heard::Ended,
+            Err(_) => Heard::Missed,
+        }
+    }
+}
+
 /// Keeps a lane open.
 #[derive(Debug)]
 struct Keeper {
     addr: net::SocketAddr,
     caller: Caller,
     link: watch::Sender<Link>,
-    seen: Arc<ArcSwapOption<Seen>>,
-    running: Arc<AtomicU32>,
+    ear: Arc<Ear>,
 }
 
 impl Keeper {
@@ -259,7 +339,7 @@
 
     /// Holds a connection until it ends or goes silent.
     async fn hold(&self, connection: Connection, report: agent::Report) {
-        self.note(report);
+        self.ear.note(report);
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
@@ -268,17 +348,8 @@
         connection.closed.send_replace(true);
     }
 
-    fn note(&self, report: agent::Report) {
-        self.caller.gossip.merge(&report.facts, self.addr);
-        self.seen.store(Some(Arc::new(Seen {
-            report,
-            at: time::Instant::now(),
-            own: self.running.load(Ordering::Relaxed),
-        })));
-    }
-
     /// Sends heartbeats until the connection ends or misses too many of them.
-    async fn watch(&self, connection: &Connection) {
+    async fn watch(&self, connection: &Arc<Connection>) {
         let timing = &self.caller.timing;
         let mut sent = facts::Version::default();
         let mut missed = 0;
@@ -292,16 +363,13 @@
                 session: connection.session,
                 facts,
             };
-            match time::timeout(timing.answer, connection.client.beat(beat)).await {
-                // Another process answers at the same address.
-                Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
-                Ok(Ok(report)) => {
-                    self.note(report);
+            match self.ear.beat(connection, beat).await {
+                Heard::Live => {
                     sent = version;
                     missed = 0;
                 }
-                Ok(Err(_)) => return,
-                Err(_) => missed += 1,
+                Heard::Missed => missed += 1,
+                Heard::Ended => return,
             }
         }
     }
@@ -312,7 +380,7 @@
         let begun = time::Instant::now();
         loop {
             // Until its target is ready an agent is asked often: each wait delays its first work.
-            let seen = self.seen.load();
+            let seen = self.ear.seen.load();
             let ready = seen.as_ref().is_none_or(|seen| seen.report.ready);
             if !ready && begun.elapsed() >= timing.pause {
                 return false;
@@ -322,7 +390,7 @@
             if ended.await.is_ok() {
                 return true;
             }
-            let active = self.running.load(Ordering::Relaxed) > 0;
+            let active = self.ear.running.load(Ordering::Relaxed) > 0;
             if active || begun.elapsed() >= timing.idle {
                 return false;
             }
--- a/laburnumcart_entry/src/routes.rs
+++ b/laburnumcart_entry/src/routes.rs
@@ -67,6 +67,23 @@
             .or_else(|| self.search(&mut Vec::new(), prefix))
     }
 
+    /// Chooses the lane at which all entries' attempts of a suspect meet.
+    ///
+    /// The agent lets one suspect run at a time. On different targets, two attempts of the same
+    /// content would crash both before either is a fact.
+    pub fn home(&self, print: id::Fingerprint, tried: &[std::net::SocketAddr]) -> Option<Chosen> {
+        let takes = |i: usize| self.lanes[i].takes(&self.service);
+        let fresh = |i: usize| takes(i) && !tried.contains(&self.lanes[i].addr);
+        let key = print.0 as u64;
+        let home = self.table.home(key, fresh);
+        let home = home.or_else(|| self.table.home(key, takes))?;
+        Some(Chosen {
+            lane: self.lanes[home].clone(),
+            expected: time::Duration::ZERO,
+            is_free: false,
+        })
+    }
+
     fn search(&self, out: &mut Vec<usize>, prefix: Option<u64>) -> Option<Chosen> {
         let own = |i: usize| self.lanes[i].running.load(Ordering::Relaxed);
         loop {
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -172,7 +172,6 @@
         self.entry.view.store(Arc::new(control::View {
             rules: Some(Arc::new(rules)),
             settled: true,
-            suspects: Arc::default(),
             routes: ways.into_iter().map(table).collect(),
         }));
     }
