Let an entry use more of the object service, and set the share in the settings

Cause: every process could make 50 writes a second, also an entry that owns half of the claim shards. Ruled out: the stand-in's own limits (400 writes/s, no 429 counted). Entries may now make 150 writes/s and 100 reads/s, agents 10 and 20, unless the settings say otherwise.

--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -7,7 +7,10 @@
     sync, //
 };
 
-use laburnumcart::document;
+use laburnumcart::{
+    document,
+    unit, //
+};
 use laburnumcart_daemon::{
     admin,
     bundle,
@@ -17,7 +20,10 @@
     stop,
     traces, //
 };
-use laburnumcart_platform::client;
+use laburnumcart_platform::{
+    budget,
+    client, //
+};
 use tokio::runtime;
 
 use crate::{
@@ -27,6 +33,12 @@
     work, //
 };
 
+/// Calls a second of the object service unless the settings say otherwise; an agent needs few.
+const STORE_RATES: budget::Rates = budget::Rates {
+    reads: unit::Rate(20.0),
+    writes: unit::Rate(10.0),
+};
+
 /// Threads that execute attempts and serve peers.
 const TRAFFIC_THREADS: usize = 2;
 
@@ -55,6 +67,7 @@
     let peer = net::TcpListener::bind(settings.peer)?;
     let listener = net::TcpListener::bind(settings.admin)?;
     let store = client::Client::builder([settings.platform.address])
+        .rates(settings.platform.rates(STORE_RATES))
         .build()
         .map_err(io::Error::other)?;
     metrics.register("laburnum_agent_store", |registry| store.register(registry));
--- a/laburnumcart_daemon/src/settings.rs
+++ b/laburnumcart_daemon/src/settings.rs
@@ -22,8 +22,10 @@
 use laburnumcart::{
     document,
     id,
-    seal, //
+    seal,
+    unit, //
 };
+use laburnumcart_platform::budget;
 use laburnumcart_wire::secret;
 
 use crate::bundle;
@@ -166,6 +168,22 @@
     /// Address that it answers on.
     #[schemars(with = "Address")]
     pub address: net::SocketAddr,
+    /// Reads a second that this process may make at most.
+    #[serde(default)]
+    pub reads: Option<unit::Rate>,
+    /// Writes a second that this process may make at most.
+    #[serde(default)]
+    pub writes: Option<unit::Rate>,
+}
+
+impl Platform {
+    /// Returns the rates set, or else those given.
+    pub fn rates(&self, default: budget::Rates) -> budget::Rates {
+        budget::Rates {
+            reads: self.reads.unwrap_or(default.reads),
+            writes: self.writes.unwrap_or(default.writes),
+        }
+    }
 }
 
 /// Logs and traces.
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -22,7 +22,10 @@
     stop,
     traces, //
 };
-use laburnumcart_platform::client;
+use laburnumcart_platform::{
+    budget,
+    client, //
+};
 use laburnumcart_wire::{
     entry::EntryServer,
     peer, //
@@ -45,6 +48,14 @@
 /// Longest wait for the last bytes of answers after the requests have ended.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
+/// Calls a second of the object service unless the settings say otherwise.
+///
+/// Claims take most: the log of one shard costs up to two writes a batch.
+const STORE_RATES: budget::Rates = budget::Rates {
+    reads: unit::Rate(100.0),
+    writes: unit::Rate(150.0),
+};
+
 /// Longest wait of a call for this process's share of the object service's rates.
 const STORE_PATIENCE: unit::Period = unit::Period::from_millis(500);
 
@@ -148,6 +159,7 @@
     metrics: &metrics::Metrics,
 ) -> io::Result<()> {
     let store = client::Client::builder([settings.platform.address])
+        .rates(settings.platform.rates(STORE_RATES))
         .patience(STORE_PATIENCE)
         .build();
     let store = store.map_err(io::Error::other)?;
