Measure what control costs as the fleet grows

A program starts the real binaries on loopback, varies one size at a time (lanes, listed agents, teams, facts, requests) and fits a line through what each process used. The relay of the system tests counts bytes for it.

--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -202,7 +202,7 @@
     }
 
     /// Starts a target and its agent.
-    async fn add_node(&mut self, service: &Service, number: usize) {
+    pub async fn add_node(&mut self, service: &Service, number: usize) {
         let name = format!("{}-{number}", service.name);
         let zone = ZONES[number % ZONES.len()];
         let target_addr = port::free();
@@ -245,7 +245,7 @@
     }
 
     /// Starts an entry.
-    async fn add_entry(&mut self, number: usize) {
+    pub async fn add_entry(&mut self, number: usize) {
         let name = format!("entry-{number}");
         let zone = ZONES[number % ZONES.len()];
         let (callers, peer) = (port::free(), port::free());
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod relay;
 pub mod sample;
 pub mod schema;
+pub mod slopes;
 pub mod wait;
--- a/laburnumcart_system/src/relay.rs
+++ b/laburnumcart_system/src/relay.rs
@@ -24,6 +24,22 @@
     pub back: bool,
 }
 
+/// Bytes that a relay has passed on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Bytes {
+    /// From callers.
+    pub forth: u64,
+    /// To callers.
+    pub back: u64,
+}
+
+/// Counters of [`Bytes`].
+#[derive(Debug, Default)]
+struct Passed {
+    forth: sync::atomic::AtomicU64,
+    back: sync::atomic::AtomicU64,
+}
+
 /// Which connections a [`Silence`] applies to: those with a number up to `last`.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rule {
@@ -37,6 +53,7 @@
     addr: net::SocketAddr,
     rule: sync::Arc<watch::Sender<Rule>>,
     count: sync::Arc<sync::atomic::AtomicU64>,
+    passed: sync::Arc<Passed>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -46,11 +63,14 @@
         let listener = tokio::net::TcpListener::bind(addr).await?;
         let rule = sync::Arc::new(watch::Sender::new(Rule::default()));
         let count = sync::Arc::new(sync::atomic::AtomicU64::new(0));
-        let task = tokio::spawn(accept(listener, dest, rule.clone(), count.clone()));
+        let passed = sync::Arc::new(Passed::default());
+        let accepting = accept(listener, dest, rule.clone(), count.clone(), passed.clone());
+        let task = tokio::spawn(accepting);
         Ok(Self {
             addr,
             rule,
             count,
+            passed,
             task,
         })
     }
@@ -60,6 +80,14 @@
         self.addr
     }
 
+    /// Returns how many bytes it has passed on.
+    pub fn bytes(&self) -> Bytes {
+        Bytes {
+            forth: self.passed.forth.load(sync::atomic::Ordering::Relaxed),
+            back: self.passed.back.load(sync::atomic::Ordering::Relaxed),
+        }
+    }
+
     /// Silences all connections that exist now; bytes are held, not lost.
     pub fn silence(&self, silence: Silence) {
         let last = self.count.load(sync::atomic::Ordering::SeqCst);
@@ -83,6 +111,7 @@
     dest: net::SocketAddr,
     rule: sync::Arc<watch::Sender<Rule>>,
     count: sync::Arc<sync::atomic::AtomicU64>,
+    passed: sync::Arc<Passed>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
         let number = count.fetch_add(1, sync::atomic::Ordering::SeqCst) + 1;
@@ -93,16 +122,25 @@
         let (far_in, far_out) = far.into_split();
         let forth = move |rule: &Rule| number <= rule.last && rule.silence.forth;
         let back = move |rule: &Rule| number <= rule.last && rule.silence.back;
-        tokio::spawn(pump(near_in, far_out, rule.subscribe(), forth));
-        tokio::spawn(pump(far_in, near_out, rule.subscribe(), back));
+        let (sent, received) = (passed.clone(), passed.clone());
+        let forth_count = move |bytes| add(&sent.forth, bytes);
+        let back_count = move |bytes| add(&received.back, bytes);
+        let rules = (rule.subscribe(), rule.subscribe());
+        tokio::spawn(pump(near_in, far_out, rules.0, forth, forth_count));
+        tokio::spawn(pump(far_in, near_out, rules.1, back, back_count));
     }
 }
 
+fn add(counter: &sync::atomic::AtomicU64, bytes: usize) {
+    counter.fetch_add(bytes as u64, sync::atomic::Ordering::Relaxed);
+}
+
 async fn pump(
     mut from: tcp::OwnedReadHalf,
     mut to: tcp::OwnedWriteHalf,
     mut rule: watch::Receiver<Rule>,
     held: impl Fn(&Rule) -> bool,
+    passed: impl Fn(usize),
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
@@ -115,5 +153,6 @@
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
+        passed(count);
     }
 }
--- /dev/null
+++ b/laburnumcart_system/src/slopes/agents.rs
@@ -0,0 +1,141 @@
+//! Agents in this process that only answer heartbeats.
+
+use std::{
+    io,
+    net,
+    sync, //
+};
+
+use jsonrpsee::{
+    core::{
+        RpcResult,
+        async_trait, //
+    },
+    types, //
+};
+
+use laburnumcart::{
+    facts,
+    id, //
+};
+use laburnumcart_wire::{
+    agent::{
+        self,
+        AgentServer, //
+    },
+    peer,
+    stage, //
+};
+
+use crate::fleet;
+
+/// An agent that listens until it is dropped.
+#[derive(Debug)]
+pub struct Fake {
+    /// Name in the list of instances.
+    pub name: String,
+    /// Service in the list of instances.
+    pub service: String,
+    state: sync::Arc<State>,
+    handle: peer::Handle,
+}
+
+#[derive(Debug)]
+struct State {
+    report: agent::Report,
+    /// Facts for the next heartbeat.
+    news: sync::Mutex<Option<facts::Facts>>,
+}
+
+impl Fake {
+    /// Starts an agent of a service on a free port.
+    pub fn start(name: &str, service: &str, zone: &str) -> io::Result<Self> {
+        let invalid = |e: id::ParseError| io::Error::other(e.to_string());
+        let report = agent::Report {
+            target: name.parse().map_err(invalid)?,
+            service: service.parse().map_err(invalid)?,
+            zone: zone.parse().map_err(invalid)?,
+            incarnation: id::Incarnation::random(),
+            leaving: false,
+            ready: true,
+            load: agent::Load::default(),
+            facts: facts::Facts::default(),
+        };
+        let state = sync::Arc::new(State {
+            report,
+            news: sync::Mutex::default(),
+        });
+        let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
+        let secrets = [fleet::SECRET.parse().map_err(io::Error::other)?];
+        let methods = Methods(state.clone()).into_rpc();
+        let handle = peer::serve(listener, &secrets, methods, &peer::Limits::default())?;
+        Ok(Self {
+            name: name.into(),
+            service: service.into(),
+            state,
+            handle,
+        })
+    }
+
+    /// Returns its address.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.handle.addr()
+    }
+
+    /// Sends facts with the answer to the next heartbeat.
+    pub fn tell(&self, facts: facts::Facts) {
+        *self.state.news.lock().expect("lock is not poisoned") = Some(facts);
+    }
+}
+
+struct Methods(sync::Arc<State>);
+
+impl Methods {
+    fn report(&self) -> agent::Report {
+        let news = self.0.news.lock().expect("lock is not poisoned").take();
+        agent::Report {
+            facts: news.unwrap_or_default(),
+            ..self.0.report.clone()
+        }
+    }
+}
+
+fn unknown<T>() -> RpcResult<T> {
+    let error = types::ErrorObjectOwned::owned(agent::UNKNOWN, "executes nothing", None::<()>);
+    Err(error)
+}
+
+#[async_trait]
+impl AgentServer for Methods {
+    async fn hello(&self, _: agent::Hello) -> RpcResult<agent::Report> {
+        Ok(self.report())
+    }
+
+    async fn beat(&self, _: agent::Beat) -> RpcResult<agent::Report> {
+        Ok(self.report())
+    }
+
+    async fn start(&self, _: stage::Call) -> RpcResult<stage::Progress> {
+        unknown()
+    }
+
+    async fn next(&self, _: stage::Next) -> RpcResult<stage::Progress> {
+        unknown()
+    }
+
+    async fn query(&self, _: stage::Query) -> RpcResult<stage::Progress> {
+        unknown()
+    }
+
+    async fn cancel(&self, _: stage::Cancel) -> RpcResult<()> {
+        Ok(())
+    }
+
+    async fn bundle(&self, _: id::Generation) -> RpcResult<Option<agent::Shown>> {
+        Ok(None)
+    }
+
+    async fn drain(&self) -> RpcResult<agent::Report> {
+        Ok(self.report())
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/src/slopes/idle.rs
@@ -0,0 +1,147 @@
+//! Cost at rest: heartbeats, watches, looks at the target.
+
+use std::time;
+
+use futures_util::future;
+
+use crate::{
+    fleet, port, relay,
+    slopes::{
+        agents,
+        fit,
+        lanes,
+        rig, //
+    },
+};
+
+/// Agents of a service when the number of lanes is varied by the number of services; no more than
+/// an entry keeps lanes to, however many services there are.
+const GROUP: usize = 8;
+
+/// Lanes of an entry at each point.
+const LANES: [usize; 4] = [8, 32, 128, 512];
+
+/// Agents of four services in the list at each point.
+const LISTED: [usize; 4] = [40, 160, 320, 670];
+
+/// Services when the list is varied: the engines of four models.
+const MODELS: usize = 4;
+
+/// Lanes of entries at an agent at each point.
+const ENTRIES: [usize; 4] = [4, 16, 64, 256];
+
+/// Time for connections and first looks to settle.
+const SETTLE: time::Duration = time::Duration::from_secs(5);
+
+const COLUMNS: [&str; 7] = [
+    "core %",
+    "memory MB",
+    "B/s of one lane",
+    "B/s of the object service",
+    "reads/s",
+    "writes/s",
+    "watches/s",
+];
+
+/// Measures entries by the number of their lanes.
+pub async fn entries(window: time::Duration) -> fit::Table {
+    let title = "Entry at rest, by lanes to agents (8 agents of each service)";
+    let mut table = fit::Table::new(title, "lanes", &COLUMNS);
+    let points = LANES.map(|count| entry(count, count / GROUP, window));
+    for (count, values) in LANES.iter().zip(future::join_all(points).await) {
+        table.push(*count as f64, values);
+    }
+    table
+}
+
+/// Measures entries by the number of agents of four services in the list.
+pub async fn lists(window: time::Duration) -> fit::Table {
+    let title = "Entry at rest, by agents in the list (four services)";
+    let mut table = fit::Table::new(title, "agents", &COLUMNS);
+    let points = LISTED.map(|count| entry(count, MODELS, window));
+    for (count, values) in LISTED.iter().zip(future::join_all(points).await) {
+        table.push(*count as f64, values);
+    }
+    table
+}
+
+/// Measures agents by the number of lanes of entries to them.
+pub async fn agents(window: time::Duration) -> fit::Table {
+    let title = "Agent at rest, by lanes of entries";
+    let mut table = fit::Table::new(title, "lanes", &COLUMNS);
+    let points = ENTRIES.map(|count| agent(count, window));
+    for (count, values) in ENTRIES.iter().zip(future::join_all(points).await) {
+        table.push(*count as f64, values);
+    }
+    table
+}
+
+/// Measures one entry before `count` agents of so many services.
+async fn entry(count: usize, services: usize, window: time::Duration) -> Vec<f64> {
+    let names: Vec<_> = (0..services).map(|n| format!("service-{n}")).collect();
+    let mut rig = rig::Rig::start(rig::bundle(&names, 10, "slopes")).await;
+    let mut fakes = Vec::new();
+    let mut lane = None;
+    for number in 0..count {
+        let service = &names[number % services];
+        let name = format!("{service}-{number}");
+        let fake = agents::Fake::start(&name, service, rig::ZONE).expect("agent");
+        let mut addr = fake.addr();
+        if number == 0 {
+            let relay = relay::Relay::start(port::free(), addr).await;
+            let relay = lane.insert(relay.expect("relay to an agent"));
+            addr = relay.addr();
+        }
+        rig.fleet
+            .list(&name, rig::ZONE, "agent", Some(service), addr)
+            .await;
+        fakes.push(fake);
+    }
+    rig.fleet.add_entry(0).await;
+    let callers = rig.fleet.entries[0].callers;
+    let least = count.min(services * GROUP) as f64;
+    rig.reach(callers, "laburnum_entry_lanes", least).await;
+    let lane = lane.expect("at least one agent");
+    measure(&rig, &lane, window, |rig| &rig.fleet.entries[0].process).await
+}
+
+/// Measures one agent with so many lanes to it.
+async fn agent(count: usize, window: time::Duration) -> Vec<f64> {
+    let mut rig = rig::Rig::start(rig::bundle(&["pool".into()], 10, "slopes")).await;
+    let service = fleet::Service::new("pool", "pool", 1);
+    rig.fleet.add_node(&service, 0).await;
+    rig.fleet.wait_ready().await;
+    let peer = rig.fleet.nodes[0].peer;
+    let relay = relay::Relay::start(port::free(), peer).await;
+    let relay = relay.expect("relay to the agent");
+    let mut open = lanes::Lanes::default();
+    open.open(relay.addr(), 0).await;
+    for number in 1..count {
+        open.open(peer, number).await;
+    }
+    measure(&rig, &relay, window, |rig| &rig.fleet.nodes[0].agent).await
+}
+
+/// Returns the values of [`COLUMNS`].
+async fn measure(
+    rig: &rig::Rig,
+    lane: &relay::Relay,
+    window: time::Duration,
+    process: impl Fn(&rig::Rig) -> &crate::process::Process,
+) -> Vec<f64> {
+    tokio::time::sleep(SETTLE).await;
+    let (calls, bytes, start) = (rig.calls().await, lane.bytes(), tokio::time::Instant::now());
+    let spent = rig::spent(process(rig), window).await;
+    let (after, passed) = (rig.calls().await, lane.bytes());
+    let seconds = start.elapsed().as_secs_f64();
+    let lane_bytes = passed.forth + passed.back - bytes.forth - bytes.back;
+    vec![
+        spent.core * 100.0,
+        spent.memory,
+        lane_bytes as f64 / seconds,
+        (after.bytes - calls.bytes) / seconds,
+        (after.reads - calls.reads) / seconds,
+        (after.writes - calls.writes) / seconds,
+        (after.watches - calls.watches) / seconds,
+    ]
+}
--- /dev/null
+++ b/laburnumcart_system/src/slopes/rig.rs
@@ -0,0 +1,166 @@
+//! What the sections have in common: a system with an object service of its own.
+
+use std::{
+    net,
+    time, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::{
+    fleet,
+    port,
+    process,
+    relay,
+    sample,
+    slopes::usage,
+    wait, //
+};
+
+/// Data centre of all processes.
+pub const ZONE: &str = fleet::ZONES[0];
+
+/// Pipelines of the bundle.
+const PIPELINES: usize = 28;
+
+/// Pipelines that a team may call.
+const PROMISES: usize = 2;
+
+/// A system whose processes reach the object service through a relay that counts.
+#[derive(Debug)]
+pub struct Rig {
+    /// The processes.
+    pub fleet: fleet::Fleet,
+    /// Address of the object service behind the relay.
+    pub store: net::SocketAddr,
+    /// The relay.
+    pub relay: relay::Relay,
+}
+
+/// Calls and bytes at the object service up to now.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Calls {
+    /// Reads and lists.
+    pub reads: f64,
+    /// Writes.
+    pub writes: f64,
+    /// Watches.
+    pub watches: f64,
+    /// Bytes both ways, without TCP/IP headers.
+    pub bytes: f64,
+}
+
+impl Rig {
+    /// Starts an object service and has a bundle accepted.
+    pub async fn start(bundle: Value) -> Self {
+        // The rates are not what is measured here.
+        let rates = ["--reads", "100000", "--writes", "100000"];
+        let plan = fleet::Plan::new(Vec::new(), bundle);
+        let mut fleet = fleet::Fleet::start(plan.entries(0).store(&rates)).await;
+        let store = fleet.store_addr;
+        let relay = relay::Relay::start(port::free(), store).await;
+        let relay = relay.expect("relay to the object service");
+        fleet.store_addr = relay.addr();
+        Self {
+            fleet,
+            store,
+            relay,
+        }
+    }
+
+    /// Returns what the object service has been asked.
+    pub async fn calls(&self) -> Calls {
+        let answer = self.fleet.http.get(self.store, "/admin/counts").await;
+        let total = answer.expect("counts").json()["total"].take();
+        let count = |name: &str| total[name].as_f64().unwrap_or_default();
+        let bytes = self.relay.bytes();
+        Calls {
+            reads: count("reads"),
+            writes: count("writes"),
+            watches: count("watches"),
+            bytes: (bytes.forth + bytes.back) as f64,
+        }
+    }
+
+    /// Waits until a sum of a metric's samples has at least a value.
+    pub async fn reach(&self, addr: net::SocketAddr, metric: &str, least: f64) {
+        wait::until(&format!("{metric} of {least}"), || async {
+            let page = self.fleet.http.get(addr, "/metrics").await.ok()?;
+            (sum(&page.body, metric)? >= least).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Returns the sum of a metric's samples on a page, `None` when it has none.
+pub fn sum(page: &str, metric: &str) -> Option<f64> {
+    let samples = page.lines().filter_map(|line| {
+        let (name, value) = line.rsplit_once(' ')?;
+        let name = name.split('{').next()?;
+        (name == metric).then(|| value.parse::<f64>().ok())?
+    });
+    samples.reduce(|a, b| a + b)
+}
+
+/// What one process uses in a window.
+#[derive(Clone, Copy, Debug)]
+pub struct Spent {
+    /// Share of a core.
+    pub core: f64,
+    /// Resident memory in megabytes at the end.
+    pub memory: f64,
+}
+
+/// Measures a process over a window.
+pub async fn spent(process: &process::Process, window: time::Duration) -> Spent {
+    let (start, before) = (tokio::time::Instant::now(), usage::Usage::of(process));
+    tokio::time::sleep(window).await;
+    let after = usage::Usage::of(process);
+    Spent {
+        core: (after.cpu - before.cpu) / start.elapsed().as_secs_f64(),
+        memory: after.memory,
+    }
+}
+
+/// Returns a bundle of 28 pipelines with five stages each over `services`, for so many teams.
+pub fn bundle(services: &[String], teams: usize, title: &str) -> Value {
+    let service = |number: usize| &services[number % services.len()];
+    let stage = |pipeline: usize, number: usize| json!({"name": format!("stage-{number}"), "service": service(pipeline + number)});
+    let stages = |pipeline| (0..5).map(|n| stage(pipeline, n)).collect::<Vec<_>>();
+    let pipelines: serde_json::Map<_, _> = (0..PIPELINES)
+        .map(|p| (format!("pipeline-{p}"), json!({"stages": stages(p)})))
+        .collect();
+    let services = services
+        .iter()
+        .map(|s| (s.clone(), json!({"kind": "pool"})));
+    let teams = (0..teams).map(|n| (format!("team-{n}"), team(n)));
+    json!({
+        "format": 1,
+        "title": title,
+        "services": services.collect::<serde_json::Map<_, _>>(),
+        "pipelines": pipelines,
+        "teams": teams.collect::<serde_json::Map<_, _>>(),
+        "claims": {"retention": "10m", "shards": 4},
+    })
+}
+
+fn team(number: usize) -> Value {
+    let promise = json!({"deadline": "10s", "priority": "normal"});
+    let pipelines: serde_json::Map<_, _> = (0..PROMISES)
+        .map(|p| {
+            (
+                format!("pipeline-{}", (number + p) % PIPELINES),
+                promise.clone(),
+            )
+        })
+        .collect();
+    json!({
+        "tokens": [sample::digest(&format!("token-of-team-{number}"))],
+        "weight": 1,
+        "pipelines": pipelines,
+        "queue_limit": 100,
+    })
+}
--- /dev/null
+++ b/laburnumcart_system/tests/slopes.rs
@@ -0,0 +1,106 @@
+//! The arithmetic of the slopes and what is read for them.
+
+use std::time;
+
+use laburnumcart_system::{
+    port, relay,
+    slopes::{
+        self,
+        fit,
+        rig,
+        usage, //
+    },
+};
+use rstest::rstest;
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+
+#[test]
+fn fit_of_points_on_a_line() {
+    let fit = fit::Fit::new(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]).unwrap();
+    assert!((fit.slope - 2.0).abs() < 1e-9);
+    assert!((fit.intercept - 3.0).abs() < 1e-9);
+    assert!(fit.residual < 1e-9);
+}
+
+#[test]
+fn residual_of_points_off_the_line() {
+    // The best line through these is y = 1; two points lie 1 above it and two 1 below.
+    let points = [(0.0, 2.0), (1.0, 0.0), (2.0, 0.0), (3.0, 2.0)];
+    let fit = fit::Fit::new(&points).unwrap();
+    assert!(fit.slope.abs() < 1e-9);
+    assert!((fit.residual - 1.0).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::none(&[])]
+#[case::one(&[(1.0, 2.0)])]
+#[case::one_size(&[(1.0, 2.0), (1.0, 3.0)])]
+fn no_fit_without_two_sizes(#[case] points: &[(f64, f64)]) {
+    assert_eq!(fit::Fit::new(points), None);
+}
+
+#[test]
+fn table_prints_rows_and_fit() {
+    let mut table = fit::Table::new("Title", "lanes", &["core %"]);
+    table.push(0.0, [1.0]);
+    table.push(100.0, [51.0]);
+    let text = table.to_string();
+    for line in ["| lanes | core % |", "| 100 | 51.0 |", "| slope | 0.5000 |"] {
+        assert!(text.contains(line), "{text}");
+    }
+}
+
+#[test]
+fn use_of_a_process_with_an_odd_name() {
+    let stat = "7 (a) b) S 1 7 7 0 -1 4194304 100 0 0 0 250 50 0 0 20 0 8 0 100 1 2";
+    assert_eq!(usage::cpu(stat), Some(3.0));
+    assert_eq!(
+        usage::memory("VmPeak: 9 kB\nVmRSS:\t 1000 kB\n"),
+        Some(1.024)
+    );
+    assert_eq!(usage::cpu("nothing"), None);
+}
+
+#[test]
+fn sum_of_a_metric() {
+    let page = "# HELP lanes x\nlanes{a=\"1\"} 2\nlanes{a=\"2\"} 3\nlanes_total 9\n";
+    assert_eq!(rig::sum(page, "lanes"), Some(5.0));
+    assert_eq!(rig::sum(page, "absent"), None);
+}
+
+#[test]
+fn arguments() {
+    let parse = |args: &[&str]| slopes::parse(args.iter().map(ToString::to_string));
+    let all = slopes::Options {
+        sections: slopes::SECTIONS.to_vec(),
+        window: time::Duration::from_secs(60),
+    };
+    assert_eq!(parse(&[]), Ok(slopes::Command::Run(all)));
+    let some = slopes::Options {
+        sections: vec![slopes::Section::Agent],
+        window: time::Duration::from_secs(5),
+    };
+    let args = ["--section", "agent", "--window", "5"];
+    assert_eq!(parse(&args), Ok(slopes::Command::Run(some)));
+    assert!(parse(&["--section", "nothing"]).is_err());
+    assert!(parse(&["--nothing"]).is_err());
+}
+
+#[tokio::test]
+async fn relay_counts_bytes() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let dest = listener.local_addr().unwrap();
+    let relay = relay::Relay::start(port::free(), dest).await.unwrap();
+    let mut near = tokio::net::TcpStream::connect(relay.addr()).await.unwrap();
+    let (mut far, _) = listener.accept().await.unwrap();
+    near.write_all(&[1; 3]).await.unwrap();
+    far.write_all(&[2; 5]).await.unwrap();
+    far.read_exact(&mut [0; 3]).await.unwrap();
+    near.read_exact(&mut [0; 5]).await.unwrap();
+    let bytes = relay::Bytes { forth: 3, back: 5 };
+    laburnumcart_system::wait::until("bytes", || async { (relay.bytes() == bytes).then_some(()) })
+        .await;
+}
