Mend what a new operator stumbles over

A set-up by hand from a fresh clone with the README and the operators' page alone (two entries, seven agents, stand-ins) met: no sample of any settings; nothing on how a process gets into the platform's list, so that entries had no agents; "check the name and its permissions" for settings that are not there yet and for a key file that is; a missing option without the command's usage; and status, which counted processes without a bundle as having it in force.

Samples are checked by the programs themselves.

--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -133,7 +133,14 @@
     /// Returns an option's value, which must be there.
     pub fn required(&self, name: &str) -> Result<String, error::Error> {
         let value = self.matches.opt_str(name);
-        value.ok_or_else(|| error::Error::Usage(format!("--{name} is required")))
+        let Self { command, .. } = self;
+        let missing = || {
+            let (program, usage) = (command.name, command.usage);
+            error::Error::Usage(format!(
+                "--{name} is required: laburnumctl {program} {usage}"
+            ))
+        };
+        value.ok_or_else(missing)
     }
 
     /// Returns an option's value.
--- a/laburnumcart_ctl/src/command/fleet.rs
+++ b/laburnumcart_ctl/src/command/fleet.rs
@@ -13,7 +13,7 @@
 
 /// Processes that are leaving.
 #[derive(Display, Serialize)]
-#[display("{} processes finish what they have and exit", processes.len())]
+#[display("told to finish what they have and exit: {}", processes.len())]
 struct Drained {
     processes: Vec<peers::State>,
 }
--- a/laburnumcart_ctl/src/command/status.rs
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -8,7 +8,10 @@
 use serde::Serialize;
 use tokio::task;
 
-use laburnumcart::head;
+use laburnumcart::{
+    head,
+    id, //
+};
 use laburnumcart_platform::store::{
     self,
     Store, //
@@ -78,6 +81,8 @@
         .filter_map(generation)
         .chain(accepted)
         .max();
+    // Generation 0 is the lack of a bundle, not one that could be in force.
+    let highest = highest.filter(|highest| *highest > id::Generation(0));
     let current = |process: &&Process| generation(process) == highest && highest.is_some();
     processes.iter().filter(current).count()
 }
--- a/laburnumcart_ctl/src/error.rs
+++ b/laburnumcart_ctl/src/error.rs
@@ -1,5 +1,7 @@
 //! Why a command failed, its exit code, and what to do next.
 
+use std::io;
+
 use derive_more::{
     Display,
     Error, //
@@ -12,6 +14,8 @@
     seal, //
 };
 
+use crate::settings;
+
 /// A command that failed.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -25,7 +29,7 @@
         file: String,
         /// What the system says.
         #[error(source)]
-        cause: std::io::Error,
+        cause: io::Error,
     },
     /// A document has faults, one a line.
     #[display("{file} has faults:\n{faults}")]
@@ -91,7 +95,7 @@
     pub fn advice(&self) -> &'static str {
         match self {
             Self::Usage(_) => "see laburnumctl --help",
-            Self::File { .. } => "check the name and its permissions",
+            Self::File { file, cause } => advise_file(file, cause.kind()),
             Self::Document { .. } => "mend the lines above and run `laburnumctl check` again",
             Self::Key { .. } => "make one with `laburnumctl keygen`",
             Self::Lost(head::Lost::NoSuchGeneration { .. }) => {
@@ -132,3 +136,13 @@
         }
     }
 }
+
+fn advise_file(file: &str, cause: io::ErrorKind) -> &'static str {
+    match cause {
+        io::ErrorKind::AlreadyExists => "choose another name: a key file is never overwritten",
+        io::ErrorKind::NotFound if file == settings::FILE => {
+            "name the settings with `--settings FILE`; `examples` has one for each fleet"
+        }
+        _ => "check the name and its permissions",
+    }
+}
--- a/laburnumcart_ctl/tests/program.rs
+++ b/laburnumcart_ctl/tests/program.rs
@@ -173,6 +173,19 @@
     assert!(err.contains("next: "), "{err}");
 }
 
+/// A new operator has no settings yet, forgets an option, or takes the name of a key that is there.
+/// The advice names what is missing in each case.
+#[rstest]
+#[case::settings(&["status"], "--settings FILE")]
+#[case::option(&["sign", "bundle.json"], "sign FILE --key FILE --out FILE")]
+#[case::key(&["keygen", "--name", "a", "--out", "bundle.json"], "choose another name")]
+#[case::file(&["check", "absent.json"], "check the name")]
+fn advice_fits_the_error(folder: Folder, #[case] args: &[&str], #[case] advice: &str) {
+    let (code, _, err) = folder.run(args);
+    assert_eq!(code, 2, "{err}");
+    assert!(err.contains(advice), "{err}");
+}
+
 #[rstest]
 fn a_key_is_not_overwritten_and_not_shown(folder: Folder) {
     folder.keygen("ana");
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -1,5 +1,8 @@
 //! A whole system of separate processes on loopback.
 
+mod call;
+mod plan;
+
 use std::{
     fs,
     net,
@@ -19,81 +22,20 @@
     wait, //
 };
 
+pub use self::{
+    call::Call,
+    plan::{
+        Plan,
+        Service, //
+    },
+};
+
 /// Secret that the fleet's processes share.
 pub const SECRET: &str = "fleet-secret-for-tests-only-0123456789";
 
 /// Data centres that targets and entries are spread over.
 pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
-/// One service and its stand-in targets.
-#[derive(Clone, Debug)]
-pub struct Service {
-    /// Name in the bundle.
-    pub name: &'static str,
-    /// `engine` or `pool`.
-    pub kind: &'static str,
-    /// Number of targets.
-    pub targets: usize,
-    /// More arguments for each stand-in.
-    pub args: Vec<&'static str>,
-}
-
-impl Service {
-    /// Describes a service.
-    pub fn new(name: &'static str, kind: &'static str, targets: usize) -> Self {
-        Self {
-            name,
-            kind,
-            targets,
-            args: Vec::new(),
-        }
-    }
-
-    /// Adds arguments for each stand-in.
-    #[must_use]
-    pub fn args(mut self, args: &[&'static str]) -> Self {
-        self.args.extend(args);
-        self
-    }
-}
-
-/// What to start.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    entries: usize,
-    services: Vec<Service>,
-    bundle: Value,
-    store: Vec<&'static str>,
-    stop: &'static str,
-}
-
-impl Plan {
-    /// Plans two entries, the given services and a bundle.
-    pub fn new(services: Vec<Service>, bundle: Value) -> Self {
-        Self {
-            entries: 2,
-            services,
-            bundle,
-            store: Vec::new(),
-            stop: "20s",
-        }
-    }
-
-    /// Sets the number of entries.
-    #[must_use]
-    pub fn entries(mut self, count: usize) -> Self {
-        self.entries = count;
-        self
-    }
-
-    /// Adds arguments for the stand-in of the object service.
-    #[must_use]
-    pub fn store(mut self, args: &[&'static str]) -> Self {
-        self.store.extend(args);
-        self
-    }
-}
-
 /// One target with its agent.
 #[derive(Debug)]
 pub struct Node {
@@ -170,6 +112,14 @@
 impl Fleet {
     /// Starts all processes, accepts the bundle and waits until every one is ready.
     pub async fn start(plan: Plan) -> Self {
+        let fleet = Self::launch(plan).await;
+        fleet.accept(&fleet.plan.bundle);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts all processes without a bundle and waits until every one answers.
+    pub async fn launch(plan: Plan) -> Self {
         let dir = Directory::new();
         let http = http::Client::default();
         let store_addr = port::free();
@@ -196,8 +146,14 @@
         for number in 0..plan.entries {
             fleet.add_entry(number).await;
         }
-        fleet.accept(&plan.bundle);
-        fleet.wait_ready().await;
+        for node in &fleet.nodes {
+            fleet.wait_page(&node.name, node.admin, "/healthz").await;
+        }
+        for entry in &fleet.entries {
+            fleet
+                .wait_page(&entry.name, entry.callers, "/healthz")
+                .await;
+        }
         fleet
     }
 
@@ -227,7 +183,7 @@
             },
             "fleet": self.fleet_settings(&[]),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let agent = self.daemon(&format!("agent-{name}"), "laburnum-agent", &settings);
@@ -257,7 +213,7 @@
             "peer": peer.to_string(),
             "fleet": self.fleet_settings(&peers),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let process = self.daemon(&name, "laburnum-entry", &settings);
@@ -426,62 +382,6 @@
     }
 }
 
-/// One request of a caller.
-#[derive(Clone, Debug)]
-pub struct Call<'a> {
-    /// Pipeline to run.
-    pub pipeline: &'a str,
-    /// Bearer token.
-    pub token: &'a str,
-    /// JSON body.
-    pub body: Value,
-    /// Idempotency key.
-    pub key: Option<String>,
-    /// Whether the answer is wanted as a stream of events.
-    pub events: bool,
-}
-
-impl<'a> Call<'a> {
-    /// Describes a request with a JSON answer and no key.
-    pub fn new(pipeline: &'a str, token: &'a str, body: Value) -> Self {
-        Self {
-            pipeline,
-            token,
-            body,
-            key: None,
-            events: false,
-        }
-    }
-
-    /// Sets the idempotency key.
-    #[must_use]
-    pub fn key(mut self, key: impl Into<String>) -> Self {
-        self.key = Some(key.into());
-        self
-    }
-
-    /// Asks for a stream of events.
-    #[must_use]
-    pub fn events(mut self) -> Self {
-        self.events = true;
-        self
-    }
-
-    fn request(&self, addr: net::SocketAddr) -> hyper::Request<String> {
-        let uri = format!("http://{addr}/v1/pipelines/{}", self.pipeline);
-        let mut request = hyper::Request::post(uri)
-            .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.token));
-        if let Some(key) = &self.key {
-            request = request.header("idempotency-key", key);
-        }
-        if self.events {
-            request = request.header("accept", "text/event-stream");
-        }
-        request.body(self.body.to_string()).expect("request")
-    }
-}
-
 /// Has `laburnumctl` generate a signing key and returns it.
 fn generate_key(dir: &path::Path) -> Value {
     let output = Command::new(process::binary("laburnumctl"))
--- /dev/null
+++ b/laburnumcart_system/src/fleet/plan.rs
@@ -0,0 +1,91 @@
+//! What a system is made of.
+
+use std::net;
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// One service and its stand-in targets.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name in the bundle.
+    pub name: &'static str,
+    /// `engine` or `pool`.
+    pub kind: &'static str,
+    /// Number of targets.
+    pub targets: usize,
+    /// More arguments for each stand-in.
+    pub args: Vec<&'static str>,
+}
+
+impl Service {
+    /// Describes a service.
+    pub fn new(name: &'static str, kind: &'static str, targets: usize) -> Self {
+        Self {
+            name,
+            kind,
+            targets,
+            args: Vec::new(),
+        }
+    }
+
+    /// Adds arguments for each stand-in.
+    #[must_use]
+    pub fn args(mut self, args: &[&'static str]) -> Self {
+        self.args.extend(args);
+        self
+    }
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub(super) entries: usize,
+    pub(super) services: Vec<Service>,
+    pub(super) bundle: Value,
+    pub(super) store: Vec<&'static str>,
+    pub(super) stop: &'static str,
+    traces: Option<net::SocketAddr>,
+}
+
+impl Plan {
+    /// Plans two entries, the given services and a bundle.
+    pub fn new(services: Vec<Service>, bundle: Value) -> Self {
+        Self {
+            entries: 2,
+            services,
+            bundle,
+            store: Vec::new(),
+            stop: "20s",
+            traces: None,
+        }
+    }
+
+    /// Sets the number of entries.
+    #[must_use]
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Adds arguments for the stand-in of the object service.
+    #[must_use]
+    pub fn store(mut self, args: &[&'static str]) -> Self {
+        self.store.extend(args);
+        self
+    }
+
+    /// Has entries and agents send their spans to a collector.
+    #[must_use]
+    pub fn traces(mut self, collector: net::SocketAddr) -> Self {
+        self.traces = Some(collector);
+        self
+    }
+
+    /// Returns the settings of logs and traces.
+    pub(super) fn telemetry(&self) -> Value {
+        json!({"level": "info", "traces": self.traces})
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/tests/operator.rs
@@ -0,0 +1,84 @@
+//! What a new operator meets first: the examples, and a fleet without a bundle.
+
+use std::{
+    fs,
+    path,
+    process::Command, //
+};
+
+use rstest::rstest;
+use serde_json::Value;
+
+use laburnumcart_system::{
+    fleet,
+    process, //
+};
+
+fn example(name: &str) -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../examples")
+        .join(name)
+}
+
+fn run(program: &str, args: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(process::binary(program))
+        .args(args)
+        .output()
+        .expect("a program that runs");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+#[rstest]
+#[case::araya_entry("laburnum-entry", "araya/entry.json")]
+#[case::araya_agent("laburnum-agent", "araya/agent.json")]
+#[case::quetzal_entry("laburnum-entry", "quetzal/entry.json")]
+#[case::quetzal_agent("laburnum-agent", "quetzal/agent.json")]
+fn settings_of_the_examples_have_no_fault(#[case] program: &str, #[case] file: &str) {
+    let file = example(file).display().to_string();
+    let (code, text) = run(program, &["--settings", &file, "--check"]);
+    assert_eq!(code, Some(0), "{text}");
+}
+
+/// The settings of `laburnumctl` are read before the file that it is to verify.
+#[rstest]
+#[case("araya")]
+#[case("quetzal")]
+fn settings_of_the_command_line_have_no_fault(#[case] user: &str) {
+    let settings = example(&format!("{user}/laburnumctl.json"))
+        .display()
+        .to_string();
+    let bundle = example(&format!("{user}/bundle.json"))
+        .display()
+        .to_string();
+    let (code, text) = run("laburnumctl", &["verify", &bundle, "--settings", &settings]);
+    assert_eq!(code, Some(5), "{text}");
+    assert!(text.contains("not a signed bundle"), "{text}");
+}
+
+#[rstest]
+#[case("araya")]
+#[case("quetzal")]
+fn example_agent_serves_a_service_of_the_bundle(#[case] user: &str) {
+    let read = |file: &str| -> Value {
+        let text = fs::read_to_string(example(&format!("{user}/{file}.json"))).expect("a file");
+        serde_json::from_str(&text).expect("JSON")
+    };
+    let service = &read("agent")["target"]["service"];
+    let service = service.as_str().expect("a name");
+    assert!(read("bundle")["services"][service].is_object(), "{service}");
+}
+
+/// Processes run and no bundle was accepted. Status counts none of them as having it in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_bundle_is_in_force_before_the_first() {
+    let plan = fleet::Plan::new(Vec::new(), Value::Null).entries(1);
+    let fleet = fleet::Fleet::launch(plan).await;
+    let (code, text) = fleet.ctl(&["status"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("no bundle was accepted yet"), "{text}");
+    assert!(text.contains("in force in 0 of 1 processes"), "{text}");
+}
