--- a/laburnumcart_system/src/slopes/rig.rs
+++ b/laburnumcart_system/src/slopes/rig.rs
@@ -57,7 +57,7 @@
     /// Starts an object service and has a bundle accepted.
     pub async fn start(bundle: Value) -> Self {
         // The rates are not what is measured here.
-        let rates = ["--reads", "100000", "--writes", "100000"];
+        let rates = ["--reads", "100000/s", "--writes", "100000/s"];
         let plan = fleet::Plan::new(Vec::new(), bundle);
         let mut fleet = fleet::Fleet::start(plan.entries(0).store(&rates)).await;
         let store = fleet.store_addr;
