Send the text of a kept answer as a piece; test connections and processes in doubt

Cause: a claimed request that is sent again as an event stream joined the kept answer and got its end alone. A caller that shows the pieces showed an empty answer. Ruled out: keeping the pieces themselves (their bounds mean nothing, the text is in the answer already), and leaving it to callers (the pieces are documented to be the text). The text now goes out as one piece before the end.

doubt.rs silences all connections between two entries and two agents in both directions or one, before the call, after it, within the text and at the end mark; kills, replaces and freezes an agent; crashes an engine in the middle of a stream.

--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -9,7 +9,10 @@
 use serde_json::value;
 use tokio::sync::mpsc;
 
-use laburnumcart::verdict;
+use laburnumcart::{
+    bundle,
+    verdict, //
+};
 use laburnumcart_daemon::{
     stop,
     traces, //
@@ -67,6 +70,7 @@
         events: sender,
         accounts: Vec::new(),
         verdict: verdict::Verdict::NotRun,
+        streamed: false,
         span,
     };
     entry.traffic.spawn(async move {
@@ -91,6 +95,8 @@
     accounts: Vec<account::Account>,
     /// Whether anything of the request may have executed so far.
     verdict: verdict::Verdict,
+    /// Whether pieces of the answer went to the caller.
+    streamed: bool,
     span: tracing::Span,
 }
 
@@ -102,7 +108,30 @@
         }
         let (entry, head) = (self.entry.clone(), self.request.head.clone());
         let content = self.request.fingerprint;
-        claimed::run(&entry, &head, content, self.run()).await
+        let outcome = claimed::run(&entry, &head, content, self.run()).await;
+        if let Ok(body) = &outcome {
+            self.replay(body);
+        }
+        outcome
+    }
+
+    /// Sends the text of a kept answer as one piece.
+    ///
+    /// The pieces went to whoever sent the request first. A caller that sends it again and shows
+    /// the pieces would show nothing of the answer.
+    fn replay(&self, body: &str) {
+        let head = &self.request.head;
+        let bundle = &head.rules.bundle;
+        let last = bundle.pipelines[&head.pipeline].stages.last();
+        let service = last.and_then(|stage| bundle.services.get(&stage.service));
+        let is_text = service.is_some_and(|service| service.kind == bundle::Kind::Engine);
+        if !self.streamed
+            && is_text
+            && let Some(text) = account::generated(body)
+        {
+            // Nobody listens if the caller has gone.
+            let _ = self.events.send(Event::Piece(text));
+        }
     }
 
     async fn run(&mut self) -> Outcome {
--- a/laburnumcart_entry/src/driver/account.rs
+++ b/laburnumcart_entry/src/driver/account.rs
@@ -1,6 +1,9 @@
 //! What a request took, and the body of its answer.
 
-use serde::Serialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::value;
 
 use laburnumcart::{
@@ -52,3 +55,20 @@
             .map_err(|_| verdict::Refusal::may_have_run(verdict::Reason::Corrupt))
     }
 }
+
+/// Output of a stage that generates text.
+#[derive(Deserialize)]
+struct Generated {
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct Kept {
+    output: Generated,
+}
+
+/// Returns the text of a whole answer; `None` if its last stage has not generated any.
+pub fn generated(body: &str) -> Option<String> {
+    let kept: Kept = serde_json::from_str(body).ok()?;
+    Some(kept.output.text)
+}
--- a/laburnumcart_entry/src/driver/race.rs
+++ b/laburnumcart_entry/src/driver/race.rs
@@ -261,12 +261,13 @@
     }
 
     /// Keeps new text of an engine for a resumption and passes it to the caller.
-    fn forward(&self, tries: &mut Tries<'_>, text: &str) {
+    fn forward(&mut self, tries: &mut Tries<'_>, text: &str) {
         if tries.kind != bundle::Kind::Engine || text.is_empty() {
             return;
         }
         tries.received.push_str(text);
         if tries.streams {
+            self.streamed = true;
             // Nobody listens if the caller has gone.
             let _ = self.events.send(Event::Piece(text.to_owned()));
         }
--- /dev/null
+++ b/laburnumcart_system/tests/doubt.rs
@@ -0,0 +1,290 @@
+//! Connections between entries and agents that fall silent, and agents and engines that die or
+//! stand still, while requests are under way.
+
+use laburnumcart_system::{
+    fleet,
+    letters,
+    relay,
+    reply,
+    wait, //
+};
+use nix::sys::signal;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Requests of each pipeline in one round.
+const COUNT: usize = 4;
+
+/// Pieces of text of a long generation.
+const TOKENS: u32 = 60;
+
+/// When a connection falls silent.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// Before the call is written.
+    Before,
+    /// After the target has begun.
+    After,
+    /// In the middle of the text.
+    Middle,
+    /// When the end mark is on its way.
+    End,
+}
+
+const PHASES: [Phase; 4] = [Phase::Before, Phase::After, Phase::Middle, Phase::End];
+
+async fn start(relays: bool) -> fleet::Fleet {
+    let plan = fleet::Plan::new(vec![letters::service(2)], letters::bundle("20s"));
+    let plan = if relays { plan.relays() } else { plan };
+    let fleet = fleet::Fleet::start(plan).await;
+    letters::wait_spread(&fleet).await;
+    fleet
+}
+
+/// Returns how many connections to agents the entries have given up.
+async fn breaks(fleet: &fleet::Fleet) -> f64 {
+    let mut sum = 0.0;
+    for entry in &fleet.entries {
+        let name = "laburnum_entry_lane_breaks_total";
+        sum += fleet.metric(entry.callers, name, "").await;
+    }
+    sum
+}
+
+/// Returns how many calls of fenced sessions the agents have refused.
+async fn fenced(fleet: &fleet::Fleet) -> f64 {
+    let mut sum = 0.0;
+    for node in &fleet.nodes {
+        let name = "laburnum_agent_refused_total";
+        sum += fleet.metric(node.admin, name, "fenced").await;
+    }
+    sum
+}
+
+/// Waits until targets execute `count` attempts that were not there before.
+async fn wait_executions(fleet: &fleet::Fleet, before: usize, count: usize) {
+    wait::until("executions", || async {
+        let rows = fleet.executions(letters::SERVICE).await;
+        (rows.len() >= before + count).then_some(())
+    })
+    .await;
+}
+
+/// Lets the connections fall silent in a phase.
+async fn fall_silent(fleet: &fleet::Fleet, phase: Phase, silence: relay::Silence, before: usize) {
+    let text = match phase {
+        Phase::Before => return,
+        Phase::After => {
+            wait_executions(fleet, before, COUNT).await;
+            for node in &fleet.nodes {
+                node.relay().silence(silence);
+            }
+            return;
+        }
+        Phase::Middle => "\"number\":20,",
+        Phase::End => "\"state\":\"done\"",
+    };
+    for node in &fleet.nodes {
+        node.relay().silence_at(text, silence);
+    }
+    wait::until("silence", || async {
+        let is_silent = |node: &fleet::Node| node.relay().is_silent();
+        fleet.nodes.iter().any(is_silent).then_some(())
+    })
+    .await;
+}
+
+/// Ends the silence, and shows that what was held back executes nothing.
+async fn heal(fleet: &fleet::Fleet, name: &str, replies: &[reply::Reply]) {
+    let before = fleet.executions(letters::SERVICE).await;
+    for node in &fleet.nodes {
+        node.relay().heal();
+    }
+    wait::until("held bytes to arrive", || async {
+        let is_free = |node: &fleet::Node| !node.relay().holds();
+        fleet.nodes.iter().all(is_free).then_some(())
+    })
+    .await;
+    letters::check_works(fleet, &format!("{name}-fresh"), fleet.entries.len()).await;
+    let after = fleet.executions(letters::SERVICE).await;
+    reply::check_still(replies, &before, &after);
+}
+
+// Callers of both pipelines wait while all connections between entries and agents fall silent: in
+// both directions or in one, before the calls, after them, within the text or before the end mark.
+// New connections work. Each caller gets its own whole answer or a verdict that the targets' records
+// bear out, as the agent is asked over a new connection, which fences the old one: what the old one
+// still held, let go at last, executes nothing.
+#[rstest]
+#[case::both(true, true)]
+#[case::forth(true, false)]
+#[case::back(false, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections(#[case] forth: bool, #[case] back: bool) {
+    let silence = relay::Silence { forth, back };
+    let fleet = start(true).await;
+    for phase in PHASES {
+        let name = format!("{phase:?}");
+        let (broken, refused) = (breaks(&fleet).await, fenced(&fleet).await);
+        let before = fleet.executions(letters::SERVICE).await.len();
+        if matches!(phase, Phase::Before) {
+            fleet.nodes.iter().for_each(|n| n.relay().silence(silence));
+        }
+        let sent = letters::mixed(&name, COUNT, TOKENS, fleet.entries.len());
+        let (replies, ()) = tokio::join!(
+            letters::send_all(&fleet, &sent),
+            fall_silent(&fleet, phase, silence, before),
+        );
+        println!("{phase:?} {silence:?}: {}", reply::counts(&replies));
+        let rows = fleet.executions(letters::SERVICE).await;
+        letters::check(&sent, &replies, &rows);
+        // Only then was the silence noticed, and the new connections asked.
+        wait::until("connections given up", || async {
+            (breaks(&fleet).await > broken).then_some(())
+        })
+        .await;
+        heal(&fleet, &name, &replies).await;
+        if forth && matches!(phase, Phase::Before) {
+            wait::until("late calls to be refused", || async {
+                (fenced(&fleet).await > refused).then_some(())
+            })
+            .await;
+            let after = fleet.executions(letters::SERVICE).await;
+            reply::check_still(&replies, &rows, &after);
+        }
+    }
+}
+
+/// Splits replies by pipeline: those that may execute more than once, and the others.
+fn split(replies: &[reply::Reply]) -> (Vec<reply::Reply>, Vec<reply::Reply>) {
+    let every = |first: usize| replies.iter().skip(first).step_by(2).cloned().collect();
+    (every(0), every(1))
+}
+
+// An agent is killed while its target executes for both pipelines, and started again at its address.
+// The new process knows nothing of what the old one took on, and must not vouch for it: what may
+// be repeated is completed on the other engine, the rest ends as "may have run" and is never
+// executed again, not even when its caller sends it once more through the other entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_is_killed_and_replaced() {
+    let mut fleet = start(false).await;
+    // So slow that nothing is done before the kill.
+    letters::slow(&fleet, 20.0).await;
+    let sent = letters::mixed("killed", COUNT, TOKENS, fleet.entries.len());
+    let caught = async {
+        let node = letters::wait_claimed(&fleet).await;
+        fleet.nodes[node].agent.signal(signal::Signal::SIGKILL);
+        letters::slow(&fleet, 1.0).await;
+        node
+    };
+    let (replies, killed) = tokio::join!(letters::send_all(&fleet, &sent), caught);
+    println!("agent killed: {}", reply::counts(&replies));
+    let (drafts, sends) = split(&replies);
+    let lost = sends.iter().filter(|reply| !reply.is_whole()).count();
+    assert!(lost > 0, "none was lost: {}", reply::counts(&sends));
+    assert!(drafts.iter().all(reply::Reply::is_whole), "{drafts:?}");
+    fleet.nodes[killed].agent.kill();
+    fleet.restart_agent(killed);
+    fleet.wait_ready().await;
+    let before = fleet.executions(letters::SERVICE).await;
+    letters::check(&sent, &replies, &before);
+    let resent: Vec<_> = sent.iter().skip(1).step_by(2).cloned().collect();
+    let resent: Vec<_> = resent.into_iter().map(|letter| letter.entry(1)).collect();
+    let again = letters::send_all(&fleet, &resent).await;
+    println!("sent again: {}", reply::counts(&again));
+    let after = fleet.executions(letters::SERVICE).await;
+    letters::check(&resent, &again, &after);
+    reply::check_still(&replies, &before, &after);
+    for (first, second) in sends.iter().zip(&again) {
+        assert_eq!(first.is_whole(), second.is_whole(), "{first:?} {second:?}");
+    }
+    letters::check_works(&fleet, "killed-after", 2).await;
+}
+
+// An agent stands still while its target executes for both pipelines; its connections stay open and
+// silent, and new ones are not answered. What may be repeated is completed on the other engine, the
+// rest waits. When the agent goes on, it is asked what became of the rest, and each caller gets the
+// one answer or a true verdict; nothing of what it finds in its old connections is executed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_stands_still_and_goes_on() {
+    let fleet = start(false).await;
+    let sent = letters::mixed("frozen", COUNT, TOKENS, fleet.entries.len());
+    let drafts: Vec<_> = sent.iter().step_by(2).cloned().collect();
+    let sends: Vec<_> = sent.iter().skip(1).step_by(2).cloned().collect();
+    letters::slow(&fleet, 5.0).await;
+    let frozen = async {
+        let node = letters::wait_claimed(&fleet).await;
+        fleet.nodes[node].agent.signal(signal::Signal::SIGSTOP);
+        letters::slow(&fleet, 1.0).await;
+        node
+    };
+    let drafts_then_go_on = async {
+        let (replies, node) = tokio::join!(letters::send_all(&fleet, &drafts), frozen);
+        fleet.nodes[node].agent.signal(signal::Signal::SIGCONT);
+        replies
+    };
+    let (first, second) = tokio::join!(drafts_then_go_on, letters::send_all(&fleet, &sends));
+    println!("agent frozen, idempotent: {}", reply::counts(&first));
+    println!("agent frozen, claimed: {}", reply::counts(&second));
+    assert!(first.iter().all(reply::Reply::is_whole), "{first:?}");
+    fleet.wait_ready().await;
+    let before = fleet.executions(letters::SERVICE).await;
+    letters::check(&drafts, &first, &before);
+    letters::check(&sends, &second, &before);
+    letters::check_works(&fleet, "frozen-after", 2).await;
+    let after = fleet.executions(letters::SERVICE).await;
+    reply::check_still(first.iter().chain(&second), &before, &after);
+}
+
+// An engine crashes in the middle of a long text that its caller already reads. The request may be
+// repeated, so another engine goes on after the last piece that came, and the caller reads one text
+// without a gap or a repetition, as if there had been one engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_engine() {
+    let fleet = start(false).await;
+    let letter = letters::Letter::new(letters::DRAFT, "crashed", 100).events(true);
+    letters::slow(&fleet, 5.0).await;
+    let crash = async {
+        let node = wait::until("text at a target", || async {
+            for node in 0..fleet.nodes.len() {
+                let has_text = |row: &Value| row["busy"].as_f64().is_some_and(|busy| busy > 0.15);
+                if fleet.executed(node).await.iter().any(has_text) {
+                    return Some(node);
+                }
+            }
+            None
+        })
+        .await;
+        fleet.nodes[node].target.signal(signal::Signal::SIGKILL);
+        fleet.behave(1 - node, &json!({"slow": 1.0})).await;
+        node
+    };
+    let (reply, crashed) = tokio::join!(letter.send(&fleet), crash);
+    let rows = fleet.executions(letters::SERVICE).await;
+    letters::check(&[letter], std::slice::from_ref(&reply), &rows);
+    assert!(reply.is_whole(), "{reply:?}");
+    let other = fleet.executed(1 - crashed).await;
+    let done = |row: &Value| row["outcome"] == "done" && row["request"].as_str() == reply.request();
+    assert!(other.iter().any(done), "{other:?}");
+}
+
+// A caller reads the events of a request that executes at most once, and sends it again through the
+// other entry, which joins the kept answer. The pieces that it reads must join to the same text,
+// though they were generated for the first request: whoever shows the pieces shows the whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_reads_the_same_pieces() {
+    let fleet = start(false).await;
+    let letter = letters::Letter::new(letters::SEND, "again", 5).events(true);
+    let first = letter.send(&fleet).await;
+    let second = letter.clone().entry(1).send(&fleet).await;
+    assert!(
+        first.is_whole() && second.is_whole(),
+        "{first:?} {second:?}"
+    );
+    assert_eq!(first.request(), second.request());
+    let rows = fleet.executions(letters::SERVICE).await;
+    letters::check(&[letter.clone(), letter], &[first, second], &rows);
+}
