--- a/laburnumcart_system/src/fleet/plan.rs
+++ b/laburnumcart_system/src/fleet/plan.rs
@@ -47,6 +47,7 @@
     pub(super) bundle: Value,
     pub(super) store: Vec<&'static str>,
     pub(super) stop: &'static str,
+    pub(super) relays: bool,
     traces: Option<net::SocketAddr>,
 }
 
@@ -59,6 +60,7 @@
             bundle,
             store: Vec::new(),
             stop: "20s",
+            relays: false,
             traces: None,
         }
     }
@@ -70,6 +72,13 @@
         self
     }
 
+    /// Puts a relay in front of each agent, whose address the platform lists.
+    #[must_use]
+    pub fn relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
+
     /// Adds arguments for the stand-in of the object service.
     #[must_use]
     pub fn store(mut self, args: &[&'static str]) -> Self {
