Document and check every metric, and count refused secrets

Documented but never exported: laburnum_entry_doubts_total, now counted where an attempt in doubt is asked about. Exported but not documented: the agent's calls of the object service, which also had a prefix of their own (laburnum_agent_store_object_service_..., now laburnum_agent_object_service_...). Requests without a valid secret were refused without a count; both daemons now export laburnum_peer_refused_total.

The event object_service is now called object-service.

--- a/extra/test/rules.sh
+++ b/extra/test/rules.sh
@@ -44,6 +44,8 @@
 refuse "a module starts with its doc comment" < <(sources | while IFS= read -r file; do
     head -n 1 "$file" | grep -q '^//! ' || echo "$file"
 done)
+refuse "log lines are written by event!" < <(sources | grep -v '/laburnumcart/src/event\.rs$' |
+    search '\blog::(error|warn|info|debug|trace|log)!')
 refuse "longer than $limit lines" < <(rust | while IFS= read -r file; do
     [ "$(wc -l <"$file")" -le $limit ] || echo "$file"
 done)
--- a/extra/test/verdict_test.sh
+++ b/extra/test/verdict_test.sh
@@ -93,6 +93,8 @@
 refused "conflict" x/Cargo.lock "<<<<<<""< HEAD"
 refused "no doc comment" x/src/a.rs "fn a() {}"
 refused "long" x/tests/a.rs "$(yes '// A.' | head -n 501)"
+refused "raw log macro" x/src/a.rs "//! A.
+fn a() { log::""warn!(\"x\") }"
 refused "machine path" x/tests/a.rs '// See /ro''ot/x.'
 
 exit $bad
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod document;
 pub mod eject;
 pub mod estimate;
+pub mod event;
 pub mod facts;
 pub mod fair;
 pub mod head;
--- a/laburnumcart_agent/src/agent.rs
+++ b/laburnumcart_agent/src/agent.rs
@@ -12,6 +12,7 @@
     control as thread,
     event,
     metrics,
+    peer as server,
     stop, //
 };
 use laburnumcart_platform::store;
@@ -62,12 +63,12 @@
         store: impl store::Store,
     ) -> io::Result<Self> {
         let running = stop::Running::new();
-        let secrets = settings.fleet.secrets.clone();
+        let fleet = settings.fleet.clone();
         let gate = running.gate();
         let (shared, news) = shared::Shared::new(settings, parts.limits, gate, &parts.metrics);
         let shared = sync::Arc::new(shared);
         let methods = service::Service::new(shared.clone()).into_rpc();
-        let peers = peer::serve(listener, &secrets, methods, &peer::Limits::default())?;
+        let peers = server::serve(listener, &fleet, methods, &parts.metrics)?;
         let control = thread::spawn({
             let shared = shared.clone();
             move || control::run(shared, news, store, parts.options)
--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -57,7 +57,7 @@
     let store = client::Client::builder([settings.platform.address])
         .build()
         .map_err(io::Error::other)?;
-    metrics.register("laburnum_agent_store", |registry| store.register(registry));
+    metrics.register("laburnum_agent", |registry| store.register(registry));
     let options = options(&settings).map_err(io::Error::other)?;
     let parts = agent::Parts {
         limits: work::Limits::default(),
--- a/laburnumcart_daemon/src/bundle/follow.rs
+++ b/laburnumcart_daemon/src/bundle/follow.rs
@@ -16,6 +16,8 @@
 use laburnumcart_wire::agent;
 use serde_json::value;
 
+use crate::event;
+
 use super::{
     counters::Failure,
     feed,
@@ -163,10 +165,12 @@
             Ok((accepted, snapshot)) => {
                 if self.feed.publish(accepted, snapshot) {
                     self.reported.store(false, Ordering::Relaxed);
-                    let (generation, digest) = (accepted.generation, accepted.digest);
-                    log::info!(
-                        "event=bundle-in-force generation={generation} digest={digest} \
-                         source={source}"
+                    event!(
+                        Info,
+                        "bundle-in-force",
+                        generation = accepted.generation,
+                        digest = accepted.digest,
+                        source = source
                     );
                 }
                 true
@@ -209,7 +213,7 @@
     pub(super) fn refuse(&self, reason: Failure, cause: &str) {
         self.feed.fail(reason);
         if !self.reported.swap(true, Ordering::Relaxed) {
-            log::warn!("event=bundle-refused reason={reason} cause={cause:?}");
+            event!(Warn, "bundle-refused", reason = reason, cause = cause);
         }
     }
 
@@ -232,7 +236,7 @@
         }
         if self.down.swap(down, Ordering::Relaxed) != down {
             let state = if down { "down" } else { "up" };
-            log::info!("event=bundle-store state={state}");
+            event!(Info, "bundle-store", state = state);
         }
     }
 
--- a/laburnumcart_daemon/src/lib.rs
+++ b/laburnumcart_daemon/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod launch;
 pub mod logs;
 pub mod metrics;
+pub mod peer;
 pub mod process;
 pub mod settings;
 pub mod stop;
 pub mod traces;
+
+pub use laburnumcart::event;
--- a/laburnumcart_daemon/src/logs.rs
+++ b/laburnumcart_daemon/src/logs.rs
@@ -15,7 +15,7 @@
     io, //
 };
 
-pub use log;
+pub use laburnumcart::event::Quoted;
 
 use crate::settings;
 
@@ -87,31 +87,3 @@
         self.inner.flush();
     }
 }
-
-/// Writes a value so that it stays one word: in quotes, with escapes, where it is not plain.
-#[derive(Debug)]
-pub struct Quoted<T>(pub T);
-
-impl<T: fmt::Display> fmt::Display for Quoted<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let text = self.0.to_string();
-        let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
-        if !text.is_empty() && text.chars().all(plain) {
-            f.write_str(&text)
-        } else {
-            write!(f, "{text:?}")
-        }
-    }
-}
-
-/// Writes a line of `key=value` pairs: `event!(Warn, "peer-lost", peer = addr, after = period)`.
-#[macro_export]
-macro_rules! event {
-    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
-        $crate::logs::log::log!(
-            $crate::logs::log::Level::$level,
-            concat!("event=", $name $(, " ", stringify!($key), "={}")*)
-            $(, $crate::logs::Quoted(&$value))*
-        )
-    };
-}
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -409,9 +409,11 @@
     async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
         let count = takeover::shards(&*self.store, self.config.shards).await?;
         if count != self.config.shards {
-            log::warn!(
-                "event=claim-shards-kept stored={count} configured={}",
-                self.config.shards
+            laburnumcart_daemon::event!(
+                Warn,
+                "claim-shards-kept",
+                stored = count,
+                configured = self.config.shards
             );
         }
         // In the long run each append costs a deletion. With a limit of their own, deletions do
--- a/laburnumcart_entry/src/claims/actor.rs
+++ b/laburnumcart_entry/src/claims/actor.rs
@@ -24,6 +24,7 @@
     unit,
     verdict, //
 };
+use laburnumcart_daemon::event;
 use laburnumcart_platform::store;
 use laburnumcart_wire::entry;
 
@@ -259,11 +260,12 @@
         match takeover::take(&*context.store, plan).await? {
             takeover::Outcome::Owner(taken) => {
                 context.metrics.takeovers.inc();
-                log::info!(
-                    "event=claim-shard-taken shard={} epoch={} claims={}",
-                    context.shard,
-                    taken.log.epoch(),
-                    taken.log.table().len()
+                event!(
+                    Info,
+                    "claim-shard-taken",
+                    shard = context.shard,
+                    epoch = taken.log.epoch(),
+                    claims = taken.log.table().len()
                 );
                 self.saw(context, Some(taken.base.head));
                 let sweep = sweep::run(
@@ -313,7 +315,7 @@
     fn lose<S>(&mut self, context: &Context<S>) {
         self.read = None;
         context.metrics.lost.inc();
-        log::info!("event=claim-shard-lost shard={}", context.shard);
+        event!(Info, "claim-shard-lost", shard = context.shard);
     }
 }
 
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -82,6 +82,8 @@
     pub gossip: Arc<gossip::Gossip>,
     /// Counter of connections that were given up.
     pub breaks: Counter,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     /// Secret that is sent to agents.
     pub secret: secret::Secret,
     /// Periods.
@@ -150,6 +152,8 @@
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     seen: Arc<ArcSwapOption<Seen>>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
@@ -159,6 +163,7 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Opening);
+        let doubts = caller.doubts.clone();
         let keeper = Keeper {
             addr,
             caller,
@@ -171,6 +176,7 @@
         Arc::new(Self {
             addr,
             running,
+            doubts,
             seen,
             link,
             task: task.abort_handle(),
--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -287,6 +287,7 @@
             attempt: self.sent.id,
             from: self.joiner.next(),
         };
+        self.lane.doubts.inc();
         let client = self.connection.client();
         let progress = ask(&self.connection, client.query(query)).await?;
         // A question that comes late, over a connection that was replaced meanwhile, is itself
--- a/laburnumcart_entry/src/metrics.rs
+++ b/laburnumcart_entry/src/metrics.rs
@@ -100,6 +100,8 @@
     pub hedges: Counter,
     /// Connections to agents that were given up.
     pub breaks: Counter,
+    /// Questions over a new connection about attempts in doubt.
+    pub doubts: Counter,
     /// Connections to agents that work.
     pub lanes: Gauge,
     /// Requests in flight.
@@ -120,6 +122,7 @@
             queued: Family::default(),
             hedges: Counter::default(),
             breaks: Counter::default(),
+            doubts: Counter::default(),
             lanes: Gauge::default(),
             running: Gauge::default(),
         }
@@ -150,6 +153,7 @@
             );
             r.register("hedges", "Second attempts", self.hedges.clone());
             r.register("lane_breaks", "Connections given up", self.breaks.clone());
+            r.register("doubts", "Questions about attempts", self.doubts.clone());
             r.register("lanes", "Connections to agents", self.lanes.clone());
             r.register("running", "Requests in flight", self.running.clone());
         });
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -18,15 +18,13 @@
     bundle,
     event,
     metrics,
+    peer,
     process as usage,
     stop,
     traces, //
 };
 use laburnumcart_platform::client;
-use laburnumcart_wire::{
-    entry::EntryServer,
-    peer, //
-};
+use laburnumcart_wire::entry::EntryServer;
 
 use crate::{
     callers,
@@ -94,7 +92,7 @@
     metrics: metrics::Metrics,
     running: stop::Running,
     callers: net::TcpListener,
-    peer: net::TcpListener,
+    listener: net::TcpListener,
 ) -> io::Result<process::ExitCode> {
     let mut signals = stop::Signals::listen()?;
     let _traces = trace(&settings)?;
@@ -102,12 +100,7 @@
     entry.metrics.register(&metrics);
     start_control(&settings, &entry, &metrics)?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(
-        peer,
-        &settings.fleet.secrets,
-        methods,
-        &peer::Limits::default(),
-    )?;
+    let peers = peer::serve(listener, &settings.fleet, methods, &metrics)?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
@@ -168,6 +161,7 @@
         peer: settings.peer,
         gossip: entry.gossip.clone(),
         breaks: entry.metrics.breaks.clone(),
+        doubts: entry.metrics.doubts.clone(),
         secret: secret.clone(),
         timing: links::Timing::default(),
     };
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -135,6 +135,7 @@
             peer: identity.peer,
             gossip: entry.gossip.clone(),
             breaks: entry.metrics.breaks.clone(),
+            doubts: entry.metrics.doubts.clone(),
             secret: SECRET.parse().unwrap(),
             timing: timing(),
         };
--- a/laburnumcart_fakes/src/bin/laburnum-fake-store.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-fake-store.rs
@@ -8,6 +8,7 @@
 
 use tokio::signal::unix;
 
+use laburnumcart::event;
 use laburnumcart_fakes::store::args;
 
 fn main() -> process::ExitCode {
@@ -45,7 +46,7 @@
         let mut terminate = unix::signal(unix::SignalKind::terminate())?;
         let server = builder.start()?;
         println!("listening {}", server.addr());
-        log::info!("event=listening addr={}", server.addr());
+        event!(Info, "listening", addr = server.addr());
         tokio::select! {
             _ = interrupt.recv() => {}
             _ = terminate.recv() => {}
--- a/laburnumcart_fakes/src/load/faults.rs
+++ b/laburnumcart_fakes/src/load/faults.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use laburnumcart::event;
 use tokio::time::Instant;
 
 use crate::{
@@ -27,8 +28,19 @@
     for (name, address) in hit {
         let url = format!("http://{address}/admin/behave");
         match client.post(&url, &[], body.clone()).await {
-            Ok(answer) => log::info!("target={name} change={body} status={}", answer.status),
-            Err(error) => log::warn!("target={name} change={body} error={error}"),
+            Ok(answer) => {
+                let status = answer.status;
+                event!(Info, "fault", target = name, change = body, status = status);
+            }
+            Err(error) => {
+                event!(
+                    Warn,
+                    "fault-lost",
+                    target = name,
+                    change = body,
+                    error = error
+                );
+            }
         }
     }
 }
--- a/laburnumcart_fakes/src/load/run.rs
+++ b/laburnumcart_fakes/src/load/run.rs
@@ -5,7 +5,10 @@
     time, //
 };
 
-use laburnumcart::id;
+use laburnumcart::{
+    event,
+    id, //
+};
 use rand::{
     Rng,
     SeedableRng,
@@ -82,7 +85,7 @@
     let plan = sync::Arc::new(plan);
     let unreachable = cost::reset(&client, &plan).await;
     for target in unreachable {
-        log::warn!("target={target} state=unreachable");
+        event!(Warn, "target-unreachable", target = target);
     }
     let (samples, received) = mpsc::unbounded_channel();
     let sender = sync::Arc::new(Sender::new(&client, &plan, &settings, samples));
--- a/laburnumcart_fakes/src/measure/series.rs
+++ b/laburnumcart_fakes/src/measure/series.rs
@@ -7,7 +7,10 @@
 };
 
 use derive_more::Display;
-use laburnumcart::unit;
+use laburnumcart::{
+    event,
+    unit, //
+};
 use serde::Serialize;
 
 use crate::{
@@ -123,7 +126,7 @@
         let url = format!("http://{}/admin/faults", self.store);
         let faults = if down { "{\"down\":true}" } else { "{}" };
         if let Err(error) = self.client.post(&url, &[], faults).await {
-            log::warn!("store={} error={error}", self.store);
+            event!(Warn, "outage-not-set", store = self.store, error = error);
         }
     }
 
@@ -143,7 +146,7 @@
         for (name, address) in plan.targets() {
             let url = format!("http://{address}/admin/behave");
             if let Err(error) = self.client.post(&url, &[], body.clone()).await {
-                log::warn!("target={name} error={error}");
+                event!(Warn, "target-not-reset", target = name, error = error);
             }
         }
         tokio::time::sleep(REST).await;
@@ -159,7 +162,7 @@
             };
             let name = format!("{}-{seed}-{number}.txt", case.name.replace([' ', ','], "_"));
             if let Err(error) = std::fs::write(pages.join(name), answer.body) {
-                log::warn!("page={url} error={error}");
+                event!(Warn, "page-not-kept", page = url, error = error);
             }
         }
     }
--- a/laburnumcart_fakes/src/store/handle.rs
+++ b/laburnumcart_fakes/src/store/handle.rs
@@ -25,7 +25,10 @@
     http::WebResponse, //
 };
 
-use laburnumcart::unit;
+use laburnumcart::{
+    event,
+    unit, //
+};
 use laburnumcart_platform::{
     memory,
     store::{
@@ -156,7 +159,7 @@
     let faults: Result<memory::Faults, _> = serde_json::from_str(&text);
     let faults = faults.map_err(|_| Refusal::Status(StatusCode::BAD_REQUEST))?;
     ctx.state().memory.set_faults(faults);
-    log::info!("event=faults set={text}");
+    event!(Info, "faults", set = text);
     encode(ctx, &faults)
 }
 
--- a/laburnumcart_fakes/src/target/server.rs
+++ b/laburnumcart_fakes/src/target/server.rs
@@ -12,6 +12,7 @@
     time, //
 };
 
+use laburnumcart::event;
 use xitca_web::{
     App,
     handler::handler_service,
@@ -110,7 +111,8 @@
     fn run(self, mut listener: net::TcpListener) {
         loop {
             if let Err(error) = self.serve(listener) {
-                log::error!("target={} error={error}", self.core.settings.name);
+                let target = &self.core.settings.name;
+                event!(Error, "target-failed", target = target, error = error);
                 return;
             }
             let restart = self.core.downtime();
@@ -121,7 +123,7 @@
                 return;
             }
             self.core.reboot();
-            log::info!("target={} state=restarted", self.core.settings.name);
+            event!(Info, "target-restarted", target = self.core.settings.name);
             let Some(next) = self.bind() else { return };
             listener = next;
         }
@@ -176,7 +178,10 @@
         loop {
             match net::TcpListener::bind(self.address) {
                 Ok(listener) => return Some(listener),
-                Err(error) => log::warn!("address={} error={error}", self.address),
+                Err(error) => {
+                    let address = self.address;
+                    event!(Warn, "address-taken", address = address, error = error);
+                }
             }
             if self.stops(BIND_PAUSE) {
                 return None;
--- a/laburnumcart_platform/src/client.rs
+++ b/laburnumcart_platform/src/client.rs
@@ -225,7 +225,7 @@
         let open = control.outage.is_open();
         self.metrics.down(open);
         if before != open {
-            log::warn!("event=object_service state={}", state(open));
+            laburnumcart::event!(Warn, "object-service", state = state(open));
         }
     }
 
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -211,7 +211,7 @@
     fn report(&mut self, behind: bool) {
         if self.behind != behind {
             let state = if behind { "behind" } else { "current" };
-            log::info!("event=mirror prefix={} state={state}", self.prefix);
+            laburnumcart::event!(Info, "mirror", prefix = self.prefix, state = state);
         }
         self.behind = behind;
     }
