Give each hop a span, and check the chain across processes

The agent had one span for the attempt and named it to the target, so that the call of the target could not be told from the agent's own time. The chain is now request, attempt, execution, target. tests/traces.rs follows one request of four stages through an entry and four agents to an OTLP receiver: 13 spans, each a child of the one before it, and the target is told of the last.

A collector that cannot be used no longer keeps an entry from starting; agents already ran without.

--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -36,7 +36,8 @@
     let call = &job.call;
     let came = call.traceparent.as_ref().and_then(|text| text.parse().ok());
     let span = tracing::info_span!(
-        "attempt",
+        "execution",
+        otel.kind = "server",
         request = %call.request,
         attempt = %call.attempt,
         team = %call.team,
@@ -44,8 +45,7 @@
         stage = %call.stage,
     );
     traces::join(&span, came.as_ref());
-    let parent = traces::parent(&span, came.as_ref());
-    let outcome = attempt(&shared, &job, parent).instrument(span).await;
+    let outcome = attempt(&shared, &job, came).instrument(span).await;
     let now = time::Instant::now();
     shared.work().end(&job, outcome, now);
     report(&shared, &job, outcome, now);
@@ -76,20 +76,23 @@
 async fn attempt(
     shared: &sync::Arc<shared::Shared>,
     job: &job::Job,
-    parent: Option<traces::Traceparent>,
+    came: Option<traces::Traceparent>,
 ) -> job::Outcome {
     let Some(kind) = shared.snapshot.load().kind() else {
         return job::Outcome::NotRun(verdict::Reason::NoBundle, None);
     };
     let mut crashes = shared.crashes.subscribe();
+    let target = shared.settings.target.name.as_str();
+    let span = tracing::info_span!("target", otel.kind = "client", target = target);
     let hop = run::Hop {
         remaining: unit::Period(job.deadline - time::Instant::now()),
-        parent,
+        parent: traces::parent(&span, came.as_ref()),
     };
     let mut sink = Sink { shared, job };
+    let run = shared.target.run(kind, &job.call, &hop, &mut sink);
     let reason = tokio::select! {
         biased;
-        outcome = shared.target.run(kind, &job.call, &hop, &mut sink) => return outcome,
+        outcome = run.instrument(span) => return outcome,
         _ = crashes.changed() => verdict::Reason::TargetFailed,
         () = job.cancelled.notified() => verdict::Reason::Cancelled,
         () = time::sleep_until(job.deadline) => verdict::Reason::DeadlineExceeded,
--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -49,7 +49,7 @@
 
 async fn serve(settings: settings::Settings) -> io::Result<()> {
     let mut signals = stop::Signals::listen()?;
-    let _traces = start_traces(&settings);
+    let _traces = traces::launch("laburnum-agent", &settings.instance, &settings.telemetry);
     let metrics = metrics::Metrics::new();
     usage::register(&metrics);
     let peer = net::TcpListener::bind(settings.peer)?;
@@ -83,17 +83,6 @@
     Ok(bundle::Options::new(trust).peers(settings.fleet.peers.clone()))
 }
 
-fn start_traces(settings: &settings::Settings) -> Option<traces::Traces> {
-    let collector = settings.telemetry.traces?;
-    match traces::start("laburnum-agent", &settings.instance, collector) {
-        Ok(traces) => Some(traces),
-        Err(error) => {
-            event!(Warn, "traces-failed", error = error);
-            None
-        }
-    }
-}
-
 fn ready(shared: &sync::Arc<shared::Shared>) -> Result<(), String> {
     let snapshot = shared.snapshot.load();
     if shared.is_leaving() {
--- a/laburnumcart_daemon/src/traces.rs
+++ b/laburnumcart_daemon/src/traces.rs
@@ -47,6 +47,11 @@
 
 use laburnumcart::id;
 
+use crate::{
+    event,
+    settings, //
+};
+
 /// Spans that wait for the collector; further ones are dropped.
 pub const QUEUE_MAX: usize = 4096;
 
@@ -148,6 +153,23 @@
     provider: sdk::SdkTracerProvider,
 }
 
+/// Starts traces if the settings name a collector.
+///
+/// A failure is logged and the process runs without: spans must not decide about requests.
+pub fn launch(
+    service: &'static str,
+    instance: &id::InstanceName,
+    telemetry: &settings::Telemetry,
+) -> Option<Traces> {
+    match start(service, instance, telemetry.traces?) {
+        Ok(traces) => Some(traces),
+        Err(error) => {
+            event!(Warn, "traces-failed", error = error);
+            None
+        }
+    }
+}
+
 /// Starts to send spans to `collector`; the requests run on the current tokio runtime.
 pub fn start(
     service: &'static str,
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -55,6 +55,7 @@
     let head = &request.head;
     let span = tracing::info_span!(
         "request",
+        otel.kind = "server",
         request = %head.id,
         team = head.team.as_str(),
         pipeline = head.pipeline.as_str(),
--- a/laburnumcart_entry/src/driver/race.rs
+++ b/laburnumcart_entry/src/driver/race.rs
@@ -122,6 +122,7 @@
         let span = tracing::info_span!(
             parent: &self.span,
             "attempt",
+            otel.kind = "client",
             stage = tries.stage.name.as_str(),
             target = target.as_str(),
             attempt = %ready.attempt(),
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -95,7 +95,7 @@
     listener: net::TcpListener,
 ) -> io::Result<process::ExitCode> {
     let mut signals = stop::Signals::listen()?;
-    let _traces = trace(&settings)?;
+    let _traces = traces::launch("laburnum-entry", &settings.instance, &settings.telemetry);
     usage::register(&metrics);
     entry.metrics.register(&metrics);
     start_control(&settings, &entry, &metrics)?;
@@ -175,11 +175,3 @@
     };
     control::thread::start(start).map(|_| ())
 }
-
-fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
-    let Some(collector) = settings.telemetry.traces else {
-        return Ok(None);
-    };
-    let started = traces::start("laburnum-entry", &settings.instance, collector);
-    started.map(Some).map_err(io::Error::other)
-}
--- a/laburnumcart_fakes/src/target/engine.rs
+++ b/laburnumcart_fakes/src/target/engine.rs
@@ -49,6 +49,7 @@
     pub(super) attempt: String,
     pub(super) idempotent: bool,
     pub(super) rank: u8,
+    pub(super) traceparent: Option<String>,
     pub(super) body: Body,
     pub(super) raw: Bytes,
 }
@@ -99,6 +100,7 @@
             idempotent: call.idempotent,
             outcome: ledger::Outcome::Running,
             busy: 0.0,
+            traceparent: call.traceparent.clone(),
         };
         let number = core.ledger.lock().unwrap().enter(execution);
         Self {
--- a/laburnumcart_fakes/src/target/ledger.rs
+++ b/laburnumcart_fakes/src/target/ledger.rs
@@ -41,6 +41,9 @@
     pub outcome: Outcome,
     /// Seconds of the whole target spent on it.
     pub busy: f64,
+    /// Sender's position in its trace.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub traceparent: Option<String>,
 }
 
 /// All executions, as `GET /admin/executions` answers.
--- a/laburnumcart_fakes/src/target/routes.rs
+++ b/laburnumcart_fakes/src/target/routes.rs
@@ -187,6 +187,7 @@
             Some("low") => 2,
             _ => 1,
         },
+        traceparent: header("traceparent").map(str::to_owned),
         body: serde_json::from_slice(&raw).ok()?,
         raw,
     })
--- a/laburnumcart_fakes/tests/load.rs
+++ b/laburnumcart_fakes/tests/load.rs
@@ -322,6 +322,7 @@
         idempotent,
         outcome,
         busy: 1.0,
+        traceparent: None,
     };
     let executions = [
         execution("answered", ledger::Outcome::Done, true),
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -309,9 +309,21 @@
         }
         for entry in &self.entries {
             self.wait_page(&entry.name, entry.callers, "/readyz").await;
+            self.wait_lanes(entry).await;
         }
     }
 
+    /// Waits until an entry has a connection to every agent.
+    async fn wait_lanes(&self, entry: &Entry) {
+        let wanted = format!("laburnum_entry_lanes {}", self.nodes.len());
+        wait::until(&format!("{} {wanted}", entry.name), || async {
+            let page = self.http.get(entry.callers, "/metrics").await.ok()?;
+            let mut lines = page.body.lines();
+            lines.any(|line| line == wanted).then_some(())
+        })
+        .await;
+    }
+
     /// Returns the peer addresses of all daemons.
     pub fn peers(&self) -> Vec<net::SocketAddr> {
         let agents = self.nodes.iter().map(|node| node.peer);
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -1,5 +1,6 @@
 //! Runs the real binaries as separate processes on loopback, for tests of the whole.
 
+pub mod collector;
 pub mod fleet;
 pub mod http;
 pub mod port;
--- /dev/null
+++ b/laburnumcart_system/tests/traces.rs
@@ -0,0 +1,90 @@
+//! Spans of one request, across all processes that it passes.
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use laburnumcart_system::{
+    collector::{
+        self,
+        Span, //
+    },
+    fleet,
+    sample,
+    wait, //
+};
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+
+const CALLER: &str = "b7ad6b7169203331";
+
+/// Services of the pipeline in the order of its stages.
+const SERVICES: [&str; 4] = ["encoders", "retrievers", "rerankers", "case-model"];
+
+/// Returns the children of a span with a name.
+fn children<'a>(spans: &'a [Span], parent: &str, name: &str) -> Vec<&'a Span> {
+    let fits = |s: &&Span| s.parent_span_id == parent && s.name == name;
+    spans.iter().filter(fits).collect()
+}
+
+/// A caller within a trace of its own sends a request of four stages. The collector gets one span for
+/// each hop: the request at the entry, a child of the caller's span; under it an attempt for each
+/// stage; under each of these the execution at the agent, and under that the call of the target.
+/// The target is told of that last span. Nothing else belongs to the trace.
+#[tokio::test(flavor = "multi_thread")]
+async fn spans_of_a_request_form_one_chain() {
+    let collector = collector::Collector::start().await;
+    let plan = fleet::Plan::new(sample::services(1), sample::bundle());
+    let plan = plan.entries(1).traces(collector.addr);
+    let mut fleet = fleet::Fleet::start(plan).await;
+    let caller = format!("00-{TRACE}-{CALLER}-01");
+    let call = fleet::Call::new(sample::CHECK, sample::CLINIC, json!({"case": 1}));
+    let answer = fleet.call(0, &call.traceparent(&caller)).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    let mut told = Vec::new();
+    for service in SERVICES {
+        let executions = fleet.executions(service).await;
+        assert_eq!(executions.len(), 1, "{service}");
+        told.push(
+            executions[0]["traceparent"]
+                .as_str()
+                .expect("told")
+                .to_owned(),
+        );
+    }
+    // A process sends what waits when it stops.
+    for daemon in fleet.daemons() {
+        daemon.signal(Signal::SIGTERM);
+    }
+    let nodes = fleet.nodes.iter_mut().map(|node| &mut node.agent);
+    let entries = fleet.entries.iter_mut().map(|entry| &mut entry.process);
+    for process in nodes.chain(entries) {
+        let name = process.name().to_owned();
+        let process = std::cell::RefCell::new(process);
+        wait::until(&name, || async { process.borrow_mut().ended() }).await;
+    }
+    let mut spans = collector.spans();
+    spans.retain(|span| span.trace_id == TRACE);
+    let requests = children(&spans, CALLER, "request");
+    assert_eq!(requests.len(), 1, "{spans:#?}");
+    assert_eq!(requests[0].instance, "entry-0");
+    let attempts = children(&spans, &requests[0].span_id, "attempt");
+    assert_eq!(attempts.len(), SERVICES.len(), "{spans:#?}");
+    let mut agents = Vec::new();
+    for attempt in attempts {
+        assert_eq!(attempt.instance, "entry-0");
+        let executions = children(&spans, &attempt.span_id, "execution");
+        assert_eq!(executions.len(), 1, "{spans:#?}");
+        let targets = children(&spans, &executions[0].span_id, "target");
+        assert_eq!(targets.len(), 1, "{spans:#?}");
+        assert_eq!(targets[0].instance, executions[0].instance);
+        let parent = format!("00-{TRACE}-{}-01", targets[0].span_id);
+        let place = told.iter().position(|told| *told == parent);
+        let place = place.expect("a target that was told of its span");
+        agents.push(format!("agent-{}-0", SERVICES[place]));
+        assert_eq!(targets[0].instance, agents[agents.len() - 1]);
+    }
+    agents.sort();
+    agents.dedup();
+    assert_eq!(agents.len(), SERVICES.len());
+    assert_eq!(spans.len(), 1 + 3 * SERVICES.len(), "{spans:#?}");
+}
