Print specifications in the order of their list

Cases already ran four at once; their lines came in the order in which they ended. They are now printed in the order of CASES, and no more run at once than there are processors. A case with a wrong expectation still fails the run.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Checks each line of CASES with spin, JOBS at once (4 unless set). A specification with a seeded
-# fault must fail: one that cannot fail proves nothing.
+# Checks each line of CASES with spin, as many at once as there are processors, at most JOBS (4
+# unless set), and prints what became of them in the order of CASES. A specification with a
+# seeded fault must fail: one that cannot fail proves nothing.
 set -u
 
 here=$(cd "$(dirname "$0")" && pwd)
@@ -25,20 +26,36 @@
     fi
 }
 
-# Checks one line of CASES and prints what became of it.
+# Checks one case, "number file defines expected", and writes what became of it to the file
+# "number" in the directory "results".
 if [ "${1:-}" = "--case" ]; then
+    number=$2
+    shift
     work=$(mktemp -d)
     trap 'rm -rf "$work"' EXIT
     start=$(date +%s)
     found=$(check "$2" "$3")
     taken=$(($(date +%s) - start))
     states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/pan.log" 2> /dev/null)
-    echo "$2 $3: $found, expected $4 (${states:-?} states, ${taken} s)"
+    echo "$2 $3: $found, expected $4 (${states:-?} states, ${taken} s)" > "$results/$number"
     [ "$found" = "$4" ]
     exit
 fi
 
-grep -v '^ *\(#\|$\)' "$here/CASES" | xargs -L 1 -P "${JOBS:-4}" "$here/check.sh" --case || {
+jobs=$(nproc)
+most=${JOBS:-4}
+[ "$jobs" -le "$most" ] || jobs=$most
+
+results=$(mktemp -d)
+trap 'rm -rf "$results"' EXIT
+export results
+
+# Numbers of one width keep the order of CASES when names are sorted.
+awk '!/^ *(#|$)/ { printf "%03d %s\n", ++count, $0 }' "$here/CASES" |
+    xargs -L 1 -P "$jobs" "$here/check.sh" --case
+code=$?
+cat "$results"/*
+if [ "$code" -ne 0 ]; then
     echo "cases not as expected"
     exit 1
-}
+fi
