--- a/extra/test.sh
+++ b/extra/test.sh
@@ -44,6 +44,10 @@
     RUSTDOCFLAGS="-D warnings" cargo doc --locked --quiet --workspace --no-deps
 }
 
+example() {
+    cargo run --locked --quiet -p laburnumcart --example embed
+}
+
 specs() {
     if [ ! -x spec/check.sh ]; then
         echo "no specifications"
@@ -67,6 +71,7 @@
     step "lints" cargo clippy --locked --quiet --workspace --all-targets -- -D warnings
     step "build" cargo build --locked --quiet --workspace --bins
     step "tests" extra/test/tests.sh "$work" KNOWN-RED.txt
+    step "embedding example" example
     step "documentation" docs
     step "specifications" specs
 
--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -233,6 +233,6 @@
         text += &format!("  {:<9} {}\n", command.name, command.about);
     }
     text += "\nExit codes: 0 done, 2 bad input, 3 conflict, 4 unavailable, 5 refused.\n\
-             `laburnumctl COMMAND --help` tells more.";
+             `laburnumctl COMMAND --help` tells more, `laburnumctl --version` its version.";
     text
 }
