--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -424,7 +424,12 @@
         let wanted = self.wanted.load(atomic::Ordering::Relaxed);
         let count = takeover::shards(&*self.store, wanted).await?;
         if count != wanted {
-            log::warn!("event=claim-shards-kept stored={count} configured={wanted}");
+            laburnumcart_daemon::event!(
+                Warn,
+                "claim-shards-kept",
+                stored = count,
+                configured = wanted
+            );
         }
         // In the long run each append costs a deletion. With a limit of their own, deletions do
         // not delay claims.
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -18,6 +18,7 @@
     bundle,
     event,
     metrics,
+    peer,
     process as usage,
     stop,
     traces, //
@@ -26,10 +27,7 @@
     budget,
     client, //
 };
-use laburnumcart_wire::{
-    entry::EntryServer,
-    peer, //
-};
+use laburnumcart_wire::entry::EntryServer;
 
 use crate::{
     callers,
@@ -105,20 +103,15 @@
     metrics: metrics::Metrics,
     running: stop::Running,
     callers: net::TcpListener,
-    peer: net::TcpListener,
+    listener: net::TcpListener,
 ) -> io::Result<process::ExitCode> {
     let mut signals = stop::Signals::listen()?;
-    let _traces = trace(&settings)?;
+    let _traces = traces::launch("laburnum-entry", &settings.instance, &settings.telemetry);
     usage::register(&metrics);
     entry.metrics.register(&metrics);
     start_control(&settings, &entry, &metrics)?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(
-        peer,
-        &settings.fleet.secrets,
-        methods,
-        &peer::Limits::default(),
-    )?;
+    let peers = peer::serve(listener, &settings.fleet, methods, &metrics)?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
@@ -180,6 +173,7 @@
         peer: settings.peer,
         gossip: entry.gossip.clone(),
         breaks: entry.metrics.breaks.clone(),
+        doubts: entry.metrics.doubts.clone(),
         secret: secret.clone(),
         timing: links::Timing::default(),
     };
@@ -193,11 +187,3 @@
     };
     control::thread::start(start).map(|_| ())
 }
-
-fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
-    let Some(collector) = settings.telemetry.traces else {
-        return Ok(None);
-    };
-    let started = traces::start("laburnum-entry", &settings.instance, collector);
-    started.map(Some).map_err(io::Error::other)
-}
