Record cache hits of the stand-in engines

Cost by stage alone does not tell whether an engine read a prompt anew or waited. The record of executions now says for each whether its prefix was in the cache, and the load tool counts them.

--- a/laburnumcart_fakes/src/load/cost.rs
+++ b/laburnumcart_fakes/src/load/cost.rs
@@ -30,6 +30,8 @@
     pub wasted: f64,
     /// Number of executions.
     pub executions: u64,
+    /// Executions whose prompt's prefix was in the engine's cache.
+    pub cached: u64,
     /// Requests whose answers used the stage.
     pub completed: u64,
     /// Useful target-seconds for each completed request.
@@ -116,6 +118,7 @@
         let key = (&execution.request, &execution.stage);
         let stage = summary.stages.entry(execution.stage.clone()).or_default();
         stage.executions += 1;
+        stage.cached += u64::from(execution.cached);
         let done = execution.outcome == ledger::Outcome::Done;
         if done && completed.contains(&execution.request) && used.insert(key) {
             stage.useful += execution.busy;
@@ -138,9 +141,10 @@
         for (name, stage) in &self.stages {
             writeln!(
                 f,
-                "cost stage={name} executions={} completed={} useful={:.2}s wasted={:.2}s \
+                "cost stage={name} executions={} cached={} completed={} useful={:.2}s wasted={:.2}s \
                  each={:.2}ms",
                 stage.executions,
+                stage.cached,
                 stage.completed,
                 stage.useful,
                 stage.wasted,
--- a/laburnumcart_fakes/src/target/engine.rs
+++ b/laburnumcart_fakes/src/target/engine.rs
@@ -99,6 +99,7 @@
             idempotent: call.idempotent,
             outcome: ledger::Outcome::Running,
             busy: 0.0,
+            cached: false,
         };
         let number = core.ledger.lock().unwrap().enter(execution);
         Self {
@@ -111,6 +112,10 @@
         self.core.ledger.lock().unwrap().charge(self.number, busy);
     }
 
+    pub(super) fn hit(&self) {
+        self.core.ledger.lock().unwrap().hit(self.number);
+    }
+
     pub(super) fn settle(&self, outcome: ledger::Outcome) {
         self.core
             .ledger
@@ -172,6 +177,9 @@
         .memory()
         .cache
         .touch(&expected::prefix(&call.body.input));
+    if hit {
+        running.hit();
+    }
     let factor = if hit { HIT_FACTOR } else { 1.0 };
     Ok(Sequence {
         core: core.clone(),
--- a/laburnumcart_fakes/src/target/ledger.rs
+++ b/laburnumcart_fakes/src/target/ledger.rs
@@ -41,6 +41,9 @@
     pub outcome: Outcome,
     /// Seconds of the whole target spent on it.
     pub busy: f64,
+    /// Whether its prompt's prefix was in the cache; engines only.
+    #[serde(default)]
+    pub cached: bool,
 }
 
 /// All executions, as `GET /admin/executions` answers.
@@ -89,6 +92,13 @@
         Number(self.base + self.book.executions.len() - 1)
     }
 
+    /// Notes that the prefix of an execution was in the cache.
+    pub fn hit(&mut self, number: Number) {
+        if let Some(execution) = self.find(number) {
+            execution.cached = true;
+        }
+    }
+
     /// Charges time of the target to an execution.
     pub fn charge(&mut self, number: Number, busy: time::Duration) {
         if let Some(execution) = self.find(number) {
--- a/laburnumcart_fakes/tests/load.rs
+++ b/laburnumcart_fakes/tests/load.rs
@@ -322,6 +322,7 @@
         idempotent,
         outcome,
         busy: 1.0,
+        cached: request == "retried",
     };
     let executions = [
         execution("answered", ledger::Outcome::Done, true),
@@ -336,6 +337,7 @@
     let stage = &summary.stages["s"];
     assert_eq!((stage.useful, stage.wasted), (2.0, 4.0));
     assert_eq!((stage.executions, stage.completed), (6, 2));
+    assert_eq!(stage.cached, 2);
     assert_eq!(stage.each, 1.0);
     assert_eq!(summary.repeated, 1);
 }
