Route engine stages by the prefix of their prompt

Cause: routing never passed a prefix, so that every engine met every prefix and its cache of limited memory kept dropping what the next request needed.

The key is computed once for a request whose pipeline has an engine and goes into each choice of an engine, with the bound on load that the routing table has. Pools are chosen as before.

--- a/laburnumcart/src/route.rs
+++ b/laburnumcart/src/route.rs
@@ -11,6 +11,7 @@
 
 use crate::id;
 
+pub mod prefix;
 mod table;
 
 pub use table::Table;
@@ -72,7 +73,7 @@
 pub struct Ask<'a> {
     /// Positions in the table that were tried before.
     pub tried: &'a [usize],
-    /// Digest of the prompt's prefix; engines only.
+    /// Key of the prompt's prefix, as of [`prefix::key`]; engines only.
     pub prefix: Option<u64>,
     /// Attempts that this process has in flight at a position.
     pub own: &'a dyn Fn(usize) -> u32,
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -178,7 +178,12 @@
     pub(super) fn choose(&self, tries: &Tries<'_>) -> Option<routes::Chosen> {
         let view = self.entry.view.load();
         let routes = view.routes.get(&tries.stage.service)?;
-        routes.choose(&tries.tried, None)
+        // Pools keep nothing of a prompt, so that affinity would only take their balance away.
+        let prefix = self
+            .request
+            .prefix
+            .filter(|_| tries.kind == bundle::Kind::Engine);
+        routes.choose(&tries.tried, prefix)
     }
 
     /// Writes the call of an attempt.
--- a/laburnumcart_entry/src/request.rs
+++ b/laburnumcart_entry/src/request.rs
@@ -8,6 +8,7 @@
 use laburnumcart::{
     bundle,
     id,
+    route,
     unit,
     verdict, //
 };
@@ -72,6 +73,8 @@
     pub input: Box<value::RawValue>,
     /// Digest of team, pipeline and body.
     pub fingerprint: id::Fingerprint,
+    /// Key of the prompt's prefix, if the pipeline has an engine.
+    pub prefix: Option<u64>,
 }
 
 impl Head {
@@ -140,15 +143,24 @@
             .saturating_duration_since(time::Instant::now())
     }
 
+    fn has_engine(&self) -> bool {
+        let services = &self.rules.bundle.services;
+        let kind = |stage: &bundle::Stage| services.get(&stage.service).map(|s| s.kind);
+        let mut stages = self.stages().stages.iter();
+        stages.any(|stage| kind(stage) == Some(bundle::Kind::Engine))
+    }
+
     /// Adds the body.
     pub fn with_body(self, body: &[u8]) -> Result<Request, verdict::Reason> {
         let input: Box<value::RawValue> =
             serde_json::from_slice(body).map_err(|_| verdict::Reason::Invalid)?;
         let fingerprint = id::Fingerprint::of(&self.team, &self.pipeline, body);
+        let prefix = self.has_engine().then(|| route::prefix::key(input.get()));
         Ok(Request {
             head: self,
             input,
             fingerprint,
+            prefix,
         })
     }
 }
--- a/laburnumcart_entry/tests/it/agent.rs
+++ b/laburnumcart_entry/tests/it/agent.rs
@@ -64,6 +64,7 @@
 /// An agent with its target in one.
 #[derive(Debug)]
 pub(crate) struct Fake {
+    target: id::TargetName,
     service: id::ServiceName,
     incarnation: id::Incarnation,
     plan: Plan,
@@ -100,7 +101,10 @@
         crash: plan.crash,
         ..Inner::default()
     };
+    let listener = net::TcpListener::bind(addr).unwrap();
+    let addr = listener.local_addr().unwrap();
     let fake = Arc::new(Fake {
+        target: format!("target-{}", addr.port()).parse().unwrap(),
         service: service.parse().unwrap(),
         incarnation: id::Incarnation::random(),
         plan,
@@ -108,8 +112,6 @@
         changed: sync::Notify::new(),
         gate: sync::Semaphore::new(0),
     });
-    let listener = net::TcpListener::bind(addr).unwrap();
-    let addr = listener.local_addr().unwrap();
     let secrets = [bench::SECRET.parse().unwrap()];
     let methods = Shared(fake.clone()).into_rpc();
     let handle = peer::serve(listener, &secrets, methods, &peer::Limits::default()).unwrap();
@@ -156,7 +158,7 @@
 
     fn report(&self) -> agent::Report {
         agent::Report {
-            target: "target-1".parse().unwrap(),
+            target: self.target.clone(),
             service: self.service.clone(),
             zone: "dc-1".parse().unwrap(),
             incarnation: self.incarnation,
--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -199,3 +199,42 @@
     }
     assert_eq!(pool.fake.calls().len(), calls);
 }
+
+// An engine reads a prompt faster whose prefix it has read before, and its memory holds few. Requests
+// that share a prefix go to one engine while that has room, whoever sends them and in whatever order
+// their fields are; other prefixes go to the others.
+#[tokio::test]
+async fn prefixes_keep_their_engine() {
+    let pool = agent::start("pool", agent::Plan::default()).await;
+    let plan = agent::Plan {
+        pieces: vec!["one".to_owned()],
+        ..agent::Plan::default()
+    };
+    let engines = [
+        agent::start("engine", plan.clone()).await,
+        agent::start("engine", plan.clone()).await,
+        agent::start("engine", plan).await,
+    ];
+    let mut agents = vec![("pool", pool.addr)];
+    agents.extend(engines.iter().map(|engine| ("engine", engine.addr)));
+    let bench = bench::Bench::start(&agents).await;
+    for prefix in 0..64 {
+        for n in 0..2 {
+            let input = serde_json::json!({ "prefix": format!("terms {prefix}"), "n": n });
+            let (_, outcome) = bench::finish(bench.run("report", input)).await;
+            assert!(outcome.is_ok());
+        }
+    }
+    let mut seen = std::collections::HashSet::new();
+    for engine in &engines {
+        let calls = engine.fake.calls();
+        assert!(!calls.is_empty(), "an engine without a prefix");
+        let prefix = |call: &laburnumcart_wire::stage::Call| {
+            let body: serde_json::Value = serde_json::from_str(call.body.get()).unwrap();
+            body["input"]["prefix"].as_str().unwrap().to_owned()
+        };
+        let own: std::collections::HashSet<_> = calls.iter().map(prefix).collect();
+        assert!(own.is_disjoint(&seen), "a prefix at two engines");
+        seen.extend(own);
+    }
+}
--- a/laburnumcart_fakes/tests/target.rs
+++ b/laburnumcart_fakes/tests/target.rs
@@ -7,6 +7,7 @@
 
 use laburnumcart::{
     bundle,
+    route,
     unit, //
 };
 use laburnumcart_fakes::{
@@ -444,3 +445,17 @@
     );
     assert_eq!(bench.get("/v1/cache?after=8").await["events"], json!([]));
 }
+
+// The entry routes by the key under which the engine caches; were the two different, hints by cache
+// events would name prefixes that no request has.
+#[rstest]
+#[case(json!({ "prefix": "terms", "n": 1 }))]
+#[case(json!({ "prefix": "", "n": 1 }))]
+#[case(json!({ "prefix": 7, "n": 1 }))]
+#[case(json!({ "text": "é".repeat(100) }))]
+#[case(json!(["terms"]))]
+#[case(json!("x"))]
+fn entry_and_engine_agree_on_prefixes(#[case] input: Value) {
+    let key = route::prefix::key(&input.to_string());
+    assert_eq!(format!("{key:016x}"), expected::prefix(&input));
+}
