Measure the crossing to each data centre

Cause: a call to another data centre counted as 1 ms longer whatever the distance. Between regions work went to the far side as soon as the near one was a millisecond busier.

Each connection keeps the least round trip of its heartbeats over half a window to a whole one of 60 s; the least of a data centre's connections less the least of the own one's is the crossing. Until a heartbeat was answered it is 1 ms as before.

Ruled out: the mean, which holds the waits at both ends; the time of attempts, which holds the work; a queue of all samples for an exact window, as two values per connection do.

--- a/laburnumcart/src/route.rs
+++ b/laburnumcart/src/route.rs
@@ -11,6 +11,7 @@
 
 use crate::id;
 
+pub mod crossing;
 pub mod prefix;
 mod table;
 
--- a/laburnumcart/tests/route.rs
+++ b/laburnumcart/tests/route.rs
@@ -144,3 +144,38 @@
         }
     }
 }
+
+// The way between two data centres gets shorter, then longer again. What was measured on the old way
+// must not count for ever.
+#[test]
+fn least_trip_is_forgotten() {
+    let begun = Instant::now();
+    let millis = time::Duration::from_millis;
+    let at = |seconds| begun + time::Duration::from_secs(seconds);
+    let mut trip = route::crossing::Trip::new(begun);
+    assert_eq!(trip.least(), None);
+    trip.record(millis(5), at(1));
+    trip.record(millis(30), at(2));
+    assert_eq!(trip.least(), Some(millis(5)));
+    trip.record(millis(30), at(31));
+    assert_eq!(trip.least(), Some(millis(5)));
+    trip.record(millis(30), at(62));
+    assert_eq!(trip.least(), Some(millis(30)));
+    trip.record(millis(40), at(200));
+    assert_eq!(trip.least(), Some(millis(40)));
+}
+
+#[rstest]
+#[case(&[], 1000)]
+#[case(&[("far", 30_000)], 30_000)]
+#[case(&[("own", 200), ("far", 30_200)], 30_000)]
+#[case(&[("own", 200), ("far", 150)], 0)]
+fn crossing_is_the_difference(#[case] trips: &[(&str, u64)], #[case] micros: u64) {
+    let mut crossings = route::crossing::Crossings::new("own".parse().unwrap());
+    for (zone, micros) in trips {
+        let trip = time::Duration::from_micros(*micros);
+        crossings.record(&zone.parse().unwrap(), trip);
+    }
+    let crossing = crossings.to(&"far".parse().unwrap());
+    assert_eq!(crossing, time::Duration::from_micros(micros));
+}
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -14,6 +14,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     suspects, //
 };
 use laburnumcart_daemon::{
@@ -143,8 +144,9 @@
         self.settled |= self.listed && !opening;
         let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
             collections::BTreeMap::new();
+        let crossings = self.crossings();
         for member in self.members.agents() {
-            let way = self.way(member);
+            let way = self.way(member, &crossings);
             ways.entry(member.service.clone()).or_default().push(way);
         }
         let routes = ways.into_iter().map(|(service, ways)| {
@@ -163,7 +165,18 @@
         }));
     }
 
-    fn way(&self, member: &members::Member) -> routes::Way {
+    /// Returns the least round trip to each data centre.
+    fn crossings(&self) -> crossing::Crossings {
+        let mut crossings = crossing::Crossings::new(self.entry.identity.zone.clone());
+        for member in self.members.agents() {
+            if let Some(trip) = member.lane.report().and_then(|seen| seen.trip) {
+                crossings.record(&member.zone, trip);
+            }
+        }
+        crossings
+    }
+
+    fn way(&self, member: &members::Member, crossings: &crossing::Crossings) -> routes::Way {
         let report = member.lane.report();
         let leaving = |seen: &links::Seen| self.entry.gossip.is_leaving(seen.report.incarnation);
         let ejected = |seen: &links::Seen| {
@@ -173,6 +186,7 @@
         routes::Way {
             lane: member.lane.clone(),
             local: member.zone == self.entry.identity.zone,
+            crossing: crossings.to(&member.zone),
             leaving: report.as_deref().is_some_and(leaving),
             ejected: report.as_deref().is_some_and(ejected),
         }
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -25,6 +25,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     unit, //
 };
 use laburnumcart_wire::{
@@ -141,6 +142,8 @@
     pub at: time::Instant,
     /// Attempts that this process had in flight there.
     pub own: u32,
+    /// Least round trip of a heartbeat lately, once one was answered on the connection.
+    pub trip: Option<time::Duration>,
 }
 
 /// The way to one agent.
@@ -259,7 +262,7 @@
 
     /// Holds a connection until it ends or goes silent.
     async fn hold(&self, connection: Connection, report: agent::Report) {
-        self.note(report);
+        self.note(report, None);
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
@@ -268,12 +271,13 @@
         connection.closed.send_replace(true);
     }
 
-    fn note(&self, report: agent::Report) {
+    fn note(&self, report: agent::Report, trip: Option<time::Duration>) {
         self.caller.gossip.merge(&report.facts, self.addr);
         self.seen.store(Some(Arc::new(Seen {
             report,
             at: time::Instant::now(),
             own: self.running.load(Ordering::Relaxed),
+            trip,
         })));
     }
 
@@ -282,6 +286,7 @@
         let timing = &self.caller.timing;
         let mut sent = facts::Version::default();
         let mut missed = 0;
+        let mut trip = crossing::Trip::new(time::Instant::now());
         while missed < timing.missed {
             // A missed heartbeat is followed by the next at once, to know soon.
             if missed == 0 && self.rest(connection).await {
@@ -292,11 +297,13 @@
                 session: connection.session,
                 facts,
             };
+            let begun = time::Instant::now();
             match time::timeout(timing.answer, connection.client.beat(beat)).await {
                 // Another process answers at the same address.
                 Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
                 Ok(Ok(report)) => {
-                    self.note(report);
+                    trip.record(begun.elapsed(), time::Instant::now());
+                    self.note(report, trip.least());
                     sent = version;
                     missed = 0;
                 }
--- a/laburnumcart_entry/src/routes.rs
+++ b/laburnumcart_entry/src/routes.rs
@@ -17,9 +17,6 @@
 
 use crate::links;
 
-/// Time that a call to another data centre takes longer than one in the own.
-const CROSSING: time::Duration = time::Duration::from_millis(1);
-
 /// Immutable table of one service's targets; positions are those of the lanes.
 #[derive(Clone, Debug)]
 pub struct Routes {
@@ -35,6 +32,8 @@
     pub lane: Arc<links::Lane>,
     /// Whether it leads to the own data centre.
     pub local: bool,
+    /// Time that a call takes longer than one in the own data centre.
+    pub crossing: time::Duration,
     /// Whether its agent is known to accept no new work.
     pub leaving: bool,
     /// Whether its target is excluded as an outlier.
@@ -143,10 +142,6 @@
             at: seen.at,
         },
         local: way.local,
-        crossing: if way.local {
-            time::Duration::ZERO
-        } else {
-            CROSSING
-        },
+        crossing: way.crossing,
     })
 }
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -161,6 +161,7 @@
             ways.entry(service).or_default().push(routes::Way {
                 lane,
                 local: true,
+                crossing: time::Duration::ZERO,
                 leaving: false,
                 ejected: false,
             });
--- a/laburnumcart_entry/tests/it/relay.rs
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -42,6 +42,11 @@
 impl Relay {
     /// Starts a relay to `target`.
     pub(crate) async fn start(target: net::SocketAddr) -> Self {
+        Self::start_far(target, time::Duration::ZERO).await
+    }
+
+    /// Starts a relay to `target` that takes a time for each direction.
+    pub(crate) async fn start_far(target: net::SocketAddr, delay: time::Duration) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let open = Arc::new(Mutex::new(Vec::new()));
@@ -52,6 +57,7 @@
             target.subscribe(),
             open.clone(),
             first.subscribe(),
+            delay,
         );
         tokio::spawn(accept);
         Self {
@@ -97,6 +103,7 @@
     target: watch::Receiver<net::SocketAddr>,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
     first: watch::Receiver<Silence>,
+    delay: time::Duration,
 ) {
     while let Ok((near, _)) = listener.accept().await {
         let target = *target.borrow();
@@ -109,8 +116,8 @@
         open.lock().unwrap().push(sender);
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
-        tokio::spawn(copy(near_read, far_write, silence.clone(), |s| s.up));
-        tokio::spawn(copy(far_read, near_write, silence, |s| s.down));
+        tokio::spawn(copy(near_read, far_write, silence.clone(), delay, |s| s.up));
+        tokio::spawn(copy(far_read, near_write, silence, delay, |s| s.down));
     }
 }
 
@@ -119,6 +126,7 @@
     mut from: tcp::OwnedReadHalf,
     mut to: tcp::OwnedWriteHalf,
     mut silence: watch::Receiver<Silence>,
+    delay: time::Duration,
     held: impl Fn(&Silence) -> bool,
 ) {
     let mut buffer = vec![0; 64 << 10];
@@ -127,6 +135,7 @@
         if silence.wait_for(|s| !held(s)).await.is_err() || read == 0 {
             return;
         }
+        time::sleep(delay).await;
         if to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
