Widen a subset whose agents take no work

Cause: the subset of a service was chosen from the platform's list alone. When its 8 agents were down or leaving, callers were refused for want of a target although the other agents of the service worked.

Each agent of a subset that takes no work is replaced by the next in the subset's order and kept, as it comes back first; while none takes work the subset doubles. It narrows 10 s after fewer would do.

Ruled out: to drop the agents that take no work, as the subset would then not learn of their return; to widen only when none works, as the rest would carry the whole load; to open lanes to all at once, which makes every entry call every agent when a data centre fails.

Not covered: while most agents of a service are down, an entry keeps trying all of them.

--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -107,6 +107,7 @@
                 Ok(()) = bundles.changed() => self.adopt(),
                 Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
             }
+            self.members.refresh();
             self.derive();
             self.publish();
         }
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -14,7 +14,10 @@
     Deserialize,
     Serialize, //
 };
-use tokio::runtime;
+use tokio::{
+    runtime,
+    time, //
+};
 
 use laburnumcart::{
     id,
@@ -23,6 +26,8 @@
 
 use crate::links;
 
+pub mod width;
+
 /// Prefix of the platform's list.
 pub const PREFIX: &str = "platform/instances/";
 
@@ -78,6 +83,11 @@
     runtime: runtime::Handle,
     lanes: collections::BTreeMap<net::SocketAddr, Member>,
     entries: Vec<net::SocketAddr>,
+    /// Agents that the list names.
+    agents: Vec<Instance>,
+    /// Those of them that lanes are kept to.
+    chosen: collections::HashSet<net::SocketAddr>,
+    widths: collections::BTreeMap<id::ServiceName, width::Width>,
 }
 
 /// An agent with its lane.
@@ -100,6 +110,9 @@
             runtime,
             lanes: collections::BTreeMap::new(),
             entries: Vec::new(),
+            agents: Vec::new(),
+            chosen: collections::HashSet::new(),
+            widths: collections::BTreeMap::new(),
         }
     }
 
@@ -107,46 +120,83 @@
     pub fn apply(&mut self, list: &[Instance]) {
         let is_entry = |i: &&Instance| i.role == Role::Entry && i.state == State::Live;
         self.entries = list.iter().filter(is_entry).map(|i| i.addr).collect();
-        let chosen = self.subset(list);
+        self.agents = list
+            .iter()
+            .filter(|i| i.role == Role::Agent)
+            .cloned()
+            .collect();
+        self.measure();
+        self.choose();
+    }
+
+    /// Widens the subsets whose agents take no work, and narrows them when they do again.
+    pub fn refresh(&mut self) {
+        if self.measure() {
+            self.choose();
+        }
+    }
+
+    /// Works out the sizes of the subsets; returns whether any has changed.
+    fn measure(&mut self) -> bool {
+        let names = self.agents.iter().filter_map(|i| i.service.clone());
+        let names: collections::BTreeSet<_> = names.collect();
+        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, names.len());
+        let size = size.max(SUBSET_MIN);
+        self.widths.retain(|service, _| names.contains(service));
+        let now = time::Instant::now();
+        let mut changed = false;
+        for service in names {
+            let (kept, usable) = self.count(&service);
+            let wanted = width::wanted(size, kept, usable);
+            changed |= self.widths.entry(service).or_default().set(wanted, now);
+        }
+        changed
+    }
+
+    /// Returns the size of a service's subset, and how many of it take work or may do so soon.
+    fn count(&self, service: &id::ServiceName) -> (usize, usize) {
+        let kept = self.lanes.values();
+        let kept = kept.filter(|m| m.service == *service && self.chosen.contains(&m.lane.addr));
+        let usable = |m: &&Member| m.lane.is_opening() || m.lane.takes(service);
+        (kept.clone().count(), kept.filter(usable).count())
+    }
+
+    /// Opens the lanes to the chosen agents, and gives up those to others.
+    fn choose(&mut self) {
+        let chosen: Vec<_> = self.subset().into_iter().cloned().collect();
         for instance in &chosen {
             if let Some(service) = &instance.service {
                 self.open(instance, service);
             }
         }
-        let agents = list.iter().filter(|i| i.role == Role::Agent);
-        let listed: collections::HashSet<_> = agents.map(|i| i.addr).collect();
-        let chosen: collections::HashSet<_> = chosen.iter().map(|i| i.addr).collect();
+        let listed: collections::HashSet<_> = self.agents.iter().map(|i| i.addr).collect();
+        self.chosen = chosen.iter().map(|i| i.addr).collect();
         let works = |member: &Member| member.lane.connection().is_some();
         self.lanes.retain(|addr, member| {
-            chosen.contains(addr) || !listed.contains(addr) && works(member)
+            self.chosen.contains(addr) || !listed.contains(addr) && works(member)
         });
     }
 
     /// Chooses the agents to keep lanes to, so many of each service that heartbeats stay cheap.
-    fn subset<'a>(&self, list: &'a [Instance]) -> Vec<&'a Instance> {
+    fn subset(&self) -> Vec<&Instance> {
         let mut services: collections::BTreeMap<_, Vec<(id::TargetName, &Instance)>> =
             collections::BTreeMap::new();
-        for instance in list.iter().filter(|i| i.role == Role::Agent) {
+        for instance in &self.agents {
             if let (Some(service), Ok(name)) = (&instance.service, instance.name.as_str().parse()) {
                 services.entry(service).or_default().push((name, instance));
             }
         }
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, services.len());
-        let size = size.max(SUBSET_MIN);
         let mut chosen = Vec::new();
-        for agents in services.values() {
+        for (service, agents) in &services {
             let members = agents.iter().map(|(name, instance)| subset::Member {
                 name,
                 zone: &instance.zone,
             });
+            let size = self.widths[*service].size();
             let names = subset::choose(&self.caller.instance, &self.zone, members, size);
-            let is_chosen = |name: &id::TargetName| names.iter().any(|m| m.name == name);
-            chosen.extend(
-                agents
-                    .iter()
-                    .filter(|(name, _)| is_chosen(name))
-                    .map(|(_, i)| *i),
-            );
+            let names: collections::HashSet<_> = names.iter().map(|member| member.name).collect();
+            let agents = agents.iter().filter(|(name, _)| names.contains(name));
+            chosen.extend(agents.map(|(_, instance)| *instance));
         }
         chosen
     }
--- a/laburnumcart_entry/tests/it/main.rs
+++ b/laburnumcart_entry/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod claims;
 mod doubt;
+mod members;
 mod policy;
 mod relay;
 mod requests;
