--- /dev/null
+++ b/laburnumcart_system/tests/agent_stop.rs
@@ -0,0 +1,33 @@
+//! Planned stops of agents.
+
+use std::cell;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use laburnumcart_system::{
+    fleet,
+    sample,
+    wait, //
+};
+
+/// A target fails an attempt, and the caller is told. Then the agent is stopped. The entry has read
+/// the verdict, so that the agent need not keep it: it ends without waiting out its stop limit, and
+/// does not say that it cut work off. An agent that kept what nobody asks for would do both.
+#[tokio::test(flavor = "multi_thread")]
+async fn settled_failure_holds_up_no_stop() {
+    let plan = fleet::Plan::new(sample::services(1), sample::bundle()).entries(1);
+    let mut fleet = fleet::Fleet::start(plan).await;
+    let engine = fleet.nodes.iter().position(|n| n.service == "case-model");
+    let engine = engine.expect("an engine");
+    fleet.behave(engine, &json!({"fail": 1.0})).await;
+    let call = fleet::Call::new(sample::CHECK, sample::CLINIC, json!({"case": 1}));
+    let answer = fleet.call(0, &call).await.expect("an answer");
+    assert!(answer.status >= 500, "{}", answer.body);
+    let agent = &mut fleet.nodes[engine].agent;
+    agent.signal(Signal::SIGTERM);
+    let agent = cell::RefCell::new(agent);
+    wait::until("the agent's end", || async { agent.borrow_mut().ended() }).await;
+    let log = agent.borrow().output();
+    assert!(log.contains("event=stopped left=0"), "{log}");
+}
