--- a/laburnumcart_fakes/src/target/ledger.rs
+++ b/laburnumcart_fakes/src/target/ledger.rs
@@ -44,6 +44,9 @@
     /// Sender's position in its trace.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub traceparent: Option<String>,
+    /// Whether its prompt's prefix was in the cache; engines only.
+    #[serde(default)]
+    pub cached: bool,
 }
 
 /// All executions, as `GET /admin/executions` answers.
@@ -92,6 +95,13 @@
         Number(self.base + self.book.executions.len() - 1)
     }
 
+    /// Notes that the prefix of an execution was in the cache.
+    pub fn hit(&mut self, number: Number) {
+        if let Some(execution) = self.find(number) {
+            execution.cached = true;
+        }
+    }
+
     /// Charges time of the target to an execution.
     pub fn charge(&mut self, number: Number, busy: time::Duration) {
         if let Some(execution) = self.find(number) {
--- a/laburnumcart_fakes/tests/load.rs
+++ b/laburnumcart_fakes/tests/load.rs
@@ -323,6 +323,7 @@
         outcome,
         busy: 1.0,
         traceparent: None,
+        cached: request == "retried",
     };
     let executions = [
         execution("answered", ledger::Outcome::Done, true),
@@ -337,6 +338,7 @@
     let stage = &summary.stages["s"];
     assert_eq!((stage.useful, stage.wasted), (2.0, 4.0));
     assert_eq!((stage.executions, stage.completed), (6, 2));
+    assert_eq!(stage.cached, 2);
     assert_eq!(stage.each, 1.0);
     assert_eq!(summary.repeated, 1);
 }
