--- a/laburnumcart_daemon/src/logs.rs
+++ b/laburnumcart_daemon/src/logs.rs
@@ -1,6 +1,6 @@
 //! Logs: one `key=value` line to standard error for each change of state.
 //!
-//! Lines are written by [`event!`](crate::event):
+//! Lines are written by [`event!`](macro@crate::event):
 //!
 //! ```
 //! let generation = laburnumcart::id::Generation(7);
