--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -80,7 +80,7 @@
             services,
             bundle,
             store: Vec::new(),
-            stop: "20s",
+            stop: "60s",
             relays: false,
         }
     }
--- a/laburnumcart_system/src/letters.rs
+++ b/laburnumcart_system/src/letters.rs
@@ -34,15 +34,15 @@
 /// Name of the stage.
 const STAGE: &str = "write";
 
-/// Returns the service with its stand-ins; a piece of text takes 10 ms.
-pub fn service(targets: usize) -> fleet::Service {
+/// Returns the service with its stand-ins; the first piece of text takes `prefill`, each 10 ms.
+pub fn service(targets: usize, prefill: &'static str) -> fleet::Service {
     fleet::Service::new(SERVICE, "engine", targets).args(&[
         "--slots",
         "16",
         "--token-time",
         "10ms",
         "--prefill-time",
-        "300ms",
+        prefill,
         "--spread",
         "0%",
     ])
--- /dev/null
+++ b/laburnumcart_system/tests/leaving.rs
@@ -0,0 +1,236 @@
+//! Agents and entries that are told to leave while requests are under way.
+
+use std::{
+    net,
+    sync::atomic, //
+};
+
+use futures_util::future;
+use laburnumcart_system::{
+    fleet,
+    letters,
+    process,
+    reply,
+    wait, //
+};
+use nix::sys::signal;
+use serde_json::json;
+use tokio::time;
+
+/// Pieces of text of a stream that is in flight when a process is told to leave.
+const LONG: u32 = 300;
+
+/// Callers that send one request after the other meanwhile.
+const CALLERS: usize = 12;
+
+/// How a process is told to leave.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Signal,
+    Drain,
+}
+
+/// Sends short requests through all entries until `done`, and returns what came of them.
+async fn traffic(
+    fleet: &fleet::Fleet,
+    done: &atomic::AtomicBool,
+) -> Vec<(letters::Letter, reply::Reply)> {
+    let callers = (0..CALLERS).map(|caller| async move {
+        let mut all = Vec::new();
+        while !done.load(atomic::Ordering::SeqCst) {
+            let name = format!("caller-{caller}-{}", all.len());
+            let pipeline = [letters::DRAFT, letters::SEND][all.len() % 2];
+            let letter = letters::Letter::new(pipeline, &name, 1);
+            let letter = letter.entry(caller % fleet.entries.len());
+            let reply = letter.send(fleet).await;
+            all.push((letter, reply));
+        }
+        all
+    });
+    future::join_all(callers).await.concat()
+}
+
+/// Checks requests that went on while others left: all whole, or refused as not run.
+async fn check_traffic(fleet: &fleet::Fleet, traffic: Vec<(letters::Letter, reply::Reply)>) {
+    let (sent, replies): (Vec<_>, Vec<_>) = traffic.into_iter().unzip();
+    println!("meanwhile: {}", reply::counts(&replies));
+    letters::check(&sent, &replies, &fleet.executions(letters::SERVICE).await);
+    let certain = |reply: &reply::Reply| reply.is_whole() || reply.is_not_run();
+    assert!(replies.iter().all(certain), "{}", reply::counts(&replies));
+}
+
+/// Waits until a process says on its page that it leaves.
+async fn wait_leaving(fleet: &fleet::Fleet, addr: net::SocketAddr) {
+    wait::until("leaving", || async {
+        let answer = fleet.http.get(addr, "/readyz").await.ok()?;
+        (answer.status == 503 && answer.body.contains("leaving")).then_some(())
+    })
+    .await;
+}
+
+/// Notes until `done` when a target last began an execution, and when its agent last turned a call
+/// away because it leaves.
+async fn last_calls(
+    fleet: &fleet::Fleet,
+    node: usize,
+    done: &atomic::AtomicBool,
+) -> (time::Instant, time::Instant) {
+    let start = time::Instant::now();
+    let (mut last, mut counts) = ((start, start), (0, 0.0));
+    while !done.load(atomic::Ordering::SeqCst) {
+        let begun = fleet.executed(node).await.len();
+        let admin = fleet.nodes[node].admin;
+        let refused = "laburnum_agent_refused_total";
+        let refused = fleet.metric(admin, refused, "leaving").await;
+        let now = time::Instant::now();
+        if begun > counts.0 {
+            last.0 = now;
+        }
+        if refused > counts.1 {
+            last.1 = now;
+        }
+        counts = (begun, refused);
+        time::sleep(time::Duration::from_millis(5)).await;
+    }
+    last
+}
+
+/// Tells a process to leave.
+fn tell(fleet: &fleet::Fleet, way: Way, process: &process::Process, peer: net::SocketAddr) {
+    match way {
+        Way::Signal => process.signal(signal::Signal::SIGTERM),
+        Way::Drain => {
+            let (code, text) = fleet.ctl(&["drain", &peer.to_string()]);
+            assert_eq!(code, 0, "{text}");
+        }
+    }
+}
+
+/// Waits until a process has ended, and checks that it counts its end as a success.
+async fn wait_exit(what: &str, process: &mut process::Process) {
+    let start = time::Instant::now();
+    loop {
+        if let Some(status) = process.ended() {
+            assert_eq!(status.code(), Some(0), "{what}: {}", process.output());
+            return;
+        }
+        assert!(start.elapsed() < wait::LIMIT, "{what} does not end");
+        time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+// Streams are in flight at two targets when their agents are told to leave, one by SIGTERM and one
+// by an operator, while the platform's list says "live" for half a minute more. The streams end
+// whole, both agents exit with success, and once an agent has said that it leaves its target begins
+// nothing more, though callers go on. They notice nothing. Then the same with two entries: what they
+// have taken on ends whole, new callers are told "not run" and when to come again.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_in_flight_is_finished() {
+    let service = letters::service(3, "10ms");
+    let plan = fleet::Plan::new(vec![service], letters::bundle("50s"));
+    let plan = plan.entries(3).store(&["--list-lag", "30s"]);
+    let mut fleet = fleet::Fleet::start(plan).await;
+    letters::wait_spread(&fleet).await;
+    agents_leave(&mut fleet).await;
+    entries_leave(&mut fleet).await;
+}
+
+async fn agents_leave(fleet: &mut fleet::Fleet) {
+    let leaving = [(1, Way::Signal), (2, Way::Drain)];
+    let long = letters::mixed("long", 6, LONG, 1);
+    let done = atomic::AtomicBool::new(false);
+    let part = async {
+        letters::wait_running(fleet, &[1, 2]).await;
+        let begun = time::Instant::now();
+        for (node, way) in leaving {
+            let node = &fleet.nodes[node];
+            tell(fleet, way, &node.agent, node.peer);
+        }
+        for (node, _) in leaving {
+            wait_leaving(fleet, fleet.nodes[node].admin).await;
+        }
+        println!("both agents say so after {:?}", begun.elapsed());
+        // What was admitted before has begun by the time that requests sent later are answered.
+        letters::check_works(fleet, "barrier", 3).await;
+        let before = [fleet.executed(1).await.len(), fleet.executed(2).await.len()];
+        for round in 0..5 {
+            letters::check_works(fleet, &format!("after-{round}"), 3).await;
+        }
+        let after = [fleet.executed(1).await.len(), fleet.executed(2).await.len()];
+        assert_eq!(before, after, "executions after the notice");
+        done.store(true, atomic::Ordering::SeqCst);
+        begun
+    };
+    let (replies, begun, traffic, first, second) = tokio::join!(
+        letters::send_all(fleet, &long),
+        part,
+        traffic(fleet, &done),
+        last_calls(fleet, 1, &done),
+        last_calls(fleet, 2, &done),
+    );
+    let since = |last: time::Instant| last.saturating_duration_since(begun);
+    let (begun, refused) = (first.0.max(second.0), first.1.max(second.1));
+    println!("last execution begun {:?} after the notice", since(begun));
+    println!(
+        "last call turned away {:?} after the notice",
+        since(refused)
+    );
+    println!("streams in flight: {}", reply::counts(&replies));
+    assert!(replies.iter().all(reply::Reply::is_whole), "{replies:?}");
+    letters::check(&long, &replies, &fleet.executions(letters::SERVICE).await);
+    check_traffic(fleet, traffic).await;
+    for (node, _) in leaving {
+        wait_exit("agent", &mut fleet.nodes[node].agent).await;
+    }
+}
+
+async fn entries_leave(fleet: &mut fleet::Fleet) {
+    let leaving = [(1, Way::Signal), (2, Way::Drain)];
+    fleet.behave(0, &json!({"slow": 5.0})).await;
+    let long: Vec<_> = [1, 2]
+        .into_iter()
+        .flat_map(|entry| {
+            let letters = letters::mixed(&format!("entry-{entry}"), 1, LONG, 1);
+            letters.into_iter().map(move |letter| letter.entry(entry))
+        })
+        .collect();
+    let part = async {
+        wait::until("requests at both entries", || async {
+            for (entry, _) in leaving {
+                let addr = fleet.entries[entry].callers;
+                if fleet.metric(addr, "laburnum_entry_running", "").await < 2.0 {
+                    return None;
+                }
+            }
+            Some(())
+        })
+        .await;
+        letters::wait_running(fleet, &[0]).await;
+        for (entry, way) in leaving {
+            let entry = &fleet.entries[entry];
+            tell(fleet, way, &entry.process, entry.peer);
+            wait_leaving(fleet, entry.callers).await;
+        }
+        for (entry, _) in leaving {
+            let late = letters::mixed(&format!("late-{entry}"), 1, 1, 1);
+            for letter in late {
+                let reply = letter.entry(entry).send(fleet).await;
+                let reply::Reply::Refused { reason, retry, .. } = &reply else {
+                    panic!("taken on by a leaving entry: {reply:?}");
+                };
+                assert!(reply.is_not_run(), "{reply:?}");
+                assert_eq!(reason, "leaving");
+                assert!(retry.is_some_and(|seconds| seconds > 0), "{reply:?}");
+            }
+        }
+        fleet.behave(0, &json!({"slow": 1.0})).await;
+    };
+    let (replies, ()) = tokio::join!(letters::send_all(fleet, &long), part);
+    println!("streams in flight: {}", reply::counts(&replies));
+    assert!(replies.iter().all(reply::Reply::is_whole), "{replies:?}");
+    letters::check(&long, &replies, &fleet.executions(letters::SERVICE).await);
+    for (entry, _) in leaving {
+        wait_exit("entry", &mut fleet.entries[entry].process).await;
+    }
+    letters::check_works(fleet, "left", 1).await;
+}
--- /dev/null
+++ b/laburnumcart_system/tests/orders.rs
@@ -0,0 +1,128 @@
+//! Orders of an agent that stands still while another takes over its target.
+
+use laburnumcart_system::{
+    fleet,
+    sample,
+    wait, //
+};
+use nix::sys::signal;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Returns a bundle whose engines must have one model.
+fn bundle(orders: &str, model: &str) -> Value {
+    json!({
+        "format": 1,
+        "title": model,
+        "services": {"case-model": {
+            "kind": "engine",
+            "orders": orders,
+            "models": [model],
+            "order_limit": "2s",
+        }},
+        "pipelines": {"draft": {"stages": [{"name": "write", "service": "case-model"}]}},
+        "teams": {"clinic": {
+            "tokens": [sample::digest(sample::CLINIC)],
+            "weight": 1,
+            "pipelines": {"draft": {"deadline": "20s"}},
+        }},
+    })
+}
+
+/// Returns the models of the target and the term of the order that took effect last.
+async fn state(fleet: &fleet::Fleet) -> Option<Value> {
+    let state = fleet.target(0, "/v1/state").await?;
+    Some(json!({"models": state["models"], "term": state["term"]}))
+}
+
+async fn wait_model(fleet: &fleet::Fleet, model: &str) -> Value {
+    wait::until(model, || async {
+        let state = state(fleet).await?;
+        (state["models"] == json!([model])).then_some(state)
+    })
+    .await
+}
+
+async fn wait_pending(fleet: &fleet::Fleet, is_wanted: impl Fn(u64) -> bool) {
+    wait::until("orders under way", || async {
+        let page = fleet.target(0, "/admin/orders").await?;
+        is_wanted(page["pending"].as_u64()?).then_some(())
+    })
+    .await;
+}
+
+/// Returns how many orders the first agent has given, those included that failed.
+async fn orders_given(fleet: &fleet::Fleet) -> f64 {
+    let name = "laburnum_agent_orders_total";
+    fleet.metric(fleet.nodes[0].admin, name, "").await
+}
+
+/// Returns how often the first agent has called the object service, in vain or not.
+async fn store_calls(fleet: &fleet::Fleet) -> f64 {
+    let name = "laburnum_agent_store_object_service_calls_total";
+    fleet.metric(fleet.nodes[0].admin, name, "").await
+}
+
+// An agent is paused while the target works on its order. The platform takes it for dead and starts
+// another agent for the target, and operators want another model by then. The successor gives its
+// own order. When the old agent goes on it still believes in the old bundle, as the object
+// service is down: a target that checks numbers refuses what it orders, and one that does not is
+// ordered nothing without the object service's word. The target keeps the model that is wanted.
+#[rstest]
+#[case::fenced("fenced")]
+#[case::unfenced("unfenced")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_agent_changes_nothing(#[case] orders: &'static str) {
+    let service = fleet::Service::new("case-model", "engine", 1).args(&["--orders", orders]);
+    let plan = fleet::Plan::new(vec![service], bundle(orders, "case@1")).entries(0);
+    let fleet = fleet::Fleet::start(plan).await;
+    wait_model(&fleet, "case@1").await;
+
+    fleet.behave(0, &json!({"order_time": "1500ms"})).await;
+    fleet.accept(&bundle(orders, "case@2"));
+    wait_pending(&fleet, |count| count > 0).await;
+    let old = &fleet.nodes[0];
+    let given = orders_given(&fleet).await;
+    old.agent.signal(signal::Signal::SIGSTOP);
+
+    fleet.accept(&bundle(orders, "case@3"));
+    let successor = fleet.succeed(0);
+    let wanted = wait_model(&fleet, "case@3").await;
+    wait_pending(&fleet, |count| count == 0).await;
+    assert_eq!(wanted["term"], 2, "{wanted}");
+
+    fleet.behave(0, &json!({"order_time": "0ms"})).await;
+    fleet.store_faults(&json!({"down": true})).await;
+    old.agent.signal(signal::Signal::SIGCONT);
+    // The order that it was paused in ends; of a fenced target it then tries more.
+    let ended = if orders == "fenced" { 3.0 } else { 1.0 };
+    wait::until("the old agent to go on", || async {
+        assert_eq!(state(&fleet).await?, wanted, "a stale order took effect");
+        (orders_given(&fleet).await >= given + ended).then_some(())
+    })
+    .await;
+    // It looks at the target and asks the object service in vain.
+    let asked = store_calls(&fleet).await;
+    wait::until("the old agent to ask", || async {
+        assert_eq!(state(&fleet).await?, wanted, "a stale order took effect");
+        (store_calls(&fleet).await >= asked + 5.0).then_some(())
+    })
+    .await;
+
+    fleet.store_faults(&json!({})).await;
+    if orders == "unfenced" {
+        wait::until("the old agent to find its successor", || async {
+            assert_eq!(state(&fleet).await?, wanted, "a stale order took effect");
+            old.agent
+                .output()
+                .contains("event=superseded")
+                .then_some(())
+        })
+        .await;
+    }
+    assert_eq!(state(&fleet).await, Some(wanted));
+    drop(successor);
+}
