Tell agents that a refusal was received, so that they need not be waited for

Cause: an agent keeps the end of an admitted attempt until its sender has received it, and a graceful shutdown waits for that. Entries said so of whole results but never of refusals. An attempt that was refused after it had been admitted (taken out of the queue when its agent leaves, say) held the agent up to its stop limit. Ruled out: letting the shutdown pass over refusals (the sender would not get the proof of not run), and a shorter bound (it would be a bet on the sender's speed). Cost: one small call for a refused attempt.

--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -323,7 +323,12 @@
         }
         match progress.state {
             stage::State::Queued | stage::State::Running => Step::More(self, tail),
-            stage::State::Refused(refusal) => Step::Refused(self.sent.refused(refusal)),
+            stage::State::Refused(refusal) => {
+                // The agent keeps a refusal, too, until it hears that it was received, and a
+                // graceful shutdown waits for that.
+                tokio::spawn(self.canceller().cancel());
+                Step::Refused(self.sent.refused(refusal))
+            }
             stage::State::Done(end) if self.joiner.next() < end.count => Step::More(self, tail),
             stage::State::Done(end) => match self.joiner.finish(&end) {
                 Ok(text) => Step::Whole(Whole { tail, text, end }),
--- a/laburnumcart_system/tests/leaving.rs
+++ b/laburnumcart_system/tests/leaving.rs
@@ -111,7 +111,10 @@
     let start = time::Instant::now();
     loop {
         if let Some(status) = process.ended() {
-            assert_eq!(status.code(), Some(0), "{what}: {}", process.output());
+            let output = process.output();
+            assert_eq!(status.code(), Some(0), "{what}: {output}");
+            // Nothing was cut off at the limit of its stop.
+            assert!(output.contains("event=stopped left=0"), "{what}: {output}");
             return;
         }
         assert!(start.elapsed() < wait::LIMIT, "{what} does not end");
