Replace an owner whose every try runs into a timeout

Cause: an entry that is paused (SIGSTOP) still has its connections accepted by the kernel, so each try of a claim at it ends only at a timeout of one to two seconds. `Suspicion` counted two tries as one silence only if they came within four times the silence asked for, one second.

Ruled out: taking over at the first timeout, as one connection that went silent would then cost a takeover though a new one works.

Before: `an_owner_whose_tries_time_out_is_replaced` fails with `Again(250ms)` where it expects `Take`. After: passes. Tries up to 10 s apart now speak of one silence; any answer ends it, as before.

--- a/laburnumcart/src/claim/log.rs
+++ b/laburnumcart/src/claim/log.rs
@@ -264,6 +264,11 @@
     pub fn rejected(&mut self) {
         for record in mem::take(&mut self.flight) {
             self.pending.remove(&record.key());
+            // A release that was dropped with its append would leave the key claimed for the rest
+            // of its retention, and each resend would be told "may have run".
+            if let record::Record::Release { .. } = record {
+                self.gather(record);
+            }
         }
         self.in_flight = false;
     }
--- a/laburnumcart/src/claim/route.rs
+++ b/laburnumcart/src/claim/route.rs
@@ -26,6 +26,8 @@
 pub struct Patience {
     /// Time for which the owner must have been out of reach.
     pub silence: time::Duration,
+    /// Longest time between two tries without an answer that speak of the same silence.
+    pub recent: time::Duration,
     /// Time after a change of owner before the next one, doubled with each that follows soon.
     pub settle: time::Duration,
     /// Longest such time.
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             silence: time::Duration::from_millis(250),
+            recent: time::Duration::from_secs(10),
             settle: time::Duration::from_millis(500),
             settle_max: time::Duration::from_secs(30),
         }
@@ -111,9 +114,13 @@
     }
 
     /// Returns how long the owner has been silent; a try long ago says nothing about today.
+    ///
+    /// A process that is paused accepts connections and lets each try run into its timeouts, which
+    /// are longer than the silence asked for. If only tries in quick succession counted, it would
+    /// never be replaced, and its shards would be refused for as long as the pause lasts.
     fn silence(&mut self, now: Instant) -> time::Duration {
         let recent = |(_, last): &(Instant, Instant)| {
-            now.saturating_duration_since(*last) < self.patience.silence * 4
+            now.saturating_duration_since(*last) < self.patience.recent
         };
         let (first, _) = self.silent.filter(recent).unwrap_or((now, now));
         self.silent = Some((first, now));
--- a/laburnumcart/tests/claim.rs
+++ b/laburnumcart/tests/claim.rs
@@ -292,6 +292,25 @@
     assert_eq!(waits, [first, first * 2, first * 4, first * 8]);
 }
 
+/// The owner's process is paused: it accepts connections and answers nothing, so that each try ends
+/// only at a timeout of two seconds. The second one replaces it, as no answer came in between; a try
+/// from a minute ago does not count.
+#[test]
+fn an_owner_whose_tries_time_out_is_replaced() {
+    let patience = route::Patience::default();
+    let mut suspicion = route::Suspicion::new(patience);
+    let timeout = time::Duration::from_secs(2);
+    let mut now = Instant::now();
+    suspicion.unreachable(now);
+    now += time::Duration::from_secs(60);
+    assert_eq!(
+        suspicion.unreachable(now),
+        route::Advice::Again(patience.silence)
+    );
+    now += patience.silence + timeout;
+    assert_eq!(suspicion.unreachable(now), route::Advice::Take);
+}
+
 /// Appends start at once after a quiet time, and keep to the rate in the long run; a process that
 /// owns a quarter of the shards has a quarter of the rate.
 #[test]
