Give back a claim that was refused after a lost answer

Cause: a peer that was asked for a claim does not answer in time, and the next step refuses the caller as not run (object service down, append in doubt, shard just changed hands). The first call may still be granted. The claim stayed in the log under a request that nobody runs, and the caller that came again, as it was told to, got a final "may have run" from an entry that was alive: the case was never opened. Found with the real processes while the object service lost answers.

Before: `a_refusal_after_a_lost_answer_gives_the_claim_back` fails with `Taken` where it expects `Granted`. After: passes. Without the owner's keeping of releases alone it fails as well (seen).

Also: the bundle's `claims.shards` was never used, every fleet had 16 shards. It is handed to the claim service with each bundle now; the number that the first claim fixes still stands. Before: 16 where the bundle says 4.

--- a/laburnumcart_entry/examples/claims_bench.rs
+++ b/laburnumcart_entry/examples/claims_bench.rs
@@ -241,7 +241,7 @@
                 };
                 let deadline = clock::Instant::now() + time::Duration::from_secs(5);
                 let entry = &entries[number % entries.len()];
-                entry.claim(ask, deadline).await == entry::Decision::Granted
+                entry.claim(ask, deadline).await.decision == entry::Decision::Granted
             }
         }
     }
--- a/laburnumcart_entry/src/claimed.rs
+++ b/laburnumcart_entry/src/claimed.rs
@@ -31,7 +31,7 @@
 #[async_trait]
 pub trait Claims: fmt::Debug + Send + Sync {
     /// Claims a key; see [`claims::Service::claim`].
-    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> entry::Decision;
+    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> claims::Outcome;
 
     /// Gives a claim back; see [`claims::Service::release`].
     async fn release(&self, key: id::Fingerprint, request: id::RequestId) -> bool;
@@ -53,6 +53,9 @@
     /// Sets the live entries; see [`claims::Service::set_live`].
     fn set_live(&self, live: &[std::net::SocketAddr]);
 
+    /// Sets the number of shards; see [`claims::Service::set_shards`].
+    fn set_shards(&self, shards: u16);
+
     /// Hands the shards over; see [`claims::Service::drain`].
     async fn drain(&self);
 }
@@ -72,7 +75,7 @@
     S: store::Store + fmt::Debug,
     P: claims::Peers + fmt::Debug,
 {
-    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> entry::Decision {
+    async fn claim(&self, ask: claims::Ask, deadline: time::Instant) -> claims::Outcome {
         self.service.claim(ask, deadline).await
     }
 
@@ -101,6 +104,10 @@
         self.service.set_live(live.to_vec());
     }
 
+    fn set_shards(&self, shards: u16) {
+        self.service.set_shards(shards);
+    }
+
     async fn drain(&self) {
         self.service.drain().await;
     }
@@ -127,7 +134,8 @@
     };
     // Opened before the claim exists, so that no resend that sees the claim finds no answer here.
     let slot = entry.answers.open(head.id);
-    match claims.claim(ask, head.deadline).await {
+    let claimed = claims.claim(ask, head.deadline).await;
+    match claimed.decision {
         entry::Decision::Granted => {
             let outcome = execute.await;
             keep(entry, &*claims, ask, slot, &outcome).await;
@@ -141,7 +149,15 @@
                 .join(holder, request, unit::Period(head.remaining()))
                 .await
         }
-        entry::Decision::Refused(refusal) => Err(refusal),
+        entry::Decision::Refused(refusal) => {
+            if claimed.doubtful {
+                // A resend that finds the claim before it is given back is refused as this one was.
+                // Without an answer here it would be told "may have run", which is final.
+                let answer = entry::Answer::Refused(refusal);
+                entry.answers.keep(slot, answer, ask.retention.0);
+            }
+            Err(refusal)
+        }
         entry::Decision::Elsewhere { .. } => Err(unavailable.retry_after(claims::RETRY)),
     }
 }
--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -12,11 +12,15 @@
 mod settings;
 mod sweep;
 mod takeover;
+mod undecided;
 
 use std::{
     future,
     net,
-    sync,
+    sync::{
+        self,
+        atomic, //
+    },
     time, //
 };
 
@@ -101,6 +105,15 @@
     pub retention: unit::Period,
 }
 
+/// What came of a claim.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// The decision.
+    pub decision: entry::Decision,
+    /// Whether a refused claim may be in the log until it has been given back.
+    pub doubtful: bool,
+}
+
 /// Access to the task of one shard.
 #[derive(Debug)]
 struct Shard {
@@ -108,26 +121,6 @@
     suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
 }
 
-/// A claim whose asker has not heard the decision; gives the claim back when it is dropped.
-///
-/// The caller may hang up, or its deadline pass, while the append is on its way. The request never
-/// runs then, and a claim that stayed behind would answer each resend with "may have run".
-struct Undecided<S: store::Store, P: Peers> {
-    service: Option<sync::Arc<Service<S, P>>>,
-    ask: Ask,
-}
-
-impl<S: store::Store, P: Peers> Drop for Undecided<S, P> {
-    fn drop(&mut self) {
-        let Some(service) = self.service.take() else {
-            return;
-        };
-        let (key, request) = (self.ask.key, self.ask.request);
-        let runtime = service.runtime.clone();
-        runtime.spawn(async move { service.release(key, request).await });
-    }
-}
-
 /// Claims and releases, wherever their shards are owned.
 #[derive(Debug)]
 pub struct Service<S, P> {
@@ -136,12 +129,14 @@
     peers: sync::Arc<P>,
     runtime: runtime::Handle,
     live: sync::RwLock<Vec<net::SocketAddr>>,
+    wanted: atomic::AtomicU16,
     shards: OnceCell<Vec<Shard>>,
 }
 
 impl<S: store::Store, P: Peers> Service<S, P> {
     fn new(config: Builder, store: sync::Arc<S>, peers: sync::Arc<P>) -> sync::Arc<Self> {
         sync::Arc::new(Self {
+            wanted: atomic::AtomicU16::new(config.shards),
             config,
             store,
             peers,
@@ -156,6 +151,11 @@
         *self.live.write().expect("lock is not poisoned") = live;
     }
 
+    /// Sets the number of shards, which counts only if no process has fixed it before.
+    pub fn set_shards(&self, shards: u16) {
+        self.wanted.store(shards.max(1), atomic::Ordering::Relaxed);
+    }
+
     /// Returns the address and life of this process.
     pub fn holder(&self) -> claim::Holder {
         self.config.me
@@ -166,26 +166,24 @@
     /// Never answers `Elsewhere`. A key that was claimed with other content is refused as
     /// `KeyReused`. At the deadline an undecided claim is refused as not run: only this process
     /// could have executed the request, and it gives the claim back.
-    pub async fn claim(
-        self: &sync::Arc<Self>,
-        ask: Ask,
-        deadline: clock::Instant,
-    ) -> entry::Decision {
-        let mut undecided = Undecided {
-            service: Some(self.clone()),
-            ask,
-        };
-        let decided = clock::timeout_at(deadline, self.decide(&ask)).await;
+    pub async fn claim(self: &sync::Arc<Self>, ask: Ask, deadline: clock::Instant) -> Outcome {
+        let mut undecided = undecided::Undecided::new(self.clone(), ask);
+        let deciding = self.decide(&ask, &mut undecided.unanswered);
+        let decided = clock::timeout_at(deadline, deciding).await;
         let Ok(decision) = decided else {
-            return refused(verdict::Reason::ClaimUnavailable, Some(RETRY));
+            return Outcome {
+                decision: refused(verdict::Reason::ClaimUnavailable, Some(RETRY)),
+                doubtful: true,
+            };
         };
-        undecided.service = None;
-        match decision {
+        let doubtful = undecided.decide(&decision);
+        let decision = match decision {
             entry::Decision::Taken { content, .. } if content != ask.content => {
                 refused(verdict::Reason::KeyReused, None)
             }
             decision => decision,
-        }
+        };
+        Outcome { decision, doubtful }
     }
 
     /// Answers a claim that another entry asks for.
@@ -287,7 +285,8 @@
         answer.await.unwrap_or(actor::Released::Here(false))
     }
 
-    async fn decide(&self, ask: &Ask) -> entry::Decision {
+    /// Asks until there is a decision; sets `unanswered` if a peer did not answer on the way.
+    async fn decide(&self, ask: &Ask, unanswered: &mut bool) -> entry::Decision {
         let shard = match self.shard_of(ask.key).await {
             Ok(shard) => shard,
             Err(_) => return refused(verdict::Reason::ClaimUnavailable, Some(RETRY)),
@@ -298,7 +297,7 @@
                 entry::Decision::Elsewhere { owner } => owner,
                 decision => return decision,
             };
-            mode = match self.ask_there(shard, ask, owner).await {
+            mode = match self.ask_there(shard, ask, owner, unanswered).await {
                 Ok(decision) => return decision,
                 Err(mode) => mode,
             };
@@ -330,6 +329,7 @@
         shard: u16,
         ask: &Ask,
         owner: Option<claim::Holder>,
+        unanswered: &mut bool,
     ) -> Result<entry::Decision, actor::Mode> {
         let me = self.config.me.addr;
         let addr = owner.map_or_else(|| self.preferred(shard), |owner| owner.addr);
@@ -359,7 +359,10 @@
                 self.suspicion(shard, route::Suspicion::answered);
                 Ok(decision)
             }
-            Err(Unreachable) => self.replace(shard, owner).await,
+            Err(Unreachable) => {
+                *unanswered = true;
+                self.replace(shard, owner).await
+            }
         }
     }
 
@@ -407,12 +410,10 @@
 
     /// Learns the number of shards and starts a task for each.
     async fn open(&self) -> Result<Vec<Shard>, store::Failure> {
-        let count = takeover::shards(&*self.store, self.config.shards).await?;
-        if count != self.config.shards {
-            log::warn!(
-                "event=claim-shards-kept stored={count} configured={}",
-                self.config.shards
-            );
+        let wanted = self.wanted.load(atomic::Ordering::Relaxed);
+        let count = takeover::shards(&*self.store, wanted).await?;
+        if count != wanted {
+            log::warn!("event=claim-shards-kept stored={count} configured={wanted}");
         }
         // In the long run each append costs a deletion. With a limit of their own, deletions do
         // not delay claims.
--- a/laburnumcart_entry/src/claims/owned.rs
+++ b/laburnumcart_entry/src/claims/owned.rs
@@ -152,7 +152,9 @@
     fn slot(&mut self, now: clock::Instant) -> Option<clock::Instant> {
         if self.slot.is_none() && self.log.wants_append() {
             let mut pace = self.context.appends.lock().expect("lock is not poisoned");
-            self.slot = Some(pace.reserve(now));
+            let slot = pace.reserve(now);
+            // Releases wait through an outage; they are not worth a call of their own each time.
+            self.slot = Some(self.down.map_or(slot, |(until, _)| slot.max(until)));
         }
         self.slot
     }
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -117,6 +117,9 @@
             return;
         };
         self.entry.policy.prune(&current.bundle);
+        if let Some(claims) = self.entry.claims() {
+            claims.set_shards(current.bundle.claims.shards);
+        }
         let rules = views::Rules::new(current.generation, current.bundle.clone());
         self.rules = Some(Arc::new(rules));
     }
--- a/laburnumcart_entry/tests/claims.rs
+++ b/laburnumcart_entry/tests/claims.rs
@@ -96,6 +96,33 @@
     assert_eq!(taken_by(&late.await.unwrap()), Some(id::RequestId(3)));
 }
 
+/// The owner grants a claim and its answer is lost; then it is out of reach, and the asker, which cannot
+/// read whose the shard is, refuses its caller as not run. The claim must not stay behind: the caller
+/// comes again, as it was told to, and its request runs.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_after_a_lost_answer_gives_the_claim_back() {
+    let mut world = World::new();
+    let (a, _) = world.start(1);
+    let (b, _) = world.start(2);
+    assert_eq!(claim(&a, ask(1, 1)).await, Decision::Granted);
+    world.net.set_mute(&a, true);
+    let refused = tokio::spawn({
+        let b = b.clone();
+        async move { claim(&b, ask(7, 2)).await }
+    });
+    clock::sleep(SECOND / 10).await;
+    world.memory.set_faults(memory::Faults {
+        down: true,
+        ..memory::Faults::default()
+    });
+    let refusal = refusal(&refused.await.unwrap());
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+    world.memory.set_faults(memory::Faults::default());
+    world.net.set_mute(&a, false);
+    clock::sleep(SECOND).await;
+    assert_eq!(claim(&b, ask(7, 3)).await, Decision::Granted);
+}
+
 /// An owner does not know that it was replaced. Meanwhile a claim in its table was given back and
 /// its key granted to another request, which has run. A resend that reaches the old owner must
 /// learn of that request; sent to the earlier one it would be told "not run".
@@ -221,7 +248,7 @@
         ..memory::Faults::default()
     });
     let deadline = clock::Instant::now() + SECOND;
-    let refusal = refusal(&a.claim(ask(7, 2), deadline).await);
+    let refusal = refusal(&a.claim(ask(7, 2), deadline).await.decision);
     assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
     assert_eq!(clock::Instant::now(), deadline);
     world.memory.set_faults(memory::Faults::default());
@@ -354,7 +381,7 @@
     let taker = tokio::spawn({
         let b = b.clone();
         let deadline = clock::Instant::now() + 60 * SECOND;
-        async move { b.claim(ask(7, 1), deadline).await }
+        async move { b.claim(ask(7, 1), deadline).await.decision }
     });
     clock::sleep(SECOND / 2).await;
     for number in 0..20 {
--- a/laburnumcart_entry/tests/claims/interleaved.rs
+++ b/laburnumcart_entry/tests/claims/interleaved.rs
@@ -69,7 +69,8 @@
             Step::Claim { entry, key } => {
                 let service = entries[entry].0.clone();
                 let deadline = clock::Instant::now() + time::Duration::from_secs(4);
-                let claim = async move { service.claim(ask(key, request), deadline).await };
+                let claim =
+                    async move { service.claim(ask(key, request), deadline).await.decision };
                 claims.push((key, request, tokio::spawn(claim)));
             }
             Step::Pause { entry, held } => entries[entry].1.hold(held.then_some("claims/")),
@@ -114,7 +115,7 @@
     for (key, request) in granted {
         for (service, _) in &entries {
             let deadline = clock::Instant::now() + time::Duration::from_secs(10);
-            let decision = service.claim(ask(key, 1 << 100), deadline).await;
+            let decision = service.claim(ask(key, 1 << 100), deadline).await.decision;
             let taken = support::taken_by(&decision).map(|id| id.0);
             let heads = world.memory.list("claims/0/head").await;
             prop_assert_eq!(taken, Some(request), "{:?} {:?}", decision, heads);
--- a/laburnumcart_entry/tests/claims/support.rs
+++ b/laburnumcart_entry/tests/claims/support.rs
@@ -93,6 +93,7 @@
 pub(crate) struct Net {
     entries: sync::Arc<sync::Mutex<collections::HashMap<net::SocketAddr, Entry>>>,
     cut: sync::Arc<sync::Mutex<collections::HashSet<net::SocketAddr>>>,
+    mute: sync::Arc<sync::Mutex<collections::HashSet<net::SocketAddr>>>,
 }
 
 impl Net {
@@ -106,6 +107,16 @@
         };
     }
 
+    /// Loses the answers of an entry to claims, which still take effect, or lets them through.
+    pub(crate) fn set_mute(&self, entry: &Entry, mute: bool) {
+        let addr = entry.holder().addr;
+        let mut mutes = self.mute.lock().unwrap();
+        match mute {
+            true => mutes.insert(addr),
+            false => mutes.remove(&addr),
+        };
+    }
+
     fn reach(&self, addr: net::SocketAddr) -> Result<Entry, claims::Unreachable> {
         if self.cut.lock().unwrap().contains(&addr) {
             return Err(claims::Unreachable);
@@ -124,7 +135,11 @@
         // The callee goes on when its caller has hung up.
         let entry = self.reach(addr)?;
         let serve = tokio::spawn(async move { entry.serve(claim).await });
-        serve.await.map_err(|_| claims::Unreachable)
+        let decision = serve.await.map_err(|_| claims::Unreachable)?;
+        match self.mute.lock().unwrap().contains(&addr) {
+            true => Err(claims::Unreachable),
+            false => Ok(decision),
+        }
     }
 
     async fn release(
@@ -229,7 +244,7 @@
 /// Claims with a deadline of ten seconds.
 pub(crate) async fn claim(entry: &Entry, ask: claims::Ask) -> entry::Decision {
     let deadline = tokio::time::Instant::now() + time::Duration::from_secs(10);
-    entry.claim(ask, deadline).await
+    entry.claim(ask, deadline).await.decision
 }
 
 /// Returns the request that holds a key, from a decision.
