Tell agents in a heartbeat whom to ask for the bundle

Cause: an agent learns of a higher generation by an entry's heartbeat, but only the first call of a connection named the entry's address. The agent threw the generation away and, unless its settings name peers, stayed under the old bundle for as long as the object service was down.

Ruled out: a table of addresses by connection in the agent, which is state that a heartbeat can carry.

--- a/laburnumcart_agent/src/service.rs
+++ b/laburnumcart_agent/src/service.rs
@@ -143,7 +143,7 @@
             .check(session.lane, session.number, now);
         checked.map_err(|refusal| self.fenced(refusal))?;
         if let Some(facts) = beat.facts {
-            self.shared.hear(facts, None);
+            self.shared.hear(facts, beat.peer);
         }
         Ok(self.shared.report(Some(session.lane)))
     }
--- a/laburnumcart_agent/tests/agent/doubt.rs
+++ b/laburnumcart_agent/tests/agent/doubt.rs
@@ -81,6 +81,7 @@
     let late = bounded(first.client.query(late)).await;
     assert_eq!(code(late), agent::FENCED);
     let beat = agent::Beat {
+        peer: None,
         session: first.session,
         facts: None,
     };
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -230,6 +230,7 @@
     pub(crate) async fn wait_facts(&self, fits: impl Fn(&facts::Facts) -> bool) -> facts::Facts {
         loop {
             let beat = Beat {
+                peer: None,
                 session: self.session,
                 facts: None,
             };
--- a/laburnumcart_agent/tests/agent/stopping.rs
+++ b/laburnumcart_agent/tests/agent/stopping.rs
@@ -102,6 +102,7 @@
     assert!(report.leaving);
     let stopping = tokio::spawn(agent.stop());
     let beat = Beat {
+        peer: None,
         session: lane.session,
         facts: None,
     };
@@ -199,6 +200,7 @@
         ..Default::default()
     };
     let beat = Beat {
+        peer: None,
         session: lane.session,
         facts: Some(facts),
     };
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -290,6 +290,7 @@
             let (facts, version) = self.caller.gossip.changes(sent);
             let beat = agent::Beat {
                 session: connection.session,
+                peer: facts.is_some().then_some(self.caller.peer),
                 facts,
             };
             match time::timeout(timing.answer, connection.client.beat(beat)).await {
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -85,6 +85,12 @@
 pub struct Beat {
     /// This connection.
     pub session: lane::Session,
+    /// Address at which the caller shows its bundle; goes with the facts.
+    ///
+    /// Without it an agent would see a higher generation and not know whom to ask for the bundle, so
+    /// that it stayed behind for as long as the object service is down.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<net::SocketAddr>,
     /// The caller's facts, if they changed since the last beat.
     pub facts: Option<facts::Facts>,
 }
