Never send Retry-After: 0

Cause: what is left of a pause below a millisecond rounds to 0 ms, and 0 s was sent, which asks the caller to come again at once, over and over. Seen in `an_outage_refuses_and_a_slow_service_only_delays`.

--- a/laburnumcart_entry/src/callers/problem.rs
+++ b/laburnumcart_entry/src/callers/problem.rs
@@ -102,7 +102,8 @@
     let media = header::HeaderValue::from_static(MEDIA);
     response.headers_mut().insert(header::CONTENT_TYPE, media);
     if let Some(millis) = problem.retry_after_ms {
-        let seconds = header::HeaderValue::from(millis.div_ceil(1000));
+        // Zero would ask for the next call at once, over and over.
+        let seconds = header::HeaderValue::from(millis.div_ceil(1000).max(1));
         response.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
     response
