--- a/laburnumcart_fakes/src/target/engine.rs
+++ b/laburnumcart_fakes/src/target/engine.rs
@@ -96,6 +96,7 @@
             request: call.request.clone(),
             attempt: call.attempt.clone(),
             stage: call.body.stage.clone(),
+            input: expected::digest(&call.body.input.to_string()),
             idempotent: call.idempotent,
             outcome: ledger::Outcome::Running,
             busy: 0.0,
--- a/laburnumcart_fakes/src/target/ledger.rs
+++ b/laburnumcart_fakes/src/target/ledger.rs
@@ -35,6 +35,8 @@
     pub attempt: String,
     /// Stage.
     pub stage: String,
+    /// Digest of the caller's input, by which resends under other request ids are told apart.
+    pub input: String,
     /// Whether the caller allowed repetition.
     pub idempotent: bool,
     /// How it ended.
--- a/laburnumcart_fakes/tests/load.rs
+++ b/laburnumcart_fakes/tests/load.rs
@@ -319,6 +319,7 @@
         request: request.into(),
         attempt: "a".into(),
         stage: "s".into(),
+        input: "i".into(),
         idempotent,
         outcome,
         busy: 1.0,
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    files,
     http,
     port,
     process,
@@ -176,7 +177,7 @@
         let mut args = vec!["--listen".into(), store_addr.to_string()];
         args.extend(plan.store.iter().map(|arg| String::from(*arg)));
         let store = process::Process::start(&dir.0, "store", "laburnum-fake-store", &args);
-        let key = generate_key(&dir.0);
+        let key = files::generate_key(&dir.0);
         let mut fleet = Self {
             dir,
             plan: plan.clone(),
@@ -284,7 +285,13 @@
             "fleet": self.fleet_settings(&self.peers()),
             "platform": {"address": self.store_addr.to_string()},
         });
-        fs::write(&file, settings.to_string()).expect("settings");
+        // Operators race each other here; none may read a file that another has begun to write.
+        let draft = self
+            .dir
+            .0
+            .join(format!("ctl-{:016x}", rand::random::<u64>()));
+        fs::write(&draft, settings.to_string()).expect("settings");
+        fs::rename(&draft, &file).expect("settings");
         let output = Command::new(process::binary("laburnumctl"))
             .current_dir(&self.dir.0)
             .args(args)
@@ -398,7 +405,12 @@
         assert!(answer.is_ok_and(|a| a.status < 300), "instance not listed");
     }
 
-    async fn wait_healthy(&self, addr: net::SocketAddr) {
+    /// Returns the folder of settings, logs and operators' files.
+    pub(crate) fn folder(&self) -> &path::Path {
+        &self.dir.0
+    }
+
+    pub(crate) async fn wait_healthy(&self, addr: net::SocketAddr) {
         self.wait_page("store", addr, "/healthz").await;
     }
 
@@ -481,14 +493,3 @@
         request.body(self.body.to_string()).expect("request")
     }
 }
-
-/// Has `laburnumctl` generate a signing key and returns it.
-fn generate_key(dir: &path::Path) -> Value {
-    let output = Command::new(process::binary("laburnumctl"))
-        .current_dir(dir)
-        .args(["keygen", "--name", "test", "--out", "key.json", "--json"])
-        .output()
-        .expect("laburnumctl");
-    assert!(output.status.success(), "keygen: {output:?}");
-    serde_json::from_slice(&output.stdout).expect("JSON of keygen")
-}
--- /dev/null
+++ b/laburnumcart_system/tests/rollout.rs
@@ -0,0 +1,276 @@
+//! Bundles that are rolled out by racing operators, during outages and over stale reads.
+
+use std::{
+    thread,
+    time, //
+};
+
+use laburnumcart_system::{
+    fleet,
+    rollout,
+    sample,
+    wait, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Exit code of `laburnumctl` when another operator got ahead.
+const LOST: i32 = 3;
+
+/// Reads of every process after a failure in which none may show an older generation.
+const LOOKS: usize = 25;
+
+async fn start(entries: usize) -> fleet::Fleet {
+    let plan = fleet::Plan::new(sample::services(1), sample::bundle()).entries(entries);
+    let fleet = fleet::Fleet::start(plan).await;
+    rollout::in_force(&fleet, 1).await;
+    fleet
+}
+
+fn titled(title: &str) -> Value {
+    let mut bundle = sample::bundle();
+    bundle["title"] = json!(title);
+    bundle
+}
+
+/// Signs a bundle into a file of the fleet's folder.
+fn sign(fleet: &fleet::Fleet, bundle: &Value, out: &str) {
+    let file = format!("{out}.json");
+    fleet.write(&file, &bundle.to_string());
+    let (code, text) = fleet.ctl(&["sign", &file, "--key", "key.json", "--out", out]);
+    assert_eq!(code, 0, "{text}");
+}
+
+/// Returns what `laburnumctl status` shows of the accepted head.
+fn head(fleet: &fleet::Fleet) -> Value {
+    let (code, text) = fleet.ctl(&["status", "--json"]);
+    assert_eq!(code, 0, "{text}");
+    let status: Value = serde_json::from_str(&text).expect("JSON");
+    status["head"]["Ok"].clone()
+}
+
+/// Looks at every process for a while; none may show a generation below the given one.
+async fn never_below(fleet: &fleet::Fleet, least: u64) {
+    for _ in 0..LOOKS {
+        let found = rollout::generations(fleet).await;
+        let below = |found: &Option<u64>| found.is_some_and(|found| found < least);
+        assert!(!found.iter().any(below), "{found:?}, was at {least}");
+        assert!(found.iter().all(Option::is_some), "{found:?}");
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+}
+
+/// Six operators accept six different bundles on top of the same generation at once. One is told that
+/// it won, the five others that they lost, and every process comes under the winner's bundle. Then one
+/// rolls back: the old bundle comes into force under a new generation, and nowhere does a number fall.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_one_wins_and_the_others_are_told() {
+    let fleet = start(2).await;
+    let files: Vec<_> = (0..6).map(|n| format!("race-{n}.signed")).collect();
+    for file in &files {
+        sign(&fleet, &titled(file), file);
+    }
+    let accept = |file: &str| fleet.ctl(&["accept", file, "--on", "1"]);
+    let results: Vec<_> = thread::scope(|scope| {
+        let operators = files.iter().map(|file| scope.spawn(move || accept(file)));
+        let operators: Vec<_> = operators.collect();
+        operators
+            .into_iter()
+            .map(|o| o.join().expect("no panic"))
+            .collect()
+    });
+    let won: Vec<_> = (0..6).filter(|n| results[*n].0 == 0).collect();
+    let lost = results.iter().filter(|(code, _)| *code == LOST).count();
+    assert_eq!((won.len(), lost), (1, 5), "{results:?}");
+    rollout::in_force(&fleet, 2).await;
+    let digest = head(&fleet)["digest"]
+        .as_str()
+        .expect("a digest")
+        .to_owned();
+    assert!(
+        results[won[0]].1.contains(&digest),
+        "{results:?}, head {digest}"
+    );
+
+    let (code, text) = fleet.ctl(&["rollback", "1", "--on", "2"]);
+    assert_eq!(code, 0, "{text}");
+    rollout::in_force(&fleet, 3).await;
+    let restored = head(&fleet);
+    let first = restored["earlier"]
+        .as_array()
+        .expect("a history")
+        .last()
+        .cloned();
+    assert_eq!(first.expect("the first")["digest"], restored["digest"]);
+}
+
+/// An operator is handed a signed bundle whose text was altered, one that is signed by a key nobody
+/// trusts, and one that is signed but not valid. Each is refused with an exit code of its own kind and
+/// all that is wrong; neither the head nor any process changes, and the next good bundle follows on.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_bundles_change_nothing() {
+    let fleet = start(1).await;
+    let before = head(&fleet);
+    sign(&fleet, &titled("honest"), "good.signed");
+    let good = fleet.read("good.signed");
+    let tampered = good.replace("honest", "forged");
+    assert_ne!(good, tampered);
+    fleet.write("tampered.signed", &tampered);
+    let (code, text) = fleet.ctl(&["keygen", "--name", "stranger", "--out", "stranger.json"]);
+    assert_eq!(code, 0, "{text}");
+    fleet.write("plain.json", &titled("stranger").to_string());
+    let stranger = [
+        "sign",
+        "plain.json",
+        "--key",
+        "stranger.json",
+        "--out",
+        "stranger.signed",
+    ];
+    let (code, text) = fleet.ctl(&stranger);
+    assert_eq!(code, 0, "{text}");
+    for (file, expected) in [
+        ("tampered.signed", 5),
+        ("stranger.signed", 5),
+        ("plain.json", 5),
+    ] {
+        let (code, text) = fleet.ctl(&["accept", file]);
+        assert_eq!(code, expected, "{file}: {text}");
+        assert_eq!(head(&fleet), before, "{file}");
+    }
+    never_below(&fleet, 1).await;
+    rollout::in_force(&fleet, 1).await;
+    let (code, text) = fleet.ctl(&["accept", "good.signed", "--on", "1"]);
+    assert_eq!(code, 0, "{text}");
+    rollout::in_force(&fleet, 2).await;
+}
+
+/// An intruder writes into the object service itself, past `laburnumctl`: a head that names an altered
+/// bundle, and later one that is no head. No process takes them in; each counts the refusal and goes on
+/// under what is in force, and the operators' next bundle gets through.
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_refuse_what_is_written_past_the_operators() {
+    let fleet = start(2).await;
+    let (version, text) = fleet.object("bundle/head").await.expect("the head");
+    let mut forged: Value = serde_json::from_str(&text).expect("JSON");
+    let digest = forged["digest"].as_str().expect("a digest").to_owned();
+    let (_, envelope) = fleet
+        .object(&format!("bundle/objects/{digest}"))
+        .await
+        .expect("a bundle");
+    let altered = envelope.replace("sample", "forged");
+    assert_ne!(envelope, altered);
+    let name = digest.chars().rev().collect::<String>();
+    fleet
+        .put(&format!("bundle/objects/{name}"), None, &altered)
+        .await;
+    forged["generation"] = json!(9);
+    forged["digest"] = json!(name);
+    fleet
+        .put("bundle/head", Some(&version), &forged.to_string())
+        .await;
+    refused_everywhere(&fleet).await;
+    never_below(&fleet, 1).await;
+    rollout::in_force(&fleet, 1).await;
+    fleet.accept(&titled("after the forged head"));
+    rollout::in_force(&fleet, 10).await;
+
+    let (version, text) = fleet.object("bundle/head").await.expect("the head");
+    let version = fleet
+        .put("bundle/head", Some(&version), "{\"generation\":12}")
+        .await;
+    never_below(&fleet, 10).await;
+    rollout::in_force(&fleet, 10).await;
+    // No operator can go on from what is no head; they restore it, as `laburnumctl` tells them.
+    fleet.put("bundle/head", Some(&version), &text).await;
+    fleet.accept(&titled("after the broken head"));
+    rollout::in_force(&fleet, 11).await;
+}
+
+/// Waits until every process has counted a refused bundle.
+async fn refused_everywhere(fleet: &fleet::Fleet) {
+    wait::until("refusals counted everywhere", || async {
+        for page in rollout::pages(fleet) {
+            let body = fleet.http.get(page, "/metrics").await.ok()?.body;
+            let refused = |line: &str| {
+                let failure = line.starts_with("laburnum_bundle_failures_total");
+                let reason = line.contains("signature") || line.contains("head");
+                failure && reason && !line.ends_with(" 0")
+            };
+            body.lines().find(|line| refused(line))?;
+        }
+        Some(())
+    })
+    .await;
+}
+
+/// A bundle is accepted and the object service goes down at that moment. Processes that had not read
+/// the head hear of it from those that had, by their heartbeats. An entry that is started during the
+/// outage has never reached the service; it asks its peers. The times are printed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_bundle_spreads_during_an_outage() {
+    let mut fleet = start(2).await;
+    let accepted = tokio::time::Instant::now();
+    fleet.accept(&titled("with the service up"));
+    let called = accepted.elapsed();
+    let waited = rollout::in_force(&fleet, 2).await;
+    println!("service up: {waited:?} after laburnumctl, which took {called:?}");
+
+    // One process gets the bundle; all others are cut off from the service before they can.
+    let stopped: Vec<_> = fleet.daemons().skip(1).collect();
+    for process in &stopped {
+        process.signal(nix::sys::signal::Signal::SIGSTOP);
+    }
+    let first = &fleet.nodes[0];
+    fleet.accept(&titled("with the service down"));
+    wait::until("the first process has it", || async {
+        let found = rollout::generation(&fleet, first.admin).await;
+        (found == Some(3)).then_some(())
+    })
+    .await;
+    fleet.store_faults(&json!({"down": true})).await;
+    for process in &stopped {
+        process.signal(nix::sys::signal::Signal::SIGCONT);
+    }
+    let waited = rollout::in_force(&fleet, 3).await;
+    println!("service down, one process had it: {waited:?}");
+
+    fleet.entries[1].process.kill();
+    let restarted = tokio::time::Instant::now();
+    fleet.entries[1].process = fleet.restart("entry-1", "laburnum-entry");
+    rollout::in_force(&fleet, 3).await;
+    println!("started during the outage: {:?}", restarted.elapsed());
+}
+
+/// The object service answers from minutes ago, then comes back empty after a restart, then with an
+/// old head only. Callers' rules must not go back to an older bundle: no process ever shows a lower
+/// generation, and an entry that starts meanwhile under the old head is brought up by its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_process_reverts_with_the_object_service() {
+    let mut fleet = start(2).await;
+    let (_, old) = fleet.object("bundle/head").await.expect("the head");
+    let mut objects = fleet.objects("bundle/objects/").await;
+    objects.extend(fleet.objects("platform/instances/").await);
+    for (generation, title) in [(2, "second"), (3, "third")] {
+        fleet.accept(&titled(title));
+        rollout::in_force(&fleet, generation).await;
+    }
+    fleet.store_faults(&json!({"stale": "10m"})).await;
+    never_below(&fleet, 3).await;
+
+    fleet.store.kill();
+    fleet.start_store().await;
+    never_below(&fleet, 3).await;
+
+    for (key, value) in objects {
+        fleet.put(&key, None, &value).await;
+    }
+    fleet.put("bundle/head", None, &old).await;
+    never_below(&fleet, 3).await;
+    fleet.entries[1].process.kill();
+    fleet.entries[1].process = fleet.restart("entry-1", "laburnum-entry");
+    rollout::in_force(&fleet, 3).await;
+    never_below(&fleet, 3).await;
+}
