--- a/laburnumcart_entry/src/claims.rs
+++ b/laburnumcart_entry/src/claims.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod sweep;
 mod takeover;
+mod undecided;
 
 use std::{
     future,
@@ -107,6 +108,15 @@
     pub retention: unit::Period,
 }
 
+/// What came of a claim.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// The decision.
+    pub decision: entry::Decision,
+    /// Whether a refused claim may be in the log until it has been given back.
+    pub doubtful: bool,
+}
+
 /// Access to the task of one shard.
 #[derive(Debug)]
 struct Shard {
@@ -114,26 +124,6 @@
     suspicion: sync::Arc<sync::Mutex<route::Suspicion>>,
 }
 
-/// A claim whose asker has not heard the decision; gives the claim back when it is dropped.
-///
-/// The caller may hang up, or its deadline pass, while the append is on its way. The request never
-/// runs then, and a claim that stayed behind would answer each resend with "may have run".
-struct Undecided<S: store::Store, P: Peers> {
-    service: Option<sync::Arc<Service<S, P>>>,
-    ask: Ask,
-}
-
-impl<S: store::Store, P: Peers> Drop for Undecided<S, P> {
-    fn drop(&mut self) {
-        let Some(service) = self.service.take() else {
-            return;
-        };
-        let (key, request) = (self.ask.key, self.ask.request);
-        let runtime = service.runtime.clone();
-        runtime.spawn(async move { service.release(key, request).await });
-    }
-}
-
 /// Claims and releases, wherever their shards are owned.
 #[derive(Debug)]
 pub struct Service<S, P> {
@@ -180,26 +170,24 @@
     /// Never answers `Elsewhere`. A key that was claimed with other content is refused as
     /// `KeyReused`. At the deadline an undecided claim is refused as not run: only this process
     /// could have executed the request, and it gives the claim back.
-    pub async fn claim(
-        self: &sync::Arc<Self>,
-        ask: Ask,
-        deadline: clock::Instant,
-    ) -> entry::Decision {
-        let mut undecided = Undecided {
-            service: Some(self.clone()),
-            ask,
-        };
-        let decided = clock::timeout_at(deadline, self.decide(&ask)).await;
+    pub async fn claim(self: &sync::Arc<Self>, ask: Ask, deadline: clock::Instant) -> Outcome {
+        let mut undecided = undecided::Undecided::new(self.clone(), ask);
+        let deciding = self.decide(&ask, &mut undecided.unanswered);
+        let decided = clock::timeout_at(deadline, deciding).await;
         let Ok(decision) = decided else {
-            return refused(verdict::Reason::ClaimUnavailable, Some(RETRY));
+            return Outcome {
+                decision: refused(verdict::Reason::ClaimUnavailable, Some(RETRY)),
+                doubtful: true,
+            };
         };
-        undecided.service = None;
-        match decision {
+        let doubtful = undecided.decide(&decision);
+        let decision = match decision {
             entry::Decision::Taken { content, .. } if content != ask.content => {
                 refused(verdict::Reason::KeyReused, None)
             }
             decision => decision,
-        }
+        };
+        Outcome { decision, doubtful }
     }
 
     /// Answers a claim that another entry asks for.
@@ -301,7 +289,8 @@
         answer.await.unwrap_or(actor::Released::Here(false))
     }
 
-    async fn decide(&self, ask: &Ask) -> entry::Decision {
+    /// Asks until there is a decision; sets `unanswered` if a peer did not answer on the way.
+    async fn decide(&self, ask: &Ask, unanswered: &mut bool) -> entry::Decision {
         let shard = match self.shard_of(ask.key).await {
             Ok(shard) => shard,
             Err(_) => return refused(verdict::Reason::ClaimUnavailable, Some(RETRY)),
@@ -312,7 +301,7 @@
                 entry::Decision::Elsewhere { owner } => owner,
                 decision => return decision,
             };
-            mode = match self.ask_there(shard, ask, owner).await {
+            mode = match self.ask_there(shard, ask, owner, unanswered).await {
                 Ok(decision) => return decision,
                 Err(mode) => mode,
             };
@@ -344,6 +333,7 @@
         shard: u16,
         ask: &Ask,
         owner: Option<claim::Holder>,
+        unanswered: &mut bool,
     ) -> Result<entry::Decision, actor::Mode> {
         let me = self.config.me.addr;
         let addr = owner.map_or_else(|| self.preferred(shard), |owner| owner.addr);
@@ -373,7 +363,10 @@
                 self.suspicion(shard, route::Suspicion::answered);
                 Ok(decision)
             }
-            Err(Unreachable) => self.replace(shard, owner).await,
+            Err(Unreachable) => {
+                *unanswered = true;
+                self.replace(shard, owner).await
+            }
         }
     }
 
