Leave the heartbeats that small services don't use to large ones

At 90% of capacity ours answered fewer in time than round robin. One engine of ten stood idle: its agent had admitted nothing. The heartbeat rate was shared equally by eight services, which bounds a subset at 9 or fewer targets, and neither entry's subset held that one. Ruled out: the agent was ready and listed.

--- a/extra/measure.sh
+++ b/extra/measure.sh
@@ -50,7 +50,10 @@
 
 start
 mkdir "$dir/pages"
-"$bin/laburnum-load" --plan "$dir/load.json" --duration 5s --scale 2 --quiet >"$dir/warm.txt"
+# Fills the prompt caches of all engines, then warms the entries.
+"$bin/laburnum-load" --plan "$dir/load.json" --duration 8s --scale 4 --quiet --direct \
+    >"$dir/warm.txt"
+"$bin/laburnum-load" --plan "$dir/load.json" --duration 4s --scale 4 --quiet >>"$dir/warm.txt"
 "$bin/laburnum-measure" --plan "$dir/load.json" --store "$store" --out "$out" \
     --pages "$dir/pages" "$@"
 finish
--- a/laburnumcart/src/subset.rs
+++ b/laburnumcart/src/subset.rs
@@ -11,7 +11,7 @@
 //! | entry, 16 of each of 4 models' engines | 64 | 19 KB/s |
 //! | agent, one of 167 engines of a model, of 350 entries | 34 | 10 KB/s |
 //!
-//! Pools beside the engines share the rest: [`size`] works out the bound for a number of services.
+//! Pools beside the engines share the rest: [`size`] works out the bound for the targets of all services.
 
 use std::time;
 
@@ -34,16 +34,32 @@
 
 /// Returns the size of a subset with which heartbeats to all services stay within a rate.
 ///
+/// `counts` are the targets of each service. What a small service does not use is for the larger
+/// ones: at equal parts, a few processes left targets of a large service without any work, although
+/// all targets together were within the rate.
+///
 /// ```
 /// use std::time::Duration;
 ///
 /// use laburnumcart::subset;
 ///
-/// assert_eq!(subset::size(23_000, Duration::from_secs(2), 4), 18);
+/// let period = Duration::from_secs(2);
+/// assert_eq!(subset::size(23_000, period, [167; 4]), 18);
+/// assert_eq!(subset::size(23_000, period, [167, 3, 3, 4]), 65);
 /// ```
-pub fn size(bytes: u64, period: time::Duration, services: usize) -> usize {
+pub fn size(bytes: u64, period: time::Duration, counts: impl IntoIterator<Item = usize>) -> usize {
     let exchanges = bytes as f64 * period.as_secs_f64() / EXCHANGE as f64;
-    (exchanges / services.max(1) as f64) as usize
+    let mut rest = exchanges as usize;
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort_unstable();
+    for (i, count) in counts.iter().enumerate() {
+        let part = rest / (counts.len() - i);
+        if *count > part {
+            return part;
+        }
+        rest -= count;
+    }
+    counts.last().copied().unwrap_or_default()
 }
 
 /// Chooses at most `size` of the members for a process, by rendezvous hashing.
--- a/laburnumcart/tests/subset.rs
+++ b/laburnumcart/tests/subset.rs
@@ -5,6 +5,7 @@
     subset, //
 };
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn names(count: usize) -> Vec<id::TargetName> {
     (0..count)
@@ -77,3 +78,20 @@
     assert_eq!(counts.len(), 167);
     assert!(*counts.values().min().unwrap() >= 33 / 3, "{counts:?}");
 }
+
+/// Two entries send to services of unequal sizes whose targets together are within the rate. At equal
+/// parts of the rate the large service got a subset smaller than itself, one of its targets was in
+/// neither entry's subset, and callers were refused for want of time while it stood idle.
+#[rstest]
+#[case(&[10, 3, 4, 5, 5, 3, 3, 3], 10)]
+#[case(&[3, 3, 10, 10], 10)]
+#[case(&[100, 3, 3], 69)]
+#[case(&[100, 100, 3], 36)]
+#[case(&[], 0)]
+fn small_services_leave_their_part_to_large_ones(#[case] counts: &[usize], #[case] wanted: usize) {
+    let period = std::time::Duration::from_secs(2);
+    let size = subset::size(23_000, period, counts.iter().copied());
+    assert_eq!(size, wanted);
+    let kept: usize = counts.iter().map(|count| size.min(*count)).sum();
+    assert!(kept as u64 * subset::EXCHANGE <= 2 * 23_000);
+}
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -131,7 +131,11 @@
                 services.entry(service).or_default().push((name, instance));
             }
         }
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, services.len());
+        let size = subset::size(
+            BEAT_BYTES,
+            self.caller.timing.idle,
+            services.values().map(Vec::len),
+        );
         let size = size.max(SUBSET_MIN);
         let mut chosen = Vec::new();
         for agents in services.values() {
