Answer a pool's result and its end at once

The agent woke the waiting call when it had stored the result's text and again at its end a moment later. The first answer went out without the end, and the entry came a second time for that alone. Now a pool's reader is woken by the end, and before it only when the bound of unacknowledged bytes is reached.

Ruled out by reading: waits by polling, as both sides wait for notifications; delayed small writes, as the client sets nodelay.

--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use laburnumcart::{
+    bundle,
     unit,
     verdict, //
 };
@@ -86,7 +87,11 @@
         remaining: unit::Period(job.deadline - time::Instant::now()),
         parent,
     };
-    let mut sink = Sink { shared, job };
+    let mut sink = Sink {
+        shared,
+        job,
+        streams: kind == bundle::Kind::Engine,
+    };
     let reason = tokio::select! {
         biased;
         outcome = shared.target.run(kind, &job.call, &hop, &mut sink) => return outcome,
@@ -106,15 +111,22 @@
 struct Sink<'a> {
     shared: &'a shared::Shared,
     job: &'a job::Job,
+    /// Whether each part is worth an answer of its own.
+    streams: bool,
 }
 
 impl run::Sink for Sink<'_> {
     async fn push(&mut self, text: &str) {
         let id = self.job.call.attempt;
         while self.shared.work().table.pending(id) >= PENDING_MAX {
+            self.job.changed.notify_waiters();
             self.job.drained.notified().await;
         }
         self.shared.work().table.push(id, text);
-        self.job.changed.notify_waiters();
+        // The end of a pool's result follows at once. Told of the part before, its reader would
+        // come a second time for the end alone.
+        if self.streams {
+            self.job.changed.notify_waiters();
+        }
     }
 }
