Search for a target's latency every five minutes, not in each window

A latency that a search has found, if its batches are exact to 5%, is now held against all others for 300 s, and a batch of a search ends after 8 calls if it is exact. Targets whose calls vary more are searched as before: trusting any search failed capacity_is_used for one server (latency 6.5 times the mean). Tried first and dropped: a search only when the least latency of a window has risen, as it rises by itself where the limit is above the target's slots.

--- a/laburnumcart/src/limit.rs
+++ b/laburnumcart/src/limit.rs
@@ -32,6 +32,15 @@
 /// Drop of latency at half the limit that shows that the target was congested before.
 const RELIEF: f64 = 0.85;
 
+/// Time for which a latency that was found by a search is held against all others.
+const KEPT: time::Duration = time::Duration::from_secs(300);
+
+/// Fewest samples of a batch of a search, which takes capacity; more follow until it is exact.
+const PROBE: usize = 8;
+
+/// Standard error of a batch, relative to its mean, up to which luck cannot have ended a search.
+const EXACT: f64 = 0.05;
+
 /// Half of the sliding window.
 const HALF: time::Duration = time::Duration::from_secs(15);
 
@@ -65,6 +74,8 @@
     refused: bool,
     /// Latency before the last cut of a search for the uncongested latency.
     probe: Option<time::Duration>,
+    /// Least latency that the last search has found, and when.
+    found: Option<(time::Duration, Instant)>,
     /// Time of the last sample.
     last: Option<Instant>,
     /// Least typical latency of a batch in this half of the window and in the one before.
@@ -89,6 +100,7 @@
             used: 0,
             refused: false,
             probe: None,
+            found: None,
             last: None,
             least: None,
             before: None,
@@ -103,7 +115,8 @@
 
     /// Returns the least latency in the window.
     pub fn base(&self) -> Option<time::Duration> {
-        self.least.into_iter().chain(self.before).min()
+        let found = self.found.map(|(found, _)| found);
+        self.least.into_iter().chain(self.before).chain(found).min()
     }
 
     /// Takes in a completed call; `in_flight` includes it.
@@ -118,11 +131,17 @@
         let micros = latency.as_micros().try_into().unwrap_or(u32::MAX);
         self.batch.push(micros);
         let size = ROUNDS * self.get() as usize;
-        if self.batch.len() >= size.clamp(BATCH.0, BATCH.1) {
+        if self.batch.len() >= size.clamp(BATCH.0, BATCH.1) || self.is_exact() {
             self.close(now);
         }
     }
 
+    /// Reports whether the batch of a search tells enough.
+    fn is_exact(&self) -> bool {
+        let enough = self.probe.is_some() && self.batch.len() >= PROBE;
+        enough && typical(&mut self.batch.clone()).1 <= EXACT
+    }
+
     /// Takes in a refusal by the target itself.
     pub fn refuse(&mut self) {
         if !self.refused {
@@ -148,7 +167,7 @@
         // many is the lower, the more they differ by chance, and the usual one looks congested.
         let base = typical.mul_f64(1.0 + error);
         self.least = Some(self.least.map_or(base, |least| least.min(base)));
-        if !self.search(typical, saturated) {
+        if !self.search(typical, error, saturated, now) {
             self.step(typical, saturated);
             self.rotate(typical, saturated, now);
         }
@@ -174,12 +193,20 @@
     /// Under lasting load the least latency would be forgotten, the congested one taken for it,
     /// and the limit would creep up without end. Cutting the limit until latency no longer falls
     /// with it measures the uncongested latency afresh, whatever the limit was before.
-    fn search(&mut self, typical: time::Duration, saturated: bool) -> bool {
+    fn search(
+        &mut self,
+        typical: time::Duration,
+        error: f64,
+        saturated: bool,
+        now: Instant,
+    ) -> bool {
         let Some(before) = self.probe.take() else {
             return false;
         };
         let relieved = typical < before.mul_f64(RELIEF);
         if !relieved || !saturated || self.value <= 1.0 {
+            let base = self.base().filter(|_| error <= EXACT);
+            self.found = base.map(|base| (base, now));
             return false;
         }
         self.cut(typical);
@@ -200,7 +227,11 @@
         }
         self.before = self.least.take();
         self.since = Some(now);
-        if saturated {
+        let kept = |(_, at): &(_, Instant)| now.saturating_duration_since(*at) < KEPT;
+        self.found = self.found.filter(kept);
+        // A search at a slow target takes seconds at a part of its capacity. Near capacity a queue
+        // builds up meanwhile, so what was found is not searched for again in each window.
+        if saturated && self.found.is_none() {
             self.cut(typical);
         }
     }
--- a/laburnumcart/tests/limit.rs
+++ b/laburnumcart/tests/limit.rs
@@ -106,3 +106,26 @@
     }
     assert_eq!(limit.get(), after);
 }
+
+/// A target takes half a second for a call and is saturated for minutes. Its latency was searched for
+/// once, by halving the limit for a batch, and has not risen since. Halving it again each window took
+/// a quarter of its capacity for seconds, the queue grew, and callers near capacity were late.
+#[test]
+fn known_latency_is_not_searched_for_again() {
+    let base = time::Duration::from_millis(500);
+    let (mut limit, mut now) = (limit::Limit::new(), Instant::now());
+    let mut run = |limit: &mut limit::Limit, secs: u64| {
+        let end = now + time::Duration::from_secs(secs);
+        let mut lowest = u32::MAX;
+        while now < end {
+            let n = limit.get();
+            let latency = base.mul_f64((f64::from(n) / 4.0).max(1.0));
+            now += latency / n;
+            limit.observe(latency, n, now);
+            lowest = lowest.min(limit.get());
+        }
+        lowest
+    };
+    run(&mut limit, 30);
+    assert!(run(&mut limit, 240) >= 4);
+}
