--- a/laburnumcart_agent/tests/agent/suspects.rs
+++ b/laburnumcart_agent/tests/agent/suspects.rs
@@ -53,6 +53,7 @@
         ..Default::default()
     };
     let beat = Beat {
+        peer: None,
         session: lane.session,
         facts: Some(facts),
     };
@@ -159,6 +160,7 @@
     let ((_, state), ()) = bounded(async { tokio::join!(run, crash) }).await;
     assert_eq!(refusal(&state).reason, Reason::TargetFailed);
     let beat = Beat {
+        peer: None,
         session: lane.session,
         facts: None,
     };
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -138,14 +138,18 @@
 
     /// Works out the sizes of the subsets; returns whether any has changed.
     fn measure(&mut self) -> bool {
-        let names = self.agents.iter().filter_map(|i| i.service.clone());
-        let names: collections::BTreeSet<_> = names.collect();
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, names.len());
+        let mut counts: collections::BTreeMap<_, usize> = collections::BTreeMap::new();
+        for service in self.agents.iter().filter_map(|i| i.service.as_ref()) {
+            *counts.entry(service.clone()).or_default() += 1;
+        }
+        let idle = self.caller.timing.idle;
+        let size = subset::size(BEAT_BYTES, idle, counts.values().copied());
         let size = size.max(SUBSET_MIN);
-        self.widths.retain(|service, _| names.contains(service));
+        self.widths
+            .retain(|service, _| counts.contains_key(service));
         let now = time::Instant::now();
         let mut changed = false;
-        for service in names {
+        for service in counts.into_keys() {
             let (kept, usable) = self.count(&service);
             let wanted = width::wanted(size, kept, usable);
             changed |= self.widths.entry(service).or_default().set(wanted, now);
