Read the list of instances once and apply its changes

Cause: an entry listed all instances again after each watch, so at least each 30 s.

Ruled out: a longer wait of the watch alone, as each start and stop of an instance still made every entry read the whole list.

The slopes also vary the entries in the list now.

--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -27,6 +27,7 @@
     control as views,
     entry,
     links,
+    listing,
     members,
     routes, //
 };
@@ -34,12 +35,6 @@
 /// Time between two views; a load report is older than that anyway.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
-/// Longest wait of one watch.
-const WAIT: time::Duration = time::Duration::from_secs(30);
-
-/// Pause after a failed call of the object service.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
-
 /// What the control thread starts from.
 #[derive(Debug)]
 pub struct Start<S> {
@@ -62,7 +57,7 @@
 
 async fn run<S: store::Store + Clone>(start: Start<S>) {
     let (list, instances) = watch::channel(Vec::new());
-    tokio::task::spawn_local(follow(start.store.clone(), list));
+    tokio::task::spawn_local(listing::follow(start.store.clone(), list));
     let feed = start.entry.gossip.feed().clone();
     let rpc = bundle::Rpc::new(start.secret);
     tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
@@ -178,20 +173,3 @@
         }
     }
 }
-
-/// Follows the platform's list of instances.
-async fn follow<S: store::Store>(store: S, list: watch::Sender<Vec<members::Instance>>) {
-    loop {
-        if let Ok(listing) = store.list(members::PREFIX).await {
-            let values = listing.objects.iter();
-            let parsed = values.filter_map(|o| serde_json::from_str(&o.value).ok());
-            list.send_replace(parsed.collect());
-            // An event only says that it is time to list again.
-            let changes = store.watch(members::PREFIX, listing.revision, WAIT).await;
-            if changes.is_ok() {
-                continue;
-            }
-        }
-        time::sleep(PAUSE).await;
-    }
-}
--- a/laburnumcart_entry/src/lib.rs
+++ b/laburnumcart_entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod gossip;
 pub mod links;
+pub mod listing;
 pub mod members;
 pub mod metrics;
 pub mod peers;
--- a/laburnumcart_system/src/slopes.rs
+++ b/laburnumcart_system/src/slopes.rs
@@ -32,6 +32,8 @@
     Entry,
     /// Entry by agents in the list of instances.
     List,
+    /// Entry by entries in the list of instances, before services of few targets.
+    Peers,
     /// Agent by lanes of entries, with its calls of the object service.
     Agent,
     /// Both by teams in the bundle.
@@ -43,9 +45,10 @@
 }
 
 /// All sections in the order of the page.
-pub const SECTIONS: [Section; 6] = [
+pub const SECTIONS: [Section; 7] = [
     Section::Entry,
     Section::List,
+    Section::Peers,
     Section::Agent,
     Section::Bundle,
     Section::Facts,
@@ -119,6 +122,7 @@
         let tables = match section {
             Section::Entry => vec![idle::entries(window).await],
             Section::List => vec![idle::lists(window).await],
+            Section::Peers => vec![idle::peers(window).await],
             Section::Agent => vec![idle::agents(window).await],
             Section::Bundle => bundles::measure().await,
             Section::Facts => gossip::measure().await,
--- a/laburnumcart_system/src/slopes/idle.rs
+++ b/laburnumcart_system/src/slopes/idle.rs
@@ -27,6 +27,12 @@
 /// Services when the list is varied: the engines of four models.
 const MODELS: usize = 4;
 
+/// Entries in the list at each point.
+const PEERS: [usize; 4] = [1, 50, 150, 350];
+
+/// Services, and targets of each, when the entries in the list are varied.
+const SMALL: (usize, usize) = (12, 5);
+
 /// Lanes of entries at an agent at each point.
 const ENTRIES: [usize; 4] = [4, 16, 64, 256];
 
@@ -47,7 +53,7 @@
 pub async fn entries(window: time::Duration) -> fit::Table {
     let title = "Entry at rest, by lanes to agents (8 agents of each service)";
     let mut table = fit::Table::new(title, "lanes", &COLUMNS);
-    let points = LANES.map(|count| entry(count, count / GROUP, window));
+    let points = LANES.map(|count| entry(count, count / GROUP, 1, window));
     for (count, values) in LANES.iter().zip(future::join_all(points).await) {
         table.push(*count as f64, values);
     }
@@ -58,13 +64,25 @@
 pub async fn lists(window: time::Duration) -> fit::Table {
     let title = "Entry at rest, by agents in the list (four services)";
     let mut table = fit::Table::new(title, "agents", &COLUMNS);
-    let points = LISTED.map(|count| entry(count, MODELS, window));
+    let points = LISTED.map(|count| entry(count, MODELS, 1, window));
     for (count, values) in LISTED.iter().zip(future::join_all(points).await) {
         table.push(*count as f64, values);
     }
     table
 }
 
+/// Measures entries by the number of entries in the list, before services of few targets.
+pub async fn peers(window: time::Duration) -> fit::Table {
+    let title = "Entry at rest, by entries in the list (12 services with 5 agents each)";
+    let mut table = fit::Table::new(title, "entries", &COLUMNS);
+    let (services, targets) = SMALL;
+    let points = PEERS.map(|count| entry(services * targets, services, count, window));
+    for (count, values) in PEERS.iter().zip(future::join_all(points).await) {
+        table.push(*count as f64, values);
+    }
+    table
+}
+
 /// Measures agents by the number of lanes of entries to them.
 pub async fn agents(window: time::Duration) -> fit::Table {
     let title = "Agent at rest, by lanes of entries";
@@ -76,8 +94,8 @@
     table
 }
 
-/// Measures one entry before `count` agents of so many services.
-async fn entry(count: usize, services: usize, window: time::Duration) -> Vec<f64> {
+/// Measures one of `entries` entries before `count` agents of so many services.
+async fn entry(count: usize, services: usize, entries: usize, window: time::Duration) -> Vec<f64> {
     let names: Vec<_> = (0..services).map(|n| format!("service-{n}")).collect();
     let mut rig = rig::Rig::start(rig::bundle(&names, 10, "slopes")).await;
     let mut fakes = Vec::new();
@@ -97,6 +115,11 @@
             .await;
         fakes.push(fake);
     }
+    for number in 1..entries {
+        // Nothing listens there: entries call each other only for claims.
+        let (name, addr) = (format!("entry-{number}"), port::free());
+        rig.fleet.list(&name, rig::ZONE, "entry", None, addr).await;
+    }
     rig.fleet.add_entry(0).await;
     let callers = rig.fleet.entries[0].callers;
     let least = count.min(services * GROUP) as f64;
