Let idle heartbeats be rarer where many entries share few targets

Cause: every entry keeps lanes to all agents of a service with up to eight targets. At one heartbeat each 2 s a lane takes 186 B/s, 290 with TCP/IP headers, so 350 entries take 101 KB/s of each such agent's 23 KB/s; and with more than six services the least subset of eight of each takes an entry over its own share.

Ruled out: a smaller subset of small services, as an entry needs all of a few targets; a period that the agent asks for in its report, which is exact but a change of the protocol, while the list tells the entry the same to within its lag; a longer period for all lanes, as small fleets gain nothing from it.

Conclusion: period = lanes at the busier end x bytes of an exchange / 15 KB/s, 2 s to 20 s. With an attempt in flight a lane beats each second as before, so silence is found as soon where work depends on it. The price: a load report of an idle lane is up to 20 s old, and facts on such lanes take as long.

--- a/laburnumcart/src/subset.rs
+++ b/laburnumcart/src/subset.rs
@@ -46,6 +46,18 @@
     (exchanges / services.max(1) as f64) as usize
 }
 
+/// Returns the least period at which heartbeats with so many peers stay within a rate.
+///
+/// ```
+/// use laburnumcart::subset;
+///
+/// assert_eq!(subset::period(15_000, 350).as_millis(), 14_186);
+/// ```
+pub fn period(bytes: u64, peers: usize) -> time::Duration {
+    let exchanges = peers as f64 * EXCHANGE as f64;
+    time::Duration::from_secs_f64(exchanges / bytes.max(1) as f64)
+}
+
 /// Chooses at most `size` of the members for a process, by rendezvous hashing.
 ///
 /// A quarter is kept in other data centres where there are any, as the process would be left with
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::{
             AtomicU32,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -151,6 +152,8 @@
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
     seen: Arc<ArcSwapOption<Seen>>,
+    /// Milliseconds between two heartbeats without attempts in flight.
+    idle: Arc<AtomicU64>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -161,17 +164,20 @@
         let (link, _) = watch::channel(Link::Opening);
         let keeper = Keeper {
             addr,
+            idle: Arc::new(AtomicU64::new(millis(caller.timing.idle))),
             caller,
             link: link.clone(),
             seen: Arc::default(),
             running: Arc::default(),
         };
         let (seen, running) = (keeper.seen.clone(), keeper.running.clone());
+        let idle = keeper.idle.clone();
         let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
             running,
             seen,
+            idle,
             link,
             task: task.abort_handle(),
         })
@@ -207,6 +213,19 @@
         self.link.subscribe()
     }
 
+    /// Returns the time between two heartbeats without attempts in flight.
+    pub fn idle(&self) -> time::Duration {
+        time::Duration::from_millis(self.idle.load(Ordering::Relaxed))
+    }
+
+    /// Sets the time between two heartbeats without attempts in flight, from the next one on.
+    ///
+    /// With an attempt in flight heartbeats are sent at [`Timing::beat`] whatever this is, so that a
+    /// silent connection is found as soon as work depends on it.
+    pub fn set_idle(&self, period: time::Duration) {
+        self.idle.store(millis(period), Ordering::Relaxed);
+    }
+
     /// Counts an attempt in until the value is dropped.
     pub fn hold(self: &Arc<Self>) -> Held {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -214,6 +233,10 @@
     }
 }
 
+fn millis(period: time::Duration) -> u64 {
+    period.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
 impl Drop for Lane {
     fn drop(&mut self) {
         self.task.abort();
@@ -238,6 +261,7 @@
     link: watch::Sender<Link>,
     seen: Arc<ArcSwapOption<Seen>>,
     running: Arc<AtomicU32>,
+    idle: Arc<AtomicU64>,
 }
 
 impl Keeper {
@@ -323,7 +347,8 @@
                 return true;
             }
             let active = self.running.load(Ordering::Relaxed) > 0;
-            if active || begun.elapsed() >= timing.idle {
+            let idle = time::Duration::from_millis(self.idle.load(Ordering::Relaxed));
+            if active || begun.elapsed() >= idle {
                 return false;
             }
         }
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -7,7 +7,8 @@
 use std::{
     collections,
     net,
-    sync::Arc, //
+    sync::Arc,
+    time, //
 };
 
 use serde::{
@@ -29,6 +30,10 @@
 /// Bytes a second, both ways, for idle heartbeats; the rest of a process's share is for others.
 const BEAT_BYTES: u64 = 15_000;
 
+/// Longest time between two heartbeats on a lane without attempts in flight; a peer closes a
+/// connection that is silent for 30 s.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(20);
+
 /// Fewest agents of a service to keep lanes to.
 const SUBSET_MIN: usize = 8;
 
@@ -110,7 +115,11 @@
         let chosen = self.subset(list);
         for instance in &chosen {
             if let Some(service) = &instance.service {
-                self.open(instance, service);
+                let is_same = |i: &&&Instance| i.service.as_ref() == Some(service);
+                let kept = chosen.iter().filter(is_same).count();
+                let all = list.iter().filter(|i| is_same(&i)).count();
+                let idle = self.idle(chosen.len(), kept, all);
+                self.open(instance, service, idle);
             }
         }
         let agents = list.iter().filter(|i| i.role == Role::Agent);
@@ -151,7 +160,19 @@
         chosen
     }
 
-    fn open(&mut self, instance: &Instance, service: &id::ServiceName) {
+    /// Returns the time between two idle heartbeats on each of `lanes`, where `kept` of `all` agents
+    /// of a service are in the subset.
+    ///
+    /// A service of few targets is whole in the subset of every entry: at a fixed period of 2 s the
+    /// heartbeats of 350 entries take over 100 KB/s of each of its agents. Either end gets
+    /// [`BEAT_BYTES`], as far as the list tells how many entries share the agents.
+    fn idle(&self, lanes: usize, kept: usize, all: usize) -> time::Duration {
+        let there = (self.entries.len() * kept).div_ceil(all.max(1));
+        let period = subset::period(BEAT_BYTES, lanes.max(there));
+        period.min(IDLE_MAX).max(self.caller.timing.idle)
+    }
+
+    fn open(&mut self, instance: &Instance, service: &id::ServiceName, idle: time::Duration) {
         let (caller, runtime) = (&self.caller, &self.runtime);
         let member = self.lanes.entry(instance.addr).or_insert_with(|| Member {
             service: service.clone(),
@@ -160,6 +181,7 @@
         });
         member.service = service.clone();
         member.zone = instance.zone.clone();
+        member.lane.set_idle(idle);
     }
 
     /// Iterates over the agents.
--- /dev/null
+++ b/laburnumcart_entry/tests/members.rs
@@ -0,0 +1,78 @@
+//! Lanes to the agents that the platform lists.
+
+use std::{
+    sync::Arc,
+    time, //
+};
+
+use laburnumcart::id;
+use laburnumcart_daemon::{
+    bundle,
+    metrics, //
+};
+use laburnumcart_entry::{
+    gossip,
+    links,
+    members, //
+};
+use rstest::rstest;
+
+fn caller() -> links::Caller {
+    let feed = bundle::Feed::new(&metrics::Metrics::new());
+    links::Caller {
+        instance: "entry-0".parse().unwrap(),
+        incarnation: id::Incarnation::random(),
+        peer: ([127, 0, 0, 1], 1).into(),
+        gossip: Arc::new(gossip::Gossip::new(feed)),
+        breaks: Default::default(),
+        secret: "secret-of-the-fleet".parse().unwrap(),
+        timing: links::Timing::default(),
+    }
+}
+
+fn instance(role: members::Role, service: Option<String>, number: u16) -> members::Instance {
+    members::Instance {
+        name: format!("{role:?}-{number}").to_lowercase().parse().unwrap(),
+        zone: "dc-1".parse().unwrap(),
+        role,
+        service: service.map(|name| name.parse().unwrap()),
+        // Nothing listens there.
+        addr: ([127, 0, 0, 1], number).into(),
+        state: members::State::Live,
+    }
+}
+
+fn list(entries: u16, services: u16, targets: u16) -> Vec<members::Instance> {
+    let entries = (0..entries).map(|n| instance(members::Role::Entry, None, n + 1));
+    let agents = (0..services * targets).map(|n| {
+        let service = format!("service-{}", n % services);
+        instance(members::Role::Agent, Some(service), n + 1)
+    });
+    entries.chain(agents).collect()
+}
+
+// Every entry keeps lanes to all agents of a service with few targets. Nothing is lost, but the
+// heartbeats of a large fleet fill the network of those targets' instances. The period therefore
+// grows with the lanes at the busier end, and is that of before in a small fleet.
+#[rstest]
+#[case::small_fleet(5, 5, 4, 2_000)]
+#[case::many_entries_few_targets(350, 2, 5, 14_186)]
+#[case::many_entries_many_targets(350, 4, 160, 2_000)]
+#[case::many_services(1, 12, 8, 3_891)]
+#[case::bounded(2_000, 1, 3, 20_000)]
+#[tokio::test]
+async fn idle_period_follows_the_lanes(
+    #[case] entries: u16,
+    #[case] services: u16,
+    #[case] targets: u16,
+    #[case] millis: u64,
+) {
+    let zone = "dc-1".parse().unwrap();
+    let runtime = tokio::runtime::Handle::current();
+    let mut members = members::Members::new(caller(), zone, runtime);
+    members.apply(&list(entries, services, targets));
+    assert!(members.agents().count() > 0);
+    for member in members.agents() {
+        assert_eq!(member.lane.idle(), time::Duration::from_millis(millis));
+    }
+}
