--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -26,6 +26,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     unit, //
 };
 use laburnumcart_wire::{
@@ -83,6 +84,8 @@
     pub gossip: Arc<gossip::Gossip>,
     /// Counter of connections that were given up.
     pub breaks: Counter,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     /// Secret that is sent to agents.
     pub secret: secret::Secret,
     /// Periods.
@@ -142,6 +145,8 @@
     pub at: time::Instant,
     /// Attempts that this process had in flight there.
     pub own: u32,
+    /// Least round trip of a heartbeat lately, once one was answered on the connection.
+    pub trip: Option<time::Duration>,
 }
 
 /// The way to one agent.
@@ -151,6 +156,8 @@
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     seen: Arc<ArcSwapOption<Seen>>,
     /// Milliseconds between two heartbeats without attempts in flight.
     idle: Arc<AtomicU64>,
@@ -162,6 +169,7 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Opening);
+        let doubts = caller.doubts.clone();
         let keeper = Keeper {
             addr,
             idle: Arc::new(AtomicU64::new(millis(caller.timing.idle))),
@@ -176,6 +184,7 @@
         Arc::new(Self {
             addr,
             running,
+            doubts,
             seen,
             idle,
             link,
@@ -283,7 +292,7 @@
 
     /// Holds a connection until it ends or goes silent.
     async fn hold(&self, connection: Connection, report: agent::Report) {
-        self.note(report);
+        self.note(report, None);
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
@@ -292,12 +301,13 @@
         connection.closed.send_replace(true);
     }
 
-    fn note(&self, report: agent::Report) {
+    fn note(&self, report: agent::Report, trip: Option<time::Duration>) {
         self.caller.gossip.merge(&report.facts, self.addr);
         self.seen.store(Some(Arc::new(Seen {
             report,
             at: time::Instant::now(),
             own: self.running.load(Ordering::Relaxed),
+            trip,
         })));
     }
 
@@ -306,6 +316,7 @@
         let timing = &self.caller.timing;
         let mut sent = facts::Version::default();
         let mut missed = 0;
+        let mut trip = crossing::Trip::new(time::Instant::now());
         while missed < timing.missed {
             // A missed heartbeat is followed by the next at once, to know soon.
             if missed == 0 && self.rest(connection).await {
@@ -316,11 +327,13 @@
                 session: connection.session,
                 facts,
             };
+            let begun = time::Instant::now();
             match time::timeout(timing.answer, connection.client.beat(beat)).await {
                 // Another process answers at the same address.
                 Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
                 Ok(Ok(report)) => {
-                    self.note(report);
+                    trip.record(begun.elapsed(), time::Instant::now());
+                    self.note(report, trip.least());
                     sent = version;
                     missed = 0;
                 }
--- a/laburnumcart_entry/src/links/pull.rs
+++ b/laburnumcart_entry/src/links/pull.rs
@@ -287,6 +287,7 @@
             attempt: self.sent.id,
             from: self.joiner.next(),
         };
+        self.lane.doubts.inc();
         let client = self.connection.client();
         let progress = ask(&self.connection, client.query(query)).await?;
         // A question that comes late, over a connection that was replaced meanwhile, is itself
@@ -323,7 +324,12 @@
         }
         match progress.state {
             stage::State::Queued | stage::State::Running => Step::More(self, tail),
-            stage::State::Refused(refusal) => Step::Refused(self.sent.refused(refusal)),
+            stage::State::Refused(refusal) => {
+                // The agent keeps the verdict until it hears that it was received, and a stop of
+                // the agent would wait for that until its limit.
+                tokio::spawn(self.canceller().cancel());
+                Step::Refused(self.sent.refused(refusal))
+            }
             stage::State::Done(end) if self.joiner.next() < end.count => Step::More(self, tail),
             stage::State::Done(end) => match self.joiner.finish(&end) {
                 Ok(text) => Step::Whole(Whole { tail, text, end }),
