--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -7,8 +7,7 @@
 use std::{
     collections,
     net,
-    sync::Arc,
-    time, //
+    sync::Arc, //
 };
 
 use serde::{
@@ -171,9 +170,9 @@
         let chosen: Vec<_> = self.subset().into_iter().cloned().collect();
         for instance in &chosen {
             if let Some(service) = &instance.service {
-                let is_same = |i: &&&Instance| i.service.as_ref() == Some(service);
+                let is_same = |i: &&Instance| i.service.as_ref() == Some(service);
                 let kept = chosen.iter().filter(is_same).count();
-                let all = list.iter().filter(|i| is_same(&i)).count();
+                let all = self.agents.iter().filter(is_same).count();
                 let idle = self.idle(chosen.len(), kept, all);
                 self.open(instance, service, idle);
             }
--- a/laburnumcart_entry/tests/members.rs
+++ b/laburnumcart_entry/tests/members.rs
@@ -25,6 +25,7 @@
         peer: ([127, 0, 0, 1], 1).into(),
         gossip: Arc::new(gossip::Gossip::new(feed)),
         breaks: Default::default(),
+        doubts: Default::default(),
         secret: "secret-of-the-fleet".parse().unwrap(),
         timing: links::Timing::default(),
     }
