Follow the instances by the shared follower

Cause: the entry had a follower of its own for the platform's list. It listed all again after each event, took a stale listing for a new one, and paused 500 ms whatever the service asked for.

The follower of the object service's crate takes its place, with the wait of 30 s for one watch as before. What a caller sees is the same; a change now shows up to 0.5 s after the one before it.

--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -15,13 +15,17 @@
     facts,
     id,
     route::crossing,
-    suspects, //
+    suspects,
+    unit, //
 };
 use laburnumcart_daemon::{
     bundle,
     control, //
 };
-use laburnumcart_platform::store;
+use laburnumcart_platform::{
+    follow,
+    store, //
+};
 use laburnumcart_wire::secret;
 
 use crate::{
@@ -35,11 +39,8 @@
 /// Time between two views; a load report is older than that anyway.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
-/// Longest wait of one watch.
-const WAIT: time::Duration = time::Duration::from_secs(30);
-
-/// Pause after a failed call of the object service.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
+/// Longest wait of one watch of the instances; each counts as a call of the object service.
+const WAIT: unit::Period = unit::Period::from_secs(30);
 
 /// What the control thread starts from.
 #[derive(Debug)]
@@ -62,8 +63,12 @@
 }
 
 async fn run<S: store::Store + Clone>(start: Start<S>) {
-    let (list, instances) = watch::channel(Vec::new());
-    tokio::task::spawn_local(follow(start.store.clone(), list));
+    let settings = follow::Settings {
+        wait: WAIT,
+        ..follow::Settings::default()
+    };
+    let (follower, instances) = follow::follower(start.store.clone(), members::PREFIX, settings);
+    tokio::task::spawn_local(follower.run());
     let feed = start.entry.gossip.feed().clone();
     let rpc = bundle::Rpc::new(start.secret);
     tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
@@ -97,7 +102,7 @@
 }
 
 impl Control {
-    async fn run(mut self, mut instances: watch::Receiver<Vec<members::Instance>>) {
+    async fn run(mut self, mut instances: watch::Receiver<Arc<follow::Snapshot>>) {
         let mut bundles = self.entry.gossip.feed().changes();
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -105,7 +110,10 @@
             tokio::select! {
                 _ = ticks.tick() => {}
                 Ok(()) = bundles.changed() => self.adopt(),
-                Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
+                Ok(()) = instances.changed() => {
+                    let list = members::parse(&instances.borrow_and_update());
+                    self.list(&list);
+                }
             }
             self.members.refresh();
             self.derive();
@@ -193,20 +201,3 @@
         }
     }
 }
-
-/// Follows the platform's list of instances.
-async fn follow<S: store::Store>(store: S, list: watch::Sender<Vec<members::Instance>>) {
-    loop {
-        if let Ok(listing) = store.list(members::PREFIX).await {
-            let values = listing.objects.iter();
-            let parsed = values.filter_map(|o| serde_json::from_str(&o.value).ok());
-            list.send_replace(parsed.collect());
-            // An event only says that it is time to list again.
-            let changes = store.watch(members::PREFIX, listing.revision, WAIT).await;
-            if changes.is_ok() {
-                continue;
-            }
-        }
-        time::sleep(PAUSE).await;
-    }
-}
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -23,6 +23,7 @@
     id,
     subset, //
 };
+use laburnumcart_platform::follow;
 
 use crate::links;
 
@@ -75,6 +76,13 @@
     pub state: State,
 }
 
+/// Reads the platform's list; what cannot be read is left out, lest one value hide all others.
+pub fn parse(snapshot: &follow::Snapshot) -> Vec<Instance> {
+    let values = snapshot.objects.values();
+    let parsed = values.filter_map(|object| serde_json::from_str(&object.value).ok());
+    parsed.collect()
+}
+
 /// Lanes to the agents that are or were listed.
 #[derive(Debug)]
 pub struct Members {
