Forget the estimates of stages that are gone

Cause: the times of each stage were kept for ever. The new test failed before: the expected time of a pipeline that a bundle had taken out was still 20 ms.

A new generation now forgets the stages, and the budgets of services, that it has no more.

--- a/laburnumcart/src/estimate.rs
+++ b/laburnumcart/src/estimate.rs
@@ -73,6 +73,11 @@
             .record(elapsed, now);
     }
 
+    /// Forgets the stages that are not kept.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K) -> bool) {
+        self.samples.retain(|stage, _| keep(stage));
+    }
+
     /// Returns a quantile of a stage's time, once enough was measured.
     pub fn quantile(&self, stage: &K, quantile: f64, now: Instant) -> Option<time::Duration> {
         self.samples.get(stage)?.quantile(quantile, now)
--- a/laburnumcart_entry/src/policy.rs
+++ b/laburnumcart_entry/src/policy.rs
@@ -121,16 +121,29 @@
         })
     }
 
-    /// Forgets the teams and pipelines that a new bundle has no more.
+    /// Forgets the teams, stages and services that a new bundle has no more.
+    ///
+    /// A stage's samples take tens of kilobytes. A request of an older generation may bring a few
+    /// back, which the next bundle's turn takes away.
     pub fn prune(&self, bundle: &bundle::Bundle) {
         let mut state = self.lock();
-        let pipelines = &bundle.pipelines;
-        state
-            .since
-            .retain(|(name, _), _| pipelines.contains_key(name));
         let State {
-            teams, admission, ..
+            teams,
+            admission,
+            services,
+            busy,
+            elapsed,
+            since,
+            ..
         } = &mut *state;
+        let is_known = |(pipeline, stage): &Key| {
+            let pipeline = bundle.pipelines.get(pipeline);
+            pipeline.is_some_and(|p| p.stages.iter().any(|s| s.name == *stage))
+        };
+        since.retain(|key, _| is_known(key));
+        busy.retain(&is_known);
+        elapsed.retain(is_known);
+        services.retain(|service, _| bundle.services.contains_key(service));
         teams.retain(|team, key| {
             let kept = bundle.teams.contains_key(team);
             if !kept {
--- a/laburnumcart_entry/tests/it/policy.rs
+++ b/laburnumcart_entry/tests/it/policy.rs
@@ -83,3 +83,19 @@
     assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
     assert!(refusal.retry.is_some());
 }
+
+// A pipeline goes away with one bundle and a new one of the same name comes with the next. Refusals
+// are judged by what the new one takes, and nothing of the old one is kept.
+#[tokio::test(start_paused = true)]
+async fn gone_stages_are_forgotten() {
+    let head = head(0.05, "5ms");
+    let policy = measured(&head).await;
+    let rest = |index| policy.rest(&head, index);
+    policy.prune(&head.rules.bundle);
+    assert!(rest(0) > time::Duration::ZERO, "still there");
+    let mut without = bench::bundle();
+    without.pipelines.remove(&head.pipeline);
+    policy.prune(&without);
+    assert_eq!(rest(0), time::Duration::ZERO);
+    assert!(policy.admit(&head).is_ok());
+}
