--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -18,15 +18,16 @@
     bundle,
     event,
     metrics,
+    peer,
     process as usage,
     stop,
     traces, //
 };
-use laburnumcart_platform::client;
-use laburnumcart_wire::{
-    entry::EntryServer,
-    peer, //
+use laburnumcart_platform::{
+    budget,
+    client, //
 };
+use laburnumcart_wire::entry::EntryServer;
 
 use crate::{
     callers,
@@ -45,6 +46,14 @@
 /// Longest wait for the last bytes of answers after the requests have ended.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
+/// Calls a second of the object service unless the settings say otherwise.
+///
+/// Claims take most: the log of one shard costs up to two writes a batch.
+const STORE_RATES: budget::Rates = budget::Rates {
+    reads: unit::Rate(100.0),
+    writes: unit::Rate(150.0),
+};
+
 /// Longest wait of a call for this process's share of the object service's rates.
 const STORE_PATIENCE: unit::Period = unit::Period::from_millis(500);
 
@@ -94,20 +103,15 @@
     metrics: metrics::Metrics,
     running: stop::Running,
     callers: net::TcpListener,
-    peer: net::TcpListener,
+    listener: net::TcpListener,
 ) -> io::Result<process::ExitCode> {
     let mut signals = stop::Signals::listen()?;
-    let _traces = trace(&settings)?;
+    let _traces = traces::launch("laburnum-entry", &settings.instance, &settings.telemetry);
     usage::register(&metrics);
     entry.metrics.register(&metrics);
     start_control(&settings, &entry, &metrics)?;
     let methods = peers::Peers::new(entry.clone()).into_rpc();
-    let peers = peer::serve(
-        peer,
-        &settings.fleet.secrets,
-        methods,
-        &peer::Limits::default(),
-    )?;
+    let peers = peer::serve(listener, &settings.fleet, methods, &metrics)?;
     let mut server = callers::serve(entry.clone(), metrics, callers, threads())?;
     let handle = server.handle()?;
     let server = tokio::spawn(server);
@@ -148,6 +152,7 @@
     metrics: &metrics::Metrics,
 ) -> io::Result<()> {
     let store = client::Client::builder([settings.platform.address])
+        .rates(settings.platform.rates(STORE_RATES))
         .patience(STORE_PATIENCE)
         .build();
     let store = store.map_err(io::Error::other)?;
@@ -168,6 +173,7 @@
         peer: settings.peer,
         gossip: entry.gossip.clone(),
         breaks: entry.metrics.breaks.clone(),
+        doubts: entry.metrics.doubts.clone(),
         secret: secret.clone(),
         timing: links::Timing::default(),
     };
@@ -181,11 +187,3 @@
     };
     control::thread::start(start).map(|_| ())
 }
-
-fn trace(settings: &settings::Settings) -> io::Result<Option<traces::Traces>> {
-    let Some(collector) = settings.telemetry.traces else {
-        return Ok(None);
-    };
-    let started = traces::start("laburnum-entry", &settings.instance, collector);
-    started.map(Some).map_err(io::Error::other)
-}
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -1,5 +1,10 @@
 //! A whole system of separate processes on loopback.
 
+mod call;
+mod directory;
+pub mod faults;
+mod plan;
+
 use std::{
     fs,
     net,
@@ -16,84 +21,24 @@
     http,
     port,
     process,
+    relay,
     wait, //
 };
 
+pub use self::{
+    call::Call,
+    plan::{
+        Plan,
+        Service, //
+    },
+};
+
 /// Secret that the fleet's processes share.
 pub const SECRET: &str = "fleet-secret-for-tests-only-0123456789";
 
 /// Data centres that targets and entries are spread over.
 pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
-/// One service and its stand-in targets.
-#[derive(Clone, Debug)]
-pub struct Service {
-    /// Name in the bundle.
-    pub name: &'static str,
-    /// `engine` or `pool`.
-    pub kind: &'static str,
-    /// Number of targets.
-    pub targets: usize,
-    /// More arguments for each stand-in.
-    pub args: Vec<&'static str>,
-}
-
-impl Service {
-    /// Describes a service.
-    pub fn new(name: &'static str, kind: &'static str, targets: usize) -> Self {
-        Self {
-            name,
-            kind,
-            targets,
-            args: Vec::new(),
-        }
-    }
-
-    /// Adds arguments for each stand-in.
-    #[must_use]
-    pub fn args(mut self, args: &[&'static str]) -> Self {
-        self.args.extend(args);
-        self
-    }
-}
-
-/// What to start.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    entries: usize,
-    services: Vec<Service>,
-    bundle: Value,
-    store: Vec<&'static str>,
-    stop: &'static str,
-}
-
-impl Plan {
-    /// Plans two entries, the given services and a bundle.
-    pub fn new(services: Vec<Service>, bundle: Value) -> Self {
-        Self {
-            entries: 2,
-            services,
-            bundle,
-            store: Vec::new(),
-            stop: "20s",
-        }
-    }
-
-    /// Sets the number of entries.
-    #[must_use]
-    pub fn entries(mut self, count: usize) -> Self {
-        self.entries = count;
-        self
-    }
-
-    /// Adds arguments for the stand-in of the object service.
-    #[must_use]
-    pub fn store(mut self, args: &[&'static str]) -> Self {
-        self.store.extend(args);
-        self
-    }
-}
-
 /// One target with its agent.
 #[derive(Debug)]
 pub struct Node {
@@ -111,6 +56,10 @@
     pub target: process::Process,
     /// The agent.
     pub agent: process::Process,
+    /// Between the entries and the agent, if planned.
+    relay: Option<relay::Relay>,
+    /// Arguments of the stand-in.
+    args: Vec<String>,
 }
 
 /// One entry.
@@ -129,7 +78,7 @@
 /// A running system; everything ends when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
-    dir: Directory,
+    dir: directory::Directory,
     plan: Plan,
     /// Address of the object service.
     pub store_addr: net::SocketAddr,
@@ -144,33 +93,18 @@
     key: Value,
 }
 
-/// A temporary folder that is removed when dropped, unless the test panics.
-#[derive(Debug)]
-struct Directory(path::PathBuf);
-
-impl Directory {
-    fn new() -> Self {
-        let name = format!("laburnumcart-{:016x}", rand::random::<u64>());
-        let path = std::env::temp_dir().join(name);
-        fs::create_dir_all(&path).expect("temporary folder");
-        Self(path)
-    }
-}
-
-impl Drop for Directory {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            eprintln!("logs of the processes are kept in {}", self.0.display());
-        } else {
-            let _ = fs::remove_dir_all(&self.0);
-        }
-    }
-}
-
 impl Fleet {
     /// Starts all processes, accepts the bundle and waits until every one is ready.
     pub async fn start(plan: Plan) -> Self {
-        let dir = Directory::new();
+        let fleet = Self::launch(plan).await;
+        fleet.accept(&fleet.plan.bundle);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts all processes without a bundle and waits until every one answers.
+    pub async fn launch(plan: Plan) -> Self {
+        let dir = directory::Directory::new();
         let http = http::Client::default();
         let store_addr = port::free();
         let mut args = vec!["--listen".into(), store_addr.to_string()];
@@ -196,13 +130,19 @@
         for number in 0..plan.entries {
             fleet.add_entry(number).await;
         }
-        fleet.accept(&plan.bundle);
-        fleet.wait_ready().await;
+        for node in &fleet.nodes {
+            fleet.wait_page(&node.name, node.admin, "/healthz").await;
+        }
+        for entry in &fleet.entries {
+            fleet
+                .wait_page(&entry.name, entry.callers, "/healthz")
+                .await;
+        }
         fleet
     }
 
     /// Starts a target and its agent.
-    async fn add_node(&mut self, service: &Service, number: usize) {
+    pub async fn add_node(&mut self, service: &Service, number: usize) {
         let name = format!("{}-{number}", service.name);
         let zone = ZONES[number % ZONES.len()];
         let target_addr = port::free();
@@ -227,11 +167,16 @@
             },
             "fleet": self.fleet_settings(&[]),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let agent = self.daemon(&format!("agent-{name}"), "laburnum-agent", &settings);
-        self.list(&name, zone, "agent", Some(service.name), peer)
+        let relay = match self.plan.relays {
+            true => relay::Relay::start(port::free(), peer).await.ok(),
+            false => None,
+        };
+        let listed = relay.as_ref().map_or(peer, relay::Relay::addr);
+        self.list(&name, zone, "agent", Some(service.name), listed)
             .await;
         self.nodes.push(Node {
             name,
@@ -241,11 +186,13 @@
             admin,
             target,
             agent,
+            relay,
+            args,
         });
     }
 
     /// Starts an entry.
-    async fn add_entry(&mut self, number: usize) {
+    pub async fn add_entry(&mut self, number: usize) {
         let name = format!("entry-{number}");
         let zone = ZONES[number % ZONES.len()];
         let (callers, peer) = (port::free(), port::free());
@@ -257,7 +204,7 @@
             "peer": peer.to_string(),
             "fleet": self.fleet_settings(&peers),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let process = self.daemon(&name, "laburnum-entry", &settings);
@@ -353,9 +300,21 @@
         }
         for entry in &self.entries {
             self.wait_page(&entry.name, entry.callers, "/readyz").await;
+            self.wait_lanes(entry).await;
         }
     }
 
+    /// Waits until an entry has a connection to every agent.
+    async fn wait_lanes(&self, entry: &Entry) {
+        let wanted = format!("laburnum_entry_lanes {}", self.nodes.len());
+        wait::until(&format!("{} {wanted}", entry.name), || async {
+            let page = self.http.get(entry.callers, "/metrics").await.ok()?;
+            let mut lines = page.body.lines();
+            lines.any(|line| line == wanted).then_some(())
+        })
+        .await;
+    }
+
     /// Returns the peer addresses of all daemons.
     pub fn peers(&self) -> Vec<net::SocketAddr> {
         let agents = self.nodes.iter().map(|node| node.peer);
@@ -426,62 +385,6 @@
     }
 }
 
-/// One request of a caller.
-#[derive(Clone, Debug)]
-pub struct Call<'a> {
-    /// Pipeline to run.
-    pub pipeline: &'a str,
-    /// Bearer token.
-    pub token: &'a str,
-    /// JSON body.
-    pub body: Value,
-    /// Idempotency key.
-    pub key: Option<String>,
-    /// Whether the answer is wanted as a stream of events.
-    pub events: bool,
-}
-
-impl<'a> Call<'a> {
-    /// Describes a request with a JSON answer and no key.
-    pub fn new(pipeline: &'a str, token: &'a str, body: Value) -> Self {
-        Self {
-            pipeline,
-            token,
-            body,
-            key: None,
-            events: false,
-        }
-    }
-
-    /// Sets the idempotency key.
-    #[must_use]
-    pub fn key(mut self, key: impl Into<String>) -> Self {
-        self.key = Some(key.into());
-        self
-    }
-
-    /// Asks for a stream of events.
-    #[must_use]
-    pub fn events(mut self) -> Self {
-        self.events = true;
-        self
-    }
-
-    fn request(&self, addr: net::SocketAddr) -> hyper::Request<String> {
-        let uri = format!("http://{addr}/v1/pipelines/{}", self.pipeline);
-        let mut request = hyper::Request::post(uri)
-            .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.token));
-        if let Some(key) = &self.key {
-            request = request.header("idempotency-key", key);
-        }
-        if self.events {
-            request = request.header("accept", "text/event-stream");
-        }
-        request.body(self.body.to_string()).expect("request")
-    }
-}
-
 /// Has `laburnumctl` generate a signing key and returns it.
 fn generate_key(dir: &path::Path) -> Value {
     let output = Command::new(process::binary("laburnumctl"))
