--- a/laburnumcart_entry/tests/it/members.rs
+++ b/laburnumcart_entry/tests/it/members.rs
@@ -39,6 +39,7 @@
             peer: identity.peer,
             gossip: bench.entry.gossip.clone(),
             breaks: bench.entry.metrics.breaks.clone(),
+            doubts: bench.entry.metrics.doubts.clone(),
             secret: bench::SECRET.parse().unwrap(),
             timing: bench::timing(),
         };
