Show attainment, shares and cost by stage

Cause: requests that were refused at the door for lack of room or time counted for no team, so that a team that got nothing looked well. The share that a team was promised was shown nowhere, and nobody counted the time of targets that led to no answer.

Entries now count such refusals for their team, show each team's promised share and the time spent for it, and part the time of results by whether the request was answered whole and in time. Agents count the time of their target by stage, that without a whole result apart. Labels are capped as before; stages at 64.

Ruled out: the time of failed attempts at the entry, which knows only when they were sent and includes their wait; labels of team and stage together, which multiply.

--- a/laburnumcart_agent/src/counters.rs
+++ b/laburnumcart_agent/src/counters.rs
@@ -1,9 +1,20 @@
 //! Counters of an agent.
 
-use laburnumcart::verdict;
+use std::{
+    sync::atomic,
+    time, //
+};
+
+use laburnumcart::{
+    id,
+    verdict, //
+};
 use laburnumcart_daemon::metrics;
 use prometheus_client::{
-    encoding::EncodeLabelSet,
+    encoding::{
+        EncodeLabelSet,
+        EncodeLabelValue, //
+    },
     metrics::{
         counter,
         family,
@@ -21,8 +32,27 @@
     pub verdict: metrics::Label<verdict::Verdict>,
 }
 
+/// What the time that the target spent on an attempt led to.
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+pub enum Spent {
+    /// A whole result.
+    Whole,
+    /// None: it failed, was cancelled, or ran out of time.
+    Wasted,
+}
+
+/// Labels of the time that the target spent.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Busy {
+    stage: metrics::Name,
+    spent: Spent,
+}
+
+/// Most stages that have series of their own.
+const STAGES_MAX: usize = 64;
+
 /// Counters and gauges of an agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Counters {
     /// Attempts that were admitted.
     pub admitted: counter::Counter,
@@ -30,6 +60,9 @@
     pub done: counter::Counter,
     /// Attempts that were refused or failed.
     pub refused: family::Family<Refused, counter::Counter>,
+    /// Time that the target spent, by stage.
+    busy: family::Family<Busy, counter::Counter<f64, atomic::AtomicU64>>,
+    stages: metrics::Names,
     /// Queries about attempts that were in doubt.
     pub queries: counter::Counter,
     /// Calls over fenced sessions.
@@ -48,6 +81,26 @@
     pub limit: gauge::Gauge,
 }
 
+impl Default for Counters {
+    fn default() -> Self {
+        Self {
+            admitted: counter::Counter::default(),
+            done: counter::Counter::default(),
+            refused: family::Family::default(),
+            busy: family::Family::default(),
+            stages: metrics::Names::new(STAGES_MAX),
+            queries: counter::Counter::default(),
+            fenced: counter::Counter::default(),
+            crashes: counter::Counter::default(),
+            orders: counter::Counter::default(),
+            news_dropped: counter::Counter::default(),
+            running: gauge::Gauge::default(),
+            queued: gauge::Gauge::default(),
+            limit: gauge::Gauge::default(),
+        }
+    }
+}
+
 impl Counters {
     /// Creates the counters and registers them.
     pub fn new(metrics: &metrics::Metrics) -> Self {
@@ -65,6 +118,13 @@
         self.refused.get_or_create(&labels).inc();
     }
 
+    /// Adds the time that the target spent on an attempt.
+    pub fn spend(&self, stage: &id::StageName, spent: Spent, busy: time::Duration) {
+        let stage = self.stages.label(stage.as_str());
+        let counter = self.busy.get_or_create(&Busy { stage, spent });
+        counter.inc_by(busy.as_secs_f64());
+    }
+
     fn register(&self, registry: &mut registry::Registry) {
         let counters = [
             ("admitted", "Attempts admitted", &self.admitted),
@@ -88,5 +148,7 @@
         }
         let help = "Attempts refused or failed";
         registry.register("refused", help, self.refused.clone());
+        let help = "Time that the target spent on a stage";
+        registry.register("stage_busy_seconds", help, self.busy.clone());
     }
 }
--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -11,6 +11,7 @@
 use tracing::Instrument;
 
 use crate::{
+    counters,
     job,
     shared,
     target::run, //
@@ -45,13 +46,25 @@
         stage = %call.stage,
     );
     traces::join(&span, came.as_ref());
+    let begun = time::Instant::now();
     let outcome = attempt(&shared, &job, came).instrument(span).await;
     let now = time::Instant::now();
+    spend(&shared, &job, outcome, now - begun);
     shared.work().end(&job, outcome, now);
     report(&shared, &job, outcome, now);
     pump(&shared);
 }
 
+/// Counts the time that the target spent; what it refused cost it nothing.
+fn spend(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, busy: time::Duration) {
+    let spent = match outcome {
+        job::Outcome::Whole => counters::Spent::Whole,
+        job::Outcome::MayHaveRun(_) => counters::Spent::Wasted,
+        job::Outcome::NotRun(..) => return,
+    };
+    shared.counters.spend(&job.call.stage, spent, busy);
+}
+
 /// Counts an outcome and tells the control thread what concerns it.
 fn report(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, now: time::Instant) {
     let refusal = match outcome {
--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! An agent over real connections, with a target that fails as each test says.
 
+mod counters;
 mod doubt;
 mod fixture;
 mod phases;
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -171,7 +171,14 @@
             let driven = driver::start(entry, request, admitted, work);
             answer(ctx, id, driven).await
         }
-        Err(refusal) => refuse(ctx, refusal, Some(id), None),
+        Err(refusal) => {
+            // Without these, a team whose requests are all refused at the door would look well.
+            let head = &request.head;
+            let (ended, took) = (refusal.verdict.into(), head.arrived.elapsed());
+            let metrics = &entry.metrics;
+            metrics.request(&head.team, &head.pipeline, ended, took);
+            refuse(ctx, refusal, Some(id), None)
+        }
     }
 }
 
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -127,6 +127,7 @@
             return;
         };
         self.entry.policy.prune(&current.bundle);
+        self.entry.metrics.cost.promise(&current.bundle);
         if let Some(claims) = self.entry.claims() {
             claims.set_shards(current.bundle.claims.shards);
         }
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -21,7 +21,10 @@
 use crate::{
     claimed,
     entry,
-    metrics,
+    metrics::{
+        self,
+        cost, //
+    },
     policy,
     request, //
 };
@@ -161,6 +164,14 @@
         let took = head.arrived.elapsed();
         let metrics = &self.entry.metrics;
         metrics.request(&head.team, &head.pipeline, ended, took);
+        let spent = match ended {
+            metrics::Ended::Whole => cost::Spent::Useful,
+            _ => cost::Spent::Wasted,
+        };
+        for account in &self.accounts {
+            let cost = &metrics.cost;
+            cost.add(&head.team, &account.name, spent, account.busy);
+        }
     }
 
     /// Widens the verdict on one stage to the whole request and says when to come again.
--- a/laburnumcart_entry/src/metrics.rs
+++ b/laburnumcart_entry/src/metrics.rs
@@ -23,6 +23,8 @@
 use laburnumcart_daemon::metrics;
 use laburnumcart_wire::stage;
 
+pub mod cost;
+
 /// Most teams, pipelines and services that have series of their own.
 const TEAMS_MAX: usize = 256;
 const PIPELINES_MAX: usize = 64;
@@ -96,6 +98,8 @@
     attempts: Family<Attempt, Counter>,
     busy: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
     queued: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
+    /// Seconds of targets by team and stage.
+    pub cost: cost::Cost,
     /// Second attempts beside slow ones.
     pub hedges: Counter,
     /// Connections to agents that were given up.
@@ -110,8 +114,10 @@
 
 impl Default for Metrics {
     fn default() -> Self {
+        let teams = Arc::new(metrics::Names::new(TEAMS_MAX));
         Self {
-            teams: Arc::new(metrics::Names::new(TEAMS_MAX)),
+            cost: cost::Cost::new(teams.clone()),
+            teams,
             pipelines: Arc::new(metrics::Names::new(PIPELINES_MAX)),
             services: Arc::new(metrics::Names::new(SERVICES_MAX)),
             requests: Family::default(),
@@ -151,6 +157,7 @@
                 "Time that whole results waited at agents",
                 self.queued.clone(),
             );
+            self.cost.register(r);
             r.register("hedges", "Second attempts", self.hedges.clone());
             r.register("lane_breaks", "Connections given up", self.breaks.clone());
             r.register("doubts", "Questions about attempts", self.doubts.clone());
@@ -159,7 +166,7 @@
         });
     }
 
-    /// Counts the end of an admitted request.
+    /// Counts the end of a request of a known team.
     pub fn request(
         &self,
         team: &id::TeamName,
--- a/laburnumcart_entry/tests/it/requests.rs
+++ b/laburnumcart_entry/tests/it/requests.rs
@@ -50,6 +50,8 @@
         "laburnum_entry_requests_total{team=\"araya\",pipeline=\"report\",ended=\"Whole\"} 1",
         "laburnum_entry_attempts_total{service=\"engine\",ended=\"Whole\"} 1",
         "laburnum_entry_stage_busy_seconds_total{service=\"pool\"} 0.001",
+        "laburnum_entry_request_busy_seconds_total{stage=\"encode\",spent=\"Useful\"} 0.001",
+        "laburnum_entry_team_busy_seconds_total{team=\"araya\"} 0.002",
     ] {
         assert!(page.body.contains(line), "{line} in {}", page.body);
     }
@@ -238,3 +240,33 @@
         seen.extend(own);
     }
 }
+
+// A team asks for more than can be done in time, and is refused at the door, before anything ran. The
+// team's attainment must show it, or the operators would see a promise kept that was not.
+#[tokio::test]
+async fn refusals_at_the_door_count_for_the_team() {
+    let (bench, addr, _agents) = start().await;
+    let rules = bench.entry.view.load().rules.clone().unwrap();
+    let asked = laburnumcart_entry::request::Asked {
+        pipeline: "report".to_owned(),
+        token: Some(bench::TOKEN.to_owned()),
+        ..Default::default()
+    };
+    let now = tokio::time::Instant::now();
+    let head = laburnumcart_entry::request::Head::check(asked, rules.clone(), now).unwrap();
+    let slow = std::time::Duration::from_secs(60);
+    for _ in 0..30 {
+        let stage = &head.stages().stages[0].name;
+        bench.entry.policy.took(&head, stage, slow, slow);
+    }
+    let reply = bench::http(addr, "POST /v1/pipelines/report", &[BEARER], "{}").await;
+    assert!(reply.body.contains("deadline-too-short"), "{}", reply.body);
+    bench.entry.metrics.cost.promise(&rules.bundle);
+    let page = bench::http(addr, "GET /metrics", &[], "").await;
+    for line in [
+        "laburnum_entry_requests_total{team=\"araya\",pipeline=\"report\",ended=\"NotRun\"} 1",
+        "laburnum_entry_team_share{team=\"araya\"} 1.0",
+    ] {
+        assert!(page.body.contains(line), "{line} in {}", page.body);
+    }
+}
