--- a/laburnumcart_entry/src/driver/place.rs
+++ b/laburnumcart_entry/src/driver/place.rs
@@ -4,6 +4,7 @@
 use tokio::time;
 
 use laburnumcart::{
+    bundle,
     suspects,
     verdict, //
 };
@@ -71,7 +72,12 @@
     pub(super) fn choose(&self, tries: &Tries<'_>) -> Option<routes::Chosen> {
         let view = self.entry.view.load();
         let routes = view.routes.get(&tries.stage.service)?;
-        routes.choose(&tries.tried, None)
+        // Pools keep nothing of a prompt, so that affinity would only take their balance away.
+        let prefix = self
+            .request
+            .prefix
+            .filter(|_| tries.kind == bundle::Kind::Engine);
+        routes.choose(&tries.tried, prefix)
     }
 
     /// Hears of the crash that may have ended an attempt, and tells all agents of the service.
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -1,13 +1,15 @@
 //! Lanes to agents: one connection at a time, watched by heartbeats and replaced when it fails.
 
+mod ear;
 pub mod pull;
 
 use std::{
     net,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{
             AtomicU32,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -25,6 +27,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     unit, //
 };
 use laburnumcart_wire::{
@@ -82,6 +85,8 @@
     pub gossip: Arc<gossip::Gossip>,
     /// Counter of connections that were given up.
     pub breaks: Counter,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     /// Secret that is sent to agents.
     pub secret: secret::Secret,
     /// Periods.
@@ -111,6 +116,7 @@
     pub incarnation: id::Incarnation,
     client: peer::Client,
     closed: watch::Sender<bool>,
+    trip: Mutex<crossing::Trip>,
 }
 
 impl Connection {
@@ -119,6 +125,13 @@
         &self.client
     }
 
+    /// Takes in a round trip and returns the least one lately.
+    fn record(&self, elapsed: time::Duration) -> Option<time::Duration> {
+        let mut trip = self.trip.lock().unwrap_or_else(PoisonError::into_inner);
+        trip.record(elapsed, time::Instant::now());
+        trip.least()
+    }
+
     /// Returns whether the connection was given up.
     pub fn is_closed(&self) -> bool {
         *self.closed.borrow() || !self.client.is_connected()
@@ -141,6 +154,8 @@
     pub at: time::Instant,
     /// Attempts that this process had in flight there.
     pub own: u32,
+    /// Least round trip of a heartbeat lately, once one was answered on the connection.
+    pub trip: Option<time::Duration>,
 }
 
 /// The way to one agent.
@@ -150,7 +165,11 @@
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
-    ear: Arc<Ear>,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
+    ear: Arc<ear::Ear>,
+    /// Milliseconds between two heartbeats without attempts in flight.
+    idle: Arc<AtomicU64>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -159,24 +178,30 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Opening);
-        let ear = Arc::new(Ear {
+        let ear = Arc::new(ear::Ear {
             addr,
+            peer: caller.peer,
             answer: caller.timing.answer,
             gossip: caller.gossip.clone(),
             seen: ArcSwapOption::empty(),
             running: Arc::default(),
         });
+        let doubts = caller.doubts.clone();
         let keeper = Keeper {
             addr,
+            idle: Arc::new(AtomicU64::new(millis(caller.timing.idle))),
             caller,
             link: link.clone(),
             ear: ear.clone(),
         };
+        let idle = keeper.idle.clone();
         let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
             running: ear.running.clone(),
+            doubts,
             ear,
+            idle,
             link,
             task: task.abort_handle(),
         })
@@ -200,6 +225,7 @@
         };
         let beat = agent::Beat {
             session: connection.session,
+            peer: Some(self.ear.peer),
             facts: Some(self.ear.gossip.all()),
         };
         self.ear.beat(&connection, beat).await;
@@ -227,6 +253,19 @@
         self.link.subscribe()
     }
 
+    /// Returns the time between two heartbeats without attempts in flight.
+    pub fn idle(&self) -> time::Duration {
+        time::Duration::from_millis(self.idle.load(Ordering::Relaxed))
+    }
+
+    /// Sets the time between two heartbeats without attempts in flight, from the next one on.
+    ///
+    /// With an attempt in flight heartbeats are sent at [`Timing::beat`] whatever this is, so that a
+    /// silent connection is found as soon as work depends on it.
+    pub fn set_idle(&self, period: time::Duration) {
+        self.idle.store(millis(period), Ordering::Relaxed);
+    }
+
     /// Counts an attempt in until the value is dropped.
     pub fn hold(self: &Arc<Self>) -> Held {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -234,6 +273,10 @@
     }
 }
 
+fn millis(period: time::Duration) -> u64 {
+    period.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
 impl Drop for Lane {
     fn drop(&mut self) {
         self.task.abort();
@@ -250,74 +293,14 @@
     }
 }
 
-/// Takes in an agent's reports.
-#[derive(Debug)]
-struct Ear {
-    addr: net::SocketAddr,
-    /// Time after which a heartbeat counts as missed.
-    answer: time::Duration,
-    gossip: Arc<gossip::Gossip>,
-    seen: ArcSwapOption<Seen>,
-    running: Arc<AtomicU32>,
-}
-
-/// What came of a heartbeat.
-enum Heard {
-    /// The agent has answered.
-    Live,
-    /// No answer came in time.
-    Missed,
-    /// The connection is of no use any more.
-    Ended,
-}
-
-impl Ear {
-    fn note(&self, report: agent::Report) {
-        self.gossip.merge(&report.facts, self.addr);
-        self.seen.store(Some(Arc::new(Seen {
-            report,
-            at: time::Instant::now(),
-            own: self.running.load(Ordering::Relaxed),
-        })));
-    }
-
-    /// Sends a heartbeat and takes in its answer, also when that comes late.
-    ///
-    /// An agent sends each fact once over a connection. Were a late answer dropped, its facts would
-    /// not be known here before the next connection.
-    async fn beat(self: &Arc<Self>, connection: &Arc<Connection>, beat: agent::Beat) -> Heard {
-        let (ear, connection) = (self.clone(), connection.clone());
-        let task = tokio::spawn(async move {
-            let answer = tokio::select! {
-                answer = connection.client.beat(beat) => answer,
-                // A connection that is given up must not be kept open by a question.
-                () = connection.closed() => return Heard::Ended,
-            };
-            match answer {
-                // Another process answers at the same address.
-                Ok(report) if report.incarnation != connection.incarnation => Heard::Ended,
-                Ok(report) => {
-                    ear.note(report);
-                    Heard::Live
-                }
-                Err(_) => Heard::Ended,
-            }
-        });
-        match time::timeout(self.answer, task).await {
-            Ok(Ok(heard)) => heard,
-            Ok(Err(_)) => Heard::Ended,
-            Err(_) => Heard::Missed,
-        }
-    }
-}
-
 /// Keeps a lane open.
 #[derive(Debug)]
 struct Keeper {
     addr: net::SocketAddr,
     caller: Caller,
     link: watch::Sender<Link>,
-    ear: Arc<Ear>,
+    ear: Arc<ear::Ear>,
+    idle: Arc<AtomicU64>,
 }
 
 impl Keeper {
@@ -339,7 +322,7 @@
 
     /// Holds a connection until it ends or goes silent.
     async fn hold(&self, connection: Connection, report: agent::Report) {
-        self.ear.note(report);
+        self.ear.note(report, None);
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
@@ -361,15 +344,16 @@
             let (facts, version) = self.caller.gossip.changes(sent);
             let beat = agent::Beat {
                 session: connection.session,
+                peer: facts.is_some().then_some(self.caller.peer),
                 facts,
             };
             match self.ear.beat(connection, beat).await {
-                Heard::Live => {
+                ear::Heard::Live => {
                     sent = version;
                     missed = 0;
                 }
-                Heard::Missed => missed += 1,
-                Heard::Ended => return,
+                ear::Heard::Missed => missed += 1,
+                ear::Heard::Ended => return,
             }
         }
     }
@@ -391,7 +375,8 @@
                 return true;
             }
             let active = self.ear.running.load(Ordering::Relaxed) > 0;
-            if active || begun.elapsed() >= timing.idle {
+            let idle = time::Duration::from_millis(self.idle.load(Ordering::Relaxed));
+            if active || begun.elapsed() >= idle {
                 return false;
             }
         }
@@ -442,6 +427,7 @@
         incarnation: report.incarnation,
         client,
         closed: watch::channel(false).0,
+        trip: Mutex::new(crossing::Trip::new(time::Instant::now())),
     };
     Some((connection, report))
 }
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -14,21 +14,31 @@
     Deserialize,
     Serialize, //
 };
-use tokio::runtime;
+use tokio::{
+    runtime,
+    time, //
+};
 
 use laburnumcart::{
     id,
     subset, //
 };
+use laburnumcart_platform::follow;
 
 use crate::links;
 
+pub mod width;
+
 /// Prefix of the platform's list.
 pub const PREFIX: &str = "platform/instances/";
 
 /// Bytes a second, both ways, for idle heartbeats; the rest of a process's share is for others.
 const BEAT_BYTES: u64 = 15_000;
 
+/// Longest time between two heartbeats on a lane without attempts in flight; a peer closes a
+/// connection that is silent for 30 s.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(20);
+
 /// Fewest agents of a service to keep lanes to.
 const SUBSET_MIN: usize = 8;
 
@@ -70,6 +80,13 @@
     pub state: State,
 }
 
+/// Reads the platform's list; what cannot be read is left out, lest one value hide all others.
+pub fn parse(snapshot: &follow::Snapshot) -> Vec<Instance> {
+    let values = snapshot.objects.values();
+    let parsed = values.filter_map(|object| serde_json::from_str(&object.value).ok());
+    parsed.collect()
+}
+
 /// Lanes to the agents that are or were listed.
 #[derive(Debug)]
 pub struct Members {
@@ -78,6 +95,11 @@
     runtime: runtime::Handle,
     lanes: collections::BTreeMap<net::SocketAddr, Member>,
     entries: Vec<net::SocketAddr>,
+    /// Agents that the list names.
+    agents: Vec<Instance>,
+    /// Those of them that lanes are kept to.
+    chosen: collections::HashSet<net::SocketAddr>,
+    widths: collections::BTreeMap<id::ServiceName, width::Width>,
 }
 
 /// An agent with its lane.
@@ -100,6 +122,9 @@
             runtime,
             lanes: collections::BTreeMap::new(),
             entries: Vec::new(),
+            agents: Vec::new(),
+            chosen: collections::HashSet::new(),
+            widths: collections::BTreeMap::new(),
         }
     }
 
@@ -107,51 +132,108 @@
     pub fn apply(&mut self, list: &[Instance]) {
         let is_entry = |i: &&Instance| i.role == Role::Entry && i.state == State::Live;
         self.entries = list.iter().filter(is_entry).map(|i| i.addr).collect();
-        let chosen = self.subset(list);
+        self.agents = list
+            .iter()
+            .filter(|i| i.role == Role::Agent)
+            .cloned()
+            .collect();
+        self.measure();
+        self.choose();
+    }
+
+    /// Widens the subsets whose agents take no work, and narrows them when they do again.
+    pub fn refresh(&mut self) {
+        if self.measure() {
+            self.choose();
+        }
+    }
+
+    /// Works out the sizes of the subsets; returns whether any has changed.
+    fn measure(&mut self) -> bool {
+        let mut counts: collections::BTreeMap<_, usize> = collections::BTreeMap::new();
+        for service in self.agents.iter().filter_map(|i| i.service.as_ref()) {
+            *counts.entry(service.clone()).or_default() += 1;
+        }
+        let idle = self.caller.timing.idle;
+        let size = subset::size(BEAT_BYTES, idle, counts.values().copied());
+        let size = size.max(SUBSET_MIN);
+        self.widths
+            .retain(|service, _| counts.contains_key(service));
+        let now = time::Instant::now();
+        let mut changed = false;
+        for service in counts.into_keys() {
+            let (kept, usable) = self.count(&service);
+            let wanted = width::wanted(size, kept, usable);
+            changed |= self.widths.entry(service).or_default().set(wanted, now);
+        }
+        changed
+    }
+
+    /// Returns the size of a service's subset, and how many of it take work or may do so soon.
+    fn count(&self, service: &id::ServiceName) -> (usize, usize) {
+        let kept = self.lanes.values();
+        let kept = kept.filter(|m| m.service == *service && self.chosen.contains(&m.lane.addr));
+        let usable = |m: &&Member| m.lane.is_opening() || m.lane.takes(service);
+        (kept.clone().count(), kept.filter(usable).count())
+    }
+
+    /// Opens the lanes to the chosen agents, and gives up those to others.
+    fn choose(&mut self) {
+        let chosen: Vec<_> = self.subset().into_iter().cloned().collect();
         for instance in &chosen {
             if let Some(service) = &instance.service {
-                self.open(instance, service);
+                let is_same = |i: &&Instance| i.service.as_ref() == Some(service);
+                let kept = chosen.iter().filter(is_same).count();
+                let all = self.agents.iter().filter(is_same).count();
+                let idle = self.idle(chosen.len(), kept, all);
+                self.open(instance, service, idle);
             }
         }
-        let agents = list.iter().filter(|i| i.role == Role::Agent);
-        let listed: collections::HashSet<_> = agents.map(|i| i.addr).collect();
-        let chosen: collections::HashSet<_> = chosen.iter().map(|i| i.addr).collect();
+        let listed: collections::HashSet<_> = self.agents.iter().map(|i| i.addr).collect();
+        self.chosen = chosen.iter().map(|i| i.addr).collect();
         let works = |member: &Member| member.lane.connection().is_some();
         self.lanes.retain(|addr, member| {
-            chosen.contains(addr) || !listed.contains(addr) && works(member)
+            self.chosen.contains(addr) || !listed.contains(addr) && works(member)
         });
     }
 
     /// Chooses the agents to keep lanes to, so many of each service that heartbeats stay cheap.
-    fn subset<'a>(&self, list: &'a [Instance]) -> Vec<&'a Instance> {
+    fn subset(&self) -> Vec<&Instance> {
         let mut services: collections::BTreeMap<_, Vec<(id::TargetName, &Instance)>> =
             collections::BTreeMap::new();
-        for instance in list.iter().filter(|i| i.role == Role::Agent) {
+        for instance in &self.agents {
             if let (Some(service), Ok(name)) = (&instance.service, instance.name.as_str().parse()) {
                 services.entry(service).or_default().push((name, instance));
             }
         }
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, services.len());
-        let size = size.max(SUBSET_MIN);
         let mut chosen = Vec::new();
-        for agents in services.values() {
+        for (service, agents) in &services {
             let members = agents.iter().map(|(name, instance)| subset::Member {
                 name,
                 zone: &instance.zone,
             });
+            let size = self.widths[*service].size();
             let names = subset::choose(&self.caller.instance, &self.zone, members, size);
-            let is_chosen = |name: &id::TargetName| names.iter().any(|m| m.name == name);
-            chosen.extend(
-                agents
-                    .iter()
-                    .filter(|(name, _)| is_chosen(name))
-                    .map(|(_, i)| *i),
-            );
+            let names: collections::HashSet<_> = names.iter().map(|member| member.name).collect();
+            let agents = agents.iter().filter(|(name, _)| names.contains(name));
+            chosen.extend(agents.map(|(_, instance)| *instance));
         }
         chosen
     }
 
-    fn open(&mut self, instance: &Instance, service: &id::ServiceName) {
+    /// Returns the time between two idle heartbeats on each of `lanes`, where `kept` of `all` agents
+    /// of a service are in the subset.
+    ///
+    /// A service of few targets is whole in the subset of every entry: at a fixed period of 2 s the
+    /// heartbeats of 350 entries take over 100 KB/s of each of its agents. Either end gets
+    /// [`BEAT_BYTES`], as far as the list tells how many entries share the agents.
+    fn idle(&self, lanes: usize, kept: usize, all: usize) -> time::Duration {
+        let there = (self.entries.len() * kept).div_ceil(all.max(1));
+        let period = subset::period(BEAT_BYTES, lanes.max(there));
+        period.min(IDLE_MAX).max(self.caller.timing.idle)
+    }
+
+    fn open(&mut self, instance: &Instance, service: &id::ServiceName, idle: time::Duration) {
         let (caller, runtime) = (&self.caller, &self.runtime);
         let member = self.lanes.entry(instance.addr).or_insert_with(|| Member {
             service: service.clone(),
@@ -160,6 +242,7 @@
         });
         member.service = service.clone();
         member.zone = instance.zone.clone();
+        member.lane.set_idle(idle);
     }
 
     /// Iterates over the agents.
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -135,6 +135,7 @@
             peer: identity.peer,
             gossip: entry.gossip.clone(),
             breaks: entry.metrics.breaks.clone(),
+            doubts: entry.metrics.doubts.clone(),
             secret: SECRET.parse().unwrap(),
             timing: timing(),
         };
@@ -161,6 +162,7 @@
             ways.entry(service).or_default().push(routes::Way {
                 lane,
                 local: true,
+                crossing: time::Duration::ZERO,
                 leaving: false,
                 ejected: false,
             });
--- a/laburnumcart_fakes/src/target/engine.rs
+++ b/laburnumcart_fakes/src/target/engine.rs
@@ -49,6 +49,7 @@
     pub(super) attempt: String,
     pub(super) idempotent: bool,
     pub(super) rank: u8,
+    pub(super) traceparent: Option<String>,
     pub(super) body: Body,
     pub(super) raw: Bytes,
 }
@@ -96,9 +97,12 @@
             request: call.request.clone(),
             attempt: call.attempt.clone(),
             stage: call.body.stage.clone(),
+            input: expected::digest(&call.body.input.to_string()),
             idempotent: call.idempotent,
             outcome: ledger::Outcome::Running,
             busy: 0.0,
+            traceparent: call.traceparent.clone(),
+            cached: false,
         };
         let number = core.ledger.lock().unwrap().enter(execution);
         Self {
@@ -111,6 +115,10 @@
         self.core.ledger.lock().unwrap().charge(self.number, busy);
     }
 
+    pub(super) fn hit(&self) {
+        self.core.ledger.lock().unwrap().hit(self.number);
+    }
+
     pub(super) fn settle(&self, outcome: ledger::Outcome) {
         self.core
             .ledger
@@ -172,6 +180,9 @@
         .memory()
         .cache
         .touch(&expected::prefix(&call.body.input));
+    if hit {
+        running.hit();
+    }
     let factor = if hit { HIT_FACTOR } else { 1.0 };
     Ok(Sequence {
         core: core.clone(),
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -1,10 +1,17 @@
 //! Runs the real binaries as separate processes on loopback, for tests of the whole.
 
+pub mod cases;
+pub mod collector;
+mod files;
 pub mod fleet;
 pub mod http;
+pub mod letters;
 pub mod port;
 pub mod process;
 pub mod relay;
+pub mod reply;
+pub mod rollout;
 pub mod sample;
 pub mod schema;
+pub mod slopes;
 pub mod wait;
