--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -6,4 +6,5 @@
 mod phases;
 mod sign;
 mod stopping;
+mod suspects;
 mod target;
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -15,23 +15,20 @@
     facts,
     id,
     route::crossing,
-    suspects,
-    unit, //
+    suspects, //
 };
 use laburnumcart_daemon::{
     bundle,
     control, //
 };
-use laburnumcart_platform::{
-    follow,
-    store, //
-};
+use laburnumcart_platform::store;
 use laburnumcart_wire::secret;
 
 use crate::{
     control as views,
     entry,
     links,
+    listing,
     members,
     routes, //
 };
@@ -39,9 +36,6 @@
 /// Time between two views; a load report is older than that anyway.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
-/// Longest wait of one watch of the instances; each counts as a call of the object service.
-const WAIT: unit::Period = unit::Period::from_secs(30);
-
 /// What the control thread starts from.
 #[derive(Debug)]
 pub struct Start<S> {
@@ -63,12 +57,8 @@
 }
 
 async fn run<S: store::Store + Clone>(start: Start<S>) {
-    let settings = follow::Settings {
-        wait: WAIT,
-        ..follow::Settings::default()
-    };
-    let (follower, instances) = follow::follower(start.store.clone(), members::PREFIX, settings);
-    tokio::task::spawn_local(follower.run());
+    let (list, instances) = watch::channel(Vec::new());
+    tokio::task::spawn_local(listing::follow(start.store.clone(), list));
     let feed = start.entry.gossip.feed().clone();
     let rpc = bundle::Rpc::new(start.secret);
     tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
@@ -102,7 +92,7 @@
 }
 
 impl Control {
-    async fn run(mut self, mut instances: watch::Receiver<Arc<follow::Snapshot>>) {
+    async fn run(mut self, mut instances: watch::Receiver<Vec<members::Instance>>) {
         let mut bundles = self.entry.gossip.feed().changes();
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -110,10 +100,7 @@
             tokio::select! {
                 _ = ticks.tick() => {}
                 Ok(()) = bundles.changed() => self.adopt(),
-                Ok(()) = instances.changed() => {
-                    let list = members::parse(&instances.borrow_and_update());
-                    self.list(&list);
-                }
+                Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
             }
             self.members.refresh();
             self.derive();
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::{
             AtomicU32,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -158,6 +159,8 @@
     /// Counter of questions about attempts in doubt.
     pub doubts: Counter,
     seen: Arc<ArcSwapOption<Seen>>,
+    /// Milliseconds between two heartbeats without attempts in flight.
+    idle: Arc<AtomicU64>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -169,18 +172,21 @@
         let doubts = caller.doubts.clone();
         let keeper = Keeper {
             addr,
+            idle: Arc::new(AtomicU64::new(millis(caller.timing.idle))),
             caller,
             link: link.clone(),
             seen: Arc::default(),
             running: Arc::default(),
         };
         let (seen, running) = (keeper.seen.clone(), keeper.running.clone());
+        let idle = keeper.idle.clone();
         let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
             running,
             doubts,
             seen,
+            idle,
             link,
             task: task.abort_handle(),
         })
@@ -216,6 +222,19 @@
         self.link.subscribe()
     }
 
+    /// Returns the time between two heartbeats without attempts in flight.
+    pub fn idle(&self) -> time::Duration {
+        time::Duration::from_millis(self.idle.load(Ordering::Relaxed))
+    }
+
+    /// Sets the time between two heartbeats without attempts in flight, from the next one on.
+    ///
+    /// With an attempt in flight heartbeats are sent at [`Timing::beat`] whatever this is, so that a
+    /// silent connection is found as soon as work depends on it.
+    pub fn set_idle(&self, period: time::Duration) {
+        self.idle.store(millis(period), Ordering::Relaxed);
+    }
+
     /// Counts an attempt in until the value is dropped.
     pub fn hold(self: &Arc<Self>) -> Held {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -223,6 +242,10 @@
     }
 }
 
+fn millis(period: time::Duration) -> u64 {
+    period.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
 impl Drop for Lane {
     fn drop(&mut self) {
         self.task.abort();
@@ -247,6 +270,7 @@
     link: watch::Sender<Link>,
     seen: Arc<ArcSwapOption<Seen>>,
     running: Arc<AtomicU32>,
+    idle: Arc<AtomicU64>,
 }
 
 impl Keeper {
@@ -301,6 +325,7 @@
             let (facts, version) = self.caller.gossip.changes(sent);
             let beat = agent::Beat {
                 session: connection.session,
+                peer: facts.is_some().then_some(self.caller.peer),
                 facts,
             };
             let begun = time::Instant::now();
@@ -336,7 +361,8 @@
                 return true;
             }
             let active = self.running.load(Ordering::Relaxed) > 0;
-            if active || begun.elapsed() >= timing.idle {
+            let idle = time::Duration::from_millis(self.idle.load(Ordering::Relaxed));
+            if active || begun.elapsed() >= idle {
                 return false;
             }
         }
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -35,6 +35,10 @@
 /// Bytes a second, both ways, for idle heartbeats; the rest of a process's share is for others.
 const BEAT_BYTES: u64 = 15_000;
 
+/// Longest time between two heartbeats on a lane without attempts in flight; a peer closes a
+/// connection that is silent for 30 s.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(20);
+
 /// Fewest agents of a service to keep lanes to.
 const SUBSET_MIN: usize = 8;
 
@@ -146,14 +150,18 @@
 
     /// Works out the sizes of the subsets; returns whether any has changed.
     fn measure(&mut self) -> bool {
-        let names = self.agents.iter().filter_map(|i| i.service.clone());
-        let names: collections::BTreeSet<_> = names.collect();
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, names.len());
+        let mut counts: collections::BTreeMap<_, usize> = collections::BTreeMap::new();
+        for service in self.agents.iter().filter_map(|i| i.service.as_ref()) {
+            *counts.entry(service.clone()).or_default() += 1;
+        }
+        let idle = self.caller.timing.idle;
+        let size = subset::size(BEAT_BYTES, idle, counts.values().copied());
         let size = size.max(SUBSET_MIN);
-        self.widths.retain(|service, _| names.contains(service));
+        self.widths
+            .retain(|service, _| counts.contains_key(service));
         let now = time::Instant::now();
         let mut changed = false;
-        for service in names {
+        for service in counts.into_keys() {
             let (kept, usable) = self.count(&service);
             let wanted = width::wanted(size, kept, usable);
             changed |= self.widths.entry(service).or_default().set(wanted, now);
@@ -174,7 +182,11 @@
         let chosen: Vec<_> = self.subset().into_iter().cloned().collect();
         for instance in &chosen {
             if let Some(service) = &instance.service {
-                self.open(instance, service);
+                let is_same = |i: &&Instance| i.service.as_ref() == Some(service);
+                let kept = chosen.iter().filter(is_same).count();
+                let all = self.agents.iter().filter(is_same).count();
+                let idle = self.idle(chosen.len(), kept, all);
+                self.open(instance, service, idle);
             }
         }
         let listed: collections::HashSet<_> = self.agents.iter().map(|i| i.addr).collect();
@@ -209,7 +221,19 @@
         chosen
     }
 
-    fn open(&mut self, instance: &Instance, service: &id::ServiceName) {
+    /// Returns the time between two idle heartbeats on each of `lanes`, where `kept` of `all` agents
+    /// of a service are in the subset.
+    ///
+    /// A service of few targets is whole in the subset of every entry: at a fixed period of 2 s the
+    /// heartbeats of 350 entries take over 100 KB/s of each of its agents. Either end gets
+    /// [`BEAT_BYTES`], as far as the list tells how many entries share the agents.
+    fn idle(&self, lanes: usize, kept: usize, all: usize) -> time::Duration {
+        let there = (self.entries.len() * kept).div_ceil(all.max(1));
+        let period = subset::period(BEAT_BYTES, lanes.max(there));
+        period.min(IDLE_MAX).max(self.caller.timing.idle)
+    }
+
+    fn open(&mut self, instance: &Instance, service: &id::ServiceName, idle: time::Duration) {
         let (caller, runtime) = (&self.caller, &self.runtime);
         let member = self.lanes.entry(instance.addr).or_insert_with(|| Member {
             service: service.clone(),
@@ -218,6 +242,7 @@
         });
         member.service = service.clone();
         member.zone = instance.zone.clone();
+        member.lane.set_idle(idle);
     }
 
     /// Iterates over the agents.
--- a/laburnumcart_system/src/fleet/plan.rs
+++ b/laburnumcart_system/src/fleet/plan.rs
@@ -59,7 +59,7 @@
             services,
             bundle,
             store: Vec::new(),
-            stop: "20s",
+            stop: "60s",
             relays: false,
             traces: None,
         }
--- a/laburnumcart_system/src/slopes/lanes.rs
+++ b/laburnumcart_system/src/slopes/lanes.rs
@@ -58,7 +58,13 @@
     loop {
         ticks.tick().await;
         let facts = None;
-        let answer = client.beat(agent::Beat { session, facts }).await;
+        let answer = client
+            .beat(agent::Beat {
+                session,
+                peer: None,
+                facts,
+            })
+            .await;
         answer.expect("answer to a heartbeat");
     }
 }
