--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use laburnumcart::{
+    bundle,
     unit,
     verdict, //
 };
@@ -11,6 +12,7 @@
 use tracing::Instrument;
 
 use crate::{
+    counters,
     job,
     shared,
     target::run, //
@@ -45,13 +47,29 @@
         stage = %call.stage,
     );
     traces::join(&span, came.as_ref());
+    let begun = time::Instant::now();
     let outcome = attempt(&shared, &job, came).instrument(span).await;
     let now = time::Instant::now();
+    spend(&shared, &job, outcome, now - begun);
     shared.work().end(&job, outcome, now);
+    if let job::Outcome::MayHaveRun(reason @ verdict::Reason::TargetFailed) = outcome {
+        shared.failed().await;
+        shared.work().fail(&job, reason, time::Instant::now());
+    }
     report(&shared, &job, outcome, now);
     pump(&shared);
 }
 
+/// Counts the time that the target spent; what it refused cost it nothing.
+fn spend(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, busy: time::Duration) {
+    let spent = match outcome {
+        job::Outcome::Whole => counters::Spent::Whole,
+        job::Outcome::MayHaveRun(_) => counters::Spent::Wasted,
+        job::Outcome::NotRun(..) => return,
+    };
+    shared.counters.spend(&job.call.stage, spent, busy);
+}
+
 /// Counts an outcome and tells the control thread what concerns it.
 fn report(shared: &shared::Shared, job: &job::Job, outcome: job::Outcome, now: time::Instant) {
     let refusal = match outcome {
@@ -68,9 +86,6 @@
         job::Outcome::MayHaveRun(reason) => verdict::Refusal::may_have_run(reason),
     };
     shared.counters.refuse(&refusal);
-    if refusal.reason == verdict::Reason::TargetFailed {
-        shared.tell(shared::News::Failed);
-    }
 }
 
 async fn attempt(
@@ -88,7 +103,11 @@
         remaining: unit::Period(job.deadline - time::Instant::now()),
         parent: traces::parent(&span, came.as_ref()),
     };
-    let mut sink = Sink { shared, job };
+    let mut sink = Sink {
+        shared,
+        job,
+        streams: kind == bundle::Kind::Engine,
+    };
     let run = shared.target.run(kind, &job.call, &hop, &mut sink);
     let reason = tokio::select! {
         biased;
@@ -109,15 +128,22 @@
 struct Sink<'a> {
     shared: &'a shared::Shared,
     job: &'a job::Job,
+    /// Whether each part is worth an answer of its own.
+    streams: bool,
 }
 
 impl run::Sink for Sink<'_> {
     async fn push(&mut self, text: &str) {
         let id = self.job.call.attempt;
         while self.shared.work().table.pending(id) >= PENDING_MAX {
+            self.job.changed.notify_waiters();
             self.job.drained.notified().await;
         }
         self.shared.work().table.push(id, text);
-        self.job.changed.notify_waiters();
+        // The end of a pool's result follows at once. Told of the part before, its reader would
+        // come a second time for the end alone.
+        if self.streams {
+            self.job.changed.notify_waiters();
+        }
     }
 }
--- a/laburnumcart_entry/src/listing.rs
+++ b/laburnumcart_entry/src/listing.rs
@@ -1,7 +1,5 @@
 //! Follows the platform's list of instances.
 
-use std::sync::Arc;
-
 use tokio::sync::watch;
 
 use laburnumcart::unit;
@@ -30,15 +28,8 @@
     let (follower, mut snapshots) = follow::follower(store, members::PREFIX, settings);
     let parse = async {
         while snapshots.changed().await.is_ok() {
-            list.send_replace(instances(&snapshots.borrow_and_update().clone()));
+            list.send_replace(members::parse(&snapshots.borrow_and_update()));
         }
     };
     tokio::join!(follower.run(), parse);
 }
-
-/// Reads the objects of a snapshot; what is malformed is left out.
-fn instances(snapshot: &Arc<follow::Snapshot>) -> Vec<members::Instance> {
-    let objects = snapshot.objects.values();
-    let parsed = objects.map(|object| serde_json::from_str(&object.value).ok());
-    parsed.flatten().collect()
-}
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -23,6 +23,7 @@
     id,
     subset, //
 };
+use laburnumcart_platform::follow;
 
 use crate::links;
 
@@ -79,6 +80,13 @@
     pub state: State,
 }
 
+/// Reads the platform's list; what cannot be read is left out, lest one value hide all others.
+pub fn parse(snapshot: &follow::Snapshot) -> Vec<Instance> {
+    let values = snapshot.objects.values();
+    let parsed = values.filter_map(|object| serde_json::from_str(&object.value).ok());
+    parsed.collect()
+}
+
 /// Lanes to the agents that are or were listed.
 #[derive(Debug)]
 pub struct Members {
@@ -142,14 +150,18 @@
 
     /// Works out the sizes of the subsets; returns whether any has changed.
     fn measure(&mut self) -> bool {
-        let names = self.agents.iter().filter_map(|i| i.service.clone());
-        let names: collections::BTreeSet<_> = names.collect();
-        let size = subset::size(BEAT_BYTES, self.caller.timing.idle, names.len());
+        let mut counts: collections::BTreeMap<_, usize> = collections::BTreeMap::new();
+        for service in self.agents.iter().filter_map(|i| i.service.as_ref()) {
+            *counts.entry(service.clone()).or_default() += 1;
+        }
+        let idle = self.caller.timing.idle;
+        let size = subset::size(BEAT_BYTES, idle, counts.values().copied());
         let size = size.max(SUBSET_MIN);
-        self.widths.retain(|service, _| names.contains(service));
+        self.widths
+            .retain(|service, _| counts.contains_key(service));
         let now = time::Instant::now();
         let mut changed = false;
-        for service in names {
+        for service in counts.into_keys() {
             let (kept, usable) = self.count(&service);
             let wanted = width::wanted(size, kept, usable);
             changed |= self.widths.entry(service).or_default().set(wanted, now);
