--- a/laburnumcart/tests/claim.rs
+++ b/laburnumcart/tests/claim.rs
@@ -311,6 +311,24 @@
     assert_eq!(suspicion.unreachable(now), route::Advice::Take);
 }
 
+/// The object service refuses the append that gives a claim back. The release stays for the next append;
+/// dropped, it would leave the key claimed and each resend told "may have run".
+#[test]
+fn a_release_outlives_a_refused_append() {
+    let now = Instant::now();
+    let mut log = log::Log::new(1, Default::default(), Default::default(), now);
+    log.claim(grant(7, 1), now);
+    log.begin(now).unwrap();
+    log.durable(now);
+    log.release(id::Fingerprint(7), id::RequestId(1)).unwrap();
+    log.begin(now).unwrap();
+    log.rejected();
+    assert!(matches!(log.claim(grant(7, 2), now), log::Step::Wait(_)));
+    log.begin(now).unwrap();
+    log.durable(now);
+    assert!(matches!(log.claim(grant(7, 2), now), log::Step::Queued(_)));
+}
+
 /// Appends start at once after a quiet time, and keep to the rate in the long run; a process that
 /// owns a quarter of the shards has a quarter of the rate.
 #[test]
--- a/laburnumcart_system/tests/rollout.rs
+++ b/laburnumcart_system/tests/rollout.rs
@@ -148,12 +148,12 @@
 }
 
 /// An intruder writes into the object service itself, past `laburnumctl`: a head that names an altered
-/// bundle, and later one that is no head. No process takes them in; each counts the refusal and goes on
+/// bundle, one that names a signed bundle by a digest that is not its own, and one that is no head. No process takes them in; each counts the refusal and goes on
 /// under what is in force, and the operators' next bundle gets through.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_refuse_what_is_written_past_the_operators() {
     let fleet = start(2).await;
-    let (version, text) = fleet.object("bundle/head").await.expect("the head");
+    let (_, text) = fleet.object("bundle/head").await.expect("the head");
     let mut forged: Value = serde_json::from_str(&text).expect("JSON");
     let digest = forged["digest"].as_str().expect("a digest").to_owned();
     let (_, envelope) = fleet
@@ -162,46 +162,61 @@
         .expect("a bundle");
     let altered = envelope.replace("sample", "forged");
     assert_ne!(envelope, altered);
-    let name = digest.chars().rev().collect::<String>();
-    fleet
-        .put(&format!("bundle/objects/{name}"), None, &altered)
-        .await;
-    forged["generation"] = json!(9);
-    forged["digest"] = json!(name);
-    fleet
-        .put("bundle/head", Some(&version), &forged.to_string())
-        .await;
-    refused_everywhere(&fleet).await;
-    never_below(&fleet, 1).await;
-    rollout::in_force(&fleet, 1).await;
+    let names = [digest.chars().rev().collect(), digest.replace('a', "b")];
+    for (generation, (name, text)) in (9..).zip(names.iter().zip([&altered, &envelope])) {
+        assert_ne!(*name, digest);
+        let before = refusals(&fleet).await;
+        fleet
+            .put(&format!("bundle/objects/{name}"), None, text)
+            .await;
+        forged["generation"] = json!(generation);
+        forged["digest"] = json!(name);
+        let (version, _) = fleet.object("bundle/head").await.expect("the head");
+        fleet
+            .put("bundle/head", Some(&version), &forged.to_string())
+            .await;
+        refused_everywhere(&fleet, &before).await;
+        never_below(&fleet, 1).await;
+        rollout::in_force(&fleet, 1).await;
+    }
     fleet.accept(&titled("after the forged head"));
-    rollout::in_force(&fleet, 10).await;
+    rollout::in_force(&fleet, 11).await;
 
     let (version, text) = fleet.object("bundle/head").await.expect("the head");
     let version = fleet
-        .put("bundle/head", Some(&version), "{\"generation\":12}")
+        .put("bundle/head", Some(&version), "{\"generation\":13}")
         .await;
-    never_below(&fleet, 10).await;
-    rollout::in_force(&fleet, 10).await;
+    never_below(&fleet, 11).await;
+    rollout::in_force(&fleet, 11).await;
     // No operator can go on from what is no head; they restore it, as `laburnumctl` tells them.
     fleet.put("bundle/head", Some(&version), &text).await;
     fleet.accept(&titled("after the broken head"));
-    rollout::in_force(&fleet, 11).await;
+    rollout::in_force(&fleet, 12).await;
+}
+
+/// Returns how many bundles each process has refused for their signature or digest.
+async fn refusals(fleet: &fleet::Fleet) -> Vec<u64> {
+    let mut counts = Vec::new();
+    for page in rollout::pages(fleet) {
+        let page = fleet.http.get(page, "/metrics").await;
+        let body = page.expect("metrics").body;
+        let mut lines = body.lines();
+        let count = lines.find_map(|line| {
+            let (labels, count) = line.split_once(' ')?;
+            let failure = labels.starts_with("laburnum_bundle_failures_total");
+            (failure && labels.contains("signature")).then(|| count.parse().expect("a count"))
+        });
+        counts.push(count.unwrap_or(0));
+    }
+    counts
 }
 
-/// Waits until every process has counted a refused bundle.
-async fn refused_everywhere(fleet: &fleet::Fleet) {
+/// Waits until every process has refused one more bundle than before.
+async fn refused_everywhere(fleet: &fleet::Fleet, before: &[u64]) {
     wait::until("refusals counted everywhere", || async {
-        for page in rollout::pages(fleet) {
-            let body = fleet.http.get(page, "/metrics").await.ok()?.body;
-            let refused = |line: &str| {
-                let failure = line.starts_with("laburnum_bundle_failures_total");
-                let reason = line.contains("signature") || line.contains("head");
-                failure && reason && !line.ends_with(" 0")
-            };
-            body.lines().find(|line| refused(line))?;
-        }
-        Some(())
+        let now = refusals(fleet).await;
+        let more = now.iter().zip(before).all(|(now, before)| now > before);
+        more.then_some(())
     })
     .await;
 }
