--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -14,6 +14,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     suspects, //
 };
 use laburnumcart_daemon::{
@@ -27,6 +28,7 @@
     control as views,
     entry,
     links,
+    listing,
     members,
     routes, //
 };
@@ -34,12 +36,6 @@
 /// Time between two views; a load report is older than that anyway.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
-/// Longest wait of one watch.
-const WAIT: time::Duration = time::Duration::from_secs(30);
-
-/// Pause after a failed call of the object service.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
-
 /// What the control thread starts from.
 #[derive(Debug)]
 pub struct Start<S> {
@@ -62,7 +58,7 @@
 
 async fn run<S: store::Store + Clone>(start: Start<S>) {
     let (list, instances) = watch::channel(Vec::new());
-    tokio::task::spawn_local(follow(start.store.clone(), list));
+    tokio::task::spawn_local(listing::follow(start.store.clone(), list));
     let feed = start.entry.gossip.feed().clone();
     let rpc = bundle::Rpc::new(start.secret);
     tokio::task::spawn_local(bundle::run(feed, start.store, rpc, start.options));
@@ -106,6 +102,7 @@
                 Ok(()) = bundles.changed() => self.adopt(),
                 Ok(()) = instances.changed() => self.list(&instances.borrow_and_update()),
             }
+            self.members.refresh();
             self.derive();
             self.publish();
         }
@@ -117,6 +114,7 @@
             return;
         };
         self.entry.policy.prune(&current.bundle);
+        self.entry.metrics.cost.promise(&current.bundle);
         if let Some(claims) = self.entry.claims() {
             claims.set_shards(current.bundle.claims.shards);
         }
@@ -146,8 +144,9 @@
         self.settled |= self.listed && !opening;
         let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
             collections::BTreeMap::new();
+        let crossings = self.crossings();
         for member in self.members.agents() {
-            let way = self.way(member);
+            let way = self.way(member, &crossings);
             ways.entry(member.service.clone()).or_default().push(way);
         }
         let routes = ways.into_iter().map(|(service, ways)| {
@@ -166,7 +165,18 @@
         }));
     }
 
-    fn way(&self, member: &members::Member) -> routes::Way {
+    /// Returns the least round trip to each data centre.
+    fn crossings(&self) -> crossing::Crossings {
+        let mut crossings = crossing::Crossings::new(self.entry.identity.zone.clone());
+        for member in self.members.agents() {
+            if let Some(trip) = member.lane.report().and_then(|seen| seen.trip) {
+                crossings.record(&member.zone, trip);
+            }
+        }
+        crossings
+    }
+
+    fn way(&self, member: &members::Member, crossings: &crossing::Crossings) -> routes::Way {
         let report = member.lane.report();
         let leaving = |seen: &links::Seen| self.entry.gossip.is_leaving(seen.report.incarnation);
         let ejected = |seen: &links::Seen| {
@@ -176,25 +186,9 @@
         routes::Way {
             lane: member.lane.clone(),
             local: member.zone == self.entry.identity.zone,
+            crossing: crossings.to(&member.zone),
             leaving: report.as_deref().is_some_and(leaving),
             ejected: report.as_deref().is_some_and(ejected),
         }
     }
 }
-
-/// Follows the platform's list of instances.
-async fn follow<S: store::Store>(store: S, list: watch::Sender<Vec<members::Instance>>) {
-    loop {
-        if let Ok(listing) = store.list(members::PREFIX).await {
-            let values = listing.objects.iter();
-            let parsed = values.filter_map(|o| serde_json::from_str(&o.value).ok());
-            list.send_replace(parsed.collect());
-            // An event only says that it is time to list again.
-            let changes = store.watch(members::PREFIX, listing.revision, WAIT).await;
-            if changes.is_ok() {
-                continue;
-            }
-        }
-        time::sleep(PAUSE).await;
-    }
-}
--- a/laburnumcart_entry/src/driver/race.rs
+++ b/laburnumcart_entry/src/driver/race.rs
@@ -122,6 +122,7 @@
         let span = tracing::info_span!(
             parent: &self.span,
             "attempt",
+            otel.kind = "client",
             stage = tries.stage.name.as_str(),
             target = target.as_str(),
             attempt = %ready.attempt(),
@@ -261,12 +262,13 @@
     }
 
     /// Keeps new text of an engine for a resumption and passes it to the caller.
-    fn forward(&self, tries: &mut Tries<'_>, text: &str) {
+    fn forward(&mut self, tries: &mut Tries<'_>, text: &str) {
         if tries.kind != bundle::Kind::Engine || text.is_empty() {
             return;
         }
         tries.received.push_str(text);
         if tries.streams {
+            self.streamed = true;
             // Nobody listens if the caller has gone.
             let _ = self.events.send(Event::Piece(text.to_owned()));
         }
--- a/laburnumcart_entry/src/links.rs
+++ b/laburnumcart_entry/src/links.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::{
             AtomicU32,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -25,6 +26,7 @@
 use laburnumcart::{
     facts,
     id,
+    route::crossing,
     unit, //
 };
 use laburnumcart_wire::{
@@ -82,6 +84,8 @@
     pub gossip: Arc<gossip::Gossip>,
     /// Counter of connections that were given up.
     pub breaks: Counter,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     /// Secret that is sent to agents.
     pub secret: secret::Secret,
     /// Periods.
@@ -141,6 +145,8 @@
     pub at: time::Instant,
     /// Attempts that this process had in flight there.
     pub own: u32,
+    /// Least round trip of a heartbeat lately, once one was answered on the connection.
+    pub trip: Option<time::Duration>,
 }
 
 /// The way to one agent.
@@ -150,7 +156,11 @@
     pub addr: net::SocketAddr,
     /// Attempts that this process has in flight there.
     pub running: Arc<AtomicU32>,
+    /// Counter of questions about attempts in doubt.
+    pub doubts: Counter,
     seen: Arc<ArcSwapOption<Seen>>,
+    /// Milliseconds between two heartbeats without attempts in flight.
+    idle: Arc<AtomicU64>,
     link: watch::Sender<Link>,
     task: task::AbortHandle,
 }
@@ -159,19 +169,24 @@
     /// Opens a lane on a runtime and keeps it open until the value is dropped.
     pub fn open(runtime: &runtime::Handle, addr: net::SocketAddr, caller: Caller) -> Arc<Self> {
         let (link, _) = watch::channel(Link::Opening);
+        let doubts = caller.doubts.clone();
         let keeper = Keeper {
             addr,
+            idle: Arc::new(AtomicU64::new(millis(caller.timing.idle))),
             caller,
             link: link.clone(),
             seen: Arc::default(),
             running: Arc::default(),
         };
         let (seen, running) = (keeper.seen.clone(), keeper.running.clone());
+        let idle = keeper.idle.clone();
         let task = runtime.spawn(keeper.run());
         Arc::new(Self {
             addr,
             running,
+            doubts,
             seen,
+            idle,
             link,
             task: task.abort_handle(),
         })
@@ -207,6 +222,19 @@
         self.link.subscribe()
     }
 
+    /// Returns the time between two heartbeats without attempts in flight.
+    pub fn idle(&self) -> time::Duration {
+        time::Duration::from_millis(self.idle.load(Ordering::Relaxed))
+    }
+
+    /// Sets the time between two heartbeats without attempts in flight, from the next one on.
+    ///
+    /// With an attempt in flight heartbeats are sent at [`Timing::beat`] whatever this is, so that a
+    /// silent connection is found as soon as work depends on it.
+    pub fn set_idle(&self, period: time::Duration) {
+        self.idle.store(millis(period), Ordering::Relaxed);
+    }
+
     /// Counts an attempt in until the value is dropped.
     pub fn hold(self: &Arc<Self>) -> Held {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -214,6 +242,10 @@
     }
 }
 
+fn millis(period: time::Duration) -> u64 {
+    period.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
 impl Drop for Lane {
     fn drop(&mut self) {
         self.task.abort();
@@ -238,6 +270,7 @@
     link: watch::Sender<Link>,
     seen: Arc<ArcSwapOption<Seen>>,
     running: Arc<AtomicU32>,
+    idle: Arc<AtomicU64>,
 }
 
 impl Keeper {
@@ -259,7 +292,7 @@
 
     /// Holds a connection until it ends or goes silent.
     async fn hold(&self, connection: Connection, report: agent::Report) {
-        self.note(report);
+        self.note(report, None);
         let connection = Arc::new(connection);
         self.link.send_replace(Link::Up(connection.clone()));
         self.watch(&connection).await;
@@ -268,12 +301,13 @@
         connection.closed.send_replace(true);
     }
 
-    fn note(&self, report: agent::Report) {
+    fn note(&self, report: agent::Report, trip: Option<time::Duration>) {
         self.caller.gossip.merge(&report.facts, self.addr);
         self.seen.store(Some(Arc::new(Seen {
             report,
             at: time::Instant::now(),
             own: self.running.load(Ordering::Relaxed),
+            trip,
         })));
     }
 
@@ -282,6 +316,7 @@
         let timing = &self.caller.timing;
         let mut sent = facts::Version::default();
         let mut missed = 0;
+        let mut trip = crossing::Trip::new(time::Instant::now());
         while missed < timing.missed {
             // A missed heartbeat is followed by the next at once, to know soon.
             if missed == 0 && self.rest(connection).await {
@@ -293,11 +328,13 @@
                 peer: facts.is_some().then_some(self.caller.peer),
                 facts,
             };
+            let begun = time::Instant::now();
             match time::timeout(timing.answer, connection.client.beat(beat)).await {
                 // Another process answers at the same address.
                 Ok(Ok(report)) if report.incarnation != connection.incarnation => return,
                 Ok(Ok(report)) => {
-                    self.note(report);
+                    trip.record(begun.elapsed(), time::Instant::now());
+                    self.note(report, trip.least());
                     sent = version;
                     missed = 0;
                 }
@@ -324,7 +361,8 @@
                 return true;
             }
             let active = self.running.load(Ordering::Relaxed) > 0;
-            if active || begun.elapsed() >= timing.idle {
+            let idle = time::Duration::from_millis(self.idle.load(Ordering::Relaxed));
+            if active || begun.elapsed() >= idle {
                 return false;
             }
         }
