--- a/laburnumcart_system/tests/rollout.rs
+++ b/laburnumcart_system/tests/rollout.rs
@@ -107,8 +107,8 @@
 }
 
 /// An operator is handed a signed bundle whose text was altered, one that is signed by a key nobody
-/// trusts, and one that is signed but not valid. Each is refused with an exit code of its own kind and
-/// all that is wrong; neither the head nor any process changes, and the next good bundle follows on.
+/// trusts, and one that is not signed. Each is refused with the exit code of a rejected bundle; neither
+/// the head nor any process changes, and the next good bundle follows on.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_bundles_change_nothing() {
     let fleet = start(1).await;
