Use an outlier when no other target is ready

Cause: the cap on the ejected share counts targets that have left or are down. When the ready ones go, the ejected one that is left was not eligible, and callers were refused as no-target. Ruled out: counting only ready targets under the cap, as the ejector does not know which are. Found while looking into refusals as no-target in leaving.rs; that this was their cause is not shown, and together.rs still sees some when a target crashes.

--- a/laburnumcart/src/route/table.rs
+++ b/laburnumcart/src/route/table.rs
@@ -17,6 +17,7 @@
     /// Creates a table; local targets move to the front, otherwise the order is kept.
     pub fn new(mut targets: Vec<route::Target>) -> Self {
         targets.sort_by_key(|target| !target.local);
+        admit_outliers(&mut targets);
         let near = targets.iter().filter(|target| target.local).count();
         let digest = |t: &route::Target| xxhash_rust::xxh3::xxh3_64(t.name.as_str().as_bytes());
         let seeds = targets.iter().map(digest).collect();
@@ -50,6 +51,20 @@
     }
 }
 
+/// Makes ejected targets eligible when there is no other.
+///
+/// The cap on the ejected share counts targets that have left or are down. When those that are
+/// ready go, callers would be told that there is no target while an outlier works.
+fn admit_outliers(targets: &mut [route::Target]) {
+    if targets.iter().any(|t| t.state == route::State::Ready) {
+        return;
+    }
+    let ejected = targets
+        .iter_mut()
+        .filter(|t| t.state == route::State::Ejected);
+    ejected.for_each(|target| target.state = route::State::Ready);
+}
+
 fn mean(targets: &[route::Target]) -> f64 {
     let ready = targets.iter().filter(|t| t.state == route::State::Ready);
     let loads = ready.map(|target| {
--- a/laburnumcart/tests/route.rs
+++ b/laburnumcart/tests/route.rs
@@ -58,6 +58,31 @@
     }
 }
 
+// One target of two is ejected as an outlier, then the other leaves or goes down. Callers must be
+// served by the outlier: a cap on the ejected share counts targets that are of no use here, and
+// refusing all as "no target" while one works is worse than the slowness that it was ejected for.
+#[rstest]
+#[case::left(route::State::Leaving)]
+#[case::down(route::State::Down)]
+fn an_outlier_is_better_than_none(#[case] other: route::State) {
+    let now = Instant::now();
+    let with = |name, state| route::Target {
+        state,
+        ..target(name, 0, true, now)
+    };
+    let ejected = with(0, route::State::Ejected);
+    let ask = route::Ask {
+        tried: &[],
+        prefix: None,
+        own: &|_| 0,
+        now,
+    };
+    let table = route::Table::new(vec![ejected.clone(), with(1, other)]);
+    assert_eq!(table.choose(&ask, &mut rng()), Some(0));
+    let table = route::Table::new(vec![ejected, with(1, route::State::Ready)]);
+    assert_eq!(table.choose(&ask, &mut rng()), Some(1));
+}
+
 #[rstest]
 #[case::equal_load_stays(0, 0, true)]
 #[case::remote_faster_by_less_than_the_crossing(1, 0, true)]
