Try another target when an agent's own target is down

Cause: an agent refuses an attempt as not run with the reason no-target while its target does not answer, and retries took that reason for final, as if no target of the service worked. Callers were refused though another target was ready. An entry that finds no target to ask at all still gives up after its wait, now without repeating the wait. Ruled out: the exclusion of outliers (the refusals stayed after that was mended).

--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -167,7 +167,6 @@
         | Reason::AlreadyClaimed
         | Reason::ClaimUnavailable
         | Reason::DeadlineExceeded
-        | Reason::NoTarget
         | Reason::Quarantined
         | Reason::TargetRefused
         | Reason::Cancelled
@@ -176,6 +175,8 @@
         | Reason::OverShare
         | Reason::Overloaded
         | Reason::Leaving
+        // Told by an agent whose own target is down; another may work.
+        | Reason::NoTarget
         | Reason::WrongIncarnation
         | Reason::Fenced
         | Reason::TargetFailed
--- a/laburnumcart/tests/retry.rs
+++ b/laburnumcart/tests/retry.rs
@@ -41,6 +41,7 @@
 #[case::no_proof(false, Refusal::may_have_run(Reason::Lost), LONG, false)]
 #[case::crash(false, Refusal::may_have_run(Reason::TargetFailed), LONG, false)]
 #[case::idempotent(true, Refusal::may_have_run(Reason::Lost), LONG, true)]
+#[case::target_down(false, Refusal::not_run(Reason::NoTarget), LONG, true)]
 #[case::wrong_anywhere(true, Refusal::not_run(Reason::TargetRefused), LONG, false)]
 #[case::quarantined(true, Refusal::not_run(Reason::Quarantined), LONG, false)]
 #[case::too_late(
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -75,6 +75,7 @@
         let mut tries = self.tries(place, previous)?;
         loop {
             let before = tries.received.len();
+            let sent = tries.tried.len();
             let refusal = match self.race(&mut tries).await {
                 race::Ended::Whole(whole) => {
                     self.note(verdict::Verdict::MayHaveRun);
@@ -82,6 +83,10 @@
                 }
                 race::Ended::Refused(refusal) => refusal,
             };
+            if tries.tried.len() == sent {
+                // No target was there to ask, and one was waited for.
+                return Err(refusal);
+            }
             let failure = retry::Failure {
                 refusal,
                 resumable: tries.received.len() > before,
