--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -7,7 +7,10 @@
     sync, //
 };
 
-use laburnumcart::document;
+use laburnumcart::{
+    document,
+    unit, //
+};
 use laburnumcart_daemon::{
     admin,
     bundle,
@@ -17,7 +20,10 @@
     stop,
     traces, //
 };
-use laburnumcart_platform::client;
+use laburnumcart_platform::{
+    budget,
+    client, //
+};
 use tokio::runtime;
 
 use crate::{
@@ -27,6 +33,12 @@
     work, //
 };
 
+/// Calls a second of the object service unless the settings say otherwise; an agent needs few.
+const STORE_RATES: budget::Rates = budget::Rates {
+    reads: unit::Rate(20.0),
+    writes: unit::Rate(10.0),
+};
+
 /// Threads that execute attempts and serve peers.
 const TRAFFIC_THREADS: usize = 2;
 
@@ -49,15 +61,16 @@
 
 async fn serve(settings: settings::Settings) -> io::Result<()> {
     let mut signals = stop::Signals::listen()?;
-    let _traces = start_traces(&settings);
+    let _traces = traces::launch("laburnum-agent", &settings.instance, &settings.telemetry);
     let metrics = metrics::Metrics::new();
     usage::register(&metrics);
     let peer = net::TcpListener::bind(settings.peer)?;
     let listener = net::TcpListener::bind(settings.admin)?;
     let store = client::Client::builder([settings.platform.address])
+        .rates(settings.platform.rates(STORE_RATES))
         .build()
         .map_err(io::Error::other)?;
-    metrics.register("laburnum_agent_store", |registry| store.register(registry));
+    metrics.register("laburnum_agent", |registry| store.register(registry));
     let options = options(&settings).map_err(io::Error::other)?;
     let parts = agent::Parts {
         limits: work::Limits::default(),
@@ -83,17 +96,6 @@
     Ok(bundle::Options::new(trust).peers(settings.fleet.peers.clone()))
 }
 
-fn start_traces(settings: &settings::Settings) -> Option<traces::Traces> {
-    let collector = settings.telemetry.traces?;
-    match traces::start("laburnum-agent", &settings.instance, collector) {
-        Ok(traces) => Some(traces),
-        Err(error) => {
-            event!(Warn, "traces-failed", error = error);
-            None
-        }
-    }
-}
-
 fn ready(shared: &sync::Arc<shared::Shared>) -> Result<(), String> {
     let snapshot = shared.snapshot.load();
     if shared.is_leaving() {
--- a/laburnumcart_agent/tests/agent/main.rs
+++ b/laburnumcart_agent/tests/agent/main.rs
@@ -1,8 +1,10 @@
 //! An agent over real connections, with a target that fails as each test says.
 
+mod counters;
 mod doubt;
 mod fixture;
 mod phases;
 mod sign;
 mod stopping;
+mod suspects;
 mod target;
--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -133,7 +133,14 @@
     /// Returns an option's value, which must be there.
     pub fn required(&self, name: &str) -> Result<String, error::Error> {
         let value = self.matches.opt_str(name);
-        value.ok_or_else(|| error::Error::Usage(format!("--{name} is required")))
+        let Self { command, .. } = self;
+        let missing = || {
+            let (program, usage) = (command.name, command.usage);
+            error::Error::Usage(format!(
+                "--{name} is required: laburnumctl {program} {usage}"
+            ))
+        };
+        value.ok_or_else(missing)
     }
 
     /// Returns an option's value.
@@ -226,6 +233,6 @@
         text += &format!("  {:<9} {}\n", command.name, command.about);
     }
     text += "\nExit codes: 0 done, 2 bad input, 3 conflict, 4 unavailable, 5 refused.\n\
-             `laburnumctl COMMAND --help` tells more.";
+             `laburnumctl COMMAND --help` tells more, `laburnumctl --version` its version.";
     text
 }
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -102,6 +102,7 @@
         .at("/metrics", route::get(handler_service(page)))
         .at("/healthz", route::get(handler_service(page)))
         .at("/readyz", route::get(handler_service(page)))
+        .at("/{*path}", handler_service(unknown))
         .serve()
         .disable_signal()
         .worker_threads(threads)
@@ -131,6 +132,12 @@
     })
 }
 
+/// Answers a call of a path that does not exist.
+async fn unknown(ctx: &Context<'_>) -> WebResponse {
+    let refusal = verdict::Refusal::not_run(verdict::Reason::UnknownPipeline);
+    refuse(ctx, refusal, None, None)
+}
+
 /// Answers with an operators' page.
 async fn page(ctx: &Context<'_>) -> WebResponse {
     let page = ctx.state().pages.answer(ctx.req().uri().path());
@@ -164,7 +171,14 @@
             let driven = driver::start(entry, request, admitted, work);
             answer(ctx, id, driven).await
         }
-        Err(refusal) => refuse(ctx, refusal, Some(id), None),
+        Err(refusal) => {
+            // Without these, a team whose requests are all refused at the door would look well.
+            let head = &request.head;
+            let (ended, took) = (refusal.verdict.into(), head.arrived.elapsed());
+            let metrics = &entry.metrics;
+            metrics.request(&head.team, &head.pipeline, ended, took);
+            refuse(ctx, refusal, Some(id), None)
+        }
     }
 }
 
--- a/laburnumcart_entry/src/metrics.rs
+++ b/laburnumcart_entry/src/metrics.rs
@@ -23,6 +23,8 @@
 use laburnumcart_daemon::metrics;
 use laburnumcart_wire::stage;
 
+pub mod cost;
+
 /// Most teams, pipelines and services that have series of their own.
 const TEAMS_MAX: usize = 256;
 const PIPELINES_MAX: usize = 64;
@@ -96,10 +98,14 @@
     attempts: Family<Attempt, Counter>,
     busy: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
     queued: Family<Service, Counter<f64, std::sync::atomic::AtomicU64>>,
+    /// Seconds of targets by team and stage.
+    pub cost: cost::Cost,
     /// Second attempts beside slow ones.
     pub hedges: Counter,
     /// Connections to agents that were given up.
     pub breaks: Counter,
+    /// Questions over a new connection about attempts in doubt.
+    pub doubts: Counter,
     /// Connections to agents that work.
     pub lanes: Gauge,
     /// Requests in flight.
@@ -108,8 +114,10 @@
 
 impl Default for Metrics {
     fn default() -> Self {
+        let teams = Arc::new(metrics::Names::new(TEAMS_MAX));
         Self {
-            teams: Arc::new(metrics::Names::new(TEAMS_MAX)),
+            cost: cost::Cost::new(teams.clone()),
+            teams,
             pipelines: Arc::new(metrics::Names::new(PIPELINES_MAX)),
             services: Arc::new(metrics::Names::new(SERVICES_MAX)),
             requests: Family::default(),
@@ -120,6 +128,7 @@
             queued: Family::default(),
             hedges: Counter::default(),
             breaks: Counter::default(),
+            doubts: Counter::default(),
             lanes: Gauge::default(),
             running: Gauge::default(),
         }
@@ -148,14 +157,16 @@
                 "Time that whole results waited at agents",
                 self.queued.clone(),
             );
+            self.cost.register(r);
             r.register("hedges", "Second attempts", self.hedges.clone());
             r.register("lane_breaks", "Connections given up", self.breaks.clone());
+            r.register("doubts", "Questions about attempts", self.doubts.clone());
             r.register("lanes", "Connections to agents", self.lanes.clone());
             r.register("running", "Requests in flight", self.running.clone());
         });
     }
 
-    /// Counts the end of an admitted request.
+    /// Counts the end of a request of a known team.
     pub fn request(
         &self,
         team: &id::TeamName,
--- a/laburnumcart_entry/tests/it/relay.rs
+++ b/laburnumcart_entry/tests/it/relay.rs
@@ -36,17 +36,36 @@
     pub(crate) addr: net::SocketAddr,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
     first: watch::Sender<Silence>,
+    target: watch::Sender<net::SocketAddr>,
 }
 
 impl Relay {
     /// Starts a relay to `target`.
     pub(crate) async fn start(target: net::SocketAddr) -> Self {
+        Self::start_far(target, time::Duration::ZERO).await
+    }
+
+    /// Starts a relay to `target` that takes a time for each direction.
+    pub(crate) async fn start_far(target: net::SocketAddr, delay: time::Duration) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let open = Arc::new(Mutex::new(Vec::new()));
         let first = watch::Sender::new(Silence::default());
-        tokio::spawn(accept(listener, target, open.clone(), first.subscribe()));
-        Self { addr, open, first }
+        let target = watch::Sender::new(target);
+        let accept = accept(
+            listener,
+            target.subscribe(),
+            open.clone(),
+            first.subscribe(),
+            delay,
+        );
+        tokio::spawn(accept);
+        Self {
+            addr,
+            open,
+            first,
+            target,
+        }
     }
 
     /// Silences all connections that are open now; new ones work.
@@ -56,6 +75,11 @@
         }
     }
 
+    /// Leads new connections elsewhere, as when a process is replaced at its address.
+    pub(crate) fn lead(&self, target: net::SocketAddr) {
+        self.target.send_replace(target);
+    }
+
     /// Silences all connections both ways, those to come too, as when a machine is cut off.
     pub(crate) fn cut_off(&self) {
         let both = Silence {
@@ -76,11 +100,13 @@
 
 async fn accept(
     listener: TcpListener,
-    target: net::SocketAddr,
+    target: watch::Receiver<net::SocketAddr>,
     open: Arc<Mutex<Vec<watch::Sender<Silence>>>>,
     first: watch::Receiver<Silence>,
+    delay: time::Duration,
 ) {
     while let Ok((near, _)) = listener.accept().await {
+        let target = *target.borrow();
         let Ok(far) = TcpStream::connect(target).await else {
             continue;
         };
@@ -90,8 +116,8 @@
         open.lock().unwrap().push(sender);
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
-        tokio::spawn(copy(near_read, far_write, silence.clone(), |s| s.up));
-        tokio::spawn(copy(far_read, near_write, silence, |s| s.down));
+        tokio::spawn(copy(near_read, far_write, silence.clone(), delay, |s| s.up));
+        tokio::spawn(copy(far_read, near_write, silence, delay, |s| s.down));
     }
 }
 
@@ -100,6 +126,7 @@
     mut from: tcp::OwnedReadHalf,
     mut to: tcp::OwnedWriteHalf,
     mut silence: watch::Receiver<Silence>,
+    delay: time::Duration,
     held: impl Fn(&Silence) -> bool,
 ) {
     let mut buffer = vec![0; 64 << 10];
@@ -108,6 +135,7 @@
         if silence.wait_for(|s| !held(s)).await.is_err() || read == 0 {
             return;
         }
+        time::sleep(delay).await;
         if to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -1,7 +1,9 @@
 //! A whole system of separate processes on loopback.
 
+mod call;
 mod directory;
 pub mod faults;
+mod plan;
 
 use std::{
     fs,
@@ -16,6 +18,7 @@
 };
 
 use crate::{
+    files,
     http,
     port,
     process,
@@ -23,90 +26,20 @@
     wait, //
 };
 
+pub use self::{
+    call::Call,
+    plan::{
+        Plan,
+        Service, //
+    },
+};
+
 /// Secret that the fleet's processes share.
 pub const SECRET: &str = "fleet-secret-for-tests-only-0123456789";
 
 /// Data centres that targets and entries are spread over.
 pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
-/// One service and its stand-in targets.
-#[derive(Clone, Debug)]
-pub struct Service {
-    /// Name in the bundle.
-    pub name: &'static str,
-    /// `engine` or `pool`.
-    pub kind: &'static str,
-    /// Number of targets.
-    pub targets: usize,
-    /// More arguments for each stand-in.
-    pub args: Vec<&'static str>,
-}
-
-impl Service {
-    /// Describes a service.
-    pub fn new(name: &'static str, kind: &'static str, targets: usize) -> Self {
-        Self {
-            name,
-            kind,
-            targets,
-            args: Vec::new(),
-        }
-    }
-
-    /// Adds arguments for each stand-in.
-    #[must_use]
-    pub fn args(mut self, args: &[&'static str]) -> Self {
-        self.args.extend(args);
-        self
-    }
-}
-
-/// What to start.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    entries: usize,
-    services: Vec<Service>,
-    bundle: Value,
-    store: Vec<&'static str>,
-    stop: &'static str,
-    relays: bool,
-}
-
-impl Plan {
-    /// Plans two entries, the given services and a bundle.
-    pub fn new(services: Vec<Service>, bundle: Value) -> Self {
-        Self {
-            entries: 2,
-            services,
-            bundle,
-            store: Vec::new(),
-            stop: "60s",
-            relays: false,
-        }
-    }
-
-    /// Sets the number of entries.
-    #[must_use]
-    pub fn entries(mut self, count: usize) -> Self {
-        self.entries = count;
-        self
-    }
-
-    /// Puts a relay in front of each agent, whose address the platform lists.
-    #[must_use]
-    pub fn relays(mut self) -> Self {
-        self.relays = true;
-        self
-    }
-
-    /// Adds arguments for the stand-in of the object service.
-    #[must_use]
-    pub fn store(mut self, args: &[&'static str]) -> Self {
-        self.store.extend(args);
-        self
-    }
-}
-
 /// One target with its agent.
 #[derive(Debug)]
 pub struct Node {
@@ -164,13 +97,21 @@
 impl Fleet {
     /// Starts all processes, accepts the bundle and waits until every one is ready.
     pub async fn start(plan: Plan) -> Self {
+        let fleet = Self::launch(plan).await;
+        fleet.accept(&fleet.plan.bundle);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts all processes without a bundle and waits until every one answers.
+    pub async fn launch(plan: Plan) -> Self {
         let dir = directory::Directory::new();
         let http = http::Client::default();
         let store_addr = port::free();
         let mut args = vec!["--listen".into(), store_addr.to_string()];
         args.extend(plan.store.iter().map(|arg| String::from(*arg)));
         let store = process::Process::start(&dir.0, "store", "laburnum-fake-store", &args);
-        let key = generate_key(&dir.0);
+        let key = files::generate_key(&dir.0);
         let mut fleet = Self {
             dir,
             plan: plan.clone(),
@@ -190,13 +131,19 @@
         for number in 0..plan.entries {
             fleet.add_entry(number).await;
         }
-        fleet.accept(&plan.bundle);
-        fleet.wait_ready().await;
+        for node in &fleet.nodes {
+            fleet.wait_page(&node.name, node.admin, "/healthz").await;
+        }
+        for entry in &fleet.entries {
+            fleet
+                .wait_page(&entry.name, entry.callers, "/healthz")
+                .await;
+        }
         fleet
     }
 
     /// Starts a target and its agent.
-    async fn add_node(&mut self, service: &Service, number: usize) {
+    pub async fn add_node(&mut self, service: &Service, number: usize) {
         let name = format!("{}-{number}", service.name);
         let zone = ZONES[number % ZONES.len()];
         let target_addr = port::free();
@@ -221,7 +168,7 @@
             },
             "fleet": self.fleet_settings(&[]),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let agent = self.daemon(&format!("agent-{name}"), "laburnum-agent", &settings);
@@ -246,7 +193,7 @@
     }
 
     /// Starts an entry.
-    async fn add_entry(&mut self, number: usize) {
+    pub async fn add_entry(&mut self, number: usize) {
         let name = format!("entry-{number}");
         let zone = ZONES[number % ZONES.len()];
         let (callers, peer) = (port::free(), port::free());
@@ -258,7 +205,7 @@
             "peer": peer.to_string(),
             "fleet": self.fleet_settings(&peers),
             "platform": {"address": self.store_addr.to_string()},
-            "telemetry": {"level": "info"},
+            "telemetry": self.plan.telemetry(),
             "stop_limit": self.plan.stop,
         });
         let process = self.daemon(&name, "laburnum-entry", &settings);
@@ -285,7 +232,13 @@
             "fleet": self.fleet_settings(&self.peers()),
             "platform": {"address": self.store_addr.to_string()},
         });
-        fs::write(&file, settings.to_string()).expect("settings");
+        // Operators race each other here; none may read a file that another has begun to write.
+        let draft = self
+            .dir
+            .0
+            .join(format!("ctl-{:016x}", rand::random::<u64>()));
+        fs::write(&draft, settings.to_string()).expect("settings");
+        fs::rename(&draft, &file).expect("settings");
         let output = Command::new(process::binary("laburnumctl"))
             .current_dir(&self.dir.0)
             .args(args)
@@ -354,9 +307,21 @@
         }
         for entry in &self.entries {
             self.wait_page(&entry.name, entry.callers, "/readyz").await;
+            self.wait_lanes(entry).await;
         }
     }
 
+    /// Waits until an entry has a connection to every agent.
+    async fn wait_lanes(&self, entry: &Entry) {
+        let wanted = format!("laburnum_entry_lanes {}", self.nodes.len());
+        wait::until(&format!("{} {wanted}", entry.name), || async {
+            let page = self.http.get(entry.callers, "/metrics").await.ok()?;
+            let mut lines = page.body.lines();
+            lines.any(|line| line == wanted).then_some(())
+        })
+        .await;
+    }
+
     /// Returns the peer addresses of all daemons.
     pub fn peers(&self) -> Vec<net::SocketAddr> {
         let agents = self.nodes.iter().map(|node| node.peer);
@@ -399,7 +364,12 @@
         assert!(answer.is_ok_and(|a| a.status < 300), "instance not listed");
     }
 
-    async fn wait_healthy(&self, addr: net::SocketAddr) {
+    /// Returns the folder of settings, logs and operators' files.
+    pub(crate) fn folder(&self) -> &path::Path {
+        &self.dir.0
+    }
+
+    pub(crate) async fn wait_healthy(&self, addr: net::SocketAddr) {
         self.wait_page("store", addr, "/healthz").await;
     }
 
@@ -426,70 +396,3 @@
         })
     }
 }
-
-/// One request of a caller.
-#[derive(Clone, Debug)]
-pub struct Call<'a> {
-    /// Pipeline to run.
-    pub pipeline: &'a str,
-    /// Bearer token.
-    pub token: &'a str,
-    /// JSON body.
-    pub body: Value,
-    /// Idempotency key.
-    pub key: Option<String>,
-    /// Whether the answer is wanted as a stream of events.
-    pub events: bool,
-}
-
-impl<'a> Call<'a> {
-    /// Describes a request with a JSON answer and no key.
-    pub fn new(pipeline: &'a str, token: &'a str, body: Value) -> Self {
-        Self {
-            pipeline,
-            token,
-            body,
-            key: None,
-            events: false,
-        }
-    }
-
-    /// Sets the idempotency key.
-    #[must_use]
-    pub fn key(mut self, key: impl Into<String>) -> Self {
-        self.key = Some(key.into());
-        self
-    }
-
-    /// Asks for a stream of events.
-    #[must_use]
-    pub fn events(mut self) -> Self {
-        self.events = true;
-        self
-    }
-
-    fn request(&self, addr: net::SocketAddr) -> hyper::Request<String> {
-        let uri = format!("http://{addr}/v1/pipelines/{}", self.pipeline);
-        let mut request = hyper::Request::post(uri)
-            .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.token));
-        if let Some(key) = &self.key {
-            request = request.header("idempotency-key", key);
-        }
-        if self.events {
-            request = request.header("accept", "text/event-stream");
-        }
-        request.body(self.body.to_string()).expect("request")
-    }
-}
-
-/// Has `laburnumctl` generate a signing key and returns it.
-fn generate_key(dir: &path::Path) -> Value {
-    let output = Command::new(process::binary("laburnumctl"))
-        .current_dir(dir)
-        .args(["keygen", "--name", "test", "--out", "key.json", "--json"])
-        .output()
-        .expect("laburnumctl");
-    assert!(output.status.success(), "keygen: {output:?}");
-    serde_json::from_slice(&output.stdout).expect("JSON of keygen")
-}
--- a/laburnumcart_system/src/relay.rs
+++ b/laburnumcart_system/src/relay.rs
@@ -36,6 +36,15 @@
     last: u64,
 }
 
+/// Bytes that a relay has passed on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Bytes {
+    /// From callers.
+    pub forth: u64,
+    /// To callers.
+    pub back: u64,
+}
+
 /// What the relay's tasks share.
 #[derive(Debug)]
 struct Shared {
@@ -43,6 +52,10 @@
     count: atomic::AtomicU64,
     /// Directions of connections that hold bytes back.
     held: atomic::AtomicUsize,
+    /// Bytes passed on from callers.
+    forth: atomic::AtomicU64,
+    /// Bytes passed on to callers.
+    back: atomic::AtomicU64,
     /// Text that begins a silence when it is on its way to a caller.
     trigger: sync::Mutex<Option<(Vec<u8>, Silence)>>,
 }
@@ -63,6 +76,8 @@
             rule: watch::Sender::new(Rule::default()),
             count: atomic::AtomicU64::new(0),
             held: atomic::AtomicUsize::new(0),
+            forth: atomic::AtomicU64::new(0),
+            back: atomic::AtomicU64::new(0),
             trigger: sync::Mutex::new(None),
         });
         let task = tokio::spawn(accept(listener, dest, shared.clone()));
@@ -74,6 +89,14 @@
         self.addr
     }
 
+    /// Returns how many bytes it has passed on.
+    pub fn bytes(&self) -> Bytes {
+        Bytes {
+            forth: self.shared.forth.load(atomic::Ordering::Relaxed),
+            back: self.shared.back.load(atomic::Ordering::Relaxed),
+        }
+    }
+
     /// Silences all connections that exist now; bytes are held, not lost.
     pub fn silence(&self, silence: Silence) {
         self.shared.silence(silence);
@@ -173,5 +196,7 @@
         if !sent {
             return;
         }
+        let passed = if looks { &shared.back } else { &shared.forth };
+        passed.fetch_add(count as u64, atomic::Ordering::Relaxed);
     }
 }
