--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -175,6 +175,7 @@
         | Reason::OverShare
         | Reason::Overloaded
         | Reason::Leaving
+        // Told by an agent whose own target is down; another may work.
         | Reason::NoTarget
         | Reason::WrongIncarnation
         | Reason::Fenced
