--- a/laburnumcart_fakes/src/measure/table.rs
+++ b/laburnumcart_fakes/src/measure/table.rs
@@ -68,8 +68,8 @@
         let names = names.flat_map(|(_, figures)| figures.stages.keys());
         let names: collections::BTreeSet<_> = names.collect();
         writeln!(f, "### Cost by stage: useful + wasted, ms\n")?;
-        let titles: Vec<_> = names.iter().map(|name| name.as_str()).collect();
-        writeln!(f, "| case | way | {} |", titles.join(" | "))?;
+        let titles: String = names.iter().map(|name| format!(" {name} |")).collect();
+        writeln!(f, "| case | way |{titles}")?;
         writeln!(f, "|---|---|{}", "---|".repeat(names.len()))?;
         for outcome in self.outcomes {
             for (way, figures) in &outcome.ways {
