Let an owner know its own append when it reads it back

Cause: an append whose answer was lost is read back and compared with the segment in memory. Periods are rounded when written, so outside of tests, where moments are whole milliseconds, the own append never compared equal. It passed for a seal: the owner gave the shard up, told its waiting claims that they were not in the log, though they were, and took the shard over again.

Ruled out: another owner's seal. In the logs each shard was lost and taken again by the same process.

Before: `an_owner_knows_its_own_append` fails (epoch 2 where 1 is expected). After: passes. Now the written texts are compared.

--- a/laburnumcart_entry/src/claims/append.rs
+++ b/laburnumcart_entry/src/claims/append.rs
@@ -55,7 +55,7 @@
         match bounded(limit, call).await {
             Ok(version) => return Appended::Durable(version),
             Err(store::Failure::Conflict) => {
-                if let Some(outcome) = read_back(store, key, segment, limit).await {
+                if let Some(outcome) = read_back(store, key, &value, limit).await {
                     return outcome;
                 }
             }
@@ -84,12 +84,15 @@
 async fn read_back(
     store: &impl store::Store,
     key: &str,
-    segment: &record::Segment,
+    value: &str,
     limit: time::Duration,
 ) -> Option<Appended> {
     let object = bounded(limit, store.get(key)).await.ok()??;
     let found: record::Segment = serde_json::from_str(&object.value).ok()?;
-    match found == *segment {
+    // Written periods are rounded. Compared before that, the own append would pass for a seal, the
+    // shard would be given up, and its waiting claims would be taken for not being in the log.
+    let found = serde_json::to_string(&found).ok()?;
+    match found == value {
         true => Some(Appended::Durable(object.version)),
         false => Some(Appended::Sealed),
     }
--- a/laburnumcart_entry/tests/claims.rs
+++ b/laburnumcart_entry/tests/claims.rs
@@ -96,6 +96,24 @@
     assert_eq!(taken_by(&late.await.unwrap()), Some(id::RequestId(3)));
 }
 
+/// The answer to an append is lost at a moment that is no whole millisecond, as every moment outside of
+/// tests. The owner reads its own append back and must know it, although written periods are rounded;
+/// taken for a seal, it would cost the owner its shard and leave claims behind.
+#[tokio::test(start_paused = true)]
+async fn an_owner_knows_its_own_append() {
+    let mut world = World::new();
+    let (a, _) = world.start(1);
+    assert_eq!(claim(&a, ask(1, 1)).await, Decision::Granted);
+    clock::advance(time::Duration::from_nanos(3_456_789)).await;
+    world.memory.set_faults(memory::Faults {
+        lose_answers: 1,
+        ..memory::Faults::default()
+    });
+    assert_eq!(claim(&a, ask(7, 2)).await, Decision::Granted);
+    let head = world.memory.get("claims/0/head").await.unwrap().unwrap();
+    assert!(head.value.contains("\"epoch\":1,"), "{}", head.value);
+}
+
 /// The owner grants a claim and its answer is lost; then it is out of reach, and the asker, which cannot
 /// read whose the shard is, refuses its caller as not run. The claim must not stay behind: the caller
 /// comes again, as it was told to, and its request runs.
