--- a/laburnumcart_system/tests/orders.rs
+++ b/laburnumcart_system/tests/orders.rs
@@ -62,7 +62,7 @@
 
 /// Returns how often the first agent has called the object service, in vain or not.
 async fn store_calls(fleet: &fleet::Fleet) -> f64 {
-    let name = "laburnum_agent_store_object_service_calls_total";
+    let name = "laburnum_agent_object_service_calls_total";
     fleet.metric(fleet.nodes[0].admin, name, "").await
 }
 
