Wait in the test of silent connections until each silent lane was replaced

Cause: the test healed the connections when any lane had noticed the silence. A lane that had not was still trusted by its agent, and the held call of an attempt that had lost to another executed late: allowed for an idempotent request that was answered elsewhere, and cancelled over the silent connection. Seen once ('executed late', case_2_forth) in a run of the whole crate. The test now waits for every lane with a silent connection, as many as nodes and entries, which is stricter in order and the same in what it checks.

--- a/laburnumcart_system/tests/doubt.rs
+++ b/laburnumcart_system/tests/doubt.rs
@@ -141,9 +141,13 @@
         println!("{phase:?} {silence:?}: {}", reply::counts(&replies));
         let rows = fleet.executions(letters::SERVICE).await;
         letters::check(&sent, &replies, &rows);
-        // Only then was the silence noticed, and the new connections asked.
+        // Only then was the silence noticed on each lane and its old session fenced. A call of a
+        // lane that still trusts its connection may arrive late and execute; that of a hedge's
+        // loser, say, whose caller was answered long ago.
+        let silent = fleet.nodes.iter().filter(|n| n.relay().is_silent()).count();
+        let lanes = (silent * fleet.entries.len()) as f64;
         wait::until("connections given up", || async {
-            (breaks(&fleet).await > broken).then_some(())
+            (breaks(&fleet).await >= broken + lanes).then_some(())
         })
         .await;
         heal(&fleet, &name, &replies).await;
