--- a/laburnumcart/examples/decision_cost/main.rs
+++ b/laburnumcart/examples/decision_cost/main.rs
@@ -189,17 +189,17 @@
 
 fn subsets(count: usize) {
     let own = "entry-1".parse().expect("The name is valid.");
-    let zones = ["a", "b", "c", "d"].map(|z| z.parse().expect("The name is valid."));
+    let data_centres = ["a", "b", "c", "d"].map(|z| z.parse().expect("The name is valid."));
     let targets = targets(count, Instant::now());
     let members = || {
         let members = targets.iter().enumerate();
         members.map(|(i, t)| subset::Member {
             name: &t.name,
-            zone: &zones[i % 4],
+            data_centre: &data_centres[i % 4],
         })
     };
-    let times = measure::nanos(|_| subset::choose(&own, &zones[0], members(), 16));
-    let (_chosen, bytes) = measure::bytes(|| subset::choose(&own, &zones[0], members(), 16));
+    let times = measure::nanos(|_| subset::choose(&own, &data_centres[0], members(), 16));
+    let (_chosen, bytes) = measure::bytes(|| subset::choose(&own, &data_centres[0], members(), 16));
     measure::row(
         "subset: choose 16",
         format!("{count} targets"),
--- a/laburnumcart/src/route/crossing.rs
+++ b/laburnumcart/src/route/crossing.rs
@@ -85,11 +85,11 @@
     }
 
     /// Takes in the least round trip of a connection to a data centre.
-    pub fn record(&mut self, zone: &id::DataCentre, trip: time::Duration) {
-        match self.trips.get_mut(zone) {
+    pub fn record(&mut self, data_centre: &id::DataCentre, trip: time::Duration) {
+        match self.trips.get_mut(data_centre) {
             Some(least) => *least = trip.min(*least),
             None => {
-                self.trips.insert(zone.clone(), trip);
+                self.trips.insert(data_centre.clone(), trip);
             }
         }
     }
@@ -98,12 +98,12 @@
     ///
     /// What a round trip takes without distance is in both and falls away. Without a measure in the
     /// own data centre all others are compared by their whole round trips.
-    pub fn to(&self, zone: &id::DataCentre) -> time::Duration {
-        if *zone == self.own {
+    pub fn to(&self, data_centre: &id::DataCentre) -> time::Duration {
+        if *data_centre == self.own {
             return time::Duration::ZERO;
         }
         let own = self.trips.get(&self.own).copied().unwrap_or_default();
-        let trip = self.trips.get(zone);
+        let trip = self.trips.get(data_centre);
         trip.map_or(UNKNOWN, |trip| trip.saturating_sub(own))
     }
 }
--- a/laburnumcart/src/subset.rs
+++ b/laburnumcart/src/subset.rs
@@ -29,7 +29,7 @@
     /// Its name.
     pub name: &'a id::TargetName,
     /// Its data centre.
-    pub zone: &'a id::DataCentre,
+    pub data_centre: &'a id::DataCentre,
 }
 
 /// Returns the size of a subset with which heartbeats to all services stay within a rate.
@@ -84,17 +84,17 @@
 /// use laburnumcart::{id, subset};
 ///
 /// let names: Vec<id::TargetName> = (0..40).map(|i| format!("t{i}").parse().unwrap()).collect();
-/// let zones: [id::DataCentre; 2] = ["east".parse().unwrap(), "west".parse().unwrap()];
+/// let data_centres: [id::DataCentre; 2] = ["east".parse().unwrap(), "west".parse().unwrap()];
 /// let members = names.iter().enumerate();
-/// let members = members.map(|(i, name)| subset::Member { name, zone: &zones[i % 2] });
+/// let members = members.map(|(i, name)| subset::Member { name, data_centre: &data_centres[i % 2] });
 /// let own: id::InstanceName = "entry-1".parse().unwrap();
-/// let chosen = subset::choose(&own, &zones[0], members, 8);
-/// assert_eq!(chosen.iter().filter(|m| m.zone == &zones[0]).count(), 6);
+/// let chosen = subset::choose(&own, &data_centres[0], members, 8);
+/// assert_eq!(chosen.iter().filter(|m| m.data_centre == &data_centres[0]).count(), 6);
 /// assert_eq!(chosen.len(), 8);
 /// ```
 pub fn choose<'a>(
     own: &id::InstanceName,
-    zone: &id::DataCentre,
+    data_centre: &id::DataCentre,
     members: impl IntoIterator<Item = Member<'a>>,
     size: usize,
 ) -> Vec<Member<'a>> {
@@ -103,8 +103,9 @@
         let digest = xxhash_rust::xxh3::xxh3_64_with_seed(m.name.as_str().as_bytes(), seed);
         (std::cmp::Reverse(digest), m.name.clone())
     };
-    let (mut near, mut far): (Vec<_>, Vec<_>) =
-        members.into_iter().partition(|member| member.zone == zone);
+    let (mut near, mut far): (Vec<_>, Vec<_>) = members
+        .into_iter()
+        .partition(|member| member.data_centre == data_centre);
     near.sort_by_cached_key(score);
     far.sort_by_cached_key(score);
     let wanted = far.len().min(size / REMOTE);
--- a/laburnumcart/tests/route.rs
+++ b/laburnumcart/tests/route.rs
@@ -218,9 +218,9 @@
 #[case(&[("own", 200), ("far", 150)], 0)]
 fn crossing_is_the_difference(#[case] trips: &[(&str, u64)], #[case] micros: u64) {
     let mut crossings = route::crossing::Crossings::new("own".parse().unwrap());
-    for (zone, micros) in trips {
+    for (data_centre, micros) in trips {
         let trip = time::Duration::from_micros(*micros);
-        crossings.record(&zone.parse().unwrap(), trip);
+        crossings.record(&data_centre.parse().unwrap(), trip);
     }
     let crossing = crossings.to(&"far".parse().unwrap());
     assert_eq!(crossing, time::Duration::from_micros(micros));
--- a/laburnumcart/tests/subset.rs
+++ b/laburnumcart/tests/subset.rs
@@ -13,7 +13,7 @@
         .collect()
 }
 
-fn zones() -> Vec<id::DataCentre> {
+fn data_centres() -> Vec<id::DataCentre> {
     ["a", "b", "c", "d"]
         .iter()
         .map(|z| z.parse().unwrap())
@@ -22,13 +22,13 @@
 
 fn members<'a>(
     names: &'a [id::TargetName],
-    zones: &'a [id::DataCentre],
+    data_centres: &'a [id::DataCentre],
 ) -> Vec<subset::Member<'a>> {
     let members = names.iter().enumerate();
     members
         .map(|(i, name)| subset::Member {
             name,
-            zone: &zones[i % zones.len()],
+            data_centre: &data_centres[i % data_centres.len()],
         })
         .collect()
 }
@@ -36,28 +36,28 @@
 proptest! {
     #[test]
     fn one_change_moves_at_most_one_place(count in 1usize..80, size in 0usize..30, gone: usize) {
-        let (names, zones) = (names(count), zones());
-        let all = members(&names, &zones);
+        let (names, data_centres) = (names(count), data_centres());
+        let all = members(&names, &data_centres);
         let own: id::InstanceName = "entry-1".parse().unwrap();
-        let before = subset::choose(&own, &zones[0], all.clone(), size);
+        let before = subset::choose(&own, &data_centres[0], all.clone(), size);
         prop_assert_eq!(before.len(), size.min(count));
 
         let mut shuffled = all.clone();
         shuffled.reverse();
-        prop_assert_eq!(&subset::choose(&own, &zones[0], shuffled.clone(), size), &before);
+        prop_assert_eq!(&subset::choose(&own, &data_centres[0], shuffled.clone(), size), &before);
 
         let removed = shuffled.remove(gone % count);
-        let after = subset::choose(&own, &zones[0], shuffled, size);
+        let after = subset::choose(&own, &data_centres[0], shuffled, size);
         let lost: Vec<_> = before.iter().filter(|m| !after.contains(m)).collect();
         prop_assert!(lost.iter().all(|m| **m == removed));
     }
 
     #[test]
     fn local_first_with_a_part_elsewhere(count in 32usize..80, size in 4usize..8) {
-        let (names, zones) = (names(count), zones());
+        let (names, data_centres) = (names(count), data_centres());
         let own: id::InstanceName = "entry-1".parse().unwrap();
-        let chosen = subset::choose(&own, &zones[0], members(&names, &zones), size);
-        let local = chosen.iter().filter(|m| m.zone == &zones[0]).count();
+        let chosen = subset::choose(&own, &data_centres[0], members(&names, &data_centres), size);
+        let local = chosen.iter().filter(|m| m.data_centre == &data_centres[0]).count();
         prop_assert_eq!(local, size - size / 4);
     }
 }
@@ -66,12 +66,12 @@
 /// capacity would lie idle when these have little to do.
 #[test]
 fn targets_are_spread_over_entries() {
-    let (names, zones) = (names(167), zones());
-    let all = members(&names, &zones);
+    let (names, data_centres) = (names(167), data_centres());
+    let all = members(&names, &data_centres);
     let mut counts = std::collections::HashMap::new();
     for i in 0..350 {
         let own: id::InstanceName = format!("entry-{i}").parse().unwrap();
-        for member in subset::choose(&own, &zones[i % 4], all.clone(), 16) {
+        for member in subset::choose(&own, &data_centres[i % 4], all.clone(), 16) {
             *counts.entry(member.name).or_insert(0) += 1;
         }
     }
--- a/laburnumcart_agent/src/settings.rs
+++ b/laburnumcart_agent/src/settings.rs
@@ -16,7 +16,7 @@
     /// Name of this process.
     pub instance: id::InstanceName,
     /// Its data centre.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Address for entries, other agents and operators.
     #[schemars(with = "settings::Address")]
     pub peer: net::SocketAddr,
--- a/laburnumcart_agent/src/shared.rs
+++ b/laburnumcart_agent/src/shared.rs
@@ -182,7 +182,7 @@
         agent::Report {
             target: self.settings.target.name.clone(),
             service: self.settings.target.service.clone(),
-            zone: self.settings.zone.clone(),
+            data_centre: self.settings.data_centre.clone(),
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
             ready: snapshot.ready,
--- a/laburnumcart_agent/tests/agent/fixture.rs
+++ b/laburnumcart_agent/tests/agent/fixture.rs
@@ -54,7 +54,7 @@
     let key = seal::SecretKey::generate().unwrap().public().to_string();
     let text = json!({
         "instance": "agent-1",
-        "zone": "dc-a",
+        "data_centre": "dc-a",
         "peer": "127.0.0.1:0",
         "admin": "127.0.0.1:0",
         "target": {"name": "pool-1", "service": "pool", "address": target.to_string()},
--- a/laburnumcart_ctl/src/command/status.rs
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -153,15 +153,15 @@
     match state {
         peers::State::Entry(s) => write!(
             f,
-            "entry {} zone={} generation={} leaving={} running={} agents={}",
-            s.instance, s.zone, s.generation, s.leaving, s.running, s.agents
+            "entry {} data_centre={} generation={} leaving={} running={} agents={}",
+            s.instance, s.data_centre, s.generation, s.leaving, s.running, s.agents
         ),
         peers::State::Agent(r) => write!(
             f,
-            "agent {} service={} zone={} generation={} leaving={} ready={} running={} queued={}",
+            "agent {} service={} data_centre={} generation={} leaving={} ready={} running={} queued={}",
             r.target,
             r.service,
-            r.zone,
+            r.data_centre,
             r.facts.generation,
             r.leaving,
             r.ready,
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -63,7 +63,7 @@
     let control = Control {
         members: members::Members::new(
             start.caller,
-            start.entry.identity.zone.clone(),
+            start.entry.identity.data_centre.clone(),
             start.entry.traffic.clone(),
         ),
         entry: start.entry,
@@ -150,10 +150,10 @@
 
     /// Returns the least round trip to each data centre.
     fn crossings(&self) -> crossing::Crossings {
-        let mut crossings = crossing::Crossings::new(self.entry.identity.zone.clone());
+        let mut crossings = crossing::Crossings::new(self.entry.identity.data_centre.clone());
         for member in self.members.agents() {
             if let Some(trip) = member.lane.report().and_then(|seen| seen.trip) {
-                crossings.record(&member.zone, trip);
+                crossings.record(&member.data_centre, trip);
             }
         }
         crossings
@@ -168,8 +168,8 @@
         };
         routes::Way {
             lane: member.lane.clone(),
-            local: member.zone == self.entry.identity.zone,
-            crossing: crossings.to(&member.zone),
+            local: member.data_centre == self.entry.identity.data_centre,
+            crossing: crossings.to(&member.data_centre),
             leaving: report.as_deref().is_some_and(leaving),
             ejected: report.as_deref().is_some_and(ejected),
         }
--- a/laburnumcart_entry/src/entry.rs
+++ b/laburnumcart_entry/src/entry.rs
@@ -38,7 +38,7 @@
     /// Name from the settings.
     pub instance: id::InstanceName,
     /// Data centre from the settings.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Address of the peer port.
     pub peer: net::SocketAddr,
     /// Life of this process.
--- a/laburnumcart_entry/src/members.rs
+++ b/laburnumcart_entry/src/members.rs
@@ -68,7 +68,7 @@
     /// Name.
     pub name: id::InstanceName,
     /// Data centre.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Kind.
     pub role: Role,
     /// Service of an agent's target.
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 pub struct Members {
     caller: links::Caller,
-    zone: id::DataCentre,
+    data_centre: id::DataCentre,
     runtime: runtime::Handle,
     lanes: collections::BTreeMap<net::SocketAddr, Member>,
     entries: Vec<net::SocketAddr>,
@@ -108,17 +108,21 @@
     /// Service that the list names.
     pub service: id::ServiceName,
     /// Data centre that the list names.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// The lane.
     pub lane: Arc<links::Lane>,
 }
 
 impl Members {
     /// Creates an empty set whose lanes run on `runtime`.
-    pub fn new(caller: links::Caller, zone: id::DataCentre, runtime: runtime::Handle) -> Self {
+    pub fn new(
+        caller: links::Caller,
+        data_centre: id::DataCentre,
+        runtime: runtime::Handle,
+    ) -> Self {
         Self {
             caller,
-            zone,
+            data_centre,
             runtime,
             lanes: collections::BTreeMap::new(),
             entries: Vec::new(),
@@ -210,10 +214,10 @@
         for (service, agents) in &services {
             let members = agents.iter().map(|(name, instance)| subset::Member {
                 name,
-                zone: &instance.zone,
+                data_centre: &instance.data_centre,
             });
             let size = self.widths[*service].size();
-            let names = subset::choose(&self.caller.instance, &self.zone, members, size);
+            let names = subset::choose(&self.caller.instance, &self.data_centre, members, size);
             let names: collections::HashSet<_> = names.iter().map(|member| member.name).collect();
             let agents = agents.iter().filter(|(name, _)| names.contains(name));
             chosen.extend(agents.map(|(_, instance)| *instance));
@@ -237,11 +241,11 @@
         let (caller, runtime) = (&self.caller, &self.runtime);
         let member = self.lanes.entry(instance.addr).or_insert_with(|| Member {
             service: service.clone(),
-            zone: instance.zone.clone(),
+            data_centre: instance.data_centre.clone(),
             lane: links::Lane::open(runtime, instance.addr, caller.clone()),
         });
         member.service = service.clone();
-        member.zone = instance.zone.clone();
+        member.data_centre = instance.data_centre.clone();
         member.lane.set_idle(idle);
     }
 
--- a/laburnumcart_entry/src/peers.rs
+++ b/laburnumcart_entry/src/peers.rs
@@ -46,7 +46,7 @@
         let generation = self.entry.gossip.feed().generation();
         entry::Status {
             instance: self.entry.identity.instance.clone(),
-            zone: self.entry.identity.zone.clone(),
+            data_centre: self.entry.identity.data_centre.clone(),
             incarnation: self.entry.identity.incarnation,
             generation,
             leaving: self.entry.is_leaving(),
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -87,7 +87,7 @@
     let feed = bundle::Feed::new(&metrics);
     let identity = entry::Identity {
         instance: settings.instance.clone(),
-        zone: settings.zone.clone(),
+        data_centre: settings.data_centre.clone(),
         peer: settings.peer,
         incarnation: id::Incarnation::random(),
     };
--- a/laburnumcart_entry/src/settings.rs
+++ b/laburnumcart_entry/src/settings.rs
@@ -17,7 +17,7 @@
     /// Name of this process.
     pub instance: id::InstanceName,
     /// Its data centre.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Address for callers.
     #[schemars(with = "settings::Address")]
     pub callers: net::SocketAddr,
--- a/laburnumcart_entry/tests/it/agent.rs
+++ b/laburnumcart_entry/tests/it/agent.rs
@@ -160,7 +160,7 @@
         agent::Report {
             target: self.target.clone(),
             service: self.service.clone(),
-            zone: "dc-1".parse().unwrap(),
+            data_centre: "dc-1".parse().unwrap(),
             incarnation: self.incarnation,
             leaving: self.inner.lock().unwrap().leaving,
             ready: true,
--- a/laburnumcart_entry/tests/it/bench.rs
+++ b/laburnumcart_entry/tests/it/bench.rs
@@ -120,7 +120,7 @@
         let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let identity = entry::Identity {
             instance: "entry-1".parse().unwrap(),
-            zone: "dc-1".parse().unwrap(),
+            data_centre: "dc-1".parse().unwrap(),
             peer: listener.local_addr().unwrap(),
             incarnation: id::Incarnation::random(),
         };
--- a/laburnumcart_entry/tests/it/members.rs
+++ b/laburnumcart_entry/tests/it/members.rs
@@ -44,7 +44,7 @@
             timing: bench::timing(),
         };
         let traffic = bench.entry.traffic.clone();
-        let members = members::Members::new(caller, identity.zone.clone(), traffic);
+        let members = members::Members::new(caller, identity.data_centre.clone(), traffic);
         let mut agents = Vec::new();
         for _ in 0..AGENTS {
             agents.push(agent::start("pool", agent::Plan::default()).await);
@@ -89,7 +89,7 @@
 fn instance(number: usize, addr: net::SocketAddr) -> members::Instance {
     members::Instance {
         name: format!("agent-{number}").parse().unwrap(),
-        zone: "dc-1".parse().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
         role: members::Role::Agent,
         service: Some("pool".parse().unwrap()),
         addr,
--- a/laburnumcart_entry/tests/listing.rs
+++ b/laburnumcart_entry/tests/listing.rs
@@ -68,7 +68,7 @@
     async fn add(&self, name: &str) -> store::Version {
         let value = serde_json::json!({
             "name": name,
-            "zone": "dc-1",
+            "data_centre": "dc-1",
             "role": "entry",
             "addr": "127.0.0.1:1",
             "state": "live",
--- a/laburnumcart_entry/tests/members.rs
+++ b/laburnumcart_entry/tests/members.rs
@@ -34,7 +34,7 @@
 fn instance(role: members::Role, service: Option<String>, number: u16) -> members::Instance {
     members::Instance {
         name: format!("{role:?}-{number}").to_lowercase().parse().unwrap(),
-        zone: "dc-1".parse().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
         role,
         service: service.map(|name| name.parse().unwrap()),
         // Nothing listens there.
@@ -68,9 +68,9 @@
     #[case] targets: u16,
     #[case] millis: u64,
 ) {
-    let zone = "dc-1".parse().unwrap();
+    let data_centre = "dc-1".parse().unwrap();
     let runtime = tokio::runtime::Handle::current();
-    let mut members = members::Members::new(caller(), zone, runtime);
+    let mut members = members::Members::new(caller(), data_centre, runtime);
     members.apply(&list(entries, services, targets));
     assert!(members.agents().count() > 0);
     for member in members.agents() {
--- a/laburnumcart_entry/tests/process.rs
+++ b/laburnumcart_entry/tests/process.rs
@@ -41,7 +41,7 @@
 fn settings(callers: net::SocketAddr, secret: &str) -> String {
     serde_json::json!({
         "instance": "entry-1",
-        "zone": "dc-1",
+        "data_centre": "dc-1",
         "callers": callers.to_string(),
         "peer": free().to_string(),
         "fleet": { "secrets": [secret], "keys": { "ops": KEY }, "signers": 1 },
--- a/laburnumcart_fakes/src/demo/documents.rs
+++ b/laburnumcart_fakes/src/demo/documents.rs
@@ -97,7 +97,7 @@
 pub(super) fn entry(layout: &layout::Layout, entry: &layout::Entry, keys: &Keys) -> Value {
     json!({
         "instance": entry.name,
-        "zone": entry.zone,
+        "data_centre": entry.data_centre,
         "callers": entry.callers,
         "peer": entry.peer,
         "fleet": fleet(layout, keys),
@@ -110,7 +110,7 @@
 pub(super) fn agent(layout: &layout::Layout, node: &layout::Node, keys: &Keys) -> Value {
     json!({
         "instance": node.agent,
-        "zone": node.zone,
+        "data_centre": node.data_centre,
         "peer": node.peer,
         "admin": node.admin,
         "target": {
@@ -142,7 +142,7 @@
     let entries = layout.entries.iter().map(|entry| {
         let value = json!({
             "name": entry.name,
-            "zone": entry.zone,
+            "data_centre": entry.data_centre,
             "role": "entry",
             "service": null,
             "addr": entry.peer,
@@ -153,7 +153,7 @@
     let agents = layout.nodes.iter().map(|node| {
         let value = json!({
             "name": node.agent,
-            "zone": node.zone,
+            "data_centre": node.data_centre,
             "role": "agent",
             "service": node.service.name,
             "addr": node.peer,
--- a/laburnumcart_fakes/src/demo/layout.rs
+++ b/laburnumcart_fakes/src/demo/layout.rs
@@ -5,7 +5,7 @@
 use crate::demo::shape;
 
 /// Data centres that instances are spread over.
-pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+pub const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
 /// Calls that a stand-in runs at full speed.
 pub(super) const SLOTS: u32 = 4;
@@ -34,7 +34,7 @@
     /// Name of the instance.
     pub name: String,
     /// Data centre.
-    pub zone: &'static str,
+    pub data_centre: &'static str,
     /// Address for callers.
     pub callers: net::SocketAddr,
     /// Address for peers.
@@ -51,7 +51,7 @@
     /// Service that it belongs to.
     pub service: &'static shape::Service,
     /// Data centre.
-    pub zone: &'static str,
+    pub data_centre: &'static str,
     /// Address of the target.
     pub target: net::SocketAddr,
     /// Address of the agent for peers.
@@ -82,8 +82,8 @@
         for service in shape.services() {
             for number in 0..service.targets(size) {
                 // Services start in different data centres, so that none holds all first targets.
-                let zone = ZONES[nodes.len() % ZONES.len()];
-                nodes.push(node(service, number, zone, &mut ports));
+                let data_centre = DATA_CENTRES[nodes.len() % DATA_CENTRES.len()];
+                nodes.push(node(service, number, data_centre, &mut ports));
             }
         }
         Self {
@@ -118,7 +118,7 @@
 fn entry(number: usize, ports: &mut Ports) -> Entry {
     Entry {
         name: format!("entry-{}", number + 1),
-        zone: ZONES[number % ZONES.len()],
+        data_centre: DATA_CENTRES[number % DATA_CENTRES.len()],
         callers: ports.next(),
         peer: ports.next(),
     }
@@ -127,7 +127,7 @@
 fn node(
     service: &'static shape::Service,
     number: usize,
-    zone: &'static str,
+    data_centre: &'static str,
     ports: &mut Ports,
 ) -> Node {
     let name = format!("{}-{}", service.name, number + 1);
@@ -135,7 +135,7 @@
         agent: format!("agent-{name}"),
         name,
         service,
-        zone,
+        data_centre,
         target: ports.next(),
         peer: ports.next(),
         admin: ports.next(),
--- a/laburnumcart_fakes/tests/demo.rs
+++ b/laburnumcart_fakes/tests/demo.rs
@@ -78,7 +78,7 @@
         let instance = folder.json(&format!("instances/{name}.json"));
         assert_eq!(settings["instance"], instance["name"]);
         assert_eq!(settings["peer"], instance["addr"]);
-        assert_eq!(settings["zone"], instance["zone"]);
+        assert_eq!(settings["data_centre"], instance["data_centre"]);
         assert_eq!(settings["fleet"]["keys"]["ops"], "AAAA");
     }
 }
@@ -95,7 +95,8 @@
     }
     let distinct: collections::HashSet<_> = ports.iter().collect();
     assert_eq!(distinct.len(), ports.len());
-    let zones: collections::HashSet<_> = layout.nodes.iter().map(|node| node.zone).collect();
-    assert_eq!(zones.len(), 3);
-    assert_ne!(layout.entries[0].zone, layout.entries[1].zone);
+    let data_centres: collections::HashSet<_> =
+        layout.nodes.iter().map(|node| node.data_centre).collect();
+    assert_eq!(data_centres.len(), 3);
+    assert_ne!(layout.entries[0].data_centre, layout.entries[1].data_centre);
 }
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -38,7 +38,7 @@
 pub const SECRET: &str = "fleet-secret-for-tests-only-0123456789";
 
 /// Data centres that targets and entries are spread over.
-pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+pub const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
 /// One target with its agent.
 #[derive(Debug)]
@@ -145,7 +145,7 @@
     /// Starts a target and its agent.
     pub async fn add_node(&mut self, service: &Service, number: usize) {
         let name = format!("{}-{number}", service.name);
-        let zone = ZONES[number % ZONES.len()];
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
         let target_addr = port::free();
         let mut args = vec![
             "--target".into(),
@@ -158,7 +158,7 @@
         let (peer, admin) = (port::free(), port::free());
         let settings = json!({
             "instance": format!("agent-{name}"),
-            "zone": zone,
+            "data_centre": data_centre,
             "peer": peer.to_string(),
             "admin": admin.to_string(),
             "target": {
@@ -177,7 +177,7 @@
             false => None,
         };
         let listed = relay.as_ref().map_or(peer, relay::Relay::addr);
-        self.list(&name, zone, "agent", Some(service.name), listed)
+        self.list(&name, data_centre, "agent", Some(service.name), listed)
             .await;
         self.nodes.push(Node {
             name,
@@ -195,12 +195,12 @@
     /// Starts an entry.
     pub async fn add_entry(&mut self, number: usize) {
         let name = format!("entry-{number}");
-        let zone = ZONES[number % ZONES.len()];
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
         let (callers, peer) = (port::free(), port::free());
         let peers: Vec<_> = self.entries.iter().map(|entry| entry.peer).collect();
         let settings = json!({
             "instance": name,
-            "zone": zone,
+            "data_centre": data_centre,
             "callers": callers.to_string(),
             "peer": peer.to_string(),
             "fleet": self.fleet_settings(&peers),
@@ -209,7 +209,7 @@
             "stop_limit": self.plan.stop,
         });
         let process = self.daemon(&name, "laburnum-entry", &settings);
-        self.list(&name, zone, "entry", None, peer).await;
+        self.list(&name, data_centre, "entry", None, peer).await;
         self.entries.push(Entry {
             name,
             callers,
@@ -339,14 +339,14 @@
     pub async fn list(
         &self,
         name: &str,
-        zone: &str,
+        data_centre: &str,
         role: &str,
         service: Option<&str>,
         peer: net::SocketAddr,
     ) {
         let value = json!({
             "name": name,
-            "zone": zone,
+            "data_centre": data_centre,
             "role": role,
             "service": service,
             "addr": peer.to_string(),
--- a/laburnumcart_system/src/fleet/faults.rs
+++ b/laburnumcart_system/src/fleet/faults.rs
@@ -67,7 +67,7 @@
         let admin = port::free();
         let settings = json!({
             "instance": name,
-            "zone": "dc-a",
+            "data_centre": "dc-a",
             "peer": port::free().to_string(),
             "admin": admin.to_string(),
             "target": {
--- a/laburnumcart_system/src/slopes/agents.rs
+++ b/laburnumcart_system/src/slopes/agents.rs
@@ -49,12 +49,12 @@
 
 impl Fake {
     /// Starts an agent of a service on a free port.
-    pub fn start(name: &str, service: &str, zone: &str) -> io::Result<Self> {
+    pub fn start(name: &str, service: &str, data_centre: &str) -> io::Result<Self> {
         let invalid = |e: id::ParseError| io::Error::other(e.to_string());
         let report = agent::Report {
             target: name.parse().map_err(invalid)?,
             service: service.parse().map_err(invalid)?,
-            zone: zone.parse().map_err(invalid)?,
+            data_centre: data_centre.parse().map_err(invalid)?,
             incarnation: id::Incarnation::random(),
             leaving: false,
             ready: true,
--- a/laburnumcart_system/src/slopes/rig.rs
+++ b/laburnumcart_system/src/slopes/rig.rs
@@ -21,7 +21,7 @@
 };
 
 /// Data centre of all processes.
-pub const ZONE: &str = fleet::ZONES[0];
+pub const ZONE: &str = fleet::DATA_CENTRES[0];
 
 /// Pipelines of the bundle.
 const PIPELINES: usize = 28;
--- a/laburnumcart_wire/src/agent.rs
+++ b/laburnumcart_wire/src/agent.rs
@@ -54,7 +54,7 @@
     /// Service that the target belongs to.
     pub service: id::ServiceName,
     /// Data centre of both.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Life of the agent.
     pub incarnation: id::Incarnation,
     /// Whether new work is refused.
--- a/laburnumcart_wire/src/entry.rs
+++ b/laburnumcart_wire/src/entry.rs
@@ -26,7 +26,7 @@
     /// Name of the entry.
     pub instance: id::InstanceName,
     /// Its data centre.
-    pub zone: id::DataCentre,
+    pub data_centre: id::DataCentre,
     /// Its life.
     pub incarnation: id::Incarnation,
     /// Generation in force.
