Assume a usable rate until completions were measured

Cause: a burst at a process that has just started is refused before anything has ended. Without a measured rate one completion a second was assumed, and each refused caller sent to a moment of its own: the 44th stayed away for 44 s and more, while the queue was empty after 2 s. Ruled out: takeovers (each shard was taken once), the object service's budget (no call refused).

Conclusion: 50 completions a second are assumed; who comes too early is told better by then.

--- a/laburnumcart/src/estimate/drain.rs
+++ b/laburnumcart/src/estimate/drain.rs
@@ -12,6 +12,12 @@
 /// Shortest time that counts as measured, lest a first completion look like a high rate.
 const WARM: time::Duration = time::Duration::from_secs(1);
 
+/// Completions a second that are assumed until some were measured.
+///
+/// A guess too high costs callers one more refusal, with a measured time by then; one too low keeps
+/// them away while the queue is empty.
+const UNMEASURED: f64 = 50.0;
+
 /// Shortest Retry-After.
 const RETRY_MIN: time::Duration = time::Duration::from_millis(100);
 
@@ -73,7 +79,7 @@
         now: Instant,
         rng: &mut impl rand::Rng,
     ) -> time::Duration {
-        let rate = self.rate(now).unwrap_or(1.0);
+        let rate = self.rate(now).unwrap_or(UNMEASURED);
         let at = (now + excess.max(RETRY_MIN)).max(self.next);
         let limit = now + estimate::RETRY_MAX;
         self.next = (at + time::Duration::from_secs_f64(1.0 / rate)).min(limit);
--- a/laburnumcart/tests/estimate.rs
+++ b/laburnumcart/tests/estimate.rs
@@ -94,6 +94,19 @@
     }
 }
 
+/// A burst meets a process that has just started, so that 50 callers are refused before anything has
+/// ended. The rate is unknown; guessed too low, the last of them would stay away for most of a
+/// minute while the queue is long empty. Those who come too early are told better then.
+#[test]
+fn refused_callers_of_a_new_process_come_back_soon() {
+    let now = Instant::now();
+    let mut drain = estimate::Drain::new(now);
+    let mut rng = rng();
+    for _ in 0..50 {
+        assert!(drain.retry_after(millis(0), now, &mut rng) < millis(2000));
+    }
+}
+
 proptest! {
     #[test]
     fn retry_after_is_bounded(excess in 0u64..1_000_000, count in 1usize..100) {
