--- a/laburnumcart_fakes/src/bin/laburnum-fake-target.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-fake-target.rs
@@ -1,10 +1,6 @@
 //! Serves stand-in targets.
 
-use std::{
-    env,
-    error,
-    process, //
-};
+use std::process;
 
 use getopts::{
     Matches,
@@ -14,28 +10,17 @@
     bundle,
     unit, //
 };
-use laburnumcart_fakes::target::{
-    self,
-    settings, //
+use laburnumcart_fakes::{
+    program,
+    target::{
+        self,
+        settings, //
+    },
 };
 use tokio::signal::unix;
 
-type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
-
 fn main() -> process::ExitCode {
-    let options = options();
-    let arguments: Vec<_> = env::args().skip(1).collect();
-    if arguments.iter().any(|a| a == "-h" || a == "--help") {
-        print!("{}", options.usage("Usage: laburnum-fake-target [options]"));
-        return process::ExitCode::SUCCESS;
-    }
-    match parse(&options, &arguments).and_then(run) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("laburnum-fake-target: {error}");
-            process::ExitCode::from(2)
-        }
-    }
+    program::run("laburnum-fake-target", "[options]", &options(), parse, run)
 }
 
 fn options() -> Options {
@@ -70,7 +55,7 @@
 }
 
 /// Reads the arguments into the settings of each target.
-fn parse(options: &Options, arguments: &[String]) -> Result<Vec<settings::Settings>> {
+fn parse(options: &Options, arguments: &[String]) -> program::Result<Vec<settings::Settings>> {
     let matches = options.parse(arguments)?;
     let names = matches.opt_strs("target");
     if names.is_empty() {
@@ -80,9 +65,9 @@
     targets.collect()
 }
 
-fn settings(matches: &Matches, name: &str) -> Result<settings::Settings> {
+fn settings(matches: &Matches, name: &str) -> program::Result<settings::Settings> {
     let mut settings: settings::Settings = name.parse()?;
-    let period = |name: &str, default| -> Result<_> {
+    let period = |name: &str, default| -> program::Result<_> {
         let period = matches.opt_get::<unit::Period>(name)?;
         Ok(period.map_or(default, |period| period.0))
     };
@@ -108,7 +93,7 @@
     Ok(settings)
 }
 
-fn run(targets: Vec<settings::Settings>) -> Result<()> {
+fn run(targets: Vec<settings::Settings>) -> program::Result<()> {
     let level = simplelog::LevelFilter::Info;
     simplelog::SimpleLogger::init(level, simplelog::Config::default())?;
     let mut running = Vec::new();
@@ -124,7 +109,7 @@
         .block_on(stopped())
 }
 
-async fn stopped() -> Result<()> {
+async fn stopped() -> program::Result<()> {
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     tokio::select! {
--- a/laburnumcart_fakes/src/bin/laburnum-load.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-load.rs
@@ -1,8 +1,6 @@
 //! Offers load to the system or, as a baseline, straight to its targets.
 
 use std::{
-    env,
-    error,
     fs,
     process, //
 };
@@ -12,13 +10,14 @@
     Options, //
 };
 use laburnumcart::unit;
-use laburnumcart_fakes::load::{
-    plan,
-    run, //
+use laburnumcart_fakes::{
+    load::{
+        plan,
+        run, //
+    },
+    program,
 };
 
-type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
-
 /// What the arguments ask for.
 struct Arguments {
     plan: plan::Plan,
@@ -27,22 +26,13 @@
 }
 
 fn main() -> process::ExitCode {
-    let options = options();
-    let arguments: Vec<_> = env::args().skip(1).collect();
-    if arguments.iter().any(|a| a == "-h" || a == "--help") {
-        print!(
-            "{}",
-            options.usage("Usage: laburnum-load --plan FILE [options]")
-        );
-        return process::ExitCode::SUCCESS;
-    }
-    match parse(&options, &arguments).and_then(run) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("laburnum-load: {error}");
-            process::ExitCode::from(2)
-        }
-    }
+    program::run(
+        "laburnum-load",
+        "--plan FILE [options]",
+        &options(),
+        parse,
+        run,
+    )
 }
 
 fn options() -> Options {
@@ -79,7 +69,7 @@
     options
 }
 
-fn parse(options: &Options, arguments: &[String]) -> Result<Arguments> {
+fn parse(options: &Options, arguments: &[String]) -> program::Result<Arguments> {
     let matches = options.parse(arguments)?;
     let path = matches.opt_str("plan").unwrap_or_default();
     let plan: plan::Plan = serde_json::from_str(&fs::read_to_string(&path)?)?;
@@ -99,7 +89,7 @@
     })
 }
 
-fn settings(matches: &Matches) -> Result<run::Settings> {
+fn settings(matches: &Matches) -> program::Result<run::Settings> {
     let mut settings = run::Settings {
         route: route(matches)?,
         resend: matches.opt_present("resend"),
@@ -114,7 +104,7 @@
     Ok(settings)
 }
 
-fn route(matches: &Matches) -> Result<run::Route> {
+fn route(matches: &Matches) -> program::Result<run::Route> {
     if matches.opt_present("direct") {
         return Ok(run::Route::Baseline(run::Policy::RoundRobin));
     }
@@ -129,7 +119,7 @@
     }
 }
 
-fn run(arguments: Arguments) -> Result<()> {
+fn run(arguments: Arguments) -> program::Result<()> {
     let level = simplelog::LevelFilter::Info;
     simplelog::WriteLogger::init(level, simplelog::Config::default(), std::io::stderr())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/laburnumcart_fakes/src/bin/laburnum-measure.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-measure.rs
@@ -1,8 +1,6 @@
 //! Measures cases on a running fleet and writes their tables and plot.
 
 use std::{
-    env,
-    error,
     fs,
     net,
     path,
@@ -23,10 +21,9 @@
         series,
         table, //
     },
+    program,
 };
 
-type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
-
 /// Time of each run.
 const DURATION: time::Duration = time::Duration::from_secs(5);
 
@@ -43,20 +40,13 @@
 }
 
 fn main() -> process::ExitCode {
-    let options = options();
-    let arguments: Vec<_> = env::args().skip(1).collect();
-    if arguments.iter().any(|a| a == "-h" || a == "--help") {
-        let brief = "Usage: laburnum-measure --plan FILE --store IP:PORT --out FILE [options]";
-        print!("{}", options.usage(brief));
-        return process::ExitCode::SUCCESS;
-    }
-    match parse(&options, &arguments).and_then(run) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("laburnum-measure: {error}");
-            process::ExitCode::from(2)
-        }
-    }
+    program::run(
+        "laburnum-measure",
+        "--plan FILE --store IP:PORT --out FILE [options]",
+        &options(),
+        parse,
+        run,
+    )
 }
 
 fn options() -> Options {
@@ -74,7 +64,7 @@
     options
 }
 
-fn parse(options: &Options, arguments: &[String]) -> Result<Arguments> {
+fn parse(options: &Options, arguments: &[String]) -> program::Result<Arguments> {
     let matches = options.parse(arguments)?;
     let path = matches.opt_str("plan").unwrap_or_default();
     let plan: plan::Plan = serde_json::from_str(&fs::read_to_string(&path)?)?;
@@ -100,14 +90,14 @@
     })
 }
 
-fn series(matches: &Matches) -> Result<series::Series> {
+fn series(matches: &Matches) -> program::Result<series::Series> {
     let store: net::SocketAddr = matches.opt_str("store").unwrap_or_default().parse()?;
     let repetitions = matches.opt_get_default("repetitions", 3)?;
     let pages = matches.opt_str("pages").map(path::PathBuf::from);
     Ok(series::Series::new(store, repetitions, pages))
 }
 
-fn run(arguments: Arguments) -> Result<()> {
+fn run(arguments: Arguments) -> program::Result<()> {
     let level = simplelog::LevelFilter::Warn;
     simplelog::WriteLogger::init(level, simplelog::Config::default(), std::io::stderr())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -118,7 +108,7 @@
 }
 
 /// Measures all cases; the files are written again after each, so that a stop loses none.
-async fn measure(arguments: Arguments) -> Result<()> {
+async fn measure(arguments: Arguments) -> program::Result<()> {
     let mut outcomes = Vec::new();
     for case in &arguments.cases {
         outcomes.push(arguments.series.run(case).await);
@@ -133,7 +123,7 @@
     Ok(())
 }
 
-fn write(arguments: &Arguments, outcomes: &[series::Outcome]) -> Result<()> {
+fn write(arguments: &Arguments, outcomes: &[series::Outcome]) -> program::Result<()> {
     let teams = arguments.plan.teams.iter();
     let page = table::Page {
         outcomes,
--- a/laburnumcart_fakes/src/bin/laburnum-plan.rs
+++ b/laburnumcart_fakes/src/bin/laburnum-plan.rs
@@ -1,20 +1,17 @@
 //! Writes the settings of a whole demo into a folder.
 
-use std::{
-    env,
-    error,
-    process, //
-};
+use std::process;
 
 use getopts::Options;
-use laburnumcart_fakes::demo::{
-    self,
-    layout,
-    shape, //
+use laburnumcart_fakes::{
+    demo::{
+        self,
+        layout,
+        shape, //
+    },
+    program,
 };
 
-type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
-
 /// First port unless one is given.
 const BASE_PORT: u16 = 17_000;
 
@@ -26,22 +23,13 @@
 }
 
 fn main() -> process::ExitCode {
-    let options = options();
-    let arguments: Vec<_> = env::args().skip(1).collect();
-    if arguments.iter().any(|a| a == "-h" || a == "--help") {
-        print!(
-            "{}",
-            options.usage("Usage: laburnum-plan --dir DIR --key NAME=BASE64")
-        );
-        return process::ExitCode::SUCCESS;
-    }
-    match parse(&options, &arguments).and_then(run) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("laburnum-plan: {error}");
-            process::ExitCode::from(2)
-        }
-    }
+    program::run(
+        "laburnum-plan",
+        "--dir DIR --key NAME=BASE64",
+        &options(),
+        parse,
+        run,
+    )
 }
 
 fn options() -> Options {
@@ -57,7 +45,7 @@
     options
 }
 
-fn parse(options: &Options, arguments: &[String]) -> Result<Arguments> {
+fn parse(options: &Options, arguments: &[String]) -> program::Result<Arguments> {
     let matches = options.parse(arguments)?;
     let shape = matches.opt_get_default("shape", shape::Shape::Both)?;
     let size = matches.opt_get_default("size", shape::Size::Small)?;
@@ -72,11 +60,11 @@
     Ok(Arguments {
         layout,
         dir: matches.opt_str("dir").unwrap_or_default(),
-        keys: keys.iter().map(key).collect::<Result<_>>()?,
+        keys: keys.iter().map(key).collect::<program::Result<_>>()?,
     })
 }
 
-fn run(arguments: Arguments) -> Result<()> {
+fn run(arguments: Arguments) -> program::Result<()> {
     demo::write(&arguments.layout, &arguments.dir, &arguments.keys)?;
     Ok(())
 }
--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod expected;
 pub mod load;
 pub mod measure;
+pub mod program;
 pub mod store;
 pub mod target;
