--- /dev/null
+++ b/laburnumcart/src/batch.rs
@@ -0,0 +1,332 @@
+//! Queue of the pieces of stages before the targets that execute them in batches.
+//!
+//! A call costs a fixed time beside its pieces, so that a target keeps up only with well filled
+//! calls. One queue for the callers of all instances fills them. A result takes room at its target
+//! until it is freed; a call for which there is no room wastes the call's fixed time, so room is
+//! accounted before a call is made.
+
+mod engines;
+mod job;
+
+use std::time;
+
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use crate::{
+    id,
+    ingress, //
+};
+
+pub use self::{
+    engines::{
+        EngineKey,
+        Engines, //
+    },
+    job::{
+        Handle,
+        Job,
+        JobKey,
+        Outcome,
+        Piece,
+        Spec, //
+    },
+};
+
+/// By how much a job of the next lower rank counts as due later.
+///
+/// Enough to go first among jobs of about the same age, and little beside the seconds that a
+/// request has, so that no rank starves.
+const RANK_STEP: time::Duration = time::Duration::from_millis(40);
+
+/// Most times that a piece is sent to a target before its job fails.
+const TRIES: u32 = 4;
+
+/// Why a job was given up; what it made is freed.
+#[derive(
+    Clone, Copy, Debug, derive_more::Display, Eq, PartialEq, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum Failure {
+    /// Its deadline passed, or will before it can be done.
+    Late,
+    /// An input no longer exists.
+    Gone,
+    /// Its pieces failed time and again.
+    Failed,
+    /// Nobody executes the pieces of this service here.
+    Unavailable,
+}
+
+/// What the end of a call decides.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// All results of a job, in the order of its pieces.
+    Done(JobKey, Vec<Handle>),
+    /// A job has failed.
+    Failed(JobKey, Failure),
+    /// A result that nobody needs any more.
+    Orphan(Handle),
+}
+
+/// A call to make.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// Target.
+    pub engine: EngineKey,
+    /// Its pieces, in order.
+    pub pieces: Vec<Piece>,
+}
+
+/// Jobs that wait for one service, and the targets that execute them.
+///
+/// ```
+/// use std::time::Duration;
+/// use laburnumcart::{batch, ingress, unit};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let shape = ingress::Batching {
+///     pieces: 8,
+///     call: Duration::from_millis(200),
+///     piece: Duration::from_millis(20),
+///     room: unit::Size(1 << 20),
+///     ttl: Duration::from_secs(4),
+/// };
+/// let mut queue = batch::Queue::new(shape);
+/// let engine = queue.engines.add("north".parse().unwrap());
+/// let spec = batch::Spec::new(2, unit::Size(1000), now + Duration::from_secs(1));
+/// let job = queue.push(spec, now);
+/// let call = queue.take(now).unwrap();
+/// assert_eq!((call.engine, call.pieces.len()), (engine, 2));
+/// let made = |i| batch::Outcome::Made(batch::Handle(format!("result-{i}")));
+/// let events = queue.finish(&call, vec![made(0), made(1)], now);
+/// assert!(matches!(&events[..], [batch::Event::Done(key, _)] if *key == job));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Queue {
+    shape: ingress::Batching,
+    jobs: SlotMap<JobKey, Job>,
+    /// Targets with their room and speed.
+    pub engines: Engines,
+}
+
+impl Queue {
+    /// Creates a queue without targets.
+    pub fn new(shape: ingress::Batching) -> Self {
+        Self {
+            shape,
+            jobs: SlotMap::with_key(),
+            engines: Engines::new(shape),
+        }
+    }
+
+    /// Changes the shape of the calls; those in progress keep theirs.
+    pub fn set_shape(&mut self, shape: ingress::Batching) {
+        self.shape = shape;
+        self.engines.set_shape(shape);
+    }
+
+    /// Adds a job.
+    pub fn push(&mut self, spec: Spec, _now: Instant) -> JobKey {
+        self.jobs.insert(Job::new(spec))
+    }
+
+    /// Returns the number of pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().map(|j| j.waiting.len()).sum()
+    }
+
+    /// Returns how long a job that is due at `due` will take, as far as is known.
+    pub fn outlook(&self, pieces: u32, due: Instant, now: Instant) -> time::Duration {
+        let earlier = self.jobs.values().filter(|j| j.spec.due <= due);
+        let ahead: usize = earlier.map(|j| j.waiting.len()).sum();
+        self.engines.outlook(ahead, pieces as usize, now)
+    }
+
+    /// Drops a job that nobody waits for; returns what it has made.
+    pub fn cancel(&mut self, key: JobKey) -> Vec<Handle> {
+        let job = self.jobs.remove(key);
+        job.map(Job::made).unwrap_or_default()
+    }
+
+    /// Gives up the jobs whose deadline has passed, and forgets results that have expired.
+    pub fn expire(&mut self, now: Instant) -> Vec<Event> {
+        self.engines.expire(now);
+        let passed = |j: &Job| !j.waiting.is_empty() && j.spec.deadline <= now;
+        let keys: Vec<_> = self.jobs.iter().filter(|(_, j)| passed(j)).collect();
+        let keys: Vec<_> = keys.into_iter().map(|(key, _)| key).collect();
+        keys.into_iter()
+            .flat_map(|key| self.fail(key, Failure::Late))
+            .collect()
+    }
+
+    /// Chooses the next call, if a target is free and has room.
+    pub fn take(&mut self, now: Instant) -> Option<Call> {
+        let order = self.order(now);
+        let waiting = self.waiting();
+        let mut tried = Vec::new();
+        for (first, _) in &order {
+            let spec = &self.jobs[*first].spec;
+            let (near, size) = (spec.near.as_ref(), spec.size);
+            let Some(engine) = self.engines.choose(near, size, now) else {
+                continue;
+            };
+            if tried.contains(&engine) {
+                continue;
+            }
+            let most = self.fill(waiting, now);
+            let pieces = self.pick(&order, engine, most);
+            if !pieces.is_empty() {
+                self.engines.start(engine, pieces.len(), now);
+                return Some(Call { engine, pieces });
+            }
+            tried.push(engine);
+        }
+        None
+    }
+
+    /// Takes the outcomes of a call, one for each of its pieces.
+    pub fn finish(&mut self, call: &Call, outcomes: Vec<Outcome>, now: Instant) -> Vec<Event> {
+        let short = outcomes.iter().any(|o| matches!(o, Outcome::NoRoom));
+        self.engines.finish(call.engine, call.pieces.len(), now);
+        if short {
+            self.engines.fill(call.engine, now);
+        }
+        let mut events = Vec::new();
+        for (piece, outcome) in call.pieces.iter().zip(outcomes) {
+            self.settle(call.engine, piece, outcome, now, &mut events);
+        }
+        events
+    }
+
+    /// Takes the failure of a whole call, after which its pieces go elsewhere.
+    ///
+    /// A call that may have been executed has results at the target that nobody can name. Their
+    /// room stays accounted for as long as the target keeps them.
+    pub fn abandon(&mut self, call: &Call, ran: bool, now: Instant) -> Vec<Event> {
+        self.engines.fail(call.engine, now);
+        let mut events = Vec::new();
+        for piece in &call.pieces {
+            match ran {
+                true => self.engines.strand(call.engine, piece.size, now),
+                false => self.engines.release(call.engine, piece.size),
+            }
+            self.again(piece, ran, &mut events);
+        }
+        events
+    }
+
+    /// Frees a result; returns the target that holds it, if it is known.
+    pub fn free(&mut self, handle: &Handle) -> Option<EngineKey> {
+        self.engines.free(handle)
+    }
+
+    /// Lists the jobs with waiting pieces, the first to be served first.
+    ///
+    /// Jobs that can still be on time go before those that cannot, or under overload every job
+    /// would be served just too late.
+    fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
+        let least = self.shape.call + self.shape.piece;
+        let rank = |j: &Job| {
+            let late = j.spec.due < now + least;
+            (late, j.spec.due + RANK_STEP * u32::from(j.spec.rank))
+        };
+        let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
+        let mut order: Vec<_> = waiting.map(|(key, j)| (key, rank(j))).collect();
+        order.sort_unstable_by_key(|(_, rank)| *rank);
+        order
+    }
+
+    /// Returns how many pieces the next call should take.
+    ///
+    /// What waits is spread over the free targets, as smaller calls end sooner; but a call is at
+    /// least half full where there is that much, as the fixed time of calls binds the service.
+    fn fill(&self, waiting: usize, now: Instant) -> usize {
+        let free = self.engines.free_count(now).max(1);
+        let half = self.shape.pieces.div_ceil(2);
+        waiting
+            .div_ceil(free)
+            .clamp(half.min(waiting).max(1), self.shape.pieces.max(1))
+    }
+
+    /// Takes pieces out of their jobs, as far as there is room for their results.
+    fn pick(
+        &mut self,
+        order: &[(JobKey, (bool, Instant))],
+        engine: EngineKey,
+        most: usize,
+    ) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        for (key, _) in order {
+            let job = &mut self.jobs[*key];
+            while pieces.len() < most
+                && !job.waiting.is_empty()
+                && self.engines.reserve(engine, job.spec.size)
+            {
+                pieces.extend(job.take(*key));
+            }
+            if pieces.len() >= most {
+                break;
+            }
+        }
+        pieces
+    }
+
+    fn settle(
+        &mut self,
+        engine: EngineKey,
+        piece: &Piece,
+        outcome: Outcome,
+        now: Instant,
+        events: &mut Vec<Event>,
+    ) {
+        let Outcome::Made(handle) = outcome else {
+            self.engines.release(engine, piece.size);
+            match outcome {
+                Outcome::Late => events.extend(self.fail(piece.job, Failure::Late)),
+                Outcome::Gone => events.extend(self.fail(piece.job, Failure::Gone)),
+                Outcome::NoRoom => self.again(piece, false, events),
+                _ => self.again(piece, true, events),
+            }
+            return;
+        };
+        self.engines.hold(engine, &handle, piece.size, now);
+        let Some(job) = self.jobs.get_mut(piece.job) else {
+            events.push(Event::Orphan(handle));
+            return;
+        };
+        job.done[piece.index as usize] = Some(handle);
+        if job.is_done()
+            && let Some(job) = self.jobs.remove(piece.job)
+        {
+            events.push(Event::Done(piece.job, job.made()));
+        }
+    }
+
+    /// Queues a piece once more; `counts` says whether a target may have worked on it.
+    fn again(&mut self, piece: &Piece, counts: bool, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(piece.job) else {
+            return;
+        };
+        job.waiting.push_front(piece.index);
+        if counts {
+            job.tries += 1;
+        }
+        if job.tries >= TRIES * job.spec.pieces {
+            events.extend(self.fail(piece.job, Failure::Failed));
+        }
+    }
+
+    fn fail(&mut self, key: JobKey, failure: Failure) -> Vec<Event> {
+        let Some(job) = self.jobs.remove(key) else {
+            return Vec::new();
+        };
+        let orphans = job.made().into_iter().map(Event::Orphan);
+        orphans.chain([Event::Failed(key, failure)]).collect()
+    }
+}
+
+/// Data centre that results should be made in.
+pub type Near = Option<id::DataCentre>;
--- /dev/null
+++ b/laburnumcart/src/batch/engines.rs
@@ -0,0 +1,277 @@
+//! Targets that execute batches: which is free, how much room it has, how fast it is.
+
+use std::{
+    collections,
+    time, //
+};
+
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use crate::{
+    batch::job::Handle,
+    id,
+    ingress,
+    unit, //
+};
+
+slotmap::new_key_type! {
+    /// A target in the queue.
+    pub struct EngineKey;
+}
+
+/// First pause of a target whose call failed; it doubles with each failure in a row.
+const PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Longest pause; short beside the seconds in which a crashed target is back.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(1600);
+
+/// Pause of a target that had no room, about the time in which a request reads its inputs.
+const ROOM_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Weight of the newest call in the measured speed.
+const WEIGHT: f64 = 0.4;
+
+/// A target this many times slower than promised gets work only when no other is free.
+const SLOW: f64 = 2.0;
+
+#[derive(Clone, Debug)]
+struct Engine {
+    zone: id::DataCentre,
+    /// When the call in progress started, and its pieces.
+    call: Option<(Instant, usize)>,
+    /// Bytes of results that are reserved or held.
+    used: u64,
+    /// No call before this moment.
+    paused: Option<Instant>,
+    /// Failures in a row.
+    failed: u32,
+    /// Time of calls, as a multiple of the promised one.
+    pace: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    engine: EngineKey,
+    size: u64,
+    expiry: Instant,
+}
+
+/// The targets of one service.
+#[derive(Clone, Debug)]
+pub struct Engines {
+    shape: ingress::Batching,
+    engines: SlotMap<EngineKey, Engine>,
+    held: collections::HashMap<Handle, Held>,
+    /// Results without a known name, until they expire.
+    stranded: Vec<Held>,
+}
+
+impl Engines {
+    pub(super) fn new(shape: ingress::Batching) -> Self {
+        Self {
+            shape,
+            engines: SlotMap::with_key(),
+            held: collections::HashMap::new(),
+            stranded: Vec::new(),
+        }
+    }
+
+    pub(super) fn set_shape(&mut self, shape: ingress::Batching) {
+        self.shape = shape;
+    }
+
+    /// Adds a target.
+    pub fn add(&mut self, zone: id::DataCentre) -> EngineKey {
+        self.engines.insert(Engine {
+            zone,
+            call: None,
+            used: 0,
+            paused: None,
+            failed: 0,
+            pace: 1.0,
+        })
+    }
+
+    /// Removes a target; its results are gone with it or will expire.
+    pub fn remove(&mut self, key: EngineKey) {
+        self.engines.remove(key);
+        self.held.retain(|_, held| held.engine != key);
+        self.stranded.retain(|held| held.engine != key);
+    }
+
+    /// Returns how long a call of so many pieces should take at a target.
+    pub fn expected(&self, key: EngineKey, pieces: usize) -> time::Duration {
+        let pace = self.engines.get(key).map_or(1.0, |e| e.pace.max(1.0));
+        self.promised(pieces).mul_f64(pace)
+    }
+
+    /// Returns when a pause ends, for the next look at the queue.
+    pub fn wake(&self, now: Instant) -> Option<Instant> {
+        let paused = self.engines.values().filter_map(|e| e.paused);
+        paused.filter(|at| *at > now).min()
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Reports whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Returns the bytes of results that are accounted at a target.
+    pub fn used(&self, key: EngineKey) -> unit::Size {
+        unit::Size(self.engines.get(key).map_or(0, |e| e.used))
+    }
+
+    pub(super) fn outlook(&self, ahead: usize, own: usize, now: Instant) -> time::Duration {
+        let count = self.engines.len();
+        if count == 0 {
+            return time::Duration::MAX;
+        }
+        let most = self.shape.pieces.max(1);
+        let left = |e: &Engine| match e.call {
+            Some((start, pieces)) => {
+                (start + self.promised(pieces).mul_f64(e.pace)).saturating_duration_since(now)
+            }
+            None => time::Duration::ZERO,
+        };
+        let busy: time::Duration = self.engines.values().map(left).sum();
+        let calls = ahead as f64 / most as f64;
+        let queued = self.promised(most).mul_f64(calls / count as f64);
+        let waves = own.div_ceil(most).div_ceil(count).max(1) as u32;
+        busy / count as u32 + queued + self.promised(own.min(most)) * waves
+    }
+
+    pub(super) fn free_count(&self, now: Instant) -> usize {
+        let free = |e: &&Engine| is_free(e, now) && e.pace < SLOW;
+        self.engines.values().filter(free).count()
+    }
+
+    /// Chooses a free target with room for a result: fast ones first, then near ones.
+    pub(super) fn choose(
+        &self,
+        near: Option<&id::DataCentre>,
+        size: unit::Size,
+        now: Instant,
+    ) -> Option<EngineKey> {
+        let fits = |e: &Engine| is_free(e, now) && self.has_room(e, size);
+        let cost = |e: &Engine| {
+            let far = near.is_some_and(|near| *near != e.zone);
+            (e.pace >= SLOW, far, e.used)
+        };
+        let free = self.engines.iter().filter(|(_, e)| fits(e));
+        free.min_by_key(|(_, e)| cost(e)).map(|(key, _)| key)
+    }
+
+    pub(super) fn reserve(&mut self, key: EngineKey, size: unit::Size) -> bool {
+        let Some(engine) = self.engines.get(key) else {
+            return false;
+        };
+        if !self.has_room(engine, size) {
+            return false;
+        }
+        self.engines[key].used += size.0;
+        true
+    }
+
+    pub(super) fn release(&mut self, key: EngineKey, size: unit::Size) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.used = engine.used.saturating_sub(size.0);
+        }
+    }
+
+    pub(super) fn start(&mut self, key: EngineKey, pieces: usize, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.call = Some((now, pieces));
+        }
+    }
+
+    pub(super) fn finish(&mut self, key: EngineKey, pieces: usize, now: Instant) {
+        let promised = self.promised(pieces).as_secs_f64();
+        let Some(engine) = self.engines.get_mut(key) else {
+            return;
+        };
+        if let Some((start, _)) = engine.call.take() {
+            let taken = now.duration_since(start).as_secs_f64();
+            engine.pace += WEIGHT * (taken / promised.max(0.001) - engine.pace);
+        }
+        engine.failed = 0;
+        engine.paused = None;
+    }
+
+    /// Pauses a target whose call failed.
+    pub(super) fn fail(&mut self, key: EngineKey, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.call = None;
+            let pause = PAUSE * (1 << engine.failed.min(8));
+            engine.failed += 1;
+            engine.paused = Some(now + pause.min(PAUSE_MAX));
+        }
+    }
+
+    /// Pauses a target that has less room than was thought.
+    ///
+    /// Results that an earlier process had made are not accounted here. Without the pause each
+    /// call would cost its fixed time in vain until they are freed.
+    pub(super) fn fill(&mut self, key: EngineKey, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.paused = Some(now + ROOM_PAUSE);
+        }
+    }
+
+    pub(super) fn hold(&mut self, key: EngineKey, handle: &Handle, size: unit::Size, now: Instant) {
+        let held = Held {
+            engine: key,
+            size: size.0,
+            expiry: now + self.shape.ttl,
+        };
+        self.held.insert(handle.clone(), held);
+    }
+
+    pub(super) fn strand(&mut self, key: EngineKey, size: unit::Size, now: Instant) {
+        self.stranded.push(Held {
+            engine: key,
+            size: size.0,
+            expiry: now + self.shape.ttl,
+        });
+    }
+
+    pub(super) fn free(&mut self, handle: &Handle) -> Option<EngineKey> {
+        let held = self.held.remove(handle)?;
+        self.release(held.engine, unit::Size(held.size));
+        Some(held.engine)
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        let mut ended = Vec::new();
+        let mut live = |held: &Held| {
+            let expired = held.expiry <= now;
+            if expired {
+                ended.push(held.clone());
+            }
+            !expired
+        };
+        self.held.retain(|_, held| live(held));
+        self.stranded.retain(live);
+        for held in ended {
+            self.release(held.engine, unit::Size(held.size));
+        }
+    }
+
+    fn promised(&self, pieces: usize) -> time::Duration {
+        self.shape.call + self.shape.piece * pieces as u32
+    }
+
+    fn has_room(&self, engine: &Engine, size: unit::Size) -> bool {
+        // A result larger than all the room is left to the target to refuse.
+        engine.used == 0 || engine.used + size.0 <= self.shape.room.0
+    }
+}
+
+fn is_free(engine: &Engine, now: Instant) -> bool {
+    engine.call.is_none() && engine.paused.is_none_or(|at| at <= now)
+}
--- /dev/null
+++ b/laburnumcart/src/batch/job.rs
@@ -0,0 +1,143 @@
+//! A job: the pieces that one stage of one request needs.
+
+use std::collections;
+
+use derive_more::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    id,
+    unit, //
+};
+
+slotmap::new_key_type! {
+    /// A job in the queue.
+    pub struct JobKey;
+}
+
+/// Name of a result, as its target gave it.
+#[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Handle(pub String);
+
+/// What came of one piece.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Its result lies at the target.
+    Made(Handle),
+    /// Its time was over before its turn came.
+    Late,
+    /// One of its inputs no longer exists.
+    Gone,
+    /// The target had no room for the result.
+    NoRoom,
+    /// The target failed.
+    Failed,
+}
+
+/// What a job needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spec {
+    /// Number of its pieces.
+    pub pieces: u32,
+    /// Approximate size of one result.
+    pub size: unit::Size,
+    /// Latest moment at which its results let the request be on time.
+    pub due: Instant,
+    /// Moment after which its results are of no use.
+    pub deadline: Instant,
+    /// Rank; 0 goes first.
+    pub rank: u8,
+    /// Data centre where the results will be read.
+    pub near: Option<id::DataCentre>,
+}
+
+impl Spec {
+    /// Creates a job of the first rank that is of no use after it is due.
+    pub fn new(pieces: u32, size: unit::Size, due: Instant) -> Self {
+        Self {
+            pieces,
+            size,
+            due,
+            deadline: due,
+            rank: 0,
+            near: None,
+        }
+    }
+
+    /// Sets the moment after which results are of no use.
+    #[must_use]
+    pub fn deadline(mut self, deadline: Instant) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Sets the rank.
+    #[must_use]
+    pub fn rank(mut self, rank: u8) -> Self {
+        self.rank = rank;
+        self
+    }
+
+    /// Sets where the results will be read.
+    #[must_use]
+    pub fn near(mut self, near: Option<id::DataCentre>) -> Self {
+        self.near = near;
+        self
+    }
+}
+
+/// A piece that a call takes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Piece {
+    /// Job that it belongs to.
+    pub job: JobKey,
+    /// Its number in the job.
+    pub index: u32,
+    /// Approximate size of its result.
+    pub size: unit::Size,
+}
+
+/// A job and how far it is.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub(super) spec: Spec,
+    /// Pieces in no call.
+    pub(super) waiting: collections::VecDeque<u32>,
+    /// Results by piece.
+    pub(super) done: Vec<Option<Handle>>,
+    /// Pieces that were sent in vain.
+    pub(super) tries: u32,
+}
+
+impl Job {
+    pub(super) fn new(spec: Spec) -> Self {
+        Self {
+            waiting: (0..spec.pieces).collect(),
+            done: vec![None; spec.pieces as usize],
+            tries: 0,
+            spec,
+        }
+    }
+
+    pub(super) fn take(&mut self, key: JobKey) -> Option<Piece> {
+        let index = self.waiting.pop_front()?;
+        Some(Piece {
+            job: key,
+            index,
+            size: self.spec.size,
+        })
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.done.iter().all(Option::is_some)
+    }
+
+    pub(super) fn made(self) -> Vec<Handle> {
+        self.done.into_iter().flatten().collect()
+    }
+}
--- a/laburnumcart/src/budget.rs
+++ b/laburnumcart/src/budget.rs
@@ -48,6 +48,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     ratio: f64,
+    reserve: u32,
     slots: [Slot; SLOTS],
     /// Index of the present slot, and its start.
     present: usize,
@@ -59,6 +60,7 @@
     pub fn new(ratio: unit::Share, now: Instant) -> Self {
         Self {
             ratio: ratio.0,
+            reserve: RESERVE,
             slots: [Slot::default(); SLOTS],
             present: 0,
             since: now,
@@ -70,6 +72,13 @@
         self.ratio = ratio.0;
     }
 
+    /// Changes the extra attempts in a window that need no success.
+    ///
+    /// Where the fleet has a bound on extra attempts, each process gets its part of it.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Counts a success, or a request where the share is one of requests.
     pub fn earn(&mut self, now: Instant) {
         self.slot(now).earned += 1;
@@ -93,7 +102,7 @@
     pub fn is_open(&mut self, now: Instant) -> bool {
         self.slot(now);
         let sum = self.sum();
-        let allowed = self.ratio * f64::from(sum.earned) + f64::from(RESERVE);
+        let allowed = self.ratio * f64::from(sum.earned) + f64::from(self.reserve);
         !Self::is_overloaded(sum) && f64::from(sum.spent + 1) <= allowed
     }
 
--- a/laburnumcart_daemon/src/admin.rs
+++ b/laburnumcart_daemon/src/admin.rs
@@ -29,6 +29,8 @@
 #[derive(Clone)]
 pub struct Pages {
     metrics: metrics::Metrics,
+    /// Path that tells readiness beside `/readyz`.
+    path: Option<sync::Arc<str>>,
     ready: sync::Arc<dyn Fn() -> Result<(), String> + Send + Sync>,
 }
 
@@ -61,16 +63,25 @@
     ) -> Self {
         Self {
             metrics,
+            path: None,
             ready: sync::Arc::new(ready),
         }
     }
 
+    /// Tells readiness on one more path, which a balancer may demand.
+    #[must_use]
+    pub fn ready_path(mut self, path: impl Into<sync::Arc<str>>) -> Self {
+        self.path = Some(path.into());
+        self
+    }
+
     /// Answers a GET, for programs that serve these pages beside their own.
     pub fn answer(&self, path: &str) -> Option<Page> {
         match path {
             "/metrics" => Some(self.metrics()),
             "/healthz" => Some(Page::text(200, "ok\n")),
             "/readyz" => Some(self.ready()),
+            path if self.path.as_deref() == Some(path) => Some(self.ready()),
             _ => None,
         }
     }
@@ -108,7 +119,8 @@
         .with_state(pages)
         .at("/metrics", route::get(handler_service(answer)))
         .at("/healthz", route::get(handler_service(answer)))
-        .at("/readyz", route::get(handler_service(answer)));
+        .at("/readyz", route::get(handler_service(answer)))
+        .at("/{*path}", route::get(handler_service(answer)));
     let mut server = HttpServer::serve(app.finish())
         .disable_signal()
         .server_threads(1)
--- /dev/null
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -0,0 +1,173 @@
+//! Choice among the targets of plain services.
+
+use std::{
+    collections,
+    sync::Arc,
+    time, //
+};
+
+use tokio::time::Instant;
+
+use laburnumcart::{
+    eject,
+    id,
+    placement,
+    route,
+    unit, //
+};
+
+use crate::view;
+
+/// Most targets of a service that are excluded as outliers.
+const EJECTED: unit::Share = unit::Share(0.5);
+
+/// Time of a request until the first one was measured.
+const FIRST: time::Duration = time::Duration::from_millis(50);
+
+/// Weight of the newest time in the mean.
+const WEIGHT: f64 = 0.2;
+
+/// What a crossing between data centres costs: about two thirds of a millisecond each way.
+const CROSSING: time::Duration = time::Duration::from_millis(2);
+
+#[derive(Debug)]
+struct Entry {
+    target: Arc<view::Target>,
+    key: eject::TargetKey,
+    own: u32,
+    load: route::Load,
+}
+
+/// Targets of one plain service.
+#[derive(Debug)]
+pub struct Balancer {
+    own: id::DataCentre,
+    entries: Vec<Entry>,
+    ejector: eject::Ejector,
+}
+
+impl Balancer {
+    /// Creates a balancer for callers in a data centre.
+    pub fn new(own: id::DataCentre, now: Instant) -> Self {
+        Self {
+            own,
+            entries: Vec::new(),
+            ejector: eject::Ejector::new(EJECTED, now),
+        }
+    }
+
+    /// Takes in the list of targets; what is known of those that stay is kept.
+    pub fn update(&mut self, targets: &[Arc<view::Target>], now: Instant) {
+        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
+        let ejector = &mut self.ejector;
+        self.entries.retain(|entry| {
+            let kept = names.contains(&entry.target.name);
+            if !kept {
+                ejector.remove(entry.key);
+            }
+            kept
+        });
+        for target in targets {
+            if !self.entries.iter().any(|e| e.target.name == target.name) {
+                let entry = Entry {
+                    target: target.clone(),
+                    key: self.ejector.add(),
+                    own: 0,
+                    load: unknown(now),
+                };
+                self.entries.push(entry);
+            }
+        }
+    }
+
+    /// Chooses a target other than those tried.
+    pub fn choose(&mut self, tried: &[id::TargetName], now: Instant) -> Option<Arc<view::Target>> {
+        let table = route::Table::new(
+            self.entries
+                .iter()
+                .map(|e| self.candidate(e, now))
+                .collect(),
+        );
+        let names: Vec<_> = table.targets().iter().map(|t| t.name.clone()).collect();
+        let positions = (0..names.len()).filter(|i| tried.contains(&names[*i]));
+        let tried: Vec<_> = positions.collect();
+        let own = |i: usize| self.entry(&names[i]).map_or(0, |e| e.own);
+        let ask = route::Ask {
+            tried: &tried,
+            prefix: None,
+            own: &own,
+            now,
+        };
+        let chosen = table.choose(&ask, &mut rand::rng())?;
+        let name = names[chosen].clone();
+        let entry = self.entries.iter_mut().find(|e| e.target.name == name)?;
+        entry.own += 1;
+        self.ejector.start(entry.key, now);
+        Some(entry.target.clone())
+    }
+
+    /// Records the end of a request; `None` says nothing of the target's health.
+    pub fn end(&mut self, name: &id::TargetName, outcome: Option<eject::Outcome>, now: Instant) {
+        let Some(entry) = self.entries.iter_mut().find(|e| e.target.name == *name) else {
+            return;
+        };
+        entry.own = entry.own.saturating_sub(1);
+        if let Some(eject::Outcome::Success(taken)) = outcome {
+            let mean = entry.load.service.as_secs_f64();
+            let mean = mean + WEIGHT * (taken.as_secs_f64() - mean);
+            entry.load.service = time::Duration::from_secs_f64(mean);
+        }
+        if let Some(outcome) = outcome {
+            self.ejector.record(entry.key, outcome, now);
+        }
+    }
+
+    /// Takes in a target's report of its load.
+    pub fn report(
+        &mut self,
+        name: &id::TargetName,
+        report: placement::Report,
+        slots: Option<u32>,
+        now: Instant,
+    ) {
+        if let Some(entry) = self.entries.iter_mut().find(|e| e.target.name == *name) {
+            entry.load.pending = report.running + report.waiting;
+            entry.load.own = entry.own;
+            entry.load.limit = slots.unwrap_or(entry.load.limit);
+            entry.load.at = now;
+        }
+    }
+
+    fn entry(&self, name: &id::TargetName) -> Option<&Entry> {
+        self.entries.iter().find(|e| e.target.name == *name)
+    }
+
+    fn candidate(&self, entry: &Entry, now: Instant) -> route::Target {
+        let local = entry.target.data_centre == self.own;
+        let state = match self.ejector.allows(entry.key, now) {
+            true => route::State::Ready,
+            false => route::State::Ejected,
+        };
+        route::Target {
+            name: entry.target.name.clone(),
+            state,
+            load: entry.load,
+            local,
+            crossing: if local {
+                time::Duration::ZERO
+            } else {
+                CROSSING
+            },
+        }
+    }
+}
+
+fn unknown(now: Instant) -> route::Load {
+    route::Load {
+        pending: 0,
+        own: 0,
+        limit: 1,
+        service: FIRST,
+        at: now,
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -0,0 +1,165 @@
+//! What a platform tells the gateway: names of headers, calls of targets, entries of the store.
+
+use std::{
+    net,
+    time, //
+};
+
+use bytes::Bytes;
+use derive_more::{
+    Display,
+    Error, //
+};
+use http::{
+    HeaderMap,
+    Request,
+    response, //
+};
+
+use laburnumcart::{
+    batch,
+    id,
+    ingress,
+    placement, //
+};
+
+use crate::view;
+
+/// A message that breaks the platform's protocol.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+#[display("malformed {_0}")]
+pub struct Malformed(#[error(not(source))] pub &'static str);
+
+/// Prompt of a request for a model engine.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Prompt {
+    /// Parts in order.
+    pub parts: Vec<placement::Part>,
+    /// Tokens of the prompt.
+    pub input: u64,
+    /// Most tokens of the answer.
+    pub output: u64,
+}
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Call {
+    /// Identity of this attempt of the caller.
+    pub attempt: String,
+    /// How long the caller will wait.
+    pub patience: Option<time::Duration>,
+    /// Key that tells the caller's team.
+    pub key: Option<String>,
+    /// Last event that the caller has, when it continues a stream.
+    pub after: Option<u64>,
+    /// Prompt, for model engines.
+    pub prompt: Option<Prompt>,
+    /// Number of pieces of each stage; 0 leaves the stage out.
+    pub pieces: Vec<u32>,
+    /// What the pieces of first stages work on.
+    pub key_input: Option<String>,
+}
+
+/// What a target is told beside the caller's own request.
+#[derive(Clone, Copy, Debug)]
+pub struct Onward<'a> {
+    /// Target that is meant; another one refuses.
+    pub target: &'a id::TargetName,
+    /// Team of the caller.
+    pub team: Option<&'a id::TeamName>,
+    /// Time left.
+    pub left: time::Duration,
+    /// Results of the last stages.
+    pub inputs: Option<&'a [batch::Handle]>,
+    /// Last event that was forwarded, when a stream is resumed.
+    pub after: Option<u64>,
+    /// Rank of the request.
+    pub rank: u8,
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Reply {
+    /// Attempt that it answers.
+    pub attempt: Option<String>,
+    /// Whether the target vouches for the answer.
+    pub signed: bool,
+    /// Whether the target proves that it has not run the request.
+    pub not_run: bool,
+    /// Whether another target has the address.
+    pub misdirected: bool,
+    /// Load that the target reports.
+    pub load: Option<placement::Report>,
+    /// Requests that the target runs at once.
+    pub slots: Option<u32>,
+    /// How long the target keeps an idle connection.
+    pub idle: Option<time::Duration>,
+}
+
+/// Input of a piece.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Input {
+    /// The caller's own key.
+    Key(String),
+    /// Results of the stages before.
+    Results(Vec<batch::Handle>),
+}
+
+/// A piece in a call of a target.
+#[derive(Clone, Debug)]
+pub struct Item<'a> {
+    /// Attempt of the caller.
+    pub attempt: &'a str,
+    /// Number of the stage.
+    pub stage: u32,
+    /// Number of the piece.
+    pub piece: u32,
+    /// Time that is left.
+    pub left: time::Duration,
+    /// Input.
+    pub input: &'a Input,
+}
+
+/// How the platform's callers and targets speak HTTP.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    fn call(&self, headers: &HeaderMap) -> Result<Call, Malformed>;
+
+    /// Removes what only the system may set or what concerns only the caller's connection, and
+    /// sets what the target is told.
+    fn onward(&self, headers: &mut HeaderMap, onward: &Onward<'_>);
+
+    /// Reads the head of a target's answer.
+    fn reply(&self, head: &response::Parts) -> Reply;
+
+    /// Writes a call of a batch.
+    fn batch(&self, target: &id::TargetName, attempt: &str, items: &[Item<'_>]) -> Request<Bytes>;
+
+    /// Reads the answer to [`Dialect::batch`], which must tell of `count` pieces.
+    fn outcomes(&self, body: &[u8], count: usize) -> Result<Vec<batch::Outcome>, Malformed>;
+
+    /// Writes the call that frees results.
+    fn free(&self, target: &id::TargetName, handles: &[batch::Handle]) -> Request<Bytes>;
+
+    /// Returns the address of the target that holds a result.
+    fn holder(&self, handle: &batch::Handle) -> Option<net::SocketAddr>;
+}
+
+/// What the platform's store holds.
+pub trait Directory: Send + Sync + 'static {
+    /// Key of the configuration.
+    fn table_key(&self) -> &'static str;
+
+    /// Prefix of the targets.
+    fn targets_prefix(&self) -> &'static str;
+
+    /// Prefix of this system's own members.
+    fn members_prefix(&self) -> &'static str;
+
+    /// Reads the configuration.
+    fn table(&self, value: &str) -> Result<ingress::Table, Malformed>;
+
+    /// Reads a target's entry; `name` is the last part of its key.
+    fn target(&self, name: &str, value: &str) -> Result<view::Target, Malformed>;
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -0,0 +1,294 @@
+//! Executes the jobs of stages that this process owns.
+//!
+//! One process owns the queue of a service, so that calls are filled with the pieces of all
+//! callers. Owners are chosen without agreement: two of them for a moment waste calls, as a piece
+//! may be executed twice, but no result is lost by it.
+
+mod call;
+mod line;
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use laburnumcart::{
+    batch,
+    event,
+    id,
+    unit, //
+};
+
+use crate::{
+    dialect,
+    metrics,
+    pool,
+    view, //
+};
+
+use self::line::Line;
+
+/// Pause between two looks at queues in which something waits.
+const TICK: time::Duration = time::Duration::from_millis(25);
+
+/// Pause between two looks at empty queues.
+const IDLE_TICK: time::Duration = time::Duration::from_millis(250);
+
+/// Time in which the results to free at one target are collected into one call.
+const FREE_DELAY: time::Duration = time::Duration::from_millis(30);
+
+/// A job of another process or of this one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Job {
+    /// Identity, drawn by the sender.
+    pub id: u64,
+    /// Attempt of the caller.
+    pub attempt: String,
+    /// Number of the stage.
+    pub stage: u32,
+    /// Service that executes it.
+    pub service: id::ServiceName,
+    /// Number of its pieces.
+    pub pieces: u32,
+    /// Approximate size of one result.
+    pub size: unit::Size,
+    /// What each piece works on.
+    pub input: dialect::Input,
+    /// Time until the results are due.
+    pub due: unit::Period,
+    /// Time until the results are of no use.
+    pub deadline: unit::Period,
+    /// Rank.
+    pub rank: u8,
+    /// Data centre where the results will be read.
+    pub near: Option<id::DataCentre>,
+    /// Whether it is refused at once when it cannot be done in time.
+    pub refusable: bool,
+}
+
+/// Queues of the services that this process owns jobs of.
+pub struct Dispatcher {
+    view: Arc<view::View>,
+    pool: Arc<pool::Pool>,
+    dialect: Arc<dyn dialect::Dialect>,
+    metrics: metrics::Metrics,
+    lines: Mutex<collections::HashMap<id::ServiceName, Line>>,
+}
+
+/// Cancels a job whose submitter has gone.
+struct Submitted<'a> {
+    dispatcher: &'a Arc<Dispatcher>,
+    service: &'a id::ServiceName,
+    id: u64,
+}
+
+impl Drop for Submitted<'_> {
+    fn drop(&mut self) {
+        self.dispatcher.cancel(self.service, self.id);
+    }
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher without jobs.
+    pub fn new(
+        view: Arc<view::View>,
+        pool: Arc<pool::Pool>,
+        dialect: Arc<dyn dialect::Dialect>,
+        metrics: metrics::Metrics,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            view,
+            pool,
+            dialect,
+            metrics,
+            lines: Mutex::default(),
+        })
+    }
+
+    /// Executes a job; dropping the future cancels it.
+    pub async fn submit(self: &Arc<Self>, job: Job) -> Result<Vec<batch::Handle>, batch::Failure> {
+        let service = job.service.clone();
+        let id = job.id;
+        let receiver = self.enqueue(job)?;
+        let _submitted = Submitted {
+            dispatcher: self,
+            service: &service,
+            id,
+        };
+        self.pump(&service);
+        receiver.await.unwrap_or(Err(batch::Failure::Unavailable))
+    }
+
+    /// Frees results that nobody needs any more.
+    pub fn free(self: &Arc<Self>, service: &id::ServiceName, handles: Vec<batch::Handle>) {
+        let mut lines = view::lock(&self.lines);
+        if let Some(line) = self.line(&mut lines, service) {
+            handles
+                .into_iter()
+                .for_each(|handle| line.free(handle, &*self.dialect));
+        }
+        drop(lines);
+        self.pump(service);
+    }
+
+    /// Looks after the queues until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        let mut changes = self.view.subscribe();
+        loop {
+            let tick = if self.is_idle() { IDLE_TICK } else { TICK };
+            tokio::select! {
+                _ = tokio::time::sleep(tick) => {}
+                _ = changes.changed() => self.refresh(),
+            }
+            let services: Vec<_> = view::lock(&self.lines).keys().cloned().collect();
+            services.iter().for_each(|service| self.pump(service));
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        view::lock(&self.lines).values().all(Line::is_idle)
+    }
+
+    /// Takes in the targets and the configuration.
+    fn refresh(&self) {
+        let targets = self.view.targets.load_full();
+        let table = self.view.table.load_full();
+        for (service, line) in view::lock(&self.lines).iter_mut() {
+            let known = table.as_ref().and_then(|t| t.service(service));
+            if let Some(shape) = known.and_then(|s| s.batching) {
+                line.queue.set_shape(shape);
+            }
+            line.update(targets.service(service));
+        }
+    }
+
+    /// Returns the queue of a service, made when it is needed first.
+    fn line<'a>(
+        &self,
+        lines: &'a mut collections::HashMap<id::ServiceName, Line>,
+        service: &id::ServiceName,
+    ) -> Option<&'a mut Line> {
+        if !lines.contains_key(service) {
+            let table = self.view.table.load();
+            let shape = table.as_ref()?.service(service)?.batching?;
+            let mut line = Line::new(shape);
+            line.update(self.view.targets.load().service(service));
+            event!(
+                Info,
+                "queue-owned",
+                service = service,
+                targets = line.queue.engines.len()
+            );
+            lines.insert(service.clone(), line);
+        }
+        lines.get_mut(service)
+    }
+
+    fn enqueue(
+        &self,
+        job: Job,
+    ) -> Result<oneshot::Receiver<Result<Vec<batch::Handle>, batch::Failure>>, batch::Failure> {
+        let mut lines = view::lock(&self.lines);
+        let line = self.line(&mut lines, &job.service);
+        let line = line.ok_or(batch::Failure::Unavailable)?;
+        if line.queue.engines.is_empty() {
+            return Err(batch::Failure::Unavailable);
+        }
+        let now = Instant::now();
+        let due = now + job.due.0;
+        let outlook = line.queue.outlook(job.pieces, due, now);
+        if job.refusable && outlook > job.due.0 {
+            self.metrics.refused_early.inc();
+            event!(
+                Info,
+                "job-refused",
+                request = job.attempt,
+                service = job.service,
+                outlook_ms = outlook.as_millis(),
+                due_ms = job.due.as_millis(),
+                waiting = line.queue.waiting()
+            );
+            return Err(batch::Failure::Late);
+        }
+        let (sender, receiver) = oneshot::channel();
+        line.push(job, sender, now);
+        Ok(receiver)
+    }
+
+    /// Cancels a job; one that is not known has ended.
+    pub fn cancel(&self, service: &id::ServiceName, id: u64) {
+        let mut lines = view::lock(&self.lines);
+        if let Some(line) = lines.get_mut(service) {
+            line.cancel(id, &*self.dialect);
+        }
+    }
+
+    /// Makes all calls that can be made now.
+    fn pump(self: &Arc<Self>, service: &id::ServiceName) {
+        let now = Instant::now();
+        let mut lines = view::lock(&self.lines);
+        let Some(line) = lines.get_mut(service) else {
+            return;
+        };
+        let expired = line.queue.expire(now);
+        line.settle(expired, &*self.dialect);
+        while let Some(call) = line.queue.take(now) {
+            self.start(service, line, call, now);
+        }
+        self.flush_later(service, line);
+    }
+
+    /// Frees what has been collected, after a short while.
+    fn flush_later(self: &Arc<Self>, service: &id::ServiceName, line: &mut Line) {
+        if line.flushing || line.frees.is_empty() {
+            return;
+        }
+        line.flushing = true;
+        let (dispatcher, service) = (self.clone(), service.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(FREE_DELAY).await;
+            dispatcher.flush(&service);
+        });
+    }
+
+    fn flush(self: &Arc<Self>, service: &id::ServiceName) {
+        let mut lines = view::lock(&self.lines);
+        let Some(line) = lines.get_mut(service) else {
+            return;
+        };
+        line.flushing = false;
+        let targets = self.view.targets.load();
+        for (addr, handles) in line.frees.drain() {
+            let Some(target) = targets.at(&addr) else {
+                // Its results have gone with the target.
+                continue;
+            };
+            let bounds = self.bounds(service);
+            tokio::spawn(call::free(self.clone(), target.clone(), handles, bounds));
+        }
+    }
+
+    /// Returns the bounds of a call to a target of a service.
+    fn bounds(&self, service: &id::ServiceName) -> pool::Bounds {
+        let table = self.view.table.load();
+        let known = table.as_ref().and_then(|t| t.service(service));
+        let connections = known.map_or(1, |s| s.connections / self.view.share());
+        pool::Bounds {
+            connections: connections.max(2),
+            idle: time::Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -0,0 +1,194 @@
+//! Calls of the targets that execute pieces.
+
+use std::{
+    sync::Arc,
+    time, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    StatusCode, //
+};
+use tokio::time::Instant;
+
+use laburnumcart::{
+    batch,
+    event,
+    id, //
+};
+
+use crate::{
+    dialect,
+    dispatcher::{
+        Dispatcher,
+        line::Line, //
+    },
+    pool,
+    view, //
+};
+
+/// Time that a call may take, as a multiple of what is expected.
+const PATIENCE: f64 = 2.5;
+
+/// Time that a call may take beside that.
+const GRACE: time::Duration = time::Duration::from_millis(300);
+
+/// Longest time for a call that frees results; they expire by themselves in any case.
+const FREE_LIMIT: time::Duration = time::Duration::from_millis(1500);
+
+/// Why a call brought no outcomes.
+enum Failed {
+    /// The target proves that it did nothing.
+    NotRun(&'static str),
+    /// It may have executed the pieces.
+    Lost(pool::Failure),
+}
+
+/// A call that is ready to be sent.
+struct Ready {
+    service: id::ServiceName,
+    target: Arc<view::Target>,
+    call: batch::Call,
+    request: Request<Bytes>,
+    limit: time::Duration,
+    bounds: pool::Bounds,
+}
+
+impl Dispatcher {
+    /// Sends a call on a task of its own.
+    pub(super) fn start(
+        self: &Arc<Self>,
+        service: &id::ServiceName,
+        line: &Line,
+        call: batch::Call,
+        now: Instant,
+    ) {
+        let Some(target) = line.targets.get(call.engine).cloned() else {
+            return;
+        };
+        let waiter = |piece: &batch::Piece| &line.waiters[piece.job];
+        let item = |piece: &batch::Piece| dialect::Item {
+            attempt: &waiter(piece).attempt,
+            stage: waiter(piece).stage,
+            piece: piece.index,
+            left: waiter(piece).deadline.saturating_duration_since(now),
+            input: &waiter(piece).input,
+        };
+        let items: Vec<_> = call.pieces.iter().map(item).collect();
+        let attempt = items.first().map_or("", |item| item.attempt);
+        let oldest = call.pieces.iter().map(|p| now - waiter(p).since).max();
+        event!(
+            Info,
+            "call-sent",
+            request = attempt,
+            service = service,
+            target = target.name,
+            pieces = call.pieces.len(),
+            waited_ms = oldest.unwrap_or_default().as_millis(),
+            waiting = line.queue.waiting(),
+            used = line.queue.engines.used(call.engine)
+        );
+        let request = self.dialect.batch(&target.name, attempt, &items);
+        let expected = line.queue.engines.expected(call.engine, call.pieces.len());
+        self.metrics.calls.inc();
+        self.metrics.pieces.inc_by(call.pieces.len() as u64);
+        let ready = Ready {
+            service: service.clone(),
+            target,
+            limit: expected.mul_f64(PATIENCE) + GRACE,
+            bounds: self.bounds(service),
+            call,
+            request,
+        };
+        tokio::spawn(self.clone().execute(ready));
+    }
+
+    async fn execute(self: Arc<Self>, ready: Ready) {
+        let count = ready.call.pieces.len();
+        let start = Instant::now();
+        let sent = self.exchange(&ready.target, ready.request, &ready.bounds, count);
+        let result = match tokio::time::timeout(ready.limit, sent).await {
+            Ok(result) => result,
+            Err(_) => Err(Failed::Lost(pool::Failure::Timeout)),
+        };
+        let now = Instant::now();
+        let taken = now - start;
+        let mut lines = view::lock(&self.lines);
+        let Some(line) = lines.get_mut(&ready.service) else {
+            return;
+        };
+        let (events, outcome) = match result {
+            Ok(outcomes) => (line.queue.finish(&ready.call, outcomes, now), "done"),
+            Err(Failed::NotRun(cause)) => (line.queue.abandon(&ready.call, false, now), cause),
+            Err(Failed::Lost(failure)) => {
+                let cause = match failure {
+                    pool::Failure::Timeout => "timeout",
+                    _ => "lost",
+                };
+                (line.queue.abandon(&ready.call, true, now), cause)
+            }
+        };
+        event!(
+            Info,
+            "call-ended",
+            service = ready.service,
+            target = ready.target.name,
+            pieces = count,
+            outcome = outcome,
+            taken_ms = taken.as_millis()
+        );
+        line.settle(events, &*self.dialect);
+        drop(lines);
+        self.pump(&ready.service);
+    }
+
+    async fn exchange(
+        &self,
+        target: &view::Target,
+        request: Request<Bytes>,
+        bounds: &pool::Bounds,
+        count: usize,
+    ) -> Result<Vec<batch::Outcome>, Failed> {
+        let sent = self.pool.send(target, request, bounds).await;
+        let answer = sent.map_err(|failure| match failure {
+            pool::Failure::Unreached | pool::Failure::Exhausted => Failed::NotRun("unreached"),
+            failure => Failed::Lost(failure),
+        })?;
+        let reply = self.dialect.reply(&answer.head);
+        let (head, body) = answer.whole(reply.idle).await.map_err(Failed::Lost)?;
+        if reply.not_run || reply.misdirected {
+            return Err(Failed::NotRun("refused"));
+        }
+        if head.status != StatusCode::OK {
+            return Err(Failed::Lost(pool::Failure::Malformed));
+        }
+        let outcomes = self.dialect.outcomes(&body, count);
+        outcomes.map_err(|_| Failed::Lost(pool::Failure::Malformed))
+    }
+}
+
+/// Frees results at their target.
+pub(super) async fn free(
+    dispatcher: Arc<Dispatcher>,
+    target: Arc<view::Target>,
+    handles: Vec<batch::Handle>,
+    bounds: pool::Bounds,
+) {
+    let request = dispatcher.dialect.free(&target.name, &handles);
+    let sent = async {
+        let answer = dispatcher.pool.send(&target, request, &bounds).await?;
+        let reply = dispatcher.dialect.reply(&answer.head);
+        answer.whole(reply.idle).await
+    };
+    let result = tokio::time::timeout(FREE_LIMIT, sent).await;
+    if !matches!(result, Ok(Ok(_))) {
+        // They expire by themselves; until then the target has less room.
+        event!(
+            Warn,
+            "free-failed",
+            target = target.name,
+            results = handles.len()
+        );
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -0,0 +1,161 @@
+//! The queue of one service with those who wait for its jobs.
+
+use std::{
+    collections,
+    net,
+    sync::Arc, //
+};
+
+use slotmap::SecondaryMap;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use laburnumcart::{
+    batch,
+    id,
+    ingress, //
+};
+
+use crate::{
+    dialect,
+    dispatcher::Job,
+    view, //
+};
+
+type Done = oneshot::Sender<Result<Vec<batch::Handle>, batch::Failure>>;
+
+/// Who waits for a job, and what a call of it says.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) id: u64,
+    pub(super) attempt: String,
+    pub(super) stage: u32,
+    pub(super) input: dialect::Input,
+    pub(super) deadline: Instant,
+    pub(super) since: Instant,
+    done: Done,
+}
+
+/// The queue of one service.
+pub(super) struct Line {
+    pub(super) queue: batch::Queue,
+    pub(super) targets: SecondaryMap<batch::EngineKey, Arc<view::Target>>,
+    pub(super) waiters: SecondaryMap<batch::JobKey, Waiter>,
+    keys: collections::HashMap<id::TargetName, batch::EngineKey>,
+    ids: collections::HashMap<u64, batch::JobKey>,
+    /// Results to free, by the address of their target.
+    pub(super) frees: collections::HashMap<net::SocketAddr, Vec<batch::Handle>>,
+    /// Whether a task will send them.
+    pub(super) flushing: bool,
+}
+
+impl Line {
+    pub(super) fn new(shape: ingress::Batching) -> Self {
+        Self {
+            queue: batch::Queue::new(shape),
+            targets: SecondaryMap::new(),
+            waiters: SecondaryMap::new(),
+            keys: collections::HashMap::new(),
+            ids: collections::HashMap::new(),
+            frees: collections::HashMap::new(),
+            flushing: false,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Takes in the list of targets; what is known of those that stay is kept.
+    pub(super) fn update(&mut self, targets: &[Arc<view::Target>]) {
+        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
+        let gone: Vec<_> = self
+            .keys
+            .keys()
+            .filter(|n| !names.contains(n))
+            .cloned()
+            .collect();
+        for name in gone {
+            if let Some(key) = self.keys.remove(&name) {
+                self.queue.engines.remove(key);
+                self.targets.remove(key);
+            }
+        }
+        for target in targets {
+            if !self.keys.contains_key(&target.name) {
+                let key = self.queue.engines.add(target.data_centre.clone());
+                self.keys.insert(target.name.clone(), key);
+                self.targets.insert(key, target.clone());
+            }
+        }
+    }
+
+    pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
+        let spec = batch::Spec::new(job.pieces, job.size, now + job.due.0)
+            .deadline(now + job.deadline.0)
+            .rank(job.rank)
+            .near(job.near);
+        let key = self.queue.push(spec, now);
+        self.ids.insert(job.id, key);
+        let waiter = Waiter {
+            id: job.id,
+            attempt: job.attempt,
+            stage: job.stage,
+            input: job.input,
+            deadline: now + job.deadline.0,
+            since: now,
+            done,
+        };
+        self.waiters.insert(key, waiter);
+    }
+
+    pub(super) fn cancel(&mut self, id: u64, dialect: &dyn dialect::Dialect) {
+        if let Some(key) = self.ids.remove(&id) {
+            self.waiters.remove(key);
+            let made = self.queue.cancel(key);
+            made.into_iter()
+                .for_each(|handle| self.free(handle, dialect));
+        }
+    }
+
+    /// Tells those who wait of what a call has decided.
+    pub(super) fn settle(&mut self, events: Vec<batch::Event>, dialect: &dyn dialect::Dialect) {
+        for event in events {
+            match event {
+                batch::Event::Done(key, handles) => self.done(key, Ok(handles), dialect),
+                batch::Event::Failed(key, failure) => self.done(key, Err(failure), dialect),
+                batch::Event::Orphan(handle) => self.free(handle, dialect),
+            }
+        }
+    }
+
+    /// Collects a result that is to be freed.
+    pub(super) fn free(&mut self, handle: batch::Handle, dialect: &dyn dialect::Dialect) {
+        self.queue.free(&handle);
+        if let Some(addr) = dialect.holder(&handle) {
+            self.frees.entry(addr).or_default().push(handle);
+        }
+    }
+
+    fn done(
+        &mut self,
+        key: batch::JobKey,
+        result: Result<Vec<batch::Handle>, batch::Failure>,
+        dialect: &dyn dialect::Dialect,
+    ) {
+        let Some(waiter) = self.waiters.remove(key) else {
+            for handle in result.unwrap_or_default() {
+                self.free(handle, dialect);
+            }
+            return;
+        };
+        self.ids.remove(&waiter.id);
+        if let Err(Ok(unwanted)) = waiter.done.send(result) {
+            unwanted
+                .into_iter()
+                .for_each(|handle| self.free(handle, dialect));
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/engines.rs
@@ -0,0 +1,80 @@
+//! Choice among the model engines of a service, over the list of targets.
+
+use std::{
+    collections,
+    sync::Arc, //
+};
+
+use slotmap::SecondaryMap;
+use tokio::time::Instant;
+
+use laburnumcart::{
+    id,
+    ingress,
+    placement, //
+};
+
+use crate::view;
+
+/// Engines of one service and their targets.
+#[derive(Debug)]
+pub struct Engines {
+    /// What decides.
+    pub fleet: placement::Fleet,
+    targets: SecondaryMap<placement::EngineKey, Arc<view::Target>>,
+    keys: collections::HashMap<id::TargetName, placement::EngineKey>,
+}
+
+impl Engines {
+    /// Creates a service without engines.
+    pub fn new(limits: ingress::Engine) -> Self {
+        Self {
+            fleet: placement::Fleet::new(limits),
+            targets: SecondaryMap::new(),
+            keys: collections::HashMap::new(),
+        }
+    }
+
+    /// Takes in the list of targets; what is known of those that stay is kept.
+    pub fn update(&mut self, targets: &[Arc<view::Target>]) {
+        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
+        let gone: Vec<_> = self
+            .keys
+            .keys()
+            .filter(|n| !names.contains(n))
+            .cloned()
+            .collect();
+        for name in gone {
+            if let Some(key) = self.keys.remove(&name) {
+                self.fleet.remove(key);
+                self.targets.remove(key);
+            }
+        }
+        for target in targets {
+            if !self.keys.contains_key(&target.name) {
+                let zone = target.data_centre.clone();
+                let key = self.fleet.add(target.name.as_str(), zone);
+                self.targets.insert(key, target.clone());
+                self.keys.insert(target.name.clone(), key);
+            }
+        }
+    }
+
+    /// Returns the keys of the engines that have these names.
+    pub fn keys(&self, names: &[id::TargetName]) -> Vec<placement::EngineKey> {
+        let keys = names.iter().filter_map(|name| self.keys.get(name));
+        keys.copied().collect()
+    }
+
+    /// Chooses an engine and counts the request there.
+    pub fn start(
+        &mut self,
+        ask: &placement::Ask<'_>,
+        now: Instant,
+    ) -> Option<(placement::Place, Arc<view::Target>)> {
+        let place = self.fleet.choose(ask, now)?;
+        let target = self.targets.get(place.engine)?.clone();
+        self.fleet.start(ask, place, now);
+        Some((place, target))
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/forward.rs
@@ -0,0 +1,293 @@
+//! Sends a request to one target after another until one answers.
+
+use std::{
+    sync::Arc,
+    time, //
+};
+
+use http::{
+    Request,
+    StatusCode, //
+};
+use tokio::time::Instant;
+
+use laburnumcart::{
+    event,
+    id,
+    ingress,
+    retry,
+    verdict, //
+};
+
+use crate::{
+    admission,
+    dialect,
+    gateway,
+    pipeline::Inputs,
+    pool, //
+};
+
+/// Least time in which another send can still bring an answer.
+const NEEDED: time::Duration = time::Duration::from_millis(20);
+
+/// Most sends of one request that are refused without being run.
+const REFUSALS: u32 = 3;
+
+/// An answer whose head has come.
+pub struct Opened {
+    /// Place at the target.
+    pub seat: gateway::Seat,
+    /// Answer.
+    pub answer: pool::Answer,
+    /// What its head says.
+    pub reply: dialect::Reply,
+}
+
+/// Why a send brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The target refused or failed.
+    Refused(verdict::Refusal),
+    /// The inputs no longer exist; the target did not run the request.
+    InputsGone,
+}
+
+/// The sends of one request.
+pub struct Sends {
+    gateway: Arc<gateway::Gateway>,
+    request: Arc<admission::Request>,
+    /// Service that was chosen for the request.
+    pub service: id::ServiceName,
+    tried: Vec<id::TargetName>,
+    sent: u32,
+    refused: u32,
+    attempts: retry::Attempts,
+}
+
+impl Sends {
+    /// Starts with a request that was not sent yet.
+    pub fn new(
+        gateway: &Arc<gateway::Gateway>,
+        request: &Arc<admission::Request>,
+    ) -> Result<Self, verdict::Refusal> {
+        let service = request.route.backend(rand::random());
+        let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
+        let service = service.ok_or(missing)?.clone();
+        gateway.with_budget(&service, |budget, now| budget.earn(now));
+        let idempotent = request.route.repeat != ingress::Repeat::Never;
+        Ok(Self {
+            gateway: gateway.clone(),
+            request: request.clone(),
+            service,
+            tried: Vec::new(),
+            sent: 0,
+            refused: 0,
+            attempts: retry::Attempts::new(idempotent, verdict::Verdict::NotRun),
+        })
+    }
+
+    /// Reports whether another target may still be asked.
+    pub fn has_more(&self) -> bool {
+        self.sent < self.request.route.sends.max(1) && self.refused < REFUSALS
+    }
+
+    /// Returns what is known of the request as a whole.
+    pub fn verdict(&self) -> verdict::Verdict {
+        self.attempts.verdict()
+    }
+
+    /// Sends the request to the next target; `limit` bounds the wait for the head.
+    pub async fn next(
+        &mut self,
+        inputs: Option<&Inputs>,
+        after: Option<u64>,
+        limit: time::Duration,
+    ) -> Result<Opened, Failure> {
+        let request = self.request.clone();
+        let seat = self
+            .gateway
+            .seat(&request, &self.service, inputs, &self.tried);
+        let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
+        let mut seat = seat.ok_or(Failure::Refused(missing))?;
+        self.tried.push(seat.target.name.clone());
+        self.sent += 1;
+        let bounds = self.gateway.bounds(&request, &self.service);
+        let onward = self.onward(&seat, inputs, after);
+        let pool = self.gateway.pool.clone();
+        let target = seat.target.clone();
+        event!(
+            Info,
+            "sent",
+            request = request.call.attempt,
+            service = self.service,
+            target = target.name,
+            number = self.sent,
+            left_ms = request.left().as_millis()
+        );
+        let start = Instant::now();
+        let sent = pool.send(&target, onward, &bounds);
+        let result = match tokio::time::timeout(limit, sent).await {
+            Ok(result) => result,
+            Err(_) => Err(pool::Failure::Timeout),
+        };
+        match result {
+            Ok(answer) => self.judge(seat, answer, start),
+            Err(failure) => {
+                if failure.verdict() == verdict::Verdict::NotRun {
+                    // Nothing was sent to this target.
+                    self.sent -= 1;
+                    self.refused += 1;
+                }
+                if failure != pool::Failure::Exhausted {
+                    seat.fail();
+                }
+                let verdict = failure.verdict();
+                // A target that is slow is no reason to stop while the request has time.
+                let reason = match failure {
+                    pool::Failure::Timeout if request.left() > NEEDED => verdict::Reason::Lost,
+                    other => other.reason(),
+                };
+                Err(self.failed(
+                    &seat,
+                    verdict::Refusal {
+                        verdict,
+                        reason,
+                        retry: None,
+                    },
+                ))
+            }
+        }
+    }
+
+    /// Takes in a failure and decides whether the request goes to another target.
+    pub fn decide(&mut self, failure: verdict::Refusal) -> retry::Decision {
+        let time = retry::Time {
+            remaining: self.request.left(),
+            needed: NEEDED,
+            now: Instant::now(),
+        };
+        let failure = retry::Failure {
+            refusal: failure,
+            resumable: false,
+        };
+        let more = self.has_more();
+        let attempts = &mut self.attempts;
+        let decision = self.gateway.with_budget(&self.service, |budget, _| {
+            attempts.decide(&failure, time, budget)
+        });
+        let decision = match decision {
+            retry::Decision::GiveUp(refusal) => retry::Decision::GiveUp(refusal),
+            other if more => other,
+            _ => retry::Decision::GiveUp(verdict::Refusal {
+                verdict: self.verdict(),
+                ..failure.refusal
+            }),
+        };
+        if !matches!(decision, retry::Decision::GiveUp(_)) {
+            self.gateway.metrics.resent.inc();
+        }
+        decision
+    }
+
+    fn onward(
+        &self,
+        seat: &gateway::Seat,
+        inputs: Option<&Inputs>,
+        after: Option<u64>,
+    ) -> Request<bytes::Bytes> {
+        let request = &self.request;
+        let mut onward = Request::new(request.body.clone());
+        *onward.method_mut() = request.method.clone();
+        *onward.uri_mut() = request.path.parse().expect("it was a path before");
+        *onward.headers_mut() = request.headers.clone();
+        let told = dialect::Onward {
+            target: &seat.target.name,
+            team: request.team.as_ref(),
+            left: request.left(),
+            inputs: inputs.map(|i| i.handles.as_slice()),
+            after,
+            rank: request.rank,
+        };
+        self.gateway.dialect.onward(onward.headers_mut(), &told);
+        onward
+    }
+
+    /// Tells an answer of the target from its refusals.
+    fn judge(
+        &mut self,
+        mut seat: gateway::Seat,
+        answer: pool::Answer,
+        start: Instant,
+    ) -> Result<Opened, Failure> {
+        let reply = self.gateway.dialect.reply(&answer.head);
+        let status = answer.head.status;
+        event!(
+            Info,
+            "head",
+            request = self.request.call.attempt,
+            target = seat.target.name,
+            status = status.as_u16(),
+            not_run = reply.not_run,
+            taken_ms = start.elapsed().as_millis()
+        );
+        let foreign = reply
+            .attempt
+            .as_ref()
+            .is_some_and(|a| *a != self.request.call.attempt);
+        // An answer to an earlier request on this connection, or none that the target vouches for,
+        // must not reach the caller. What became of this request is not known then.
+        if foreign || status.is_success() && (!reply.signed || reply.attempt.is_none()) {
+            seat.fail();
+            return Err(self.failed(&seat, may_have_run(verdict::Reason::Corrupt)));
+        }
+        seat.report(&reply);
+        if reply.misdirected {
+            self.sent -= 1;
+            self.refused += 1;
+            return Err(self.failed(&seat, not_run(verdict::Reason::WrongIncarnation)));
+        }
+        if reply.not_run {
+            self.refused += 1;
+            if status == StatusCode::CONFLICT {
+                return Err(Failure::InputsGone);
+            }
+            return Err(self.failed(&seat, not_run(verdict::Reason::Overloaded)));
+        }
+        // These promise that the request has not run, which this answer does not prove.
+        let promises = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if promises.contains(&status) {
+            seat.fail();
+            return Err(self.failed(&seat, may_have_run(verdict::Reason::TargetFailed)));
+        }
+        Ok(Opened {
+            seat,
+            answer,
+            reply,
+        })
+    }
+
+    fn failed(&self, seat: &gateway::Seat, refusal: verdict::Refusal) -> Failure {
+        event!(
+            Info,
+            "send-failed",
+            request = self.request.call.attempt,
+            target = seat.target.name,
+            reason = refusal.reason,
+            verdict = refusal.verdict
+        );
+        Failure::Refused(refusal)
+    }
+}
+
+fn not_run(reason: verdict::Reason) -> verdict::Refusal {
+    verdict::Refusal::not_run(reason)
+}
+
+fn may_have_run(reason: verdict::Reason) -> verdict::Refusal {
+    verdict::Refusal::may_have_run(reason)
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -0,0 +1,312 @@
+//! State of one gateway that its requests share.
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
+};
+
+use tokio::time::Instant;
+
+use laburnumcart::{
+    budget,
+    eject,
+    id,
+    ingress,
+    placement,
+    unit, //
+};
+use laburnumcart_daemon::stop;
+
+use crate::{
+    admission,
+    balancer,
+    dialect,
+    dispatcher,
+    engines,
+    metrics,
+    peers,
+    pipeline::Inputs,
+    pool,
+    settings,
+    view, //
+};
+
+/// Part of the shared bound on extra sends that is used.
+///
+/// Windows of the processes do not begin together, and sends cross them.
+const BUDGET_SHARE: f64 = 0.8;
+
+/// One gateway.
+pub struct Gateway {
+    /// Settings.
+    pub settings: settings::Settings,
+    /// Control state.
+    pub view: Arc<view::View>,
+    /// The platform's HTTP.
+    pub dialect: Arc<dyn dialect::Dialect>,
+    /// Connections to targets.
+    pub pool: Arc<pool::Pool>,
+    /// Other processes.
+    pub peers: peers::Peers,
+    /// Queues that this process owns.
+    pub dispatcher: Arc<dispatcher::Dispatcher>,
+    /// Gate of requests.
+    pub gate: stop::Gate,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    engines: Mutex<collections::HashMap<id::ServiceName, engines::Engines>>,
+    balancers: Mutex<collections::HashMap<id::ServiceName, balancer::Balancer>>,
+    budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
+}
+
+/// A request's place at a target, given up when dropped.
+pub struct Seat {
+    gateway: Arc<Gateway>,
+    service: id::ServiceName,
+    /// Target.
+    pub target: Arc<view::Target>,
+    place: Option<placement::Place>,
+    start: Instant,
+    outcome: Option<eject::Outcome>,
+    read: bool,
+}
+
+impl Gateway {
+    /// Creates a gateway that knows nothing yet.
+    pub fn new(
+        settings: settings::Settings,
+        view: Arc<view::View>,
+        dialect: Arc<dyn dialect::Dialect>,
+        gate: stop::Gate,
+        metrics: metrics::Metrics,
+    ) -> Arc<Self> {
+        let pool = Arc::new(pool::Pool::default());
+        let dispatcher = dispatcher::Dispatcher::new(
+            view.clone(),
+            pool.clone(),
+            dialect.clone(),
+            metrics.clone(),
+        );
+        let own = settings.instance.clone();
+        Arc::new(Self {
+            peers: peers::Peers::new(own, view.clone(), dispatcher.clone()),
+            settings,
+            view,
+            dialect,
+            pool,
+            dispatcher,
+            gate,
+            metrics,
+            engines: Mutex::default(),
+            balancers: Mutex::default(),
+            budgets: Mutex::default(),
+        })
+    }
+
+    /// Takes in changes of targets until the process ends.
+    pub async fn follow(self: Arc<Self>) {
+        let mut changes = self.view.subscribe();
+        let mut sweep = tokio::time::interval(time::Duration::from_secs(1));
+        loop {
+            tokio::select! {
+                _ = sweep.tick() => self.pool.sweep(Instant::now()),
+                _ = changes.changed() => self.refresh(),
+            }
+        }
+    }
+
+    fn refresh(&self) {
+        let targets = self.view.targets.load();
+        for (service, engines) in view::lock(&self.engines).iter_mut() {
+            engines.update(targets.service(service));
+        }
+        let now = Instant::now();
+        for (service, balancer) in view::lock(&self.balancers).iter_mut() {
+            balancer.update(targets.service(service), now);
+        }
+    }
+
+    /// Returns where the inputs of a request are best made.
+    pub fn near(&self, request: &admission::Request) -> Option<id::DataCentre> {
+        let service = request.route.backend(0)?;
+        let prompt = request.call.prompt.as_ref()?;
+        let mut engines = view::lock(&self.engines);
+        let engines = self.engines_of(&mut engines, &request.table, service)?;
+        engines.fleet.near(&prompt.parts, Instant::now())
+    }
+
+    /// Chooses a target of a service for a request.
+    pub fn seat(
+        self: &Arc<Self>,
+        request: &admission::Request,
+        service: &id::ServiceName,
+        inputs: Option<&Inputs>,
+        tried: &[id::TargetName],
+    ) -> Option<Seat> {
+        let now = Instant::now();
+        let mut engines = view::lock(&self.engines);
+        let known = self.engines_of(&mut engines, &request.table, service);
+        let (place, target) = match known {
+            Some(engines) => {
+                let (place, target) = choose(engines, request, inputs, tried, now)?;
+                (Some(place), target)
+            }
+            None => (None, self.balance(service, tried, now)?),
+        };
+        Some(Seat {
+            gateway: self.clone(),
+            service: service.clone(),
+            target,
+            place,
+            start: now,
+            outcome: None,
+            read: false,
+        })
+    }
+
+    fn engines_of<'a>(
+        &self,
+        engines: &'a mut collections::HashMap<id::ServiceName, engines::Engines>,
+        table: &ingress::Table,
+        service: &id::ServiceName,
+    ) -> Option<&'a mut engines::Engines> {
+        if !engines.contains_key(service) {
+            let limits = table.service(service)?.engine?;
+            let mut known = engines::Engines::new(limits);
+            known.update(self.view.targets.load().service(service));
+            engines.insert(service.clone(), known);
+        }
+        engines.get_mut(service)
+    }
+
+    fn balance(
+        &self,
+        service: &id::ServiceName,
+        tried: &[id::TargetName],
+        now: Instant,
+    ) -> Option<Arc<view::Target>> {
+        let mut balancers = view::lock(&self.balancers);
+        let balancer = balancers.entry(service.clone()).or_insert_with(|| {
+            let own = self.settings.data_centre.clone();
+            let mut balancer = balancer::Balancer::new(own, now);
+            balancer.update(self.view.targets.load().service(service), now);
+            balancer
+        });
+        balancer.choose(tried, now)
+    }
+
+    /// Does something with the budget of extra sends of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &id::ServiceName,
+        act: impl FnOnce(&mut budget::Budget, Instant) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let bounds = &self.settings.bounds;
+        let mut budgets = view::lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let ratio = unit::Share(bounds.retry_ratio * BUDGET_SHARE);
+            budget::Budget::new(ratio, now)
+        });
+        let extra = f64::from(bounds.retry_extra) * BUDGET_SHARE / self.view.share() as f64;
+        budget.set_reserve(extra as u32);
+        act(budget, now)
+    }
+
+    /// Returns the bounds of an exchange with a target of a service.
+    pub fn bounds(&self, request: &admission::Request, service: &id::ServiceName) -> pool::Bounds {
+        let known = request.table.service(service);
+        let all = known.map_or(1, |s| s.connections);
+        let idle = match request.route.repeat {
+            ingress::Repeat::Never => pool::FRESH,
+            _ => time::Duration::from_secs(60),
+        };
+        pool::Bounds {
+            connections: (all / self.view.share()).max(1),
+            idle,
+        }
+    }
+}
+
+fn choose(
+    engines: &mut engines::Engines,
+    request: &admission::Request,
+    inputs: Option<&Inputs>,
+    tried: &[id::TargetName],
+    now: Instant,
+) -> Option<(placement::Place, Arc<view::Target>)> {
+    let prompt = request.call.prompt.as_ref();
+    let avoid = engines.keys(tried);
+    let ask = placement::Ask {
+        parts: prompt.map_or(&[], |p| &p.parts),
+        tokens: prompt.map_or(0, |p| p.input + p.output),
+        inputs: inputs.map_or(&[], |i| &i.places),
+        avoid: &avoid,
+    };
+    engines.start(&ask, now)
+}
+
+impl Seat {
+    /// Records the load that the target reports.
+    pub fn report(&self, reply: &dialect::Reply) {
+        let Some(report) = reply.load else {
+            return;
+        };
+        let now = Instant::now();
+        match self.place {
+            Some(place) => self.with_engines(|e| e.fleet.report(place.engine, report, now)),
+            None => self.with_balancer(|b| b.report(&self.target.name, report, reply.slots, now)),
+        }
+    }
+
+    /// Records that the target has begun to answer.
+    pub fn begin(&mut self) {
+        self.read = true;
+        if let Some(place) = self.place {
+            self.with_engines(|e| e.fleet.first_token(place));
+        }
+    }
+
+    /// Records a whole answer.
+    pub fn succeed(&mut self) {
+        let taken = Instant::now() - self.start;
+        self.outcome = Some(eject::Outcome::Success(taken));
+    }
+
+    /// Records a failure of the target.
+    pub fn fail(&mut self) {
+        self.outcome = Some(eject::Outcome::Failure);
+    }
+
+    fn with_engines(&self, act: impl FnOnce(&mut engines::Engines)) {
+        if let Some(engines) = view::lock(&self.gateway.engines).get_mut(&self.service) {
+            act(engines);
+        }
+    }
+
+    fn with_balancer(&self, act: impl FnOnce(&mut balancer::Balancer)) {
+        if let Some(balancer) = view::lock(&self.gateway.balancers).get_mut(&self.service) {
+            act(balancer);
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let failed = self.outcome == Some(eject::Outcome::Failure);
+        match self.place {
+            Some(place) => self.with_engines(|e| {
+                e.fleet.end(place, self.read);
+                if failed {
+                    e.fleet.fail(place.engine, now);
+                }
+            }),
+            None => self.with_balancer(|b| b.end(&self.target.name, self.outcome, now)),
+        }
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! HTTP gateway: ingress by host and path, batched stages, model engines and plain services.
+//!
+//! The crate knows no names of a platform. What a header is called, how a call of a target looks
+//! and what the store holds is told by a [`dialect::Dialect`] and a [`dialect::Directory`].
+
+pub mod admission;
+pub mod balancer;
+pub mod callers;
+pub mod clock;
+pub mod control;
+pub mod dialect;
+pub mod dispatcher;
+pub mod engines;
+pub mod forward;
+pub mod gateway;
+pub mod metrics;
+pub mod peers;
+pub mod pipeline;
+pub mod pool;
+pub mod reply;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod stream;
+pub mod view;
--- /dev/null
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -0,0 +1,125 @@
+//! What a gateway counts.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter,
+        family,
+        histogram, //
+    },
+};
+
+use laburnumcart::verdict;
+use laburnumcart_daemon::metrics;
+
+use crate::pool;
+
+/// Bounds of the latency histograms in seconds.
+const BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
+
+/// Why a request was refused, and whether it may have run.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Refused {
+    /// Reason.
+    pub reason: metrics::Label<verdict::Reason>,
+    /// Verdict.
+    pub verdict: metrics::Label<verdict::Verdict>,
+}
+
+/// Counters and histograms of one gateway; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Requests that came.
+    pub requests: counter::Counter<u64>,
+    /// Requests that were answered by a target.
+    pub answered: counter::Counter<u64>,
+    /// Requests that were refused or given up.
+    pub refused: family::Family<Refused, counter::Counter<u64>>,
+    /// Streams that broke off.
+    pub broken: counter::Counter<u64>,
+    /// Streams that went on at another target.
+    pub resumed: counter::Counter<u64>,
+    /// Sends to another target after a failure.
+    pub resent: counter::Counter<u64>,
+    /// Batches sent.
+    pub calls: counter::Counter<u64>,
+    /// Pieces in them.
+    pub pieces: counter::Counter<u64>,
+    /// Jobs that were refused because they would have been late.
+    pub refused_early: counter::Counter<u64>,
+    /// Time until the stages were done.
+    pub stages: histogram::Histogram,
+    /// Time until the first byte of an answer.
+    pub first: histogram::Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            requests: counter::Counter::default(),
+            answered: counter::Counter::default(),
+            refused: family::Family::default(),
+            broken: counter::Counter::default(),
+            resumed: counter::Counter::default(),
+            resent: counter::Counter::default(),
+            calls: counter::Counter::default(),
+            pieces: counter::Counter::default(),
+            refused_early: counter::Counter::default(),
+            stages: histogram::Histogram::new(BUCKETS),
+            first: histogram::Histogram::new(BUCKETS),
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers everything under `laburnum_gateway`.
+    pub fn register(&self, metrics: &metrics::Metrics, pool: &pool::Counters) {
+        metrics.register("laburnum_gateway", |r| {
+            r.register("requests", "Requests that came", self.requests.clone());
+            r.register(
+                "answered",
+                "Requests answered by a target",
+                self.answered.clone(),
+            );
+            r.register(
+                "refused",
+                "Requests refused or given up",
+                self.refused.clone(),
+            );
+            r.register(
+                "streams_broken",
+                "Streams that broke off",
+                self.broken.clone(),
+            );
+            r.register(
+                "streams_resumed",
+                "Streams resumed elsewhere",
+                self.resumed.clone(),
+            );
+            r.register("resent", "Sends after a failure", self.resent.clone());
+            r.register("calls", "Batches sent", self.calls.clone());
+            r.register("pieces", "Pieces in batches", self.pieces.clone());
+            r.register(
+                "jobs_refused",
+                "Jobs refused early",
+                self.refused_early.clone(),
+            );
+            r.register("stages_seconds", "Time of the stages", self.stages.clone());
+            r.register(
+                "first_byte_seconds",
+                "Time to the first byte",
+                self.first.clone(),
+            );
+            r.register(
+                "connections_opened",
+                "Connections to targets",
+                pool.opened.clone(),
+            );
+            r.register(
+                "connections_reused",
+                "Exchanges on kept ones",
+                pool.reused.clone(),
+            );
+        });
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/peers.rs
@@ -0,0 +1,229 @@
+//! Calls between the processes of the system: jobs of stages go to the owner of their queue.
+
+mod link;
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
+};
+
+use jsonrpsee::{
+    core::{
+        RpcResult,
+        async_trait, //
+    },
+    proc_macros::rpc, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+use xxhash_rust::xxh3;
+
+use laburnumcart::{
+    batch,
+    event,
+    id, //
+};
+
+use crate::{
+    dispatcher,
+    view, //
+};
+
+use self::link::Link;
+
+/// Pause before a job is offered again when no process could take it.
+const PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Answer to a job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Answer {
+    /// Results, in the order of the pieces.
+    Done(Vec<batch::Handle>),
+    /// The job failed.
+    Failed(batch::Failure),
+    /// The process is leaving or does not know the service yet.
+    Elsewhere,
+}
+
+/// What a process of the system offers to the others.
+#[rpc(server, client)]
+pub trait Peer {
+    /// Executes a job and answers when it is done.
+    #[method(name = "submit")]
+    async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer>;
+
+    /// Cancels a job.
+    #[method(name = "cancel")]
+    async fn cancel(&self, service: id::ServiceName, job: u64) -> RpcResult<()>;
+
+    /// Frees results.
+    #[method(name = "free")]
+    async fn free(&self, service: id::ServiceName, handles: Vec<batch::Handle>) -> RpcResult<()>;
+
+    /// Heartbeat.
+    #[method(name = "beat")]
+    async fn beat(&self) -> RpcResult<()>;
+}
+
+/// Serves other processes.
+pub struct Served {
+    /// Queues of this process.
+    pub dispatcher: Arc<dispatcher::Dispatcher>,
+    /// State of this process.
+    pub view: Arc<view::View>,
+}
+
+#[async_trait]
+impl PeerServer for Served {
+    async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer> {
+        if self.view.is_leaving() || !self.view.is_complete() {
+            return Ok(Answer::Elsewhere);
+        }
+        Ok(match self.dispatcher.submit(job).await {
+            Ok(handles) => Answer::Done(handles),
+            Err(batch::Failure::Unavailable) => Answer::Elsewhere,
+            Err(failure) => Answer::Failed(failure),
+        })
+    }
+
+    async fn cancel(&self, service: id::ServiceName, job: u64) -> RpcResult<()> {
+        self.dispatcher.cancel(&service, job);
+        Ok(())
+    }
+
+    async fn free(&self, service: id::ServiceName, handles: Vec<batch::Handle>) -> RpcResult<()> {
+        self.dispatcher.free(&service, handles);
+        Ok(())
+    }
+
+    async fn beat(&self) -> RpcResult<()> {
+        Ok(())
+    }
+}
+
+/// The other processes as this one reaches them.
+pub struct Peers {
+    own: id::InstanceName,
+    view: Arc<view::View>,
+    dispatcher: Arc<dispatcher::Dispatcher>,
+    links: Mutex<collections::HashMap<id::InstanceName, Arc<Link>>>,
+}
+
+impl Peers {
+    /// Creates the calls of the process `own`.
+    pub fn new(
+        own: id::InstanceName,
+        view: Arc<view::View>,
+        dispatcher: Arc<dispatcher::Dispatcher>,
+    ) -> Self {
+        Self {
+            own,
+            view,
+            dispatcher,
+            links: Mutex::default(),
+        }
+    }
+
+    /// Executes a job at the owner of its queue; dropping the future cancels it.
+    ///
+    /// When the owner fails, the job goes to the next one. Its pieces may have been executed then,
+    /// which wastes them and nothing else.
+    pub async fn submit(&self, job: dispatcher::Job) -> Result<Vec<batch::Handle>, batch::Failure> {
+        let start = Instant::now();
+        let (due, deadline) = (start + job.due.0, start + job.deadline.0);
+        loop {
+            for owner in self.owners(&job.service) {
+                let mut job = job.clone();
+                let now = Instant::now();
+                job.due.0 = due.saturating_duration_since(now);
+                job.deadline.0 = deadline.saturating_duration_since(now);
+                match self.offer(&owner, job).await {
+                    Some(Answer::Done(handles)) => return Ok(handles),
+                    Some(Answer::Failed(failure)) => return Err(failure),
+                    Some(Answer::Elsewhere) | None => {}
+                }
+            }
+            if Instant::now() + PAUSE >= deadline {
+                return Err(batch::Failure::Unavailable);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Frees results through the owner of their queue, which accounts their room.
+    pub fn free(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
+        let Some(owner) = self.owners(service).into_iter().next() else {
+            return;
+        };
+        if owner.instance == self.own {
+            self.dispatcher.free(service, handles);
+            return;
+        }
+        let (link, service) = (self.link(&owner), service.clone());
+        let dispatcher = self.dispatcher.clone();
+        tokio::spawn(async move {
+            if !link.free(&service, &handles).await {
+                dispatcher.free(&service, handles);
+            }
+        });
+    }
+
+    async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
+        if owner.instance != self.own {
+            return self.link(owner).submit(job).await;
+        }
+        Some(match self.dispatcher.submit(job).await {
+            Ok(handles) => Answer::Done(handles),
+            Err(batch::Failure::Unavailable) => Answer::Elsewhere,
+            Err(failure) => Answer::Failed(failure),
+        })
+    }
+
+    /// Lists the processes that may own a service's queue, the first choice first.
+    fn owners(&self, service: &id::ServiceName) -> Vec<view::Member> {
+        let members = self.view.members.load();
+        let seed = xxh3::xxh3_64(service.as_str().as_bytes());
+        let rank = |m: &view::Member| xxh3::xxh3_64_with_seed(m.instance.as_str().as_bytes(), seed);
+        let mut owners: Vec<_> = members.iter().filter(|m| self.is_up(m)).cloned().collect();
+        owners.sort_by_key(|m| std::cmp::Reverse(rank(m)));
+        owners
+    }
+
+    fn is_up(&self, member: &view::Member) -> bool {
+        if member.instance == self.own {
+            return !self.view.is_leaving();
+        }
+        let links = view::lock(&self.links);
+        let link = links.get(&member.instance);
+        // A link to an earlier life of the process says nothing of this one.
+        let link = link.filter(|l| l.member.incarnation == member.incarnation);
+        link.is_none_or(|link| link.is_up(Instant::now()))
+    }
+
+    fn link(&self, member: &view::Member) -> Arc<Link> {
+        let mut links = view::lock(&self.links);
+        let known = links.get(&member.instance);
+        if let Some(link) = known.filter(|l| l.member == *member) {
+            return link.clone();
+        }
+        let link = Arc::new(Link::new(member.clone()));
+        event!(
+            Info,
+            "peer-known",
+            peer = member.instance,
+            incarnation = member.incarnation
+        );
+        if let Some(old) = links.insert(member.instance.clone(), link.clone()) {
+            old.cut("replaced");
+        }
+        link
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -0,0 +1,247 @@
+//! The connection to one other process.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
+};
+
+use jsonrpsee::core::client;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+use laburnumcart::{
+    batch,
+    event,
+    id,
+    unit, //
+};
+use laburnumcart_wire::{
+    peer,
+    secret, //
+};
+
+use crate::{
+    dispatcher,
+    peers::{
+        Answer,
+        PeerClient, //
+    },
+    view, //
+};
+
+/// Longest time to open a connection.
+const CONNECT: unit::Period = unit::Period::from_millis(500);
+
+/// Pause between heartbeats on a connection in use.
+const BEAT: time::Duration = time::Duration::from_millis(300);
+
+/// Longest wait for the answer to a heartbeat.
+///
+/// A connection that went silent holds up the jobs of requests whose objective is about a second.
+const SILENCE: time::Duration = time::Duration::from_millis(600);
+
+/// Longest call; jobs are bounded by their own deadlines.
+const REQUEST: unit::Period = unit::Period::from_secs(60);
+
+/// First time that a process which failed is passed over; it doubles with each failure.
+const DOWN: time::Duration = time::Duration::from_millis(300);
+
+/// Longest time that it is passed over.
+const DOWN_MAX: time::Duration = time::Duration::from_secs(3);
+
+/// An open connection, and whether it has failed.
+#[derive(Clone)]
+struct Open {
+    client: Arc<peer::Client>,
+    broken: watch::Receiver<bool>,
+}
+
+#[derive(Default)]
+struct State {
+    down: Option<Instant>,
+    failed: u32,
+    /// Closes the connection when it is dropped.
+    breaker: Option<watch::Sender<bool>>,
+}
+
+/// The connection to one life of another process.
+pub(super) struct Link {
+    pub(super) member: view::Member,
+    state: Arc<Mutex<State>>,
+    open: tokio::sync::Mutex<Option<Open>>,
+}
+
+impl Link {
+    pub(super) fn new(member: view::Member) -> Self {
+        Self {
+            member,
+            state: Arc::default(),
+            open: tokio::sync::Mutex::default(),
+        }
+    }
+
+    pub(super) fn is_up(&self, now: Instant) -> bool {
+        view::lock(&self.state)
+            .down
+            .is_none_or(|until| until <= now)
+    }
+
+    /// Fails all calls on the connection.
+    pub(super) fn cut(&self, cause: &'static str) {
+        fail(&self.state, &self.member, cause);
+    }
+
+    /// Submits a job; `None` when the connection failed.
+    pub(super) async fn submit(self: &Arc<Self>, job: dispatcher::Job) -> Option<Answer> {
+        let mut open = self.client().await?;
+        let mut canceller = Canceller {
+            open: Some(open.clone()),
+            service: job.service.clone(),
+            job: job.id,
+        };
+        let answer = tokio::select! {
+            answer = open.client.submit(job) => answer,
+            _ = open.broken.wait_for(|broken| *broken) => return None,
+        };
+        canceller.open = None;
+        match answer {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                self.report(&error);
+                None
+            }
+        }
+    }
+
+    /// Frees results; returns whether the process was told.
+    pub(super) async fn free(
+        self: &Arc<Self>,
+        service: &id::ServiceName,
+        handles: &[batch::Handle],
+    ) -> bool {
+        let Some(open) = self.client().await else {
+            return false;
+        };
+        let call = open.client.free(service.clone(), handles.to_vec());
+        matches!(tokio::time::timeout(SILENCE, call).await, Ok(Ok(())))
+    }
+
+    fn report(&self, error: &client::Error) {
+        event!(
+            Warn,
+            "peer-failed",
+            peer = self.member.instance,
+            error = error
+        );
+        self.cut("failed");
+    }
+
+    /// Returns the connection, opened if there is none.
+    async fn client(self: &Arc<Self>) -> Option<Open> {
+        let mut slot = self.open.lock().await;
+        if let Some(open) = &*slot
+            && !*open.broken.borrow()
+            && open.client.is_connected()
+        {
+            return Some(open.clone());
+        }
+        if !self.is_up(Instant::now()) {
+            return None;
+        }
+        let secret: secret::Secret = self.member.secret.parse().ok()?;
+        let limits = peer::Limits::default().connect(CONNECT).request(REQUEST);
+        match peer::connect(self.member.peer, &secret, &limits).await {
+            Ok(client) => {
+                let open = self.watch(client);
+                *slot = Some(open.clone());
+                Some(open)
+            }
+            Err(error) => {
+                event!(
+                    Warn,
+                    "peer-unreached",
+                    peer = self.member.instance,
+                    error = error
+                );
+                self.cut("unreached");
+                None
+            }
+        }
+    }
+
+    /// Starts the heartbeats of a new connection.
+    fn watch(&self, client: peer::Client) -> Open {
+        let (sender, receiver) = watch::channel(false);
+        let mut state = view::lock(&self.state);
+        state.breaker = Some(sender);
+        drop(state);
+        let open = Open {
+            client: Arc::new(client),
+            broken: receiver,
+        };
+        event!(Info, "peer-connected", peer = self.member.instance);
+        tokio::spawn(beat(open.clone(), self.state.clone(), self.member.clone()));
+        open
+    }
+}
+
+/// Sends heartbeats until one is not answered in time.
+async fn beat(mut open: Open, state: Arc<Mutex<State>>, member: view::Member) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(BEAT) => {}
+            _ = open.broken.wait_for(|broken| *broken) => return,
+        }
+        match tokio::time::timeout(SILENCE, open.client.beat()).await {
+            Ok(Ok(())) => view::lock(&state).failed = 0,
+            _ => {
+                fail(&state, &member, "silent");
+                return;
+            }
+        }
+    }
+}
+
+/// Closes the connection and passes the process over for a while.
+fn fail(state: &Mutex<State>, member: &view::Member, cause: &'static str) {
+    let mut state = view::lock(state);
+    let down = (DOWN * (1 << state.failed.min(5))).min(DOWN_MAX);
+    state.failed += 1;
+    state.down = Some(Instant::now() + down);
+    if let Some(breaker) = state.breaker.take() {
+        // Without a receiver no call is waiting.
+        let _ = breaker.send(true);
+    }
+    event!(
+        Info,
+        "peer-down",
+        peer = member.instance,
+        cause = cause,
+        for_ms = down.as_millis()
+    );
+}
+
+/// Cancels a job whose caller has gone before its answer.
+struct Canceller {
+    open: Option<Open>,
+    service: id::ServiceName,
+    job: u64,
+}
+
+impl Drop for Canceller {
+    fn drop(&mut self) {
+        let Some(open) = self.open.take() else {
+            return;
+        };
+        let (service, job) = (self.service.clone(), self.job);
+        tokio::spawn(async move {
+            // An error means that the connection has failed, and the job with it.
+            let _ = open.client.cancel(service, job).await;
+        });
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -0,0 +1,265 @@
+//! Runs the stages of a request before it goes to its target.
+
+use std::{
+    sync::Arc,
+    time, //
+};
+
+use futures_util::{
+    StreamExt,
+    stream, //
+};
+
+use laburnumcart::{
+    batch,
+    event,
+    id,
+    ingress,
+    unit,
+    verdict, //
+};
+
+use crate::{
+    admission,
+    dialect,
+    dispatcher,
+    gateway, //
+};
+
+/// Time that a later stage takes beside its call: the wait for a free target.
+const WAIT: time::Duration = time::Duration::from_millis(60);
+
+/// Time to the first token beside the reading of the prompt.
+const FIRST_TOKEN: time::Duration = time::Duration::from_millis(120);
+
+/// Prompt tokens read in a millisecond, with other prompts between.
+const TOKENS_PER_MS: u64 = 30;
+
+/// Times that the stages are run, when results disappear before they were used.
+const TRIES: usize = 3;
+
+/// Results that a target needs; freed when dropped.
+pub struct Inputs {
+    gateway: Arc<gateway::Gateway>,
+    /// Results of the last stages.
+    pub handles: Vec<batch::Handle>,
+    /// Sizes by data centre.
+    pub places: Vec<(id::DataCentre, unit::Size)>,
+    held: Vec<(id::ServiceName, Vec<batch::Handle>)>,
+}
+
+impl Drop for Inputs {
+    /// Frees the results: they take room at their target that other requests wait for.
+    fn drop(&mut self) {
+        for (service, handles) in self.held.drain(..) {
+            self.gateway.peers.free(&service, handles);
+        }
+    }
+}
+
+/// One run of the stages of a request.
+struct Run<'a> {
+    gateway: &'a Arc<gateway::Gateway>,
+    request: &'a admission::Request,
+    near: Option<id::DataCentre>,
+    results: Vec<Option<Held>>,
+}
+
+/// Results of one stage, freed when dropped.
+struct Held {
+    gateway: Arc<gateway::Gateway>,
+    service: id::ServiceName,
+    handles: Vec<batch::Handle>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.handles.is_empty() {
+            let handles = std::mem::take(&mut self.handles);
+            self.gateway.peers.free(&self.service, handles);
+        }
+    }
+}
+
+/// Runs the stages; a refusal is a proof that the request itself did not run.
+pub async fn run(
+    gateway: &Arc<gateway::Gateway>,
+    request: &admission::Request,
+) -> Result<Inputs, verdict::Refusal> {
+    let mut failure = batch::Failure::Failed;
+    for _ in 0..TRIES {
+        let run = Run {
+            gateway,
+            request,
+            near: gateway.near(request),
+            results: request.route.stages.iter().map(|_| None).collect(),
+        };
+        let result = tokio::time::timeout(request.left(), run.finish()).await;
+        match result {
+            Ok(Ok(inputs)) => return Ok(inputs),
+            // A result that disappeared went with its target; it is made again elsewhere.
+            Ok(Err(batch::Failure::Gone)) => failure = batch::Failure::Gone,
+            Ok(Err(other)) => return Err(refusal(other)),
+            Err(_) => return Err(refusal(batch::Failure::Late)),
+        }
+    }
+    Err(refusal(failure))
+}
+
+fn refusal(failure: batch::Failure) -> verdict::Refusal {
+    let reason = match failure {
+        batch::Failure::Late => verdict::Reason::DeadlineTooShort,
+        batch::Failure::Gone | batch::Failure::Failed => verdict::Reason::TargetFailed,
+        batch::Failure::Unavailable => verdict::Reason::NoTarget,
+    };
+    verdict::Refusal::not_run(reason)
+}
+
+impl Run<'_> {
+    async fn finish(mut self) -> Result<Inputs, batch::Failure> {
+        let stages = &self.request.route.stages;
+        let mut started = vec![false; stages.len()];
+        let mut running = stream::FuturesUnordered::new();
+        loop {
+            for (i, begun) in started.iter_mut().enumerate() {
+                if !*begun && self.is_ready(i) {
+                    *begun = true;
+                    running.push(self.stage(i));
+                }
+            }
+            let Some((i, result)) = running.next().await else {
+                break;
+            };
+            self.results[i] = Some(result?);
+        }
+        drop(running);
+        Ok(self.collect())
+    }
+
+    /// Reports whether all that a stage takes has been made.
+    fn is_ready(&self, i: usize) -> bool {
+        let after = &self.request.route.stages[i].after;
+        after.iter().all(|k| self.results[*k].is_some())
+    }
+
+    /// Runs one stage.
+    fn stage(
+        &self,
+        i: usize,
+    ) -> impl Future<Output = (usize, Result<Held, batch::Failure>)> + Send + 'static {
+        let gateway = self.gateway.clone();
+        let stage = &self.request.route.stages[i];
+        let service = stage.service.clone();
+        let job = self.job(i, stage);
+        let start = tokio::time::Instant::now();
+        async move {
+            let held = |handles| Held {
+                gateway: gateway.clone(),
+                service: service.clone(),
+                handles,
+            };
+            if job.pieces == 0 {
+                return (i, Ok(held(Vec::new())));
+            }
+            let attempt = job.attempt.clone();
+            let result = gateway.peers.submit(job).await;
+            event!(
+                Info,
+                "stage-ended",
+                request = attempt,
+                stage = i,
+                service = service,
+                outcome = result
+                    .as_ref()
+                    .err()
+                    .map_or("done".into(), ToString::to_string),
+                taken_ms = start.elapsed().as_millis()
+            );
+            (i, result.map(held))
+        }
+    }
+
+    fn job(&self, i: usize, stage: &ingress::Stage) -> dispatcher::Job {
+        let request = self.request;
+        let input = match stage.after.is_empty() {
+            true => dialect::Input::Key(request.call.key_input.clone().unwrap_or_default()),
+            false => dialect::Input::Results(self.handles(&stage.after)),
+        };
+        let due = request.slack().saturating_sub(self.rest(i));
+        dispatcher::Job {
+            id: rand::random(),
+            attempt: request.call.attempt.clone(),
+            stage: i as u32,
+            service: stage.service.clone(),
+            pieces: request.call.pieces.get(i).copied().unwrap_or(0),
+            size: stage.size,
+            input,
+            due: unit::Period(due),
+            deadline: unit::Period(request.left()),
+            rank: request.rank,
+            near: self.near.clone(),
+            refusable: false,
+        }
+    }
+
+    fn handles(&self, stages: &[usize]) -> Vec<batch::Handle> {
+        let held = stages.iter().filter_map(|k| self.results[*k].as_ref());
+        held.flat_map(|h| h.handles.iter().cloned()).collect()
+    }
+
+    /// Returns the time that is needed once stage `i` is done.
+    fn rest(&self, i: usize) -> time::Duration {
+        let stages = &self.request.route.stages;
+        let next = (0..stages.len()).filter(|k| stages[*k].after.contains(&i));
+        let after = next.map(|k| self.length(k) + self.rest(k)).max();
+        after.unwrap_or_else(|| self.prompt())
+    }
+
+    /// Returns the usual time of a stage.
+    fn length(&self, k: usize) -> time::Duration {
+        let stage = &self.request.route.stages[k];
+        let service = self.request.table.service(&stage.service);
+        let Some(shape) = service.and_then(|s| s.batching) else {
+            return time::Duration::ZERO;
+        };
+        // Calls are about half full in the mean.
+        let pieces = shape.pieces.div_ceil(2) as u32;
+        shape.call + shape.piece * pieces + WAIT
+    }
+
+    /// Returns the usual time to the first token.
+    fn prompt(&self) -> time::Duration {
+        let tokens = self.request.call.prompt.as_ref().map_or(0, |p| p.input);
+        FIRST_TOKEN + time::Duration::from_millis(tokens / TOKENS_PER_MS)
+    }
+
+    /// Keeps the results of the last stages and frees the others.
+    fn collect(mut self) -> Inputs {
+        let route = &self.request.route;
+        let mut inputs = Inputs {
+            gateway: self.gateway.clone(),
+            handles: Vec::new(),
+            places: Vec::new(),
+            held: Vec::new(),
+        };
+        for i in route.last_stages() {
+            let Some(mut held) = self.results[i].take() else {
+                continue;
+            };
+            let handles = std::mem::take(&mut held.handles);
+            for handle in &handles {
+                let places = self.place(handle).map(|zone| (zone, route.stages[i].size));
+                inputs.places.extend(places);
+            }
+            inputs.handles.extend(handles.iter().cloned());
+            inputs.held.push((held.service.clone(), handles));
+        }
+        inputs
+    }
+
+    fn place(&self, handle: &batch::Handle) -> Option<id::DataCentre> {
+        let addr = self.gateway.dialect.holder(handle)?;
+        let targets = self.gateway.view.targets.load();
+        Some(targets.at(&addr)?.data_centre.clone())
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/run.rs
@@ -0,0 +1,214 @@
+//! From settings to a running gateway, and its stop.
+
+use std::{
+    io,
+    process,
+    sync::Arc,
+    time, //
+};
+
+use tokio::{
+    net,
+    runtime,
+    signal::unix,
+    sync::watch, //
+};
+
+use laburnumcart::{
+    event,
+    unit, //
+};
+use laburnumcart_daemon::{
+    admin,
+    control as thread,
+    metrics as registry,
+    process as usage,
+    stop, //
+};
+use laburnumcart_platform::store;
+use laburnumcart_wire::{
+    peer,
+    secret, //
+};
+
+use crate::{
+    callers,
+    control,
+    dialect,
+    gateway,
+    metrics,
+    peers::{
+        self,
+        PeerServer, //
+    },
+    settings,
+    view, //
+};
+
+/// Time in which the balancer notices that the process is not ready: two checks a second apart.
+const NOTICE: time::Duration = time::Duration::from_millis(2400);
+
+/// Time before the end of the grace period at which the process exits.
+const RESERVE: time::Duration = time::Duration::from_millis(500);
+
+/// Pause between two looks at what is in flight.
+const CHECK: time::Duration = time::Duration::from_millis(50);
+
+/// Age of the configuration beyond which the process is not ready.
+const READY_AGE: time::Duration = time::Duration::from_secs(30);
+
+/// What a platform brings.
+pub struct Platform<S> {
+    /// Its store.
+    pub store: S,
+    /// Its HTTP.
+    pub dialect: Arc<dyn dialect::Dialect>,
+    /// What its store holds.
+    pub directory: Arc<dyn dialect::Directory>,
+}
+
+/// Runs a gateway until it is told to stop.
+pub fn run<S: store::Store + Clone>(
+    settings: settings::Settings,
+    platform: impl FnOnce(&settings::Settings) -> Platform<S>,
+) -> process::ExitCode {
+    let platform = platform(&settings);
+    match serve(settings, platform) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            event!(Error, "failed", error = error);
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve<S: store::Store + Clone>(
+    settings: settings::Settings,
+    platform: Platform<S>,
+) -> io::Result<()> {
+    let traffic = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let result = traffic.block_on(main(settings, platform));
+    traffic.shutdown_background();
+    result
+}
+
+async fn main<S: store::Store + Clone>(
+    settings: settings::Settings,
+    platform: Platform<S>,
+) -> io::Result<()> {
+    let mut signals = stop::Signals::listen()?;
+    let mut reload = unix::signal(unix::SignalKind::hangup())?;
+    let listener = net::TcpListener::bind(settings.callers).await?;
+    let peer_listener = std::net::TcpListener::bind(settings.peer)?;
+    let admin_listener = std::net::TcpListener::bind(settings.admin)?;
+    let running = stop::Running::new();
+    let view = Arc::new(view::View::default());
+    let registry = registry::Metrics::new();
+    let counters = metrics::Metrics::default();
+    let gateway = gateway::Gateway::new(
+        settings.clone(),
+        view.clone(),
+        platform.dialect,
+        running.gate(),
+        counters.clone(),
+    );
+    counters.register(&registry, &gateway.pool.counters);
+    usage::register(&registry);
+    let own = control::member(&settings);
+    let _peers = serve_peers(&gateway, &own, peer_listener)?;
+    let _admin = serve_admin(&settings, view.clone(), registry, admin_listener)?;
+    let followed = (platform.store, platform.directory, view.clone(), own);
+    let (store, directory, shared, own) = followed;
+    let _control = thread::spawn(move || control::run(store, directory, shared, own))?;
+    tokio::spawn(gateway.clone().follow());
+    tokio::spawn(gateway.dispatcher.clone().run());
+    let (closing, closed) = watch::channel(false);
+    tokio::spawn(callers::serve(gateway.clone(), listener, closed));
+    event!(
+        Info,
+        "started",
+        instance = settings.instance,
+        callers = settings.callers,
+        peer = settings.peer,
+        store = settings.store
+    );
+    loop {
+        tokio::select! {
+            signal = signals.next() => {
+                event!(Info, "stopping", cause = signal);
+                break;
+            }
+            // The addresses cannot change while the process runs; the rest comes from the store.
+            _ = reload.recv() => event!(Info, "reload", outcome = "unchanged"),
+        }
+    }
+    stop(&settings, &view, running, closing).await;
+    Ok(())
+}
+
+/// Leaves without cutting off a request.
+///
+/// The process goes on to serve until the balancer has noticed, then closes connections after
+/// their answer. New work for its queues goes to the next owner at once.
+async fn stop(
+    settings: &settings::Settings,
+    view: &view::View,
+    running: stop::Running,
+    closing: watch::Sender<bool>,
+) {
+    let start = tokio::time::Instant::now();
+    view.leave();
+    let end = start + settings.bounds.grace.0.saturating_sub(RESERVE);
+    tokio::time::sleep_until(end.min(start + NOTICE)).await;
+    // Without a receiver there is no connection.
+    let _ = closing.send(true);
+    let gate = running.gate();
+    // Connections close by themselves when they are idle; requests may still come on others.
+    while gate.count() + closing.receiver_count() > 1 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(CHECK).await;
+    }
+    let left = running.drain().wait(unit::Period::default()).await.left;
+    event!(
+        Info,
+        "stopped",
+        left = left,
+        taken_ms = start.elapsed().as_millis()
+    );
+}
+
+fn serve_peers(
+    gateway: &Arc<gateway::Gateway>,
+    own: &view::Member,
+    listener: std::net::TcpListener,
+) -> io::Result<peer::Handle> {
+    let secret: secret::Secret = own.secret.parse().map_err(io::Error::other)?;
+    let served = peers::Served {
+        dispatcher: gateway.dispatcher.clone(),
+        view: gateway.view.clone(),
+    };
+    peer::Server::new(&[secret]).serve(listener, served.into_rpc())
+}
+
+fn serve_admin(
+    settings: &settings::Settings,
+    view: Arc<view::View>,
+    registry: registry::Metrics,
+    listener: std::net::TcpListener,
+) -> io::Result<admin::Admin> {
+    let ready = move || {
+        let fresh = view.freshness.is_within(READY_AGE, crate::clock::now());
+        match (view.is_leaving(), view.is_complete(), fresh) {
+            (true, _, _) => Err("leaving".to_owned()),
+            (_, false, _) => Err("no configuration".to_owned()),
+            (_, _, false) => Err("configuration too old".to_owned()),
+            _ => Ok(()),
+        }
+    };
+    let mut pages = admin::Pages::new(registry, ready);
+    if let Some(path) = &settings.ready_path {
+        pages = pages.ready_path(path.as_str());
+    }
+    admin::serve(listener, pages)
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/settings.rs
@@ -0,0 +1,104 @@
+//! Settings of the gateway.
+
+use std::net;
+
+use serde::Deserialize;
+
+use laburnumcart::{
+    id,
+    unit, //
+};
+use laburnumcart_daemon::settings;
+
+/// Settings of one gateway.
+#[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this process.
+    pub instance: id::InstanceName,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Address for callers.
+    #[schemars(with = "settings::Address")]
+    pub callers: net::SocketAddr,
+    /// Address for readiness and metrics.
+    #[schemars(with = "settings::Address")]
+    pub admin: net::SocketAddr,
+    /// Path on which readiness is asked beside `/readyz`.
+    #[serde(default)]
+    pub ready_path: Option<String>,
+    /// Address for other processes of the system.
+    #[schemars(with = "settings::Address")]
+    pub peer: net::SocketAddr,
+    /// Address of the store.
+    #[schemars(with = "settings::Address")]
+    pub store: net::SocketAddr,
+    /// Bounds that the operator promises.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// Most open file descriptors.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: u32,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: settings::Telemetry,
+}
+
+/// Bounds that the operator promises.
+#[derive(Clone, Copy, Debug, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: unit::Period,
+    /// Time after which a revoked key works nowhere.
+    pub revoke: unit::Period,
+    /// Time within which a configuration is in force.
+    pub config: unit::Period,
+    /// Extra sends to a service as a share of its requests, over all processes.
+    pub retry_ratio: f64,
+    /// Extra sends beside that share in ten seconds, over all processes.
+    pub retry_extra: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            grace: unit::Period::from_secs(8),
+            revoke: unit::Period::from_secs(5),
+            config: unit::Period::from_secs(2),
+            retry_ratio: 0.1,
+            retry_extra: 10,
+        }
+    }
+}
+
+fn default_descriptors() -> u32 {
+    1024
+}
+
+impl settings::Settings for Settings {
+    fn telemetry(&self) -> &settings::Telemetry {
+        &self.telemetry
+    }
+
+    fn check(&self) -> Vec<settings::Fault> {
+        let mut faults = Vec::new();
+        if self.bounds.grace < unit::Period::from_secs(1) {
+            let message = "must be at least 1s, or no stop is graceful";
+            faults.push(settings::Fault::new("$.bounds.grace", message));
+        }
+        if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
+            let message = "must be between 0 and 1";
+            faults.push(settings::Fault::new("$.bounds.retry_ratio", message));
+        }
+        if let Some(path) = &self.ready_path
+            && !path.starts_with('/')
+        {
+            faults.push(settings::Fault::new(
+                "$.ready_path",
+                "must start with a slash",
+            ));
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/view.rs
@@ -0,0 +1,193 @@
+//! What the traffic thread reads of the control thread's state.
+
+use std::{
+    collections, net,
+    sync::{
+        self,
+        Arc,
+        atomic, //
+    },
+};
+
+use arc_swap::{
+    ArcSwap,
+    ArcSwapOption, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::sync::watch;
+
+use laburnumcart::{
+    freshness,
+    id,
+    ingress, //
+};
+
+/// A back end.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Name of this life of the target; a restarted one has another.
+    pub name: id::TargetName,
+    /// Address.
+    pub addr: net::SocketAddr,
+    /// Data centre.
+    pub data_centre: id::DataCentre,
+    /// Service that it belongs to.
+    pub service: id::ServiceName,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// All targets that may get work.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    services: collections::HashMap<id::ServiceName, Vec<Arc<Target>>>,
+    addrs: collections::HashMap<net::SocketAddr, Arc<Target>>,
+}
+
+impl Targets {
+    /// Collects targets.
+    ///
+    /// A target that is leaving gets no requests, but its results can still be freed.
+    pub fn new(targets: impl IntoIterator<Item = Target>) -> Self {
+        let mut all = Self::default();
+        for target in targets {
+            let target = Arc::new(target);
+            all.addrs.insert(target.addr, target.clone());
+            if !target.leaving {
+                let service = target.service.clone();
+                all.services.entry(service).or_default().push(target);
+            }
+        }
+        all
+    }
+
+    /// Lists the targets of a service.
+    pub fn service(&self, name: &id::ServiceName) -> &[Arc<Target>] {
+        self.services.get(name).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the target at an address.
+    pub fn at(&self, addr: &net::SocketAddr) -> Option<&Arc<Target>> {
+        self.addrs.get(addr)
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.addrs.len()
+    }
+
+    /// Reports whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.addrs.is_empty()
+    }
+}
+
+/// A process of the system, as it describes itself in the store.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of its machine.
+    pub instance: id::InstanceName,
+    /// Data centre.
+    pub data_centre: id::DataCentre,
+    /// Address for other processes of the system.
+    pub peer: net::SocketAddr,
+    /// Its life.
+    pub incarnation: id::Incarnation,
+    /// Secret that it asks of those who call it; only readers of the store know it.
+    pub secret: String,
+}
+
+/// Control state as last published.
+#[derive(Debug)]
+pub struct View {
+    /// Configuration in force.
+    pub table: ArcSwapOption<ingress::Table>,
+    /// Targets.
+    pub targets: ArcSwap<Targets>,
+    /// Processes of the system, this one included once it is known.
+    pub members: ArcSwap<Vec<Member>>,
+    /// Age of the configuration.
+    pub freshness: freshness::Freshness,
+    /// Counts the changes of targets and members.
+    changes: watch::Sender<u64>,
+    leaving: atomic::AtomicBool,
+    listed: atomic::AtomicBool,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            table: ArcSwapOption::empty(),
+            targets: ArcSwap::default(),
+            members: ArcSwap::default(),
+            freshness: freshness::Freshness::default(),
+            changes: watch::Sender::new(0),
+            leaving: atomic::AtomicBool::new(false),
+            listed: atomic::AtomicBool::new(false),
+        }
+    }
+}
+
+impl View {
+    /// Publishes the targets.
+    pub fn set_targets(&self, targets: Targets) {
+        self.targets.store(Arc::new(targets));
+        self.listed.store(true, atomic::Ordering::Release);
+        self.changed();
+    }
+
+    /// Publishes the members.
+    pub fn set_members(&self, members: Vec<Member>) {
+        self.members.store(Arc::new(members));
+        self.changed();
+    }
+
+    /// Publishes a configuration, unless a later one is in force.
+    pub fn set_table(&self, table: ingress::Table) -> bool {
+        let older = |known: &Arc<ingress::Table>| known.version >= table.version;
+        if self.table.load().as_ref().is_some_and(older) {
+            return false;
+        }
+        self.table.store(Some(Arc::new(table)));
+        self.changed();
+        true
+    }
+
+    /// Returns a receiver of changes.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Marks the process as leaving.
+    pub fn leave(&self) {
+        self.leaving.store(true, atomic::Ordering::Release);
+    }
+
+    /// Reports whether the process is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Acquire)
+    }
+
+    /// Reports whether the configuration and the targets are known.
+    pub fn is_complete(&self) -> bool {
+        self.listed.load(atomic::Ordering::Acquire) && self.table.load().is_some()
+    }
+
+    /// Returns by how many processes shared bounds are divided.
+    pub fn share(&self) -> usize {
+        self.members.load().len().max(1)
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+}
+
+/// Locks a mutex; what it holds is whole also after a panic elsewhere, as no locked section
+/// panics between two changes that belong together.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -111,6 +111,15 @@
 /// First pause after a failure.
 const FIRST: time::Duration = time::Duration::from_millis(100);
 
+/// Hears of each read of a [`Follower`], so that it can tell how old its knowledge is.
+pub trait Observer: Send {
+    /// A call is about to be sent.
+    fn ask(&mut self);
+
+    /// The call has succeeded; `snapshot` is what is known now, changed or not.
+    fn read(&mut self, snapshot: &Snapshot);
+}
+
 /// Follows a prefix by a listing and watches.
 pub struct Follower<S> {
     store: S,
@@ -123,6 +132,7 @@
     lost: bool,
     /// Whether the last call failed.
     behind: bool,
+    observer: Option<Box<dyn Observer>>,
 }
 
 /// Creates a follower and the receiver of its snapshots; nothing is called before
@@ -142,11 +152,19 @@
         pause: pause::Pause::new(FIRST, settings.longest.0),
         lost: true,
         behind: false,
+        observer: None,
     };
     (follower, receiver)
 }
 
 impl<S: store::Store> Follower<S> {
+    /// Sets who hears of each read.
+    #[must_use]
+    pub fn observe(mut self, observer: impl Observer + 'static) -> Self {
+        self.observer = Some(Box::new(observer));
+        self
+    }
+
     /// Follows until the last receiver is gone.
     pub async fn run(mut self) {
         let sender = self.sender.clone();
@@ -159,11 +177,17 @@
     async fn follow(&mut self) {
         loop {
             let start = Instant::now();
+            if let Some(observer) = &mut self.observer {
+                observer.ask();
+            }
             let result = match self.lost {
                 true => self.list().await,
                 false => self.watch().await,
             };
             self.report(result.is_err());
+            if let (Some(observer), Ok(())) = (&mut self.observer, &result) {
+                observer.read(&self.snapshot);
+            }
             let next = match result {
                 Ok(()) => {
                     self.pause.reset();
