Drop missing targets in time, release room once it is freed, exit inside the grace period

Two processes outlived the grace period while a library's thread ended. A lone send waited half of its time only.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -1,7 +1,8 @@
 //! The control thread: follows the store and keeps this process's own entry there.
 
+mod targets;
+
 use std::{
-    collections,
     sync::Arc,
     time, //
 };
@@ -16,7 +17,6 @@
     follow,
     store, //
 };
-use tokio::time::Instant;
 
 use crate::{
     clock,
@@ -42,14 +42,6 @@
 /// Least time between two calls.
 const INTERVAL: unit::Period = unit::Period::from_millis(20);
 
-/// Time without the store after which its return counts as the end of an outage.
-const OUTAGE: time::Duration = time::Duration::from_millis(2500);
-
-/// Time after an outage in which targets that are missing are still used.
-///
-/// Their entries lapse while the store is away, and are back within about two seconds.
-const RETURN: time::Duration = time::Duration::from_millis(2300);
-
 /// Pause before the own entry is written again after a failure.
 const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -74,13 +66,7 @@
     let key = directory.table_key();
     let (follower, _table) = follow::follower(store.clone(), key, settings(TABLE_WAIT));
     let table = follower.observe(table);
-    let targets = Targets {
-        view: view.clone(),
-        directory: directory.clone(),
-        known: collections::HashMap::new(),
-        read: None,
-        returned: None,
-    };
+    let targets = targets::Observer::new(view.clone(), directory.clone());
     let prefix = directory.targets_prefix();
     let (follower, _targets) = follow::follower(store.clone(), prefix, settings(TARGETS_WAIT));
     let targets = follower.observe(targets);
@@ -164,111 +150,6 @@
     }
 }
 
-/// Publishes targets.
-struct Targets {
-    view: Arc<view::View>,
-    directory: Arc<dyn dialect::Directory>,
-    known: collections::HashMap<String, Known>,
-    /// Last successful read.
-    read: Option<Instant>,
-    /// End of the last outage.
-    returned: Option<Instant>,
-}
-
-struct Known {
-    version: store::Version,
-    target: view::Target,
-    /// Whether its entry is there.
-    listed: bool,
-}
-
-impl Targets {
-    fn apply(&mut self, snapshot: &follow::Snapshot) -> bool {
-        let mut changed = false;
-        for (key, object) in &snapshot.objects {
-            let known = self.known.get_mut(key);
-            if let Some(known) = known
-                && known.version == object.version
-            {
-                changed |= !known.listed;
-                known.listed = true;
-                continue;
-            }
-            changed |= self.add(key, object);
-        }
-        changed
-    }
-
-    fn add(&mut self, key: &str, object: &store::Object) -> bool {
-        let name = key.rsplit_once('/').map_or(key, |(_, name)| name);
-        let mut target = match self.directory.target(name, &object.value) {
-            Ok(target) => target,
-            Err(error) => {
-                event!(Warn, "target-refused", key = key, error = error);
-                return false;
-            }
-        };
-        let known = self.known.get(key);
-        // A target that has begun to leave never takes work again; its next life has a new name.
-        target.leaving |= known.is_some_and(|k| k.target.leaving);
-        let changed = known.is_none_or(|k| k.target != target || !k.listed);
-        if changed {
-            event!(
-                Info,
-                "target",
-                target = target.name,
-                service = target.service,
-                addr = target.addr,
-                leaving = target.leaving
-            );
-        }
-        let version = object.version;
-        let known = Known {
-            version,
-            target,
-            listed: true,
-        };
-        self.known.insert(key.into(), known);
-        changed
-    }
-
-    /// Drops the targets that are not listed, after an outage only once they had time to return.
-    fn drop_missing(&mut self, snapshot: &follow::Snapshot, now: Instant) -> bool {
-        let waiting = self.returned.is_some_and(|at| now < at + RETURN);
-        let before = self.known.len();
-        self.known.retain(|key, known| {
-            if snapshot.objects.contains_key(key) || waiting {
-                return true;
-            }
-            event!(Info, "target-gone", target = known.target.name);
-            false
-        });
-        self.known.len() != before
-    }
-}
-
-impl follow::Observer for Targets {
-    fn ask(&mut self) {}
-
-    fn read(&mut self, snapshot: &follow::Snapshot) {
-        let now = Instant::now();
-        let first = self.read.is_none();
-        if self
-            .read
-            .is_some_and(|at| now > at + OUTAGE + TARGETS_WAIT.0)
-        {
-            event!(Info, "store-returned", kept = self.known.len());
-            self.returned = Some(now);
-        }
-        self.read = Some(now);
-        let changed = self.apply(snapshot) | self.drop_missing(snapshot, now);
-        if changed || first {
-            let targets = self.known.values().map(|k| k.target.clone());
-            self.view.set_targets(view::Targets::new(targets));
-        }
-    }
-}
-
 /// Publishes members.
 struct Members {
     view: Arc<view::View>,
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -48,7 +48,7 @@
 const IDLE_TICK: time::Duration = time::Duration::from_millis(250);
 
 /// Time in which the results to free at one target are collected into one call.
-const FREE_DELAY: time::Duration = time::Duration::from_millis(30);
+const FREE_DELAY: time::Duration = time::Duration::from_millis(10);
 
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -277,7 +277,13 @@
                 continue;
             };
             let bounds = self.bounds(service);
-            tokio::spawn(call::free(self.clone(), target.clone(), handles, bounds));
+            tokio::spawn(call::free(
+                self.clone(),
+                service.clone(),
+                target.clone(),
+                handles,
+                bounds,
+            ));
         }
     }
 
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -171,6 +171,7 @@
 /// Frees results at their target.
 pub(super) async fn free(
     dispatcher: Arc<Dispatcher>,
+    service: id::ServiceName,
     target: Arc<view::Target>,
     handles: Vec<batch::Handle>,
     bounds: pool::Bounds,
@@ -183,12 +184,19 @@
     };
     let result = tokio::time::timeout(FREE_LIMIT, sent).await;
     if !matches!(result, Ok(Ok(_))) {
-        // They expire by themselves; until then the target has less room.
+        // They expire by themselves; until then their room stays accounted.
         event!(
             Warn,
             "free-failed",
             target = target.name,
             results = handles.len()
         );
+        return;
+    }
+    if let Some(line) = view::lock(&dispatcher.lines).get_mut(&service) {
+        for handle in &handles {
+            line.queue.free(handle);
+        }
     }
+    dispatcher.pump(&service);
 }
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -132,8 +132,10 @@
     }
 
     /// Collects a result that is to be freed.
+    ///
+    /// Its room counts as taken until the target has freed it, or the next call could come first
+    /// and find no room.
     pub(super) fn free(&mut self, handle: batch::Handle, dialect: &dyn dialect::Dialect) {
-        self.queue.free(&handle);
         if let Some(addr) = dialect.holder(&handle) {
             self.frees.entry(addr).or_default().push(handle);
         }
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -91,6 +91,11 @@
         self.sent < self.request.route.sends.max(1) && self.refused < REFUSALS
     }
 
+    /// Reports whether another target may be asked should the next send fail.
+    pub fn has_spare(&self) -> bool {
+        self.sent + 1 < self.request.route.sends && self.refused < REFUSALS
+    }
+
     /// Returns what is known of the request as a whole.
     pub fn verdict(&self) -> verdict::Verdict {
         self.attempts.verdict()
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -230,7 +230,7 @@
 /// Returns how long a target gets before the next one is asked.
 fn try_limit(request: &admission::Request, sends: &Sends) -> time::Duration {
     let left = request.left();
-    if request.route.repeat == ingress::Repeat::Never || !sends.has_more() {
+    if request.route.repeat == ingress::Repeat::Never || !sends.has_spare() {
         return left;
     }
     let half = left / 2;
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -145,7 +145,9 @@
         }
     }
     stop(&settings, &view, running, closing).await;
-    Ok(())
+    // Nothing here must last. The threads of libraries would take their own time to end, and the
+    // process would still be there at the end of the grace period.
+    process::exit(0)
 }
 
 /// Leaves without cutting off a request.
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -263,7 +263,8 @@
 
     fn limit_first(&self) -> time::Duration {
         let left = self.request.left();
-        if !self.may_resume() {
+        let resumable = self.request.route.repeat == ingress::Repeat::Resume;
+        if !resumable || !self.sends.has_spare() {
             return left;
         }
         let tokens = self.request.call.prompt.as_ref().map_or(0, |p| p.input);
