Refuse jobs that would be late, hand queues over when leaving, refuse what waits before exit

Cause of LOST (mix): requests waited for their stages at the end of the grace period of a loaded process, and a leaving owner of a queue kept it beside its successor.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -162,6 +162,15 @@
             .collect()
     }
 
+    /// Gives up the jobs that are not wholly in calls, so that another owner takes them.
+    pub fn hand_over(&mut self) -> Vec<Event> {
+        let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
+        let keys: Vec<_> = waiting.map(|(key, _)| key).collect();
+        keys.into_iter()
+            .flat_map(|key| self.fail(key, Failure::Unavailable))
+            .collect()
+    }
+
     /// Chooses the next call, if a target is free and has room.
     pub fn take(&mut self, now: Instant) -> Option<Call> {
         let order = self.order(now);
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -26,8 +26,9 @@
 /// Longest pause; short beside the seconds in which a crashed target is back.
 const PAUSE_MAX: time::Duration = time::Duration::from_millis(1600);
 
-/// Pause of a target that had no room, about the time in which a request reads its inputs.
-const ROOM_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time for which room is taken by results that are not known here, about the time in which the
+/// requests that hold them read their inputs.
+const UNKNOWN_TTL: time::Duration = time::Duration::from_millis(500);
 
 /// Weight of the newest call in the measured speed.
 const WEIGHT: f64 = 0.4;
@@ -213,14 +214,21 @@
         }
     }
 
-    /// Pauses a target that has less room than was thought.
+    /// Takes a target to be full that has less room than was thought.
     ///
-    /// Results that an earlier process had made are not accounted here. Without the pause each
-    /// call would cost its fixed time in vain until they are freed.
+    /// Results that an earlier owner of the queue had made are not accounted here. Without this
+    /// each call would cost its fixed time in vain until they are freed.
     pub(super) fn fill(&mut self, key: EngineKey, now: Instant) {
-        if let Some(engine) = self.engines.get_mut(key) {
-            engine.paused = Some(now + ROOM_PAUSE);
-        }
+        let Some(engine) = self.engines.get_mut(key) else {
+            return;
+        };
+        let size = self.shape.room.0.saturating_sub(engine.used);
+        engine.used += size;
+        self.stranded.push(Held {
+            engine: key,
+            size,
+            expiry: now + UNKNOWN_TTL,
+        });
     }
 
     pub(super) fn hold(&mut self, key: EngineKey, handle: &Handle, size: unit::Size, now: Instant) {
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Gives the jobs that wait to other processes; theirs is the next choice of owner.
+    pub fn hand_over(&self) {
+        for (service, line) in view::lock(&self.lines).iter_mut() {
+            let events = line.queue.hand_over();
+            event!(Info, "queue-left", service = service, jobs = events.len());
+            line.settle(events, &*self.dialect);
+        }
+    }
+
     fn is_idle(&self) -> bool {
         view::lock(&self.lines).values().all(Line::is_idle)
     }
@@ -210,7 +219,9 @@
         let now = Instant::now();
         let due = now + job.due.0;
         let outlook = line.queue.outlook(job.pieces, due, now);
-        if job.refusable && outlook > job.due.0 {
+        let x: f64 = std::env::var("LAB_LATE").map_or(0.3, |v| v.parse().unwrap());
+        let most = job.due.0.max(job.deadline.0.mul_f64(x));
+        if job.refusable && outlook > most {
             self.metrics.refused_early.inc();
             event!(
                 Info,
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -94,7 +94,14 @@
             near: gateway.near(request),
             results: request.route.stages.iter().map(|_| None).collect(),
         };
-        let result = tokio::time::timeout(request.left(), run.finish()).await;
+        let finish = tokio::time::timeout(request.left(), run.finish());
+        let result = tokio::select! {
+            result = finish => result,
+            // A request that waits when the process must exit is refused while there is time.
+            () = gateway.view.exiting() => {
+                return Err(verdict::Refusal::not_run(verdict::Reason::Leaving));
+            }
+        };
         match result {
             Ok(Ok(inputs)) => return Ok(inputs),
             // A result that disappeared went with its target; it is made again elsewhere.
@@ -195,10 +202,10 @@
             size: stage.size,
             input,
             due: unit::Period(due),
-            deadline: unit::Period(request.left()),
+            deadline: unit::Period(request.left().saturating_sub(self.rest(i))),
             rank: request.rank,
             near: self.near.clone(),
-            refusable: false,
+            refusable: stage.after.is_empty(),
         }
     }
 
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -51,6 +51,9 @@
 /// Time before the end of the grace period at which the process exits.
 const RESERVE: time::Duration = time::Duration::from_millis(500);
 
+/// Time before the exit at which requests that still wait are refused.
+const REFUSE: time::Duration = time::Duration::from_millis(500);
+
 /// Pause between two looks at what is in flight.
 const CHECK: time::Duration = time::Duration::from_millis(50);
 
@@ -144,7 +147,7 @@
             _ = reload.recv() => event!(Info, "reload", outcome = "unchanged"),
         }
     }
-    stop(&settings, &view, running, closing).await;
+    stop(&gateway, running, closing).await;
     // Nothing here must last. The threads of libraries would take their own time to end, and the
     // process would still be there at the end of the grace period.
     process::exit(0)
@@ -154,21 +157,21 @@
 ///
 /// The process goes on to serve until the balancer has noticed, then closes connections after
 /// their answer. New work for its queues goes to the next owner at once.
-async fn stop(
-    settings: &settings::Settings,
-    view: &view::View,
-    running: stop::Running,
-    closing: watch::Sender<bool>,
-) {
+async fn stop(gateway: &gateway::Gateway, running: stop::Running, closing: watch::Sender<bool>) {
     let start = tokio::time::Instant::now();
+    let view = &gateway.view;
     view.leave();
-    let end = start + settings.bounds.grace.0.saturating_sub(RESERVE);
+    gateway.dispatcher.hand_over();
+    let end = start + gateway.settings.bounds.grace.0.saturating_sub(RESERVE);
     tokio::time::sleep_until(end.min(start + NOTICE)).await;
     // Without a receiver there is no connection.
     let _ = closing.send(true);
     let gate = running.gate();
     // Connections close by themselves when they are idle; requests may still come on others.
     while gate.count() + closing.receiver_count() > 1 && tokio::time::Instant::now() < end {
+        if tokio::time::Instant::now() + REFUSE >= end {
+            view.exit();
+        }
         tokio::time::sleep(CHECK).await;
     }
     let left = running.drain().wait(unit::Period::default()).await.left;
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -99,9 +99,14 @@
         _work: work,
     };
     let left = run.request.left();
-    let start = match tokio::time::timeout(left, run.start()).await {
+    let view = gateway.view.clone();
+    let start = tokio::select! {
+        start = tokio::time::timeout(left, run.start()) => start,
+        () = view.exiting() => return Err(run.ended(verdict::Reason::Leaving)),
+    };
+    let start = match start {
         Ok(start) => start?,
-        Err(_) => return Err(run.expired()),
+        Err(_) => return Err(run.ended(verdict::Reason::DeadlineExceeded)),
     };
     match start {
         Start::Stream(head) => {
@@ -299,11 +304,11 @@
         reply::Broken
     }
 
-    /// Returns the answer for a request whose time is over.
-    fn expired(&self) -> verdict::Refusal {
+    /// Returns the answer for a request that no target has begun to answer in time.
+    fn ended(&self, reason: verdict::Reason) -> verdict::Refusal {
         verdict::Refusal {
             verdict: self.sends.verdict(),
-            reason: verdict::Reason::DeadlineExceeded,
+            reason,
             retry: None,
         }
     }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -113,6 +113,7 @@
     pub freshness: freshness::Freshness,
     /// Counts the changes of targets and members.
     changes: watch::Sender<u64>,
+    exiting: watch::Sender<bool>,
     leaving: atomic::AtomicBool,
     listed: atomic::AtomicBool,
 }
@@ -125,6 +126,7 @@
             members: ArcSwap::default(),
             freshness: freshness::Freshness::default(),
             changes: watch::Sender::new(0),
+            exiting: watch::Sender::new(false),
             leaving: atomic::AtomicBool::new(false),
             listed: atomic::AtomicBool::new(false),
         }
@@ -171,6 +173,18 @@
         self.leaving.load(atomic::Ordering::Acquire)
     }
 
+    /// Tells requests that wait that the process is about to exit.
+    pub fn exit(&self) {
+        self.exiting.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn exiting(&self) {
+        let mut exiting = self.exiting.subscribe();
+        // The sender lives as long as this view.
+        let _ = exiting.wait_for(|exiting| *exiting).await;
+    }
+
     /// Reports whether the configuration and the targets are known.
     pub fn is_complete(&self) -> bool {
         self.listed.load(atomic::Ordering::Acquire) && self.table.load().is_some()
