--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -198,11 +198,7 @@
 
     /// Takes the outcomes of a call, one for each of its pieces.
     pub fn finish(&mut self, call: &Call, outcomes: Vec<Outcome>, now: Instant) -> Vec<Event> {
-        let short = outcomes.iter().any(|o| matches!(o, Outcome::NoRoom));
         self.engines.finish(call.engine, call.pieces.len(), now);
-        if short {
-            self.engines.fill(call.engine, now);
-        }
         let mut events = Vec::new();
         for (piece, outcome) in call.pieces.iter().zip(outcomes) {
             self.settle(call.engine, piece, outcome, now, &mut events);
@@ -296,7 +292,10 @@
             match outcome {
                 Outcome::Late => events.extend(self.fail(piece.job, Failure::Late)),
                 Outcome::Gone => events.extend(self.fail(piece.job, Failure::Gone)),
-                Outcome::NoRoom => self.again(piece, false, events),
+                Outcome::NoRoom => {
+                    self.engines.crowd(engine, piece.size, now);
+                    self.again(piece, false, events);
+                }
                 _ => self.again(piece, true, events),
             }
             return;
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -214,21 +214,19 @@
         }
     }
 
-    /// Takes a target to be full that has less room than was thought.
+    /// Accounts for room that is taken by more than is known here.
     ///
-    /// Results that an earlier owner of the queue had made are not accounted here. Without this
-    /// each call would cost its fixed time in vain until they are freed.
-    pub(super) fn fill(&mut self, key: EngineKey, now: Instant) {
-        let Some(engine) = self.engines.get_mut(key) else {
-            return;
-        };
-        let size = self.shape.room.0.saturating_sub(engine.used);
-        engine.used += size;
-        self.stranded.push(Held {
-            engine: key,
-            size,
-            expiry: now + UNKNOWN_TTL,
-        });
+    /// Sizes are approximate, and results that an earlier owner of the queue had made are unknown.
+    /// Without this the next call would send as many pieces in vain.
+    pub(super) fn crowd(&mut self, key: EngineKey, size: unit::Size, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.used += size.0;
+            self.stranded.push(Held {
+                engine: key,
+                size: size.0,
+                expiry: now + UNKNOWN_TTL,
+            });
+        }
     }
 
     pub(super) fn hold(&mut self, key: EngineKey, handle: &Handle, size: unit::Size, now: Instant) {
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lanes;
 pub mod limit;
 pub mod orders;
+pub mod pace;
 pub mod placement;
 pub mod retry;
 pub mod route;
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -45,6 +45,27 @@
     Lost(pool::Failure),
 }
 
+/// How many pieces of a call ended in which way.
+#[derive(Default)]
+struct Tally {
+    made: usize,
+    full: usize,
+    gone: usize,
+}
+
+fn tally(result: &Result<Vec<batch::Outcome>, Failed>) -> Tally {
+    let mut tally = Tally::default();
+    for outcome in result.iter().flatten() {
+        match outcome {
+            batch::Outcome::Made(_) => tally.made += 1,
+            batch::Outcome::NoRoom => tally.full += 1,
+            batch::Outcome::Gone => tally.gone += 1,
+            batch::Outcome::Late | batch::Outcome::Failed => {}
+        }
+    }
+    tally
+}
+
 /// A call that is ready to be sent.
 struct Ready {
     service: id::ServiceName,
@@ -118,6 +139,7 @@
         let Some(line) = lines.get_mut(&ready.service) else {
             return;
         };
+        let tally = tally(&result);
         let (events, outcome) = match result {
             Ok(outcomes) => (line.queue.finish(&ready.call, outcomes, now), "done"),
             Err(Failed::NotRun(cause)) => (line.queue.abandon(&ready.call, false, now), cause),
@@ -136,7 +158,11 @@
             target = ready.target.name,
             pieces = count,
             outcome = outcome,
-            taken_ms = taken.as_millis()
+            made = tally.made,
+            no_room = tally.full,
+            gone = tally.gone,
+            taken_ms = taken.as_millis(),
+            used = line.queue.engines.used(ready.call.engine)
         );
         line.settle(events, &*self.dialect);
         drop(lines);
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -16,6 +16,7 @@
     eject,
     id,
     ingress,
+    pace,
     placement,
     unit, //
 };
@@ -61,6 +62,7 @@
     engines: Mutex<collections::HashMap<id::ServiceName, engines::Engines>>,
     balancers: Mutex<collections::HashMap<id::ServiceName, balancer::Balancer>>,
     budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
+    paces: Mutex<collections::HashMap<id::ServiceName, pace::Pace>>,
 }
 
 /// A request's place at a target, given up when dropped.
@@ -104,6 +106,7 @@
             engines: Mutex::default(),
             balancers: Mutex::default(),
             budgets: Mutex::default(),
+            paces: Mutex::default(),
         })
     }
 
@@ -217,6 +220,18 @@
         act(budget, now)
     }
 
+    /// Records how long the jobs of a service take just now.
+    pub fn record_pace(&self, service: &id::ServiceName, taken: time::Duration) {
+        let mut paces = view::lock(&self.paces);
+        let pace = paces.entry(service.clone()).or_default();
+        pace.record(taken, Instant::now());
+    }
+
+    /// Returns how long the jobs of a service take just now, if any has ended of late.
+    pub fn pace(&self, service: &id::ServiceName) -> Option<time::Duration> {
+        view::lock(&self.paces).get(service)?.mean(Instant::now())
+    }
+
     /// Returns the bounds of an exchange with a target of a service.
     pub fn bounds(&self, request: &admission::Request, service: &id::ServiceName) -> pool::Bounds {
         let known = request.table.service(service);
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -170,6 +170,9 @@
             }
             let attempt = job.attempt.clone();
             let result = gateway.peers.submit(job).await;
+            if result.is_ok() {
+                gateway.record_pace(&service, start.elapsed());
+            }
             event!(
                 Info,
                 "stage-ended",
@@ -222,7 +225,9 @@
         after.unwrap_or_else(|| self.prompt())
     }
 
-    /// Returns the usual time of a stage.
+    /// Returns the time that a stage takes: as measured of late, and at least the usual one.
+    ///
+    /// When a later stage is congested, the request cannot be on time whatever the first one does.
     fn length(&self, k: usize) -> time::Duration {
         let stage = &self.request.route.stages[k];
         let service = self.request.table.service(&stage.service);
@@ -231,7 +236,9 @@
         };
         // Calls are about half full in the mean.
         let pieces = shape.pieces.div_ceil(2) as u32;
-        shape.call + shape.piece * pieces + WAIT
+        let usual = shape.call + shape.piece * pieces + WAIT;
+        let recent = self.gateway.pace(&stage.service);
+        recent.map_or(usual, |recent| recent.max(usual))
     }
 
     /// Returns the usual time to the first token.
