--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     id,
-    ingress, //
+    ingress,
+    unit, //
 };
 
 pub use self::{
@@ -39,6 +40,12 @@
 /// request has, so that no rank starves.
 const RANK_STEP: time::Duration = time::Duration::from_millis(40);
 
+/// By how much a job counts as due later at a target that is far from where its results are read.
+const FAR: time::Duration = time::Duration::from_millis(120);
+
+/// Size from which it matters where a result is made.
+const LARGE: unit::Size = unit::Size(100_000);
+
 /// Most times that a piece is sent to a target before its job fails.
 const TRIES: u32 = 4;
 
@@ -186,6 +193,7 @@
                 continue;
             }
             let most = self.fill(waiting, now);
+            let order = self.order_at(engine, &order);
             let pieces = self.pick(&order, engine, most);
             if !pieces.is_empty() {
                 self.engines.start(engine, pieces.len(), now);
@@ -244,6 +252,31 @@
         order
     }
 
+    /// Puts jobs behind whose large results would be read in another data centre.
+    fn order_at(
+        &self,
+        engine: EngineKey,
+        order: &[(JobKey, (bool, Instant))],
+    ) -> Vec<(JobKey, (bool, Instant))> {
+        let is_far = |key: JobKey| {
+            let spec = &self.jobs[key].spec;
+            spec.size >= LARGE && self.engines.is_far(engine, spec.near.as_ref())
+        };
+        let penalty = |key| {
+            if is_far(key) {
+                FAR
+            } else {
+                time::Duration::ZERO
+            }
+        };
+        let moved = order
+            .iter()
+            .map(|(key, (late, due))| (*key, (*late, *due + penalty(*key))));
+        let mut moved: Vec<_> = moved.collect();
+        moved.sort_by_key(|(_, rank)| *rank);
+        moved
+    }
+
     /// Returns how many pieces the next call should take.
     ///
     /// What waits is spread over the free targets, as smaller calls end sooner; but a call is at
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -152,6 +152,11 @@
         self.engines.values().filter(free).count()
     }
 
+    pub(super) fn is_far(&self, key: EngineKey, near: Option<&id::DataCentre>) -> bool {
+        let engine = self.engines.get(key);
+        near.is_some_and(|near| engine.is_some_and(|e| e.zone != *near))
+    }
+
     /// Chooses a free target with room for a result: fast ones first, then near ones.
     pub(super) fn choose(
         &self,
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -35,7 +35,7 @@
 /// Share of the time to read a shared part that its home is ahead.
 ///
 /// Other instances send the session there as well, of which this one knows nothing.
-const HOME: f64 = 0.5;
+const HOME: f64 = 1.0;
 
 /// Cost of one request that waits at an engine, in milliseconds.
 const WAITING_MS: f64 = 60.0;
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -219,7 +219,7 @@
         let now = Instant::now();
         let due = now + job.due.0;
         let outlook = line.queue.outlook(job.pieces, due, now);
-        let x: f64 = std::env::var("LAB_LATE").map_or(0.3, |v| v.parse().unwrap());
+        let x: f64 = std::env::var("LAB_LATE").map_or(0.2, |v| v.parse().unwrap());
         let most = job.due.0.max(job.deadline.0.mul_f64(x));
         if job.refusable && outlook > most {
             self.metrics.refused_early.inc();
