--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod load;
 pub mod measure;
 pub mod program;
+pub mod scripted;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/laburnumcart_fakes/src/scripted.rs
@@ -0,0 +1,197 @@
+//! A target that answers byte for byte as a script says.
+//!
+//! It shows what a faulty target can do on a connection: cut, late, double or senseless answers.
+
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic, //
+    },
+    time,
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+};
+
+/// What the target does next on the connection.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Pause(time::Duration),
+    /// Waits until the caller closes the connection, and counts that.
+    Hang,
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// A request as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Method, path and protocol.
+    pub line: String,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    /// Returns the value of a header; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the path.
+    pub fn path(&self) -> &str {
+        self.line.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+type Script = dyn Fn(&Seen, usize) -> Vec<Step> + Send + Sync;
+
+struct Shared {
+    script: Box<Script>,
+    seen: Mutex<Vec<Seen>>,
+    connections: atomic::AtomicUsize,
+    left: atomic::AtomicUsize,
+}
+
+/// A running target.
+#[derive(Clone)]
+pub struct Target {
+    addr: net::SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Target {
+    /// Starts a target on loopback; the script gets each request and the number of those before.
+    pub async fn start(
+        script: impl Fn(&Seen, usize) -> Vec<Step> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let target = Self {
+            addr: listener.local_addr()?,
+            shared: Arc::new(Shared {
+                script: Box::new(script),
+                seen: Mutex::default(),
+                connections: atomic::AtomicUsize::new(0),
+                left: atomic::AtomicUsize::new(0),
+            }),
+        };
+        tokio::spawn(accept(listener, target.shared.clone()));
+        Ok(target)
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Returns the requests that came, in order.
+    pub fn seen(&self) -> Vec<Seen> {
+        lock(&self.shared).clone()
+    }
+
+    /// Returns how many connections were opened.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(atomic::Ordering::Acquire)
+    }
+
+    /// Returns how many connections the caller closed during a [`Step::Hang`].
+    pub fn left(&self) -> usize {
+        self.shared.left.load(atomic::Ordering::Acquire)
+    }
+}
+
+fn lock(shared: &Shared) -> MutexGuard<'_, Vec<Seen>> {
+    shared.seen.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        shared.connections.fetch_add(1, atomic::Ordering::AcqRel);
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            // A broken connection is what many scripts are after.
+            let _ = serve(stream, &shared).await;
+        });
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(seen) = read(&mut stream, &mut buffer).await? {
+        let number = {
+            let mut all = lock(shared);
+            all.push(seen.clone());
+            all.len() - 1
+        };
+        for step in (shared.script)(&seen, number) {
+            match step {
+                Step::Send(bytes) => stream.write_all(&bytes).await?,
+                Step::Pause(period) => tokio::time::sleep(period).await,
+                Step::Hang => {
+                    let mut byte = [0];
+                    if matches!(stream.read(&mut byte).await, Ok(0) | Err(_)) {
+                        shared.left.fetch_add(1, atomic::Ordering::AcqRel);
+                        return Ok(());
+                    }
+                }
+                Step::Close => return Ok(()),
+                Step::Reset => {
+                    stream.set_zero_linger()?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Reads a request; `None` at the end of the connection.
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Seen>> {
+    let end = loop {
+        if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at;
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    buffer.drain(..end + 4);
+    let mut lines = head.split("\r\n");
+    let mut seen = Seen {
+        line: lines.next().unwrap_or_default().into(),
+        ..Seen::default()
+    };
+    let pairs = lines.filter_map(|line| line.split_once(':'));
+    let pair = |(name, value): (&str, &str)| (name.to_ascii_lowercase(), value.trim().to_owned());
+    seen.headers.extend(pairs.map(pair));
+    let length = seen.header("content-length").and_then(|l| l.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    seen.body = buffer.drain(..length).collect();
+    Ok(Some(seen))
+}
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -157,7 +157,7 @@
         loop {
             let tick = if self.is_idle() { IDLE_TICK } else { TICK };
             tokio::select! {
-                _ = tokio::time::sleep(tick) => {}
+                () = tokio::time::sleep(tick) => {}
                 _ = changes.changed() => self.refresh(),
             }
             let services: Vec<_> = view::lock(&self.lines).keys().cloned().collect();
