Count a send in flight as one that may have run

Ruled out: a late answer of the target. The verdict is 'may have run' from the moment a send begins.

--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -61,6 +61,8 @@
     tried: Vec<id::TargetName>,
     sent: u32,
     refused: u32,
+    /// Whether a send is in flight, or its answer is being read.
+    pending: bool,
     attempts: retry::Attempts,
 }
 
@@ -82,6 +84,7 @@
             tried: Vec::new(),
             sent: 0,
             refused: 0,
+            pending: false,
             attempts: retry::Attempts::new(idempotent, verdict::Verdict::NotRun),
         })
     }
@@ -97,8 +100,14 @@
     }
 
     /// Returns what is known of the request as a whole.
+    ///
+    /// The failures that were taken in do not tell of a send that is in flight. A caller whose
+    /// request ends meanwhile would be told "not run" while a target begins to run it.
     pub fn verdict(&self) -> verdict::Verdict {
-        self.attempts.verdict()
+        match self.pending {
+            true => verdict::Verdict::MayHaveRun,
+            false => self.attempts.verdict(),
+        }
     }
 
     /// Sends the request to the next target; `limit` bounds the wait for the head.
@@ -130,6 +139,7 @@
             left_ms = request.left().as_millis()
         );
         let start = Instant::now();
+        self.pending = true;
         let sent = pool.send(&target, onward, &bounds);
         let result = match tokio::time::timeout(limit, sent).await {
             Ok(result) => result,
@@ -175,6 +185,7 @@
             refusal: failure,
             resumable: false,
         };
+        self.pending = false;
         let more = self.has_more();
         let attempts = &mut self.attempts;
         let decision = self.gateway.with_budget(&self.service, |budget, _| {
