Order jobs by rank, take comebacks late rather than refuse them again, ask at once after a failure

A refused caller comes again with what is left of its time; its objective counts from the first attempt, and a second refusal costs more than a late answer. Retry-After says when the queue will be short enough. The first watch after a failure does not wait now.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -36,9 +36,9 @@
 
 /// By how much a job of the next lower rank counts as due later.
 ///
-/// Enough to go first among jobs of about the same age, and little beside the seconds that a
-/// request has, so that no rank starves.
-const RANK_STEP: time::Duration = time::Duration::from_millis(40);
+/// Under overload the urgent ranks go first, and the others wait longer by this time; they do not
+/// starve, as what is due moves on.
+const RANK_STEP: time::Duration = time::Duration::from_millis(400);
 
 /// By how much a job counts as due later at a target that is far from where its results are read.
 const FAR: time::Duration = time::Duration::from_millis(120);
@@ -54,15 +54,21 @@
     Clone, Copy, Debug, derive_more::Display, Eq, PartialEq, serde::Serialize, serde::Deserialize,
 )]
 #[serde(rename_all = "kebab-case")]
-#[display(rename_all = "kebab-case")]
 pub enum Failure {
     /// Its deadline passed, or will before it can be done.
+    #[display("late")]
     Late,
+    /// It would be late; after so many milliseconds a new try may not be.
+    #[display("busy")]
+    Busy(u32),
     /// An input no longer exists.
+    #[display("gone")]
     Gone,
     /// Its pieces failed time and again.
+    #[display("failed")]
     Failed,
     /// Nobody executes the pieces of this service here.
+    #[display("unavailable")]
     Unavailable,
 }
 
@@ -145,11 +151,15 @@
         self.jobs.values().map(|j| j.waiting.len()).sum()
     }
 
-    /// Returns how long a job that is due at `due` will take, as far as is known.
-    pub fn outlook(&self, pieces: u32, due: Instant, now: Instant) -> time::Duration {
-        let earlier = self.jobs.values().filter(|j| j.spec.due <= due);
+    /// Returns how long a job will take, as far as is known.
+    pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
+        let own = self.turn(spec, now);
+        let earlier = self
+            .jobs
+            .values()
+            .filter(|j| self.turn(&j.spec, now) <= own);
         let ahead: usize = earlier.map(|j| j.waiting.len()).sum();
-        self.engines.outlook(ahead, pieces as usize, now)
+        self.engines.outlook(ahead, spec.pieces as usize, now)
     }
 
     /// Drops a job that nobody waits for; returns what it has made.
@@ -241,17 +251,21 @@
     /// Jobs that can still be on time go before those that cannot, or under overload every job
     /// would be served just too late.
     fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
-        let least = self.shape.call + self.shape.piece;
-        let rank = |j: &Job| {
-            let late = j.spec.due < now + least;
-            (late, j.spec.due + RANK_STEP * u32::from(j.spec.rank))
-        };
         let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
-        let mut order: Vec<_> = waiting.map(|(key, j)| (key, rank(j))).collect();
+        let mut order: Vec<_> = waiting
+            .map(|(key, j)| (key, self.turn(&j.spec, now)))
+            .collect();
         order.sort_unstable_by_key(|(_, rank)| *rank);
         order
     }
 
+    /// Returns the place of a job in the order: whether it is late, and when it counts as due.
+    fn turn(&self, spec: &Spec, now: Instant) -> (bool, Instant) {
+        let least = self.shape.call + self.shape.piece;
+        let late = spec.due < now + least;
+        (late, spec.due + RANK_STEP * u32::from(spec.rank))
+    }
+
     /// Puts jobs behind whose large results would be read in another data centre.
     fn order_at(
         &self,
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -36,7 +36,10 @@
 /// Age beyond which the absence of a route is not told as final.
 ///
 /// The route may have been added meanwhile; a caller takes 404 as final and would not come again.
-const ABSENT: time::Duration = time::Duration::from_millis(2500);
+const ABSENT: time::Duration = time::Duration::from_millis(3000);
+
+/// Time that a caller has spent from which its request counts as one that came again.
+const AGAIN: time::Duration = time::Duration::from_millis(150);
 
 /// A deadline for callers that name none, and the longest that one may name.
 const PATIENCE: time::Duration = time::Duration::from_secs(60);
@@ -64,6 +67,8 @@
     pub rank: u8,
     /// When it came.
     pub start: freshness::Moment,
+    /// Time that the caller had spent on it before.
+    pub spent: time::Duration,
 }
 
 impl Request {
@@ -79,7 +84,13 @@
 
     /// Returns the time until the objective, zero when it has passed.
     pub fn slack(&self) -> time::Duration {
-        self.route.objective.saturating_sub(self.elapsed())
+        let spent = self.spent + self.elapsed();
+        self.route.objective.saturating_sub(spent)
+    }
+
+    /// Reports whether the caller has come again after a refusal or a failure.
+    pub fn is_again(&self) -> bool {
+        self.spent > AGAIN
     }
 
     /// Returns the longest time that the request may take.
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -26,21 +26,24 @@
 
 /// Wait of a watch of the configuration.
 ///
-/// Each end of a watch confirms that nothing has changed. Two of them fit into the bound on
-/// configurations of 2 s, also when a connection goes silent in one.
+/// Each end of a watch confirms that nothing has changed. With the time for a call that fails, two
+/// of them fit into the bound of 5 s on keys.
 const TABLE_WAIT: unit::Period = unit::Period::from_millis(1000);
 
 /// Wait of a watch of the targets; a silent connection hides changes for as long.
-const TARGETS_WAIT: unit::Period = unit::Period::from_millis(1500);
+const TARGETS_WAIT: unit::Period = unit::Period::from_millis(2000);
 
 /// Wait of a watch of the members, whose changes are seen on connections as well.
-const MEMBERS_WAIT: unit::Period = unit::Period::from_secs(5);
+const MEMBERS_WAIT: unit::Period = unit::Period::from_secs(10);
 
 /// Longest pause between tries while the store is down.
 const PAUSE: unit::Period = unit::Period::from_millis(400);
 
-/// Least time between two calls.
-const INTERVAL: unit::Period = unit::Period::from_millis(20);
+/// Least time between two calls, in which a burst of changes is collected.
+///
+/// Each change of a target would cost each process a call; at 97 targets and 23 processes those
+/// were half of all calls.
+const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
 /// Pause before the own entry is written again after a failure.
 const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(500);
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -57,6 +57,11 @@
 /// tenth of what could be earned over none, and 0.2 to 0.5 with little load.
 const LATE_SHARE: f64 = 0.2;
 
+/// The same share for a caller that was refused before and has come again.
+///
+/// Refused twice, it would have waited for nothing.
+const AGAIN_SHARE: f64 = 0.6;
+
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -84,6 +89,18 @@
     pub near: Option<id::DataCentre>,
     /// Whether it is refused at once when it cannot be done in time.
     pub refusable: bool,
+    /// Whether its caller was refused before.
+    pub again: bool,
+}
+
+impl Job {
+    /// Returns what the queue is told of it.
+    fn spec(&self, now: Instant) -> batch::Spec {
+        batch::Spec::new(self.pieces, self.size, now + self.due.0)
+            .deadline(now + self.deadline.0)
+            .rank(self.rank)
+            .near(self.near.clone())
+    }
 }
 
 /// Queues of the services that this process owns jobs of.
@@ -224,27 +241,39 @@
             return Err(batch::Failure::Unavailable);
         }
         let now = Instant::now();
-        let due = now + job.due.0;
-        let outlook = line.queue.outlook(job.pieces, due, now);
-        let most = job.due.0.max(job.deadline.0.mul_f64(LATE_SHARE));
-        if job.refusable && outlook > most {
-            self.metrics.refused_early.inc();
-            event!(
-                Info,
-                "job-refused",
-                request = job.attempt,
-                service = job.service,
-                outlook_ms = outlook.as_millis(),
-                due_ms = job.due.as_millis(),
-                waiting = line.queue.waiting()
-            );
-            return Err(batch::Failure::Late);
+        if job.refusable {
+            self.check(line, &job, now)?;
         }
         let (sender, receiver) = oneshot::channel();
         line.push(job, sender, now);
         Ok(receiver)
     }
 
+    /// Refuses a job that would be too late to be worth its while.
+    fn check(&self, line: &Line, job: &Job, now: Instant) -> Result<(), batch::Failure> {
+        let outlook = line.queue.outlook(&job.spec(now), now);
+        let share = if job.again { AGAIN_SHARE } else { LATE_SHARE };
+        let most = job.due.0.max(job.deadline.0.mul_f64(share));
+        if outlook <= most {
+            return Ok(());
+        }
+        self.metrics.refused_early.inc();
+        event!(
+            Info,
+            "job-refused",
+            request = job.attempt,
+            service = job.service,
+            outlook_ms = outlook.as_millis(),
+            due_ms = job.due.as_millis(),
+            again = job.again,
+            waiting = line.queue.waiting()
+        );
+        let excess = outlook.saturating_sub(job.due.0);
+        Err(batch::Failure::Busy(
+            excess.as_millis().try_into().unwrap_or(u32::MAX),
+        ))
+    }
+
     /// Cancels a job; one that is not known has ended.
     pub fn cancel(&self, service: &id::ServiceName, id: u64) {
         let mut lines = view::lock(&self.lines);
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -93,10 +93,7 @@
     }
 
     pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
-        let spec = batch::Spec::new(job.pieces, job.size, now + job.due.0)
-            .deadline(now + job.deadline.0)
-            .rank(job.rank)
-            .near(job.near);
+        let spec = job.spec(now);
         let key = self.queue.push(spec, now);
         self.ids.insert(job.id, key);
         let waiter = Waiter {
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -41,6 +41,9 @@
 /// Windows of the processes do not begin together, and sends cross them.
 const BUDGET_SHARE: f64 = 0.8;
 
+/// Most routes whose callers' patience is remembered.
+const ROUTES_MAX: usize = 4096;
+
 /// One gateway.
 pub struct Gateway {
     /// Settings.
@@ -62,6 +65,7 @@
     engines: Mutex<collections::HashMap<id::ServiceName, engines::Engines>>,
     balancers: Mutex<collections::HashMap<id::ServiceName, balancer::Balancer>>,
     budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
+    patience: Mutex<collections::HashMap<String, time::Duration>>,
     paces: Mutex<collections::HashMap<id::ServiceName, pace::Pace>>,
 }
 
@@ -106,6 +110,7 @@
             engines: Mutex::default(),
             balancers: Mutex::default(),
             budgets: Mutex::default(),
+            patience: Mutex::default(),
             paces: Mutex::default(),
         })
     }
@@ -220,6 +225,27 @@
         act(budget, now)
     }
 
+    /// Returns how much of its time a caller had spent on a request before this attempt.
+    ///
+    /// Callers of a route begin with the same patience, and tell what is left of it when they come
+    /// again. The objective counts from the first attempt.
+    pub fn spent(
+        &self,
+        route: &ingress::Route,
+        patience: Option<time::Duration>,
+    ) -> time::Duration {
+        let Some(patience) = patience else {
+            return time::Duration::ZERO;
+        };
+        let mut known = view::lock(&self.patience);
+        if known.len() > ROUTES_MAX {
+            known.clear();
+        }
+        let most = known.entry(route.name.clone()).or_default();
+        *most = (*most).max(patience);
+        most.saturating_sub(patience).min(route.timeout)
+    }
+
     /// Records how long the jobs of a service take just now.
     pub fn record_pace(&self, service: &id::ServiceName, taken: time::Duration) {
         let mut paces = view::lock(&self.paces);
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -23,7 +23,8 @@
     admission,
     dialect,
     dispatcher,
-    gateway, //
+    gateway,
+    reply, //
 };
 
 /// Time that a later stage takes beside its call: the wait for a free target.
@@ -35,6 +36,9 @@
 /// Prompt tokens read in a millisecond, with other prompts between.
 const TOKENS_PER_MS: u64 = 30;
 
+/// Longest time after which a refused caller is told to come again.
+const RETRY_MAX: time::Duration = time::Duration::from_secs(2);
+
 /// Times that the stages are run, when results disappear before they were used.
 const TRIES: usize = 3;
 
@@ -115,11 +119,18 @@
 
 fn refusal(failure: batch::Failure) -> verdict::Refusal {
     let reason = match failure {
-        batch::Failure::Late => verdict::Reason::DeadlineTooShort,
+        batch::Failure::Late | batch::Failure::Busy(_) => verdict::Reason::DeadlineTooShort,
         batch::Failure::Gone | batch::Failure::Failed => verdict::Reason::TargetFailed,
         batch::Failure::Unavailable => verdict::Reason::NoTarget,
     };
-    verdict::Refusal::not_run(reason)
+    let refusal = verdict::Refusal::not_run(reason);
+    match failure {
+        batch::Failure::Busy(millis) => {
+            let after = time::Duration::from_millis(millis.into());
+            refusal.retry_after(unit::Period(after.clamp(reply::RETRY_AFTER, RETRY_MAX)))
+        }
+        _ => refusal,
+    }
 }
 
 impl Run<'_> {
@@ -209,6 +220,7 @@
             rank: request.rank,
             near: self.near.clone(),
             refusable: stage.after.is_empty(),
+            again: request.is_again(),
         }
     }
 
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -128,6 +128,7 @@
     )?;
     let most = admitted.table.limits.body.min(BODY_MAX);
     let body = whole(body, most).await?;
+    let spent = gateway.spent(&admitted.route, call.patience);
     let rank = admitted.team.as_ref().and_then(|t| t.rank);
     let request = admission::Request {
         call,
@@ -140,6 +141,7 @@
         table: admitted.table,
         team: admitted.team.map(|t| t.name),
         start,
+        spent,
     };
     event!(
         Info,
@@ -154,6 +156,7 @@
             .unwrap_or_default()
             .as_millis(),
         rank = request.rank,
+        spent_ms = request.spent.as_millis(),
         patience_ms = request.limit().as_millis()
     );
     Ok(request)
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -210,7 +210,12 @@
 
     async fn watch(&mut self) -> Result<(), store::Failure> {
         let after = self.snapshot.revision;
-        let wait = self.settings.wait.0;
+        // After a failure the first watch does not wait: only its answer tells that the service is
+        // back, and what depends on fresh knowledge would stand still for as long.
+        let wait = match self.behind {
+            true => time::Duration::ZERO,
+            false => self.settings.wait.0,
+        };
         let changes = self.store.watch(&self.prefix, after, wait).await;
         self.lost = changes == Err(store::Failure::Compacted);
         if self.snapshot.update(changes?) {
