--- a/laburnumcart_daemon/src/launch.rs
+++ b/laburnumcart_daemon/src/launch.rs
@@ -62,7 +62,7 @@
         Err(error) => return refuse(&error),
     };
     let level = args.level.unwrap_or(settings.telemetry().level);
-    logs::start(level);
+    logs::start(level, settings.output());
     run(settings)
 }
 
--- a/laburnumcart_daemon/src/logs.rs
+++ b/laburnumcart_daemon/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs: one `key=value` line to standard error for each change of state.
+//! Logs: one `key=value` line for each change of state, and in the gateway for each decision.
 //!
 //! Lines are written by [`event!`](macro@crate::event):
 //!
@@ -7,8 +7,11 @@
 //! laburnumcart_daemon::event!(Info, "bundle-accepted", generation = generation);
 //! ```
 //!
-//! gives `time=2026-03-01T08:30:00Z level=info event=bundle-accepted generation=7`. What happens
-//! once for each request belongs into a counter, not here.
+//! gives `time=2026-03-01T08:30:00.120Z level=info event=bundle-accepted generation=7`. What happens
+//! once for each request belongs into a counter, but for the gateway, whose operators find a
+//! request's cause by its id.
+
+pub mod bounded;
 
 use std::{
     fmt,
@@ -22,9 +25,26 @@
 /// Crates whose lines are written at every level; of others only errors and warnings are.
 const OWN: &str = "laburnum";
 
+/// Where a process's log goes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Output {
+    /// Standard error, written at once.
+    #[default]
+    Error,
+    /// Standard output, in bounded numbers and without ever blocking; for lines on each request.
+    Bounded,
+}
+
 /// Starts the process's log; a second call changes nothing.
-pub fn start(level: settings::Level) {
-    if log::set_boxed_logger(logger(level, io::stderr())).is_ok() {
+pub fn start(level: settings::Level, output: Output) {
+    let logger = match output {
+        Output::Error => logger(level, io::stderr()),
+        Output::Bounded => match bounded::Bounded::start(io::stdout()) {
+            Ok(out) => logger(level, out),
+            Err(_) => logger(level, io::stderr()),
+        },
+    };
+    if log::set_boxed_logger(logger).is_ok() {
         log::set_max_level(level.into());
     }
 }
@@ -40,7 +60,7 @@
     let off = log::LevelFilter::Off;
     simplelog::ConfigBuilder::new()
         .set_time_format_custom(time::macros::format_description!(
-            "time=[year]-[month]-[day]T[hour]:[minute]:[second]Z"
+            "time=[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:3]Z"
         ))
         .set_max_level(off)
         .set_target_level(off)
--- a/laburnumcart_daemon/src/settings.rs
+++ b/laburnumcart_daemon/src/settings.rs
@@ -28,7 +28,10 @@
 use laburnumcart_platform::budget;
 use laburnumcart_wire::secret;
 
-use crate::bundle;
+use crate::{
+    bundle,
+    logs, //
+};
 
 pub use self::schema::{
     Address,
@@ -43,6 +46,11 @@
     /// Returns the part on logs and traces.
     fn telemetry(&self) -> &Telemetry;
 
+    /// Returns where the log goes.
+    fn output(&self) -> logs::Output {
+        logs::Output::default()
+    }
+
     /// Lists faults that the types cannot express.
     fn check(&self) -> Vec<Fault> {
         Vec::new()
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -181,6 +181,8 @@
         left = left,
         taken_ms = start.elapsed().as_millis()
     );
+    // The log's own thread needs a moment for the last lines.
+    tokio::time::sleep(CHECK).await;
 }
 
 fn serve_peers(
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -8,7 +8,10 @@
     id,
     unit, //
 };
-use laburnumcart_daemon::settings;
+use laburnumcart_daemon::{
+    logs,
+    settings, //
+};
 
 /// Settings of one gateway.
 #[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
@@ -81,6 +84,10 @@
         &self.telemetry
     }
 
+    fn output(&self) -> logs::Output {
+        logs::Output::Bounded
+    }
+
     fn check(&self) -> Vec<settings::Fault> {
         let mut faults = Vec::new();
         if self.bounds.grace < unit::Period::from_secs(1) {
