Let leaving processes own queues when no other can; count one break of a connection once

A break failed all calls of a connection, and each doubled the time for which its process was passed over, to 3 s. Ruled out: the store (ages of 2 s), targets.

--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -91,6 +91,8 @@
     pub refusable: bool,
     /// Whether its caller was refused before.
     pub again: bool,
+    /// Whether a process that is leaving takes it too, as no other does.
+    pub last: bool,
 }
 
 impl Job {
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -84,7 +84,8 @@
 #[async_trait]
 impl PeerServer for Served {
     async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer> {
-        if self.view.is_leaving() || !self.view.is_complete() {
+        let leaving = self.view.is_leaving() && !job.last;
+        if leaving || !self.view.is_complete() {
             return Ok(Answer::Elsewhere);
         }
         Ok(match self.dispatcher.submit(job).await {
@@ -140,15 +141,18 @@
         let start = Instant::now();
         let (due, deadline) = (start + job.due.0, start + job.deadline.0);
         loop {
-            for owner in self.owners(&job.service) {
-                let mut job = job.clone();
-                let now = Instant::now();
-                job.due.0 = due.saturating_duration_since(now);
-                job.deadline.0 = deadline.saturating_duration_since(now);
-                match self.offer(&owner, job).await {
-                    Some(Answer::Done(handles)) => return Ok(handles),
-                    Some(Answer::Failed(failure)) => return Err(failure),
-                    Some(Answer::Elsewhere) | None => {}
+            for last in [false, true] {
+                for owner in self.owners(&job.service, last) {
+                    let mut job = job.clone();
+                    let now = Instant::now();
+                    job.last = last;
+                    job.due.0 = due.saturating_duration_since(now);
+                    job.deadline.0 = deadline.saturating_duration_since(now);
+                    match self.offer(&owner, job).await {
+                        Some(Answer::Done(handles)) => return Ok(handles),
+                        Some(Answer::Failed(failure)) => return Err(failure),
+                        Some(Answer::Elsewhere) | None => {}
+                    }
                 }
             }
             if Instant::now() + PAUSE >= deadline {
@@ -160,7 +164,7 @@
 
     /// Frees results through the owner of their queue, which accounts their room.
     pub fn free(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
-        let Some(owner) = self.owners(service).into_iter().next() else {
+        let Some(owner) = self.owners(service, true).into_iter().next() else {
             return;
         };
         if owner.instance == self.own {
@@ -188,18 +192,26 @@
     }
 
     /// Lists the processes that may own a service's queue, the first choice first.
-    fn owners(&self, service: &id::ServiceName) -> Vec<view::Member> {
+    ///
+    /// With `last`, this process is among them also when it is leaving. In a rolling stop all
+    /// processes can be leaving at once, each for as long as its grace period; requests that they
+    /// have accepted would wait for an owner until the first of them is back.
+    fn owners(&self, service: &id::ServiceName, last: bool) -> Vec<view::Member> {
         let members = self.view.members.load();
         let seed = xxh3::xxh3_64(service.as_str().as_bytes());
         let rank = |m: &view::Member| xxh3::xxh3_64_with_seed(m.instance.as_str().as_bytes(), seed);
-        let mut owners: Vec<_> = members.iter().filter(|m| self.is_up(m)).cloned().collect();
+        let mut owners: Vec<_> = members
+            .iter()
+            .filter(|m| self.is_up(m, last))
+            .cloned()
+            .collect();
         owners.sort_by_key(|m| std::cmp::Reverse(rank(m)));
         owners
     }
 
-    fn is_up(&self, member: &view::Member) -> bool {
+    fn is_up(&self, member: &view::Member, last: bool) -> bool {
         if member.instance == self.own {
-            return !self.view.is_leaving();
+            return last || !self.view.is_leaving();
         }
         let links = view::lock(&self.links);
         let link = links.get(&member.instance);
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -112,7 +112,10 @@
         match answer {
             Ok(answer) => Some(answer),
             Err(error) => {
-                self.report(&error);
+                // All calls on the connection fail together; it is one failure of the process.
+                if !*open.broken.borrow() {
+                    self.report(&error);
+                }
                 None
             }
         }
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -221,6 +221,7 @@
             near: self.near.clone(),
             refusable: stage.after.is_empty(),
             again: request.is_again(),
+            last: false,
         }
     }
 
