Trial: what holds room goes first

Jobs that work on results are most late ones under overload, and those that can be on time wait behind them.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -153,11 +153,9 @@
 
     /// Returns how long a job will take, as far as is known.
     pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
-        let own = self.turn(spec, now);
-        let earlier = self
-            .jobs
-            .values()
-            .filter(|j| self.turn(&j.spec, now) <= own);
+        let own = self.turn(spec, false, now);
+        let before = |j: &&Job| self.turn(&j.spec, j.is_started(), now) <= own;
+        let earlier = self.jobs.values().filter(before);
         let ahead: usize = earlier.map(|j| j.waiting.len()).sum();
         self.engines.outlook(ahead, spec.pieces as usize, now)
     }
@@ -253,17 +251,25 @@
     fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
         let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
         let mut order: Vec<_> = waiting
-            .map(|(key, j)| (key, self.turn(&j.spec, now)))
+            .map(|(key, j)| (key, self.turn(&j.spec, j.is_started(), now)))
             .collect();
         order.sort_unstable_by_key(|(_, rank)| *rank);
         order
     }
 
-    /// Returns the place of a job in the order: whether it is late, and when it counts as due.
-    fn turn(&self, spec: &Spec, now: Instant) -> (bool, Instant) {
-        let least = self.shape.call + self.shape.piece;
-        let late = spec.due < now + least;
-        (late, spec.due + RANK_STEP * u32::from(spec.rank))
+    /// Returns the place of a job in the order: whether it goes behind, and when it counts as due.
+    ///
+    /// A job that has results or works on some holds room that others wait for. Put behind, it
+    /// would hold it to its deadline: the room of a whole chain of services fills with jobs that
+    /// cannot go on, and nothing is made any more. It goes first instead, and admission bounds how
+    /// many there are.
+    fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
+        if started {
+            return (false, spec.due);
+        }
+        let late = spec.due < now + self.shape.call + self.shape.piece;
+        let due = spec.due + RANK_STEP * u32::from(spec.rank);
+        (late && !spec.chained, due)
     }
 
     /// Puts jobs behind whose large results would be read in another data centre.
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -54,6 +54,8 @@
     pub rank: u8,
     /// Data centre where the results will be read.
     pub near: Option<id::DataCentre>,
+    /// Whether it works on results that take room elsewhere until it is done.
+    pub chained: bool,
 }
 
 impl Spec {
@@ -66,6 +68,7 @@
             deadline: due,
             rank: 0,
             near: None,
+            chained: false,
         }
     }
 
@@ -83,6 +86,13 @@
         self
     }
 
+    /// Sets whether it works on results that take room elsewhere.
+    #[must_use]
+    pub fn chained(mut self, chained: bool) -> Self {
+        self.chained = chained;
+        self
+    }
+
     /// Sets where the results will be read.
     #[must_use]
     pub fn near(mut self, near: Option<id::DataCentre>) -> Self {
@@ -133,6 +143,11 @@
         })
     }
 
+    /// Reports whether any of its pieces is in a call or done.
+    pub(super) fn is_started(&self) -> bool {
+        self.waiting.len() < self.spec.pieces as usize
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.done.iter().all(Option::is_some)
     }
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -102,6 +102,7 @@
             .deadline(now + self.deadline.0)
             .rank(self.rank)
             .near(self.near.clone())
+            .chained(matches!(self.input, dialect::Input::Results(_)))
     }
 }
 
