--- a/laburnumcart_system/src/schema.rs
+++ b/laburnumcart_system/src/schema.rs
@@ -8,7 +8,7 @@
 };
 
 /// Returns the name of each document and its schema, which `docs/schema/<name>.json` holds.
-pub fn all() -> [(&'static str, Value); 4] {
+pub fn all() -> [(&'static str, Value); 5] {
     [
         ("bundle", document::schema::<bundle::Bundle>()),
         (
@@ -23,6 +23,10 @@
             "laburnum-agent",
             document::schema::<laburnumcart_agent::settings::Settings>(),
         ),
+        (
+            "laburnum-gateway",
+            document::schema::<laburnumcart_gateway::settings::Settings>(),
+        ),
     ]
 }
 
--- a/laburnumcart_system/tests/documents.rs
+++ b/laburnumcart_system/tests/documents.rs
@@ -44,6 +44,7 @@
 #[rstest]
 #[case("laburnum-entry", &[])]
 #[case("laburnum-agent", &[])]
+#[case("laburnum-gateway", &[])]
 #[case("laburnumctl", &[
     "keygen", "check", "sign", "verify", "accept", "rollback", "status", "drain", "teams", "schema",
 ])]
