--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -21,11 +21,14 @@
     Incoming, //
 };
 
+use tokio::time::Instant;
+
 use laburnumcart::{
     event,
     freshness,
     ingress,
     retry,
+    unit,
     verdict, //
 };
 
@@ -45,6 +48,9 @@
 /// Largest body while no configuration is known.
 const BODY_MAX: usize = 4 << 20;
 
+/// When a caller that came to a leaving process should come again, to another one.
+const LEAVING_MS: u64 = 100;
+
 /// Least time that a send of a request that may be repeated gets before the next target is asked.
 const TRY_MIN: time::Duration = time::Duration::from_millis(150);
 
@@ -143,6 +149,10 @@
         start,
         spent,
     };
+    if !gateway.view.has_time(request.limit(), Instant::now()) {
+        let after = unit::Period::from_millis(LEAVING_MS);
+        return Err(verdict::Refusal::not_run(verdict::Reason::Leaving).retry_after(after));
+    }
     event!(
         Info,
         "admitted",
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -160,9 +160,9 @@
 async fn stop(gateway: &gateway::Gateway, running: stop::Running, closing: watch::Sender<bool>) {
     let start = tokio::time::Instant::now();
     let view = &gateway.view;
-    view.leave();
-    gateway.dispatcher.hand_over();
     let end = start + gateway.settings.bounds.grace.0.saturating_sub(RESERVE);
+    view.leave(end - REFUSE);
+    gateway.dispatcher.hand_over();
     tokio::time::sleep_until(end.min(start + NOTICE)).await;
     // Without a receiver there is no connection.
     let _ = closing.send(true);
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -5,8 +5,10 @@
     sync::{
         self,
         Arc,
+        OnceLock,
         atomic, //
     },
+    time,
 };
 
 use arc_swap::{
@@ -17,7 +19,10 @@
     Deserialize,
     Serialize, //
 };
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
 
 use laburnumcart::{
     freshness,
@@ -100,6 +105,18 @@
     pub secret: String,
 }
 
+/// Time after the start of a stop in which every request is taken.
+///
+/// The balancer notices within two seconds; callers that came before are served to their end.
+const WELCOME: time::Duration = time::Duration::from_millis(2700);
+
+/// A stop in progress.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    since: Instant,
+    exit: Instant,
+}
+
 /// Control state as last published.
 #[derive(Debug)]
 pub struct View {
@@ -114,7 +131,7 @@
     /// Counts the changes of targets and members.
     changes: watch::Sender<u64>,
     exiting: watch::Sender<bool>,
-    leaving: atomic::AtomicBool,
+    leaving: OnceLock<Leaving>,
     listed: atomic::AtomicBool,
 }
 
@@ -127,7 +144,7 @@
             freshness: freshness::Freshness::default(),
             changes: watch::Sender::new(0),
             exiting: watch::Sender::new(false),
-            leaving: atomic::AtomicBool::new(false),
+            leaving: OnceLock::new(),
             listed: atomic::AtomicBool::new(false),
         }
     }
@@ -163,14 +180,27 @@
         self.changes.subscribe()
     }
 
-    /// Marks the process as leaving.
-    pub fn leave(&self) {
-        self.leaving.store(true, atomic::Ordering::Release);
+    /// Marks the process as leaving; it will exit at `exit`.
+    pub fn leave(&self, exit: Instant) {
+        let since = Instant::now();
+        // A second call changes nothing: the exit was told to callers already.
+        let _ = self.leaving.set(Leaving { since, exit });
     }
 
     /// Reports whether the process is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(atomic::Ordering::Acquire)
+        self.leaving.get().is_some()
+    }
+
+    /// Reports whether a request that may take `limit` can still be taken.
+    ///
+    /// The balancer goes on to send callers here for a while, and for longer when all instances of
+    /// a data centre are leaving. A long stream that was taken late would be cut by the exit.
+    pub fn has_time(&self, limit: time::Duration, now: Instant) -> bool {
+        let Some(leaving) = self.leaving.get() else {
+            return true;
+        };
+        now < leaving.since + WELCOME || now + limit <= leaving.exit
     }
 
     /// Tells requests that wait that the process is about to exit.
