Soak real gateways under faults from outside; own queues on the stronger machines

An owner makes the calls of all gateways for its service; machines of the grown sites have 0.09 to 0.5 cores, so that members below 0.6 of the strongest own queues only when no other can.

--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod expected;
 pub mod load;
 pub mod measure;
+pub mod objects;
 pub mod program;
 pub mod scripted;
 pub mod store;
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -196,6 +196,7 @@
         data_centre: settings.data_centre.clone(),
         peer: settings.peer,
         incarnation: id::Incarnation::random(),
+        cores: settings.cores,
         secret: format!("{secret:032x}"),
     }
 }
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -38,6 +38,12 @@
 
 use self::link::Link;
 
+/// Part of the strongest member's processor below which a member owns queues only when no other can.
+///
+/// An owner makes the calls of all gateways for its service; on a machine with a tenth of a core
+/// their answers would wait for the processor.
+const WEAK: f64 = 0.6;
+
 /// Pause before a job is offered again when no process could take it.
 const PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -205,7 +211,8 @@
             .filter(|m| self.is_up(m, last))
             .cloned()
             .collect();
-        owners.sort_by_key(|m| std::cmp::Reverse(rank(m)));
+        let most = owners.iter().map(|m| m.cores).fold(0.0, f64::max);
+        owners.sort_by_key(|m| (m.cores < WEAK * most, std::cmp::Reverse(rank(m))));
         owners
     }
 
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -39,6 +39,9 @@
     /// Bounds that the operator promises.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Processor of the machine in cores; gateways with little of it own no queues if others can.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
     /// Most open file descriptors.
     #[serde(default = "default_descriptors")]
     pub descriptors: u32,
@@ -75,6 +78,10 @@
     }
 }
 
+fn default_cores() -> f64 {
+    1.0
+}
+
 fn default_descriptors() -> u32 {
     1024
 }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -91,7 +91,7 @@
 }
 
 /// A process of the system, as it describes itself in the store.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Name of its machine.
     pub instance: id::InstanceName,
@@ -101,6 +101,8 @@
     pub peer: net::SocketAddr,
     /// Its life.
     pub incarnation: id::Incarnation,
+    /// Processor of its machine in cores.
+    pub cores: f64,
     /// Secret that it asks of those who call it; only readers of the store know it.
     pub secret: String,
 }
--- /dev/null
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -0,0 +1,89 @@
+//! `laburnum-soak`: runs gateways under random faults and checks what callers and targets see.
+
+use std::{
+    env,
+    fs,
+    process,
+    time, //
+};
+
+use laburnumcart_system::soak;
+
+const HELP: &str = "Runs gateways under random faults and checks what callers and targets see.
+
+Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N]";
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    options.optopt("", "seed", "first seed (default 1)", "N");
+    options.optopt("", "runs", "number of seeds (default 1)", "N");
+    options.optopt("", "gateways", "gateways of a run (default 3)", "N");
+    options.optopt("", "seconds", "time under faults of a run (default 8)", "N");
+    options.optflag("h", "help", "print this text");
+    options
+}
+
+fn main() -> process::ExitCode {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let matches = match options().parse(&args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("laburnum-soak: {error}");
+            return 2.into();
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", options().usage(HELP));
+        return process::ExitCode::SUCCESS;
+    }
+    let number = |name: &str, default: u64| match matches.opt_str(name) {
+        Some(text) => text.parse().ok(),
+        None => Some(default),
+    };
+    let (seed, runs) = (number("seed", 1), number("runs", 1));
+    let (gateways, seconds) = (number("gateways", 3), number("seconds", 8));
+    let (Some(seed), Some(runs), Some(gateways), Some(seconds)) = (seed, runs, gateways, seconds)
+    else {
+        eprintln!("laburnum-soak: options take whole numbers");
+        return 2.into();
+    };
+    let mut broken = 0;
+    for seed in seed..seed + runs {
+        let plan = soak::Plan {
+            seed,
+            gateways: gateways.max(1) as usize,
+            length: time::Duration::from_secs(seconds),
+        };
+        broken += u32::from(!play(plan));
+    }
+    println!("{runs} seeds, {broken} broken");
+    process::ExitCode::from(u8::from(broken > 0))
+}
+
+/// Runs one seed; returns whether all promises were kept. The logs of a broken one stay.
+fn play(plan: soak::Plan) -> bool {
+    let dir = env::temp_dir().join(format!("laburnum-soak-{}-{}", process::id(), plan.seed));
+    let result = fs::create_dir_all(&dir).and_then(|()| {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        runtime.block_on(soak::run(plan, &dir))
+    });
+    let kept = match &result {
+        Ok(report) => {
+            println!("seed {}\n{report}", plan.seed);
+            report.breaches.is_empty()
+        }
+        Err(error) => {
+            println!("seed {}: {error}", plan.seed);
+            false
+        }
+    };
+    match kept {
+        // What is left behind takes room and nothing else.
+        true => drop(fs::remove_dir_all(&dir)),
+        false => println!("logs: {}", dir.display()),
+    }
+    kept
+}
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod sample;
 pub mod schema;
 pub mod slopes;
+pub mod soak;
 pub mod wait;
--- /dev/null
+++ b/laburnumcart_system/src/soak/check.rs
@@ -0,0 +1,133 @@
+//! The promises, checked from what callers and targets have seen.
+
+use std::{
+    collections,
+    fmt,
+    time, //
+};
+
+use crate::soak::{
+    Plan,
+    ledger::{
+        Call,
+        Ledger,
+        Run,
+        State, //
+    },
+    targets::EVENTS,
+};
+
+/// Time after which a key that was taken away works nowhere.
+const REVOKE: time::Duration = time::Duration::from_secs(5);
+
+/// Time after which a leaving target gets no new work.
+const LEAVE: time::Duration = time::Duration::from_secs(2);
+
+/// What a run has shown.
+#[derive(Debug)]
+pub struct Report {
+    /// Promises that were broken.
+    pub breaches: Vec<String>,
+    /// Faults in order.
+    pub faults: Vec<String>,
+    /// Calls by route and status.
+    pub counts: collections::BTreeMap<String, usize>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (what, count) in &self.counts {
+            writeln!(f, "{what}: {count}")?;
+        }
+        writeln!(f, "faults: {}", self.faults.join("; "))?;
+        for breach in &self.breaches {
+            writeln!(f, "BROKEN {breach}")?;
+        }
+        Ok(())
+    }
+}
+
+pub(super) fn report(ledger: &Ledger, plan: &Plan) -> Report {
+    let state = ledger.lock();
+    let mut breaches = state.breaches.clone();
+    let mut counts = collections::BTreeMap::new();
+    for (attempt, call) in &state.calls {
+        let status = call.status.map_or("none".into(), |s| s.to_string());
+        *counts
+            .entry(format!("{} {status}", call.route))
+            .or_default() += 1;
+        let runs = state.runs.get(attempt).map_or(&[][..], Vec::as_slice);
+        breaches.extend(check(&state, plan, attempt, call, runs));
+    }
+    for attempt in state.runs.keys() {
+        if !state.calls.contains_key(attempt) {
+            breaches.push(format!("{attempt} ran and was never sent"));
+        }
+    }
+    for route in ["safe", "once", "tale"] {
+        let served = |c: &&Call| c.calm && c.route == route && c.status == Some(200);
+        if !state.calls.values().any(|c| served(&c)) {
+            breaches.push(format!("{route}: nothing was served after the faults"));
+        }
+    }
+    Report {
+        breaches,
+        faults: state.faults.clone(),
+        counts,
+    }
+}
+
+fn check(state: &State, plan: &Plan, attempt: &str, call: &Call, runs: &[Run]) -> Vec<String> {
+    let mut breaches = Vec::new();
+    let mut breach = |text: &str| {
+        breaches.push(format!(
+            "{attempt} ({}) {text}: {call:?} {runs:?}",
+            call.route
+        ))
+    };
+    if call.route == "once" && runs.len() > 1 {
+        breach("ran twice");
+    }
+    if matches!(call.status, Some(408 | 421 | 429 | 503)) && !runs.is_empty() {
+        breach("was told that it did not run");
+    }
+    if call.status == Some(200) && call.complete && call.body != expected(attempt, call.route) {
+        breach("got a wrong answer");
+    }
+    if call.status == Some(200) && !expected(attempt, call.route).starts_with(&call.body) {
+        breach("got a part of a wrong answer");
+    }
+    if let Some(at) = call.key.as_ref().and_then(|key| state.revoked.get(key))
+        && call.sent > *at + REVOKE
+        && !runs.is_empty()
+    {
+        breach("ran with a key that was taken away");
+    }
+    if plan.is_planned() {
+        // A request that crosses the close of an idle connection and goes nowhere is no loss.
+        let crossed = call.status.is_none() && runs.is_empty();
+        if !call.complete && !crossed {
+            breach("was cut off by planned work");
+        }
+        let late = |run: &&Run| {
+            state
+                .leaving
+                .get(&run.target)
+                .is_some_and(|at| run.at > *at + LEAVE)
+        };
+        if runs.iter().any(|run| late(&run)) {
+            breach("reached a target that was leaving");
+        }
+    }
+    breaches
+}
+
+/// Returns the whole answer to a request.
+fn expected(attempt: &str, route: &str) -> String {
+    match route {
+        "tale" => (1..=EVENTS)
+            .map(|id| format!("id: {id}\ndata: {attempt} {id}\n\n"))
+            .collect(),
+        _ => format!("answer to {attempt}"),
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/src/soak/gateways.rs
@@ -0,0 +1,144 @@
+//! The gateways under test, as processes.
+
+use std::{
+    fs,
+    io,
+    net,
+    path,
+    time, //
+};
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::{
+    port,
+    process, //
+};
+
+struct Gateway {
+    name: String,
+    callers: net::SocketAddr,
+    admin: net::SocketAddr,
+    settings: path::PathBuf,
+    process: process::Process,
+    paused: bool,
+}
+
+/// All gateways.
+pub(super) struct Gateways {
+    dir: path::PathBuf,
+    all: Vec<Gateway>,
+}
+
+impl Gateways {
+    pub(super) fn start(
+        dir: &path::Path,
+        count: usize,
+        store: net::SocketAddr,
+    ) -> io::Result<Self> {
+        let mut all = Vec::new();
+        for number in 0..count {
+            let name = format!("gateway-{number}");
+            let (callers, admin, peer) = (port::free(), port::free(), port::free());
+            let settings = json!({
+                "instance": name, "data_centre": "north", "callers": callers.to_string(),
+                "admin": admin.to_string(), "peer": peer.to_string(), "store": store.to_string(),
+                "bounds": { "grace": "6s", "revoke": "5s", "config": "2s",
+                    "retry_ratio": 0.3, "retry_extra": 200 }
+            });
+            let file = dir.join(format!("{name}.json"));
+            fs::write(&file, settings.to_string())?;
+            let process = spawn(dir, &name, &file);
+            all.push(Gateway {
+                name,
+                callers,
+                admin,
+                settings: file,
+                process,
+                paused: false,
+            });
+        }
+        Ok(Self {
+            dir: dir.into(),
+            all,
+        })
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.all.len()
+    }
+
+    pub(super) fn name(&self, index: usize) -> &str {
+        &self.all[index].name
+    }
+
+    pub(super) fn callers(&self, index: usize) -> net::SocketAddr {
+        self.all[index].callers
+    }
+
+    pub(super) fn signal(&mut self, index: usize, signal: Signal) {
+        let gateway = &mut self.all[index];
+        gateway.paused = signal == Signal::SIGSTOP;
+        gateway.process.signal(signal);
+    }
+
+    /// Starts the gateways again that have ended.
+    pub(super) fn restart(&mut self) {
+        for gateway in &mut self.all {
+            if gateway.process.ended().is_some() {
+                gateway.process = spawn(&self.dir, &gateway.name, &gateway.settings);
+            }
+        }
+    }
+
+    /// Wakes the gateways that are paused.
+    pub(super) fn wake(&mut self) {
+        for index in 0..self.all.len() {
+            if self.all[index].paused {
+                self.signal(index, Signal::SIGCONT);
+            }
+        }
+    }
+
+    /// Waits until all are ready.
+    pub(super) async fn ready(&mut self, limit: time::Duration) -> io::Result<()> {
+        let end = time::Instant::now() + limit;
+        loop {
+            self.restart();
+            let mut ready = 0;
+            for gateway in &self.all {
+                ready += usize::from(is_ready(gateway.admin).await);
+            }
+            if ready == self.all.len() {
+                return Ok(());
+            }
+            if time::Instant::now() > end {
+                return Err(io::Error::other("the gateways were not ready in time"));
+            }
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn spawn(dir: &path::Path, name: &str, settings: &path::Path) -> process::Process {
+    let args = ["--settings".into(), settings.display().to_string()];
+    process::Process::start(dir, name, "laburnum-gateway", &args)
+}
+
+async fn is_ready(addr: net::SocketAddr) -> bool {
+    use tokio::io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    };
+    let ask = async {
+        let mut stream = tokio::net::TcpStream::connect(addr).await.ok()?;
+        let request = b"GET /readyz HTTP/1.1\r\nhost: soak\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).await.ok()?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).await.ok()?;
+        Some(&head[9..] == b"200")
+    };
+    let asked = tokio::time::timeout(time::Duration::from_secs(1), ask).await;
+    asked.ok().flatten().unwrap_or(false)
+}
--- /dev/null
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -0,0 +1,88 @@
+//! What callers sent and got, and what targets ran.
+
+use std::{
+    collections,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time,
+};
+
+/// What a caller asked for and got.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) route: &'static str,
+    pub(super) key: Option<String>,
+    pub(super) sent: time::Instant,
+    /// Status, `None` when the connection ended without a head.
+    pub(super) status: Option<u16>,
+    pub(super) body: String,
+    /// Whether the answer has ended as its framing says.
+    pub(super) complete: bool,
+    /// Whether it was sent after the faults had ended.
+    pub(super) calm: bool,
+}
+
+/// A run at a target.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) target: String,
+    pub(super) at: time::Instant,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) calls: collections::HashMap<String, Call>,
+    pub(super) runs: collections::HashMap<String, Vec<Run>>,
+    /// Keys that were taken away, and when that was accepted.
+    pub(super) revoked: collections::HashMap<String, time::Instant>,
+    /// Targets that were told to leave, and when that was accepted.
+    pub(super) leaving: collections::HashMap<String, time::Instant>,
+    /// Breaches that were seen on the spot.
+    pub(super) breaches: Vec<String>,
+    pub(super) faults: Vec<String>,
+    calm: bool,
+}
+
+/// The record of one run.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    state: Mutex<State>,
+}
+
+impl Ledger {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn ran(&self, attempt: &str, target: &str) {
+        let run = Run {
+            target: target.into(),
+            at: time::Instant::now(),
+        };
+        self.lock()
+            .runs
+            .entry(attempt.into())
+            .or_default()
+            .push(run);
+    }
+
+    pub(super) fn breach(&self, text: String) {
+        self.lock().breaches.push(text);
+    }
+
+    pub(super) fn fault(&self, text: String) {
+        self.lock().faults.push(text);
+    }
+
+    /// Notes that no fault is in force any more.
+    pub(super) fn calm(&self) {
+        self.lock().calm = true;
+    }
+
+    pub(super) fn is_calm(&self) -> bool {
+        self.lock().calm
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -0,0 +1,327 @@
+//! Targets of the soak: a desk, engines that stream, and encoders of stages.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time,
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+use laburnumcart_fakes::scripted::{
+    self,
+    Seen,
+    Step, //
+};
+use laburnumcart_platform::{
+    memory,
+    store::Store, //
+};
+
+use crate::{
+    port,
+    relay,
+    soak::ledger::Ledger, //
+};
+
+/// Targets of each service.
+const COUNT: usize = 3;
+
+/// Events of a stream.
+pub(super) const EVENTS: u32 = 8;
+
+/// Services, in the order of their targets.
+const SERVICES: [&str; 3] = ["desk", "tale", "encode"];
+
+/// How a target behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Mode {
+    #[default]
+    Good,
+    /// Refuses, with a proof.
+    Shed,
+    /// Runs the request and resets the connection.
+    Reset,
+    /// Runs the request and says nothing.
+    Mute,
+    /// Runs the request and breaks off midway.
+    Cut,
+    /// Runs the request and answers twice.
+    Double,
+    /// Is gone: resets every connection.
+    Dead,
+}
+
+/// A life of a target.
+struct Life {
+    name: String,
+    service: &'static str,
+    mode: Arc<Mutex<Mode>>,
+    relay: relay::Relay,
+}
+
+/// All targets.
+pub(super) struct Targets {
+    store: memory::Memory,
+    ledger: Arc<Ledger>,
+    lives: Vec<Life>,
+    next: u32,
+}
+
+impl Targets {
+    pub(super) async fn start(store: memory::Memory, ledger: Arc<Ledger>) -> io::Result<Self> {
+        let mut targets = Self {
+            store,
+            ledger,
+            lives: Vec::new(),
+            next: 0,
+        };
+        for service in SERVICES {
+            for _ in 0..COUNT {
+                let life = targets.begin(service).await?;
+                targets.lives.push(life);
+            }
+        }
+        Ok(targets)
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.lives.len()
+    }
+
+    /// Sets the mode of one target.
+    pub(super) fn set(&self, index: usize, mode: Mode) {
+        let life = &self.lives[index];
+        *life.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+        self.ledger.fault(format!("{} {mode:?}", life.name));
+    }
+
+    /// Silences the connections to one target that exist now.
+    pub(super) fn silence(&self, index: usize, silence: relay::Silence) {
+        self.lives[index].relay.silence(silence);
+    }
+
+    /// Ends all faults of targets that live.
+    pub(super) fn heal(&self) {
+        for (index, life) in self.lives.iter().enumerate() {
+            life.relay.heal();
+            self.set(index, Mode::Good);
+        }
+    }
+
+    /// Kills a target; a new life of it begins at another address.
+    pub(super) async fn crash(&mut self, index: usize) -> io::Result<()> {
+        self.set(index, Mode::Dead);
+        let old = self.replace(index).await?;
+        self.delete(&old.name).await;
+        Ok(())
+    }
+
+    /// Replaces a target by a planned stop: the new one first, then the old one leaves.
+    pub(super) async fn release(&mut self, index: usize) -> io::Result<()> {
+        let old = self.replace(index).await?;
+        let entry = entry(old.service, &old.relay, "draining");
+        super::put(&self.store, &format!("servers/{}", old.name), &entry).await;
+        let now = time::Instant::now();
+        self.ledger.lock().leaving.insert(old.name.clone(), now);
+        self.ledger.fault(format!("{} leaves", old.name));
+        // It serves on for a while, then it is gone.
+        let (store, key) = (self.store.clone(), format!("servers/{}", old.name));
+        tokio::spawn(async move {
+            tokio::time::sleep(time::Duration::from_secs(5)).await;
+            remove(&store, &key).await;
+            drop(old);
+        });
+        Ok(())
+    }
+
+    async fn replace(&mut self, index: usize) -> io::Result<Life> {
+        let life = self.begin(self.lives[index].service).await?;
+        Ok(std::mem::replace(&mut self.lives[index], life))
+    }
+
+    async fn begin(&mut self, service: &'static str) -> io::Result<Life> {
+        self.next += 1;
+        let name = format!("i-{}", self.next);
+        let mode = Arc::new(Mutex::new(Mode::Good));
+        let addr = port::free();
+        let script = Script {
+            name: name.clone(),
+            host: addr.to_string(),
+            service,
+            mode: mode.clone(),
+            ledger: self.ledger.clone(),
+        };
+        let target = scripted::Target::start(move |seen, _| script.steps(seen)).await?;
+        let relay = relay::Relay::start(addr, target.addr()).await?;
+        let entry = entry(service, &relay, "ready");
+        super::put(&self.store, &format!("servers/{name}"), &entry).await;
+        Ok(Life {
+            name,
+            service,
+            mode,
+            relay,
+        })
+    }
+
+    async fn delete(&self, name: &str) {
+        remove(&self.store, &format!("servers/{name}")).await;
+    }
+}
+
+async fn remove(store: &memory::Memory, key: &str) {
+    loop {
+        match store.get(key).await {
+            Ok(None) => return,
+            Ok(Some(object)) if store.delete(key, object.version).await.is_ok() => return,
+            _ => tokio::time::sleep(time::Duration::from_millis(50)).await,
+        }
+    }
+}
+
+fn entry(service: &str, relay: &relay::Relay, state: &str) -> Value {
+    json!({
+        "service": service, "address": relay.addr().to_string(), "zone": "north", "version": "v1",
+        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1
+    })
+}
+
+/// What one life of a target does.
+struct Script {
+    name: String,
+    host: String,
+    service: &'static str,
+    mode: Arc<Mutex<Mode>>,
+    ledger: Arc<Ledger>,
+}
+
+impl Script {
+    fn steps(&self, seen: &Seen) -> Vec<Step> {
+        let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
+        if mode == Mode::Dead {
+            return vec![Step::Reset];
+        }
+        if seen.header("x-laburnumcart-expect-instance") != Some(&self.name) {
+            return vec![head(seen, "421 Misdirected Request", "", "")];
+        }
+        if seen.path() == "/api/stage-free" {
+            return vec![head(seen, "200 OK", "", "")];
+        }
+        if mode == Mode::Shed {
+            let proof = "x-laburnumcart-not-executed: 1\r\n";
+            return vec![head(seen, "503 Service Unavailable", proof, "")];
+        }
+        let whole = match self.service {
+            "encode" => self.encode(seen),
+            "tale" => self.tale(seen),
+            _ => self.desk(seen),
+        };
+        spoil(whole, mode)
+    }
+
+    fn desk(&self, seen: &Seen) -> Vec<Step> {
+        let attempt = seen.header("x-laburnumcart-attempt-id").unwrap_or_default();
+        self.ledger.ran(attempt, &self.name);
+        let work = Step::Pause(time::Duration::from_millis(5));
+        vec![work, signed(seen, &format!("answer to {attempt}"))]
+    }
+
+    fn tale(&self, seen: &Seen) -> Vec<Step> {
+        let attempt = seen.header("x-laburnumcart-attempt-id").unwrap_or_default();
+        let inputs = seen.header("x-laburnumcart-inputs").unwrap_or_default();
+        let own = format!("/{attempt}-0-");
+        let mut pieces: Vec<_> = inputs
+            .split(',')
+            .filter_map(|i| i.split_once(&own))
+            .collect();
+        pieces.sort_by_key(|(_, piece)| *piece);
+        if pieces.iter().map(|(_, piece)| *piece).ne(["0", "1"]) {
+            self.ledger
+                .breach(format!("{attempt} got the inputs {inputs:?}"));
+        }
+        self.ledger.ran(attempt, &self.name);
+        let after = seen.header("last-event-id").and_then(|id| id.parse().ok());
+        let first: u32 = after.unwrap_or(0) + 1;
+        let mut steps = vec![Step::Send(
+            format!(
+                "HTTP/1.1 200 OK\r\nx-laburnumcart-attempt-id: {attempt}\r\n\
+                 x-laburnumcart-server-stamp: {}\r\ncontent-type: text/event-stream\r\n\
+                 transfer-encoding: chunked\r\n\r\n",
+                self.name
+            )
+            .into_bytes(),
+        )];
+        for id in first..=EVENTS {
+            let event = format!("id: {id}\ndata: {attempt} {id}\n\n");
+            steps.push(Step::Pause(time::Duration::from_millis(15)));
+            steps.push(Step::Send(
+                format!("{:x}\r\n{event}\r\n", event.len()).into_bytes(),
+            ));
+        }
+        steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+        steps
+    }
+
+    fn encode(&self, seen: &Seen) -> Vec<Step> {
+        let body: Value = serde_json::from_slice(&seen.body).unwrap_or(Value::Null);
+        let items = body["items"].as_array().cloned().unwrap_or_default();
+        let result = |item: &Value| {
+            let id = item["id"].as_str().unwrap_or_default();
+            if item["key"] != json!(format!("key of {id}")) {
+                self.ledger
+                    .breach(format!("a piece of {id} got the key {}", item["key"]));
+            }
+            json!({ "handle": format!("{}/{id}-{}-{}", self.host, item["stage"], item["segment"]) })
+        };
+        let results: Vec<_> = items.iter().map(result).collect();
+        let work = 10 + items.len() as u64;
+        let answer = signed(seen, &json!({ "items": results }).to_string());
+        vec![Step::Pause(time::Duration::from_millis(work)), answer]
+    }
+}
+
+fn head(seen: &Seen, status: &str, extra: &str, body: &str) -> Step {
+    let attempt = seen.header("x-laburnumcart-attempt-id").unwrap_or_default();
+    Step::Send(
+        format!(
+            "HTTP/1.1 {status}\r\nx-laburnumcart-attempt-id: {attempt}\r\n{extra}\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .into_bytes(),
+    )
+}
+
+fn signed(seen: &Seen, body: &str) -> Step {
+    head(seen, "200 OK", "x-laburnumcart-server-stamp: s\r\n", body)
+}
+
+/// Spoils a whole answer.
+fn spoil(mut steps: Vec<Step>, mode: Mode) -> Vec<Step> {
+    match mode {
+        Mode::Reset => vec![Step::Pause(time::Duration::from_millis(5)), Step::Reset],
+        Mode::Mute => vec![Step::Hang],
+        Mode::Cut => {
+            let half = steps.len().div_ceil(2);
+            steps.truncate(half);
+            if let Some(Step::Send(bytes)) = steps.last_mut() {
+                bytes.truncate(bytes.len() / 2);
+            }
+            steps.push(Step::Close);
+            steps
+        }
+        Mode::Double => {
+            let last = steps.last().cloned();
+            steps.extend(last);
+            steps
+        }
+        Mode::Good | Mode::Shed | Mode::Dead => steps,
+    }
+}
--- /dev/null
+++ b/laburnumcart_system/tests/soak.rs
@@ -0,0 +1,36 @@
+//! A short soak of real gateways; `laburnum-soak` runs longer ones.
+
+use std::{
+    env,
+    fs,
+    process,
+    time, //
+};
+
+use laburnumcart_system::soak;
+use rstest::rstest;
+
+// Gateways are killed, paused and stopped, targets fail in many ways, connections fall silent and
+// the store has outages, one over the other. What callers and targets see must keep the promises:
+// whole answers of the own request, at most one run, true refusals, no revoked key, and nothing cut
+// by planned work alone (seed 4).
+#[rstest]
+#[case(4)]
+#[case(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults(#[case] seed: u64) {
+    let dir = env::temp_dir().join(format!("laburnum-soak-test-{}-{seed}", process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let plan = soak::Plan {
+        seed,
+        gateways: 3,
+        length: time::Duration::from_secs(5),
+    };
+    let report = soak::run(plan, &dir).await.unwrap();
+    assert!(
+        report.breaches.is_empty(),
+        "{report}logs: {}",
+        dir.display()
+    );
+    fs::remove_dir_all(&dir).unwrap();
+}
