--- a/laburnumcart_system/src/soak/gateways.rs
+++ b/laburnumcart_system/src/soak/gateways.rs
@@ -22,7 +22,6 @@
     admin: net::SocketAddr,
     settings: path::PathBuf,
     process: process::Process,
-    paused: bool,
 }
 
 /// All gateways.
@@ -56,7 +55,6 @@
                 admin,
                 settings: file,
                 process,
-                paused: false,
             });
         }
         Ok(Self {
@@ -78,9 +76,7 @@
     }
 
     pub(super) fn signal(&mut self, index: usize, signal: Signal) {
-        let gateway = &mut self.all[index];
-        gateway.paused = signal == Signal::SIGSTOP;
-        gateway.process.signal(signal);
+        self.all[index].process.signal(signal);
     }
 
     /// Starts the gateways again that have ended.
@@ -92,12 +88,10 @@
         }
     }
 
-    /// Wakes the gateways that are paused.
+    /// Wakes all gateways; those that are not paused do not notice.
     pub(super) fn wake(&mut self) {
         for index in 0..self.all.len() {
-            if self.all[index].paused {
-                self.signal(index, Signal::SIGCONT);
-            }
+            self.signal(index, Signal::SIGCONT);
         }
     }
 
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -14,9 +14,13 @@
 // the store has outages, one over the other. What callers and targets see must keep the promises:
 // whole answers of the own request, at most one run, true refusals, no revoked key, and nothing cut
 // by planned work alone (seed 4).
+//
+// Seed 202 failed once: a gateway that was paused and then told to stop was not woken at the end of
+// the faults, which was the soak's own mistake.
 #[rstest]
 #[case(4)]
 #[case(5)]
+#[case(202)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_faults(#[case] seed: u64) {
     let dir = env::temp_dir().join(format!("laburnum-soak-test-{}-{seed}", process::id()));
