--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -133,8 +133,8 @@
     /// Reads the head of a target's answer.
     fn reply(&self, head: &response::Parts) -> Reply;
 
-    /// Writes a call of a batch.
-    fn batch(&self, target: &id::TargetName, attempt: &str, items: &[Item<'_>]) -> Request<Bytes>;
+    /// Writes a call of a batch; the target echoes `label`.
+    fn batch(&self, target: &id::TargetName, label: &str, items: &[Item<'_>]) -> Request<Bytes>;
 
     /// Reads the answer to [`Dialect::batch`], which must tell of `count` pieces.
     fn outcomes(&self, body: &[u8], count: usize) -> Result<Vec<batch::Outcome>, Malformed>;
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -71,6 +71,8 @@
     service: id::ServiceName,
     target: Arc<view::Target>,
     call: batch::Call,
+    /// What the target must echo.
+    label: String,
     request: Request<Bytes>,
     limit: time::Duration,
     bounds: pool::Bounds,
@@ -110,7 +112,10 @@
             waiting = line.queue.waiting(),
             used = line.queue.engines.used(call.engine)
         );
-        let request = self.dialect.batch(&target.name, attempt, &items);
+        // Drawn for each call: a late second answer to an earlier one on the connection, perhaps of
+        // the same request, must not be taken for this one's results.
+        let label = format!("{:016x}", rand::random::<u64>());
+        let request = self.dialect.batch(&target.name, &label, &items);
         let expected = line.queue.engines.expected(call.engine, call.pieces.len());
         self.metrics.calls.inc();
         self.metrics.pieces.inc_by(call.pieces.len() as u64);
@@ -120,6 +125,7 @@
             limit: expected.mul_f64(PATIENCE) + GRACE,
             bounds: self.bounds(service),
             call,
+            label,
             request,
         };
         tokio::spawn(self.clone().execute(ready));
@@ -128,7 +134,13 @@
     async fn execute(self: Arc<Self>, ready: Ready) {
         let count = ready.call.pieces.len();
         let start = Instant::now();
-        let sent = self.exchange(&ready.target, ready.request, &ready.bounds, count);
+        let sent = self.exchange(
+            &ready.target,
+            ready.request,
+            &ready.label,
+            &ready.bounds,
+            count,
+        );
         let result = match tokio::time::timeout(ready.limit, sent).await {
             Ok(result) => result,
             Err(_) => Err(Failed::Lost(pool::Failure::Timeout)),
@@ -173,6 +185,7 @@
         &self,
         target: &view::Target,
         request: Request<Bytes>,
+        label: &str,
         bounds: &pool::Bounds,
         count: usize,
     ) -> Result<Vec<batch::Outcome>, Failed> {
@@ -182,6 +195,14 @@
             failure => Failed::Lost(failure),
         })?;
         let reply = self.dialect.reply(&answer.head);
+        let answer = match reply.attempt.as_deref() {
+            Some(echoed) if echoed == label => answer,
+            // The connection ends here, as the answer to this call may still come on it.
+            Some(_) => return Err(Failed::Lost(pool::Failure::Malformed)),
+            // Nothing tells a late second answer on this connection from the next one's, which
+            // would give a request the results of another; so there is no next one.
+            None => answer.last(),
+        };
         let (head, body) = answer.whole(reply.idle).await.map_err(Failed::Lost)?;
         if reply.not_run || reply.misdirected {
             return Err(Failed::NotRun("refused"));
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -246,13 +246,11 @@
             not_run = reply.not_run,
             taken_ms = start.elapsed().as_millis()
         );
-        let foreign = reply
-            .attempt
-            .as_ref()
-            .is_some_and(|a| *a != self.request.call.attempt);
+        let own = reply.attempt.as_ref() == Some(&self.request.call.attempt);
         // An answer to an earlier request on this connection, or none that the target vouches for,
-        // must not reach the caller. What became of this request is not known then.
-        if foreign || status.is_success() && (!reply.signed || reply.attempt.is_none()) {
+        // must not reach the caller, and its refusal proves nothing of this request. What became of
+        // this one is not known then.
+        if !own || status.is_success() && !reply.signed {
             seat.fail();
             return Err(self.failed(&seat, may_have_run(verdict::Reason::Corrupt)));
         }
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -132,6 +132,8 @@
 pub struct Lease {
     pool: Arc<Pool>,
     connection: Option<Connection>,
+    /// Whether the connection is not used again.
+    last: bool,
 }
 
 /// Counters of the pool.
@@ -223,6 +225,7 @@
         Lease {
             pool: self.clone(),
             connection: Some(connection),
+            last: false,
         }
     }
 
@@ -258,7 +261,7 @@
 impl Lease {
     /// Gives the connection back after a whole answer; `idle` is the target's own idle time.
     pub fn give_back(mut self, idle: Option<time::Duration>) {
-        let Some(mut connection) = self.connection.take() else {
+        let Some(mut connection) = self.connection.take().filter(|_| !self.last) else {
             return;
         };
         let now = Instant::now();
@@ -273,6 +276,13 @@
 }
 
 impl Answer {
+    /// Sees to it that the connection is closed after this answer.
+    #[must_use]
+    pub fn last(mut self) -> Self {
+        self.lease.last = true;
+        self
+    }
+
     /// Reads the whole body and gives the connection back.
     pub async fn whole(
         mut self,
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -16,11 +16,13 @@
 // by planned work alone (seed 4).
 //
 // Seed 202 failed once: a gateway that was paused and then told to stop was not woken at the end of
-// the faults, which was the soak's own mistake.
+// the faults, which was the soak's own mistake. Seed 511 failed once: a late second answer of an
+// encoder gave a request the results of another.
 #[rstest]
 #[case(4)]
 #[case(5)]
 #[case(202)]
+#[case(511)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_faults(#[case] seed: u64) {
     let dir = env::temp_dir().join(format!("laburnum-soak-test-{}-{seed}", process::id()));
