--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 
 use crate::{
-    id,
     ingress,
     unit, //
 };
@@ -110,7 +109,7 @@
 /// let mut queue = batch::Queue::new(shape);
 /// let engine = queue.engines.add("north".parse().unwrap());
 /// let spec = batch::Spec::new(2, unit::Size(1000), now + Duration::from_secs(1));
-/// let job = queue.push(spec, now);
+/// let job = queue.push(spec);
 /// let call = queue.take(now).unwrap();
 /// assert_eq!((call.engine, call.pieces.len()), (engine, 2));
 /// let made = |i| batch::Outcome::Made(batch::Handle(format!("result-{i}")));
@@ -142,7 +141,7 @@
     }
 
     /// Adds a job.
-    pub fn push(&mut self, spec: Spec, _now: Instant) -> JobKey {
+    pub fn push(&mut self, spec: Spec) -> JobKey {
         self.jobs.insert(Job::new(spec))
     }
 
@@ -389,6 +388,3 @@
         orphans.chain([Event::Failed(key, failure)]).collect()
     }
 }
-
-/// Data centre that results should be made in.
-pub type Near = Option<id::DataCentre>;
--- a/laburnumcart/src/fair.rs
+++ b/laburnumcart/src/fair.rs
@@ -104,14 +104,14 @@
 ///
 /// let now = Instant::now();
 /// let mut queue = fair::Queue::new(100);
-/// let araya = queue.add_team(3, 64);
-/// let quetzal = queue.add_team(1, 64);
-/// for team in [araya, quetzal].repeat(8) {
+/// let clinics = queue.add_team(3, 64);
+/// let races = queue.add_team(1, 64);
+/// for team in [clinics, races].repeat(8) {
 ///     let deadline = now + Duration::from_secs(10);
 ///     queue.push(team, fair::Request { priority: Priority::Normal, deadline, cost: 1, value: () });
 /// }
 /// let served: Vec<_> = (0..8).map(|_| queue.pop(now).unwrap().team).collect();
-/// assert_eq!(served.iter().filter(|t| **t == araya).count(), 6);
+/// assert_eq!(served.iter().filter(|t| **t == clinics).count(), 6);
 /// ```
 #[derive(Debug)]
 pub struct Queue<T> {
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -34,7 +34,7 @@
 
 fn push(queue: &mut batch::Queue, pieces: u32, due: time::Duration, now: Instant) -> batch::JobKey {
     let spec = batch::Spec::new(pieces, SIZE, now + due).deadline(now + 5000 * MS);
-    queue.push(spec, now)
+    queue.push(spec)
 }
 
 fn made(call: &batch::Call) -> Vec<batch::Outcome> {
@@ -265,10 +265,7 @@
         batch::Spec::new(4, unit::Size(1_000_000), now + 1000 * MS)
             .near(Some(zone.parse().unwrap()))
     };
-    let (a, b) = (
-        queue.push(spec("south"), now),
-        queue.push(spec("north"), now),
-    );
+    let (a, b) = (queue.push(spec("south")), queue.push(spec("north")));
     let calls = [(); 2].map(|()| queue.take(now).unwrap());
     for call in calls {
         let job = if call.engine == north { b } else { a };
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -1,7 +1,6 @@
 //! Choice among the targets of plain services.
 
 use std::{
-    collections,
     sync::Arc,
     time, //
 };
@@ -58,25 +57,23 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub fn update(&mut self, targets: &[Arc<view::Target>], now: Instant) {
-        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
+        let known = self.entries.iter().map(|e| &e.target.name);
+        let (gone, new) = view::changes(known, targets);
         let ejector = &mut self.ejector;
         self.entries.retain(|entry| {
-            let kept = names.contains(&entry.target.name);
+            let kept = !gone.contains(&entry.target.name);
             if !kept {
                 ejector.remove(entry.key);
             }
             kept
         });
-        for target in targets {
-            if !self.entries.iter().any(|e| e.target.name == target.name) {
-                let entry = Entry {
-                    target: target.clone(),
-                    key: self.ejector.add(),
-                    own: 0,
-                    load: unknown(now),
-                };
-                self.entries.push(entry);
-            }
+        for target in new {
+            self.entries.push(Entry {
+                target: target.clone(),
+                key: self.ejector.add(),
+                own: 0,
+                load: unknown(now),
+            });
         }
     }
 
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -70,31 +70,23 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub(super) fn update(&mut self, targets: &[Arc<view::Target>]) {
-        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
-        let gone: Vec<_> = self
-            .keys
-            .keys()
-            .filter(|n| !names.contains(n))
-            .cloned()
-            .collect();
+        let (gone, new) = view::changes(self.keys.keys(), targets);
         for name in gone {
             if let Some(key) = self.keys.remove(&name) {
                 self.queue.engines.remove(key);
                 self.targets.remove(key);
             }
         }
-        for target in targets {
-            if !self.keys.contains_key(&target.name) {
-                let key = self.queue.engines.add(target.data_centre.clone());
-                self.keys.insert(target.name.clone(), key);
-                self.targets.insert(key, target.clone());
-            }
+        for target in new {
+            let key = self.queue.engines.add(target.data_centre.clone());
+            self.keys.insert(target.name.clone(), key);
+            self.targets.insert(key, target.clone());
         }
     }
 
     pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
         let spec = job.spec(now);
-        let key = self.queue.push(spec, now);
+        let key = self.queue.push(spec);
         self.ids.insert(job.id, key);
         let waiter = Waiter {
             id: job.id,
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -37,26 +37,18 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub fn update(&mut self, targets: &[Arc<view::Target>]) {
-        let names: collections::HashSet<_> = targets.iter().map(|t| &t.name).collect();
-        let gone: Vec<_> = self
-            .keys
-            .keys()
-            .filter(|n| !names.contains(n))
-            .cloned()
-            .collect();
+        let (gone, new) = view::changes(self.keys.keys(), targets);
         for name in gone {
             if let Some(key) = self.keys.remove(&name) {
                 self.fleet.remove(key);
                 self.targets.remove(key);
             }
         }
-        for target in targets {
-            if !self.keys.contains_key(&target.name) {
-                let zone = target.data_centre.clone();
-                let key = self.fleet.add(target.name.as_str(), zone);
-                self.targets.insert(key, target.clone());
-                self.keys.insert(target.name.clone(), key);
-            }
+        for target in new {
+            let zone = target.data_centre.clone();
+            let key = self.fleet.add(target.name.as_str(), zone);
+            self.keys.insert(target.name.clone(), key);
+            self.targets.insert(key, target.clone());
         }
     }
 
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -58,8 +58,6 @@
     pub grace: unit::Period,
     /// Time after which a revoked key works nowhere.
     pub revoke: unit::Period,
-    /// Time within which a configuration is in force.
-    pub config: unit::Period,
     /// Extra sends to a service as a share of its requests, over all processes.
     pub retry_ratio: f64,
     /// Extra sends beside that share in ten seconds, over all processes.
@@ -71,7 +69,6 @@
         Self {
             grace: unit::Period::from_secs(8),
             revoke: unit::Period::from_secs(5),
-            config: unit::Period::from_secs(2),
             retry_ratio: 0.1,
             retry_extra: 10,
         }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -90,6 +90,19 @@
     }
 }
 
+/// Compares what is known of a service's targets with their list: who is gone, who is new.
+pub(crate) fn changes<'a, 'b>(
+    known: impl Iterator<Item = &'a id::TargetName>,
+    listed: &'b [Arc<Target>],
+) -> (Vec<id::TargetName>, Vec<&'b Arc<Target>>) {
+    let known: collections::HashSet<_> = known.collect();
+    let names: collections::HashSet<_> = listed.iter().map(|t| &t.name).collect();
+    let gone = known.iter().filter(|name| !names.contains(*name));
+    let gone = gone.map(|name| (*name).clone()).collect();
+    let new = listed.iter().filter(|t| !known.contains(&t.name));
+    (gone, new.collect())
+}
+
 /// A process of the system, as it describes itself in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
