laburnumctl explain: from a request's id to its cause

Reads gateways' logs and prints the cause in one sentence, the time by stage and the lines in order. Tests: refused, in doubt, late, without an end, unknown.

--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -93,6 +93,13 @@
         options: &[],
         free: (1, 2),
     },
+    Command {
+        name: "explain",
+        usage: "ID FILE...",
+        about: "tell from gateways' logs why a request ended as it did",
+        options: &[],
+        free: (2, usize::MAX),
+    },
     Command {
         name: "schema",
         usage: "bundle | settings",
--- a/laburnumcart_ctl/src/command.rs
+++ b/laburnumcart_ctl/src/command.rs
@@ -6,6 +6,7 @@
     output, //
 };
 
+mod explain;
 mod file;
 mod fleet;
 mod key;
@@ -30,6 +31,7 @@
         "status" => status::status(&args).await,
         "drain" => fleet::drain(&args).await,
         "teams" => teams::teams(&args),
+        "explain" => explain::explain(&args),
         "schema" => schema::schema(&args),
         name => unreachable!("{name} is in the table of commands and not here"),
     }
--- /dev/null
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -0,0 +1,90 @@
+//! The story of a request from logs.
+
+use std::{
+    env,
+    fs,
+    path,
+    process, //
+};
+
+use rstest::rstest;
+use serde_json::Value;
+
+const HERE: &str = "\
+time=2026-05-04T00:14:49.768Z level=info event=admitted request=r1 route=a rank=0
+time=2026-05-04T00:14:49.771Z level=info event=refused request=r1 reason=deadline-too-short verdict=not-run status=503
+time=2026-05-04T00:14:50.100Z level=info event=admitted request=r2 route=a rank=0
+time=2026-05-04T00:14:50.800Z level=info event=stage-ended request=r2 stage=0 service=encode outcome=done taken_ms=658
+time=2026-05-04T00:14:50.900Z level=info event=send-failed request=r2 target=i-3 reason=lost verdict=may-have-run
+time=2026-05-04T00:14:50.901Z level=info event=refused request=r2 reason=lost verdict=may-have-run status=502
+time=2026-05-04T00:14:51.000Z level=info event=admitted request=r3 route=\"a b\" rank=0
+  51.9 gateway-1 time=2026-05-04T00:14:51.900Z level=info event=stage-ended request=r3 stage=1 service=rank outcome=done taken_ms=800
+time=2026-05-04T00:14:52.000Z level=info event=answered request=r3 status=200 taken_ms=1000
+time=2026-05-04T00:14:53.000Z level=info event=admitted request=r4 route=a rank=0
+not a line of the log
+";
+
+const OWNER: &str = "\
+time=2026-05-04T00:14:49.770Z level=info event=job-refused request=r1 service=encode outlook_ms=798 due_ms=10 waiting=42
+";
+
+fn explain(id: &str, more: &[&str]) -> (i32, String) {
+    let dir = env::temp_dir().join(format!("laburnumctl-explain-{}-{id}", process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let write = |name: &str, text: &str| -> path::PathBuf {
+        let file = dir.join(name);
+        fs::write(&file, text).unwrap();
+        file
+    };
+    let output = process::Command::new(env!("CARGO_BIN_EXE_laburnumctl"))
+        .args(["explain", id])
+        .args([write("here.log", HERE), write("owner.log", OWNER)])
+        .args(more)
+        .output()
+        .unwrap();
+    fs::remove_dir_all(&dir).unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code().unwrap(),
+        String::from_utf8(text).unwrap(),
+    )
+}
+
+#[rstest]
+#[case(
+    "r1",
+    "refused (not-run): the queue of encode expected it after 798 ms, and it was due in 10 ms"
+)]
+#[case("r2", "refused (may-have-run): lost; target i-3: lost")]
+#[case(
+    "r3",
+    "answered after 1000 ms; the longest stage was 1 at rank with 800 ms"
+)]
+#[case("r4", "no end is logged: the caller left, or the process ended")]
+fn the_cause_stands_first(#[case] id: &str, #[case] cause: &str) {
+    let (code, text) = explain(id, &[]);
+    assert_eq!(code, 0, "{text}");
+    assert_eq!(text.lines().next(), Some(format!("{id}: {cause}").as_str()));
+}
+
+#[test]
+fn lines_of_all_processes_are_in_order() {
+    let (_, text) = explain("r1", &["--json"]);
+    let story: Value = serde_json::from_str(&text).unwrap();
+    let events: Vec<_> = story["lines"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|l| &l["event"])
+        .collect();
+    assert_eq!(events, ["admitted", "job-refused", "refused"]);
+    let (_, text) = explain("r3", &["--json"]);
+    assert!(text.contains("\"route\":\"a b\""), "{text}");
+}
+
+#[test]
+fn an_unknown_id_is_told() {
+    let (code, text) = explain("r9", &[]);
+    assert_eq!(code, 2);
+    assert!(text.contains("no line tells of request r9"), "{text}");
+}
