--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -4,7 +4,8 @@
     env,
     fs,
     path,
-    process, //
+    process,
+    sync::atomic, //
 };
 
 use rstest::rstest;
@@ -29,7 +30,10 @@
 ";
 
 fn explain(id: &str, more: &[&str]) -> (i32, String) {
-    let dir = env::temp_dir().join(format!("laburnumctl-explain-{}-{id}", process::id()));
+    // Each call has its own folder, as tests of one process run side by side.
+    static CALLS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let call = CALLS.fetch_add(1, atomic::Ordering::Relaxed);
+    let dir = env::temp_dir().join(format!("laburnumctl-explain-{}-{call}", process::id()));
     fs::create_dir_all(&dir).unwrap();
     let write = |name: &str, text: &str| -> path::PathBuf {
         let file = dir.join(name);
