Mend readiness without agents, exit codes of a cut-off stop and of a partial status; ports of one kind

Cause: an entry counted as settled once an instance list was read, though it was empty; an agent returned success whatever its stop limit cut off; status failed only if nobody at all answered. The entry's process test still looked for ports by listening on them, which a forked copy of the socket keeps in use. Ruled out: taking readiness away when the last agent goes later (the balancer would drop all entries at once). Names: data_centre in place of zone in batch and placement; target and instance in doc comments of the gateway.

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -38,7 +38,7 @@
 
 #[derive(Clone, Debug)]
 struct Engine {
-    zone: id::DataCentre,
+    data_centre: id::DataCentre,
     /// When the call in progress started, and its pieces.
     call: Option<(Instant, usize)>,
     /// Bytes of results that are reserved or held.
@@ -83,9 +83,9 @@
     }
 
     /// Adds a target.
-    pub fn add(&mut self, zone: id::DataCentre) -> EngineKey {
+    pub fn add(&mut self, data_centre: id::DataCentre) -> EngineKey {
         self.engines.insert(Engine {
-            zone,
+            data_centre,
             call: None,
             used: 0,
             paused: None,
@@ -154,7 +154,7 @@
 
     pub(super) fn is_far(&self, key: EngineKey, near: Option<&id::DataCentre>) -> bool {
         let engine = self.engines.get(key);
-        near.is_some_and(|near| engine.is_some_and(|e| e.zone != *near))
+        near.is_some_and(|near| engine.is_some_and(|e| e.data_centre != *near))
     }
 
     /// Chooses a free target with room for a result: fast ones first, then near ones.
@@ -166,7 +166,7 @@
     ) -> Option<EngineKey> {
         let fits = |e: &Engine| is_free(e, now) && self.has_room(e, size);
         let cost = |e: &Engine| {
-            let far = near.is_some_and(|near| *near != e.zone);
+            let far = near.is_some_and(|near| *near != e.data_centre);
             (e.pace >= SLOW, far, e.used)
         };
         let free = self.engines.iter().filter(|(_, e)| fits(e));
--- a/laburnumcart/src/freshness.rs
+++ b/laburnumcart/src/freshness.rs
@@ -12,7 +12,7 @@
 
 use derive_more::Display;
 
-/// A moment on a clock that goes on while the machine is suspended.
+/// A moment on a clock that goes on while the instance is suspended.
 ///
 /// The steady clock of the runtime stands still then, so that a process that was suspended for
 /// minutes would hold its knowledge to be fresh.
--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -114,12 +114,12 @@
     "service name"
 );
 name!(
-    /// One back end process that executes stages.
+    /// One target: a process that executes stages.
     TargetName,
     "target name"
 );
 name!(
-    /// One machine or process of the system.
+    /// One instance: a host, or a process of the system on it.
     InstanceName,
     "instance name"
 );
--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -38,7 +38,7 @@
 pub struct Backend {
     /// Name of the service.
     pub service: id::ServiceName,
-    /// Share, relative to the other back ends of the route.
+    /// Share, relative to the other targets of the route.
     pub weight: u32,
 }
 
@@ -74,7 +74,7 @@
 }
 
 impl Route {
-    /// Chooses a back end by a number drawn for the request.
+    /// Chooses a target by a number drawn for the request.
     pub fn backend(&self, draw: u64) -> Option<&id::ServiceName> {
         let total: u64 = self.backends.iter().map(|b| u64::from(b.weight)).sum();
         let mut left = draw.checked_rem(total)?;
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug)]
 struct Engine {
     hash: u64,
-    zone: id::DataCentre,
+    data_centre: id::DataCentre,
     /// Own requests that run there.
     running: u32,
     /// Tokens of own prompts without a first token yet.
@@ -143,10 +143,10 @@
     }
 
     /// Adds an engine; `name` decides which sessions have their home there.
-    pub fn add(&mut self, name: &str, zone: id::DataCentre) -> EngineKey {
+    pub fn add(&mut self, name: &str, data_centre: id::DataCentre) -> EngineKey {
         self.engines.insert(Engine {
             hash: xxh3::xxh3_64(name.as_bytes()),
-            zone,
+            data_centre,
             running: 0,
             pending: 0,
             report: None,
@@ -169,7 +169,7 @@
     /// Returns the data centre where the inputs of a prompt are best made.
     pub fn near(&self, parts: &[Part], now: Instant) -> Option<id::DataCentre> {
         let home = self.home(parts, now)?;
-        Some(self.engines[home].zone.clone())
+        Some(self.engines[home].data_centre.clone())
     }
 
     /// Chooses an engine; `None` when all have failed the request or are avoided.
@@ -266,7 +266,10 @@
         } else {
             0.0
         };
-        let far = ask.inputs.iter().filter(|(zone, _)| *zone != engine.zone);
+        let far = ask
+            .inputs
+            .iter()
+            .filter(|(place, _)| *place != engine.data_centre);
         let moved: u64 = far.map(|(_, size)| size.0).sum();
         let moved = moved as f64 / f64::from(1 << 20) * CROSSING_MS_PER_MIB;
         load + unread as f64 / TOKENS_PER_MS + moved - ahead
--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -51,7 +51,9 @@
         .build();
     let served = runtime.and_then(|runtime| runtime.block_on(serve(settings)));
     match served {
-        Ok(()) => process::ExitCode::SUCCESS,
+        // Whoever supervises the process learns from the code alone that work was cut off.
+        Ok(left) if left > 0 => process::ExitCode::FAILURE,
+        Ok(_) => process::ExitCode::SUCCESS,
         Err(error) => {
             event!(Error, "failed", error = error);
             process::ExitCode::FAILURE
@@ -59,7 +61,8 @@
     }
 }
 
-async fn serve(settings: settings::Settings) -> io::Result<()> {
+/// Serves until it is told to stop; returns the number of attempts that the stop limit cut off.
+async fn serve(settings: settings::Settings) -> io::Result<usize> {
     let mut signals = stop::Signals::listen()?;
     let _traces = traces::launch("laburnum-agent", &settings.instance, &settings.telemetry);
     let metrics = metrics::Metrics::new();
@@ -88,7 +91,7 @@
     let left = agent.stop().await;
     event!(Info, "stopped", left = left);
     admin.stop();
-    Ok(())
+    Ok(left)
 }
 
 fn options(settings: &settings::Settings) -> Result<bundle::Options, document::Faults> {
--- a/laburnumcart_ctl/src/lib.rs
+++ b/laburnumcart_ctl/src/lib.rs
@@ -20,8 +20,11 @@
 pub async fn run(args: impl IntoIterator<Item = String>) -> process::ExitCode {
     let args: Vec<String> = args.into_iter().collect();
     let json = args.iter().any(|arg| arg == "--json");
-    let printed = match command::run(&args).await {
-        Ok(output) => io::stdout().write_all(output.render(json).as_bytes()),
+    let (printed, code) = match command::run(&args).await {
+        Ok(output) => {
+            let printed = io::stdout().write_all(output.render(json).as_bytes());
+            (printed, output.code())
+        }
         Err(error) => {
             let text = error.render(json);
             let printed = io::stderr().write_all(text.as_bytes());
@@ -31,6 +34,6 @@
     // A closed pipe is the reader's choice; a full disk is not.
     match printed {
         Err(e) if e.kind() != io::ErrorKind::BrokenPipe => process::ExitCode::FAILURE,
-        _ => process::ExitCode::SUCCESS,
+        _ => process::ExitCode::from(code),
     }
 }
--- a/laburnumcart_ctl/src/output.rs
+++ b/laburnumcart_ctl/src/output.rs
@@ -9,6 +9,7 @@
 pub struct Output {
     text: String,
     json: serde_json::Value,
+    code: u8,
 }
 
 impl Output {
@@ -17,6 +18,7 @@
         Self {
             text: result.to_string(),
             json: serde_json::to_value(result).unwrap_or_default(),
+            code: 0,
         }
     }
 
@@ -26,6 +28,7 @@
         Self {
             json: serde_json::Value::String(text.clone()),
             text,
+            code: 0,
         }
     }
 
@@ -34,9 +37,22 @@
         Self {
             text: format!("{json:#}"),
             json,
+            code: 0,
         }
     }
 
+    /// Sets the exit code of a command that has something to print and yet did not get all.
+    #[must_use]
+    pub fn exit(mut self, code: u8) -> Self {
+        self.code = code;
+        self
+    }
+
+    /// Returns the exit code.
+    pub fn code(&self) -> u8 {
+        self.code
+    }
+
     /// Returns what is printed.
     pub fn render(&self, json: bool) -> String {
         if json {
--- a/laburnumcart_entry/src/callers.rs
+++ b/laburnumcart_entry/src/callers.rs
@@ -116,8 +116,8 @@
 
 /// Creates the operators' pages.
 ///
-/// The entry is not ready while it leaves, has no bundle or has yet to call the agents, so that the
-/// balancer sends no caller into a refusal.
+/// The entry is not ready while it leaves, has no bundle, knows no agent or has yet to call the
+/// agents, so that the balancer sends no caller into a refusal.
 fn pages(entry: &Arc<entry::Entry>, metrics: metrics::Metrics) -> admin::Pages {
     let entry = entry.clone();
     admin::Pages::new(metrics, move || {
--- a/laburnumcart_entry/src/control.rs
+++ b/laburnumcart_entry/src/control.rs
@@ -19,7 +19,7 @@
 pub struct View {
     /// Bundle in force, if any.
     pub rules: Option<Arc<Rules>>,
-    /// Whether the instances are known and each chosen agent was called once.
+    /// Whether instances with agents are known and each chosen agent was called once.
     pub settled: bool,
     /// Targets by service.
     pub routes: collections::BTreeMap<id::ServiceName, routes::Routes>,
--- a/laburnumcart_entry/src/control/thread.rs
+++ b/laburnumcart_entry/src/control/thread.rs
@@ -125,7 +125,10 @@
 
     fn publish(&mut self) {
         let opening = self.members.agents().any(|member| member.lane.is_opening());
-        self.settled |= self.listed && !opening;
+        // An empty list is also what a store tells that has just been set up. An entry that was
+        // ready with it would draw callers from entries that know targets, and refuse them all.
+        let any = self.members.agents().next().is_some();
+        self.settled |= self.listed && any && !opening;
         let mut ways: collections::BTreeMap<id::ServiceName, Vec<routes::Way>> =
             collections::BTreeMap::new();
         let crossings = self.crossings();
--- a/laburnumcart_entry/tests/process.rs
+++ b/laburnumcart_entry/tests/process.rs
@@ -13,6 +13,8 @@
     time, //
 };
 
+use laburnumcart_fakes::port;
+
 const LIMIT: time::Duration = time::Duration::from_secs(30);
 
 /// A public key; nothing is signed with it here.
@@ -33,28 +35,23 @@
     }
 }
 
-fn free() -> net::SocketAddr {
-    let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn settings(callers: net::SocketAddr, secret: &str) -> String {
     serde_json::json!({
         "instance": "entry-1",
         "data_centre": "dc-1",
         "callers": callers.to_string(),
-        "peer": free().to_string(),
+        "peer": port::free().to_string(),
         "fleet": { "secrets": [secret], "keys": { "ops": KEY }, "signers": 1 },
-        "platform": { "address": free().to_string() },
+        "platform": { "address": port::free().to_string() },
         "stop_limit": "5s",
     })
     .to_string()
 }
 
 fn start(secret: &str) -> Entry {
-    let dir = std::env::temp_dir().join(format!("laburnum-entry-{}", free().port()));
+    let dir = std::env::temp_dir().join(format!("laburnum-entry-{}", port::free().port()));
     fs::create_dir_all(&dir).unwrap();
-    let callers = free();
+    let callers = port::free();
     let file = dir.join("entry.json");
     fs::write(&file, settings(callers, secret)).unwrap();
     let child = process::Command::new(env!("CARGO_BIN_EXE_laburnum-entry"))
--- a/laburnumcart_fakes/src/lib.rs
+++ b/laburnumcart_fakes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod measure;
 pub mod objects;
+pub mod port;
 pub mod program;
 pub mod scripted;
 pub mod store;
--- a/laburnumcart_system/tests/ports.rs
+++ b/laburnumcart_fakes/tests/ports.rs
@@ -7,7 +7,7 @@
     thread, //
 };
 
-use laburnumcart_system::port;
+use laburnumcart_fakes::port;
 
 /// Ports that each thread asks for.
 const PORTS: usize = 100;
--- a/laburnumcart_gateway/src/clock.rs
+++ b/laburnumcart_gateway/src/clock.rs
@@ -1,4 +1,4 @@
-//! Clock that goes on while the machine is suspended.
+//! Clock that goes on while the instance is suspended.
 
 use std::time;
 
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -40,7 +40,7 @@
 
 /// Part of the strongest member's processor below which a member owns queues only when no other can.
 ///
-/// An owner makes the calls of all gateways for its service; on a machine with a tenth of a core
+/// An owner makes the calls of all gateways for its service; on an instance with a tenth of a core
 /// their answers would wait for the processor.
 const WEAK: f64 = 0.6;
 
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -39,7 +39,7 @@
     /// Bounds that the operator promises.
     #[serde(default)]
     pub bounds: Bounds,
-    /// Processor of the machine in cores; gateways with little of it own no queues if others can.
+    /// Processor of the instance in cores; gateways with little of it own no queues if others can.
     #[serde(default = "default_cores")]
     pub cores: f64,
     /// Most open file descriptors.
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -30,7 +30,7 @@
     ingress, //
 };
 
-/// A back end.
+/// A target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
     /// Name of this life of the target; a restarted one has another.
@@ -106,7 +106,7 @@
 /// A process of the system, as it describes itself in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
-    /// Name of its machine.
+    /// Name of its instance.
     pub instance: id::InstanceName,
     /// Data centre.
     pub data_centre: id::DataCentre,
@@ -114,7 +114,7 @@
     pub peer: net::SocketAddr,
     /// Its life.
     pub incarnation: id::Incarnation,
-    /// Processor of its machine in cores.
+    /// Processor of its instance in cores.
     pub cores: f64,
     /// Secret that it asks of those who call it; only readers of the store know it.
     pub secret: String,
--- a/laburnumcart_system/src/fleet/plan.rs
+++ b/laburnumcart_system/src/fleet/plan.rs
@@ -72,6 +72,13 @@
         self
     }
 
+    /// Sets the stop limit of entries and agents.
+    #[must_use]
+    pub fn stop(mut self, limit: &'static str) -> Self {
+        self.stop = limit;
+        self
+    }
+
     /// Puts a relay in front of each agent, whose address the platform lists.
     #[must_use]
     pub fn relays(mut self) -> Self {
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod fleet;
 pub mod http;
 pub mod letters;
-pub mod port;
+pub use laburnumcart_fakes::port;
 pub mod process;
 pub mod relay;
 pub mod reply;
--- a/laburnumcart_system/tests/agent_stop.rs
+++ b/laburnumcart_system/tests/agent_stop.rs
@@ -31,3 +31,37 @@
     let log = agent.borrow().output();
     assert!(log.contains("event=stopped left=0"), "{log}");
 }
+
+/// A target works longer than its agent's stop limit. The agent ends all the same, and the caller
+/// never gets the result. Whoever supervises the agent sees it by the exit code: a rolling restart
+/// that went on to the next instance would cut off work there too.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_that_cuts_work_off_fails() {
+    let plan = fleet::Plan::new(sample::services(1), sample::bundle()).entries(1);
+    let mut fleet = fleet::Fleet::start(plan.stop("1s")).await;
+    let engine = fleet.nodes.iter().position(|n| n.service == "case-model");
+    let engine = engine.expect("an engine");
+    fleet.behave(engine, &json!({"slow": 1000.0})).await;
+    let call = fleet::Call::new(sample::CHECK, sample::CLINIC, json!({"case": 1}));
+    let stopped = async {
+        wait::until("an execution", || async {
+            let all = fleet.executions("case-model").await;
+            (!all.is_empty()).then_some(())
+        })
+        .await;
+        let agent = &fleet.nodes[engine].agent;
+        agent.signal(Signal::SIGTERM);
+        wait::until("its last line", || async {
+            agent
+                .output()
+                .contains("event=stopped left=1")
+                .then_some(())
+        })
+        .await;
+    };
+    // The caller is told when the agent's process is gone; either may come first.
+    let _ = tokio::join!(fleet.call(0, &call), stopped);
+    let agent = cell::RefCell::new(&mut fleet.nodes[engine].agent);
+    let status = wait::until("the agent's end", || async { agent.borrow_mut().ended() }).await;
+    assert_eq!(status.code(), Some(1));
+}
