Put whole jobs into calls, and wait a moment for room rather than make a small call

Cause: where room binds, calls alternated between full ones and ones of three or four pieces that filled what was left, each of which kept its target busy for 230 ms; jobs were split by it, and the results of their first part held room until the second was made (logs of all gateways, second stage, after an outage: 36 pieces a second and target where full calls make 54).

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -5,6 +5,7 @@
 //! until it is freed; a call for which there is no room wastes the call's fixed time, so room is
 //! accounted before a call is made.
 
+mod draft;
 mod engines;
 mod job;
 
@@ -45,6 +46,12 @@
 /// Size from which it matters where a result is made.
 const LARGE: unit::Size = unit::Size(100_000);
 
+/// Longest time that a free target waits for room when what it has is too little for half a call.
+///
+/// A call with the few pieces for which there is room just now keeps its target busy for the fixed
+/// time, in which results are freed that a full call could use. Days without load do not meet it.
+const ROOM_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// Most times that a piece is sent to a target before its job fails.
 const TRIES: u32 = 4;
 
@@ -191,26 +198,65 @@
         let waiting = self.waiting();
         let mut tried = Vec::new();
         for (first, _) in &order {
-            let spec = &self.jobs[*first].spec;
-            let (near, size) = (spec.near.as_ref(), spec.size);
-            let Some(engine) = self.engines.choose(near, size, now) else {
-                continue;
-            };
-            if tried.contains(&engine) {
-                continue;
-            }
-            let most = self.fill(waiting, now);
-            let order = self.order_at(engine, &order);
-            let pieces = self.pick(&order, engine, most);
-            if !pieces.is_empty() {
-                self.engines.start(engine, pieces.len(), now);
-                return Some(Call { engine, pieces });
+            let spec = self.jobs[*first].spec.clone();
+            let near = spec.near.as_ref();
+            while let Some(engine) = self.engines.choose(near, spec.size, &tried, now) {
+                let most = self.fill(waiting, now);
+                let order = self.order_at(engine, &order);
+                if let Some(call) = self.call(&order, engine, most, now) {
+                    return Some(call);
+                }
+                tried.push(engine);
             }
-            tried.push(engine);
         }
         None
     }
 
+    /// Makes a call to a free target, unless it should wait for more room.
+    fn call(
+        &mut self,
+        order: &[(JobKey, (bool, Instant))],
+        engine: EngineKey,
+        most: usize,
+        now: Instant,
+    ) -> Option<Call> {
+        let mut draft = draft::Draft::new(draft::Bounds {
+            room: self.engines.room(engine),
+            whole: self.shape.room,
+            most,
+            limit: self.shape.pieces,
+        });
+        for (key, _) in order {
+            let job = &self.jobs[*key];
+            draft.offer(*key, job.waiting.len(), job.spec.size);
+            if draft.is_full() {
+                break;
+            }
+        }
+        if draft.is_cramped() && self.engines.ended_within(engine, now, ROOM_WAIT) {
+            return None;
+        }
+        let pieces = self.reserve(engine, draft.into_jobs());
+        if pieces.is_empty() {
+            return None;
+        }
+        self.engines.start(engine, pieces.len(), now);
+        Some(Call { engine, pieces })
+    }
+
+    /// Takes pieces out of their jobs and reserves room for their results.
+    fn reserve(&mut self, engine: EngineKey, jobs: Vec<(JobKey, usize)>) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        for (key, count) in jobs {
+            let job = &mut self.jobs[key];
+            for _ in 0..count {
+                self.engines.reserve(engine, job.spec.size);
+                pieces.extend(job.take(key));
+            }
+        }
+        pieces
+    }
+
     /// Takes the outcomes of a call, one for each of its pieces.
     pub fn finish(&mut self, call: &Call, outcomes: Vec<Outcome>, now: Instant) -> Vec<Event> {
         self.engines.finish(call.engine, call.pieces.len(), now);
@@ -309,29 +355,6 @@
             .clamp(half.min(waiting).max(1), self.shape.pieces.max(1))
     }
 
-    /// Takes pieces out of their jobs, as far as there is room for their results.
-    fn pick(
-        &mut self,
-        order: &[(JobKey, (bool, Instant))],
-        engine: EngineKey,
-        most: usize,
-    ) -> Vec<Piece> {
-        let mut pieces = Vec::new();
-        for (key, _) in order {
-            let job = &mut self.jobs[*key];
-            while pieces.len() < most
-                && !job.waiting.is_empty()
-                && self.engines.reserve(engine, job.spec.size)
-            {
-                pieces.extend(job.take(*key));
-            }
-            if pieces.len() >= most {
-                break;
-            }
-        }
-        pieces
-    }
-
     fn settle(
         &mut self,
         engine: EngineKey,
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -41,6 +41,8 @@
     data_centre: id::DataCentre,
     /// When the call in progress started, and its pieces.
     call: Option<(Instant, usize)>,
+    /// When its last call ended.
+    ended: Option<Instant>,
     /// Bytes of results that are reserved or held.
     used: u64,
     /// No call before this moment.
@@ -87,6 +89,7 @@
         self.engines.insert(Engine {
             data_centre,
             call: None,
+            ended: None,
             used: 0,
             paused: None,
             failed: 0,
@@ -157,11 +160,23 @@
         near.is_some_and(|near| engine.is_some_and(|e| e.data_centre != *near))
     }
 
+    /// Returns the room for results that is left at a target.
+    pub(super) fn room(&self, key: EngineKey) -> unit::Size {
+        unit::Size(self.shape.room.0.saturating_sub(self.used(key).0))
+    }
+
+    /// Reports whether the last call of a target ended less than some time ago.
+    pub(super) fn ended_within(&self, key: EngineKey, now: Instant, limit: time::Duration) -> bool {
+        let ended = self.engines.get(key).and_then(|e| e.ended);
+        ended.is_some_and(|ended| now < ended + limit)
+    }
+
     /// Chooses a free target with room for a result: fast ones first, then near ones.
     pub(super) fn choose(
         &self,
         near: Option<&id::DataCentre>,
         size: unit::Size,
+        tried: &[EngineKey],
         now: Instant,
     ) -> Option<EngineKey> {
         let fits = |e: &Engine| is_free(e, now) && self.has_room(e, size);
@@ -169,19 +184,17 @@
             let far = near.is_some_and(|near| *near != e.data_centre);
             (e.pace >= SLOW, far, e.used)
         };
-        let free = self.engines.iter().filter(|(_, e)| fits(e));
+        let free = self
+            .engines
+            .iter()
+            .filter(|(key, e)| !tried.contains(key) && fits(e));
         free.min_by_key(|(_, e)| cost(e)).map(|(key, _)| key)
     }
 
-    pub(super) fn reserve(&mut self, key: EngineKey, size: unit::Size) -> bool {
-        let Some(engine) = self.engines.get(key) else {
-            return false;
-        };
-        if !self.has_room(engine, size) {
-            return false;
+    pub(super) fn reserve(&mut self, key: EngineKey, size: unit::Size) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.used += size.0;
         }
-        self.engines[key].used += size.0;
-        true
     }
 
     pub(super) fn release(&mut self, key: EngineKey, size: unit::Size) {
@@ -205,6 +218,7 @@
             let taken = now.duration_since(start).as_secs_f64();
             engine.pace += WEIGHT * (taken / promised.max(0.001) - engine.pace);
         }
+        engine.ended = Some(now);
         engine.failed = 0;
         engine.paused = None;
     }
