--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -62,6 +62,12 @@
 /// Refused twice, it would have waited for nothing.
 const AGAIN_SHARE: f64 = 0.6;
 
+/// The same share for the later stages of a request.
+///
+/// Their request has cost work already, and is given up only when it cannot be done at all. Without
+/// this it would wait for that until its deadline, in which its caller could have come again.
+const LATER_SHARE: f64 = 1.0;
+
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -87,8 +93,8 @@
     pub rank: u8,
     /// Data centre where the results will be read.
     pub near: Option<id::DataCentre>,
-    /// Whether it is refused at once when it cannot be done in time.
-    pub refusable: bool,
+    /// Whether it is a first stage, refused at once when it would be late.
+    pub first: bool,
     /// Whether its caller was refused before.
     pub again: bool,
     /// Whether a process that is leaving takes it too, as no other does.
@@ -105,6 +111,15 @@
     }
 }
 
+/// What a job has made.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Done {
+    /// Results, in the order of the pieces.
+    pub handles: Vec<batch::Handle>,
+    /// How long such a job would take from now on, as far as is known.
+    pub outlook: unit::Period,
+}
+
 /// Queues of the services that this process owns jobs of.
 pub struct Dispatcher {
     view: Arc<view::View>,
@@ -145,7 +160,7 @@
     }
 
     /// Executes a job; dropping the future cancels it.
-    pub async fn submit(self: &Arc<Self>, job: Job) -> Result<Vec<batch::Handle>, batch::Failure> {
+    pub async fn submit(self: &Arc<Self>, job: Job) -> Result<Done, batch::Failure> {
         let service = job.service.clone();
         let id = job.id;
         let receiver = self.enqueue(job)?;
@@ -235,7 +250,7 @@
     fn enqueue(
         &self,
         job: Job,
-    ) -> Result<oneshot::Receiver<Result<Vec<batch::Handle>, batch::Failure>>, batch::Failure> {
+    ) -> Result<oneshot::Receiver<Result<Done, batch::Failure>>, batch::Failure> {
         let mut lines = view::lock(&self.lines);
         let line = self.line(&mut lines, &job.service);
         let line = line.ok_or(batch::Failure::Unavailable)?;
@@ -243,9 +258,7 @@
             return Err(batch::Failure::Unavailable);
         }
         let now = Instant::now();
-        if job.refusable {
-            self.check(line, &job, now)?;
-        }
+        self.check(line, &job, now)?;
         let (sender, receiver) = oneshot::channel();
         line.push(job, sender, now);
         Ok(receiver)
@@ -254,7 +267,11 @@
     /// Refuses a job that would be too late to be worth its while.
     fn check(&self, line: &Line, job: &Job, now: Instant) -> Result<(), batch::Failure> {
         let outlook = line.queue.outlook(&job.spec(now), now);
-        let share = if job.again { AGAIN_SHARE } else { LATE_SHARE };
+        let share = match (job.first, job.again) {
+            (false, _) => LATER_SHARE,
+            (true, true) => AGAIN_SHARE,
+            (true, false) => LATE_SHARE,
+        };
         let most = job.due.0.max(job.deadline.0.mul_f64(share));
         if outlook <= most {
             return Ok(());
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -15,16 +15,20 @@
 use laburnumcart::{
     batch,
     id,
-    ingress, //
+    ingress,
+    unit, //
 };
 
 use crate::{
     dialect,
-    dispatcher::Job,
+    dispatcher::{
+        Done,
+        Job, //
+    },
     view, //
 };
 
-type Done = oneshot::Sender<Result<Vec<batch::Handle>, batch::Failure>>;
+type Sender = oneshot::Sender<Result<Done, batch::Failure>>;
 
 /// Who waits for a job, and what a call of it says.
 #[derive(Debug)]
@@ -35,7 +39,8 @@
     pub(super) input: dialect::Input,
     pub(super) deadline: Instant,
     pub(super) since: Instant,
-    done: Done,
+    spec: batch::Spec,
+    sender: Sender,
 }
 
 /// The queue of one service.
@@ -84,9 +89,9 @@
         }
     }
 
-    pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
+    pub(super) fn push(&mut self, job: Job, sender: Sender, now: Instant) {
         let spec = job.spec(now);
-        let key = self.queue.push(spec);
+        let key = self.queue.push(spec.clone());
         self.ids.insert(job.id, key);
         let waiter = Waiter {
             id: job.id,
@@ -95,7 +100,8 @@
             input: job.input,
             deadline: now + job.deadline.0,
             since: now,
-            done,
+            spec,
+            sender,
         };
         self.waiters.insert(key, waiter);
     }
@@ -130,6 +136,14 @@
         }
     }
 
+    /// Returns how long a job like that of a waiter would take from now on.
+    fn outlook(&self, waiter: &Waiter) -> unit::Period {
+        let now = Instant::now();
+        let mut spec = waiter.spec.clone();
+        spec.due += now.saturating_duration_since(waiter.since);
+        unit::Period(self.queue.outlook(&spec, now))
+    }
+
     fn done(
         &mut self,
         key: batch::JobKey,
@@ -143,8 +157,13 @@
             return;
         };
         self.ids.remove(&waiter.id);
-        if let Err(Ok(unwanted)) = waiter.done.send(result) {
+        let result = result.map(|handles| Done {
+            handles,
+            outlook: self.outlook(&waiter),
+        });
+        if let Err(Ok(unwanted)) = waiter.sender.send(result) {
             unwanted
+                .handles
                 .into_iter()
                 .for_each(|handle| self.free(handle, dialect));
         }
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -181,8 +181,8 @@
             }
             let attempt = job.attempt.clone();
             let result = gateway.peers.submit(job).await;
-            if result.is_ok() {
-                gateway.record_pace(&service, start.elapsed());
+            if let Ok(done) = &result {
+                gateway.record_pace(&service, start.elapsed(), done.outlook.0);
             }
             event!(
                 Info,
@@ -196,7 +196,7 @@
                     .map_or("done".into(), ToString::to_string),
                 taken_ms = start.elapsed().as_millis()
             );
-            (i, result.map(held))
+            (i, result.map(|done| held(done.handles)))
         }
     }
 
@@ -219,7 +219,7 @@
             deadline: unit::Period(request.left().saturating_sub(self.rest(i))),
             rank: request.rank,
             near: self.near.clone(),
-            refusable: stage.after.is_empty(),
+            first: stage.after.is_empty(),
             again: request.is_again(),
             last: false,
         }
