--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -100,6 +100,13 @@
         options: &[],
         free: (2, usize::MAX),
     },
+    Command {
+        name: "times",
+        usage: "FILE...",
+        about: "tell from gateways' logs where requests spend their time, by route",
+        options: &[],
+        free: (1, usize::MAX),
+    },
     Command {
         name: "schema",
         usage: "bundle | settings",
--- a/laburnumcart_ctl/src/command.rs
+++ b/laburnumcart_ctl/src/command.rs
@@ -10,10 +10,12 @@
 mod file;
 mod fleet;
 mod key;
+mod lines;
 mod rollout;
 mod schema;
 mod status;
 mod teams;
+mod times;
 
 /// Runs the command that the arguments name.
 pub async fn run(args: &[String]) -> Result<output::Output, error::Error> {
@@ -32,6 +34,7 @@
         "drain" => fleet::drain(&args).await,
         "teams" => teams::teams(&args),
         "explain" => explain::explain(&args),
+        "times" => times::times(&args),
         "schema" => schema::schema(&args),
         name => unreachable!("{name} is in the table of commands and not here"),
     }
--- a/laburnumcart_ctl/src/command/explain.rs
+++ b/laburnumcart_ctl/src/command/explain.rs
@@ -1,28 +1,19 @@
 //! The story of one request, read from the logs of gateways.
 
-use std::{
-    collections,
-    fmt,
-    fs, //
-};
+use std::fmt;
 
 use serde::Serialize;
 
 use crate::{
     args,
+    command::lines::{
+        self,
+        Line, //
+    },
     error,
     output, //
 };
 
-/// A line of a log that tells of the request.
-#[derive(Clone, Debug, Serialize)]
-struct Line {
-    /// Time as written; texts of one format sort by time.
-    time: String,
-    event: String,
-    fields: collections::BTreeMap<String, String>,
-}
-
 /// Time that one stage took.
 #[derive(Clone, Debug, Serialize)]
 struct Stage {
@@ -44,20 +35,12 @@
 /// Prints the lines of a request in order, its time by stage, and why it ended as it did.
 pub(super) fn explain(args: &args::Args) -> Result<output::Output, error::Error> {
     let request = args.first();
-    let mut lines = Vec::new();
-    for file in &args.free()[1..] {
-        let text = fs::read_to_string(file).map_err(|cause| error::Error::File {
-            file: file.clone(),
-            cause,
-        })?;
-        let all = text.lines().filter_map(parse);
-        lines.extend(all.filter(|line| line.field("request") == request));
-    }
+    let mut lines = lines::read(&args.free()[1..])?;
+    lines.retain(|line| line.field("request") == request);
     if lines.is_empty() {
         let text = format!("no line tells of request {request}");
         return Err(error::Error::Usage(text));
     }
-    lines.sort_by(|a, b| a.time.cmp(&b.time));
     Ok(output::Output::new(&Story {
         request: request.into(),
         cause: cause(&lines),
@@ -66,51 +49,6 @@
     }))
 }
 
-impl Line {
-    fn field(&self, name: &str) -> &str {
-        self.fields.get(name).map_or("", String::as_str)
-    }
-}
-
-/// Parses a line of `key=value` pairs; what stands before the time is left out.
-fn parse(text: &str) -> Option<Line> {
-    let (_, rest) = text.split_once("time=")?;
-    let (time, mut rest) = rest.split_once(' ')?;
-    let mut fields = collections::BTreeMap::new();
-    while let Some((key, value)) = rest.split_once('=') {
-        let (value, after) = word(value);
-        fields.insert(key.trim().to_owned(), value);
-        rest = after;
-    }
-    Some(Line {
-        time: time.into(),
-        event: fields.remove("event")?,
-        fields,
-    })
-}
-
-/// Splits a value, in quotes or plain, from what follows.
-fn word(text: &str) -> (String, &str) {
-    let Some(quoted) = text.strip_prefix('"') else {
-        let end = text.find(' ').unwrap_or(text.len());
-        return (text[..end].into(), &text[end..]);
-    };
-    let mut value = String::new();
-    let mut escaped = false;
-    for (i, c) in quoted.char_indices() {
-        match c {
-            '"' if !escaped => return (value, &quoted[i + 1..]),
-            '\\' if !escaped => {
-                escaped = true;
-                continue;
-            }
-            c => value.push(c),
-        }
-        escaped = false;
-    }
-    (value, "")
-}
-
 fn stage(line: &Line) -> Option<Stage> {
     (line.event == "stage-ended").then(|| Stage {
         stage: line.field("stage").into(),
--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -1,4 +1,4 @@
-//! The story of a request from logs.
+//! The story of a request, and the times of many, from logs.
 
 use std::{
     env,
@@ -9,7 +9,10 @@
 };
 
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{
+    Value,
+    json, //
+};
 
 const HERE: &str = "\
 time=2026-05-04T00:14:49.768Z level=info event=admitted request=r1 route=a rank=0
@@ -30,6 +33,10 @@
 ";
 
 fn explain(id: &str, more: &[&str]) -> (i32, String) {
+    run(&["explain", id], more)
+}
+
+fn run(command: &[&str], more: &[&str]) -> (i32, String) {
     // Each call has its own folder, as tests of one process run side by side.
     static CALLS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
     let call = CALLS.fetch_add(1, atomic::Ordering::Relaxed);
@@ -41,7 +48,7 @@
         file
     };
     let output = process::Command::new(env!("CARGO_BIN_EXE_laburnumctl"))
-        .args(["explain", id])
+        .args(command)
         .args([write("here.log", HERE), write("owner.log", OWNER)])
         .args(more)
         .output()
@@ -92,3 +99,31 @@
     assert_eq!(code, 2);
     assert!(text.contains("no line tells of request r9"), "{text}");
 }
+
+// An engineer asks where requests of a route lose their time. The answer has each step of it, and
+// what was not done.
+#[test]
+fn times_are_told_by_route_and_step() {
+    let (code, text) = run(&["times"], &["--json"]);
+    assert_eq!(code, 0, "{text}");
+    let table: Value = serde_json::from_str(&text).unwrap();
+    let routes = table["routes"].as_array().unwrap();
+    let names: Vec<_> = routes
+        .iter()
+        .map(|r| r["route"].as_str().unwrap())
+        .collect();
+    assert_eq!(names, ["a", "a b"]);
+    let step = |step: &str, millis: u64| {
+        json!({
+            "step": step, "count": 1, "mean": millis as f64, "p50": millis, "p90": millis
+        })
+    };
+    assert_eq!(routes[0]["requests"], 3);
+    assert_eq!(routes[0]["steps"], json!([step("stage 0 at encode", 658)]));
+    let steps = json!([step("stage 1 at rank", 800), step("whole request", 1000)]);
+    assert_eq!(routes[1]["steps"], steps);
+    let failures = json!({
+        "refused deadline-too-short": 1, "refused lost": 1, "send-failed lost": 1
+    });
+    assert_eq!(routes[0]["failures"], failures);
+}
