Open no connection to an earlier life of a process

Cause: a job goes through the processes as they were when it was sent. One that had waited long asked for the connection to the earlier life of a process that had been restarted, which replaced and cut the one to the later life; all jobs there failed at their submitters and queued up again (65 new connections of five processes in a rolling stop, with 'the peer refused the secret'). Ruled out: room at the new owner, admission (the refusals follow the handovers).

--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -177,8 +177,11 @@
             self.dispatcher.free(service, handles);
             return;
         }
-        let (link, service) = (self.link(&owner), service.clone());
-        let dispatcher = self.dispatcher.clone();
+        let Some(link) = self.link(&owner) else {
+            self.dispatcher.free(service, handles);
+            return;
+        };
+        let (dispatcher, service) = (self.dispatcher.clone(), service.clone());
         tokio::spawn(async move {
             if !link.free(&service, &handles).await {
                 dispatcher.free(&service, handles);
@@ -188,7 +191,7 @@
 
     async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
         if owner.instance != self.own {
-            return self.link(owner).submit(job).await;
+            return self.link(owner)?.submit(job).await;
         }
         Some(match self.dispatcher.submit(job).await {
             Ok(done) => Answer::Done(done),
@@ -227,11 +230,20 @@
         link.is_none_or(|link| link.is_up(Instant::now()))
     }
 
-    fn link(&self, member: &view::Member) -> Arc<Link> {
+    /// Returns the connection to a process, unless its entry has changed since it was looked up.
+    ///
+    /// A job that has waited long knows the processes as they were when it was sent. If it replaced
+    /// the connection to a later life by one to an earlier, all jobs that wait at the later life
+    /// would fail and queue up again; in a rolling stop that went on for seconds. The entries in
+    /// force only go forward, so that a life which is not among them has ended.
+    fn link(&self, member: &view::Member) -> Option<Arc<Link>> {
         let mut links = view::lock(&self.links);
+        if !self.view.members.load().contains(member) {
+            return None;
+        }
         let known = links.get(&member.instance);
         if let Some(link) = known.filter(|l| l.member == *member) {
-            return link.clone();
+            return Some(link.clone());
         }
         let link = Arc::new(Link::new(member.clone()));
         event!(
@@ -243,6 +255,6 @@
         if let Some(old) = links.insert(member.instance.clone(), link.clone()) {
             old.cut("replaced");
         }
-        link
+        Some(link)
     }
 }
