Bound the outlook that is told

Found in reading: without a target the outlook has no end, which a mean of seconds cannot hold. A test could not reach it: a call whose target has left the list is given up, so that its job does not end there (tried: it failed as late after its 60 s). The bound stays as a guard.

--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -3,7 +3,8 @@
 use std::{
     collections,
     net,
-    sync::Arc, //
+    sync::Arc,
+    time, //
 };
 
 use slotmap::SecondaryMap;
@@ -28,6 +29,11 @@
     view, //
 };
 
+/// Longest outlook that is told; no caller waits for so long.
+///
+/// Without a target there is no end to it, which could neither be sent nor be part of a mean.
+const OUTLOOK_MAX: time::Duration = time::Duration::from_secs(60);
+
 type Sender = oneshot::Sender<Result<Done, batch::Failure>>;
 
 /// Who waits for a job, and what a call of it says.
@@ -141,7 +147,7 @@
         let now = Instant::now();
         let mut spec = waiter.spec.clone();
         spec.due += now.saturating_duration_since(waiter.since);
-        unit::Period(self.queue.outlook(&spec, now))
+        unit::Period(self.queue.outlook(&spec, now).min(OUTLOOK_MAX))
     }
 
     fn done(
