--- a/laburnumcart_ctl/src/command/status.rs
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -65,10 +65,9 @@
         return Err(error::Error::Unavailable);
     }
     // A script that waits for a bundle to be in force must not take a partial view for the whole.
-    let code = if head.is_err() || silent > 0 {
-        error::Error::Unavailable.code()
-    } else {
-        0
+    let code = match silent {
+        0 => 0,
+        _ => error::Error::Unavailable.code(),
     };
     let current = count_current(&head, &processes);
     let status = Status {
