Move the test of connections between gateways to their crate

It tests nothing of platform/, which only translates. It needs no store and no callers there: the connections are made directly. It still fails without the mend it was written for (seen: jobs at the later life sent twice) and passes with it.

--- a/platform/tests/it/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -1,6 +1,7 @@
 //! Jobs at other processes of the system.
 
 use std::{
+    net,
     sync::{
         Arc,
         Mutex, //
@@ -8,6 +9,12 @@
     time,
 };
 
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    Request,
+    response, //
+};
 use jsonrpsee::core::{
     RpcResult,
     async_trait, //
@@ -21,7 +28,9 @@
 use laburnumcart_gateway::{
     dialect,
     dispatcher,
+    metrics,
     peers::{
+        self,
         Answer,
         PeerServer, //
     },
@@ -29,10 +38,41 @@
 };
 use laburnumcart_wire::peer;
 
-use crate::support::{
-    System,
-    wait_for, //
-};
+/// Longest wait for anything that must happen.
+const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+const SERVICES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+
+/// A dialect that is never spoken: no job is executed here.
+struct Silence;
+
+impl dialect::Dialect for Silence {
+    fn call(&self, _: &HeaderMap) -> Result<dialect::Call, dialect::Malformed> {
+        Err(dialect::Malformed("call"))
+    }
+
+    fn onward(&self, _: &mut HeaderMap, _: &dialect::Onward<'_>) {}
+
+    fn reply(&self, _: &response::Parts) -> dialect::Reply {
+        dialect::Reply::default()
+    }
+
+    fn batch(&self, _: &id::TargetName, _: &str, _: &[dialect::Item<'_>]) -> Request<Bytes> {
+        Request::default()
+    }
+
+    fn outcomes(&self, _: &[u8], _: usize) -> Result<Vec<batch::Outcome>, dialect::Malformed> {
+        Err(dialect::Malformed("outcomes"))
+    }
+
+    fn free(&self, _: &id::TargetName, _: &[batch::Handle]) -> Request<Bytes> {
+        Request::default()
+    }
+
+    fn holder(&self, _: &batch::Handle) -> Option<net::SocketAddr> {
+        None
+    }
+}
 
 /// A process that notes the jobs that it is given and answers none.
 #[derive(Clone, Default)]
@@ -103,19 +143,46 @@
     }
 }
 
-fn submit(system: &System, job: dispatcher::Job) -> tokio::task::JoinHandle<()> {
-    let gateway = system.gateway.clone();
-    tokio::spawn(async move {
-        let _ = gateway.peers.submit(job).await;
-    })
+/// Another process as this one reaches the rest, and what it knows of them.
+struct Caller {
+    peers: Arc<peers::Peers>,
+    view: Arc<view::View>,
+}
+
+impl Caller {
+    fn new() -> Self {
+        let view = Arc::<view::View>::default();
+        let dispatcher = dispatcher::Dispatcher::new(
+            view.clone(),
+            Arc::default(),
+            Arc::new(Silence),
+            metrics::Metrics::default(),
+        );
+        let own = "gateway-1".parse().unwrap();
+        Self {
+            peers: Arc::new(peers::Peers::new(own, view.clone(), dispatcher)),
+            view,
+        }
+    }
+
+    /// Submits a job for each of the services, with numbers from `first`.
+    fn submit_all(&self, first: u64) {
+        for (service, id) in SERVICES.iter().zip(first..) {
+            let (peers, job) = (self.peers.clone(), job(id, service));
+            // The test ends before any job does.
+            tokio::spawn(async move { peers.submit(job).await });
+        }
+    }
 }
 
-/// Writes a member's entry and waits until the gateway knows it.
-async fn enter(system: &System, member: &view::Member) {
-    let key = format!("gateways/{}", member.instance);
-    let value = serde_json::to_string(member).unwrap();
-    system.put(&key, &value).await;
-    wait_for(|| system.gateway.view.members.load().contains(member)).await;
+async fn wait_for(holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(LIMIT, wait).await;
+    waited.expect("it holds in time");
 }
 
 // A rolling stop: one process is restarted, then the process that has an old job stops. The job
@@ -124,31 +191,20 @@
 // there would fail at once and queue up again behind others, with each old job anew.
 #[tokio::test]
 async fn an_old_job_does_not_cut_the_connection_to_a_later_life() {
-    let system = System::bare().await;
+    let caller = Caller::new();
     let (first, second, other) = (Silent::default(), Silent::default(), Silent::default());
     let (gone, earlier) = first.serve("gateway-2", "secret-of-the-earlier-life");
     let (stopping, stays) = other.serve("gateway-3", "secret-of-the-third-process");
-    // This one leaves: it owns nothing while others do.
-    let exit = tokio::time::Instant::now() + time::Duration::from_secs(60);
-    system.gateway.view.leave(exit);
-    enter(&system, &earlier).await;
-    enter(&system, &stays).await;
-    let services = ["a", "b", "c", "d", "e", "f", "g", "h"];
-    let submit_all = |first: u64| {
-        let jobs = services.iter().zip(first..);
-        jobs.map(|(service, id)| submit(&system, job(id, service)))
-            .collect::<Vec<_>>()
-    };
-    let old = submit_all(0);
+    caller.view.set_members(vec![earlier, stays.clone()]);
+    caller.submit_all(0);
     wait_for(|| (0..8).all(|id| first.count(id) + other.count(id) == 1)).await;
     let moving: Vec<u64> = (0..8).filter(|id| other.count(*id) == 1).collect();
     assert!(!moving.is_empty(), "some services are owned by the third");
     gone.stop();
     let (_handle, later) = second.serve("gateway-2", "secret-of-the-later-life");
-    enter(&system, &later).await;
-    let new = submit_all(8);
-    let there = |id| second.count(id) + other.count(id) > 0;
-    wait_for(|| (8..16).all(there)).await;
+    caller.view.set_members(vec![later, stays]);
+    caller.submit_all(8);
+    wait_for(|| (8..16).all(|id| second.count(id) + other.count(id) > 0)).await;
     let kept: Vec<u64> = (8..16).filter(|id| second.count(*id) == 1).collect();
     assert!(
         !kept.is_empty(),
@@ -157,5 +213,4 @@
     stopping.stop();
     wait_for(|| moving.iter().all(|id| second.count(*id) > 0)).await;
     assert!(kept.iter().all(|id| second.count(*id) == 1), "sent once");
-    old.iter().chain(&new).for_each(|task| task.abort());
 }
