--- a/laburnumcart_system/src/process.rs
+++ b/laburnumcart_system/src/process.rs
@@ -13,6 +13,8 @@
     unistd, //
 };
 
+use crate::wait;
+
 /// A running binary; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -85,6 +87,36 @@
         let _ = signal::kill(id, signal);
     }
 
+    /// Stops it where it is, and waits until it stands still.
+    ///
+    /// One of its threads takes the signal and stops the others. Until that thread gets the
+    /// processor the others go on, on a busy host for long enough to read and answer what is sent
+    /// after the signal. A test that takes the process for standing still would be wrong then.
+    pub async fn pause(&self) {
+        self.signal(signal::Signal::SIGSTOP);
+        wait::until(&format!("{} stands still", self.name), || async {
+            self.is_paused().then_some(())
+        })
+        .await;
+    }
+
+    /// Lets it go on after [`Process::pause`].
+    pub fn resume(&self) {
+        self.signal(signal::Signal::SIGCONT);
+    }
+
+    /// Reports whether each of its threads is stopped.
+    pub fn is_paused(&self) -> bool {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.id()));
+        tasks.is_ok_and(|tasks| {
+            let paths = tasks.flatten().map(|task| task.path().join("stat"));
+            // A thread can end between listing and reading.
+            paths
+                .filter_map(|path| fs::read_to_string(path).ok())
+                .all(|stat| is_stopped(&stat))
+        })
+    }
+
     /// Returns its exit status if it has ended.
     pub fn ended(&mut self) -> Option<process::ExitStatus> {
         self.child.try_wait().ok().flatten()
@@ -123,3 +155,9 @@
         self.kill();
     }
 }
+
+/// Reads the state of a thread, which stands behind its name in brackets.
+fn is_stopped(stat: &str) -> bool {
+    let state = stat.rsplit_once(") ").map(|(_, rest)| rest);
+    state.is_some_and(|rest| rest.starts_with(['T', 't']))
+}
--- a/laburnumcart_system/tests/claims.rs
+++ b/laburnumcart_system/tests/claims.rs
@@ -107,17 +107,13 @@
     let before = cases::send_all(&fleet, paused, range(100..160));
     let during = async {
         cases::claimed(&fleet, cases::Case(100)).await;
-        fleet.entries[paused]
-            .process
-            .signal(signal::Signal::SIGSTOP);
+        fleet.entries[paused].process.pause().await;
         let late = cases::send_all(&fleet, paused, range(160..220));
         let taken = async {
             let taken = cases::settle_all(&fleet, other, range(160..220)).await;
             let peer = fleet.entries[paused].peer;
             assert!(!cases::owners(&fleet).await.contains(&peer));
-            fleet.entries[paused]
-                .process
-                .signal(signal::Signal::SIGCONT);
+            fleet.entries[paused].process.resume();
             taken
         };
         let (late, taken) = tokio::join!(late, taken);
--- a/laburnumcart_system/tests/doubt.rs
+++ b/laburnumcart_system/tests/doubt.rs
@@ -221,13 +221,13 @@
     letters::slow(&fleet, 5.0).await;
     let frozen = async {
         let node = letters::wait_claimed(&fleet).await;
-        fleet.nodes[node].agent.signal(signal::Signal::SIGSTOP);
+        fleet.nodes[node].agent.pause().await;
         letters::slow(&fleet, 1.0).await;
         node
     };
     let drafts_then_go_on = async {
         let (replies, node) = tokio::join!(letters::send_all(&fleet, &drafts), frozen);
-        fleet.nodes[node].agent.signal(signal::Signal::SIGCONT);
+        fleet.nodes[node].agent.resume();
         replies
     };
     let (first, second) = tokio::join!(drafts_then_go_on, letters::send_all(&fleet, &sends));
--- a/laburnumcart_system/tests/orders.rs
+++ b/laburnumcart_system/tests/orders.rs
@@ -86,7 +86,7 @@
     wait_pending(&fleet, |count| count > 0).await;
     let old = &fleet.nodes[0];
     let given = orders_given(&fleet).await;
-    old.agent.signal(signal::Signal::SIGSTOP);
+    old.agent.pause().await;
 
     fleet.accept(&bundle(orders, "case@3"));
     let successor = fleet.succeed(0);
@@ -96,7 +96,7 @@
 
     fleet.behave(0, &json!({"order_time": "0ms"})).await;
     fleet.store_faults(&json!({"down": true})).await;
-    old.agent.signal(signal::Signal::SIGCONT);
+    old.agent.resume();
     // The order that it was paused in ends; of a fenced target it then tries more.
     let ended = if orders == "fenced" { 3.0 } else { 1.0 };
     wait::until("the old agent to go on", || async {
--- a/laburnumcart_system/tests/rollout.rs
+++ b/laburnumcart_system/tests/rollout.rs
@@ -236,7 +236,7 @@
     // One process gets the bundle; all others are cut off from the service before they can.
     let stopped: Vec<_> = fleet.daemons().skip(1).collect();
     for process in &stopped {
-        process.signal(nix::sys::signal::Signal::SIGSTOP);
+        process.pause().await;
     }
     let first = &fleet.nodes[0];
     fleet.accept(&titled("with the service down"));
@@ -247,7 +247,7 @@
     .await;
     fleet.store_faults(&json!({"down": true})).await;
     for process in &stopped {
-        process.signal(nix::sys::signal::Signal::SIGCONT);
+        process.resume();
     }
     let waited = rollout::in_force(&fleet, 3).await;
     println!("service down, one process had it: {waited:?}");
--- a/laburnumcart_system/tests/together.rs
+++ b/laburnumcart_system/tests/together.rs
@@ -161,7 +161,7 @@
         let frozen = letters::wait_claimed(&fleet).await;
         let left = (frozen + 1) % 3;
         letters::wait_running(&fleet, &[left]).await;
-        fleet.nodes[frozen].agent.signal(signal::Signal::SIGSTOP);
+        fleet.nodes[frozen].agent.pause().await;
         fleet.accept(&bundle);
         let (code, text) = fleet.ctl(&["drain", &fleet.nodes[left].peer.to_string()]);
         assert_eq!(code, 0, "{text}");
@@ -171,7 +171,7 @@
         let claimed = async { letters::send_all(&fleet, &claimed).await };
         let drafts = async {
             let replies = letters::send_all(&fleet, &drafts).await;
-            fleet.nodes[frozen].agent.signal(signal::Signal::SIGCONT);
+            fleet.nodes[frozen].agent.resume();
             replies
         };
         let (drafts, claimed) = tokio::join!(drafts, claimed);
