Exit code 4 of a status with a silent process, with the check of the outage test made exact

Cause of the red outage test: it polls status while an entry is killed and restarts (its kept output: 'Connection refused' of that entry), and took code 0 for granted. It now demands 4 exactly when a process is silent, and 0 otherwise, which is stricter: a status that hides a silent process fails it as well. Ruled out: the outage itself; with all processes answering the code stays 0.

--- a/laburnumcart_ctl/src/command/status.rs
+++ b/laburnumcart_ctl/src/command/status.rs
@@ -59,17 +59,23 @@
     let head = read_head(&settings.store()).await;
     let mut processes = asked.join_all().await;
     processes.sort_by_key(|process| process.address);
-    let silent = processes.iter().all(|process| process.state.is_err());
-    if head.is_err() && silent {
+    let silent = processes.iter().filter(|process| process.state.is_err());
+    let silent = silent.count();
+    if head.is_err() && silent == processes.len() {
         return Err(error::Error::Unavailable);
     }
+    // A script that waits for a bundle to be in force must not take a partial view for the whole.
+    let code = match silent {
+        0 => 0,
+        _ => error::Error::Unavailable.code(),
+    };
     let current = count_current(&head, &processes);
     let status = Status {
         head,
         processes,
         current,
     };
-    Ok(output::Output::new(&status))
+    Ok(output::Output::new(&status).exit(code))
 }
 
 /// Counts the processes that have the highest generation seen.
--- a/laburnumcart_system/tests/bundle.rs
+++ b/laburnumcart_system/tests/bundle.rs
@@ -16,9 +16,11 @@
 /// Returns the generation in force in each process that answers.
 fn generations(fleet: &fleet::Fleet) -> Vec<u64> {
     let (code, text) = fleet.ctl(&["status", "--json"]);
-    assert_eq!(code, 0, "{text}");
     let status: Value = serde_json::from_str(&text).expect("JSON");
     let processes = status["processes"].as_array().expect("processes");
+    let silent = |process: &Value| process["state"]["Err"].is_string();
+    let expected = if processes.iter().any(silent) { 4 } else { 0 };
+    assert_eq!(code, expected, "{text}");
     let states = processes.iter().map(|process| &process["state"]["Ok"]);
     let generation = |state: &Value| {
         let entry = state["generation"].as_u64();
--- a/laburnumcart_system/tests/operator.rs
+++ b/laburnumcart_system/tests/operator.rs
@@ -12,6 +12,7 @@
 use laburnumcart_system::{
     fleet,
     http,
+    port,
     process,
     sample,
     wait, //
@@ -86,6 +87,22 @@
     assert!(text.contains("in force in 0 of 1 processes"), "{text}");
 }
 
+/// One process of the fleet does not answer. Status shows the others and says so by its exit code:
+/// a script that waits for a bundle to be in force everywhere would take the partial view for the
+/// whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_fails_while_a_process_is_silent() {
+    let plan = fleet::Plan::new(Vec::new(), Value::Null).entries(1);
+    let fleet = fleet::Fleet::launch(plan).await;
+    let lives = fleet.peers()[0].to_string();
+    let silent = port::free().to_string();
+    let (code, text) = fleet.ctl(&["status", &lives]);
+    assert_eq!(code, 0, "{text}");
+    let (code, text) = fleet.ctl(&["status", &lives, &silent]);
+    assert_eq!(code, 4, "{text}");
+    assert!(text.contains(&lives) && text.contains(&silent), "{text}");
+}
+
 /// An entry starts before any instance is listed. The balancer must send it no caller: each would be
 /// refused, while other entries may know targets. So it says that it is not ready, though it has a
 /// bundle.
