--- a/laburnumcart_system/tests/orders.rs
+++ b/laburnumcart_system/tests/orders.rs
@@ -5,7 +5,6 @@
     sample,
     wait, //
 };
-use nix::sys::signal;
 use rstest::rstest;
 use serde_json::{
     Value,
