Free the inputs of a call once they were read, where their stage is congested

Cause: results of the second stage took its targets' room until the third stage's call had ended. Ruled out: idle targets (all were busy), the third stage (34 of 42 pieces, 130 waiting), placement. A target reads a call's inputs when its turn comes; half of the fixed time later they are read. Passed on to the owner of the stage before, which frees them while a full call waits.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -151,6 +151,11 @@
         self.jobs.values().map(|j| j.waiting.len()).sum()
     }
 
+    /// Reports whether room is what the next calls wait for: there is enough for a full one.
+    pub fn is_crowded(&self) -> bool {
+        self.waiting() >= self.shape.pieces
+    }
+
     /// Returns how long a job will take, as far as is known.
     pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
         let own = self.turn(spec, false, now);
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -33,6 +33,11 @@
 /// Weight of the newest call in the measured speed.
 const WEIGHT: f64 = 0.4;
 
+/// Part of a call's fixed time after which its inputs have been read.
+///
+/// They come over links of several gigabits a second, in tens of milliseconds of the usual 200.
+const READING: f64 = 0.5;
+
 /// A target this many times slower than promised gets work only when no other is free.
 const SLOW: f64 = 2.0;
 
@@ -47,6 +52,8 @@
     paused: Option<Instant>,
     /// Failures in a row.
     failed: u32,
+    /// Whether the last call was answered.
+    steady: bool,
     /// Time of calls, as a multiple of the promised one.
     pace: f64,
 }
@@ -90,6 +97,7 @@
             used: 0,
             paused: None,
             failed: 0,
+            steady: false,
             pace: 1.0,
         })
     }
@@ -107,6 +115,17 @@
         self.promised(pieces).mul_f64(pace)
     }
 
+    /// Returns how long after its start a call has read its inputs, if that can be told.
+    ///
+    /// A target reads them when the call's turn comes, and works for the fixed time after that. The
+    /// turn comes at once where the last call was answered. Behind one that was given up, or one of
+    /// an earlier owner of the queue, it may come much later: inputs that were freed then would be
+    /// missed, and the whole request would have to begin again.
+    pub fn reading(&self, key: EngineKey) -> Option<time::Duration> {
+        let engine = self.engines.get(key)?;
+        (engine.steady && engine.pace < SLOW).then(|| self.shape.call.mul_f64(READING))
+    }
+
     /// Returns when a pause ends, for the next look at the queue.
     pub fn wake(&self, now: Instant) -> Option<Instant> {
         let paused = self.engines.values().filter_map(|e| e.paused);
@@ -210,6 +229,7 @@
             engine.pace += WEIGHT * (taken / promised.max(0.001) - engine.pace);
         }
         engine.failed = 0;
+        engine.steady = true;
         engine.paused = None;
     }
 
@@ -217,6 +237,7 @@
     pub(super) fn fail(&mut self, key: EngineKey, now: Instant) {
         if let Some(engine) = self.engines.get_mut(key) {
             engine.call = None;
+            engine.steady = false;
             let pause = PAUSE * (1 << engine.failed.min(8));
             engine.failed += 1;
             engine.paused = Some(now + pause.min(PAUSE_MAX));
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -450,3 +450,29 @@
         prop_assert_eq!(queue.waiting(), 0);
     }
 }
+
+// Inputs may be freed once they were read. When that is can be told only of a call whose turn comes
+// at once; behind one that was given up it may come much later, and would find its inputs gone.
+#[test]
+fn only_calls_after_an_answered_one_tell_when_they_have_read() {
+    let now = Instant::now();
+    let mut queue = queue(1);
+    push(&mut queue, 8, 1000 * MS, now);
+    let call = queue.take(now).unwrap();
+    assert_eq!(
+        queue.engines.reading(call.engine),
+        None,
+        "none was answered"
+    );
+    queue.finish(&call, made(&call), now + 300 * MS);
+    let read = queue.engines.reading(call.engine).unwrap();
+    assert!(read > time::Duration::ZERO && read < SHAPE.call);
+    push(&mut queue, 4, 1000 * MS, now);
+    let call = queue.take(now + 300 * MS).unwrap();
+    queue.abandon(&call, true, now + 900 * MS);
+    assert_eq!(
+        queue.engines.reading(call.engine),
+        None,
+        "the last was given up"
+    );
+}
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -21,7 +21,10 @@
     Serialize, //
 };
 use tokio::{
-    sync::oneshot,
+    sync::{
+        mpsc,
+        oneshot, //
+    },
     time::Instant, //
 };
 
@@ -98,6 +101,8 @@
     pub first: bool,
     /// Whether its caller was refused before.
     pub again: bool,
+    /// Whether nothing else reads its inputs.
+    pub consumes: bool,
     /// Whether a process that is leaving takes it too, as no other does.
     pub last: bool,
 }
@@ -119,6 +124,7 @@
     dialect: Arc<dyn dialect::Dialect>,
     metrics: metrics::Metrics,
     lines: Mutex<collections::HashMap<id::ServiceName, Line>>,
+    consumed: mpsc::UnboundedSender<Vec<batch::Handle>>,
 }
 
 /// Cancels a job whose submitter has gone.
@@ -135,12 +141,13 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher without jobs.
+    /// Creates a dispatcher without jobs; inputs that were read go to `consumed`.
     pub fn new(
         view: Arc<view::View>,
         pool: Arc<pool::Pool>,
         dialect: Arc<dyn dialect::Dialect>,
         metrics: metrics::Metrics,
+        consumed: mpsc::UnboundedSender<Vec<batch::Handle>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             view,
@@ -148,6 +155,7 @@
             dialect,
             metrics,
             lines: Mutex::default(),
+            consumed,
         })
     }
 
@@ -177,6 +185,19 @@
         self.pump(service);
     }
 
+    /// Takes in that results have been read, though their request is not done with them.
+    ///
+    /// Their room is what binds a congested stage: held to the end of the next stage's call, it
+    /// fitted two thirds of a full call, and full calls do a third more in the same time. Without
+    /// congestion they are kept, as a piece that fails can be made again of them; of a thousand
+    /// pieces two do, and their whole request would have to begin again.
+    pub fn read(self: &Arc<Self>, service: &id::ServiceName, handles: Vec<batch::Handle>) {
+        let is_crowded = |line: &Line| line.queue.is_crowded();
+        if view::lock(&self.lines).get(service).is_some_and(is_crowded) {
+            self.free(service, handles);
+        }
+    }
+
     /// Looks after the queues until the process ends.
     pub async fn run(self: Arc<Self>) {
         let mut changes = self.view.subscribe();
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -75,6 +75,8 @@
     label: String,
     request: Request<Bytes>,
     limit: time::Duration,
+    /// When its inputs have been read, if that can be told.
+    reading: Option<time::Duration>,
     bounds: pool::Bounds,
 }
 
@@ -123,6 +125,7 @@
             service: service.clone(),
             target,
             limit: expected.mul_f64(PATIENCE) + GRACE,
+            reading: line.queue.engines.reading(call.engine),
             bounds: self.bounds(service),
             call,
             label,
@@ -136,12 +139,13 @@
         let start = Instant::now();
         let sent = self.exchange(
             &ready.target,
-            ready.request,
+            ready.request.clone(),
             &ready.label,
             &ready.bounds,
             count,
         );
-        let result = match tokio::time::timeout(ready.limit, sent).await {
+        let sent = tokio::time::timeout(ready.limit, sent);
+        let result = match self.watch(&ready, sent).await {
             Ok(result) => result,
             Err(_) => Err(Failed::Lost(pool::Failure::Timeout)),
         };
@@ -181,6 +185,24 @@
         self.pump(&ready.service);
     }
 
+    /// Waits for a call to end, and passes on when the inputs of its pieces have been read.
+    async fn watch<T>(&self, ready: &Ready, sent: impl Future<Output = T>) -> T {
+        tokio::pin!(sent);
+        let Some(reading) = ready.reading else {
+            return sent.await;
+        };
+        tokio::select! {
+            result = &mut sent => return result,
+            () = tokio::time::sleep(reading) => {}
+        }
+        if let Some(line) = view::lock(&self.lines).get_mut(&ready.service) {
+            let read = line.read(&ready.call.pieces);
+            // Without a receiver the process is about to end; the results expire by themselves.
+            let _ = self.consumed.send(read);
+        }
+        sent.await
+    }
+
     async fn exchange(
         &self,
         target: &view::Target,
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -35,9 +35,24 @@
     pub(super) input: dialect::Input,
     pub(super) deadline: Instant,
     pub(super) since: Instant,
+    /// Whether nothing else reads the inputs.
+    consumes: bool,
+    /// Pieces that have not read their inputs.
+    unread: u32,
     done: Done,
 }
 
+impl Waiter {
+    /// Takes the inputs that only this job reads.
+    fn consumed(&mut self) -> Vec<batch::Handle> {
+        let consumes = std::mem::take(&mut self.consumes);
+        match &self.input {
+            dialect::Input::Results(handles) if consumes => handles.clone(),
+            _ => Vec::new(),
+        }
+    }
+}
+
 /// The queue of one service.
 pub(super) struct Line {
     pub(super) queue: batch::Queue,
@@ -95,6 +110,8 @@
             input: job.input,
             deadline: now + job.deadline.0,
             since: now,
+            consumes: job.consumes,
+            unread: job.pieces,
             done,
         };
         self.waiters.insert(key, waiter);
@@ -109,6 +126,21 @@
         }
     }
 
+    /// Takes in that the pieces of a call have read their inputs; returns what nothing else reads.
+    pub(super) fn read(&mut self, pieces: &[batch::Piece]) -> Vec<batch::Handle> {
+        let mut read = Vec::new();
+        for piece in pieces {
+            let Some(waiter) = self.waiters.get_mut(piece.job) else {
+                continue;
+            };
+            waiter.unread = waiter.unread.saturating_sub(1);
+            if waiter.unread == 0 {
+                read.extend(waiter.consumed());
+            }
+        }
+        read
+    }
+
     /// Tells those who wait of what a call has decided.
     pub(super) fn settle(&mut self, events: Vec<batch::Event>, dialect: &dyn dialect::Dialect) {
         for event in events {
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -9,9 +9,13 @@
     time,
 };
 
-use tokio::time::Instant;
+use tokio::{
+    sync::mpsc,
+    time::Instant, //
+};
 
 use laburnumcart::{
+    batch,
     budget,
     eject,
     id,
@@ -68,6 +72,8 @@
     budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
     patience: Mutex<collections::HashMap<String, patience::Patience>>,
     paces: Mutex<collections::HashMap<id::ServiceName, pace::Pace>>,
+    /// Results that the own queues have read, taken by the task that frees them.
+    consumed: Mutex<Option<mpsc::UnboundedReceiver<Vec<batch::Handle>>>>,
 }
 
 /// A request's place at a target, given up when dropped.
@@ -92,11 +98,13 @@
         metrics: metrics::Metrics,
     ) -> Arc<Self> {
         let pool = Arc::new(pool::Pool::default());
+        let (consumed, receiver) = mpsc::unbounded_channel();
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
             pool.clone(),
             dialect.clone(),
             metrics.clone(),
+            consumed,
         );
         let own = settings.instance.clone();
         Arc::new(Self {
@@ -113,6 +121,7 @@
             budgets: Mutex::default(),
             patience: Mutex::default(),
             paces: Mutex::default(),
+            consumed: Mutex::new(Some(receiver)),
         })
     }
 
@@ -120,6 +129,10 @@
     pub async fn follow(self: Arc<Self>) {
         let mut changes = self.view.subscribe();
         let mut sweep = tokio::time::interval(time::Duration::from_secs(1));
+        let consumed = view::lock(&self.consumed).take();
+        if let Some(consumed) = consumed {
+            tokio::spawn(self.clone().pass_read(consumed));
+        }
         loop {
             tokio::select! {
                 _ = sweep.tick() => self.pool.sweep(Instant::now()),
@@ -128,6 +141,24 @@
         }
     }
 
+    /// Tells the owners that account for the room of results that these were read.
+    async fn pass_read(self: Arc<Self>, mut consumed: mpsc::UnboundedReceiver<Vec<batch::Handle>>) {
+        while let Some(handles) = consumed.recv().await {
+            let targets = self.view.targets.load_full();
+            let mut owned: collections::HashMap<_, Vec<_>> = collections::HashMap::new();
+            for handle in handles {
+                let holder = self.dialect.holder(&handle);
+                // A result whose target has gone is gone with it.
+                if let Some(target) = holder.and_then(|addr| targets.at(&addr)) {
+                    owned.entry(&target.service).or_default().push(handle);
+                }
+            }
+            for (service, handles) in owned {
+                self.peers.read(service, handles);
+            }
+        }
+    }
+
     fn refresh(&self) {
         let targets = self.view.targets.load();
         for (service, engines) in view::lock(&self.engines).iter_mut() {
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -74,6 +74,10 @@
     #[method(name = "free")]
     async fn free(&self, service: id::ServiceName, handles: Vec<batch::Handle>) -> RpcResult<()>;
 
+    /// Tells that results have been read; they are freed if their room is wanted.
+    #[method(name = "read")]
+    async fn read(&self, service: id::ServiceName, handles: Vec<batch::Handle>) -> RpcResult<()>;
+
     /// Heartbeat.
     #[method(name = "beat")]
     async fn beat(&self) -> RpcResult<()>;
@@ -111,6 +115,11 @@
         Ok(())
     }
 
+    async fn read(&self, service: id::ServiceName, handles: Vec<batch::Handle>) -> RpcResult<()> {
+        self.dispatcher.read(&service, handles);
+        Ok(())
+    }
+
     async fn beat(&self) -> RpcResult<()> {
         Ok(())
     }
@@ -189,6 +198,23 @@
         });
     }
 
+    /// Tells the owner of a service's queue that results have been read.
+    ///
+    /// Lost on the way, it only means that they are freed later.
+    pub fn read(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
+        let Some(owner) = self.owners(service, true).into_iter().next() else {
+            return;
+        };
+        if owner.instance == self.own {
+            self.dispatcher.read(service, handles);
+            return;
+        }
+        if let Some(link) = self.link(&owner) {
+            let service = service.clone();
+            tokio::spawn(async move { link.read(&service, handles).await });
+        }
+    }
+
     async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
         if owner.instance != self.own {
             return self.link(owner)?.submit(job).await;
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -134,6 +134,19 @@
         matches!(tokio::time::timeout(SILENCE, call).await, Ok(Ok(())))
     }
 
+    /// Tells that results have been read.
+    pub(super) async fn read(
+        self: &Arc<Self>,
+        service: &id::ServiceName,
+        handles: Vec<batch::Handle>,
+    ) {
+        if let Some(open) = self.client().await {
+            let call = open.client.read(service.clone(), handles);
+            // Without an answer they are freed with their request.
+            let _ = tokio::time::timeout(SILENCE, call).await;
+        }
+    }
+
     fn report(&self, error: &client::Error) {
         event!(
             Warn,
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -154,6 +154,14 @@
         Ok(self.collect())
     }
 
+    /// Reports whether a stage alone reads the results that it takes.
+    fn consumes(&self, i: usize) -> bool {
+        let stages = &self.request.route.stages;
+        let readers = |k: usize| stages.iter().filter(|s| s.after.contains(&k)).count();
+        let pieces = self.request.call.pieces.get(i).copied().unwrap_or(0);
+        pieces > 0 && stages[i].after.iter().all(|k| readers(*k) == 1)
+    }
+
     /// Reports whether all that a stage takes has been made.
     fn is_ready(&self, i: usize) -> bool {
         let after = &self.request.route.stages[i].after;
@@ -221,6 +229,7 @@
             near: self.near.clone(),
             first: stage.after.is_empty(),
             again: request.is_again(),
+            consumes: self.consumes(i),
             last: false,
         }
     }
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -19,6 +19,7 @@
     RpcResult,
     async_trait, //
 };
+use tokio::sync::mpsc;
 
 use laburnumcart::{
     batch,
@@ -95,6 +96,10 @@
         Ok(())
     }
 
+    async fn read(&self, _: id::ServiceName, _: Vec<batch::Handle>) -> RpcResult<()> {
+        Ok(())
+    }
+
     async fn beat(&self) -> RpcResult<()> {
         Ok(())
     }
@@ -139,6 +144,7 @@
         near: None,
         first: true,
         again: false,
+        consumes: false,
         last: false,
     }
 }
@@ -157,6 +163,7 @@
             Arc::default(),
             Arc::new(Silence),
             metrics::Metrics::default(),
+            mpsc::unbounded_channel().0,
         );
         let own = "gateway-1".parse().unwrap();
         Self {
