Execute later stages where their inputs lie

A job now names where it is best executed and what crosses elsewhere; it counts as due later there by 35 ms a MiB, 150 ms at most, and is left to a free target that is nearer.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -14,10 +14,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::{
-    ingress,
-    unit, //
-};
+use crate::ingress;
 
 pub use self::{
     engines::{
@@ -40,11 +37,15 @@
 /// starve, as what is due moves on.
 const RANK_STEP: time::Duration = time::Duration::from_millis(400);
 
-/// By how much a job counts as due later at a target that is far from where its results are read.
-const FAR: time::Duration = time::Duration::from_millis(120);
+/// By how much a job counts as due later at a target in another data centre, in milliseconds for each
+/// mebibyte that would cross.
+const FAR_MS_PER_MIB: u64 = 35;
+
+/// Most by which it counts as due later there.
+const FAR_MAX: time::Duration = time::Duration::from_millis(150);
 
-/// Size from which it matters where a result is made.
-const LARGE: unit::Size = unit::Size(100_000);
+/// The same time from which a job is left to a free target that is nearer.
+const FAR_LEFT: time::Duration = time::Duration::from_millis(15);
 
 /// Most times that a piece is sent to a target before its job fails.
 const TRIES: u32 = 4;
@@ -227,6 +228,9 @@
         });
         for (key, _) in order {
             let job = &self.jobs[*key];
+            if self.is_left(engine, &job.spec, now) {
+                continue;
+            }
             draft.offer(*key, job.waiting.len(), job.spec.size);
             if draft.is_full() {
                 break;
@@ -314,26 +318,31 @@
         (late, due)
     }
 
-    /// Puts jobs behind whose large results would be read in another data centre.
+    /// Returns how much later a job counts as due at a target than where it is best executed.
+    fn far(&self, engine: EngineKey, spec: &Spec) -> time::Duration {
+        if !self.engines.is_far(engine, spec.near.as_ref()) {
+            return time::Duration::ZERO;
+        }
+        let millis = (spec.moved.0 * FAR_MS_PER_MIB) >> 20;
+        time::Duration::from_millis(millis).min(FAR_MAX)
+    }
+
+    /// Reports whether a job is left to another target, which is free and nearer.
+    fn is_left(&self, engine: EngineKey, spec: &Spec, now: Instant) -> bool {
+        let near = spec.near.as_ref();
+        self.far(engine, spec) >= FAR_LEFT && self.engines.has_free_near(near, spec.size, now)
+    }
+
+    /// Puts jobs behind of which much would cross between data centres.
     fn order_at(
         &self,
         engine: EngineKey,
         order: &[(JobKey, (bool, Instant))],
     ) -> Vec<(JobKey, (bool, Instant))> {
-        let is_far = |key: JobKey| {
-            let spec = &self.jobs[key].spec;
-            spec.size >= LARGE && self.engines.is_far(engine, spec.near.as_ref())
-        };
-        let penalty = |key| {
-            if is_far(key) {
-                FAR
-            } else {
-                time::Duration::ZERO
-            }
-        };
+        let far = |key: JobKey| self.far(engine, &self.jobs[key].spec);
         let moved = order
             .iter()
-            .map(|(key, (late, due))| (*key, (*late, *due + penalty(*key))));
+            .map(|(key, (late, due))| (*key, (*late, *due + far(*key))));
         let mut moved: Vec<_> = moved.collect();
         moved.sort_by_key(|(_, rank)| *rank);
         moved
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -176,6 +176,18 @@
         near.is_some_and(|near| engine.is_some_and(|e| e.data_centre != *near))
     }
 
+    /// Reports whether a fast target in a data centre is free and has room for a result.
+    pub(super) fn has_free_near(
+        &self,
+        near: Option<&id::DataCentre>,
+        size: unit::Size,
+        now: Instant,
+    ) -> bool {
+        let is_near = |e: &Engine| near.is_some_and(|near| e.data_centre == *near);
+        let fits = |e: &Engine| is_free(e, now) && e.pace < SLOW && self.has_room(e, size);
+        self.engines.values().any(|e| is_near(e) && fits(e))
+    }
+
     /// Returns the room for results that is left at a target.
     pub(super) fn room(&self, key: EngineKey) -> unit::Size {
         unit::Size(self.shape.room.0.saturating_sub(self.used(key).0))
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -52,8 +52,10 @@
     pub deadline: Instant,
     /// Rank; 0 goes first.
     pub rank: u8,
-    /// Data centre where the results will be read.
+    /// Data centre where it is best executed.
     pub near: Option<id::DataCentre>,
+    /// Bytes that cross between data centres when it is executed in another one.
+    pub moved: unit::Size,
 }
 
 impl Spec {
@@ -66,6 +68,7 @@
             deadline: due,
             rank: 0,
             near: None,
+            moved: unit::Size(0),
         }
     }
 
@@ -83,10 +86,11 @@
         self
     }
 
-    /// Sets where the results will be read.
+    /// Sets where it is best executed, and what crosses between data centres elsewhere.
     #[must_use]
-    pub fn near(mut self, near: Option<id::DataCentre>) -> Self {
+    pub fn near(mut self, near: Option<id::DataCentre>, moved: unit::Size) -> Self {
         self.near = near;
+        self.moved = moved;
         self
     }
 }
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -322,21 +322,22 @@
     assert_eq!(jobs[..3], [begun, begun, fresh]);
 }
 
+/// Returns a job of which four megabytes cross unless it is executed in a data centre.
+fn heavy(zone: &str, now: Instant) -> batch::Spec {
+    batch::Spec::new(2, SIZE, now + 1000 * MS)
+        .near(Some(zone.parse().unwrap()), unit::Size(4_000_000))
+}
+
 #[test]
-fn large_results_are_made_near_their_reader() {
+fn jobs_are_executed_where_least_crosses() {
     let now = Instant::now();
-    let shape = ingress::Batching {
-        room: unit::Size(12_000_000),
-        ..SHAPE
-    };
-    let mut queue = batch::Queue::new(shape);
+    let mut queue = batch::Queue::new(SHAPE);
     let north = queue.engines.add("north".parse().unwrap());
     let south = queue.engines.add("south".parse().unwrap());
-    let spec = |zone: &str| {
-        batch::Spec::new(4, unit::Size(1_000_000), now + 1000 * MS)
-            .near(Some(zone.parse().unwrap()))
-    };
-    let (a, b) = (queue.push(spec("south")), queue.push(spec("north")));
+    let (a, b) = (
+        queue.push(heavy("south", now)),
+        queue.push(heavy("north", now)),
+    );
     let calls = [(); 2].map(|()| queue.take(now).unwrap());
     for call in calls {
         let job = if call.engine == north { b } else { a };
@@ -347,6 +348,27 @@
     }
 }
 
+// Targets are free in both data centres, and one call could take both jobs. In one of them the inputs
+// of the other job would all cross, which costs more than a second call does.
+#[test]
+fn a_job_is_left_to_a_free_target_near_its_inputs() {
+    let now = Instant::now();
+    let mut queue = batch::Queue::new(SHAPE);
+    let north = queue.engines.add("north".parse().unwrap());
+    queue.engines.add("south".parse().unwrap());
+    let jobs = ["north", "south"].map(|zone| queue.push(heavy(zone, now)));
+    let call = queue.take(now).unwrap();
+    assert_eq!((call.engine, call.pieces.len()), (north, 2));
+    assert!(call.pieces.iter().all(|p| p.job == jobs[0]));
+    let call = queue.take(now).unwrap();
+    assert!(call.pieces.iter().all(|p| p.job == jobs[1]));
+    // With no target free there, nothing waits for one.
+    queue.push(heavy("south", now));
+    assert!(queue.take(now).is_none());
+    queue.engines.add("north".parse().unwrap());
+    assert_eq!(queue.take(now).unwrap().pieces.len(), 2);
+}
+
 #[test]
 fn the_outlook_grows_with_what_waits() {
     let now = Instant::now();
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -95,8 +95,10 @@
     pub deadline: unit::Period,
     /// Rank.
     pub rank: u8,
-    /// Data centre where the results will be read.
+    /// Data centre where it is best executed.
     pub near: Option<id::DataCentre>,
+    /// Bytes that cross between data centres when it is executed in another one.
+    pub moved: unit::Size,
     /// Whether it is a first stage, refused at once when it would be late.
     pub first: bool,
     /// Whether its caller was refused before.
@@ -113,7 +115,7 @@
         batch::Spec::new(self.pieces, self.size, now + self.due.0)
             .deadline(now + self.deadline.0)
             .rank(self.rank)
-            .near(self.near.clone())
+            .near(self.near.clone(), self.moved)
     }
 }
 
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -1,6 +1,7 @@
 //! Runs the stages of a request before it goes to its target.
 
 use std::{
+    collections,
     sync::Arc,
     time, //
 };
@@ -215,6 +216,7 @@
             false => dialect::Input::Results(self.handles(&stage.after)),
         };
         let due = request.slack().saturating_sub(self.rest(i));
+        let (near, moved) = self.best_place(i);
         dispatcher::Job {
             id: rand::random(),
             attempt: request.call.attempt.clone(),
@@ -226,7 +228,8 @@
             due: unit::Period(due),
             deadline: unit::Period(request.left().saturating_sub(self.rest(i))),
             rank: request.rank,
-            near: self.near.clone(),
+            near,
+            moved,
             first: stage.after.is_empty(),
             again: request.is_again(),
             consumes: self.consumes(i),
@@ -234,6 +237,28 @@
         }
     }
 
+    /// Returns where a stage is best executed, and the bytes that cross when it is not.
+    ///
+    /// Each piece reads all its inputs, which is often far more than the stage makes of them.
+    fn best_place(&self, i: usize) -> (Option<id::DataCentre>, unit::Size) {
+        let stages = &self.request.route.stages;
+        let mut places: collections::HashMap<id::DataCentre, u64> = collections::HashMap::new();
+        if let Some(near) = &self.near {
+            places.insert(near.clone(), stages[i].size.0);
+        }
+        for k in &stages[i].after {
+            let held = self.results[*k].iter().flat_map(|held| &held.handles);
+            for place in held.filter_map(|handle| self.place(handle)) {
+                *places.entry(place).or_default() += stages[*k].size.0;
+            }
+        }
+        let pieces = u64::from(self.request.call.pieces.get(i).copied().unwrap_or(0));
+        let best = places.into_iter().max_by_key(|(_, bytes)| *bytes);
+        best.map_or((None, unit::Size(0)), |(place, bytes)| {
+            (Some(place), unit::Size(bytes * pieces))
+        })
+    }
+
     fn handles(&self, stages: &[usize]) -> Vec<batch::Handle> {
         let held = stages.iter().filter_map(|k| self.results[*k].as_ref());
         held.flat_map(|h| h.handles.iter().cloned()).collect()
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -142,6 +142,7 @@
         deadline: limit,
         rank: 0,
         near: None,
+        moved: unit::Size(0),
         first: true,
         again: false,
         consumes: false,
