Judge a request by the queues of all its stages before any is begun

Cause: the first stage admitted by its own queue and by the mean time that later stages took lately. Ruled out: idle targets, order in the queue. Owners of all stages' queues are told of the job that will come and answer when it would be done, in its turn or behind all that are on time; the longest of them decides (laburnumcart::forecast). Jobs that will come count as waiting. Late requests are marked as such and use what others leave. laburnumcart::pace is not needed any more. Tests fail without their part.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -8,13 +8,21 @@
 mod draft;
 mod engines;
 mod job;
+mod load;
 
-use std::time;
+use std::{
+    collections,
+    time, //
+};
 
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::ingress;
+use crate::{
+    forecast,
+    ingress,
+    unit, //
+};
 
 pub use self::{
     engines::{
@@ -47,6 +55,9 @@
 /// The same time from which a job is left to a free target that is nearer.
 const FAR_LEFT: time::Duration = time::Duration::from_millis(15);
 
+/// Longest time that is forecast; a queue without targets would never be done.
+const FORECAST_MAX: time::Duration = time::Duration::from_secs(600);
+
 /// Most times that a piece is sent to a target before its job fails.
 const TRIES: u32 = 4;
 
@@ -122,6 +133,10 @@
 pub struct Queue {
     shape: ingress::Batching,
     jobs: SlotMap<JobKey, Job>,
+    /// Jobs that will come, by the identity that was announced.
+    expected: collections::HashMap<u64, Spec>,
+    /// Pieces of jobs on time that calls have taken of late.
+    load: load::Load,
     /// Targets with their room and speed.
     pub engines: Engines,
 }
@@ -132,6 +147,8 @@
         Self {
             shape,
             jobs: SlotMap::with_key(),
+            expected: collections::HashMap::new(),
+            load: load::Load::default(),
             engines: Engines::new(shape),
         }
     }
@@ -157,15 +174,52 @@
         self.waiting() >= self.shape.pieces
     }
 
+    /// Takes in that a job will come, when the stages before it are done.
+    pub fn expect(&mut self, id: u64, spec: Spec) {
+        self.expected.insert(id, spec);
+    }
+
+    /// Forgets a job that has come, or will not come any more.
+    pub fn unexpect(&mut self, id: u64) {
+        self.expected.remove(&id);
+    }
+
     /// Returns how long a job will take, as far as is known.
     pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
-        let own = self.turn(spec, false, now);
-        let before = |j: &&Job| self.turn(&j.spec, j.is_started(), now) <= own;
-        let earlier = self.jobs.values().filter(before);
-        let ahead: usize = earlier.map(|j| j.waiting.len()).sum();
+        let ahead = self.ahead(self.turn(spec, false, now), now);
         self.engines.outlook(ahead, spec.pieces as usize, now)
     }
 
+    /// Returns how long a job that will come would take from now on.
+    pub fn forecast(&self, spec: &Spec, now: Instant) -> forecast::Outlook {
+        let behind = self.ahead((true, now), now);
+        let behind = self.engines.outlook(behind, spec.pieces as usize, now);
+        forecast::Outlook {
+            turn: unit::Period(self.outlook(spec, now).min(FORECAST_MAX)),
+            behind: unit::Period(behind.min(FORECAST_MAX)),
+        }
+    }
+
+    /// Returns the pieces that are done before a job with this turn.
+    ///
+    /// A job that is not on time gets what those on time leave, now and in the time to come.
+    fn ahead(&self, own: (bool, Instant), now: Instant) -> f64 {
+        let waiting = self.jobs.values().map(|j| {
+            let turn = self.turn(&j.spec, j.is_started(), now);
+            (turn, j.waiting.len())
+        });
+        let expected = self.expected.values().map(|spec| {
+            let turn = self.turn(spec, false, now);
+            (turn, spec.pieces as usize)
+        });
+        let earlier = waiting.chain(expected).filter(|(turn, _)| *turn <= own);
+        let pieces: usize = earlier.map(|(_, pieces)| pieces).sum();
+        match own.0 {
+            false => pieces as f64,
+            true => pieces as f64 / self.load.spare(self.engines.capacity(), now),
+        }
+    }
+
     /// Drops a job that nobody waits for; returns what it has made.
     pub fn cancel(&mut self, key: JobKey) -> Vec<Handle> {
         let job = self.jobs.remove(key);
@@ -175,6 +229,8 @@
     /// Gives up the jobs whose deadline has passed, and forgets results that have expired.
     pub fn expire(&mut self, now: Instant) -> Vec<Event> {
         self.engines.expire(now);
+        // The process that has announced it may be gone.
+        self.expected.retain(|_, spec| spec.due > now);
         let passed = |j: &Job| !j.waiting.is_empty() && j.spec.deadline <= now;
         let keys: Vec<_> = self.jobs.iter().filter(|(_, j)| passed(j)).collect();
         let keys: Vec<_> = keys.into_iter().map(|(key, _)| key).collect();
@@ -236,14 +292,29 @@
                 break;
             }
         }
-        let pieces = self.reserve(engine, draft.into_jobs());
+        let jobs = draft.into_jobs();
+        self.load.add(self.on_time(&jobs, now), now);
+        let pieces = self.reserve(engine, jobs);
         if pieces.is_empty() {
             return None;
         }
+        if self.waiting() >= self.shape.pieces {
+            self.engines.filled(pieces.len());
+        }
         self.engines.start(engine, pieces.len(), now);
         Some(Call { engine, pieces })
     }
 
+    /// Returns how many of the pieces are of jobs that are on time.
+    fn on_time(&self, jobs: &[(JobKey, usize)], now: Instant) -> usize {
+        let is_late = |key: JobKey| {
+            let job = &self.jobs[key];
+            self.turn(&job.spec, job.is_started(), now).0
+        };
+        let on_time = jobs.iter().filter(|(key, _)| !is_late(*key));
+        on_time.map(|(_, pieces)| pieces).sum()
+    }
+
     /// Takes pieces out of their jobs and reserves room for their results.
     fn reserve(&mut self, engine: EngineKey, jobs: Vec<(JobKey, usize)>) -> Vec<Piece> {
         let mut pieces = Vec::new();
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -33,6 +33,12 @@
 /// Weight of the newest call in the measured speed.
 const WEIGHT: f64 = 0.4;
 
+/// Weight of the newest call in the measured size of calls: about the last second of them counts.
+const FILL_WEIGHT: f64 = 0.05;
+
+/// A call that took less than this multiple of its promised time has not waited for its turn.
+const STEADY: f64 = 1.3;
+
 /// Part of a call's fixed time after which its inputs have been read.
 ///
 /// They come over links of several gigabits a second, in tens of milliseconds of the usual 200.
@@ -52,7 +58,7 @@
     paused: Option<Instant>,
     /// Failures in a row.
     failed: u32,
-    /// Whether the last call was answered.
+    /// Whether the last call was answered, in about the promised time.
     steady: bool,
     /// Time of calls, as a multiple of the promised one.
     pace: f64,
@@ -73,6 +79,8 @@
     held: collections::HashMap<Handle, Held>,
     /// Results without a known name, until they expire.
     stranded: Vec<Held>,
+    /// Pieces of a call while more wait: all that there is room for.
+    fill: f64,
 }
 
 impl Engines {
@@ -82,6 +90,7 @@
             engines: SlotMap::with_key(),
             held: collections::HashMap::new(),
             stranded: Vec::new(),
+            fill: shape.pieces as f64,
         }
     }
 
@@ -118,12 +127,12 @@
     /// Returns how long after its start a call has read its inputs, if that can be told.
     ///
     /// A target reads them when the call's turn comes, and works for the fixed time after that. The
-    /// turn comes at once where the last call was answered. Behind one that was given up, or one of
-    /// an earlier owner of the queue, it may come much later: inputs that were freed then would be
+    /// turn comes at once where the last call was answered in time. Behind one that was given up, or
+    /// those of another owner of the queue, it may come much later: inputs that were freed then would be
     /// missed, and the whole request would have to begin again.
     pub fn reading(&self, key: EngineKey) -> Option<time::Duration> {
         let engine = self.engines.get(key)?;
-        (engine.steady && engine.pace < SLOW).then(|| self.shape.call.mul_f64(READING))
+        engine.steady.then(|| self.shape.call.mul_f64(READING))
     }
 
     /// Returns when a pause ends, for the next look at the queue.
@@ -147,9 +156,31 @@
         unit::Size(self.engines.get(key).map_or(0, |e| e.used))
     }
 
-    pub(super) fn outlook(&self, ahead: usize, own: usize, now: Instant) -> time::Duration {
+    /// Takes in a call that was made while more waited.
+    pub(super) fn filled(&mut self, pieces: usize) {
+        self.fill += FILL_WEIGHT * (pieces as f64 - self.fill);
+    }
+
+    /// Returns the pieces that are done in a second while enough wait.
+    pub(super) fn capacity(&self) -> f64 {
+        let fill = self.fill.max(1.0);
+        let call = self.promised(fill as usize).as_secs_f64();
+        let speed = |e: &Engine| {
+            if e.failed > 0 {
+                0.0
+            } else {
+                1.0 / e.pace.max(1.0)
+            }
+        };
+        let speeds: f64 = self.engines.values().map(speed).sum();
+        speeds * fill / call.max(0.001)
+    }
+
+    /// Returns how long a job of `own` pieces takes when as many as `ahead` go before it.
+    pub(super) fn outlook(&self, ahead: f64, own: usize, now: Instant) -> time::Duration {
         let count = self.engines.len();
-        if count == 0 {
+        let capacity = self.capacity();
+        if count == 0 || capacity == 0.0 {
             return time::Duration::MAX;
         }
         let most = self.shape.pieces.max(1);
@@ -160,10 +191,11 @@
             None => time::Duration::ZERO,
         };
         let busy: time::Duration = self.engines.values().map(left).sum();
-        let calls = ahead as f64 / most as f64;
-        let queued = self.promised(most).mul_f64(calls / count as f64);
+        let queued = time::Duration::try_from_secs_f64(ahead / capacity);
+        let queued = queued.unwrap_or(time::Duration::MAX);
         let waves = own.div_ceil(most).div_ceil(count).max(1) as u32;
-        busy / count as u32 + queued + self.promised(own.min(most)) * waves
+        let own = self.promised(own.min(most)) * waves;
+        queued.saturating_add(busy / count as u32 + own)
     }
 
     pub(super) fn free_count(&self, now: Instant) -> usize {
@@ -236,12 +268,14 @@
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
+        let mut steady = false;
         if let Some((start, _)) = engine.call.take() {
-            let taken = now.duration_since(start).as_secs_f64();
-            engine.pace += WEIGHT * (taken / promised.max(0.001) - engine.pace);
+            let pace = now.duration_since(start).as_secs_f64() / promised.max(0.001);
+            engine.pace += WEIGHT * (pace - engine.pace);
+            steady = pace < STEADY;
         }
         engine.failed = 0;
-        engine.steady = true;
+        engine.steady = steady;
         engine.paused = None;
     }
 
@@ -310,7 +344,8 @@
         }
     }
 
-    fn promised(&self, pieces: usize) -> time::Duration {
+    /// Returns how long a call of so many pieces is promised to take.
+    pub fn promised(&self, pieces: usize) -> time::Duration {
         self.shape.call + self.shape.piece * pieces as u32
     }
 
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -387,6 +387,56 @@
     assert_eq!(none.outlook(&spec(1000), now), time::Duration::MAX);
 }
 
+// Jobs that earlier stages will bring in a moment do not wait yet. Left out, as many requests again
+// would be admitted as the queue can do, and all of them would be late together.
+#[test]
+fn jobs_that_will_come_count() {
+    let now = Instant::now();
+    let mut queue = queue(2);
+    let spec = batch::Spec::new(4, SIZE, now + 900 * MS);
+    let empty = queue.forecast(&spec, now);
+    for id in 0..10 {
+        queue.expect(id, spec.clone());
+    }
+    let behind = queue.forecast(&spec, now);
+    assert!(behind.turn.0 > empty.turn.0 + 500 * MS, "{behind:?}");
+    for id in 0..5 {
+        queue.unexpect(id);
+    }
+    assert!(queue.forecast(&spec, now).turn < behind.turn);
+    // Those who announced the rest have gone.
+    queue.expire(now + 1000 * MS);
+    let later = batch::Spec::new(4, SIZE, now + 1900 * MS);
+    assert_eq!(queue.forecast(&later, now + 1000 * MS), empty);
+}
+
+// All that the targets can do goes to jobs on time. A late job would be told of the few that wait
+// before it now, and wait for ever behind those that come.
+#[test]
+fn late_jobs_get_what_those_on_time_leave() {
+    let mut now = Instant::now();
+    let mut queue = queue(1);
+    let spec = |now| batch::Spec::new(2, SIZE, now);
+    push(&mut queue, 8, 1000 * MS, now);
+    let idle = queue.outlook(&spec(now), now);
+    for _ in 0..20 {
+        push(&mut queue, 8, 1000 * MS, now);
+        let call = queue.take(now).unwrap();
+        now += 360 * MS;
+        let events = queue.finish(&call, made(&call), now);
+        let batch::Event::Done(_, handles) = &events[0] else {
+            panic!("{events:?}");
+        };
+        for handle in handles {
+            queue.free(handle);
+        }
+    }
+    let loaded = queue.outlook(&spec(now), now);
+    assert!(loaded > 3 * idle, "{idle:?} {loaded:?}");
+    // A job on time is not held up by that.
+    assert!(queue.outlook(&spec(now + 2000 * MS), now) < loaded / 2);
+}
+
 /// One step of a random run.
 #[derive(Clone, Debug)]
 enum Step {
--- a/laburnumcart_ctl/src/command/explain.rs
+++ b/laburnumcart_ctl/src/command/explain.rs
@@ -79,6 +79,13 @@
         return "no end is logged: the caller left, or the process ended".into();
     };
     let (reason, verdict) = (end.field("reason"), end.field("verdict"));
+    if let Some(forecast) = last("forecast").filter(|f| f.field("judgement") == "refused") {
+        let (queues, slack) = (forecast.field("queues_ms"), forecast.field("slack_ms"));
+        return format!(
+            "refused ({verdict}): not begun, as the queues of its stages would be done with it \
+             after {queues} ms, and it was due in {slack} ms"
+        );
+    }
     if let Some(queue) = last("job-refused") {
         let (service, outlook) = (queue.field("service"), queue.field("outlook_ms"));
         let due = queue.field("due_ms");
--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -25,6 +25,8 @@
   51.9 gateway-1 time=2026-05-04T00:14:51.900Z level=info event=stage-ended request=r3 stage=1 service=rank outcome=done taken_ms=800
 time=2026-05-04T00:14:52.000Z level=info event=answered request=r3 status=200 taken_ms=1000
 time=2026-05-04T00:14:53.000Z level=info event=admitted request=r4 route=a rank=0
+time=2026-05-04T00:14:54.002Z level=info event=forecast request=r5 judgement=refused queues_ms=260,1490,? slack_ms=1100 left_ms=6000 again=false
+time=2026-05-04T00:14:54.002Z level=info event=refused request=r5 reason=deadline-too-short verdict=not-run status=503
 not a line of the log
 ";
 
@@ -71,6 +73,11 @@
     "r3",
     "answered after 1000 ms; the longest stage was 1 at rank with 800 ms"
 )]
+#[case(
+    "r5",
+    "refused (not-run): not begun, as the queues of its stages would be done with it after \
+     260,1490,? ms, and it was due in 1100 ms"
+)]
 #[case("r4", "no end is logged: the caller left, or the process ended")]
 fn the_cause_stands_first(#[case] id: &str, #[case] cause: &str) {
     let (code, text) = explain(id, &[]);
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -31,6 +31,7 @@
 use laburnumcart::{
     batch,
     event,
+    forecast,
     id,
     unit, //
 };
@@ -53,25 +54,6 @@
 /// Time in which the results to free at one target are collected into one call.
 const FREE_DELAY: time::Duration = time::Duration::from_millis(10);
 
-/// Share of its deadline within which a job is taken although it will be late.
-///
-/// A late answer earns a part, and the queue puts it behind those that can be on time. With a fifth
-/// of the deadline more requests were held to their end and not served: 0.009 of worth in the mean
-/// of 26 days, and 0.004 with half of it. Mean worth of their ten kinds of day 0.500 with 0.2, 0.508
-/// with 0.5, 0.506 with 0.8, and 0.448 with 0.
-const LATE_SHARE: f64 = 0.5;
-
-/// The same share for a caller that was refused before and has come again.
-///
-/// Refused twice, it would have waited for nothing.
-const AGAIN_SHARE: f64 = 0.6;
-
-/// The same share for the later stages of a request.
-///
-/// Their request has cost work already, and is given up only when it cannot be done at all. Without
-/// this it would wait for that until its deadline, in which its caller could have come again.
-const LATER_SHARE: f64 = 1.0;
-
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -99,10 +81,6 @@
     pub near: Option<id::DataCentre>,
     /// Bytes that cross between data centres when it is executed in another one.
     pub moved: unit::Size,
-    /// Whether it is a first stage, refused at once when it would be late.
-    pub first: bool,
-    /// Whether its caller was refused before.
-    pub again: bool,
     /// Whether nothing else reads its inputs.
     pub consumes: bool,
     /// Whether a process that is leaving takes it too, as no other does.
@@ -119,6 +97,33 @@
     }
 }
 
+/// What the owner of a stage's queue is told when a request begins.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Notice {
+    /// Identity of the job that will come.
+    pub id: u64,
+    /// Service that will execute it.
+    pub service: id::ServiceName,
+    /// Number of its pieces.
+    pub pieces: u32,
+    /// Approximate size of one result.
+    pub size: unit::Size,
+    /// Time until its results are due.
+    pub due: unit::Period,
+    /// Time until its results are of no use.
+    pub deadline: unit::Period,
+    /// Rank.
+    pub rank: u8,
+}
+
+impl Notice {
+    fn spec(&self, now: Instant) -> batch::Spec {
+        batch::Spec::new(self.pieces, self.size, now + self.due.0)
+            .deadline(now + self.deadline.0)
+            .rank(self.rank)
+    }
+}
+
 /// Queues of the services that this process owns jobs of.
 pub struct Dispatcher {
     view: Arc<view::View>,
@@ -273,22 +278,37 @@
             return Err(batch::Failure::Unavailable);
         }
         let now = Instant::now();
+        line.queue.unexpect(job.id);
         self.check(line, &job, now)?;
         let (sender, receiver) = oneshot::channel();
         line.push(job, sender, now);
         Ok(receiver)
     }
 
-    /// Refuses a job that would be too late to be worth its while.
+    /// Takes in that a job will come; returns when it would be done.
+    pub fn announce(&self, notice: &Notice) -> Option<forecast::Outlook> {
+        let mut lines = view::lock(&self.lines);
+        let line = self.line(&mut lines, &notice.service)?;
+        let now = Instant::now();
+        let spec = notice.spec(now);
+        let outlook = line.queue.forecast(&spec, now);
+        line.queue.expect(notice.id, spec);
+        Some(outlook)
+    }
+
+    /// Forgets a job that will not come.
+    pub fn withdraw(&self, service: &id::ServiceName, id: u64) {
+        if let Some(line) = view::lock(&self.lines).get_mut(service) {
+            line.queue.unexpect(id);
+        }
+    }
+
+    /// Refuses a job that cannot be done in time.
+    ///
+    /// Kept, it would wait for that until its deadline, in which its caller could have come again.
     fn check(&self, line: &Line, job: &Job, now: Instant) -> Result<(), batch::Failure> {
         let outlook = line.queue.outlook(&job.spec(now), now);
-        let share = match (job.first, job.again) {
-            (false, _) => LATER_SHARE,
-            (true, true) => AGAIN_SHARE,
-            (true, false) => LATE_SHARE,
-        };
-        let most = job.due.0.max(job.deadline.0.mul_f64(share));
-        if outlook <= most {
+        if outlook <= job.deadline.0 {
             return Ok(());
         }
         self.metrics.refused_early.inc();
@@ -299,7 +319,7 @@
             service = job.service,
             outlook_ms = outlook.as_millis(),
             due_ms = job.due.as_millis(),
-            again = job.again,
+            deadline_ms = job.deadline.as_millis(),
             waiting = line.queue.waiting()
         );
         let excess = outlook.saturating_sub(job.due.0);
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -20,7 +20,6 @@
     eject,
     id,
     ingress,
-    pace,
     patience,
     placement,
     unit, //
@@ -71,7 +70,6 @@
     balancers: Mutex<collections::HashMap<id::ServiceName, balancer::Balancer>>,
     budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
     patience: Mutex<collections::HashMap<String, patience::Patience>>,
-    paces: Mutex<collections::HashMap<id::ServiceName, pace::Pace>>,
     /// Results that the own queues have read, taken by the task that frees them.
     consumed: Mutex<Option<mpsc::UnboundedReceiver<Vec<batch::Handle>>>>,
 }
@@ -120,7 +118,6 @@
             balancers: Mutex::default(),
             budgets: Mutex::default(),
             patience: Mutex::default(),
-            paces: Mutex::default(),
             consumed: Mutex::new(Some(receiver)),
         })
     }
@@ -276,18 +273,6 @@
         callers.spent(patience).min(route.timeout)
     }
 
-    /// Records how long the jobs of a service take just now.
-    pub fn record_pace(&self, service: &id::ServiceName, taken: time::Duration) {
-        let mut paces = view::lock(&self.paces);
-        let pace = paces.entry(service.clone()).or_default();
-        pace.record(taken, Instant::now());
-    }
-
-    /// Returns how long the jobs of a service take just now, if any has ended of late.
-    pub fn pace(&self, service: &id::ServiceName) -> Option<time::Duration> {
-        view::lock(&self.paces).get(service)?.mean(Instant::now())
-    }
-
     /// Returns the bounds of an exchange with a target of a service.
     pub fn bounds(&self, request: &admission::Request, service: &id::ServiceName) -> pool::Bounds {
         let known = request.table.service(service);
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -28,6 +28,7 @@
 use laburnumcart::{
     batch,
     event,
+    forecast,
     id, //
 };
 
@@ -66,6 +67,14 @@
     #[method(name = "submit")]
     async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer>;
 
+    /// Tells of a job that will come; the answer says when it would be done.
+    #[method(name = "announce")]
+    async fn announce(&self, notice: dispatcher::Notice) -> RpcResult<Option<forecast::Outlook>>;
+
+    /// Tells that an announced job will not come.
+    #[method(name = "withdraw")]
+    async fn withdraw(&self, service: id::ServiceName, job: u64) -> RpcResult<()>;
+
     /// Cancels a job.
     #[method(name = "cancel")]
     async fn cancel(&self, service: id::ServiceName, job: u64) -> RpcResult<()>;
@@ -105,6 +114,15 @@
         })
     }
 
+    async fn announce(&self, notice: dispatcher::Notice) -> RpcResult<Option<forecast::Outlook>> {
+        Ok(self.dispatcher.announce(&notice))
+    }
+
+    async fn withdraw(&self, service: id::ServiceName, job: u64) -> RpcResult<()> {
+        self.dispatcher.withdraw(&service, job);
+        Ok(())
+    }
+
     async fn cancel(&self, service: id::ServiceName, job: u64) -> RpcResult<()> {
         self.dispatcher.cancel(&service, job);
         Ok(())
@@ -177,6 +195,32 @@
         }
     }
 
+    /// Tells the owner of a queue of a job that will come; returns when it would be done.
+    ///
+    /// Without an answer the job is not held up: an owner that is gone has no queue to be late in.
+    pub async fn announce(&self, notice: dispatcher::Notice) -> Option<forecast::Outlook> {
+        let owner = self.owners(&notice.service, false).into_iter().next()?;
+        match owner.instance == self.own {
+            true => self.dispatcher.announce(&notice),
+            false => self.link(&owner)?.announce(notice).await,
+        }
+    }
+
+    /// Tells the owner of a queue that an announced job will not come.
+    pub fn withdraw(&self, service: &id::ServiceName, job: u64) {
+        let Some(owner) = self.owners(service, false).into_iter().next() else {
+            return;
+        };
+        if owner.instance == self.own {
+            self.dispatcher.withdraw(service, job);
+            return;
+        }
+        if let Some(link) = self.link(&owner) {
+            let service = service.clone();
+            tokio::spawn(async move { link.withdraw(service, job).await });
+        }
+    }
+
     /// Frees results through the owner of their queue, which accounts their room.
     pub fn free(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
         let Some(owner) = self.owners(service, true).into_iter().next() else {
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -17,6 +17,7 @@
 use laburnumcart::{
     batch,
     event,
+    forecast,
     id,
     unit, //
 };
@@ -45,6 +46,9 @@
 /// A connection that went silent holds up the jobs of requests whose objective is about a second.
 const SILENCE: time::Duration = time::Duration::from_millis(600);
 
+/// Longest wait for the answer to an announcement, which holds up the request.
+const NOTICE: time::Duration = time::Duration::from_millis(80);
+
 /// Longest call; jobs are bounded by their own deadlines.
 const REQUEST: unit::Period = unit::Period::from_secs(60);
 
@@ -121,6 +125,26 @@
         }
     }
 
+    /// Tells of a job that will come; returns when it would be done.
+    pub(super) async fn announce(
+        self: &Arc<Self>,
+        notice: dispatcher::Notice,
+    ) -> Option<forecast::Outlook> {
+        let call = async {
+            let open = self.client().await?;
+            open.client.announce(notice).await.ok().flatten()
+        };
+        tokio::time::timeout(NOTICE, call).await.ok().flatten()
+    }
+
+    /// Tells that an announced job will not come.
+    pub(super) async fn withdraw(self: &Arc<Self>, service: id::ServiceName, job: u64) {
+        if let Some(open) = self.client().await {
+            // Without an answer it is forgotten when it is due.
+            let _ = tokio::time::timeout(SILENCE, open.client.withdraw(service, job)).await;
+        }
+    }
+
     /// Frees results; returns whether the process was told.
     pub(super) async fn free(
         self: &Arc<Self>,
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -1,5 +1,7 @@
 //! Runs the stages of a request before it goes to its target.
 
+mod notices;
+
 use std::{
     collections,
     sync::Arc,
@@ -14,6 +16,7 @@
 use laburnumcart::{
     batch,
     event,
+    forecast,
     id,
     ingress,
     unit,
@@ -28,6 +31,8 @@
     reply, //
 };
 
+use self::notices::Notices;
+
 /// Time that a later stage takes beside its call: the wait for a free target.
 const WAIT: time::Duration = time::Duration::from_millis(60);
 
@@ -68,6 +73,9 @@
     request: &'a admission::Request,
     near: Option<id::DataCentre>,
     results: Vec<Option<Held>>,
+    notices: Notices,
+    /// Whether it was admitted although it will be late.
+    late: bool,
 }
 
 /// Results of one stage, freed when dropped.
@@ -98,6 +106,8 @@
             request,
             near: gateway.near(request),
             results: request.route.stages.iter().map(|_| None).collect(),
+            notices: Notices::new(request.route.stages.len()),
+            late: false,
         };
         let finish = tokio::time::timeout(request.left(), run.finish());
         let result = tokio::select! {
@@ -136,6 +146,7 @@
 
 impl Run<'_> {
     async fn finish(mut self) -> Result<Inputs, batch::Failure> {
+        self.admit().await?;
         let stages = &self.request.route.stages;
         let mut started = vec![false; stages.len()];
         let mut running = stream::FuturesUnordered::new();
@@ -155,12 +166,94 @@
         Ok(self.collect())
     }
 
+    /// Tells the owners of the stages' queues of their jobs, and judges the request by what they say.
+    async fn admit(&mut self) -> Result<(), batch::Failure> {
+        let stages = &self.request.route.stages;
+        let needed = (0..stages.len()).filter(|i| self.pieces(*i) > 0);
+        let notices: Vec<_> = needed.map(|i| (i, self.notice(i, &stages[i]))).collect();
+        let asked: Vec<_> = notices.iter().map(|(i, _)| *i).collect();
+        let outlooks = self.notices.announce(self.gateway, notices).await;
+        let mut steps: Vec<_> = (0..stages.len()).map(|i| self.step(i)).collect();
+        for (i, outlook) in asked.into_iter().zip(outlooks) {
+            steps[i].outlook = outlook;
+        }
+        let time = forecast::Time {
+            slack: self.request.slack(),
+            left: self.request.left(),
+            rest: self.prompt(),
+            again: self.request.is_again(),
+        };
+        match forecast::judge(&steps, time) {
+            forecast::Judgement::OnTime => Ok(()),
+            forecast::Judgement::Late => {
+                self.late = true;
+                self.notices.withdraw();
+                self.report("late", &steps, time);
+                Ok(())
+            }
+            forecast::Judgement::Refused(after) => {
+                self.gateway.metrics.refused_early.inc();
+                self.report("refused", &steps, time);
+                let millis = after.as_millis().try_into().unwrap_or(u32::MAX);
+                Err(batch::Failure::Busy(millis))
+            }
+        }
+    }
+
+    fn step(&self, i: usize) -> forecast::Step {
+        let own = match self.pieces(i) {
+            0 => time::Duration::ZERO,
+            _ => self.length(i),
+        };
+        forecast::Step {
+            after: self.request.route.stages[i].after.clone(),
+            own,
+            outlook: None,
+        }
+    }
+
+    fn report(&self, judgement: &str, steps: &[forecast::Step], time: forecast::Time) {
+        let turn = |step: &forecast::Step| {
+            let turn = step.outlook.map(|outlook| outlook.turn.0);
+            turn.map_or("?".into(), |turn| turn.as_millis().to_string())
+        };
+        let turns: Vec<_> = steps.iter().map(turn).collect();
+        event!(
+            Info,
+            "forecast",
+            request = self.request.call.attempt,
+            judgement = judgement,
+            queues_ms = turns.join(","),
+            slack_ms = time.slack.as_millis(),
+            left_ms = time.left.as_millis(),
+            again = time.again
+        );
+    }
+
+    fn notice(&self, i: usize, stage: &ingress::Stage) -> dispatcher::Notice {
+        let request = self.request;
+        let rest = self.rest(i);
+        dispatcher::Notice {
+            id: rand::random(),
+            service: stage.service.clone(),
+            pieces: self.pieces(i),
+            size: stage.size,
+            due: unit::Period(request.slack().saturating_sub(rest)),
+            deadline: unit::Period(request.left().saturating_sub(rest)),
+            rank: request.rank,
+        }
+    }
+
+    /// Returns the number of pieces of a stage.
+    fn pieces(&self, i: usize) -> u32 {
+        self.request.call.pieces.get(i).copied().unwrap_or(0)
+    }
+
     /// Reports whether a stage alone reads the results that it takes.
     fn consumes(&self, i: usize) -> bool {
         let stages = &self.request.route.stages;
         let readers = |k: usize| stages.iter().filter(|s| s.after.contains(&k)).count();
-        let pieces = self.request.call.pieces.get(i).copied().unwrap_or(0);
-        pieces > 0 && stages[i].after.iter().all(|k| readers(*k) == 1)
+        self.pieces(i) > 0 && stages[i].after.iter().all(|k| readers(*k) == 1)
     }
 
     /// Reports whether all that a stage takes has been made.
@@ -171,7 +264,7 @@
 
     /// Runs one stage.
     fn stage(
-        &self,
+        &mut self,
         i: usize,
     ) -> impl Future<Output = (usize, Result<Held, batch::Failure>)> + Send + 'static {
         let gateway = self.gateway.clone();
@@ -190,9 +283,6 @@
             }
             let attempt = job.attempt.clone();
             let result = gateway.peers.submit(job).await;
-            if result.is_ok() {
-                gateway.record_pace(&service, start.elapsed());
-            }
             event!(
                 Info,
                 "stage-ended",
@@ -209,20 +299,24 @@
         }
     }
 
-    fn job(&self, i: usize, stage: &ingress::Stage) -> dispatcher::Job {
+    fn job(&mut self, i: usize, stage: &ingress::Stage) -> dispatcher::Job {
         let request = self.request;
         let input = match stage.after.is_empty() {
             true => dialect::Input::Key(request.call.key_input.clone().unwrap_or_default()),
             false => dialect::Input::Results(self.handles(&stage.after)),
         };
-        let due = request.slack().saturating_sub(self.rest(i));
+        // A request that will be late in any case must not delay those that can be on time.
+        let due = match self.late {
+            true => time::Duration::ZERO,
+            false => request.slack().saturating_sub(self.rest(i)),
+        };
         let (near, moved) = self.best_place(i);
         dispatcher::Job {
-            id: rand::random(),
+            id: self.notices.come(i).unwrap_or_else(rand::random),
             attempt: request.call.attempt.clone(),
             stage: i as u32,
             service: stage.service.clone(),
-            pieces: request.call.pieces.get(i).copied().unwrap_or(0),
+            pieces: self.pieces(i),
             size: stage.size,
             input,
             due: unit::Period(due),
@@ -230,8 +324,6 @@
             rank: request.rank,
             near,
             moved,
-            first: stage.after.is_empty(),
-            again: request.is_again(),
             consumes: self.consumes(i),
             last: false,
         }
@@ -252,7 +344,7 @@
                 *places.entry(place).or_default() += stages[*k].size.0;
             }
         }
-        let pieces = u64::from(self.request.call.pieces.get(i).copied().unwrap_or(0));
+        let pieces = u64::from(self.pieces(i));
         let best = places.into_iter().max_by_key(|(_, bytes)| *bytes);
         best.map_or((None, unit::Size(0)), |(place, bytes)| {
             (Some(place), unit::Size(bytes * pieces))
@@ -272,9 +364,7 @@
         after.unwrap_or_else(|| self.prompt())
     }
 
-    /// Returns the time that a stage takes: as measured of late, and at least the usual one.
-    ///
-    /// When a later stage is congested, the request cannot be on time whatever the first one does.
+    /// Returns the time that a stage usually takes.
     fn length(&self, k: usize) -> time::Duration {
         let stage = &self.request.route.stages[k];
         let service = self.request.table.service(&stage.service);
@@ -283,9 +373,7 @@
         };
         // Calls are about half full in the mean.
         let pieces = shape.pieces.div_ceil(2) as u32;
-        let usual = shape.call + shape.piece * pieces + WAIT;
-        let recent = self.gateway.pace(&stage.service);
-        recent.map_or(usual, |recent| recent.max(usual))
+        shape.call + shape.piece * pieces + WAIT
     }
 
     /// Returns the usual time to the first token.
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -23,6 +23,7 @@
 
 use laburnumcart::{
     batch,
+    forecast,
     id,
     unit, //
 };
@@ -88,6 +89,14 @@
         std::future::pending().await
     }
 
+    async fn announce(&self, _: dispatcher::Notice) -> RpcResult<Option<forecast::Outlook>> {
+        Ok(None)
+    }
+
+    async fn withdraw(&self, _: id::ServiceName, _: u64) -> RpcResult<()> {
+        Ok(())
+    }
+
     async fn cancel(&self, _: id::ServiceName, _: u64) -> RpcResult<()> {
         Ok(())
     }
@@ -143,8 +152,6 @@
         rank: 0,
         near: None,
         moved: unit::Size(0),
-        first: true,
-        again: false,
         consumes: false,
         last: false,
     }
