Ask a store that is down with one follower, and spread watches while targets change

Ruled out: the watch of the configuration, whose second bounds the age of keys. The configuration is tried every 0.4 s as before; the others every 1.5 s, and at once when one of them was answered. Watches that bring changes grow apart to 0.6 s. Both tests fail without their part.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -36,15 +36,23 @@
 /// Wait of a watch of the members, whose changes are seen on connections as well.
 const MEMBERS_WAIT: unit::Period = unit::Period::from_secs(10);
 
-/// Longest pause between tries while the store is down.
+/// Longest pause between reads of the configuration while the store is down.
 const PAUSE: unit::Period = unit::Period::from_millis(400);
 
+/// The same of the targets and the members, which are read again once the configuration was read.
+///
+/// A quarter of all calls of a day with outages were tries that failed, a third of them each.
+const PAUSE_SHARED: unit::Period = unit::Period::from_millis(1500);
+
 /// Least time between two calls, in which a burst of changes is collected.
 ///
 /// Each change of a target would cost each process a call; at 97 targets and 23 processes those
 /// were half of all calls.
 const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
+/// The same time while changes go on, a fifth of the time in which a target that leaves must be left.
+const SPREAD: unit::Period = unit::Period::from_millis(600);
+
 /// Pause before the own entry is written again after a failure.
 const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -55,11 +63,13 @@
     view: Arc<view::View>,
     own: view::Member,
 ) {
-    let settings = |wait| follow::Settings {
+    let settings = |wait, longest| follow::Settings {
         wait,
         interval: INTERVAL,
-        longest: PAUSE,
+        spread: SPREAD,
+        longest,
     };
+    let returns = follow::Returns::default();
     let table = Table {
         view: view.clone(),
         directory: directory.clone(),
@@ -67,19 +77,21 @@
         version: store::Version::default(),
     };
     let key = directory.table_key();
-    let (follower, _table) = follow::follower(store.clone(), key, settings(TABLE_WAIT));
-    let table = follower.observe(table);
+    let (follower, _table) = follow::follower(store.clone(), key, settings(TABLE_WAIT, PAUSE));
+    let table = follower.observe(table).share(&returns);
     let targets = targets::Observer::new(view.clone(), directory.clone());
     let prefix = directory.targets_prefix();
-    let (follower, _targets) = follow::follower(store.clone(), prefix, settings(TARGETS_WAIT));
-    let targets = follower.observe(targets);
+    let (follower, _targets) =
+        follow::follower(store.clone(), prefix, settings(TARGETS_WAIT, PAUSE_SHARED));
+    let targets = follower.observe(targets).share(&returns);
     let members = Members {
         view: view.clone(),
         own: own.clone(),
     };
     let prefix = directory.members_prefix();
-    let (follower, _members) = follow::follower(store.clone(), prefix, settings(MEMBERS_WAIT));
-    let members = follower.observe(members);
+    let (follower, _members) =
+        follow::follower(store.clone(), prefix, settings(MEMBERS_WAIT, PAUSE_SHARED));
+    let members = follower.observe(members).share(&returns);
     let entry = enter(store, format!("{prefix}/{}", own.instance), own);
     tokio::join!(table.run(), targets.run(), members.run(), entry);
 }
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -94,6 +94,8 @@
     pub wait: unit::Period,
     /// Least time between two watches, so that a burst of changes is fetched in few calls.
     pub interval: unit::Period,
+    /// The same time while changes go on; it grows to this with each watch that brings some.
+    pub spread: unit::Period,
     /// Longest pause while the service is down.
     pub longest: unit::Period,
 }
@@ -103,6 +105,7 @@
         Self {
             wait: unit::Period::from_secs(4),
             interval: unit::Period::from_millis(500),
+            spread: unit::Period::from_millis(500),
             longest: unit::Period::from_secs(5),
         }
     }
@@ -111,6 +114,19 @@
 /// First pause after a failure.
 const FIRST: time::Duration = time::Duration::from_millis(100);
 
+/// Tells followers of one service that it has answered again.
+///
+/// One of them asks often while the service is down, the others seldom. Each call is paid for, and
+/// three followers that ask alike pay three times for one thing to know.
+#[derive(Clone, Debug)]
+pub struct Returns(watch::Sender<()>);
+
+impl Default for Returns {
+    fn default() -> Self {
+        Self(watch::Sender::new(()))
+    }
+}
+
 /// Hears of each read of a [`Follower`], so that it can tell how old its knowledge is.
 pub trait Observer: Send {
     /// A call is about to be sent.
@@ -133,6 +149,9 @@
     /// Whether the last call failed.
     behind: bool,
     observer: Option<Box<dyn Observer>>,
+    returns: Returns,
+    /// Least time to the next watch.
+    interval: time::Duration,
 }
 
 /// Creates a follower and the receiver of its snapshots; nothing is called before
@@ -153,6 +172,8 @@
         lost: true,
         behind: false,
         observer: None,
+        returns: Returns::default(),
+        interval: settings.interval.0,
     };
     (follower, receiver)
 }
@@ -165,6 +186,13 @@
         self
     }
 
+    /// Shares the news that the service answers again with other followers.
+    #[must_use]
+    pub fn share(mut self, returns: &Returns) -> Self {
+        self.returns = returns.clone();
+        self
+    }
+
     /// Follows until the last receiver is gone.
     pub async fn run(mut self) {
         let sender = self.sender.clone();
@@ -180,22 +208,32 @@
             if let Some(observer) = &mut self.observer {
                 observer.ask();
             }
+            let mut returns = self.returns.0.subscribe();
             let result = match self.lost {
                 true => self.list().await,
                 false => self.watch().await,
             };
+            if self.behind && result.is_ok() {
+                self.returns.0.send_replace(());
+            }
             self.report(result.is_err());
             if let (Some(observer), Ok(())) = (&mut self.observer, &result) {
                 observer.read(&self.snapshot);
             }
-            let next = match result {
+            match result {
                 Ok(()) => {
                     self.pause.reset();
-                    start + self.settings.interval.0
+                    tokio::time::sleep_until(start + self.interval).await;
                 }
-                Err(failure) => Instant::now() + self.wait(&failure),
-            };
-            tokio::time::sleep_until(next).await;
+                Err(failure) => {
+                    let pause = tokio::time::sleep(self.wait(&failure));
+                    tokio::select! {
+                        () = pause => {}
+                        // The sender lives as long as this follower.
+                        _ = returns.changed() => {}
+                    }
+                }
+            }
         }
     }
 
@@ -218,9 +256,14 @@
         };
         let changes = self.store.watch(&self.prefix, after, wait).await;
         self.lost = changes == Err(store::Failure::Compacted);
-        if self.snapshot.update(changes?) {
+        let differs = self.snapshot.update(changes?);
+        if differs {
             self.publish();
         }
+        self.interval = match differs {
+            true => (self.interval * 2).min(self.settings.spread.0),
+            false => self.settings.interval.0,
+        };
         Ok(())
     }
 
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -203,6 +203,59 @@
     assert!(watches <= 12, "{watches} watches");
 }
 
+// Changes come all the time, as when all targets register. Each watch would bring one or two of them
+// and cost a call; the pauses grow while that goes on.
+#[tokio::test(start_paused = true)]
+async fn changes_that_go_on_are_fetched_in_fewer_calls() {
+    let replica = sync::Arc::new(Replica::default());
+    let settings = follow::Settings {
+        interval: unit::Period::from_millis(100),
+        spread: unit::Period::from_millis(1000),
+        ..Default::default()
+    };
+    let (follower, mut mirror) = follow::follower(replica.clone(), "p/", settings);
+    tokio::spawn(follower.run());
+    for number in 0..200 {
+        create(&replica.memory, &format!("p/{number:04}"), "0").await;
+        tokio::time::sleep(SECOND / 20).await;
+    }
+    let all = |snapshot: &sync::Arc<follow::Snapshot>| snapshot.objects.len() == 200;
+    let wait = tokio::time::timeout(SECOND * 60, mirror.wait_for(all));
+    wait.await.expect("mirror does not catch up").unwrap();
+    // 10 s of changes at a watch a second, with a few before; 100 without growing pauses.
+    let watches = replica.watches.load(atomic::Ordering::Relaxed);
+    assert!(watches <= 16, "{watches} watches");
+}
+
+// The service is down for long. One follower asks often, the other seldom, as each call is paid for.
+// When the first one is answered, the other must not sleep on with what it knew before.
+#[tokio::test(start_paused = true)]
+async fn a_return_is_shared() {
+    let memory = memory::Memory::new();
+    let returns = follow::Returns::default();
+    let start = |longest| {
+        let settings = follow::Settings {
+            longest,
+            ..Default::default()
+        };
+        let (follower, mirror) = follow::follower(memory.clone(), "p/", settings);
+        tokio::spawn(follower.share(&returns).run());
+        mirror
+    };
+    let mut often = start(unit::Period::from_millis(400));
+    let mut seldom = start(unit::Period::from_secs(600));
+    holds(&mut often, &[]).await;
+    holds(&mut seldom, &[]).await;
+    faults(&memory, |faults| faults.down = true);
+    tokio::time::sleep(SECOND * 300).await;
+    faults(&memory, |_| {});
+    create(&memory, "p/a", "1").await;
+    let back = tokio::time::Instant::now();
+    holds(&mut often, &[("p/a", "1")]).await;
+    holds(&mut seldom, &[("p/a", "1")]).await;
+    assert!(back.elapsed() < SECOND * 5, "{:?}", back.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn follower_ends_with_its_last_receiver() {
     let memory = memory::Memory::new();
