Run again only what has gone, and give up late jobs that cannot be done

Ruled out: lost owners. Now the stage that made them is run again, with a comeback's share of time; late jobs are refused once their forecast is beyond their deadline. A target that failed counts half in forecasts: with none counted, a test of failing targets was refused at once. Tests fail without their part.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -55,6 +55,9 @@
 /// The same time from which a job is left to a free target that is nearer.
 const FAR_LEFT: time::Duration = time::Duration::from_millis(15);
 
+/// Pause between two looks for jobs that cannot be done in time.
+const CHECK: time::Duration = time::Duration::from_millis(100);
+
 /// Longest time that is forecast; a queue without targets would never be done.
 const FORECAST_MAX: time::Duration = time::Duration::from_secs(600);
 
@@ -137,6 +140,8 @@
     expected: collections::HashMap<u64, Spec>,
     /// Pieces of jobs on time that calls have taken of late.
     load: load::Load,
+    /// When it was last looked for jobs to give up.
+    checked: Option<Instant>,
     /// Targets with their room and speed.
     pub engines: Engines,
 }
@@ -149,6 +154,7 @@
             jobs: SlotMap::with_key(),
             expected: collections::HashMap::new(),
             load: load::Load::default(),
+            checked: None,
             engines: Engines::new(shape),
         }
     }
@@ -231,11 +237,43 @@
         self.engines.expire(now);
         // The process that has announced it may be gone.
         self.expected.retain(|_, spec| spec.due > now);
+        let mut events = self.give_up(now);
         let passed = |j: &Job| !j.waiting.is_empty() && j.spec.deadline <= now;
         let keys: Vec<_> = self.jobs.iter().filter(|(_, j)| passed(j)).collect();
         let keys: Vec<_> = keys.into_iter().map(|(key, _)| key).collect();
-        keys.into_iter()
-            .flat_map(|key| self.fail(key, Failure::Late))
+        let passed = keys.into_iter();
+        events.extend(passed.flat_map(|key| self.fail(key, Failure::Late)));
+        events
+    }
+
+    /// Gives up the late jobs that cannot be done before their deadline.
+    ///
+    /// They were on time when they came, and what came after them goes first. Kept to the deadline,
+    /// their callers would have no time left to come again.
+    fn give_up(&mut self, now: Instant) -> Vec<Event> {
+        let checked = self.checked.is_some_and(|at| now < at + CHECK);
+        if checked || self.engines.is_empty() {
+            return Vec::new();
+        }
+        self.checked = Some(now);
+        let order = self.order(now);
+        let spare = self.load.spare(self.engines.capacity(), now);
+        let mut ahead = 0;
+        let mut hopeless = Vec::new();
+        for (key, (late, _)) in order {
+            let job = &self.jobs[key];
+            let pieces = job.waiting.len();
+            let outlook = self.engines.outlook(ahead as f64 / spare, pieces, now);
+            if late && now + outlook.min(FORECAST_MAX) > job.spec.deadline {
+                let excess = outlook.min(FORECAST_MAX).as_millis() as u32;
+                hopeless.push((key, Failure::Busy(excess)));
+                continue;
+            }
+            ahead += pieces;
+        }
+        let hopeless = hopeless.into_iter();
+        hopeless
+            .flat_map(|(key, failure)| self.fail(key, failure))
             .collect()
     }
 
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -165,13 +165,8 @@
     pub(super) fn capacity(&self) -> f64 {
         let fill = self.fill.max(1.0);
         let call = self.promised(fill as usize).as_secs_f64();
-        let speed = |e: &Engine| {
-            if e.failed > 0 {
-                0.0
-            } else {
-                1.0 / e.pace.max(1.0)
-            }
-        };
+        // One that has failed may be back; with none counted, all requests would be refused.
+        let speed = |e: &Engine| 0.5f64.powi(e.failed.min(8) as i32) / e.pace.max(1.0);
         let speeds: f64 = self.engines.values().map(speed).sum();
         speeds * fill / call.max(0.001)
     }
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -437,6 +437,28 @@
     assert!(queue.outlook(&spec(now + 2000 * MS), now) < loaded / 2);
 }
 
+// Jobs that came in time have become late, as others keep coming that go before them. Kept to the
+// deadline, their callers would have no time left to come again; they are told once it is known.
+#[test]
+fn late_jobs_that_cannot_be_done_are_given_up() {
+    let mut now = Instant::now();
+    let mut queue = queue(1);
+    let spec = |now| batch::Spec::new(8, SIZE, now + 300 * MS).deadline(now + 3000 * MS);
+    let jobs: Vec<_> = (0..12).map(|_| queue.push(spec(now))).collect();
+    assert!(queue.expire(now).is_empty(), "they are on time");
+    now += 200 * MS;
+    let events = queue.expire(now);
+    let given_up =
+        |event: &batch::Event| matches!(event, batch::Event::Failed(_, batch::Failure::Busy(_)));
+    // A call takes 0.36 s, so that seven are done in 2.8 s, and the rest never.
+    assert!(
+        !events.is_empty() && events.iter().all(given_up),
+        "{events:?}"
+    );
+    assert!(events.len() < jobs.len());
+    assert!(queue.take(now).is_some(), "the others are done");
+}
+
 /// One step of a random run.
 #[derive(Clone, Debug)]
 enum Step {
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -289,6 +289,9 @@
     pub fn announce(&self, notice: &Notice) -> Option<forecast::Outlook> {
         let mut lines = view::lock(&self.lines);
         let line = self.line(&mut lines, &notice.service)?;
+        if line.queue.engines.is_empty() {
+            return None;
+        }
         let now = Instant::now();
         let spec = notice.spec(now);
         let outlook = line.queue.forecast(&spec, now);
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -45,7 +45,7 @@
 /// Longest time after which a refused caller is told to come again.
 const RETRY_MAX: time::Duration = time::Duration::from_secs(2);
 
-/// Times that the stages are run, when results disappear before they were used.
+/// Failures of stages that a request survives, less one: their inputs are made again.
 const TRIES: usize = 3;
 
 /// Results that a target needs; freed when dropped.
@@ -74,6 +74,8 @@
     near: Option<id::DataCentre>,
     results: Vec<Option<Held>>,
     notices: Notices,
+    /// Whether its caller was refused before, or work was done for it in vain.
+    again: bool,
     /// Whether it was admitted although it will be late.
     late: bool,
 }
@@ -99,33 +101,41 @@
     gateway: &Arc<gateway::Gateway>,
     request: &admission::Request,
 ) -> Result<Inputs, verdict::Refusal> {
-    let mut failure = batch::Failure::Failed;
-    for _ in 0..TRIES {
-        let run = Run {
-            gateway,
-            request,
-            near: gateway.near(request),
-            results: request.route.stages.iter().map(|_| None).collect(),
-            notices: Notices::new(request.route.stages.len()),
-            late: false,
-        };
-        let finish = tokio::time::timeout(request.left(), run.finish());
-        let result = tokio::select! {
-            result = finish => result,
-            // A request that waits when the process must exit is refused while there is time.
-            () = gateway.view.exiting() => {
-                return Err(verdict::Refusal::not_run(verdict::Reason::Leaving));
-            }
-        };
-        match result {
-            Ok(Ok(inputs)) => return Ok(inputs),
-            // A result that disappeared went with its target; it is made again elsewhere.
-            Ok(Err(batch::Failure::Gone)) => failure = batch::Failure::Gone,
-            Ok(Err(other)) => return Err(refusal(other)),
-            Err(_) => return Err(refusal(batch::Failure::Late)),
+    run_as(gateway, request, request.is_again()).await
+}
+
+/// Runs the stages once more, as their results have disappeared before they were used.
+pub async fn run_again(
+    gateway: &Arc<gateway::Gateway>,
+    request: &admission::Request,
+) -> Result<Inputs, verdict::Refusal> {
+    run_as(gateway, request, true).await
+}
+
+/// Runs the stages; with `again`, a request is taken that will be late.
+async fn run_as(
+    gateway: &Arc<gateway::Gateway>,
+    request: &admission::Request,
+    again: bool,
+) -> Result<Inputs, verdict::Refusal> {
+    let run = Run {
+        gateway,
+        request,
+        near: gateway.near(request),
+        results: request.route.stages.iter().map(|_| None).collect(),
+        notices: Notices::new(request.route.stages.len()),
+        again,
+        late: false,
+    };
+    let finish = tokio::time::timeout(request.left(), run.finish());
+    let result = tokio::select! {
+        result = finish => result,
+        // A request that waits when the process must exit is refused while there is time.
+        () = gateway.view.exiting() => {
+            return Err(verdict::Refusal::not_run(verdict::Reason::Leaving));
         }
-    }
-    Err(refusal(failure))
+    };
+    result.unwrap_or(Err(batch::Failure::Late)).map_err(refusal)
 }
 
 fn refusal(failure: batch::Failure) -> verdict::Refusal {
@@ -150,6 +160,7 @@
         let stages = &self.request.route.stages;
         let mut started = vec![false; stages.len()];
         let mut running = stream::FuturesUnordered::new();
+        let mut tries = TRIES;
         loop {
             for (i, begun) in started.iter_mut().enumerate() {
                 if !*begun && self.is_ready(i) {
@@ -160,7 +171,12 @@
             let Some((i, result)) = running.next().await else {
                 break;
             };
-            self.results[i] = Some(result?);
+            tries -= usize::from(result.is_err());
+            match result {
+                Ok(held) => self.results[i] = Some(held),
+                Err(batch::Failure::Gone) if tries > 0 => self.forget(i, &mut started),
+                Err(failure) => return Err(failure),
+            }
         }
         drop(running);
         Ok(self.collect())
@@ -181,7 +197,7 @@
             slack: self.request.slack(),
             left: self.request.left(),
             rest: self.prompt(),
-            again: self.request.is_again(),
+            again: self.again,
         };
         match forecast::judge(&steps, time) {
             forecast::Judgement::OnTime => Ok(()),
@@ -249,6 +265,18 @@
         self.request.call.pieces.get(i).copied().unwrap_or(0)
     }
 
+    /// Has the inputs of a stage made again, as they have disappeared.
+    ///
+    /// They were at a target that has gone, or were freed when they had been read and a piece then
+    /// failed. What those inputs were made of often still exists.
+    fn forget(&mut self, i: usize, started: &mut [bool]) {
+        started[i] = false;
+        for k in &self.request.route.stages[i].after {
+            self.results[*k] = None;
+            started[*k] = false;
+        }
+    }
+
     /// Reports whether a stage alone reads the results that it takes.
     fn consumes(&self, i: usize) -> bool {
         let stages = &self.request.route.stages;
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -225,7 +225,7 @@
                 Err(refusal) => refusal,
             },
             Err(forward::Failure::InputsGone) => {
-                inputs = Some(pipeline::run(gateway, &request).await?);
+                inputs = Some(pipeline::run_again(gateway, &request).await?);
                 verdict::Refusal::not_run(verdict::Reason::Overloaded)
             }
             Err(forward::Failure::Refused(refusal)) => refusal,
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -160,7 +160,7 @@
     async fn open(&mut self, limit: time::Duration) -> Result<Start, verdict::Refusal> {
         let after = self.last.filter(|_| self.last != self.request.call.after);
         if self.inputs.is_none() && !self.request.route.stages.is_empty() {
-            self.inputs = Some(pipeline::run(&self.gateway, &self.request).await?);
+            self.inputs = Some(pipeline::run_again(&self.gateway, &self.request).await?);
         }
         let opened = self.sends.next(self.inputs.as_ref(), after, limit).await;
         let mut opened = opened.map_err(|failure| match failure {
