Rank routes within the rank of their team

Cause: a team's rank goes before that of the route, and took its place: among requests of equal teams an urgent route was served like any other. Ruled out: 0.9 and 1 s between ranks of teams, which change nothing. Now the route's rank counts as due 0.25 s later a step, within that of the team.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -35,6 +35,7 @@
         JobKey,
         Outcome,
         Piece,
+        Rank,
         Spec, //
     },
 };
@@ -45,6 +46,9 @@
 /// starve, as what is due moves on.
 const RANK_STEP: time::Duration = time::Duration::from_millis(400);
 
+/// The same for the next lower rank of routes within a team's.
+const MINOR_STEP: time::Duration = time::Duration::from_millis(250);
+
 /// By how much a job counts as due later at a target in another data centre, in milliseconds for each
 /// mebibyte that would cross.
 const FAR_MS_PER_MIB: u64 = 35;
@@ -423,7 +427,9 @@
             return (false, spec.due);
         }
         let late = spec.due < now + self.shape.call + self.shape.piece;
-        let due = spec.due + RANK_STEP * u32::from(spec.rank);
+        let due = spec.due
+            + RANK_STEP * u32::from(spec.rank.major)
+            + MINOR_STEP * u32::from(spec.rank.minor);
         (late, due)
     }
 
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -39,6 +39,22 @@
     Failed,
 }
 
+/// Urgency of a job.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[display("{major}.{minor}")]
+pub struct Rank {
+    /// Rank of its team, or of its route where teams have none; 0 goes first.
+    pub major: u8,
+    /// Rank of its route among those of equal teams; 0 goes first.
+    pub minor: u8,
+}
+
+impl From<u8> for Rank {
+    fn from(major: u8) -> Self {
+        Self { major, minor: 0 }
+    }
+}
+
 /// What a job needs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Spec {
@@ -50,8 +66,8 @@
     pub due: Instant,
     /// Moment after which its results are of no use.
     pub deadline: Instant,
-    /// Rank; 0 goes first.
-    pub rank: u8,
+    /// Urgency.
+    pub rank: Rank,
     /// Data centre where it is best executed.
     pub near: Option<id::DataCentre>,
     /// Bytes that cross between data centres when it is executed in another one.
@@ -66,7 +82,7 @@
             size,
             due,
             deadline: due,
-            rank: 0,
+            rank: Rank::default(),
             near: None,
             moved: unit::Size(0),
         }
@@ -79,10 +95,10 @@
         self
     }
 
-    /// Sets the rank.
+    /// Sets the urgency.
     #[must_use]
-    pub fn rank(mut self, rank: u8) -> Self {
-        self.rank = rank;
+    pub fn rank(mut self, rank: impl Into<Rank>) -> Self {
+        self.rank = rank.into();
         self
     }
 
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch.rs
@@ -76,6 +76,27 @@
     assert!(jobs.contains(job) && handles.len() == 1);
 }
 
+// Two requests of one team come together, one on a more urgent route. It goes first, and still behind
+// one of a more urgent team.
+#[test]
+fn routes_rank_behind_teams() {
+    let now = Instant::now();
+    let mut queue = queue(1);
+    let rank = |major, minor| batch::Rank { major, minor };
+    let mut push = |rank| {
+        let spec = batch::Spec::new(4, SIZE, now + 2000 * MS).deadline(now + 5000 * MS);
+        queue.push(spec.rank(rank))
+    };
+    let (last, second, first) = (push(rank(1, 1)), push(rank(1, 0)), push(rank(0, 1)));
+    let mut order = Vec::new();
+    while let Some(call) = queue.take(now) {
+        order.extend(call.pieces.iter().map(|p| p.job));
+        queue.finish(&call, made(&call), now);
+    }
+    order.dedup();
+    assert_eq!(order, [first, second, last]);
+}
+
 // Three jobs of three pieces wait, and a call takes eight. With the third job split, the results of
 // its first pieces would lie at the target, unused, until another call has made the last one.
 #[test]
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -13,6 +13,7 @@
 };
 
 use laburnumcart::{
+    batch,
     freshness,
     id,
     ingress,
@@ -65,6 +66,8 @@
     pub team: Option<id::TeamName>,
     /// Rank.
     pub rank: u8,
+    /// Rank of the team, if it has one; it goes before that of the route.
+    pub team_rank: Option<u8>,
     /// When it came.
     pub start: freshness::Moment,
     /// Time that the caller had spent on it before.
@@ -88,6 +91,15 @@
         self.route.objective.saturating_sub(spent)
     }
 
+    /// Returns its urgency in queues: that of its team first, then that of its route.
+    pub fn urgency(&self) -> batch::Rank {
+        let own = self.team_rank.map(|major| batch::Rank {
+            major,
+            minor: self.route.rank,
+        });
+        own.unwrap_or(self.route.rank.into())
+    }
+
     /// Reports whether the caller has come again after a refusal or a failure.
     pub fn is_again(&self) -> bool {
         self.spent > AGAIN
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -75,8 +75,8 @@
     pub due: unit::Period,
     /// Time until the results are of no use.
     pub deadline: unit::Period,
-    /// Rank.
-    pub rank: u8,
+    /// Urgency.
+    pub rank: batch::Rank,
     /// Data centre where it is best executed.
     pub near: Option<id::DataCentre>,
     /// Bytes that cross between data centres when it is executed in another one.
@@ -112,8 +112,8 @@
     pub due: unit::Period,
     /// Time until its results are of no use.
     pub deadline: unit::Period,
-    /// Rank.
-    pub rank: u8,
+    /// Urgency.
+    pub rank: batch::Rank,
 }
 
 impl Notice {
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -256,7 +256,7 @@
             size: stage.size,
             due: unit::Period(request.slack().saturating_sub(rest)),
             deadline: unit::Period(request.left().saturating_sub(rest)),
-            rank: request.rank,
+            rank: request.urgency(),
         }
     }
 
@@ -349,7 +349,7 @@
             input,
             due: unit::Period(due),
             deadline: unit::Period(request.left().saturating_sub(self.rest(i))),
-            rank: request.rank,
+            rank: request.urgency(),
             near,
             moved,
             consumes: self.consumes(i),
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -143,6 +143,7 @@
         headers: head.headers,
         body,
         rank: rank.unwrap_or(admitted.route.rank),
+        team_rank: rank,
         route: admitted.route,
         table: admitted.table,
         team: admitted.team.map(|t| t.name),
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -149,7 +149,7 @@
         input: dialect::Input::Key("k".into()),
         due: limit,
         deadline: limit,
-        rank: 0,
+        rank: 0.into(),
         near: None,
         moved: unit::Size(0),
         consumes: false,
