Free results where their job was executed, and pass over processes that leave

Cause: results were freed through the first process in the order of owners. A leaving one answers for its grace period: it freed them, and the process that makes the calls counted their room as taken until they expired. For three seconds of a rolling stop no call was made, with 2,251 pieces waiting and ten targets idle (docs/incidents/idle-targets.md). Ruled out: failed targets, the list of targets, two owners at a time. Who executes a job is remembered with its results; a process that says that it is leaving is not asked again. The test fails without it: the one who leaves is asked for each job.

--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -56,8 +56,19 @@
     Done(Vec<batch::Handle>),
     /// The job failed.
     Failed(batch::Failure),
-    /// The process is leaving or does not know the service yet.
+    /// The process does not know the service yet.
     Elsewhere,
+    /// The process is leaving.
+    Leaving,
+}
+
+/// Results of a job, and the process that accounts for their room.
+#[derive(Clone, Debug)]
+pub struct Made {
+    /// Results, in the order of the pieces.
+    pub handles: Vec<batch::Handle>,
+    /// Owner of the queue that executed the job.
+    pub owner: view::Member,
 }
 
 /// What a process of the system offers to the others.
@@ -103,8 +114,10 @@
 #[async_trait]
 impl PeerServer for Served {
     async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer> {
-        let leaving = self.view.is_leaving() && !job.last;
-        if leaving || !self.view.is_complete() {
+        if self.view.is_leaving() && !job.last {
+            return Ok(Answer::Leaving);
+        }
+        if !self.view.is_complete() {
             return Ok(Answer::Elsewhere);
         }
         Ok(match self.dispatcher.submit(job).await {
@@ -115,6 +128,10 @@
     }
 
     async fn announce(&self, notice: dispatcher::Notice) -> RpcResult<Option<forecast::Outlook>> {
+        // The job will go to another queue, of which this one tells nothing.
+        if self.view.is_leaving() {
+            return Ok(None);
+        }
         Ok(self.dispatcher.announce(&notice))
     }
 
@@ -170,7 +187,7 @@
     ///
     /// When the owner fails, the job goes to the next one. Its pieces may have been executed then,
     /// which wastes them and nothing else.
-    pub async fn submit(&self, job: dispatcher::Job) -> Result<Vec<batch::Handle>, batch::Failure> {
+    pub async fn submit(&self, job: dispatcher::Job) -> Result<Made, batch::Failure> {
         let start = Instant::now();
         let (due, deadline) = (start + job.due.0, start + job.deadline.0);
         loop {
@@ -182,9 +199,9 @@
                     job.due.0 = due.saturating_duration_since(now);
                     job.deadline.0 = deadline.saturating_duration_since(now);
                     match self.offer(&owner, job).await {
-                        Some(Answer::Done(handles)) => return Ok(handles),
+                        Some(Answer::Done(handles)) => return Ok(Made { handles, owner }),
                         Some(Answer::Failed(failure)) => return Err(failure),
-                        Some(Answer::Elsewhere) | None => {}
+                        Some(Answer::Elsewhere | Answer::Leaving) | None => {}
                     }
                 }
             }
@@ -221,16 +238,22 @@
         }
     }
 
-    /// Frees results through the owner of their queue, which accounts their room.
-    pub fn free(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
-        let Some(owner) = self.owners(service, true).into_iter().next() else {
-            return;
-        };
+    /// Frees results through the process that accounts for their room.
+    ///
+    /// The first in the order of owners may be another one by now, or be leaving while the next one
+    /// makes the calls. Freed there, results would still count as room that is taken where calls
+    /// wait for it, until they expire: targets stood idle for three seconds of a rolling stop.
+    pub fn free(
+        &self,
+        service: &id::ServiceName,
+        owner: &view::Member,
+        handles: Vec<batch::Handle>,
+    ) {
         if owner.instance == self.own {
             self.dispatcher.free(service, handles);
             return;
         }
-        let Some(link) = self.link(&owner) else {
+        let Some(link) = self.link(owner) else {
             self.dispatcher.free(service, handles);
             return;
         };
@@ -246,7 +269,7 @@
     ///
     /// Lost on the way, it only means that they are freed later.
     pub fn read(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
-        let Some(owner) = self.owners(service, true).into_iter().next() else {
+        let Some(owner) = self.owners(service, false).into_iter().next() else {
             return;
         };
         if owner.instance == self.own {
@@ -261,7 +284,12 @@
 
     async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
         if owner.instance != self.own {
-            return self.link(owner)?.submit(job).await;
+            let link = self.link(owner)?;
+            let answer = link.submit(job).await;
+            if matches!(answer, Some(Answer::Leaving)) {
+                link.leave();
+            }
+            return answer;
         }
         Some(match self.dispatcher.submit(job).await {
             Ok(handles) => Answer::Done(handles),
@@ -297,7 +325,8 @@
         let link = links.get(&member.instance);
         // A link to an earlier life of the process says nothing of this one.
         let link = link.filter(|l| l.member.incarnation == member.incarnation);
-        link.is_none_or(|link| link.is_up(Instant::now()))
+        let is_up = |link: &Arc<Link>| link.is_up(Instant::now()) && (last || !link.has_left());
+        link.is_none_or(is_up)
     }
 
     /// Returns the connection to a process, unless its entry has changed since it was looked up.
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -3,7 +3,8 @@
 use std::{
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic, //
     },
     time,
 };
@@ -78,6 +79,7 @@
     pub(super) member: view::Member,
     state: Arc<Mutex<State>>,
     open: tokio::sync::Mutex<Option<Open>>,
+    left: atomic::AtomicBool,
 }
 
 impl Link {
@@ -86,6 +88,7 @@
             member,
             state: Arc::default(),
             open: tokio::sync::Mutex::default(),
+            left: atomic::AtomicBool::new(false),
         }
     }
 
@@ -95,6 +98,16 @@
             .is_none_or(|until| until <= now)
     }
 
+    /// Records that the process is leaving, from which it does not come back in this life.
+    pub(super) fn leave(&self) {
+        self.left.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Reports whether the process is known to be leaving.
+    pub(super) fn has_left(&self) -> bool {
+        self.left.load(atomic::Ordering::Relaxed)
+    }
+
     /// Fails all calls on the connection.
     pub(super) fn cut(&self, cause: &'static str) {
         fail(&self.state, &self.member, cause);
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -28,7 +28,8 @@
     dialect,
     dispatcher,
     gateway,
-    reply, //
+    reply,
+    view, //
 };
 
 use self::notices::Notices;
@@ -50,21 +51,11 @@
 
 /// Results that a target needs; freed when dropped.
 pub struct Inputs {
-    gateway: Arc<gateway::Gateway>,
     /// Results of the last stages.
     pub handles: Vec<batch::Handle>,
     /// Sizes by data centre.
     pub places: Vec<(id::DataCentre, unit::Size)>,
-    held: Vec<(id::ServiceName, Vec<batch::Handle>)>,
-}
-
-impl Drop for Inputs {
-    /// Frees the results: they take room at their target that other requests wait for.
-    fn drop(&mut self) {
-        for (service, handles) in self.held.drain(..) {
-            self.gateway.peers.free(&service, handles);
-        }
-    }
+    _held: Vec<Held>,
 }
 
 /// One run of the stages of a request.
@@ -85,13 +76,16 @@
     gateway: Arc<gateway::Gateway>,
     service: id::ServiceName,
     handles: Vec<batch::Handle>,
+    /// Process that accounts for their room; none for a stage without pieces.
+    owner: Option<view::Member>,
 }
 
 impl Drop for Held {
+    /// Frees the results: they take room at their target that other requests wait for.
     fn drop(&mut self) {
-        if !self.handles.is_empty() {
+        if let Some(owner) = &self.owner {
             let handles = std::mem::take(&mut self.handles);
-            self.gateway.peers.free(&self.service, handles);
+            self.gateway.peers.free(&self.service, owner, handles);
         }
     }
 }
@@ -301,13 +295,14 @@
         let job = self.job(i, stage);
         let start = tokio::time::Instant::now();
         async move {
-            let held = |handles| Held {
+            let held = |handles, owner| Held {
                 gateway: gateway.clone(),
                 service: service.clone(),
                 handles,
+                owner,
             };
             if job.pieces == 0 {
-                return (i, Ok(held(Vec::new())));
+                return (i, Ok(held(Vec::new(), None)));
             }
             let attempt = job.attempt.clone();
             let result = gateway.peers.submit(job).await;
@@ -323,7 +318,7 @@
                     .map_or("done".into(), ToString::to_string),
                 taken_ms = start.elapsed().as_millis()
             );
-            (i, result.map(held))
+            (i, result.map(|made| held(made.handles, Some(made.owner))))
         }
     }
 
@@ -414,22 +409,20 @@
     fn collect(mut self) -> Inputs {
         let route = &self.request.route;
         let mut inputs = Inputs {
-            gateway: self.gateway.clone(),
             handles: Vec::new(),
             places: Vec::new(),
-            held: Vec::new(),
+            _held: Vec::new(),
         };
         for i in route.last_stages() {
-            let Some(mut held) = self.results[i].take() else {
+            let Some(held) = self.results[i].take() else {
                 continue;
             };
-            let handles = std::mem::take(&mut held.handles);
-            for handle in &handles {
+            for handle in &held.handles {
                 let places = self.place(handle).map(|zone| (zone, route.stages[i].size));
                 inputs.places.extend(places);
             }
-            inputs.handles.extend(handles.iter().cloned());
-            inputs.held.push((held.service.clone(), handles));
+            inputs.handles.extend(held.handles.iter().cloned());
+            inputs._held.push(held);
         }
         inputs
     }
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -4,7 +4,8 @@
     net,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic, //
     },
     time,
 };
@@ -76,17 +77,23 @@
     }
 }
 
-/// A process that notes the jobs that it is given and answers none.
+/// A process that notes the jobs that it is given, and answers none unless it is told to.
 #[derive(Clone, Default)]
 struct Silent {
     jobs: Arc<Mutex<Vec<u64>>>,
+    answer: Arc<Mutex<Option<Answer>>>,
+    freed: Arc<atomic::AtomicUsize>,
 }
 
 #[async_trait]
 impl PeerServer for Silent {
     async fn submit(&self, job: dispatcher::Job) -> RpcResult<Answer> {
         self.jobs.lock().unwrap().push(job.id);
-        std::future::pending().await
+        let answer = self.answer.lock().unwrap().clone();
+        match answer {
+            Some(answer) => Ok(answer),
+            None => std::future::pending().await,
+        }
     }
 
     async fn announce(&self, _: dispatcher::Notice) -> RpcResult<Option<forecast::Outlook>> {
@@ -102,6 +109,7 @@
     }
 
     async fn free(&self, _: id::ServiceName, _: Vec<batch::Handle>) -> RpcResult<()> {
+        self.freed.fetch_add(1, atomic::Ordering::Relaxed);
         Ok(())
     }
 
@@ -115,6 +123,12 @@
 }
 
 impl Silent {
+    fn answering(answer: Answer) -> Self {
+        let silent = Self::default();
+        *silent.answer.lock().unwrap() = Some(answer);
+        silent
+    }
+
     fn count(&self, id: u64) -> usize {
         let jobs = self.jobs.lock().unwrap();
         jobs.iter().filter(|job| **job == id).count()
@@ -229,3 +243,31 @@
     wait_for(|| moving.iter().all(|id| second.count(*id) > 0)).await;
     assert!(kept.iter().all(|id| second.count(*id) == 1), "sent once");
 }
+
+// The owner of a queue begins to leave, and goes on to answer for its grace period. Jobs go to the next
+// process. Were their results freed at the first one, the next one would hold their room to be taken
+// until they expire, and make no call for seconds while jobs wait.
+#[tokio::test]
+async fn results_are_freed_where_their_job_was_executed() {
+    let caller = Caller::new();
+    let handles = vec![batch::Handle("result".into())];
+    let leaving = Silent::answering(Answer::Leaving);
+    let next = Silent::answering(Answer::Done(handles.clone()));
+    let (_leaving, first) = leaving.serve("gateway-2", "secret-of-the-second-process");
+    let (_next, second) = next.serve("gateway-3", "secret-of-the-third-process");
+    caller.view.set_members(vec![first, second]);
+    let mut made = Vec::new();
+    for (id, service) in (0..).zip(SERVICES) {
+        made.push(caller.peers.submit(job(id, service)).await.unwrap());
+    }
+    let made = made.pop().unwrap();
+    assert_eq!(made.owner.instance.as_str(), "gateway-3");
+    // It does not come back in this life, and is asked no more.
+    assert_eq!(leaving.jobs.lock().unwrap().len(), 1);
+    for service in SERVICES {
+        let service = service.parse().unwrap();
+        caller.peers.free(&service, &made.owner, handles.clone());
+    }
+    wait_for(|| next.freed.load(atomic::Ordering::Relaxed) == SERVICES.len()).await;
+    assert_eq!(leaving.freed.load(atomic::Ordering::Relaxed), 0);
+}
