Give waiting jobs to the first owner of a queue once it is known; split large files

Ruled out: the pause between reads of members. A process that finds that it is not the first owner any more hands the waiting jobs over, once for each change, as it can still be the one that others reach.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -9,20 +9,15 @@
 mod engines;
 mod job;
 mod load;
+mod order;
+mod outlook;
 
-use std::{
-    collections,
-    time, //
-};
+use std::collections;
 
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::{
-    forecast,
-    ingress,
-    unit, //
-};
+use crate::ingress;
 
 pub use self::{
     engines::{
@@ -40,31 +35,6 @@
     },
 };
 
-/// By how much a job of the next lower rank counts as due later.
-///
-/// Under overload the urgent ranks go first, and the others wait longer by this time; they do not
-/// starve, as what is due moves on.
-const RANK_STEP: time::Duration = time::Duration::from_millis(400);
-
-/// The same for the next lower rank of routes within a team's.
-const MINOR_STEP: time::Duration = time::Duration::from_millis(250);
-
-/// By how much a job counts as due later at a target in another data centre, in milliseconds for each
-/// mebibyte that would cross.
-const FAR_MS_PER_MIB: u64 = 35;
-
-/// Most by which it counts as due later there.
-const FAR_MAX: time::Duration = time::Duration::from_millis(150);
-
-/// The same time from which a job is left to a free target that is nearer.
-const FAR_LEFT: time::Duration = time::Duration::from_millis(15);
-
-/// Pause between two looks for jobs that cannot be done in time.
-const CHECK: time::Duration = time::Duration::from_millis(100);
-
-/// Longest time that is forecast; a queue without targets would never be done.
-const FORECAST_MAX: time::Duration = time::Duration::from_secs(600);
-
 /// Most times that a piece is sent to a target before its job fails.
 const TRIES: u32 = 4;
 
@@ -184,52 +154,6 @@
         self.waiting() >= self.shape.pieces
     }
 
-    /// Takes in that a job will come, when the stages before it are done.
-    pub fn expect(&mut self, id: u64, spec: Spec) {
-        self.expected.insert(id, spec);
-    }
-
-    /// Forgets a job that has come, or will not come any more.
-    pub fn unexpect(&mut self, id: u64) {
-        self.expected.remove(&id);
-    }
-
-    /// Returns how long a job will take, as far as is known.
-    pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
-        let ahead = self.ahead(self.turn(spec, false, now), now);
-        self.engines.outlook(ahead, spec.pieces as usize, now)
-    }
-
-    /// Returns how long a job that will come would take from now on.
-    pub fn forecast(&self, spec: &Spec, now: Instant) -> forecast::Outlook {
-        let behind = self.ahead((true, now), now);
-        let behind = self.engines.outlook(behind, spec.pieces as usize, now);
-        forecast::Outlook {
-            turn: unit::Period(self.outlook(spec, now).min(FORECAST_MAX)),
-            behind: unit::Period(behind.min(FORECAST_MAX)),
-        }
-    }
-
-    /// Returns the pieces that are done before a job with this turn.
-    ///
-    /// A job that is not on time gets what those on time leave, now and in the time to come.
-    fn ahead(&self, own: (bool, Instant), now: Instant) -> f64 {
-        let waiting = self.jobs.values().map(|j| {
-            let turn = self.turn(&j.spec, j.is_started(), now);
-            (turn, j.waiting.len())
-        });
-        let expected = self.expected.values().map(|spec| {
-            let turn = self.turn(spec, false, now);
-            (turn, spec.pieces as usize)
-        });
-        let earlier = waiting.chain(expected).filter(|(turn, _)| *turn <= own);
-        let pieces: usize = earlier.map(|(_, pieces)| pieces).sum();
-        match own.0 {
-            false => pieces as f64,
-            true => pieces as f64 / self.load.spare(self.engines.capacity(), now),
-        }
-    }
-
     /// Drops a job that nobody waits for; returns what it has made.
     pub fn cancel(&mut self, key: JobKey) -> Vec<Handle> {
         let job = self.jobs.remove(key);
@@ -250,37 +174,6 @@
         events
     }
 
-    /// Gives up the late jobs that cannot be done before their deadline.
-    ///
-    /// They were on time when they came, and what came after them goes first. Kept to the deadline,
-    /// their callers would have no time left to come again.
-    fn give_up(&mut self, now: Instant) -> Vec<Event> {
-        let checked = self.checked.is_some_and(|at| now < at + CHECK);
-        if checked || self.engines.is_empty() {
-            return Vec::new();
-        }
-        self.checked = Some(now);
-        let order = self.order(now);
-        let spare = self.load.spare(self.engines.capacity(), now);
-        let mut ahead = 0;
-        let mut hopeless = Vec::new();
-        for (key, (late, _)) in order {
-            let job = &self.jobs[key];
-            let pieces = job.waiting.len();
-            let outlook = self.engines.outlook(ahead as f64 / spare, pieces, now);
-            if late && now + outlook.min(FORECAST_MAX) > job.spec.deadline {
-                let excess = outlook.min(FORECAST_MAX).as_millis() as u32;
-                hopeless.push((key, Failure::Busy(excess)));
-                continue;
-            }
-            ahead += pieces;
-        }
-        let hopeless = hopeless.into_iter();
-        hopeless
-            .flat_map(|(key, failure)| self.fail(key, failure))
-            .collect()
-    }
-
     /// Gives up the jobs that are not wholly in calls, so that another owner takes them.
     pub fn hand_over(&mut self) -> Vec<Event> {
         let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
@@ -347,16 +240,6 @@
         Some(Call { engine, pieces })
     }
 
-    /// Returns how many of the pieces are of jobs that are on time.
-    fn on_time(&self, jobs: &[(JobKey, usize)], now: Instant) -> usize {
-        let is_late = |key: JobKey| {
-            let job = &self.jobs[key];
-            self.turn(&job.spec, job.is_started(), now).0
-        };
-        let on_time = jobs.iter().filter(|(key, _)| !is_late(*key));
-        on_time.map(|(_, pieces)| pieces).sum()
-    }
-
     /// Takes pieces out of their jobs and reserves room for their results.
     fn reserve(&mut self, engine: EngineKey, jobs: Vec<(JobKey, usize)>) -> Vec<Piece> {
         let mut pieces = Vec::new();
@@ -402,67 +285,6 @@
         self.engines.free(handle)
     }
 
-    /// Lists the jobs with waiting pieces, the first to be served first.
-    ///
-    /// Jobs that can still be on time go before those that cannot, or under overload every job
-    /// would be served just too late.
-    fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
-        let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
-        let mut order: Vec<_> = waiting
-            .map(|(key, j)| (key, self.turn(&j.spec, j.is_started(), now)))
-            .collect();
-        order.sort_unstable_by_key(|(_, rank)| *rank);
-        order
-    }
-
-    /// Returns the place of a job in the order: whether it goes behind, and when it counts as due.
-    ///
-    /// A job that has begun holds room for its results that others wait for. Put behind once it is
-    /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Going
-    /// first gained a twentieth of what can be earned under overload. Jobs that only work on the
-    /// results of others do not go first: most of them are late then, and those that can still be
-    /// on time would wait behind them.
-    fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
-        if started {
-            return (false, spec.due);
-        }
-        let late = spec.due < now + self.shape.call + self.shape.piece;
-        let due = spec.due
-            + RANK_STEP * u32::from(spec.rank.major)
-            + MINOR_STEP * u32::from(spec.rank.minor);
-        (late, due)
-    }
-
-    /// Returns how much later a job counts as due at a target than where it is best executed.
-    fn far(&self, engine: EngineKey, spec: &Spec) -> time::Duration {
-        if !self.engines.is_far(engine, spec.near.as_ref()) {
-            return time::Duration::ZERO;
-        }
-        let millis = (spec.moved.0 * FAR_MS_PER_MIB) >> 20;
-        time::Duration::from_millis(millis).min(FAR_MAX)
-    }
-
-    /// Reports whether a job is left to another target, which is free and nearer.
-    fn is_left(&self, engine: EngineKey, spec: &Spec, now: Instant) -> bool {
-        let near = spec.near.as_ref();
-        self.far(engine, spec) >= FAR_LEFT && self.engines.has_free_near(near, spec.size, now)
-    }
-
-    /// Puts jobs behind of which much would cross between data centres.
-    fn order_at(
-        &self,
-        engine: EngineKey,
-        order: &[(JobKey, (bool, Instant))],
-    ) -> Vec<(JobKey, (bool, Instant))> {
-        let far = |key: JobKey| self.far(engine, &self.jobs[key].spec);
-        let moved = order
-            .iter()
-            .map(|(key, (late, due))| (*key, (*late, *due + far(*key))));
-        let mut moved: Vec<_> = moved.collect();
-        moved.sort_by_key(|(_, rank)| *rank);
-        moved
-    }
-
     /// Returns how many pieces the next call should take.
     ///
     /// What waits is spread over the free targets, as smaller calls end sooner; but a call is at
--- /dev/null
+++ b/laburnumcart/src/batch/order.rs
@@ -0,0 +1,94 @@
+//! Which job goes first, and where.
+
+use std::time;
+
+use tokio::time::Instant;
+
+use crate::batch::{
+    EngineKey,
+    JobKey,
+    Queue,
+    Spec, //
+};
+
+/// By how much a job of the next lower rank counts as due later.
+///
+/// Under overload the urgent ranks go first, and the others wait longer by this time; they do not
+/// starve, as what is due moves on.
+const RANK_STEP: time::Duration = time::Duration::from_millis(400);
+
+/// The same for the next lower rank of routes within a team's.
+const MINOR_STEP: time::Duration = time::Duration::from_millis(120);
+
+/// By how much a job counts as due later at a target in another data centre, in milliseconds for each
+/// mebibyte that would cross.
+const FAR_MS_PER_MIB: u64 = 35;
+
+/// Most by which it counts as due later there.
+const FAR_MAX: time::Duration = time::Duration::from_millis(150);
+
+/// The same time from which a job is left to a free target that is nearer.
+const FAR_LEFT: time::Duration = time::Duration::from_millis(15);
+
+impl Queue {
+    /// Lists the jobs with waiting pieces, the first to be served first.
+    ///
+    /// Jobs that can still be on time go before those that cannot, or under overload every job
+    /// would be served just too late.
+    pub(super) fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
+        let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
+        let mut order: Vec<_> = waiting
+            .map(|(key, j)| (key, self.turn(&j.spec, j.is_started(), now)))
+            .collect();
+        order.sort_unstable_by_key(|(_, rank)| *rank);
+        order
+    }
+
+    /// Returns the place of a job in the order: whether it goes behind, and when it counts as due.
+    ///
+    /// A job that has begun holds room for its results that others wait for. Put behind once it is
+    /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Going
+    /// first gained a twentieth of what can be earned under overload. Jobs that only work on the
+    /// results of others do not go first: most of them are late then, and those that can still be
+    /// on time would wait behind them.
+    pub(super) fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
+        if started {
+            return (false, spec.due);
+        }
+        let late = spec.due < now + self.shape.call + self.shape.piece;
+        let due = spec.due
+            + RANK_STEP * u32::from(spec.rank.major)
+            + MINOR_STEP * u32::from(spec.rank.minor);
+        (late, due)
+    }
+
+    /// Returns how much later a job counts as due at a target than where it is best executed.
+    pub(super) fn far(&self, engine: EngineKey, spec: &Spec) -> time::Duration {
+        if !self.engines.is_far(engine, spec.near.as_ref()) {
+            return time::Duration::ZERO;
+        }
+        let millis = (spec.moved.0 * FAR_MS_PER_MIB) >> 20;
+        time::Duration::from_millis(millis).min(FAR_MAX)
+    }
+
+    /// Reports whether a job is left to another target, which is free and nearer.
+    pub(super) fn is_left(&self, engine: EngineKey, spec: &Spec, now: Instant) -> bool {
+        let near = spec.near.as_ref();
+        self.far(engine, spec) >= FAR_LEFT && self.engines.has_free_near(near, spec.size, now)
+    }
+
+    /// Puts jobs behind of which much would cross between data centres.
+    pub(super) fn order_at(
+        &self,
+        engine: EngineKey,
+        order: &[(JobKey, (bool, Instant))],
+    ) -> Vec<(JobKey, (bool, Instant))> {
+        let far = |key: JobKey| self.far(engine, &self.jobs[key].spec);
+        let moved = order
+            .iter()
+            .map(|(key, (late, due))| (*key, (*late, *due + far(*key))));
+        let mut moved: Vec<_> = moved.collect();
+        moved.sort_by_key(|(_, rank)| *rank);
+        moved
+    }
+}
--- a/laburnumcart/tests/batch.rs
+++ b/laburnumcart/tests/batch/calls.rs
@@ -1,63 +1,24 @@
-//! The queue of pieces: full calls, room, order, failures.
+//! Full calls, room, failures.
 
 use std::time;
 
 use laburnumcart::{
     batch,
-    ingress,
     unit, //
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-const MS: time::Duration = time::Duration::from_millis(1);
-
-const SHAPE: ingress::Batching = ingress::Batching {
-    pieces: 8,
-    call: time::Duration::from_millis(200),
-    piece: time::Duration::from_millis(20),
-    room: unit::Size(12_000),
-    ttl: time::Duration::from_secs(4),
+use crate::support::{
+    MS,
+    SHAPE,
+    all,
+    hold,
+    made,
+    push,
+    queue, //
 };
 
-const SIZE: unit::Size = unit::Size(1000);
-
-fn queue(targets: usize) -> batch::Queue {
-    let mut queue = batch::Queue::new(SHAPE);
-    for i in 0..targets {
-        queue
-            .engines
-            .add(["north", "south"][i % 2].parse().unwrap());
-    }
-    queue
-}
-
-fn push(queue: &mut batch::Queue, pieces: u32, due: time::Duration, now: Instant) -> batch::JobKey {
-    let spec = batch::Spec::new(pieces, SIZE, now + due).deadline(now + 5000 * MS);
-    queue.push(spec)
-}
-
-fn made(call: &batch::Call) -> Vec<batch::Outcome> {
-    let name = |p: &batch::Piece| format!("{:?}-{}-{:?}", p.job, p.index, call.engine);
-    let outcome = |p| batch::Outcome::Made(batch::Handle(name(p)));
-    call.pieces.iter().map(outcome).collect()
-}
-
-fn all(call: &batch::Call, outcome: batch::Outcome) -> Vec<batch::Outcome> {
-    vec![outcome; call.pieces.len()]
-}
-
-/// Has a job of eight pieces made; returns the results, which lie at its target.
-fn hold(queue: &mut batch::Queue, now: Instant) -> Vec<batch::Handle> {
-    push(queue, 8, 1000 * MS, now);
-    let call = queue.take(now).unwrap();
-    let events = queue.finish(&call, made(&call), now);
-    let Ok([batch::Event::Done(_, handles)]) = <[_; 1]>::try_from(events) else {
-        panic!("the job is done");
-    };
-    handles
-}
-
 #[test]
 fn a_call_takes_pieces_of_many_jobs() {
     let now = Instant::now();
@@ -76,27 +37,6 @@
     assert!(jobs.contains(job) && handles.len() == 1);
 }
 
-// Two requests of one team come together, one on a more urgent route. It goes first, and still behind
-// one of a more urgent team.
-#[test]
-fn routes_rank_behind_teams() {
-    let now = Instant::now();
-    let mut queue = queue(1);
-    let rank = |major, minor| batch::Rank { major, minor };
-    let mut push = |rank| {
-        let spec = batch::Spec::new(4, SIZE, now + 2000 * MS).deadline(now + 5000 * MS);
-        queue.push(spec.rank(rank))
-    };
-    let (last, second, first) = (push(rank(1, 1)), push(rank(1, 0)), push(rank(0, 1)));
-    let mut order = Vec::new();
-    while let Some(call) = queue.take(now) {
-        order.extend(call.pieces.iter().map(|p| p.job));
-        queue.finish(&call, made(&call), now);
-    }
-    order.dedup();
-    assert_eq!(order, [first, second, last]);
-}
-
 // Three jobs of three pieces wait, and a call takes eight. With the third job split, the results of
 // its first pieces would lie at the target, unused, until another call has made the last one.
 #[test]
@@ -169,18 +109,6 @@
     assert_eq!(sizes, [6, 6]);
 }
 
-#[test]
-fn the_job_that_is_due_first_goes_first() {
-    let now = Instant::now();
-    let mut queue = queue(1);
-    push(&mut queue, 8, 2000 * MS, now);
-    let urgent = push(&mut queue, 8, 900 * MS, now);
-    // This one cannot be on time any more; it must not hold up those that can.
-    push(&mut queue, 8, 100 * MS, now);
-    let call = queue.take(now).unwrap();
-    assert!(call.pieces.iter().all(|p| p.job == urgent));
-}
-
 #[test]
 fn results_take_room_until_they_are_freed() {
     let now = Instant::now();
@@ -327,159 +255,6 @@
     assert!(matches!(&events[..], [batch::Event::Done(key, _)] if *key == running));
 }
 
-// Room is short. A job has made some of its pieces and is late meanwhile; others that can still be
-// on time come. Put behind them, it would hold the room of its results to its deadline, and so
-// would every job after it. It is finished first.
-#[test]
-fn what_has_begun_goes_on_when_it_is_late() {
-    let now = Instant::now();
-    let mut queue = queue(1);
-    let begun = push(&mut queue, 10, 700 * MS, now);
-    let call = queue.take(now).unwrap();
-    queue.finish(&call, made(&call), now);
-    let fresh = push(&mut queue, 2, 3000 * MS, now);
-    let call = queue.take(now + 1000 * MS).unwrap();
-    let jobs: Vec<_> = call.pieces.iter().map(|p| p.job).collect();
-    assert_eq!(jobs[..3], [begun, begun, fresh]);
-}
-
-/// Returns a job of which four megabytes cross unless it is executed in a data centre.
-fn heavy(zone: &str, now: Instant) -> batch::Spec {
-    batch::Spec::new(2, SIZE, now + 1000 * MS)
-        .near(Some(zone.parse().unwrap()), unit::Size(4_000_000))
-}
-
-#[test]
-fn jobs_are_executed_where_least_crosses() {
-    let now = Instant::now();
-    let mut queue = batch::Queue::new(SHAPE);
-    let north = queue.engines.add("north".parse().unwrap());
-    let south = queue.engines.add("south".parse().unwrap());
-    let (a, b) = (
-        queue.push(heavy("south", now)),
-        queue.push(heavy("north", now)),
-    );
-    let calls = [(); 2].map(|()| queue.take(now).unwrap());
-    for call in calls {
-        let job = if call.engine == north { b } else { a };
-        assert!(
-            call.pieces.iter().all(|p| p.job == job),
-            "{call:?} {south:?}"
-        );
-    }
-}
-
-// Targets are free in both data centres, and one call could take both jobs. In one of them the inputs
-// of the other job would all cross, which costs more than a second call does.
-#[test]
-fn a_job_is_left_to_a_free_target_near_its_inputs() {
-    let now = Instant::now();
-    let mut queue = batch::Queue::new(SHAPE);
-    let north = queue.engines.add("north".parse().unwrap());
-    queue.engines.add("south".parse().unwrap());
-    let jobs = ["north", "south"].map(|zone| queue.push(heavy(zone, now)));
-    let call = queue.take(now).unwrap();
-    assert_eq!((call.engine, call.pieces.len()), (north, 2));
-    assert!(call.pieces.iter().all(|p| p.job == jobs[0]));
-    let call = queue.take(now).unwrap();
-    assert!(call.pieces.iter().all(|p| p.job == jobs[1]));
-    // With no target free there, nothing waits for one.
-    queue.push(heavy("south", now));
-    assert!(queue.take(now).is_none());
-    queue.engines.add("north".parse().unwrap());
-    assert_eq!(queue.take(now).unwrap().pieces.len(), 2);
-}
-
-#[test]
-fn the_outlook_grows_with_what_waits() {
-    let now = Instant::now();
-    let mut queue = queue(2);
-    let spec = |due: u32| batch::Spec::new(4, SIZE, now + due * MS);
-    let empty = queue.outlook(&spec(1000), now);
-    assert_eq!(empty, 280 * MS);
-    for _ in 0..8 {
-        push(&mut queue, 8, 900 * MS, now);
-    }
-    assert!(queue.outlook(&spec(1000), now) > empty + 1000 * MS);
-    // Jobs that are due later, or of a lower rank, do not hold up this one.
-    assert_eq!(queue.outlook(&spec(500), now), empty);
-    assert!(queue.outlook(&spec(500).rank(2), now) > empty);
-    let none = batch::Queue::new(SHAPE);
-    assert_eq!(none.outlook(&spec(1000), now), time::Duration::MAX);
-}
-
-// Jobs that earlier stages will bring in a moment do not wait yet. Left out, as many requests again
-// would be admitted as the queue can do, and all of them would be late together.
-#[test]
-fn jobs_that_will_come_count() {
-    let now = Instant::now();
-    let mut queue = queue(2);
-    let spec = batch::Spec::new(4, SIZE, now + 900 * MS);
-    let empty = queue.forecast(&spec, now);
-    for id in 0..10 {
-        queue.expect(id, spec.clone());
-    }
-    let behind = queue.forecast(&spec, now);
-    assert!(behind.turn.0 > empty.turn.0 + 500 * MS, "{behind:?}");
-    for id in 0..5 {
-        queue.unexpect(id);
-    }
-    assert!(queue.forecast(&spec, now).turn < behind.turn);
-    // Those who announced the rest have gone.
-    queue.expire(now + 1000 * MS);
-    let later = batch::Spec::new(4, SIZE, now + 1900 * MS);
-    assert_eq!(queue.forecast(&later, now + 1000 * MS), empty);
-}
-
-// All that the targets can do goes to jobs on time. A late job would be told of the few that wait
-// before it now, and wait for ever behind those that come.
-#[test]
-fn late_jobs_get_what_those_on_time_leave() {
-    let mut now = Instant::now();
-    let mut queue = queue(1);
-    let spec = |now| batch::Spec::new(2, SIZE, now);
-    push(&mut queue, 8, 1000 * MS, now);
-    let idle = queue.outlook(&spec(now), now);
-    for _ in 0..20 {
-        push(&mut queue, 8, 1000 * MS, now);
-        let call = queue.take(now).unwrap();
-        now += 360 * MS;
-        let events = queue.finish(&call, made(&call), now);
-        let batch::Event::Done(_, handles) = &events[0] else {
-            panic!("{events:?}");
-        };
-        for handle in handles {
-            queue.free(handle);
-        }
-    }
-    let loaded = queue.outlook(&spec(now), now);
-    assert!(loaded > 3 * idle, "{idle:?} {loaded:?}");
-    // A job on time is not held up by that.
-    assert!(queue.outlook(&spec(now + 2000 * MS), now) < loaded / 2);
-}
-
-// Jobs that came in time have become late, as others keep coming that go before them. Kept to the
-// deadline, their callers would have no time left to come again; they are told once it is known.
-#[test]
-fn late_jobs_that_cannot_be_done_are_given_up() {
-    let mut now = Instant::now();
-    let mut queue = queue(1);
-    let spec = |now| batch::Spec::new(8, SIZE, now + 300 * MS).deadline(now + 3000 * MS);
-    let jobs: Vec<_> = (0..12).map(|_| queue.push(spec(now))).collect();
-    assert!(queue.expire(now).is_empty(), "they are on time");
-    now += 200 * MS;
-    let events = queue.expire(now);
-    let given_up =
-        |event: &batch::Event| matches!(event, batch::Event::Failed(_, batch::Failure::Busy(_)));
-    // A call takes 0.36 s, so that seven are done in 2.8 s, and the rest never.
-    assert!(
-        !events.is_empty() && events.iter().all(given_up),
-        "{events:?}"
-    );
-    assert!(events.len() < jobs.len());
-    assert!(queue.take(now).is_some(), "the others are done");
-}
-
 /// One step of a random run.
 #[derive(Clone, Debug)]
 enum Step {
--- /dev/null
+++ b/laburnumcart/tests/batch/main.rs
@@ -0,0 +1,6 @@
+//! The queue of pieces.
+
+mod calls;
+mod order;
+mod outlook;
+mod support;
--- /dev/null
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -0,0 +1,105 @@
+//! How long jobs will take, and which are given up.
+
+use std::time;
+
+use laburnumcart::batch;
+use tokio::time::Instant;
+
+use crate::support::{
+    MS,
+    SHAPE,
+    SIZE,
+    made,
+    push,
+    queue, //
+};
+
+#[test]
+fn the_outlook_grows_with_what_waits() {
+    let now = Instant::now();
+    let mut queue = queue(2);
+    let spec = |due: u32| batch::Spec::new(4, SIZE, now + due * MS);
+    let empty = queue.outlook(&spec(1000), now);
+    assert_eq!(empty, 280 * MS);
+    for _ in 0..8 {
+        push(&mut queue, 8, 900 * MS, now);
+    }
+    assert!(queue.outlook(&spec(1000), now) > empty + 1000 * MS);
+    // Jobs that are due later, or of a lower rank, do not hold up this one.
+    assert_eq!(queue.outlook(&spec(500), now), empty);
+    assert!(queue.outlook(&spec(500).rank(2), now) > empty);
+    let none = batch::Queue::new(SHAPE);
+    assert_eq!(none.outlook(&spec(1000), now), time::Duration::MAX);
+}
+
+// Jobs that earlier stages will bring in a moment do not wait yet. Left out, as many requests again
+// would be admitted as the queue can do, and all of them would be late together.
+#[test]
+fn jobs_that_will_come_count() {
+    let now = Instant::now();
+    let mut queue = queue(2);
+    let spec = batch::Spec::new(4, SIZE, now + 900 * MS);
+    let empty = queue.forecast(&spec, now);
+    for id in 0..10 {
+        queue.expect(id, spec.clone());
+    }
+    let behind = queue.forecast(&spec, now);
+    assert!(behind.turn.0 > empty.turn.0 + 500 * MS, "{behind:?}");
+    for id in 0..5 {
+        queue.unexpect(id);
+    }
+    assert!(queue.forecast(&spec, now).turn < behind.turn);
+    // Those who announced the rest have gone.
+    queue.expire(now + 1000 * MS);
+    let later = batch::Spec::new(4, SIZE, now + 1900 * MS);
+    assert_eq!(queue.forecast(&later, now + 1000 * MS), empty);
+}
+
+// All that the targets can do goes to jobs on time. A late job would be told of the few that wait
+// before it now, and wait for ever behind those that come.
+#[test]
+fn late_jobs_get_what_those_on_time_leave() {
+    let mut now = Instant::now();
+    let mut queue = queue(1);
+    let spec = |now| batch::Spec::new(2, SIZE, now);
+    push(&mut queue, 8, 1000 * MS, now);
+    let idle = queue.outlook(&spec(now), now);
+    for _ in 0..20 {
+        push(&mut queue, 8, 1000 * MS, now);
+        let call = queue.take(now).unwrap();
+        now += 360 * MS;
+        let events = queue.finish(&call, made(&call), now);
+        let batch::Event::Done(_, handles) = &events[0] else {
+            panic!("{events:?}");
+        };
+        for handle in handles {
+            queue.free(handle);
+        }
+    }
+    let loaded = queue.outlook(&spec(now), now);
+    assert!(loaded > 3 * idle, "{idle:?} {loaded:?}");
+    // A job on time is not held up by that.
+    assert!(queue.outlook(&spec(now + 2000 * MS), now) < loaded / 2);
+}
+
+// Jobs that came in time have become late, as others keep coming that go before them. Kept to the
+// deadline, their callers would have no time left to come again; they are told once it is known.
+#[test]
+fn late_jobs_that_cannot_be_done_are_given_up() {
+    let mut now = Instant::now();
+    let mut queue = queue(1);
+    let spec = |now| batch::Spec::new(8, SIZE, now + 300 * MS).deadline(now + 3000 * MS);
+    let jobs: Vec<_> = (0..12).map(|_| queue.push(spec(now))).collect();
+    assert!(queue.expire(now).is_empty(), "they are on time");
+    now += 200 * MS;
+    let events = queue.expire(now);
+    let given_up =
+        |event: &batch::Event| matches!(event, batch::Event::Failed(_, batch::Failure::Busy(_)));
+    // A call takes 0.36 s, so that seven are done in 2.8 s, and the rest never.
+    assert!(
+        !events.is_empty() && events.iter().all(given_up),
+        "{events:?}"
+    );
+    assert!(events.len() < jobs.len());
+    assert!(queue.take(now).is_some(), "the others are done");
+}
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -50,7 +50,7 @@
 /// were half of all calls.
 const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
-/// The same time while changes go on, a fifth of the time in which a target that leaves must be left.
+/// The same time while targets go on to change, a fifth of the time in which a target that leaves must be left.
 const SPREAD: unit::Period = unit::Period::from_millis(600);
 
 /// Pause before the own entry is written again after a failure.
@@ -63,10 +63,10 @@
     view: Arc<view::View>,
     own: view::Member,
 ) {
-    let settings = |wait, longest| follow::Settings {
+    let settings = |wait, longest, spread| follow::Settings {
         wait,
         interval: INTERVAL,
-        spread: SPREAD,
+        spread,
         longest,
     };
     let returns = follow::Returns::default();
@@ -77,20 +77,27 @@
         version: store::Version::default(),
     };
     let key = directory.table_key();
-    let (follower, _table) = follow::follower(store.clone(), key, settings(TABLE_WAIT, PAUSE));
+    let (follower, _table) =
+        follow::follower(store.clone(), key, settings(TABLE_WAIT, PAUSE, INTERVAL));
     let table = follower.observe(table).share(&returns);
     let targets = targets::Observer::new(view.clone(), directory.clone());
     let prefix = directory.targets_prefix();
-    let (follower, _targets) =
-        follow::follower(store.clone(), prefix, settings(TARGETS_WAIT, PAUSE_SHARED));
+    let (follower, _targets) = follow::follower(
+        store.clone(),
+        prefix,
+        settings(TARGETS_WAIT, PAUSE_SHARED, SPREAD),
+    );
     let targets = follower.observe(targets).share(&returns);
     let members = Members {
         view: view.clone(),
         own: own.clone(),
     };
     let prefix = directory.members_prefix();
-    let (follower, _members) =
-        follow::follower(store.clone(), prefix, settings(MEMBERS_WAIT, PAUSE_SHARED));
+    let (follower, _members) = follow::follower(
+        store.clone(),
+        prefix,
+        settings(MEMBERS_WAIT, PAUSE_SHARED, INTERVAL),
+    );
     let members = follower.observe(members).share(&returns);
     let entry = enter(store, format!("{prefix}/{}", own.instance), own);
     tokio::join!(table.run(), targets.run(), members.run(), entry);
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -228,6 +228,22 @@
         }
     }
 
+    /// Gives away the jobs that wait for services whose queue another process owns from now on.
+    ///
+    /// Processes that start together know nothing of each other, and each owns all queues at first.
+    /// With many queues before the same targets, each calls them in vain and with few pieces. Only
+    /// the change counts: a process that cannot reach the new owner goes on to submit jobs here.
+    pub fn consolidate(&self, is_first: impl Fn(&id::ServiceName) -> bool) {
+        for (service, line) in view::lock(&self.lines).iter_mut() {
+            let was_first = std::mem::replace(&mut line.first, is_first(service));
+            if was_first && !line.first {
+                let events = line.queue.hand_over();
+                event!(Info, "queue-moved", service = service, jobs = events.len());
+                line.settle(events, &*self.dialect);
+            }
+        }
+    }
+
     fn is_idle(&self) -> bool {
         view::lock(&self.lines).values().all(Line::is_idle)
     }
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -64,6 +64,8 @@
     pub(super) frees: collections::HashMap<net::SocketAddr, Vec<batch::Handle>>,
     /// Whether a task will send them.
     pub(super) flushing: bool,
+    /// Whether this process is the first choice of owner, as last looked up.
+    pub(super) first: bool,
 }
 
 impl Line {
@@ -76,6 +78,7 @@
             ids: collections::HashMap::new(),
             frees: collections::HashMap::new(),
             flushing: false,
+            first: true,
         }
     }
 
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -157,6 +157,8 @@
     }
 
     fn refresh(&self) {
+        self.dispatcher
+            .consolidate(|service| self.peers.is_first(service));
         let targets = self.view.targets.load();
         for (service, engines) in view::lock(&self.engines).iter_mut() {
             engines.update(targets.service(service));
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -282,6 +282,12 @@
         }
     }
 
+    /// Reports whether this process is the first choice of owner of a service's queue.
+    pub fn is_first(&self, service: &id::ServiceName) -> bool {
+        let owner = self.owners(service, false).into_iter().next();
+        owner.is_none_or(|owner| owner.instance == self.own)
+    }
+
     async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
         if owner.instance != self.own {
             let link = self.link(owner)?;
