--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -149,7 +149,7 @@
         self.jobs.values().map(|j| j.waiting.len()).sum()
     }
 
-    /// Reports whether room is what the next calls wait for: there is enough for a full one.
+    /// Reports whether a full call waits, so that room is wanted.
     pub fn is_crowded(&self) -> bool {
         self.waiting() >= self.shape.pieces
     }
--- a/laburnumcart_ctl/src/command/explain.rs
+++ b/laburnumcart_ctl/src/command/explain.rs
@@ -62,6 +62,14 @@
 fn cause(lines: &[Line]) -> String {
     let last = |event: &str| lines.iter().rev().find(|line| line.event == event);
     if let Some(end) = last("answered") {
+        let status = end.field("status");
+        if status.starts_with('5') {
+            return format!(
+                "the target itself answered {status}, after {} ms{}",
+                end.field("taken_ms"),
+                sends(lines)
+            );
+        }
         return format!(
             "answered after {} ms{}",
             end.field("taken_ms"),
--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -27,6 +27,8 @@
 time=2026-05-04T00:14:53.000Z level=info event=admitted request=r4 route=a rank=0
 time=2026-05-04T00:14:54.002Z level=info event=forecast request=r5 judgement=refused queues_ms=260,1490,? slack_ms=1100 left_ms=6000 again=false
 time=2026-05-04T00:14:54.002Z level=info event=refused request=r5 reason=deadline-too-short verdict=not-run status=503
+time=2026-05-04T00:14:55.000Z level=info event=sent request=r6 target=i-3 number=1
+time=2026-05-04T00:14:55.040Z level=info event=answered request=r6 status=500 taken_ms=45
 not a line of the log
 ";
 
@@ -78,6 +80,7 @@
     "refused (not-run): not begun, as the queues of its stages would be done with it after \
      260,1490,? ms, and it was due in 1100 ms"
 )]
+#[case("r6", "the target itself answered 500, after 45 ms")]
 #[case("r4", "no end is logged: the caller left, or the process ended")]
 fn the_cause_stands_first(#[case] id: &str, #[case] cause: &str) {
     let (code, text) = explain(id, &[]);
