Tell a target's lives apart by its start; entries of other writers name no target

Cause, found by reading: the start that a target tells with its entry was not read. One that said that it leaves and began again under its name got no work any more; load, room, cached prompts, connections and results of the earlier life were taken for the later one's. What is remembered is kept by name and start (id::TargetLife), a result's handle holds the start of its target, and results of a life that is known to have ended are made again. Entries that name no target end its use; targets gone are remembered for 60 s so that late writes of theirs bring nothing back. Ruled out: telling lives by the falling count of status reports, as late reports look the same.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -85,7 +85,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use laburnumcart::{batch, ingress, unit};
+/// use laburnumcart::{batch, id, ingress, unit};
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
@@ -102,7 +102,7 @@
 /// let job = queue.push(spec);
 /// let call = queue.take(now).unwrap();
 /// assert_eq!((call.engine, call.pieces.len()), (engine, 2));
-/// let made = |i| batch::Outcome::Made(batch::Handle(format!("result-{i}")));
+/// let made = |i| batch::Outcome::Made(batch::Handle::new(format!("result-{i}"), id::Life(1)));
 /// let events = queue.finish(&call, vec![made(0), made(1)], now);
 /// assert!(matches!(&events[..], [batch::Event::Done(key, _)] if *key == job));
 /// ```
@@ -345,7 +345,8 @@
         }
     }
 
-    fn fail(&mut self, key: JobKey, failure: Failure) -> Vec<Event> {
+    /// Gives up a job.
+    pub fn fail(&mut self, key: JobKey, failure: Failure) -> Vec<Event> {
         let Some(job) = self.jobs.remove(key) else {
             return Vec::new();
         };
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -19,10 +19,25 @@
     pub struct JobKey;
 }
 
-/// Name of a result, as its target gave it.
+/// A result, which lies at the target that made it and is gone with that life of the target.
 #[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Handle(pub String);
+#[display("{name}")]
+pub struct Handle {
+    /// Name of the result, as its target gave it.
+    pub name: String,
+    /// Life of the target.
+    pub life: id::Life,
+}
+
+impl Handle {
+    /// Creates the handle of a result.
+    pub fn new(name: impl Into<String>, life: id::Life) -> Self {
+        Self {
+            name: name.into(),
+            life,
+        }
+    }
+}
 
 /// What came of one piece.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -285,6 +285,40 @@
     }
 }
 
+/// Start of a target in milliseconds since the Unix epoch, by its own clock.
+///
+/// A target may start again under the name that it had; then this number is higher.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    derive_more::FromStr,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Life(pub u64);
+
+/// One life of a target.
+///
+/// A later life holds and knows nothing of an earlier one, so that what was learned of one (load,
+/// room, cached prompts, connections) is kept by this and not by the name.
+#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display("{name}@{life}")]
+pub struct TargetLife {
+    /// Name of the target.
+    pub name: TargetName,
+    /// Its start.
+    pub life: Life,
+}
+
 /// Number of an agent's term over its target; an order with a lower one is stale.
 #[derive(
     Clone,
--- a/laburnumcart/tests/batch/calls.rs
+++ b/laburnumcart/tests/batch/calls.rs
@@ -4,6 +4,7 @@
 
 use laburnumcart::{
     batch,
+    id,
     unit, //
 };
 use proptest::prelude::*;
@@ -208,7 +209,7 @@
     let mut queue = queue(1);
     let job = push(&mut queue, 2, 1000 * MS, now);
     let call = queue.take(now).unwrap();
-    let kept = batch::Handle("kept".into());
+    let kept = batch::Handle::new("kept", id::Life(1));
     let outcomes = vec![batch::Outcome::Made(kept.clone()), batch::Outcome::Gone];
     let events = queue.finish(&call, outcomes, now);
     let failed = batch::Event::Failed(job, batch::Failure::Gone);
--- a/laburnumcart/tests/batch/support.rs
+++ b/laburnumcart/tests/batch/support.rs
@@ -4,6 +4,7 @@
 
 use laburnumcart::{
     batch,
+    id,
     ingress,
     unit, //
 };
@@ -43,7 +44,7 @@
 
 pub(crate) fn made(call: &batch::Call) -> Vec<batch::Outcome> {
     let name = |p: &batch::Piece| format!("{:?}-{}-{:?}", p.job, p.index, call.engine);
-    let outcome = |p| batch::Outcome::Made(batch::Handle(name(p)));
+    let outcome = |p| batch::Outcome::Made(batch::Handle::new(name(p), id::Life(1)));
     call.pieces.iter().map(outcome).collect()
 }
 
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -57,11 +57,11 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub fn update(&mut self, targets: &[Arc<view::Target>], now: Instant) {
-        let known = self.entries.iter().map(|e| &e.target.name);
+        let known = self.entries.iter().map(|e| e.target.key());
         let (gone, new) = view::changes(known, targets);
         let ejector = &mut self.ejector;
         self.entries.retain(|entry| {
-            let kept = !gone.contains(&entry.target.name);
+            let kept = !gone.contains(&entry.target.key());
             if !kept {
                 ejector.remove(entry.key);
             }
@@ -104,8 +104,8 @@
     }
 
     /// Records the end of a request; `None` says nothing of the target's health.
-    pub fn end(&mut self, name: &id::TargetName, outcome: Option<eject::Outcome>, now: Instant) {
-        let Some(entry) = self.entries.iter_mut().find(|e| e.target.name == *name) else {
+    pub fn end(&mut self, life: &id::TargetLife, outcome: Option<eject::Outcome>, now: Instant) {
+        let Some(entry) = self.entries.iter_mut().find(|e| e.target.key() == *life) else {
             return;
         };
         entry.own = entry.own.saturating_sub(1);
@@ -122,12 +122,12 @@
     /// Takes in a target's report of its load.
     pub fn report(
         &mut self,
-        name: &id::TargetName,
+        life: &id::TargetLife,
         report: placement::Report,
         slots: Option<u32>,
         now: Instant,
     ) {
-        if let Some(entry) = self.entries.iter_mut().find(|e| e.target.name == *name) {
+        if let Some(entry) = self.entries.iter_mut().find(|e| e.target.key() == *life) {
             entry.load.pending = report.running + report.waiting;
             entry.load.own = entry.own;
             entry.load.limit = slots.unwrap_or(entry.load.limit);
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: follows the store and keeps this process's own entry there.
 
+mod members;
 mod targets;
 
 use std::{
@@ -89,10 +90,7 @@
         settings(TARGETS_WAIT, PAUSE_SHARED, SPREAD),
     );
     let targets = follower.observe(targets).share(&returns);
-    let members = Members {
-        view: view.clone(),
-        own: own.clone(),
-    };
+    let members = members::Observer::new(view.clone(), own.clone());
     let prefix = directory.members_prefix();
     let (follower, _members) = follow::follower(
         store.clone(),
@@ -173,41 +171,6 @@
     }
 }
 
-/// Publishes members.
-struct Members {
-    view: Arc<view::View>,
-    own: view::Member,
-}
-
-impl follow::Observer for Members {
-    fn ask(&mut self) {}
-
-    fn read(&mut self, snapshot: &follow::Snapshot) {
-        let parse = |o: &Arc<store::Object>| serde_json::from_str::<view::Member>(&o.value);
-        let mut members: Vec<_> = Vec::new();
-        for object in snapshot.objects.values() {
-            match parse(object) {
-                Ok(member) => members.push(member),
-                Err(error) => event!(Warn, "member-refused", key = object.key, error = error),
-            }
-        }
-        // The own entry may not be written yet, or be one of an earlier life.
-        members.retain(|m| m.instance != self.own.instance);
-        members.push(self.own.clone());
-        members.sort_by(|a, b| a.instance.cmp(&b.instance));
-        if **self.view.members.load() != members {
-            let names: Vec<&str> = members.iter().map(|m| m.instance.as_str()).collect();
-            event!(
-                Info,
-                "members",
-                count = names.len(),
-                names = names.join(",")
-            );
-            self.view.set_members(members);
-        }
-    }
-}
-
 /// Returns an entry for a new life of this process.
 pub fn member(settings: &crate::settings::Settings) -> view::Member {
     let secret: u128 = rand::random();
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -32,18 +32,53 @@
 /// Their entries lapse while the store is away, and are back within about two seconds.
 const RETURN: time::Duration = time::Duration::from_millis(2200);
 
+/// Time for which a target is remembered whose entry is gone or names no target any more.
+///
+/// A write of the target itself can take effect seconds after it was sent, and an entry of an earlier
+/// life or from before it began to leave would give it work again.
+const REMEMBERED: time::Duration = time::Duration::from_secs(60);
+
+/// Most targets that are remembered beside those in use; another writer could add names without end.
+const REMEMBERED_MAX: usize = 4096;
+
+/// Whether a target may be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// Its entry names it.
+    Listed,
+    /// It has no entry and is used until this moment.
+    Missing(Instant),
+    /// It is not used since this moment; what it was is kept.
+    Gone(Instant),
+}
+
 /// A target and its entry.
 struct Known {
     version: store::Version,
     target: view::Target,
-    /// Until when it is used without an entry.
-    missing: Option<Instant>,
+    standing: Standing,
+}
+
+impl Known {
+    fn is_used(&self) -> bool {
+        !matches!(self.standing, Standing::Gone(_))
+    }
+
+    /// Stops its use.
+    fn leave(&mut self, now: Instant) {
+        if self.is_used() {
+            event!(Info, "target-gone", target = self.target.name);
+            self.standing = Standing::Gone(now);
+        }
+    }
 }
 
 /// What is known of all targets.
 #[derive(Default)]
 struct State {
     known: collections::HashMap<String, Known>,
+    /// Versions of the entries that name no target.
+    refused: collections::HashMap<String, store::Version>,
     /// Last successful read.
     read: Option<Instant>,
 }
@@ -67,32 +102,60 @@
 
 impl State {
     /// Takes in an entry; returns whether anything has changed.
-    fn add(&mut self, directory: &dyn dialect::Directory, object: &store::Object) -> bool {
+    fn add(
+        &mut self,
+        directory: &dyn dialect::Directory,
+        object: &store::Object,
+        now: Instant,
+    ) -> bool {
         let key = &object.key;
-        let known = self.known.get_mut(key);
-        if let Some(known) = known
+        if let Some(known) = self.known.get_mut(key)
             && known.version == object.version
         {
-            known.missing = None;
+            let was_used = known.is_used();
+            known.standing = Standing::Listed;
+            return !was_used;
+        }
+        if self.refused.get(key) == Some(&object.version) {
             return false;
         }
         let name = key.rsplit_once('/').map_or(key.as_str(), |(_, name)| name);
-        let mut target = match directory.target(name, &object.value) {
-            Ok(target) => target,
-            Err(error) => {
-                event!(Warn, "target-refused", key = key, error = error);
+        match directory.target(name, &object.value) {
+            Ok(target) => self.accept(target, object),
+            Err(error) => self.refuse(object, error, now),
+        }
+    }
+
+    /// Takes in a target.
+    fn accept(&mut self, mut target: view::Target, object: &store::Object) -> bool {
+        let key = &object.key;
+        self.refused.remove(key);
+        let known = self.known.get(key);
+        if let Some(known) = known {
+            // A write of an earlier life that took effect late tells nothing of the present one.
+            if target.life < known.target.life {
+                let (life, known) = (target.life, known.target.life);
+                event!(
+                    Info,
+                    "target-outdated",
+                    target = target.name,
+                    life = life,
+                    known = known
+                );
+                self.refused.insert(key.clone(), object.version);
                 return false;
             }
-        };
-        let known = self.known.get(key);
-        // A target that has begun to leave never takes work again; its next life has a new name.
-        target.leaving |= known.is_some_and(|k| k.target.leaving);
-        let changed = known.is_none_or(|k| k.target != target);
+            // A life that has begun to leave never takes work again, whatever an entry says that
+            // was written before and took effect late.
+            target.leaving |= known.target.life == target.life && known.target.leaving;
+        }
+        let changed = known.is_none_or(|k| k.target != target || !k.is_used());
         if changed {
             event!(
                 Info,
                 "target",
                 target = target.name,
+                life = target.life,
                 service = target.service,
                 addr = target.addr,
                 leaving = target.leaving,
@@ -102,12 +165,31 @@
         let known = Known {
             version: object.version,
             target,
-            missing: None,
+            standing: Standing::Listed,
         };
         self.known.insert(key.clone(), known);
         changed
     }
 
+    /// Takes in an entry that names no target, also where one stood before.
+    ///
+    /// It is said once for each key that turns bad, as its writer may go on to write it.
+    fn refuse(&mut self, object: &store::Object, error: dialect::Malformed, now: Instant) -> bool {
+        let key = &object.key;
+        if self.refused.len() >= REMEMBERED_MAX {
+            self.refused.clear();
+        }
+        if self.refused.insert(key.clone(), object.version).is_none() {
+            event!(Warn, "target-refused", key = key, error = error);
+        }
+        let known = self.known.get_mut(key).filter(|known| known.is_used());
+        let was_used = known.is_some();
+        if let Some(known) = known {
+            known.leave(now);
+        }
+        was_used
+    }
+
     /// Drops the targets without an entry; after an outage they are kept until `grace`.
     fn drop_missing(
         &mut self,
@@ -115,31 +197,40 @@
         grace: Option<Instant>,
         now: Instant,
     ) -> bool {
+        self.refused.retain(|key, _| listed.contains_key(key));
         for (key, known) in &mut self.known {
-            if !listed.contains_key(key) {
+            if known.standing == Standing::Listed && !listed.contains_key(key) {
                 // An entry that is deleted after the outage has ended is not one that lapsed.
-                let until = known.missing.or(grace).unwrap_or(now);
-                known.missing = Some(until);
+                known.standing = Standing::Missing(grace.unwrap_or(now));
             }
         }
         self.sweep(now)
     }
 
-    /// Drops the targets whose entry has not come back in time.
+    /// Drops the targets whose entry has not come back in time, and forgets those long gone.
     fn sweep(&mut self, now: Instant) -> bool {
-        let before = self.known.len();
-        self.known.retain(|_, known| {
-            let keep = known.missing.is_none_or(|until| now < until);
-            if !keep {
-                event!(Info, "target-gone", target = known.target.name);
+        let mut changed = false;
+        for known in self.known.values_mut() {
+            if matches!(known.standing, Standing::Missing(until) if until <= now) {
+                known.leave(now);
+                changed = true;
             }
-            keep
+        }
+        let gone = self.known.values().filter(|known| !known.is_used()).count();
+        let remembered = match gone > REMEMBERED_MAX {
+            true => time::Duration::ZERO,
+            false => REMEMBERED,
+        };
+        self.known.retain(|_, known| match known.standing {
+            Standing::Gone(since) => now.saturating_duration_since(since) < remembered,
+            _ => true,
         });
-        self.known.len() != before
+        changed
     }
 
     fn targets(&self) -> view::Targets {
-        view::Targets::new(self.known.values().map(|k| k.target.clone()))
+        let used = self.known.values().filter(|known| known.is_used());
+        view::Targets::new(used.map(|k| k.target.clone()))
     }
 }
 
@@ -154,7 +245,7 @@
         state.read = Some(now);
         let mut changed = first;
         for object in snapshot.objects.values() {
-            changed |= state.add(&*self.directory, object);
+            changed |= state.add(&*self.directory, object, now);
         }
         let grace = returned.then_some(now + RETURN);
         changed |= state.drop_missing(&snapshot.objects, grace, now);
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -106,6 +106,19 @@
     Results(Vec<batch::Handle>),
 }
 
+impl Input {
+    /// Reports whether a result that it reads has gone with an earlier life of its target.
+    pub fn is_lost(&self, targets: &view::Targets, dialect: &dyn Dialect) -> bool {
+        let Self::Results(handles) = self else {
+            return false;
+        };
+        handles.iter().any(|handle| {
+            let addr = dialect.holder(handle);
+            addr.is_some_and(|addr| targets.is_replaced(&addr, handle.life))
+        })
+    }
+}
+
 /// A piece in a call of a target.
 #[derive(Clone, Debug)]
 pub struct Item<'a> {
@@ -136,8 +149,14 @@
     /// Writes a call of a batch; the target echoes `label`.
     fn batch(&self, target: &id::TargetName, label: &str, items: &[Item<'_>]) -> Request<Bytes>;
 
-    /// Reads the answer to [`Dialect::batch`], which must tell of `count` pieces.
-    fn outcomes(&self, body: &[u8], count: usize) -> Result<Vec<batch::Outcome>, Malformed>;
+    /// Reads the answer to [`Dialect::batch`], which must tell of `count` pieces; `life` is that of
+    /// the target.
+    fn outcomes(
+        &self,
+        body: &[u8],
+        count: usize,
+        life: id::Life,
+    ) -> Result<Vec<batch::Outcome>, Malformed>;
 
     /// Writes the call that frees results.
     fn free(&self, target: &id::TargetName, handles: &[batch::Handle]) -> Request<Bytes>;
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -258,6 +258,8 @@
                 line.queue.set_shape(shape);
             }
             line.update(targets.service(service));
+            let gone = line.drop_lost(&targets, &*self.dialect);
+            line.settle(gone, &*self.dialect);
         }
     }
 
@@ -295,6 +297,9 @@
         }
         let now = Instant::now();
         line.queue.unexpect(job.id);
+        if job.input.is_lost(&self.view.targets.load(), &*self.dialect) {
+            return Err(batch::Failure::Gone);
+        }
         self.check(line, &job, now)?;
         let (sender, receiver) = oneshot::channel();
         line.push(job, sender, now);
@@ -390,9 +395,10 @@
         };
         line.flushing = false;
         let targets = self.view.targets.load();
-        for (addr, handles) in line.frees.drain() {
-            let Some(target) = targets.at(&addr) else {
-                // Its results have gone with the target.
+        for (holder, handles) in line.frees.drain() {
+            let (addr, life) = holder;
+            let Some(target) = targets.at(&addr, life) else {
+                // Its results have gone with that life of the target.
                 continue;
             };
             let bounds = self.bounds(service);
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -232,7 +232,7 @@
         if head.status != StatusCode::OK {
             return Err(Failed::Lost(pool::Failure::Malformed));
         }
-        let outcomes = self.dialect.outcomes(&body, count);
+        let outcomes = self.dialect.outcomes(&body, count, target.life);
         outcomes.map_err(|_| Failed::Lost(pool::Failure::Malformed))
     }
 }
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -58,10 +58,10 @@
     pub(super) queue: batch::Queue,
     pub(super) targets: SecondaryMap<batch::EngineKey, Arc<view::Target>>,
     pub(super) waiters: SecondaryMap<batch::JobKey, Waiter>,
-    keys: collections::HashMap<id::TargetName, batch::EngineKey>,
+    keys: collections::HashMap<id::TargetLife, batch::EngineKey>,
     ids: collections::HashMap<u64, batch::JobKey>,
-    /// Results to free, by the address of their target.
-    pub(super) frees: collections::HashMap<net::SocketAddr, Vec<batch::Handle>>,
+    /// Results to free, by the address and the life of their target.
+    pub(super) frees: collections::HashMap<(net::SocketAddr, id::Life), Vec<batch::Handle>>,
     /// Whether a task will send them.
     pub(super) flushing: bool,
     /// Whether this process is the first choice of owner, as last looked up.
@@ -88,16 +88,16 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub(super) fn update(&mut self, targets: &[Arc<view::Target>]) {
-        let (gone, new) = view::changes(self.keys.keys(), targets);
-        for name in gone {
-            if let Some(key) = self.keys.remove(&name) {
+        let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
+        for life in gone {
+            if let Some(key) = self.keys.remove(&life) {
                 self.queue.engines.remove(key);
                 self.targets.remove(key);
             }
         }
         for target in new {
             let key = self.queue.engines.add(target.data_centre.clone());
-            self.keys.insert(target.name.clone(), key);
+            self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
     }
@@ -129,6 +129,25 @@
         }
     }
 
+    /// Gives up the jobs whose inputs have gone with an earlier life of their target.
+    ///
+    /// Sent to a target, which asks the next life for them, they would fail after the fixed time of a
+    /// call.
+    pub(super) fn drop_lost(
+        &mut self,
+        targets: &view::Targets,
+        dialect: &dyn dialect::Dialect,
+    ) -> Vec<batch::Event> {
+        let lost = self.waiters.iter();
+        let lost = lost.filter(|(_, waiter)| waiter.input.is_lost(targets, dialect));
+        let keys: Vec<_> = lost.map(|(key, _)| key).collect();
+        let queue = &mut self.queue;
+        let gone = keys
+            .into_iter()
+            .flat_map(|key| queue.fail(key, batch::Failure::Gone));
+        gone.collect()
+    }
+
     /// Takes in that the pieces of a call have read their inputs; returns what nothing else reads.
     pub(super) fn read(&mut self, pieces: &[batch::Piece]) -> Vec<batch::Handle> {
         let mut read = Vec::new();
@@ -161,7 +180,8 @@
     /// and find no room.
     pub(super) fn free(&mut self, handle: batch::Handle, dialect: &dyn dialect::Dialect) {
         if let Some(addr) = dialect.holder(&handle) {
-            self.frees.entry(addr).or_default().push(handle);
+            let holder = (addr, handle.life);
+            self.frees.entry(holder).or_default().push(handle);
         }
     }
 
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -22,7 +22,7 @@
     /// What decides.
     pub fleet: placement::Fleet,
     targets: SecondaryMap<placement::EngineKey, Arc<view::Target>>,
-    keys: collections::HashMap<id::TargetName, placement::EngineKey>,
+    keys: collections::HashMap<id::TargetLife, placement::EngineKey>,
 }
 
 impl Engines {
@@ -37,9 +37,9 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     pub fn update(&mut self, targets: &[Arc<view::Target>]) {
-        let (gone, new) = view::changes(self.keys.keys(), targets);
-        for name in gone {
-            if let Some(key) = self.keys.remove(&name) {
+        let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
+        for life in gone {
+            if let Some(key) = self.keys.remove(&life) {
                 self.fleet.remove(key);
                 self.targets.remove(key);
             }
@@ -47,15 +47,18 @@
         for target in new {
             let zone = target.data_centre.clone();
             let key = self.fleet.add(target.name.as_str(), zone);
-            self.keys.insert(target.name.clone(), key);
+            self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
     }
 
     /// Returns the keys of the engines that have these names.
     pub fn keys(&self, names: &[id::TargetName]) -> Vec<placement::EngineKey> {
-        let keys = names.iter().filter_map(|name| self.keys.get(name));
-        keys.copied().collect()
+        let keys = self
+            .keys
+            .iter()
+            .filter(|(life, _)| names.contains(&life.name));
+        keys.map(|(_, key)| *key).collect()
     }
 
     /// Chooses an engine and counts the request there.
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -118,6 +118,10 @@
         limit: time::Duration,
     ) -> Result<Opened, Failure> {
         let request = self.request.clone();
+        let mut handles = inputs.iter().flat_map(|inputs| &inputs.handles);
+        if handles.any(|handle| self.gateway.is_lost(handle)) {
+            return Err(Failure::InputsGone);
+        }
         let seat = self
             .gateway
             .seat(&request, &self.service, inputs, &self.tried);
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -146,7 +146,7 @@
             for handle in handles {
                 let holder = self.dialect.holder(&handle);
                 // A result whose target has gone is gone with it.
-                if let Some(target) = holder.and_then(|addr| targets.at(&addr)) {
+                if let Some(target) = holder.and_then(|addr| targets.at(&addr, handle.life)) {
                     owned.entry(&target.service).or_default().push(handle);
                 }
             }
@@ -178,6 +178,15 @@
         engines.fleet.near(&prompt.parts, Instant::now())
     }
 
+    /// Reports whether the target that holds a result is known to have started again since.
+    ///
+    /// Its next life knows nothing of the result, and might give it out for one of its own.
+    pub fn is_lost(&self, handle: &batch::Handle) -> bool {
+        let addr = self.dialect.holder(handle);
+        let targets = self.view.targets.load();
+        addr.is_some_and(|addr| targets.is_replaced(&addr, handle.life))
+    }
+
     /// Chooses a target of a service for a request.
     pub fn seat(
         self: &Arc<Self>,
@@ -317,7 +326,7 @@
         let now = Instant::now();
         match self.place {
             Some(place) => self.with_engines(|e| e.fleet.report(place.engine, report, now)),
-            None => self.with_balancer(|b| b.report(&self.target.name, report, reply.slots, now)),
+            None => self.with_balancer(|b| b.report(&self.target.key(), report, reply.slots, now)),
         }
     }
 
@@ -364,7 +373,7 @@
                     e.fleet.fail(place.engine, now);
                 }
             }),
-            None => self.with_balancer(|b| b.end(&self.target.name, self.outcome, now)),
+            None => self.with_balancer(|b| b.end(&self.target.key(), self.outcome, now)),
         }
     }
 }
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -156,6 +156,7 @@
         let mut running = stream::FuturesUnordered::new();
         let mut tries = TRIES;
         loop {
+            self.drop_lost(&mut started);
             for (i, begun) in started.iter_mut().enumerate() {
                 if !*begun && self.is_ready(i) {
                     *begun = true;
@@ -271,6 +272,30 @@
         }
     }
 
+    /// Has the results made again that are still to be read and whose target has started again
+    /// since it made them.
+    fn drop_lost(&mut self, started: &mut [bool]) {
+        for i in 0..started.len() {
+            if self.is_unread(i, started) && self.is_lost(i) {
+                self.results[i] = None;
+                started[i] = false;
+            }
+        }
+    }
+
+    /// Reports whether a stage that has not begun, or the target itself, will read the results of one.
+    fn is_unread(&self, i: usize, started: &[bool]) -> bool {
+        let stages = &self.request.route.stages;
+        let mut readers = (0..stages.len()).filter(|k| stages[*k].after.contains(&i));
+        let is_last = readers.clone().next().is_none();
+        is_last || readers.any(|k| !started[k])
+    }
+
+    fn is_lost(&self, i: usize) -> bool {
+        let mut handles = self.results[i].iter().flat_map(|held| &held.handles);
+        handles.any(|handle| self.gateway.is_lost(handle))
+    }
+
     /// Reports whether a stage alone reads the results that it takes.
     fn consumes(&self, i: usize) -> bool {
         let stages = &self.request.route.stages;
@@ -430,6 +455,6 @@
     fn place(&self, handle: &batch::Handle) -> Option<id::DataCentre> {
         let addr = self.gateway.dialect.holder(handle)?;
         let targets = self.gateway.view.targets.load();
-        Some(targets.at(&addr)?.data_centre.clone())
+        Some(targets.at(&addr, handle.life)?.data_centre.clone())
     }
 }
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -154,7 +154,7 @@
 /// Idle connections by target.
 #[derive(Debug, Default)]
 pub struct Pool {
-    shelves: Mutex<collections::HashMap<id::TargetName, Shelf>>,
+    shelves: Mutex<collections::HashMap<id::TargetLife, Shelf>>,
     /// What was counted.
     pub counters: Counters,
 }
@@ -189,18 +189,14 @@
         Err(Failure::Unreached)
     }
 
-    /// Closes the idle connections to targets that are not listed any more.
-    pub fn retain(&self, keep: impl Fn(&id::TargetName) -> bool) {
-        view::lock(&self.shelves).retain(|name, _| keep(name));
-    }
-
-    /// Closes idle connections whose time is over.
+    /// Closes idle connections whose time is over, and forgets targets without any connection.
     pub fn sweep(&self, now: Instant) {
-        for shelf in view::lock(&self.shelves).values_mut() {
+        view::lock(&self.shelves).retain(|_, shelf| {
             shelf
                 .idle
                 .retain(|c| c.until > now && !c.sender.is_closed());
-        }
+            Arc::strong_count(&shelf.open) > 1
+        });
     }
 
     async fn lease(
@@ -232,7 +228,7 @@
     /// Takes the idle connection that was used last.
     fn idle(&self, target: &view::Target, most: time::Duration) -> Option<Connection> {
         let mut shelves = view::lock(&self.shelves);
-        let shelf = shelves.get_mut(&target.name)?;
+        let shelf = shelves.get_mut(&target.key())?;
         let now = Instant::now();
         shelf
             .idle
@@ -247,7 +243,7 @@
     /// Counts one more connection to a target, which resets those beyond its bound.
     fn open(&self, target: &view::Target, most: usize) -> Result<Arc<()>, Failure> {
         let mut shelves = view::lock(&self.shelves);
-        let shelf = shelves.entry(target.name.clone()).or_default();
+        let shelf = shelves.entry(target.key()).or_default();
         if Arc::strong_count(&shelf.open) > most.max(1) && !shelf.idle.is_empty() {
             shelf.idle.remove(0);
         }
--- a/laburnumcart_gateway/src/pool/connection.rs
+++ b/laburnumcart_gateway/src/pool/connection.rs
@@ -40,7 +40,7 @@
 /// A connection and the task that drives it.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) target: id::TargetName,
+    pub(super) target: id::TargetLife,
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
     /// End of the last exchange.
     pub(super) used: Instant,
@@ -78,7 +78,7 @@
     });
     let now = Instant::now();
     Ok(Connection {
-        target: target.name.clone(),
+        target: target.key(),
         sender,
         used: now,
         until: now,
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -33,8 +33,10 @@
 /// A target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
-    /// Name of this life of the target; a restarted one has another.
+    /// Name; one that starts again may have it as well.
     pub name: id::TargetName,
+    /// Its start.
+    pub life: id::Life,
     /// Address.
     pub addr: net::SocketAddr,
     /// Data centre.
@@ -45,11 +47,21 @@
     pub leaving: bool,
 }
 
+impl Target {
+    /// Returns what tells it from its other lives.
+    pub fn key(&self) -> id::TargetLife {
+        id::TargetLife {
+            name: self.name.clone(),
+            life: self.life,
+        }
+    }
+}
+
 /// All targets that may get work.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     services: collections::HashMap<id::ServiceName, Vec<Arc<Target>>>,
-    addrs: collections::HashMap<net::SocketAddr, Arc<Target>>,
+    addrs: collections::HashMap<net::SocketAddr, Vec<Arc<Target>>>,
 }
 
 impl Targets {
@@ -60,7 +72,10 @@
         let mut all = Self::default();
         for target in targets {
             let target = Arc::new(target);
-            all.addrs.insert(target.addr, target.clone());
+            all.addrs
+                .entry(target.addr)
+                .or_default()
+                .push(target.clone());
             if !target.leaving {
                 let service = target.service.clone();
                 all.services.entry(service).or_default().push(target);
@@ -74,14 +89,25 @@
         self.services.get(name).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the target at an address.
-    pub fn at(&self, addr: &net::SocketAddr) -> Option<&Arc<Target>> {
-        self.addrs.get(addr)
+    /// Returns the life of a target that is, or was a moment ago, at an address.
+    ///
+    /// Addresses are used again, and an entry of the one before may still be listed.
+    pub fn at(&self, addr: &net::SocketAddr, life: id::Life) -> Option<&Arc<Target>> {
+        let listed = self.addrs.get(addr)?;
+        listed.iter().find(|target| target.life == life)
+    }
+
+    /// Reports whether another life is known to have taken the place of one at an address.
+    ///
+    /// What that one held is gone. Of a target that is not listed nothing is known: it may be about
+    /// to leave, with its results still there.
+    pub fn is_replaced(&self, addr: &net::SocketAddr, life: id::Life) -> bool {
+        self.addrs.contains_key(addr) && self.at(addr, life).is_none()
     }
 
     /// Returns the number of targets.
     pub fn len(&self) -> usize {
-        self.addrs.len()
+        self.addrs.values().map(Vec::len).sum()
     }
 
     /// Reports whether there is no target.
@@ -91,15 +117,16 @@
 }
 
 /// Compares what is known of a service's targets with their list: who is gone, who is new.
-pub(crate) fn changes<'a, 'b>(
-    known: impl Iterator<Item = &'a id::TargetName>,
-    listed: &'b [Arc<Target>],
-) -> (Vec<id::TargetName>, Vec<&'b Arc<Target>>) {
-    let known: collections::HashSet<_> = known.collect();
-    let names: collections::HashSet<_> = listed.iter().map(|t| &t.name).collect();
-    let gone = known.iter().filter(|name| !names.contains(*name));
-    let gone = gone.map(|name| (*name).clone()).collect();
-    let new = listed.iter().filter(|t| !known.contains(&t.name));
+///
+/// One that has started again under its name is both.
+pub(crate) fn changes(
+    known: impl IntoIterator<Item = id::TargetLife>,
+    listed: &[Arc<Target>],
+) -> (Vec<id::TargetLife>, Vec<&Arc<Target>>) {
+    let known: collections::HashSet<_> = known.into_iter().collect();
+    let keys: collections::HashSet<_> = listed.iter().map(|t| t.key()).collect();
+    let gone = known.difference(&keys).cloned().collect();
+    let new = listed.iter().filter(|t| !known.contains(&t.key()));
     (gone, new.collect())
 }
 
--- /dev/null
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -0,0 +1,51 @@
+//! What a balancer remembers of targets that start again.
+
+use std::sync::Arc;
+
+use laburnumcart::{
+    eject,
+    id,
+    placement, //
+};
+use laburnumcart_gateway::{
+    balancer,
+    view, //
+};
+use tokio::time::Instant;
+
+fn target(name: &str, life: u64) -> Arc<view::Target> {
+    Arc::new(view::Target {
+        name: name.parse().unwrap(),
+        life: id::Life(life),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "north".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        leaving: false,
+    })
+}
+
+// A target fails its requests and starts again under its name. Answers and reports of the earlier life
+// come late. Taken for the new one's they would exclude it, or show it as full, for seconds.
+#[tokio::test(start_paused = true)]
+async fn a_new_life_does_not_answer_for_the_one_before() {
+    let start = Instant::now();
+    let (first, second, other) = (target("a", 1), target("a", 2), target("b", 1));
+    let mut balancer = balancer::Balancer::new("north".parse().unwrap(), start);
+    balancer.update(&[first.clone(), other.clone()], start);
+    balancer.update(&[second.clone(), other.clone()], start);
+    for _ in 0..8 {
+        balancer.end(&first.key(), Some(eject::Outcome::Failure), start);
+    }
+    let full = placement::Report {
+        running: 90,
+        waiting: 90,
+    };
+    balancer.report(&first.key(), full, Some(6), start);
+    let mut chosen = 0;
+    for _ in 0..40 {
+        let target = balancer.choose(&[], start).unwrap();
+        chosen += usize::from(target.name == second.name);
+        balancer.end(&target.key(), None, start);
+    }
+    assert!(chosen > 10, "{chosen} of 40");
+}
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -64,7 +64,12 @@
         Request::default()
     }
 
-    fn outcomes(&self, _: &[u8], _: usize) -> Result<Vec<batch::Outcome>, dialect::Malformed> {
+    fn outcomes(
+        &self,
+        _: &[u8],
+        _: usize,
+        _: id::Life,
+    ) -> Result<Vec<batch::Outcome>, dialect::Malformed> {
         Err(dialect::Malformed("outcomes"))
     }
 
@@ -250,7 +255,7 @@
 #[tokio::test]
 async fn results_are_freed_where_their_job_was_executed() {
     let caller = Caller::new();
-    let handles = vec![batch::Handle("result".into())];
+    let handles = vec![batch::Handle::new("result", id::Life(1))];
     let leaving = Silent::answering(Answer::Leaving);
     let next = Silent::answering(Answer::Done(handles.clone()));
     let (_leaving, first) = leaving.serve("gateway-2", "secret-of-the-second-process");
