--- a/laburnumcart/tests/batch/outlook.rs
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -82,6 +82,43 @@
     assert!(queue.outlook(&spec(now + 2000 * MS), now) < loaded / 2);
 }
 
+// All instances were lost, and every target has just had some seconds of nothing but jobs on time. Callers come
+// back with ten seconds left for what takes one. Judged by them alone, they would be refused for
+// good, as no one comes back twice.
+#[test]
+fn full_seconds_do_not_count_for_ever() {
+    let mut now = Instant::now();
+    let mut queue = queue(4);
+    for _ in 0..20 {
+        let calls: Vec<_> = (0..4)
+            .map(|_| {
+                push(&mut queue, 8, 1000 * MS, now);
+                queue.take(now).unwrap()
+            })
+            .collect();
+        now += 360 * MS;
+        for call in calls {
+            let events = queue.finish(&call, made(&call), now);
+            let batch::Event::Done(_, handles) = &events[0] else {
+                panic!("{events:?}");
+            };
+            for handle in handles {
+                queue.free(handle);
+            }
+        }
+    }
+    for _ in 0..4 {
+        push(&mut queue, 8, 1000 * MS, now);
+        queue.take(now).unwrap();
+    }
+    for _ in 0..10 {
+        push(&mut queue, 8, 0 * MS, now);
+    }
+    let back = batch::Spec::new(4, SIZE, now).deadline(now + 10_000 * MS);
+    let outlook = queue.outlook(&back, now);
+    assert!(outlook < 10_000 * MS, "{outlook:?}");
+}
+
 // Jobs that came in time have become late, as others keep coming that go before them. Kept to the
 // deadline, their callers would have no time left to come again; they are told once it is known.
 #[test]
