--- a/laburnumcart/tests/batch/outlook.rs
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -112,7 +112,7 @@
         queue.take(now).unwrap();
     }
     for _ in 0..10 {
-        push(&mut queue, 8, 0 * MS, now);
+        push(&mut queue, 8, time::Duration::ZERO, now);
     }
     let back = batch::Spec::new(4, SIZE, now).deadline(now + 10_000 * MS);
     let outlook = queue.outlook(&back, now);
