Take fractions where a bound need not be whole

Cause: bounds of a small deployment are shares of those of a large one and come with fractions (retry_extra 36.2). The setting took whole numbers only, so that all gateways of the small twins of the large site ended with code 2. Ruled out: rounding in the template, which has no arithmetic. Before: the twins did not start (54 processes ended with code 2, as the issue tells); the new cases with a fraction or an exponent were not run on the code before. Whole numbers take 4100.0 and 4.1e3 too and say what is wrong otherwise; periods, sizes, rates and shares take exponents.

--- a/laburnumcart/src/unit.rs
+++ b/laburnumcart/src/unit.rs
@@ -30,23 +30,36 @@
     };
 }
 
-/// Splits a text into its number and its unit.
+/// Splits a text into its number, in any spelling that JSON allows for it, and its unit.
 fn split(text: &str) -> Option<(f64, &str)> {
     let end = text
         .find(|c: char| !c.is_ascii_digit() && c != '.')
         .unwrap_or(text.len());
-    let (number, unit) = text.split_at(end);
+    let (number, unit) = text.split_at(end + exponent(&text[end..]));
     let value: f64 = number.parse().ok()?;
     Some((value, unit))
 }
 
+/// Returns the length of the exponent that a text begins with, 0 if there is none.
+fn exponent(text: &str) -> usize {
+    let Some(rest) = text.strip_prefix(['e', 'E']) else {
+        return 0;
+    };
+    let digits = rest.strip_prefix(['+', '-']).unwrap_or(rest);
+    let count = digits.bytes().take_while(u8::is_ascii_digit).count();
+    match count {
+        0 => 0,
+        _ => text.len() - digits.len() + count,
+    }
+}
+
 /// A number of bytes, written as `"512B"`, `"64KiB"`, `"1MiB"` or `"2GiB"`.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, schemars::JsonSchema,
 )]
 #[schemars(
     with = "String",
-    extend("format" = "size", "pattern" = r"^[0-9]+(\.[0-9]+)?(B|KiB|MiB|GiB)$", "examples" = ["64KiB"])
+    extend("format" = "size", "pattern" = r"^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?(B|KiB|MiB|GiB)$", "examples" = ["64KiB"])
 )]
 pub struct Size(pub u64);
 
@@ -91,7 +104,7 @@
 )]
 #[schemars(
     with = "String",
-    extend("format" = "period", "pattern" = r"^[0-9]+(\.[0-9]+)?(us|ms|s|m|h)$", "examples" = ["250ms"])
+    extend("format" = "period", "pattern" = r"^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?(us|ms|s|m|h)$", "examples" = ["250ms"])
 )]
 pub struct Period(pub time::Duration);
 
@@ -153,7 +166,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, schemars::JsonSchema)]
 #[schemars(
     with = "String",
-    extend("format" = "rate", "pattern" = r"^[0-9]+(\.[0-9]+)?/s$", "examples" = ["600/s"])
+    extend("format" = "rate", "pattern" = r"^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?/s$", "examples" = ["600/s"])
 )]
 pub struct Rate(pub f64);
 
@@ -180,7 +193,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, schemars::JsonSchema)]
 #[schemars(
     with = "String",
-    extend("format" = "share", "pattern" = r"^[0-9]+(\.[0-9]+)?%$", "examples" = ["25%"])
+    extend("format" = "share", "pattern" = r"^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?%$", "examples" = ["25%"])
 )]
 pub struct Share(pub f64);
 
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -260,7 +260,7 @@
             let ratio = unit::Share(bounds.retry_ratio * BUDGET_SHARE);
             budget::Budget::new(ratio, now)
         });
-        let extra = f64::from(bounds.retry_extra) * BUDGET_SHARE / self.view.share() as f64;
+        let extra = bounds.retry_extra * BUDGET_SHARE / self.view.share() as f64;
         budget.set_reserve(extra as u32);
         act(budget, now)
     }
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -2,7 +2,11 @@
 
 use std::net;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Deserializer,
+    de, //
+};
 
 use laburnumcart::{
     id,
@@ -43,7 +47,7 @@
     #[serde(default = "default_cores")]
     pub cores: f64,
     /// Most open file descriptors.
-    #[serde(default = "default_descriptors")]
+    #[serde(default = "default_descriptors", deserialize_with = "whole")]
     pub descriptors: u32,
     /// Logs and traces.
     #[serde(default)]
@@ -60,8 +64,9 @@
     pub revoke: unit::Period,
     /// Extra sends to a service as a share of its requests, over all processes.
     pub retry_ratio: f64,
-    /// Extra sends beside that share in ten seconds, over all processes.
-    pub retry_extra: u32,
+    /// Extra sends beside that share in ten seconds, over all processes; a share of a
+    /// larger number may have a fraction.
+    pub retry_extra: f64,
 }
 
 impl Default for Bounds {
@@ -70,7 +75,7 @@
             grace: unit::Period::from_secs(8),
             revoke: unit::Period::from_secs(5),
             retry_ratio: 0.1,
-            retry_extra: 10,
+            retry_extra: 10.0,
         }
     }
 }
@@ -83,6 +88,16 @@
     1024
 }
 
+/// Reads a whole number in any spelling that JSON allows, such as `4100`, `4100.0` or `4.1e3`.
+fn whole<'de, D: Deserializer<'de>>(input: D) -> Result<u32, D::Error> {
+    let value = f64::deserialize(input)?;
+    if value.fract() != 0.0 || !(0.0..=f64::from(u32::MAX)).contains(&value) {
+        let message = format!("{value} must be a whole number of at most {}", u32::MAX);
+        return Err(de::Error::custom(message));
+    }
+    Ok(value as u32)
+}
+
 impl settings::Settings for Settings {
     fn telemetry(&self) -> &settings::Telemetry {
         &self.telemetry
@@ -102,6 +117,13 @@
             let message = "must be between 0 and 1";
             faults.push(settings::Fault::new("$.bounds.retry_ratio", message));
         }
+        if self.bounds.retry_extra < 0.0 {
+            let message = "must not be negative";
+            faults.push(settings::Fault::new("$.bounds.retry_extra", message));
+        }
+        if self.cores <= 0.0 {
+            faults.push(settings::Fault::new("$.cores", "must be positive"));
+        }
         if let Some(path) = &self.ready_path
             && !path.starts_with('/')
         {
