Follow the store through a few readers

Cause: each gateway followed three topics of the store by itself, 2.2 calls a second each. Ruled out: longer watches (no time for one failed call within the 4.5 s in which keys are honoured), stale reads (seconds behind just when targets leave), an elected reader (needs a lease). Change: laburnumcart::readers chooses three processes by rendezvous; all others ask one of them (relay), with ages that count from before the reader's call on the boot-time clock. Replicas tell deletions. A process that the store turns away goes on with what others know. Found by the new test of processes that are turned away, and mended here: readers that the store turns away tried it at once and never asked those whom it serves.

Tests: laburnumcart/readers, laburnumcart_platform/replica, gateway/relay, platform/relay; model spec/relay.pml with six faults that are found.

--- a/laburnumcart/src/freshness.rs
+++ b/laburnumcart/src/freshness.rs
@@ -25,6 +25,11 @@
     pub fn since(self, earlier: Self) -> time::Duration {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Returns the moment that was this long before.
+    pub fn before(self, period: time::Duration) -> Self {
+        Self(self.0.saturating_sub(period))
+    }
 }
 
 /// Moment up to which the configuration is known to be current; shared by all threads.
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod orders;
 pub mod patience;
 pub mod placement;
+pub mod readers;
+pub mod rendezvous;
 pub mod retry;
 pub mod route;
 pub mod seal;
--- /dev/null
+++ b/laburnumcart/tests/readers.rs
@@ -0,0 +1,117 @@
+//! Choice of the processes that read for the others.
+
+use std::collections;
+
+use laburnumcart::{
+    id,
+    readers, //
+};
+
+struct Fleet {
+    names: Vec<id::InstanceName>,
+    places: Vec<id::DataCentre>,
+}
+
+impl Fleet {
+    fn new(count: usize, places: usize) -> Self {
+        let name = |i| format!("gateway-{i}").parse().unwrap();
+        let place = |i| format!("place-{}", i % places).parse().unwrap();
+        Self {
+            names: (0..count).map(name).collect(),
+            places: (0..count).map(place).collect(),
+        }
+    }
+
+    fn members(&self) -> Vec<readers::Member<'_>> {
+        let pairs = self.names.iter().zip(&self.places);
+        let member = |(name, data_centre)| readers::Member {
+            name,
+            data_centre,
+            cores: 0.2,
+        };
+        pairs.map(member).collect()
+    }
+}
+
+fn names<'a>(members: &[readers::Member<'a>]) -> Vec<&'a id::InstanceName> {
+    members.iter().map(|member| member.name).collect()
+}
+
+#[test]
+fn readers_grow_slowly_with_the_fleet() {
+    let counts = [0, 1, 2, 5, 27, 103, 350].map(readers::count);
+    assert_eq!(counts, [0, 1, 2, 3, 3, 3, 9]);
+}
+
+#[test]
+fn readers_are_in_different_data_centres_as_far_as_these_go() {
+    for (count, places, expected) in [(103, 5, 3), (350, 4, 4), (9, 2, 2)] {
+        let fleet = Fleet::new(count, places);
+        let readers = readers::choose(fleet.members());
+        let places: collections::HashSet<_> = readers.iter().map(|r| r.data_centre).collect();
+        assert_eq!(places.len(), expected);
+    }
+}
+
+// A reader is gone. All others go on to ask the ones that they know, and one more takes its part; if
+// the loss of one moved all, the whole fleet would ask anew in one moment.
+#[test]
+fn the_loss_of_a_reader_adds_one_and_keeps_the_rest() {
+    let fleet = Fleet::new(103, 1);
+    let before = readers::choose(fleet.members());
+    let mut members = fleet.members();
+    members.retain(|member| member.name != before[0].name);
+    let after = readers::choose(members);
+    assert_eq!(names(&after)[..2], names(&before)[1..]);
+}
+
+#[test]
+fn the_order_of_the_list_does_not_matter() {
+    let fleet = Fleet::new(60, 4);
+    let mut members = fleet.members();
+    members.reverse();
+    assert_eq!(
+        names(&readers::choose(members)),
+        names(&readers::choose(fleet.members()))
+    );
+}
+
+#[test]
+fn weak_instances_do_not_read_while_there_are_others() {
+    let fleet = Fleet::new(60, 4);
+    let mut members = fleet.members();
+    for member in &mut members[..50] {
+        member.cores = 0.09;
+    }
+    let strong: collections::HashSet<_> = names(&members[50..]).into_iter().collect();
+    let readers = readers::choose(members);
+    assert!(names(&readers).iter().all(|name| strong.contains(name)));
+}
+
+#[test]
+fn readers_get_about_equal_parts_of_the_fleet() {
+    let fleet = Fleet::new(300, 1);
+    let readers = readers::choose(fleet.members());
+    let mut asked = collections::HashMap::new();
+    for member in fleet.members() {
+        let mut readers = readers.clone();
+        readers::prefer(&mut readers, member.name, member.data_centre);
+        *asked.entry(readers[0].name).or_insert(0) += 1;
+    }
+    assert_eq!(asked.len(), readers.len());
+    // 300 members of 8 readers: 37 on average.
+    assert!(
+        asked.values().all(|count| (18..=60).contains(count)),
+        "{asked:?}"
+    );
+}
+
+#[test]
+fn a_reader_of_the_own_data_centre_is_asked_first() {
+    let fleet = Fleet::new(103, 3);
+    for member in fleet.members() {
+        let mut readers = readers::choose(fleet.members());
+        readers::prefer(&mut readers, member.name, member.data_centre);
+        assert_eq!(readers[0].data_centre, member.data_centre);
+    }
+}
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -22,17 +22,20 @@
 use crate::{
     clock,
     dialect,
+    relay::{
+        Topic,
+        copies,
+        source, //
+    },
     view, //
 };
 
-/// Wait of a watch of the configuration.
+/// Wait of a watch of the configuration and of the targets.
 ///
-/// Each end of a watch confirms that nothing has changed. With the time for a call that fails, two
-/// of them fit into the bound of 5 s on keys.
-const TABLE_WAIT: unit::Period = unit::Period::from_millis(1000);
-
-/// Wait of a watch of the targets; a silent connection hides changes for as long.
-const TARGETS_WAIT: unit::Period = unit::Period::from_millis(2000);
+/// Each end of a watch confirms that nothing has changed, and a silent connection hides changes for
+/// as long. Others that ask this process take nothing that is older than 1.2 s, in which two of them
+/// fit. Few processes make these calls.
+const WAIT: unit::Period = unit::Period::from_millis(500);
 
 /// Wait of a watch of the members, whose changes are seen on connections as well.
 const MEMBERS_WAIT: unit::Period = unit::Period::from_secs(10);
@@ -51,9 +54,11 @@
 /// were half of all calls.
 const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
-/// The same time while targets go on to change, well within the 2 s after which one that leaves may get
-/// no work.
-const SPREAD: unit::Period = unit::Period::from_millis(600);
+/// The same time while targets or members go on to change.
+///
+/// A change takes it at a reader and again at those who ask there, well within the 2 s after which a
+/// target that leaves may get no work.
+const SPREAD: unit::Period = unit::Period::from_millis(400);
 
 /// Pause before the own entry is written again after a failure.
 const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -64,7 +69,15 @@
     directory: Arc<dyn dialect::Directory>,
     view: Arc<view::View>,
     own: view::Member,
+    copies: Arc<copies::Copies>,
 ) {
+    let prefix = directory.members_prefix();
+    let entry = enter(
+        store.clone(),
+        format!("{prefix}/{}", own.instance),
+        own.clone(),
+    );
+    let store = source::Source::new(store, own.clone(), view.clone(), directory.clone());
     let settings = |wait, longest, spread| follow::Settings {
         wait,
         interval: INTERVAL,
@@ -78,27 +91,21 @@
         asked: freshness::Moment::default(),
         version: store::Version::default(),
     };
-    let key = directory.table_key();
-    let (follower, _table) =
-        follow::follower(store.clone(), key, settings(TABLE_WAIT, PAUSE, INTERVAL));
-    let table = follower.observe(table).share(&returns);
     let targets = targets::Observer::new(view.clone(), directory.clone());
-    let prefix = directory.targets_prefix();
-    let (follower, _targets) = follow::follower(
-        store.clone(),
-        prefix,
-        settings(TARGETS_WAIT, PAUSE_SHARED, SPREAD),
-    );
-    let targets = follower.observe(targets).share(&returns);
-    let members = members::Observer::new(view.clone(), own.clone());
-    let prefix = directory.members_prefix();
-    let (follower, _members) = follow::follower(
-        store.clone(),
-        prefix,
-        settings(MEMBERS_WAIT, PAUSE_SHARED, INTERVAL),
-    );
-    let members = follower.observe(members).share(&returns);
-    let entry = enter(store, format!("{prefix}/{}", own.instance), own);
+    let members = members::Observer::new(view, own);
+    let table = copies::Publisher::new(table, Topic::Table, &copies);
+    let targets = copies::Publisher::new(targets, Topic::Targets, &copies);
+    let members = copies::Publisher::new(members, Topic::Members, &copies);
+    let follower = |topic: Topic, settings| {
+        follow::follower(store.clone(), topic.prefix(&*directory), settings)
+    };
+    let (follows, _table) = follower(Topic::Table, settings(WAIT, PAUSE, INTERVAL));
+    let table = follows.observe(table).share(&returns);
+    let (follows, _targets) = follower(Topic::Targets, settings(WAIT, PAUSE_SHARED, SPREAD));
+    let targets = follows.observe(targets).share(&returns);
+    let (follows, _members) =
+        follower(Topic::Members, settings(MEMBERS_WAIT, PAUSE_SHARED, SPREAD));
+    let members = follows.observe(members).share(&returns);
     tokio::join!(table.run(), targets.run(), members.run(), entry);
 }
 
@@ -106,15 +113,7 @@
 async fn enter<S: store::Store>(store: S, key: String, own: view::Member) {
     let value = serde_json::to_string(&own).expect("a member is valid JSON");
     loop {
-        let result = match store.get(&key).await {
-            Ok(None) => store.put(&key, store::Expect::Absent, &value).await,
-            Ok(Some(object)) => {
-                let expect = store::Expect::Version(object.version);
-                store.put(&key, expect, &value).await
-            }
-            Err(failure) => Err(failure),
-        };
-        match result {
+        match write(&store, &key, &value).await {
             Ok(_) => {
                 event!(Info, "entered", key = key);
                 return;
@@ -125,6 +124,25 @@
     }
 }
 
+/// Writes an entry in the place of one that an earlier life has left, if there is one.
+///
+/// Most processes are new; that nothing is there is not asked first, which would be one call for each.
+async fn write(
+    store: &impl store::Store,
+    key: &str,
+    value: &str,
+) -> Result<store::Version, store::Failure> {
+    match store.put(key, store::Expect::Absent, value).await {
+        Err(store::Failure::Conflict) => {}
+        result => return result,
+    }
+    let expect = match store.get(key).await? {
+        Some(object) => store::Expect::Version(object.version),
+        None => store::Expect::Absent,
+    };
+    store.put(key, expect, value).await
+}
+
 /// Puts configurations in force.
 struct Table {
     view: Arc<view::View>,
@@ -139,7 +157,7 @@
         self.asked = clock::now();
     }
 
-    fn read(&mut self, snapshot: &follow::Snapshot) {
+    fn read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
         let object = snapshot.objects.values().next();
         if let Some(object) = object.filter(|o| o.version > self.version) {
             self.version = object.version;
@@ -167,7 +185,7 @@
                 }
             }
         }
-        self.view.freshness.confirm(self.asked);
+        self.view.freshness.confirm(self.asked.before(age.0));
     }
 }
 
--- a/laburnumcart_gateway/src/control/members.rs
+++ b/laburnumcart_gateway/src/control/members.rs
@@ -5,7 +5,10 @@
     sync::Arc, //
 };
 
-use laburnumcart::event;
+use laburnumcart::{
+    event,
+    unit, //
+};
 use laburnumcart_platform::{
     follow,
     store, //
@@ -79,7 +82,7 @@
 impl follow::Observer for Observer {
     fn ask(&mut self) {}
 
-    fn read(&mut self, snapshot: &follow::Snapshot) {
+    fn read(&mut self, snapshot: &follow::Snapshot, _age: unit::Period) {
         let objects = &snapshot.objects;
         self.refused.retain(|key, _| objects.contains_key(key));
         let entries = objects.values();
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -11,7 +11,10 @@
 
 use tokio::time::Instant;
 
-use laburnumcart::event;
+use laburnumcart::{
+    event,
+    unit, //
+};
 use laburnumcart_platform::{
     follow,
     store, //
@@ -79,7 +82,7 @@
     known: collections::HashMap<String, Known>,
     /// Versions of the entries that name no target.
     refused: collections::HashMap<String, store::Version>,
-    /// Last successful read.
+    /// Moment for which the last successful read holds.
     read: Option<Instant>,
 }
 
@@ -237,12 +240,15 @@
 impl follow::Observer for Observer {
     fn ask(&mut self) {}
 
-    fn read(&mut self, snapshot: &follow::Snapshot) {
+    fn read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
         let now = Instant::now();
         let mut state = view::lock(&self.state);
         let first = state.read.is_none();
-        let returned = state.read.is_some_and(|at| now > at + OUTAGE);
-        state.read = Some(now);
+        // What was read by others counts from when they read it, or outages would seem shorter here
+        // than there.
+        let read = now.checked_sub(age.0).unwrap_or(now);
+        let returned = state.read.is_some_and(|at| read > at + OUTAGE);
+        state.read = state.read.max(Some(read));
         let mut changed = first;
         for object in snapshot.objects.values() {
             changed |= state.add(&*self.directory, object, now);
--- a/laburnumcart_gateway/src/lib.rs
+++ b/laburnumcart_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod pool;
+pub mod relay;
 pub mod reply;
 pub mod request;
 pub mod run;
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -1,14 +1,11 @@
 //! Calls between the processes of the system: jobs of stages go to the owner of their queue.
 
 mod link;
+pub(crate) mod links;
 
 use std::{
-    collections,
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time,
+    sync::Arc,
+    time, //
 };
 
 use jsonrpsee::{
@@ -23,13 +20,12 @@
     Serialize, //
 };
 use tokio::time::Instant;
-use xxhash_rust::xxh3;
 
 use laburnumcart::{
     batch,
-    event,
     forecast,
-    id, //
+    id,
+    rendezvous, //
 };
 
 use crate::{
@@ -37,13 +33,10 @@
     view, //
 };
 
-use self::link::Link;
-
-/// Part of the strongest member's processor below which a member owns queues only when no other can.
-///
-/// An owner makes the calls of all gateways for its service; on an instance with a tenth of a core
-/// their answers would wait for the processor.
-const WEAK: f64 = 0.6;
+use self::{
+    link::Link,
+    links::Links, //
+};
 
 /// Pause before a job is offered again when no process could take it.
 const PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -165,7 +158,7 @@
     own: id::InstanceName,
     view: Arc<view::View>,
     dispatcher: Arc<dispatcher::Dispatcher>,
-    links: Mutex<collections::HashMap<id::InstanceName, Arc<Link>>>,
+    links: Links,
 }
 
 impl Peers {
@@ -176,10 +169,10 @@
         dispatcher: Arc<dispatcher::Dispatcher>,
     ) -> Self {
         Self {
+            links: Links::new(own.clone(), view.clone()),
             own,
             view,
             dispatcher,
-            links: Mutex::default(),
         }
     }
 
@@ -311,15 +304,16 @@
     /// have accepted would wait for an owner until the first of them is back.
     fn owners(&self, service: &id::ServiceName, last: bool) -> Vec<view::Member> {
         let members = self.view.members.load();
-        let seed = xxh3::xxh3_64(service.as_str().as_bytes());
-        let rank = |m: &view::Member| xxh3::xxh3_64_with_seed(m.instance.as_str().as_bytes(), seed);
         let mut owners: Vec<_> = members
             .iter()
             .filter(|m| self.is_up(m, last))
             .cloned()
             .collect();
-        let most = owners.iter().map(|m| m.cores).fold(0.0, f64::max);
-        owners.sort_by_key(|m| (m.cores < WEAK * most, std::cmp::Reverse(rank(m))));
+        // An owner makes the calls of all gateways for its service.
+        rendezvous::order(&mut owners, service.as_str(), |m| rendezvous::Candidate {
+            name: &m.instance,
+            cores: m.cores,
+        });
         owners
     }
 
@@ -327,39 +321,10 @@
         if member.instance == self.own {
             return last || !self.view.is_leaving();
         }
-        let links = view::lock(&self.links);
-        let link = links.get(&member.instance);
-        // A link to an earlier life of the process says nothing of this one.
-        let link = link.filter(|l| l.member.incarnation == member.incarnation);
-        let is_up = |link: &Arc<Link>| link.is_up(Instant::now()) && (last || !link.has_left());
-        link.is_none_or(is_up)
+        self.links.is_up(member) && (last || !self.links.has_left(member))
     }
 
-    /// Returns the connection to a process, unless its entry has changed since it was looked up.
-    ///
-    /// A job that has waited long knows the processes as they were when it was sent. If it replaced
-    /// the connection to a later life by one to an earlier, all jobs that wait at the later life
-    /// would fail and queue up again; in a rolling stop that went on for seconds. The entries in
-    /// force only go forward, so that a life which is not among them has ended.
     fn link(&self, member: &view::Member) -> Option<Arc<Link>> {
-        let mut links = view::lock(&self.links);
-        if !self.view.members.load().contains(member) {
-            return None;
-        }
-        let known = links.get(&member.instance);
-        if let Some(link) = known.filter(|l| l.member == *member) {
-            return Some(link.clone());
-        }
-        let link = Arc::new(Link::new(member.clone()));
-        event!(
-            Info,
-            "peer-known",
-            peer = member.instance,
-            incarnation = member.incarnation
-        );
-        if let Some(old) = links.insert(member.instance.clone(), link.clone()) {
-            old.cut("replaced");
-        }
-        Some(link)
+        self.links.link(member)
     }
 }
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -33,6 +33,10 @@
         Answer,
         PeerClient, //
     },
+    relay::{
+        self,
+        RelayClient, //
+    },
     view, //
 };
 
@@ -59,6 +63,15 @@
 /// Longest time that it is passed over.
 const DOWN_MAX: time::Duration = time::Duration::from_secs(3);
 
+/// Whether a connection is kept alive by heartbeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Beats {
+    /// Heartbeats are sent.
+    Sent,
+    /// Calls follow one another so soon that they tell as much.
+    Left,
+}
+
 /// An open connection, and whether it has failed.
 #[derive(Clone)]
 struct Open {
@@ -75,17 +88,19 @@
 }
 
 /// The connection to one life of another process.
-pub(super) struct Link {
+pub(crate) struct Link {
     pub(super) member: view::Member,
+    beats: Beats,
     state: Arc<Mutex<State>>,
     open: tokio::sync::Mutex<Option<Open>>,
     left: atomic::AtomicBool,
 }
 
 impl Link {
-    pub(super) fn new(member: view::Member) -> Self {
+    pub(super) fn new(member: view::Member, beats: Beats) -> Self {
         Self {
             member,
+            beats,
             state: Arc::default(),
             open: tokio::sync::Mutex::default(),
             left: atomic::AtomicBool::new(false),
@@ -184,6 +199,36 @@
         }
     }
 
+    /// Asks what the process knows of the store; `None` when the connection failed.
+    ///
+    /// The answer is due when the wait ends. A connection that went silent is given up soon after, as
+    /// it hides changes.
+    pub(crate) async fn follow(self: &Arc<Self>, ask: relay::Ask) -> Option<relay::Answer> {
+        let mut open = self.client().await?;
+        let limit = ask.wait.0 + SILENCE;
+        let call = async {
+            tokio::select! {
+                answer = open.client.follow(ask) => Some(answer),
+                _ = open.broken.wait_for(|broken| *broken) => None,
+            }
+        };
+        match tokio::time::timeout(limit, call).await {
+            Ok(Some(Ok(answer))) => {
+                view::lock(&self.state).failed = 0;
+                Some(answer)
+            }
+            Ok(Some(Err(error))) => {
+                self.report(&error);
+                None
+            }
+            Ok(None) => None,
+            Err(_) => {
+                self.cut("silent");
+                None
+            }
+        }
+    }
+
     fn report(&self, error: &client::Error) {
         event!(
             Warn,
@@ -227,7 +272,7 @@
         }
     }
 
-    /// Starts the heartbeats of a new connection.
+    /// Starts the heartbeats of a new connection, if it has any.
     fn watch(&self, client: peer::Client) -> Open {
         let (sender, receiver) = watch::channel(false);
         let mut state = view::lock(&self.state);
@@ -238,7 +283,9 @@
             broken: receiver,
         };
         event!(Info, "peer-connected", peer = self.member.instance);
-        tokio::spawn(beat(open.clone(), self.state.clone(), self.member.clone()));
+        if self.beats == Beats::Sent {
+            tokio::spawn(beat(open.clone(), self.state.clone(), self.member.clone()));
+        }
         open
     }
 }
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -41,6 +41,10 @@
         self,
         PeerServer, //
     },
+    relay::{
+        RelayServer,
+        copies, //
+    },
     settings,
     view, //
 };
@@ -120,11 +124,12 @@
     counters.register(&registry, &gateway.pool.counters);
     usage::register(&registry);
     let own = control::member(&settings);
-    let _peers = serve_peers(&gateway, &own, peer_listener)?;
+    let copies = Arc::new(copies::Copies::default());
+    let _peers = serve_peers(&gateway, &own, &copies, peer_listener)?;
     let _admin = serve_admin(&settings, view.clone(), registry, admin_listener)?;
     let followed = (platform.store, platform.directory, view.clone(), own);
     let (store, directory, shared, own) = followed;
-    let _control = thread::spawn(move || control::run(store, directory, shared, own))?;
+    let _control = thread::spawn(move || control::run(store, directory, shared, own, copies))?;
     tokio::spawn(gateway.clone().follow());
     tokio::spawn(gateway.dispatcher.clone().run());
     let (closing, closed) = watch::channel(false);
@@ -188,6 +193,7 @@
 fn serve_peers(
     gateway: &Arc<gateway::Gateway>,
     own: &view::Member,
+    copies: &Arc<copies::Copies>,
     listener: std::net::TcpListener,
 ) -> io::Result<peer::Handle> {
     let secret: secret::Secret = own.secret.parse().map_err(io::Error::other)?;
@@ -195,7 +201,10 @@
         dispatcher: gateway.dispatcher.clone(),
         view: gateway.view.clone(),
     };
-    peer::Server::new(&[secret]).serve(listener, served.into_rpc())
+    let mut methods = served.into_rpc().remove_context();
+    let relay = copies::Served(copies.clone()).into_rpc();
+    methods.merge(relay).map_err(io::Error::other)?;
+    peer::Server::new(&[secret]).serve(listener, methods)
 }
 
 fn serve_admin(
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -27,6 +27,10 @@
     pub revision: store::Revision,
     /// Objects by key.
     pub objects: collections::BTreeMap<String, sync::Arc<store::Object>>,
+    /// Keys whose deletion the last changes told, also of objects that were not known.
+    ///
+    /// A listing of several pages can lack an object that was deleted after its revision.
+    pub deleted: Vec<String>,
 }
 
 /// A listing that is older than what is known.
@@ -44,6 +48,7 @@
         if self.listed && listing.revision < self.revision {
             return Err(Stale);
         }
+        self.deleted.clear();
         let mut old = std::mem::take(&mut self.objects);
         for object in listing.objects {
             let known = old.remove(&object.key);
@@ -59,6 +64,7 @@
     /// Applies changes; returns whether any object differs.
     pub fn update(&mut self, changes: store::Changes) -> bool {
         let mut differs = false;
+        self.deleted.clear();
         for event in changes.events {
             differs |= self.apply_event(event);
         }
@@ -72,7 +78,9 @@
             return false;
         }
         let Some(value) = event.value else {
-            return self.objects.remove(&event.key).is_some();
+            let known = self.objects.remove(&event.key).is_some();
+            self.deleted.push(event.key);
+            return known;
         };
         let object = store::Object {
             key: event.key.clone(),
@@ -133,7 +141,9 @@
     fn ask(&mut self);
 
     /// The call has succeeded; `snapshot` is what is known now, changed or not.
-    fn read(&mut self, snapshot: &Snapshot);
+    ///
+    /// It holds for a moment that is `age` before the call was sent, or later.
+    fn read(&mut self, snapshot: &Snapshot, age: unit::Period);
 }
 
 /// Follows a prefix by a listing and watches.
@@ -217,11 +227,11 @@
                 self.returns.0.send_replace(());
             }
             self.report(result.is_err());
-            if let (Some(observer), Ok(())) = (&mut self.observer, &result) {
-                observer.read(&self.snapshot);
+            if let (Some(observer), Ok(age)) = (&mut self.observer, &result) {
+                observer.read(&self.snapshot, *age);
             }
             match result {
-                Ok(()) => {
+                Ok(_) => {
                     self.pause.reset();
                     tokio::time::sleep_until(start + self.interval).await;
                 }
@@ -237,16 +247,17 @@
         }
     }
 
-    async fn list(&mut self) -> Result<(), store::Failure> {
+    async fn list(&mut self) -> Result<unit::Period, store::Failure> {
         let listing = self.store.list(&self.prefix).await?;
+        let age = listing.age;
         let applied = self.snapshot.apply(listing);
         applied.map_err(|Stale| store::Failure::Unavailable { retry: None })?;
         self.lost = false;
         self.publish();
-        Ok(())
+        Ok(age)
     }
 
-    async fn watch(&mut self) -> Result<(), store::Failure> {
+    async fn watch(&mut self) -> Result<unit::Period, store::Failure> {
         let after = self.snapshot.revision;
         // After a failure the first watch does not wait: only its answer tells that the service is
         // back, and what depends on fresh knowledge would stand still for as long.
@@ -256,7 +267,9 @@
         };
         let changes = self.store.watch(&self.prefix, after, wait).await;
         self.lost = changes == Err(store::Failure::Compacted);
-        let differs = self.snapshot.update(changes?);
+        let changes = changes?;
+        let age = changes.age;
+        let differs = self.snapshot.update(changes);
         if differs {
             self.publish();
         }
@@ -264,7 +277,7 @@
             true => (self.interval * 2).min(self.settings.spread.0),
             false => self.settings.interval.0,
         };
-        Ok(())
+        Ok(age)
     }
 
     fn publish(&self) {
--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -1,7 +1,8 @@
 //! Client of the platform's object service.
 //!
 //! [`store::Store`] is what the system asks of the service. [`client::Client`] reaches it over
-//! HTTP, [`memory::Memory`] takes its place in tests; [`settle`] and [`follow`] work over both.
+//! HTTP, [`memory::Memory`] takes its place in tests; [`settle`] and [`follow`] work over both;
+//! [`replica`] passes on what was followed.
 
 pub mod budget;
 pub mod client;
@@ -9,5 +10,6 @@
 pub mod memory;
 pub mod outage;
 mod pause;
+pub mod replica;
 pub mod settle;
 pub mod store;
--- a/laburnumcart_platform/src/memory/history.rs
+++ b/laburnumcart_platform/src/memory/history.rs
@@ -122,6 +122,7 @@
         store::Listing {
             revision: seen,
             objects,
+            ..store::Listing::default()
         }
     }
 
@@ -138,7 +139,7 @@
         }
         let mut answer = store::Changes {
             revision: seen.max(after),
-            events: Vec::new(),
+            ..store::Changes::default()
         };
         let from = self.changes.partition_point(|c| c.revision <= after);
         let to = self.changes.partition_point(|c| c.revision <= seen);
--- a/laburnumcart_platform/src/store.rs
+++ b/laburnumcart_platform/src/store.rs
@@ -81,6 +81,9 @@
     pub revision: Revision,
     /// Objects in the order of their keys.
     pub objects: Vec<Object>,
+    /// How much older than the call the answer may be; zero from the service itself.
+    #[serde(default)]
+    pub age: unit::Period,
 }
 
 /// Changes since a revision.
@@ -90,6 +93,9 @@
     pub revision: Revision,
     /// Changes in order; empty when the wait ended first.
     pub events: Vec<Event>,
+    /// How much older than the call the answer may be; zero from the service itself.
+    #[serde(default)]
+    pub age: unit::Period,
 }
 
 /// State of an object that a write depends on.
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -282,6 +282,7 @@
             let listing = store::Listing {
                 revision: store::Revision(number),
                 objects: vec![object],
+                ..Default::default()
             };
             let _ = snapshot.apply(listing);
             let version = snapshot.objects["p/a"].version;
