Write the own entry by one call at a start

Cause: a start made six calls of the store: three listings, and for the entry a write that found one of an earlier life, a read and a second write. Ruled out: listings through readers at a start, as connections to instances that have no power yet would hold it up by half a second each. Change: the first listing of the members tells the version that the entry replaces. Test: platform/relay::an_entry_takes_one_call; three calls before (by reading), one after.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -8,6 +8,8 @@
     time, //
 };
 
+use tokio::sync::watch;
+
 use laburnumcart::{
     event,
     freshness,
@@ -71,12 +73,8 @@
     own: view::Member,
     copies: Arc<copies::Copies>,
 ) {
-    let prefix = directory.members_prefix();
-    let entry = enter(
-        store.clone(),
-        format!("{prefix}/{}", own.instance),
-        own.clone(),
-    );
+    let key = format!("{}/{}", directory.members_prefix(), own.instance);
+    let (direct, member) = (store.clone(), own.clone());
     let store = source::Source::new(store, own.clone(), view.clone(), directory.clone());
     let settings = |wait, longest, spread| follow::Settings {
         wait,
@@ -103,46 +101,47 @@
     let table = follows.observe(table).share(&returns);
     let (follows, _targets) = follower(Topic::Targets, settings(WAIT, PAUSE_SHARED, SPREAD));
     let targets = follows.observe(targets).share(&returns);
-    let (follows, _members) =
-        follower(Topic::Members, settings(MEMBERS_WAIT, PAUSE_SHARED, SPREAD));
+    let (follows, listed) = follower(Topic::Members, settings(MEMBERS_WAIT, PAUSE_SHARED, SPREAD));
     let members = follows.observe(members).share(&returns);
+    let entry = enter(direct, key, member, listed.clone());
     tokio::join!(table.run(), targets.run(), members.run(), entry);
 }
 
 /// Writes the own entry until it is there.
-async fn enter<S: store::Store>(store: S, key: String, own: view::Member) {
+///
+/// The first listing of the members tells whether an earlier life has left one, so that a start takes one
+/// call and not three.
+async fn enter(
+    store: impl store::Store,
+    key: String,
+    own: view::Member,
+    mut members: watch::Receiver<Arc<follow::Snapshot>>,
+) {
     let value = serde_json::to_string(&own).expect("a member is valid JSON");
+    // The follower that sends these lives as long as this task.
+    let mut known = match members.wait_for(|members| members.listed).await {
+        Ok(members) => members.objects.get(&key).map(|object| object.version),
+        Err(_) => return,
+    };
     loop {
-        match write(&store, &key, &value).await {
+        let expect = known.map_or(store::Expect::Absent, store::Expect::Version);
+        let failure = match store.put(&key, expect, &value).await {
             Ok(_) => {
                 event!(Info, "entered", key = key);
                 return;
             }
-            Err(failure) => event!(Warn, "entry-failed", key = key, error = failure),
-        }
+            Err(failure) => failure,
+        };
+        event!(Warn, "entry-failed", key = key, error = failure);
         tokio::time::sleep(ENTRY_PAUSE).await;
+        // The write may have taken effect after all, or the listing was from before it.
+        match store.get(&key).await {
+            Ok(object) => known = object.map(|object| object.version),
+            Err(error) => event!(Warn, "entry-unread", key = key, error = error),
+        }
     }
 }
 
-/// Writes an entry in the place of one that an earlier life has left, if there is one.
-///
-/// Most processes are new; that nothing is there is not asked first, which would be one call for each.
-async fn write(
-    store: &impl store::Store,
-    key: &str,
-    value: &str,
-) -> Result<store::Version, store::Failure> {
-    match store.put(key, store::Expect::Absent, value).await {
-        Err(store::Failure::Conflict) => {}
-        result => return result,
-    }
-    let expect = match store.get(key).await? {
-        Some(object) => store::Expect::Version(object.version),
-        None => store::Expect::Absent,
-    };
-    store.put(key, expect, value).await
-}
-
 /// Puts configurations in force.
 struct Table {
     view: Arc<view::View>,
