Take the decision to read the store by oneself out of the relay; tell who told what

Cause: the decision stood among the calls of others, and its log could not tell where a gateway's configuration came from.

--- a/laburnumcart/src/readers.rs
+++ b/laburnumcart/src/readers.rs
@@ -7,6 +7,8 @@
 //! Nothing is agreed on. Two processes that see different members may take different ones for
 //! readers; what a process passes on carries its age, so that any of them can be asked.
 
+mod standing;
+
 use std::collections;
 
 use crate::{
@@ -14,9 +16,11 @@
     rendezvous, //
 };
 
+pub use self::standing::Standing;
+
 /// Fewest readers, so that the loss of one leaves another that everybody knows already.
 ///
-/// A third would cost half as many calls again, and changed nothing in days of outages.
+/// Others are asked when both are lost; a third one would cost half as many calls again.
 const FEWEST: usize = 2;
 
 /// Members for each reader. It answers each of them about three times a second, so that no reader has
--- a/laburnumcart/tests/readers.rs
+++ b/laburnumcart/tests/readers.rs
@@ -1,6 +1,11 @@
 //! Choice of the processes that read for the others.
 
-use std::collections;
+use std::{
+    collections,
+    time, //
+};
+
+use tokio::time::Instant;
 
 use laburnumcart::{
     id,
@@ -116,3 +121,48 @@
         assert_eq!(readers[0].data_centre, member.data_centre);
     }
 }
+
+fn after(start: Instant, millis: u64) -> Instant {
+    start + time::Duration::from_millis(millis)
+}
+
+// The service turns a reader away and serves others. The reader asks these, and tries again only now
+// and then: each refusal is paid for.
+#[test]
+fn a_reader_that_is_turned_away_tries_again_later() {
+    let start = Instant::now();
+    let mut standing = readers::Standing::default();
+    assert!(standing.goes_first(start));
+    standing.answer(start);
+    assert!(standing.goes_first(start));
+    standing.fail(after(start, 100));
+    assert!(standing.is_failing());
+    assert!(!standing.goes_first(after(start, 2000)));
+    assert!(standing.goes_first(after(start, 2100)));
+    standing.answer(after(start, 2110));
+    assert!(!standing.is_failing());
+    assert!(standing.goes_first(after(start, 2110)));
+}
+
+// The service is down for all. The hundred processes that do not read try it every two to six seconds,
+// not in one moment; one that is answered goes on by itself.
+#[test]
+fn tries_of_those_that_do_not_read_are_spread() {
+    let start = Instant::now();
+    let mut standing = readers::Standing::default();
+    assert!(standing.may_try(0.5, start), "it has not tried yet");
+    standing.fail(start);
+    let tries = |millis| {
+        let draws = (0..100).map(|i| f64::from(i) / 100.0);
+        let may_try = |draw: &f64| standing.may_try(*draw, after(start, millis));
+        draws.filter(may_try).count()
+    };
+    assert_eq!([1900, 4000, 6000].map(tries), [0, 51, 100]);
+    assert!(!standing.is_served(after(start, 10)));
+    standing.answer(after(start, 4000));
+    assert!(standing.is_served(after(start, 8900)));
+    assert!(!standing.is_served(after(start, 9100)));
+    // One failure ends it: what was answered a moment ago is down for this process too.
+    standing.fail(after(start, 4100));
+    assert!(!standing.is_served(after(start, 4200)));
+}
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -30,7 +30,7 @@
 use crate::dialect;
 
 /// What processes follow in the store.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[display(rename_all = "kebab-case")]
 pub enum Topic {
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -1,6 +1,7 @@
 //! The store as this process follows it: by itself, or by asking those who do.
 
 use std::{
+    collections,
     sync::{
         Arc,
         Mutex, //
@@ -13,6 +14,7 @@
 
 use laburnumcart::{
     event,
+    id,
     readers,
     unit, //
 };
@@ -59,39 +61,15 @@
 /// away rarely takes all readers and both of these.
 const OTHERS: usize = 2;
 
-/// Time after which a reader that the store has failed tries it again while others answer.
-const RETRY: time::Duration = time::Duration::from_secs(2);
-
-/// Time between two tries of the store by a process that is no reader, while no other answers.
-///
-/// A store that is down for all is asked by the readers; each further call is paid for. One that turns
-/// away the readers alone is found within this time by those whom it serves.
-const TRY: time::Duration = time::Duration::from_secs(4);
-
-/// Time for which a process that the store has answered reads for itself while no other answers.
-const SERVED: time::Duration = time::Duration::from_secs(5);
-
-/// How the store took the last call of this process.
-#[derive(Clone, Copy, Debug, Default)]
-struct Standing {
-    answered: Option<Instant>,
-    failed: Option<Instant>,
-}
-
-impl Standing {
-    /// Reports whether the last call failed.
-    fn is_failing(&self) -> bool {
-        self.failed > self.answered
-    }
-}
-
 struct Shared<S> {
     store: S,
     own: view::Member,
     view: Arc<view::View>,
     directory: Arc<dyn dialect::Directory>,
     links: links::Links,
-    standing: Mutex<Standing>,
+    standing: Mutex<readers::Standing>,
+    /// Who told each topic last; nobody where the store did.
+    tellers: Mutex<collections::HashMap<Topic, Option<id::InstanceName>>>,
 }
 
 /// The store, through others where they read it.
@@ -129,6 +107,7 @@
             view,
             directory,
             standing: Mutex::default(),
+            tellers: Mutex::default(),
         }))
     }
 }
@@ -148,57 +127,46 @@
         wait: time::Duration,
     ) -> Told {
         let (readers, others) = self.sources();
-        let reads = readers.is_empty() || readers.iter().any(|r| r.instance == self.own.instance);
-        let standing = *view::lock(&self.standing);
-        let now = Instant::now();
-        if reads && !(standing.is_failing() && is_within(standing.failed, RETRY, now)) {
+        let is_own = |member: &view::Member| member.instance == self.own.instance;
+        let reads = readers.is_empty() || readers.iter().any(is_own);
+        if reads && self.standing().goes_first(Instant::now()) {
             return Told::Nothing;
         }
-        let (longest, age) = match topic {
-            Topic::Members => (MEMBERS_WAIT, MEMBERS_AGE),
-            Topic::Table | Topic::Targets => (WAIT, AGE),
-        };
-        let mut ask = Ask {
-            topic,
-            after,
-            wait: unit::Period(wait.min(longest)),
-            limit: unit::Period(age),
-            hold: false,
-            large: false,
-        };
-        let readers: Vec<_> = readers
-            .into_iter()
-            .filter(|r| r.instance != self.own.instance)
-            .collect();
-        for reader in &readers {
-            if let Some(told) = self.exchange(reader, &ask).await {
-                return told;
-            }
+        let readers: Vec<_> = readers.into_iter().filter(|r| !is_own(r)).collect();
+        let mut ask = question(topic, after, wait);
+        if let Some(told) = self.ask_each(&readers, &ask).await {
+            return told;
         }
-        if !reads && is_within(standing.answered, SERVED, now) {
+        if !reads && self.standing().is_served(Instant::now()) {
             return Told::Nothing;
         }
         ask.limit = ask.limit.max(unit::Period(AGE_OTHERS));
-        for other in &others {
-            if let Some(told) = self.exchange(other, &ask).await {
-                return told;
-            }
+        if let Some(told) = self.ask_each(&others, &ask).await {
+            return told;
         }
-        let tried = standing.answered.max(standing.failed);
-        if reads || (topic == Topic::Table && !is_within(tried, self.pause(), now)) {
+        // One topic is enough to find out whether the store is back.
+        let tries =
+            topic == Topic::Table && self.standing().may_try(rand::random(), Instant::now());
+        if reads || tries {
             return Told::Nothing;
         }
         ask.hold = true;
-        let told = match readers.first() {
-            Some(reader) => self.exchange(reader, &ask).await,
-            None => None,
-        };
-        told.unwrap_or(Told::Unknown)
+        let first = readers.get(..1).unwrap_or_default();
+        self.ask_each(first, &ask).await.unwrap_or(Told::Unknown)
     }
 
-    /// Returns the time between two tries of the store, which differs so that tries are spread.
-    fn pause(&self) -> time::Duration {
-        TRY.mul_f64(0.5 + rand::random::<f64>())
+    /// Asks one process after another until one knows something that is young enough.
+    async fn ask_each(&self, members: &[view::Member], ask: &Ask) -> Option<Told> {
+        for member in members {
+            if let Some(told) = self.exchange(member, ask).await {
+                return Some(told);
+            }
+        }
+        None
+    }
+
+    fn standing(&self) -> readers::Standing {
+        *view::lock(&self.standing)
     }
 
     /// Returns the readers, and others that can be asked; this process is among the readers if it
@@ -233,39 +201,52 @@
     /// Asks one process; `None` if it knows nothing that is young enough.
     async fn exchange(&self, member: &view::Member, ask: &Ask) -> Option<Told> {
         let link = self.links.link(member)?;
-        let told = match link.follow(ask.clone()).await? {
-            Answer::Listing(listing) => Told::Listing(listing),
-            Answer::Changes(changes) => Told::Changes(changes),
-            Answer::Compacted => Told::Compacted,
+        let mut answer = link.follow(ask.clone()).await?;
+        if answer == Answer::Large && self.standing().is_failing() {
+            let ask = Ask {
+                large: true,
+                ..ask.clone()
+            };
+            answer = link.follow(ask).await?;
+        }
+        let (age, told) = match answer {
+            Answer::Listing(listing) => (listing.age, Told::Listing(listing)),
+            Answer::Changes(changes) => (changes.age, Told::Changes(changes)),
+            Answer::Compacted => return Some(Told::Compacted),
+            Answer::Large => return Some(Told::Nothing),
             Answer::Behind => return None,
-            Answer::Large if view::lock(&self.standing).is_failing() => {
-                let ask = Ask {
-                    large: true,
-                    ..ask.clone()
-                };
-                match link.follow(ask).await? {
-                    Answer::Listing(listing) => Told::Listing(listing),
-                    Answer::Changes(changes) => Told::Changes(changes),
-                    Answer::Compacted => Told::Compacted,
-                    Answer::Behind | Answer::Large => return None,
-                }
-            }
-            Answer::Large => Told::Nothing,
         };
+        self.note_teller(ask.topic, Some(&member.instance), age);
         Some(told)
     }
 
-    /// Notes how the store took a call.
-    fn note<T>(&self, result: &Result<T, store::Failure>) {
-        let now = Some(Instant::now());
+    /// Notes who has told a topic, and says so when it is another one than before.
+    fn note_teller(&self, topic: Topic, teller: Option<&id::InstanceName>, age: unit::Period) {
+        let teller = teller.cloned();
+        let last = view::lock(&self.tellers).insert(topic, teller.clone());
+        if last.as_ref() != Some(&teller) {
+            let name = teller.as_ref().map_or("store", |name| name.as_str());
+            event!(
+                Info,
+                "told-by",
+                topic = topic,
+                source = name,
+                age_ms = age.as_millis()
+            );
+        }
+    }
+
+    /// Notes how the store took a call about a topic.
+    fn note<T>(&self, topic: Option<Topic>, result: &Result<T, store::Failure>) {
+        let now = Instant::now();
         let mut standing = view::lock(&self.standing);
         let was_failing = standing.is_failing();
         match result {
             // Only a service that answers says so.
             Ok(_) | Err(store::Failure::Compacted | store::Failure::Conflict) => {
-                standing.answered = now;
+                standing.answer(now);
             }
-            Err(_) => standing.failed = now,
+            Err(_) => standing.fail(now),
         }
         let is_failing = standing.is_failing();
         drop(standing);
@@ -273,22 +254,36 @@
             let state = if is_failing { "failing" } else { "answering" };
             event!(Info, "store", state = state);
         }
+        if let (Some(topic), Ok(_)) = (topic, result) {
+            self.note_teller(topic, None, unit::Period::default());
+        }
     }
 
     /// Returns how long a watch of the store itself may wait.
     ///
     /// After a failure only an answer tells that the store is back.
     fn own_wait(&self, wait: time::Duration) -> time::Duration {
-        match view::lock(&self.standing).is_failing() {
+        match self.standing().is_failing() {
             true => time::Duration::ZERO,
             false => wait,
         }
     }
 }
 
-/// Reports whether something happened within a time.
-fn is_within(at: Option<Instant>, limit: time::Duration, now: Instant) -> bool {
-    at.is_some_and(|at| now.saturating_duration_since(at) < limit)
+/// Returns a question for a reader.
+fn question(topic: Topic, after: Option<store::Revision>, wait: time::Duration) -> Ask {
+    let (longest, age) = match topic {
+        Topic::Members => (MEMBERS_WAIT, MEMBERS_AGE),
+        Topic::Table | Topic::Targets => (WAIT, AGE),
+    };
+    Ask {
+        topic,
+        after,
+        wait: unit::Period(wait.min(longest)),
+        limit: unit::Period(age),
+        hold: false,
+        large: false,
+    }
 }
 
 fn unknown() -> store::Failure {
@@ -314,7 +309,8 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
-        if let Some(topic) = self.0.topic(prefix) {
+        let topic = self.0.topic(prefix);
+        if let Some(topic) = topic {
             match self.0.ask(topic, None, time::Duration::ZERO).await {
                 Told::Listing(listing) => return Ok(listing),
                 Told::Unknown => return Err(unknown()),
@@ -322,7 +318,7 @@
             }
         }
         let result = self.0.store.list(prefix).await;
-        self.0.note(&result);
+        self.0.note(topic, &result);
         result
     }
 
@@ -332,7 +328,8 @@
         after: store::Revision,
         wait: time::Duration,
     ) -> Result<store::Changes, store::Failure> {
-        if let Some(topic) = self.0.topic(prefix) {
+        let topic = self.0.topic(prefix);
+        if let Some(topic) = topic {
             match self.0.ask(topic, Some(after), wait).await {
                 Told::Changes(changes) => return Ok(changes),
                 Told::Compacted => return Err(store::Failure::Compacted),
@@ -342,7 +339,7 @@
         }
         let wait = self.0.own_wait(wait);
         let result = self.0.store.watch(prefix, after, wait).await;
-        self.0.note(&result);
+        self.0.note(topic, &result);
         result
     }
 }
