Follow evacuations of data centres, and hold cold targets to a share of their rate

Cause: nothing read the store's evacuations, nor the rate that a cold target bears.

Kept: evacuations are a fourth topic of the relay, so age, versions and second-hand knowledge are those of the others; an evacuated target is treated as one that leaves, by the same code (requests, resends, resumed streams, pieces; results are freed). Nothing is sent before evacuations are known. Deployments without the bound do not ask for them.

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     batch::job::Handle,
+    cold,
     id,
     ingress,
     unit, //
@@ -65,6 +66,8 @@
     steady: bool,
     /// Time of calls, as a multiple of the promised one.
     pace: f64,
+    /// Own calls, held to a quota while it is cold.
+    gate: cold::Gate,
 }
 
 #[derive(Clone, Debug)]
@@ -111,9 +114,17 @@
             failed: 0,
             steady: false,
             pace: 1.0,
+            gate: cold::Gate::default(),
         })
     }
 
+    /// Takes in whether a target is cold.
+    pub fn chill(&mut self, key: EngineKey, chill: Option<cold::Chill>) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.gate.set(chill);
+        }
+    }
+
     /// Removes a target; its results are gone with it or will expire.
     pub fn remove(&mut self, key: EngineKey) {
         self.engines.remove(key);
@@ -274,6 +285,7 @@
     pub(super) fn start(&mut self, key: EngineKey, pieces: usize, now: Instant) {
         if let Some(engine) = self.engines.get_mut(key) {
             engine.call = Some((now, pieces));
+            engine.gate.record(now);
         }
     }
 
@@ -370,5 +382,6 @@
 }
 
 fn is_free(engine: &Engine, now: Instant) -> bool {
-    engine.call.is_none() && engine.paused.is_none_or(|at| at <= now)
+    let is_paused = engine.paused.is_some_and(|at| at > now);
+    engine.call.is_none() && !is_paused && engine.gate.is_open(now)
 }
--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -130,6 +130,8 @@
     pub batching: Option<Batching>,
     /// Set for services of model engines.
     pub engine: Option<Engine>,
+    /// Requests in a second that a target bears while it is cold, from all processes together.
+    pub cold: Option<unit::Rate>,
 }
 
 /// A paying customer, as found by a key.
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
+    cold,
     id,
     ingress,
     unit, //
@@ -115,6 +116,8 @@
     cached: collections::HashMap<u64, Instant>,
     failed: u32,
     paused: Option<Instant>,
+    /// Own requests sent there, held to a quota while it is cold.
+    gate: cold::Gate,
 }
 
 /// Place of a request at an engine, until [`Fleet::end`].
@@ -169,9 +172,17 @@
             cached: collections::HashMap::new(),
             failed: 0,
             paused: None,
+            gate: cold::Gate::default(),
         })
     }
 
+    /// Takes in whether an engine is cold.
+    pub fn chill(&mut self, key: EngineKey, chill: Option<cold::Chill>) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.gate.set(chill);
+        }
+    }
+
     /// Removes an engine.
     pub fn remove(&mut self, key: EngineKey) {
         self.engines.remove(key);
@@ -188,14 +199,18 @@
         Some(self.engines[home].data_centre.clone())
     }
 
-    /// Chooses an engine; `None` when all have failed the request or are avoided.
+    /// Chooses an engine; `None` when all have failed the request, or are cold and have had their share.
+    ///
+    /// One that is avoided is still used where there is no other, a cold one never beyond its quota: it would
+    /// crash, and all that it runs with it.
     pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Option<Place> {
         let home = self.home(ask.parts, now);
-        let fits = |key: EngineKey, e: &Engine| !ask.avoid.contains(&key) && !is_paused(e, now);
-        let open = self.engines.iter().filter(|(key, e)| fits(*key, e));
+        let fits = |key: EngineKey, e: &Engine| !ask.avoid.contains(&key) && e.gate.is_open(now);
+        let fitting = self.engines.iter().filter(|(key, e)| fits(*key, e));
+        let open = fitting.clone().filter(|(_, e)| !is_paused(e, now));
         let costs = open.map(|(key, e)| (key, self.cost(ask, e, home == Some(key), now)));
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
-        let any = || self.engines.keys().find(|key| !ask.avoid.contains(key));
+        let any = || fitting.map(|(key, _)| key).next();
         let engine = best.map(|(key, _)| key).or_else(any)?;
         let missing = missing(&self.engines[engine], ask.parts, now);
         Some(Place { engine, missing })
@@ -206,6 +221,7 @@
         let Some(engine) = self.engines.get_mut(place.engine) else {
             return;
         };
+        engine.gate.record(now);
         engine.running += 1;
         engine.pending += place.missing;
         engine
--- a/laburnumcart/tests/placement.rs
+++ b/laburnumcart/tests/placement.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use laburnumcart::{
+    cold,
     ingress,
     placement,
     unit, //
@@ -166,3 +167,35 @@
     let later = now + time::Duration::from_secs(2);
     assert_eq!(fleet.choose(&ask(&parts), later).unwrap().engine, home);
 }
+
+// All engines have crashed and are back, cold, under more load than they bear. Each gets its part of the rate and
+// the other requests are refused; an engine that is paused after a failure is no way around that.
+#[tokio::test(start_paused = true)]
+async fn cold_engines_get_no_more_than_their_part() {
+    let (mut fleet, keys) = fleet();
+    let start = Instant::now();
+    let quota = cold::Quota {
+        count: 2,
+        span: time::Duration::from_millis(1100),
+    };
+    let until = start + time::Duration::from_secs(3);
+    for key in &keys {
+        fleet.chill(*key, Some(cold::Chill { until, quota }));
+        fleet.fail(*key, start);
+    }
+    let (mut served, mut refused) = (0, 0);
+    for session in 0..100 {
+        let parts = parts(session, session);
+        let ask = ask(&parts);
+        match fleet.choose(&ask, start) {
+            Some(place) => {
+                fleet.start(&ask, place, start);
+                served += 1;
+            }
+            None => refused += 1,
+        }
+    }
+    assert_eq!((served, refused), (2 * ENGINES, 100 - 2 * ENGINES));
+    let warm = fleet.choose(&ask(&parts(1, 1)), until);
+    assert!(warm.is_some());
+}
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use laburnumcart::{
+    cold,
     eject,
     id,
     placement,
@@ -35,6 +36,7 @@
     key: eject::TargetKey,
     own: u32,
     load: route::Load,
+    gate: cold::Gate,
 }
 
 /// Targets of one plain service.
@@ -56,7 +58,14 @@
     }
 
     /// Takes in the list of targets; what is known of those that stay is kept.
-    pub fn update(&mut self, targets: &[Arc<view::Target>], now: Instant) {
+    ///
+    /// `chill` tells what holds for those that are cold.
+    pub fn update(
+        &mut self,
+        targets: &[Arc<view::Target>],
+        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+        now: Instant,
+    ) {
         let known = self.entries.iter().map(|e| e.target.key());
         let (gone, new) = view::changes(known, targets);
         let ejector = &mut self.ejector;
@@ -73,8 +82,15 @@
                 key: self.ejector.add(),
                 own: 0,
                 load: unknown(now),
+                gate: cold::Gate::default(),
             });
         }
+        for target in targets {
+            let entry = self.entries.iter_mut();
+            if let Some(entry) = entry.into_iter().find(|e| e.target.key() == target.key()) {
+                entry.gate.set(chill(target));
+            }
+        }
     }
 
     /// Chooses a target other than those tried.
@@ -82,6 +98,7 @@
         let table = route::Table::new(
             self.entries
                 .iter()
+                .filter(|e| e.gate.is_open(now))
                 .map(|e| self.candidate(e, now))
                 .collect(),
         );
@@ -99,6 +116,7 @@
         let name = names[chosen].clone();
         let entry = self.entries.iter_mut().find(|e| e.target.name == name)?;
         entry.own += 1;
+        entry.gate.record(now);
         self.ejector.start(entry.key, now);
         Some(entry.target.clone())
     }
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: follows the store and keeps this process's own entry there.
 
+mod evacuations;
 mod members;
 mod targets;
 
@@ -11,6 +12,7 @@
 use tokio::sync::watch;
 
 use laburnumcart::{
+    evacuation,
     event,
     freshness,
     id,
@@ -66,12 +68,15 @@
 const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(500);
 
 /// Starts the followers on the current thread and returns when the process ends.
+///
+/// Evacuations are followed where the operator uses them, with `evacuates`; calls of the store are paid for.
 pub async fn run<S: store::Store + Clone>(
     store: S,
     directory: Arc<dyn dialect::Directory>,
     view: Arc<view::View>,
     own: view::Member,
     copies: Arc<copies::Copies>,
+    evacuates: bool,
 ) {
     let key = format!("{}/{}", directory.members_prefix(), own.instance);
     let (direct, member) = (store.clone(), own.clone());
@@ -90,10 +95,12 @@
         version: store::Version::default(),
     };
     let targets = targets::Observer::new(view.clone(), directory.clone());
-    let members = members::Observer::new(view, own);
+    let members = members::Observer::new(view.clone(), own);
+    let evacuations = evacuations::Observer::new(view.clone());
     let table = copies::Publisher::new(table, Topic::Table, &copies);
     let targets = copies::Publisher::new(targets, Topic::Targets, &copies);
     let members = copies::Publisher::new(members, Topic::Members, &copies);
+    let evacuations = copies::Publisher::new(evacuations, Topic::Evacuations, &copies);
     let follower = |topic: Topic, settings| {
         follow::follower(store.clone(), topic.prefix(&*directory), settings)
     };
@@ -103,8 +110,23 @@
     let targets = follows.observe(targets).share(&returns);
     let (follows, listed) = follower(Topic::Members, settings(MEMBERS_WAIT, PAUSE_SHARED, SPREAD));
     let members = follows.observe(members).share(&returns);
+    let (follows, _evacuations) =
+        follower(Topic::Evacuations, settings(WAIT, PAUSE_SHARED, INTERVAL));
+    let evacuations = follows.observe(evacuations).share(&returns);
+    let evacuations = async {
+        match evacuates {
+            true => evacuations.run().await,
+            false => view.set_evacuated(evacuation::Evacuated::new()),
+        }
+    };
     let entry = enter(direct, key, member, listed.clone());
-    tokio::join!(table.run(), targets.run(), members.run(), entry);
+    tokio::join!(
+        table.run(),
+        targets.run(),
+        members.run(),
+        evacuations,
+        entry
+    );
 }
 
 /// Writes the own entry until it is there.
--- /dev/null
+++ b/laburnumcart_gateway/src/control/evacuations.rs
@@ -0,0 +1,74 @@
+//! Which data centres are evacuated, as the store lists them.
+
+use std::{
+    collections,
+    sync::Arc, //
+};
+
+use laburnumcart::{
+    evacuation,
+    event,
+    id,
+    unit, //
+};
+use laburnumcart_platform::{
+    follow,
+    store, //
+};
+
+use crate::view;
+
+/// Publishes the evacuations.
+pub(super) struct Observer {
+    view: Arc<view::View>,
+    /// Entries whose name is that of no data centre, so that each is told once.
+    refused: collections::HashMap<String, store::Version>,
+}
+
+impl Observer {
+    pub(super) fn new(view: Arc<view::View>) -> Self {
+        Self {
+            view,
+            refused: collections::HashMap::new(),
+        }
+    }
+
+    /// Returns the data centre that an entry evacuates.
+    ///
+    /// Its name alone says so, whatever the entry holds.
+    fn place(&mut self, object: &store::Object) -> Option<id::DataCentre> {
+        let name = object.key.rsplit_once('/').map(|(_, name)| name);
+        let place = name.and_then(|name| name.parse().ok());
+        if place.is_none() {
+            let known = self.refused.insert(object.key.clone(), object.version);
+            if known != Some(object.version) {
+                event!(Warn, "evacuation-refused", key = object.key);
+            }
+        }
+        place
+    }
+}
+
+impl follow::Observer for Observer {
+    fn ask(&mut self) {}
+
+    fn read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
+        let objects = &snapshot.objects;
+        self.refused.retain(|key, _| objects.contains_key(key));
+        let places = objects.values().filter_map(|object| self.place(object));
+        let evacuated: evacuation::Evacuated = places.collect();
+        let known = self.view.evacuated();
+        if known.as_ref() == Some(&evacuated) {
+            return;
+        }
+        let names: Vec<&str> = evacuated.iter().map(id::DataCentre::as_str).collect();
+        event!(
+            Info,
+            "evacuated",
+            data_centres = names.join(","),
+            revision = snapshot.revision,
+            age_ms = age.as_millis()
+        );
+        self.view.set_evacuated(evacuated);
+    }
+}
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -44,6 +44,12 @@
 /// Most targets that are remembered beside those in use; another writer could add names without end.
 const REMEMBERED_MAX: usize = 4096;
 
+/// Longest time that an entry may call its target cold, so that another writer's cannot do so for ever.
+const COLD_MAX: time::Duration = time::Duration::from_secs(600);
+
+/// Least difference between two ends of a cold time that counts as a change.
+const COLD_DIFFERENCE: time::Duration = time::Duration::from_millis(500);
+
 /// Whether a target may be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
@@ -124,16 +130,18 @@
         }
         let name = key.rsplit_once('/').map_or(key.as_str(), |(_, name)| name);
         match directory.target(name, &object.value) {
-            Ok(target) => self.accept(target, object),
+            Ok(entry) => self.accept(entry, object, now),
             Err(error) => self.refuse(object, error, now),
         }
     }
 
     /// Takes in a target.
-    fn accept(&mut self, mut target: view::Target, object: &store::Object) -> bool {
+    fn accept(&mut self, entry: dialect::Entry, object: &store::Object, now: Instant) -> bool {
         let key = &object.key;
         self.refused.remove(key);
         let known = self.known.get(key);
+        let mut target = entry.target;
+        target.cold = cold(entry.cold, known.and_then(|k| k.target.cold), now);
         if let Some(known) = known {
             // A write of an earlier life that took effect late tells nothing of the present one.
             if target.life < known.target.life {
@@ -162,6 +170,7 @@
                 service = target.service,
                 addr = target.addr,
                 leaving = target.leaving,
+                cold_ms = entry.cold.as_millis(),
                 revision = object.version
             );
         }
@@ -231,10 +240,26 @@
         changed
     }
 
-    fn targets(&self) -> view::Targets {
+    fn targets(&self) -> Vec<view::Target> {
         let used = self.known.values().filter(|known| known.is_used());
-        view::Targets::new(used.map(|k| k.target.clone()))
+        used.map(|k| k.target.clone()).collect()
+    }
+}
+
+/// Returns until when a target is cold, given what its entry says and what was known before.
+///
+/// Entries tell the time that was left when they were written, and each puts the end a little later or
+/// sooner. Only a difference that matters is a change, or each would have all targets looked over anew.
+fn cold(left: time::Duration, known: Option<Instant>, now: Instant) -> Option<Instant> {
+    if left.is_zero() {
+        return None;
     }
+    let until = now + left.min(COLD_MAX);
+    let near = |known: &Instant| {
+        *known >= until && *known <= until + COLD_DIFFERENCE
+            || *known < until && *known + COLD_DIFFERENCE >= until
+    };
+    Some(known.filter(near).unwrap_or(until))
 }
 
 impl follow::Observer for Observer {
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -165,6 +165,15 @@
     fn holder(&self, handle: &batch::Handle) -> Option<net::SocketAddr>;
 }
 
+/// Entry of a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// The target that it names.
+    pub target: view::Target,
+    /// Time for which the target stays cold.
+    pub cold: time::Duration,
+}
+
 /// What the platform's store holds.
 pub trait Directory: Send + Sync + 'static {
     /// Key of the configuration.
@@ -176,9 +185,12 @@
     /// Prefix of this system's own members.
     fn members_prefix(&self) -> &'static str;
 
+    /// Prefix of the entries that each evacuate the data centre whose name they bear.
+    fn evacuations_prefix(&self) -> &'static str;
+
     /// Reads the configuration.
     fn table(&self, value: &str) -> Result<ingress::Table, Malformed>;
 
     /// Reads a target's entry; `name` is the last part of its key.
-    fn target(&self, name: &str, value: &str) -> Result<view::Target, Malformed>;
+    fn target(&self, name: &str, value: &str) -> Result<Entry, Malformed>;
 }
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -30,6 +30,7 @@
 
 use laburnumcart::{
     batch,
+    cold,
     event,
     forecast,
     id,
@@ -54,6 +55,9 @@
 /// Time in which the results to free at one target are collected into one call.
 const FREE_DELAY: time::Duration = time::Duration::from_millis(10);
 
+/// Most processes that call the targets of one queue at the same time, as its owner changes.
+const OWNERS: f64 = 2.0;
+
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -257,7 +261,7 @@
             if let Some(shape) = known.and_then(|s| s.batching) {
                 line.queue.set_shape(shape);
             }
-            line.update(targets.service(service));
+            line.update(targets.service(service), |t| self.chill(t));
             let gone = line.drop_lost(&targets, &*self.dialect);
             line.settle(gone, &*self.dialect);
         }
@@ -273,7 +277,8 @@
             let table = self.view.table.load();
             let shape = table.as_ref()?.service(service)?.batching?;
             let mut line = Line::new(shape);
-            line.update(self.view.targets.load().service(service));
+            let targets = self.view.targets.load();
+            line.update(targets.service(service), |t| self.chill(t));
             event!(
                 Info,
                 "queue-owned",
@@ -412,6 +417,17 @@
         }
     }
 
+    /// Returns what holds for a target that is cold.
+    ///
+    /// Only owners of its queue call it, rarely two for a moment, so each may use half of its rate.
+    fn chill(&self, target: &view::Target) -> Option<cold::Chill> {
+        let until = target.cold.filter(|until| *until > Instant::now())?;
+        let table = self.view.table.load();
+        let rate = table.as_ref()?.service(&target.service)?.cold?;
+        let quota = cold::Quota::whole(unit::Rate(rate.0 / OWNERS));
+        Some(cold::Chill { until, quota })
+    }
+
     /// Returns the bounds of a call to a target of a service.
     fn bounds(&self, service: &id::ServiceName) -> pool::Bounds {
         let table = self.view.table.load();
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -14,6 +14,7 @@
 
 use laburnumcart::{
     batch,
+    cold,
     id,
     ingress, //
 };
@@ -87,7 +88,13 @@
     }
 
     /// Takes in the list of targets; what is known of those that stay is kept.
-    pub(super) fn update(&mut self, targets: &[Arc<view::Target>]) {
+    ///
+    /// `chill` tells what holds for those that are cold.
+    pub(super) fn update(
+        &mut self,
+        targets: &[Arc<view::Target>],
+        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+    ) {
         let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
         for life in gone {
             if let Some(key) = self.keys.remove(&life) {
@@ -100,6 +107,11 @@
             self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
+        for target in targets {
+            if let Some(key) = self.keys.get(&target.key()) {
+                self.queue.engines.chill(*key, chill(target));
+            }
+        }
     }
 
     pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use laburnumcart::{
+    cold,
     id,
     ingress,
     placement, //
@@ -36,7 +37,13 @@
     }
 
     /// Takes in the list of targets; what is known of those that stay is kept.
-    pub fn update(&mut self, targets: &[Arc<view::Target>]) {
+    ///
+    /// `chill` tells what holds for those that are cold.
+    pub fn update(
+        &mut self,
+        targets: &[Arc<view::Target>],
+        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+    ) {
         let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
         for life in gone {
             if let Some(key) = self.keys.remove(&life) {
@@ -50,6 +57,11 @@
             self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
+        for target in targets {
+            if let Some(key) = self.keys.get(&target.key()) {
+                self.fleet.chill(*key, chill(target));
+            }
+        }
     }
 
     /// Returns the keys of the engines that have these names.
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use laburnumcart::{
     batch,
     budget,
+    cold,
     eject,
     id,
     ingress,
@@ -161,14 +162,22 @@
             .consolidate(|service| self.peers.is_first(service));
         let targets = self.view.targets.load();
         for (service, engines) in view::lock(&self.engines).iter_mut() {
-            engines.update(targets.service(service));
+            engines.update(targets.service(service), |t| self.chill(t));
         }
         let now = Instant::now();
         for (service, balancer) in view::lock(&self.balancers).iter_mut() {
-            balancer.update(targets.service(service), now);
+            balancer.update(targets.service(service), |t| self.chill(t), now);
         }
     }
 
+    /// Returns what holds for a target that is cold.
+    fn chill(&self, target: &view::Target) -> Option<cold::Chill> {
+        let table = self.view.table.load();
+        let service = table.as_ref()?.service(&target.service)?;
+        let own = &self.settings.instance;
+        self.view.chill(own, service, target, Instant::now())
+    }
+
     /// Returns where the inputs of a request are best made.
     pub fn near(&self, request: &admission::Request) -> Option<id::DataCentre> {
         let service = request.route.backend(0)?;
@@ -225,7 +234,7 @@
         if !engines.contains_key(service) {
             let limits = table.service(service)?.engine?;
             let mut known = engines::Engines::new(limits);
-            known.update(self.view.targets.load().service(service));
+            known.update(self.view.targets.load().service(service), |t| self.chill(t));
             engines.insert(service.clone(), known);
         }
         engines.get_mut(service)
@@ -241,7 +250,8 @@
         let balancer = balancers.entry(service.clone()).or_insert_with(|| {
             let own = self.settings.data_centre.clone();
             let mut balancer = balancer::Balancer::new(own, now);
-            balancer.update(self.view.targets.load().service(service), now);
+            let targets = self.view.targets.load();
+            balancer.update(targets.service(service), |t| self.chill(t), now);
             balancer
         });
         balancer.choose(tried, now)
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -40,6 +40,8 @@
     Targets,
     /// The processes of the system.
     Members,
+    /// The data centres whose targets get no work.
+    Evacuations,
 }
 
 impl Topic {
@@ -49,6 +51,7 @@
             Self::Table => directory.table_key(),
             Self::Targets => directory.targets_prefix(),
             Self::Members => directory.members_prefix(),
+            Self::Evacuations => directory.evacuations_prefix(),
         }
     }
 }
--- a/laburnumcart_gateway/src/relay/copies.rs
+++ b/laburnumcart_gateway/src/relay/copies.rs
@@ -143,6 +143,7 @@
     table: watch::Sender<Copy>,
     targets: watch::Sender<Copy>,
     members: watch::Sender<Copy>,
+    evacuations: watch::Sender<Copy>,
 }
 
 impl Copies {
@@ -151,6 +152,7 @@
             Topic::Table => &self.table,
             Topic::Targets => &self.targets,
             Topic::Members => &self.members,
+            Topic::Evacuations => &self.evacuations,
         }
     }
 
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -114,7 +114,12 @@
 
 impl<S: store::Store> Shared<S> {
     fn topic(&self, prefix: &str) -> Option<Topic> {
-        let topics = [Topic::Table, Topic::Targets, Topic::Members];
+        let topics = [
+            Topic::Table,
+            Topic::Targets,
+            Topic::Members,
+            Topic::Evacuations,
+        ];
         let is_it = |topic: &Topic| topic.prefix(&*self.directory) == prefix;
         topics.into_iter().find(is_it)
     }
@@ -274,7 +279,7 @@
 fn question(topic: Topic, after: Option<store::Revision>, wait: time::Duration) -> Ask {
     let (longest, age) = match topic {
         Topic::Members => (MEMBERS_WAIT, MEMBERS_AGE),
-        Topic::Table | Topic::Targets => (WAIT, AGE),
+        Topic::Table | Topic::Targets | Topic::Evacuations => (WAIT, AGE),
     };
     Ask {
         topic,
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -129,7 +129,9 @@
     let _admin = serve_admin(&settings, view.clone(), registry, admin_listener)?;
     let followed = (platform.store, platform.directory, view.clone(), own);
     let (store, directory, shared, own) = followed;
-    let _control = thread::spawn(move || control::run(store, directory, shared, own, copies))?;
+    let evacuates = settings.bounds.evacuation.is_some();
+    let _control =
+        thread::spawn(move || control::run(store, directory, shared, own, copies, evacuates))?;
     tokio::spawn(gateway.clone().follow());
     tokio::spawn(gateway.dispatcher.clone().run());
     let (closing, closed) = watch::channel(false);
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -62,6 +62,8 @@
     pub grace: unit::Period,
     /// Time after which a revoked key works nowhere.
     pub revoke: unit::Period,
+    /// Time after which targets of an evacuated data centre get nothing; without it none is ever evacuated.
+    pub evacuation: Option<unit::Period>,
     /// Extra sends to a service as a share of its requests, over all processes.
     pub retry_ratio: f64,
     /// Extra sends beside that share in ten seconds, over all processes; a share of a
@@ -74,6 +76,7 @@
         Self {
             grace: unit::Period::from_secs(8),
             revoke: unit::Period::from_secs(5),
+            evacuation: None,
             retry_ratio: 0.1,
             retry_extra: 10.0,
         }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -5,6 +5,7 @@
     sync::{
         self,
         Arc,
+        Mutex,
         OnceLock,
         atomic, //
     },
@@ -25,6 +26,8 @@
 };
 
 use laburnumcart::{
+    cold,
+    evacuation,
     freshness,
     id,
     ingress, //
@@ -45,6 +48,8 @@
     pub service: id::ServiceName,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Moment until which it is cold and bears few requests.
+    pub cold: Option<Instant>,
 }
 
 impl Target {
@@ -67,8 +72,12 @@
 impl Targets {
     /// Collects targets.
     ///
-    /// A target that is leaving gets no requests, but its results can still be freed.
-    pub fn new(targets: impl IntoIterator<Item = Target>) -> Self {
+    /// One that is leaving, or stands where `is_evacuated`, gets no requests, but its results can still be
+    /// freed.
+    pub fn new(
+        targets: impl IntoIterator<Item = Target>,
+        is_evacuated: impl Fn(&id::DataCentre) -> bool,
+    ) -> Self {
         let mut all = Self::default();
         for target in targets {
             let target = Arc::new(target);
@@ -76,7 +85,7 @@
                 .entry(target.addr)
                 .or_default()
                 .push(target.clone());
-            if !target.leaving {
+            if !target.leaving && !is_evacuated(&target.data_centre) {
                 let service = target.service.clone();
                 all.services.entry(service).or_default().push(target);
             }
@@ -152,6 +161,13 @@
 /// The balancer notices within two seconds; callers that came before are served to their end.
 const WELCOME: time::Duration = time::Duration::from_millis(2700);
 
+/// What the store lists of targets.
+#[derive(Debug, Default)]
+struct Listed {
+    targets: Option<Vec<Target>>,
+    places: evacuation::Places,
+}
+
 /// A stop in progress.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
@@ -162,6 +178,8 @@
 /// Control state as last published.
 #[derive(Debug)]
 pub struct View {
+    /// Listed targets and what is known of their data centres, as read from the store.
+    listed: Mutex<Listed>,
     /// Configuration in force.
     pub table: ArcSwapOption<ingress::Table>,
     /// Targets.
@@ -174,12 +192,13 @@
     changes: watch::Sender<u64>,
     exiting: watch::Sender<bool>,
     leaving: OnceLock<Leaving>,
-    listed: atomic::AtomicBool,
+    complete: atomic::AtomicBool,
 }
 
 impl Default for View {
     fn default() -> Self {
         Self {
+            listed: Mutex::default(),
             table: ArcSwapOption::empty(),
             targets: ArcSwap::default(),
             members: ArcSwap::default(),
@@ -187,16 +206,42 @@
             changes: watch::Sender::new(0),
             exiting: watch::Sender::new(false),
             leaving: OnceLock::new(),
-            listed: atomic::AtomicBool::new(false),
+            complete: atomic::AtomicBool::new(false),
         }
     }
 }
 
 impl View {
     /// Publishes the targets.
-    pub fn set_targets(&self, targets: Targets) {
+    pub fn set_targets(&self, targets: Vec<Target>) {
+        let mut listed = lock(&self.listed);
+        listed.targets = Some(targets);
+        self.publish(&listed);
+    }
+
+    /// Publishes which data centres are evacuated.
+    pub fn set_evacuated(&self, evacuated: evacuation::Evacuated) {
+        let mut listed = lock(&self.listed);
+        listed.places.set(evacuated, Instant::now());
+        self.publish(&listed);
+    }
+
+    /// Returns which data centres are evacuated, once that is known.
+    pub fn evacuated(&self) -> Option<evacuation::Evacuated> {
+        lock(&self.listed).places.evacuated().cloned()
+    }
+
+    /// Publishes what may get work, from all that is known.
+    fn publish(&self, listed: &Listed) {
+        let places = &listed.places;
+        let targets = listed.targets.iter().flatten().map(|target| Target {
+            cold: target.cold.max(places.cold(&target.data_centre)),
+            ..target.clone()
+        });
+        let targets = Targets::new(targets, |place| places.is_closed(place));
         self.targets.store(Arc::new(targets));
-        self.listed.store(true, atomic::Ordering::Release);
+        let complete = listed.targets.is_some() && places.evacuated().is_some();
+        self.complete.store(complete, atomic::Ordering::Release);
         self.changed();
     }
 
@@ -257,9 +302,9 @@
         let _ = exiting.wait_for(|exiting| *exiting).await;
     }
 
-    /// Reports whether the configuration and the targets are known.
+    /// Reports whether the configuration, the targets and the evacuations are known.
     pub fn is_complete(&self) -> bool {
-        self.listed.load(atomic::Ordering::Acquire) && self.table.load().is_some()
+        self.complete.load(atomic::Ordering::Acquire) && self.table.load().is_some()
     }
 
     /// Returns by how many processes shared bounds are divided.
@@ -267,6 +312,26 @@
         self.members.load().len().max(1)
     }
 
+    /// Returns what holds for a target of a service that may be cold, as far as the process `own` is concerned.
+    pub fn chill(
+        &self,
+        own: &id::InstanceName,
+        service: &ingress::Service,
+        target: &Target,
+        now: Instant,
+    ) -> Option<cold::Chill> {
+        let until = target.cold.filter(|until| *until > now)?;
+        let rate = service.cold?;
+        let members = self.members.load();
+        let names: Vec<_> = members.iter().map(|m| &m.instance).collect();
+        let senders = cold::Senders {
+            own,
+            members: &names,
+        };
+        let quota = senders.quota(&target.name, rate);
+        Some(cold::Chill { until, quota })
+    }
+
     fn changed(&self) {
         self.changes.send_modify(|n| *n += 1);
     }
