Choose the owners of all queues at once, so that none meet by chance

Cause: each queue had its owner by a hash of its own, so that two or three queues met on one gateway by chance.

Ways: a hash for each queue (before); all services at once, strong instances first, then those without a queue, then another data centre (now). Which members can be reached is left out of the assignment; a stand-in owns no other queue. The order is worked out once for members and configuration, no longer for each call.

--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod lanes;
 pub mod limit;
 pub mod orders;
+pub mod owners;
 pub mod patience;
 pub mod placement;
 pub mod readers;
--- a/laburnumcart/src/readers.rs
+++ b/laburnumcart/src/readers.rs
@@ -39,7 +39,8 @@
 }
 
 impl Member<'_> {
-    fn candidate(&self) -> rendezvous::Candidate<'_> {
+    /// Returns what its place in an order depends on.
+    pub(crate) fn candidate(&self) -> rendezvous::Candidate<'_> {
         rendezvous::Candidate {
             name: self.name,
             cores: self.cores,
--- a/laburnumcart/src/rendezvous.rs
+++ b/laburnumcart/src/rendezvous.rs
@@ -26,12 +26,22 @@
 
 /// Sorts members for a task, the first choice first.
 pub fn order<T>(members: &mut [T], task: &str, candidate: impl Fn(&T) -> Candidate<'_>) {
+    order_by(members, task, candidate, |_| ());
+}
+
+/// Sorts members for a task: strong ones first, among these the ones of least cost, the first choice first.
+pub fn order_by<T, C: Ord>(
+    members: &mut [T],
+    task: &str,
+    candidate: impl Fn(&T) -> Candidate<'_>,
+    cost: impl Fn(&T) -> C,
+) {
     let seed = xxh3::xxh3_64(task.as_bytes());
     let cores = |member: &T| candidate(member).cores;
     let most = members.iter().map(cores).fold(0.0, f64::max);
     members.sort_by_cached_key(|member| {
         let Candidate { name, cores } = candidate(member);
         let hash = xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), seed);
-        (cores < WEAK * most, cmp::Reverse(hash))
+        (cores < WEAK * most, cost(member), cmp::Reverse(hash))
     });
 }
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -2,10 +2,14 @@
 
 mod link;
 pub(crate) mod links;
+mod order;
 
 use std::{
-    sync::Arc,
-    time, //
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
 };
 
 use jsonrpsee::{
@@ -24,8 +28,7 @@
 use laburnumcart::{
     batch,
     forecast,
-    id,
-    rendezvous, //
+    id, //
 };
 
 use crate::{
@@ -61,7 +64,7 @@
     /// Results, in the order of the pieces.
     pub handles: Vec<batch::Handle>,
     /// Owner of the queue that executed the job.
-    pub owner: view::Member,
+    pub owner: Arc<view::Member>,
 }
 
 /// What a process of the system offers to the others.
@@ -159,6 +162,7 @@
     view: Arc<view::View>,
     dispatcher: Arc<dispatcher::Dispatcher>,
     links: Links,
+    orders: Mutex<order::Orders>,
 }
 
 impl Peers {
@@ -173,6 +177,7 @@
             own,
             view,
             dispatcher,
+            orders: Mutex::default(),
         }
     }
 
@@ -209,7 +214,7 @@
     ///
     /// Without an answer the job is not held up: an owner that is gone has no queue to be late in.
     pub async fn announce(&self, notice: dispatcher::Notice) -> Option<forecast::Outlook> {
-        let owner = self.owners(&notice.service, false).into_iter().next()?;
+        let owner = self.owner(&notice.service)?;
         match owner.instance == self.own {
             true => self.dispatcher.announce(&notice),
             false => self.link(&owner)?.announce(notice).await,
@@ -218,7 +223,7 @@
 
     /// Tells the owner of a queue that an announced job will not come.
     pub fn withdraw(&self, service: &id::ServiceName, job: u64) {
-        let Some(owner) = self.owners(service, false).into_iter().next() else {
+        let Some(owner) = self.owner(service) else {
             return;
         };
         if owner.instance == self.own {
@@ -262,7 +267,7 @@
     ///
     /// Lost on the way, it only means that they are freed later.
     pub fn read(&self, service: &id::ServiceName, handles: Vec<batch::Handle>) {
-        let Some(owner) = self.owners(service, false).into_iter().next() else {
+        let Some(owner) = self.owner(service) else {
             return;
         };
         if owner.instance == self.own {
@@ -277,7 +282,7 @@
 
     /// Reports whether this process is the first choice of owner of a service's queue.
     pub fn is_first(&self, service: &id::ServiceName) -> bool {
-        let owner = self.owners(service, false).into_iter().next();
+        let owner = self.owner(service);
         owner.is_none_or(|owner| owner.instance == self.own)
     }
 
@@ -297,24 +302,25 @@
         })
     }
 
+    /// Returns the process that owns a service's queue.
+    fn owner(&self, service: &id::ServiceName) -> Option<Arc<view::Member>> {
+        let order = self.order(service);
+        order.iter().find(|m| self.is_up(m, false)).cloned()
+    }
+
     /// Lists the processes that may own a service's queue, the first choice first.
     ///
     /// With `last`, this process is among them also when it is leaving. In a rolling stop all
     /// processes can be leaving at once, each for as long as its grace period; requests that they
     /// have accepted would wait for an owner until the first of them is back.
-    fn owners(&self, service: &id::ServiceName, last: bool) -> Vec<view::Member> {
-        let members = self.view.members.load();
-        let mut owners: Vec<_> = members
-            .iter()
-            .filter(|m| self.is_up(m, last))
-            .cloned()
-            .collect();
-        // An owner makes the calls of all gateways for its service.
-        rendezvous::order(&mut owners, service.as_str(), |m| rendezvous::Candidate {
-            name: &m.instance,
-            cores: m.cores,
-        });
-        owners
+    fn owners(&self, service: &id::ServiceName, last: bool) -> Vec<Arc<view::Member>> {
+        let order = self.order(service);
+        let up = order.iter().filter(|m| self.is_up(m, last));
+        up.cloned().collect()
+    }
+
+    fn order(&self, service: &id::ServiceName) -> order::Order {
+        view::lock(&self.orders).order(&self.view, service)
     }
 
     fn is_up(&self, member: &view::Member, last: bool) -> bool {
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -77,7 +77,7 @@
     service: id::ServiceName,
     handles: Vec<batch::Handle>,
     /// Process that accounts for their room; none for a stage without pieces.
-    owner: Option<view::Member>,
+    owner: Option<Arc<view::Member>>,
 }
 
 impl Drop for Held {
