--- a/laburnumcart_system/src/bin/laburnum-soak.rs
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -11,7 +11,7 @@
 
 const HELP: &str = "Runs gateways under random faults and checks what callers and targets see.
 
-Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N]";
+Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations]";
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -19,6 +19,7 @@
     options.optopt("", "runs", "number of seeds (default 1)", "N");
     options.optopt("", "gateways", "gateways of a run (default 3)", "N");
     options.optopt("", "seconds", "time under faults of a run (default 8)", "N");
+    options.optflag("", "evacuations", "evacuate data centres meanwhile");
     options.optflag("h", "help", "print this text");
     options
 }
@@ -53,6 +54,7 @@
             seed,
             gateways: gateways.max(1) as usize,
             length: time::Duration::from_secs(seconds),
+            evacuations: matches.opt_present("evacuations"),
         };
         broken += u32::from(!play(plan));
     }
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod check;
+mod evacuations;
 mod faults;
 mod gateways;
 mod ledger;
@@ -54,6 +55,8 @@
     pub gateways: usize,
     /// Time under faults.
     pub length: time::Duration,
+    /// Whether data centres are evacuated meanwhile.
+    pub evacuations: bool,
 }
 
 impl Plan {
@@ -160,7 +163,12 @@
         callers.push(tokio::spawn(caller.run(stop.subscribe())));
     }
     let mut rng = rand::rngs::StdRng::seed_from_u64(plan.seed);
-    faults::play(&site, &mut rng).await;
+    let evacuations = async {
+        if plan.evacuations {
+            evacuations::play(&site).await;
+        }
+    };
+    tokio::join!(faults::play(&site, &mut rng), evacuations);
     faults::heal(&site).await;
     site.gateways.lock().await.ready(SETTLE * 5).await?;
     tokio::time::sleep(SETTLE).await;
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -23,6 +23,12 @@
 /// Time after which a leaving target gets no new work.
 const LEAVE: time::Duration = time::Duration::from_secs(2);
 
+/// Time after which an evacuated data centre gets no work.
+const EVACUATE: time::Duration = time::Duration::from_secs(5);
+
+/// Time after the last fault in which gateways that were cut off learn what they have missed.
+const CATCH_UP: time::Duration = time::Duration::from_secs(3);
+
 /// What a run has shown.
 #[derive(Debug)]
 pub struct Report {
@@ -103,6 +109,9 @@
     {
         breach("ran with a key that was taken away");
     }
+    if runs.iter().any(|run| is_evacuated(state, plan, run)) {
+        breach("ran in an evacuated data centre");
+    }
     if plan.is_planned() {
         // A request that crosses the close of an idle connection and goes nowhere is no loss.
         let crossed = call.status.is_none() && runs.is_empty();
@@ -122,6 +131,20 @@
     breaches
 }
 
+/// Reports whether a run began where it may not.
+///
+/// Faults excuse a gateway that cannot know. Planned work excuses none, and neither do faults that are over.
+fn is_evacuated(state: &State, plan: &Plan, run: &Run) -> bool {
+    let place = state.places.get(&run.target);
+    let evacuations = state.evacuations.iter().filter(|e| Some(&e.place) == place);
+    let known = |from: time::Instant| match (plan.is_planned(), state.healed) {
+        (true, _) => Some(from + EVACUATE),
+        (false, healed) => healed.map(|healed| (from + EVACUATE).max(healed + CATCH_UP)),
+    };
+    let mut evacuations = evacuations.filter_map(|e| Some((known(e.from)?, e.until)));
+    evacuations.any(|(from, until)| run.at > from && until.is_none_or(|until| run.at < until))
+}
+
 /// Returns the whole answer to a request.
 fn expected(attempt: &str, route: &str) -> String {
     match route {
--- a/laburnumcart_system/src/soak/faults.rs
+++ b/laburnumcart_system/src/soak/faults.rs
@@ -52,6 +52,7 @@
     site.store_relay.heal();
     site.targets.lock().await.heal();
     site.gateways.lock().await.wake();
+    site.ledger.lock().healed = Some(time::Instant::now());
 }
 
 async fn fault(site: &Arc<Site>, rng: &mut impl Rng, kind: u32, version: u64) {
--- a/laburnumcart_system/src/soak/gateways.rs
+++ b/laburnumcart_system/src/soak/gateways.rs
@@ -43,7 +43,7 @@
             let settings = json!({
                 "instance": name, "data_centre": "north", "callers": callers.to_string(),
                 "admin": admin.to_string(), "peer": peer.to_string(), "store": store.to_string(),
-                "bounds": { "grace": "6s", "revoke": "5s",
+                "bounds": { "grace": "6s", "revoke": "5s", "evacuation": "5s",
                     "retry_ratio": 0.3, "retry_extra": 200 }
             });
             let file = dir.join(format!("{name}.json"));
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -32,6 +32,16 @@
     pub(super) at: time::Instant,
 }
 
+/// A data centre that was evacuated.
+#[derive(Clone, Debug)]
+pub(super) struct Evacuation {
+    pub(super) place: &'static str,
+    /// When it was accepted.
+    pub(super) from: time::Instant,
+    /// When it was about to be taken back.
+    pub(super) until: Option<time::Instant>,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub(super) calls: collections::HashMap<String, Call>,
@@ -40,9 +50,15 @@
     pub(super) revoked: collections::HashMap<String, time::Instant>,
     /// Targets that were told to leave, and when that was accepted.
     pub(super) leaving: collections::HashMap<String, time::Instant>,
+    /// Data centre of each target that ever was.
+    pub(super) places: collections::HashMap<String, &'static str>,
+    /// Evacuations in order.
+    pub(super) evacuations: Vec<Evacuation>,
     /// Breaches that were seen on the spot.
     pub(super) breaches: Vec<String>,
     pub(super) faults: Vec<String>,
+    /// When the last fault was ended.
+    pub(super) healed: Option<time::Instant>,
     calm: bool,
 }
 
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -40,6 +40,9 @@
 /// Services, in the order of their targets.
 const SERVICES: [&str; 3] = ["desk", "tale", "encode"];
 
+/// Data centres, in each of which every service has a target.
+pub(super) const PLACES: [&str; COUNT] = ["north", "south", "west"];
+
 /// How a target behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Mode {
@@ -63,6 +66,7 @@
 struct Life {
     name: String,
     service: &'static str,
+    place: &'static str,
     mode: Arc<Mutex<Mode>>,
     relay: relay::Relay,
 }
@@ -84,8 +88,8 @@
             next: 0,
         };
         for service in SERVICES {
-            for _ in 0..COUNT {
-                let life = targets.begin(service).await?;
+            for place in PLACES {
+                let life = targets.begin(service, place).await?;
                 targets.lives.push(life);
             }
         }
@@ -127,7 +131,7 @@
     /// Replaces a target by a planned stop: the new one first, then the old one leaves.
     pub(super) async fn release(&mut self, index: usize) -> io::Result<()> {
         let old = self.replace(index).await?;
-        let entry = entry(old.service, &old.relay, "draining");
+        let entry = entry(&old, "draining");
         super::put(&self.store, &format!("servers/{}", old.name), &entry).await;
         let now = time::Instant::now();
         self.ledger.lock().leaving.insert(old.name.clone(), now);
@@ -143,11 +147,12 @@
     }
 
     async fn replace(&mut self, index: usize) -> io::Result<Life> {
-        let life = self.begin(self.lives[index].service).await?;
+        let old = &self.lives[index];
+        let life = self.begin(old.service, old.place).await?;
         Ok(std::mem::replace(&mut self.lives[index], life))
     }
 
-    async fn begin(&mut self, service: &'static str) -> io::Result<Life> {
+    async fn begin(&mut self, service: &'static str, place: &'static str) -> io::Result<Life> {
         self.next += 1;
         let name = format!("i-{}", self.next);
         let mode = Arc::new(Mutex::new(Mode::Good));
@@ -161,14 +166,17 @@
         };
         let target = scripted::Target::start(move |seen, _| script.steps(seen)).await?;
         let relay = relay::Relay::start(addr, target.addr()).await?;
-        let entry = entry(service, &relay, "ready");
-        super::put(&self.store, &format!("servers/{name}"), &entry).await;
-        Ok(Life {
+        self.ledger.lock().places.insert(name.clone(), place);
+        let life = Life {
             name,
             service,
+            place,
             mode,
             relay,
-        })
+        };
+        let entry = entry(&life, "ready");
+        super::put(&self.store, &format!("servers/{}", life.name), &entry).await;
+        Ok(life)
     }
 
     async fn delete(&self, name: &str) {
@@ -176,7 +184,7 @@
     }
 }
 
-async fn remove(store: &memory::Memory, key: &str) {
+pub(super) async fn remove(store: &memory::Memory, key: &str) {
     loop {
         match store.get(key).await {
             Ok(None) => return,
@@ -186,9 +194,9 @@
     }
 }
 
-fn entry(service: &str, relay: &relay::Relay, state: &str) -> Value {
+fn entry(life: &Life, state: &str) -> Value {
     json!({
-        "service": service, "address": relay.addr().to_string(), "zone": "north", "version": "v1",
+        "service": life.service, "address": life.relay.addr().to_string(), "zone": life.place, "version": "v1",
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1
     })
 }
