Confine requests and their stages to the regions that route and team allow

Cause: the configuration may name regions for a route or a team; nothing read them.

Requests go to targets in data centres whose regions both allow, stage pieces likewise; a data centre whose region is not known is not among them. Without a target there the caller is refused at once.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -219,7 +219,7 @@
         });
         for (key, _) in order {
             let job = &self.jobs[*key];
-            if self.is_left(engine, &job.spec, now) {
+            if !self.engines.allows(engine, &job.spec) || self.is_left(engine, &job.spec, now) {
                 continue;
             }
             draft.offer(*key, job.waiting.len(), job.spec.size);
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -9,8 +9,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    batch::job::Handle,
+    batch::job::{
+        Handle,
+        Spec, //
+    },
     cold,
+    homes,
     id,
     ingress,
     unit, //
@@ -207,6 +211,13 @@
         self.engines.values().filter(free).count()
     }
 
+    /// Reports whether a job may be executed at a target.
+    pub(super) fn allows(&self, key: EngineKey, spec: &Spec) -> bool {
+        let places = spec.places.as_deref();
+        let engine = self.engines.get(key);
+        engine.is_some_and(|e| homes::allows(places, &e.data_centre))
+    }
+
     pub(super) fn is_far(&self, key: EngineKey, near: Option<&id::DataCentre>) -> bool {
         let engine = self.engines.get(key);
         near.is_some_and(|near| engine.is_some_and(|e| e.data_centre != *near))
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -87,6 +87,8 @@
     pub near: Option<id::DataCentre>,
     /// Bytes that cross between data centres when it is executed in another one.
     pub moved: unit::Size,
+    /// Data centres where it may be executed; any without a list.
+    pub places: Option<Vec<id::DataCentre>>,
 }
 
 impl Spec {
@@ -100,6 +102,7 @@
             rank: Rank::default(),
             near: None,
             moved: unit::Size(0),
+            places: None,
         }
     }
 
@@ -117,6 +120,13 @@
         self
     }
 
+    /// Confines it to some data centres.
+    #[must_use]
+    pub fn places(mut self, places: Option<Vec<id::DataCentre>>) -> Self {
+        self.places = places;
+        self
+    }
+
     /// Sets where it is best executed, and what crosses between data centres elsewhere.
     #[must_use]
     pub fn near(mut self, near: Option<id::DataCentre>, moved: unit::Size) -> Self {
--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -128,6 +128,11 @@
     DataCentre,
     "data centre name"
 );
+name!(
+    /// A region of data centres.
+    Region,
+    "region name"
+);
 name!(
     /// A key that signs bundles.
     KeyName,
--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -71,6 +71,8 @@
     pub stages: Vec<Stage>,
     /// Whether it needs no key.
     pub anonymous: bool,
+    /// Regions whose targets may run it, any if none is named.
+    pub regions: Option<Vec<id::Region>>,
 }
 
 impl Route {
@@ -141,6 +143,8 @@
     pub name: id::TeamName,
     /// Rank that goes before the route's.
     pub rank: Option<u8>,
+    /// Regions whose targets may run its requests, any if none is named.
+    pub regions: Option<Vec<id::Region>>,
 }
 
 /// Bounds on what a caller may send.
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod freshness;
 pub mod head;
 pub mod hedge;
+pub mod homes;
 pub mod id;
 pub mod ingress;
 pub mod lanes;
--- a/laburnumcart/tests/ingress.rs
+++ b/laburnumcart/tests/ingress.rs
@@ -30,6 +30,7 @@
         backends: vec![backend("north", 1)],
         stages: Vec::new(),
         anonymous: false,
+        regions: None,
     }
 }
 
@@ -93,6 +94,7 @@
     open.anonymous = true;
     assert_eq!(table.team(&closed, None), Ok(None));
     let team = ingress::Team {
+        regions: None,
         name: "clinic".parse().unwrap(),
         rank: Some(1),
     };
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -64,6 +64,8 @@
     pub table: Arc<ingress::Table>,
     /// Team of the caller.
     pub team: Option<id::TeamName>,
+    /// Data centres whose targets may run it; any without a list.
+    pub places: Option<Vec<id::DataCentre>>,
     /// Rank.
     pub rank: u8,
     /// Rank of the team, if it has one; it goes before that of the route.
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -10,6 +10,7 @@
 use laburnumcart::{
     cold,
     eject,
+    homes,
     id,
     placement,
     route,
@@ -93,12 +94,18 @@
         }
     }
 
-    /// Chooses a target other than those tried.
-    pub fn choose(&mut self, tried: &[id::TargetName], now: Instant) -> Option<Arc<view::Target>> {
+    /// Chooses a target other than those tried, in one of some data centres if these are given.
+    pub fn choose(
+        &mut self,
+        places: Option<&[id::DataCentre]>,
+        tried: &[id::TargetName],
+        now: Instant,
+    ) -> Option<Arc<view::Target>> {
         let table = route::Table::new(
             self.entries
                 .iter()
                 .filter(|e| e.gate.is_open(now))
+                .filter(|e| homes::allows(places, &e.target.data_centre))
                 .map(|e| self.candidate(e, now))
                 .collect(),
         );
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -85,6 +85,8 @@
     pub near: Option<id::DataCentre>,
     /// Bytes that cross between data centres when it is executed in another one.
     pub moved: unit::Size,
+    /// Data centres where it may be executed; any without a list.
+    pub places: Option<Vec<id::DataCentre>>,
     /// Whether nothing else reads its inputs.
     pub consumes: bool,
     /// Whether a process that is leaving takes it too, as no other does.
@@ -98,6 +100,7 @@
             .deadline(now + self.deadline.0)
             .rank(self.rank)
             .near(self.near.clone(), self.moved)
+            .places(self.places.clone())
     }
 }
 
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -10,6 +10,7 @@
 
 use laburnumcart::{
     cold,
+    homes,
     id,
     ingress,
     placement, //
@@ -64,13 +65,17 @@
         }
     }
 
-    /// Returns the keys of the engines that have these names.
-    pub fn keys(&self, names: &[id::TargetName]) -> Vec<placement::EngineKey> {
-        let keys = self
-            .keys
-            .iter()
-            .filter(|(life, _)| names.contains(&life.name));
-        keys.map(|(_, key)| *key).collect()
+    /// Returns the keys of the engines that have these names, or stand where a request may not run.
+    pub fn avoided(
+        &self,
+        names: &[id::TargetName],
+        places: Option<&[id::DataCentre]>,
+    ) -> Vec<placement::EngineKey> {
+        let is_avoided = |target: &view::Target| {
+            names.contains(&target.name) || !homes::allows(places, &target.data_centre)
+        };
+        let avoided = self.targets.iter().filter(|(_, target)| is_avoided(target));
+        avoided.map(|(key, _)| key).collect()
     }
 
     /// Chooses an engine and counts the request there.
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -212,7 +212,11 @@
                 let (place, target) = choose(engines, request, inputs, tried, now)?;
                 (Some(place), target)
             }
-            None => (None, self.balance(service, tried, now)?),
+            None => {
+                let places = request.places.as_deref();
+                let target = self.balance(service, places, tried, now)?;
+                (None, target)
+            }
         };
         Some(Seat {
             gateway: self.clone(),
@@ -243,6 +247,7 @@
     fn balance(
         &self,
         service: &id::ServiceName,
+        places: Option<&[id::DataCentre]>,
         tried: &[id::TargetName],
         now: Instant,
     ) -> Option<Arc<view::Target>> {
@@ -254,7 +259,7 @@
             balancer.update(targets.service(service), |t| self.chill(t), now);
             balancer
         });
-        balancer.choose(tried, now)
+        balancer.choose(places, tried, now)
     }
 
     /// Does something with the budget of extra sends of a service.
@@ -317,7 +322,7 @@
     now: Instant,
 ) -> Option<(placement::Place, Arc<view::Target>)> {
     let prompt = request.call.prompt.as_ref();
-    let avoid = engines.keys(tried);
+    let avoid = engines.avoided(tried, request.places.as_deref());
     let ask = placement::Ask {
         parts: prompt.map_or(&[], |p| &p.parts),
         tokens: prompt.map_or(0, |p| p.input + p.output),
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -180,6 +180,9 @@
     /// Tells the owners of the stages' queues of their jobs, and judges the request by what they say.
     async fn admit(&mut self) -> Result<(), batch::Failure> {
         let stages = &self.request.route.stages;
+        if !(0..stages.len()).all(|i| self.pieces(i) == 0 || self.has_target(&stages[i].service)) {
+            return Err(batch::Failure::Unavailable);
+        }
         let needed = (0..stages.len()).filter(|i| self.pieces(*i) > 0);
         let notices: Vec<_> = needed.map(|i| (i, self.notice(i, &stages[i]))).collect();
         let asked: Vec<_> = notices.iter().map(|(i, _)| *i).collect();
@@ -255,6 +258,18 @@
         }
     }
 
+    /// Reports whether a service has a target where the request may run.
+    ///
+    /// Without one the job of a confined request would wait for its deadline, behind targets that are free.
+    fn has_target(&self, service: &id::ServiceName) -> bool {
+        let Some(places) = &self.request.places else {
+            return true;
+        };
+        let targets = self.gateway.view.targets.load();
+        let mut targets = targets.service(service).iter();
+        targets.any(|target| places.contains(&target.data_centre))
+    }
+
     /// Returns the number of pieces of a stage.
     fn pieces(&self, i: usize) -> u32 {
         self.request.call.pieces.get(i).copied().unwrap_or(0)
@@ -372,6 +387,7 @@
             rank: request.urgency(),
             near,
             moved,
+            places: request.places.clone(),
             consumes: self.consumes(i),
             last: false,
         }
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -26,6 +26,8 @@
 use laburnumcart::{
     event,
     freshness,
+    homes,
+    id,
     ingress,
     retry,
     unit,
@@ -143,12 +145,14 @@
     let body = whole(body, most).await?;
     let spent = gateway.spent(&admitted.route, call.patience);
     let rank = admitted.team.as_ref().and_then(|t| t.rank);
+    let places = places(gateway, &admitted);
     let request = admission::Request {
         call,
         method: head.method,
         path,
         headers: head.headers,
         body,
+        places,
         rank: rank.unwrap_or(admitted.route.rank),
         team_rank: rank,
         route: admitted.route,
@@ -180,6 +184,17 @@
     Ok(request)
 }
 
+/// Returns the data centres whose targets may run a request, if it is confined to regions.
+fn places(
+    gateway: &gateway::Gateway,
+    admitted: &admission::Admitted,
+) -> Option<Vec<id::DataCentre>> {
+    let team = admitted.team.as_ref().and_then(|team| team.regions.clone());
+    let homes = homes::Homes::default();
+    let homes = homes.and(admitted.route.regions.clone()).and(team);
+    homes.data_centres(&gateway.settings.regions)
+}
+
 async fn whole(body: Incoming, most: usize) -> Result<Bytes, verdict::Refusal> {
     let too_large = verdict::Refusal::not_run(verdict::Reason::TooLarge);
     if body.size_hint().lower() > most as u64 {
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -9,6 +9,7 @@
 };
 
 use laburnumcart::{
+    homes,
     id,
     unit, //
 };
@@ -25,6 +26,9 @@
     pub instance: id::InstanceName,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// Region of each data centre; requests that are confined to regions run only where it is known.
+    #[serde(default)]
+    pub regions: homes::Regions,
     /// Address for callers.
     #[schemars(with = "settings::Address")]
     pub callers: net::SocketAddr,
--- a/laburnumcart_gateway/tests/balancer.rs
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -44,7 +44,7 @@
     balancer.report(&first.key(), full, Some(6), start);
     let mut chosen = 0;
     for _ in 0..40 {
-        let target = balancer.choose(&[], start).unwrap();
+        let target = balancer.choose(None, &[], start).unwrap();
         chosen += usize::from(target.name == second.name);
         balancer.end(&target.key(), None, start);
     }
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -171,6 +171,7 @@
         rank: 0.into(),
         near: None,
         moved: unit::Size(0),
+        places: None,
         consumes: false,
         last: false,
     }
