--- a/laburnumcart/src/batch/draft.rs
+++ b/laburnumcart/src/batch/draft.rs
@@ -21,8 +21,7 @@
 /// Pieces that a call will take.
 ///
 /// Jobs are not split over calls: the results of one part would take room until the other part is
-/// made, and where room binds, every second call would be a small one that fills what is left. Mean
-/// worth of ten kinds of day, two or three each: 0.447 with split jobs, 0.457 with whole ones.
+/// made, and where room binds, every second call would be a small one that fills what is left.
 #[derive(Clone, Debug)]
 pub(super) struct Draft {
     bounds: Bounds,
--- a/laburnumcart/src/batch/load.rs
+++ b/laburnumcart/src/batch/load.rs
@@ -11,10 +11,7 @@
 ///
 /// What was full for a second is seldom full for the ten that a late job may still have. After a loss of
 /// all instances, callers that came back were told of 28 s where 0.8 s of work waited, and were refused
-/// for good. Refusals that come back cost 0.004 of worth with 0.05, 0.0025 with 0.12 and 0.0016 with 0.25; 0.705, 0.712
-/// and 0.713 was earned (means of five days, five seeds each). Where load stays above capacity for
-/// seconds, 0.25 and more keeps callers waiting in vain: requests held to their end cost 0.001 with
-/// 0.05, 0.002 with 0.12, 0.006 with 0.25 and 0.017 with 0.5.
+/// for good. With much more than this, callers would wait in vain where load stays above capacity.
 const SPARE_MIN: f64 = 0.12;
 
 /// Pieces that calls have taken, weighted by age.
--- a/laburnumcart/src/batch/order.rs
+++ b/laburnumcart/src/batch/order.rs
@@ -23,8 +23,7 @@
 /// By how much a job counts as due later at a target in another data centre, in milliseconds for each
 /// mebibyte that would cross.
 ///
-/// Weighed by price, as placement does. With jobs where least crosses, results between data centres
-/// cost 0.044 of worth, and 0.064 without (mean of five days).
+/// Bytes between data centres are paid for; a short delay is not, while a job has time.
 const FAR_MS_PER_MIB: u64 = 35;
 
 /// Most by which it counts as due later there.
@@ -35,8 +34,7 @@
 
 /// Share of the time to spare that a job waits for a nearer target.
 ///
-/// The stages after this one need the rest for waits of their own. With all of it, 0.666 was earned as
-/// with half (five days, five seeds each, while no job waited behind a full call).
+/// The stages after this one need the rest for waits of their own.
 const WAIT_SHARE: f64 = 0.5;
 
 impl Queue {
@@ -56,9 +54,8 @@
     /// Returns the place of a job in the order: whether it goes behind, and when it counts as due.
     ///
     /// A job that has begun holds room for its results that others wait for. Put behind once it is
-    /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Going
-    /// first gained a twentieth of what can be earned under overload. Jobs that only work on the
-    /// results of others do not go first: most of them are late then, and those that can still be
+    /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Jobs
+    /// that only work on the results of others do not go first: most of them are late then, and those that can still be
     /// on time would wait behind them.
     pub(super) fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
         if started {
@@ -83,10 +80,8 @@
     /// Reports whether a job is left to a nearer target, which is free or will be in time.
     ///
     /// Each piece reads all its inputs, so that a call in another data centre moves far more than it
-    /// makes. Left to free targets alone, 55% of the bytes crossed in a play of half the capacity, as the
-    /// next free target is seldom a near one. With the wait for those that are busy, what
-    /// crosses costs a fifth: 0.060 of worth before, 0.012 after, and as many callers are served on
-    /// time (means of five days, five seeds each). Under congestion no job has time to wait.
+    /// makes, and the next free target is seldom a near one. A job that has time waits for one that is busy
+    /// instead; under congestion none has.
     pub(super) fn is_left(&self, engine: EngineKey, spec: &Spec, now: Instant) -> bool {
         if self.far(engine, spec) < FAR_LEFT {
             return false;
--- a/laburnumcart/src/patience.rs
+++ b/laburnumcart/src/patience.rs
@@ -4,12 +4,9 @@
 
 /// Part of the longest patience by which that of first attempts differs.
 ///
-/// Callers of one user began with 85% to 100% of the route's longest patience, evenly spread (1,053
-/// attempts of the first 4 s of a day). Taken for time spent, that was half a second in the mean
-/// where 1.9 s count as on time: requests were put behind or refused as late that were not. The
-/// mean worth of two days near capacity rose from 0.33 to 0.42 and from 0.20 to 0.37 without this
-/// mistake. Where all begin with the same patience, to leave differences up to this one out costs
-/// nothing that could be measured (mean worth of six kinds of day alike).
+/// Callers may begin with less than the route's longest patience. Taken for time spent, that puts
+/// requests behind, or refuses them as late, that are not. Where all begin with the same patience,
+/// nothing is lost by leaving small differences out.
 const SPREAD: f64 = 0.16;
 
 /// Callers of one route.
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -25,12 +25,12 @@
     pub struct EngineKey;
 }
 
-/// Prompt tokens that an engine reads in a millisecond, as measured on one; only ratios matter.
+/// Prompt tokens that an engine reads in a millisecond; only ratios to the other costs matter.
 const TOKENS_PER_MS: f64 = 50.0;
 
 /// What moving a mebibyte of inputs between data centres is worth in milliseconds.
 ///
-/// Weighed by price: a crossing of 3.6 MiB costs about a tenth of what the request earns.
+/// Bytes between data centres are paid for.
 const CROSSING_MS_PER_MIB: f64 = 20.0;
 
 /// Share of the time to read a shared part that its home is ahead.
@@ -41,15 +41,12 @@
 /// The same share where the home gives the first token well before it is late.
 ///
 /// A session that moves has its shared part read once more by another engine, and again by the next
-/// one when it moves back. With 1.0 shared parts that were read again cost 0.025 of worth, with 3.0 0.019,
-/// and 0.704 was earned where it had been 0.696; 5.0 differs by no more than chance (means of five
-/// days, five seeds each).
+/// one when it moves back.
 const HOME_TIMELY: f64 = 3.0;
 
 /// Share of the time until the first token is late within which the home must give it for that.
 ///
-/// A choice: the rest is left for what is not known of the engine's load. Without any bound as much was
-/// earned (0.705, five days, five seeds each).
+/// The rest is left for what is not known of the engine's load.
 const HOME_SHARE: f64 = 0.5;
 
 /// Cost of one request that waits at an engine, in milliseconds.
--- a/laburnumcart/src/readers.rs
+++ b/laburnumcart/src/readers.rs
@@ -1,8 +1,8 @@
 //! Which processes read a shared service for all others.
 //!
 //! Each call of the service is paid for and counts toward its rate. If each process followed it by
-//! itself, calls would grow with the fleet: 103 processes made 226 calls a second on a calm day, most
-//! of which told nothing. A few readers make them, and the others ask a reader.
+//! itself, calls would grow with the fleet, and most would tell nothing. A few readers make them, and
+//! the others ask a reader.
 //!
 //! Nothing is agreed on. Two processes that see different members may take different ones for
 //! readers; what a process passes on carries its age, so that any of them can be asked.
@@ -20,7 +20,7 @@
 
 /// Fewest readers, so that the loss of one leaves another that everybody knows already.
 ///
-/// Others are asked when both are lost; a third one would cost half as many calls again.
+/// Others are asked when both are lost.
 const FEWEST: usize = 2;
 
 /// Members for each reader. It answers each of them about three times a second, so that no reader has
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -47,15 +47,12 @@
 /// Longest pause between reads of the configuration while the store is down.
 const PAUSE: unit::Period = unit::Period::from_millis(400);
 
-/// The same of the targets and the members, which are read again once the configuration was read.
-///
-/// A quarter of all calls of a day with outages were tries that failed, a third of them each.
+/// The same of the other topics, which are read again once the configuration was read.
 const PAUSE_SHARED: unit::Period = unit::Period::from_millis(1500);
 
 /// Least time between two calls, in which a burst of changes is collected.
 ///
-/// Each change of a target would cost each process a call; at 97 targets and 23 processes those
-/// were half of all calls.
+/// Each change of a target would cost each process a call.
 const INTERVAL: unit::Period = unit::Period::from_millis(150);
 
 /// The same time while targets or members go on to change.
