--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -145,9 +145,9 @@
     /// Returns how long after its start a call has read its inputs, if that can be told.
     ///
     /// A target reads them when the call's turn comes, and works for the fixed time after that. The
-    /// turn comes at once where the last call was answered in time. Behind one that was given up, or
-    /// those of another owner of the queue, it may come much later: inputs that were freed then would be
-    /// missed, and the whole request would have to begin again.
+    /// turn comes at once where the last call was answered in time. Behind one that was given up,
+    /// or those of another owner of the queue, it may come much later: inputs that were freed then
+    /// would be missed, and the whole request would have to begin again.
     pub fn reading(&self, key: EngineKey) -> Option<time::Duration> {
         let engine = self.engines.get(key)?;
         engine.steady.then(|| self.shape.call.mul_f64(READING))
@@ -223,8 +223,8 @@
         near.is_some_and(|near| engine.is_some_and(|e| e.data_centre != *near))
     }
 
-    /// Returns the time until a fast target in a data centre with room for a result is free, zero if
-    /// one is now. Without such a target there is no time.
+    /// Returns the time until a fast target in a data centre with room for a result is free, zero
+    /// if one is now. Without such a target there is no time.
     pub(super) fn wait_near(
         &self,
         near: Option<&id::DataCentre>,
--- a/laburnumcart/src/batch/load.rs
+++ b/laburnumcart/src/batch/load.rs
@@ -9,9 +9,10 @@
 
 /// Least share of the capacity that is held to be left for late jobs; it bounds their outlook.
 ///
-/// What was full for a second is seldom full for the ten that a late job may still have. After a loss of
-/// all instances, callers that came back were told of 28 s where 0.8 s of work waited, and were refused
-/// for good. With much more than this, callers would wait in vain where load stays above capacity.
+/// What was full for a second is seldom full for the ten that a late job may still have. After a
+/// loss of all instances, callers that came back were told of 28 s where 0.8 s of work waited, and
+/// were refused for good. With much more than this, callers would wait in vain where load stays
+/// above capacity.
 const SPARE_MIN: f64 = 0.12;
 
 /// Pieces that calls have taken, weighted by age.
--- a/laburnumcart/src/batch/order.rs
+++ b/laburnumcart/src/batch/order.rs
@@ -20,8 +20,8 @@
 /// The same for the next lower rank of routes within a team's.
 const MINOR_STEP: time::Duration = time::Duration::from_millis(120);
 
-/// By how much a job counts as due later at a target in another data centre, in milliseconds for each
-/// mebibyte that would cross.
+/// By how much a job counts as due later at a target in another data centre, in milliseconds for
+/// each mebibyte that would cross.
 ///
 /// Bytes between data centres are paid for; a short delay is not, while a job has time.
 const FAR_MS_PER_MIB: u64 = 35;
@@ -55,8 +55,8 @@
     ///
     /// A job that has begun holds room for its results that others wait for. Put behind once it is
     /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Jobs
-    /// that only work on the results of others do not go first: most of them are late then, and those that can still be
-    /// on time would wait behind them.
+    /// that only work on the results of others do not go first: most of them are late then, and
+    /// those that can still be on time would wait behind them.
     pub(super) fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
         if started {
             return (false, spec.due);
@@ -79,9 +79,9 @@
 
     /// Reports whether a job is left to a nearer target, which is free or will be in time.
     ///
-    /// Each piece reads all its inputs, so that a call in another data centre moves far more than it
-    /// makes, and the next free target is seldom a near one. A job that has time waits for one that is busy
-    /// instead; under congestion none has.
+    /// Each piece reads all its inputs, so that a call in another data centre moves far more than
+    /// it makes, and the next free target is seldom a near one. A job that has time waits for one
+    /// that is busy instead; under congestion none has.
     pub(super) fn is_left(&self, engine: EngineKey, spec: &Spec, now: Instant) -> bool {
         if self.far(engine, spec) < FAR_LEFT {
             return false;
--- a/laburnumcart/src/cold.rs
+++ b/laburnumcart/src/cold.rs
@@ -1,9 +1,10 @@
 //! Cold targets: how many requests one process may send to a target that has just started.
 //!
-//! A target that has just started crashes at a rate that it bears later without effort. Its bound holds for
-//! all processes together, which share no count: a word between them would come too late for a bound on one
-//! second. Each works out a [`Quota`] of its own from the members that it knows, so that the sum of all quotas
-//! stays within the rate, and counts its own sends against it in a [`Gate`].
+//! A target that has just started crashes at a rate that it bears later without effort. Its bound
+//! holds for all processes together, which share no count: a word between them would come too late
+//! for a bound on one second. Each works out a [`Quota`] of its own from the members that it knows,
+//! so that the sum of all quotas stays within the rate, and counts its own sends against it in a
+//! [`Gate`].
 
 use std::{
     collections,
@@ -20,7 +21,8 @@
 
 /// Span in which a quota is counted for a rate of one request in a second or more.
 ///
-/// The tenth beyond the second covers sends that are held up on their way and arrive closer together.
+/// The tenth beyond the second covers sends that are held up on their way and arrive closer
+/// together.
 const SPAN: time::Duration = time::Duration::from_millis(1100);
 
 /// Longest span of a quota, for rates far below one request in a second.
@@ -71,9 +73,10 @@
 impl Senders<'_> {
     /// Returns the part of a target's rate that this process may use.
     ///
-    /// What does not divide goes to the first members in an order that each process finds alone, another one
-    /// for each target. A member that is gone keeps its part until its entry is removed, as it may be one
-    /// that only this process cannot reach. A process that is no member yet has no part.
+    /// What does not divide goes to the first members in an order that each process finds alone,
+    /// another one for each target. A member that is gone keeps its part until its entry is
+    /// removed, as it may be one that only this process cannot reach. A process that is no member
+    /// yet has no part.
     pub fn quota(&self, target: &id::TargetName, rate: unit::Rate) -> Quota {
         if !self.members.contains(&self.own) {
             return Quota::NONE;
--- a/laburnumcart/src/evacuation.rs
+++ b/laburnumcart/src/evacuation.rs
@@ -11,8 +11,8 @@
 
 /// Time after the end of an evacuation for which the targets of a data centre are held to be cold.
 ///
-/// They may have become cold while nobody sent them anything, and tell it with the next entry that they write.
-/// Until it has come here, a flood would crash those that have just come back.
+/// They may have become cold while nobody sent them anything, and tell it with the next entry that
+/// they write. Until it has come here, a flood would crash those that have just come back.
 const RETURN: time::Duration = time::Duration::from_secs(4);
 
 /// Names of the data centres that are evacuated.
@@ -45,8 +45,8 @@
 
     /// Reports whether the targets of a data centre get no work.
     ///
-    /// Before it is known which ones are evacuated, none gets any: a process that has just started would send
-    /// to targets that all others avoid.
+    /// Before it is known which ones are evacuated, none gets any: a process that has just started
+    /// would send to targets that all others avoid.
     pub fn is_closed(&self, place: &id::DataCentre) -> bool {
         self.evacuated
             .as_ref()
--- a/laburnumcart/src/forecast.rs
+++ b/laburnumcart/src/forecast.rs
@@ -19,9 +19,10 @@
 
 /// Share by which the wait in a queue is taken to be longer than the owner of the queue says.
 ///
-/// The owner counts the jobs that it knows. More urgent ones still come, and calls end a little later than
-/// promised. If requests are begun until their turn comes just in time, a full queue is as long as their objective, and a
-/// good part of them ends right after it: late answers, and work that is lost for those behind.
+/// The owner counts the jobs that it knows. More urgent ones still come, and calls end a little
+/// later than promised. If requests are begun until their turn comes just in time, a full queue is
+/// as long as their objective, and a good part of them ends right after it: late answers, and work
+/// that is lost for those behind.
 const MARGIN: f64 = 0.2;
 
 /// The same share of time for a caller that was refused before and has come again.
--- a/laburnumcart/src/homes.rs
+++ b/laburnumcart/src/homes.rs
@@ -22,7 +22,8 @@
 
     /// Returns the data centres that are allowed, `None` if all are.
     ///
-    /// One whose region is not known is not among them: what is confined would leave its regions unseen.
+    /// One whose region is not known is not among them: what is confined would leave its regions
+    /// unseen.
     pub fn data_centres(&self, regions: &Regions) -> Option<Vec<id::DataCentre>> {
         if self.0.is_empty() {
             return None;
--- a/laburnumcart/src/owners.rs
+++ b/laburnumcart/src/owners.rs
@@ -1,9 +1,10 @@
 //! Which process owns the queue of each service.
 //!
-//! An owner makes the calls of all processes for its service, on a processor that its callers need as well. With
-//! several queues on one instance its calls take longer than the targets do: these stand idle while jobs wait,
-//! callers are refused and come again, and each of them costs the same owner more. So owners are chosen for all
-//! services at once, and never meet while there are others as strong.
+//! An owner makes the calls of all processes for its service, on a processor that its callers need
+//! as well. With several queues on one instance its calls take longer than the targets do: these
+//! stand idle while jobs wait, callers are refused and come again, and each of them costs the same
+//! owner more. So owners are chosen for all services at once, and never meet while there are others
+//! as strong.
 //!
 //! Nothing is agreed on. Who knows the same members and services finds the same owners.
 
@@ -20,8 +21,9 @@
 
 /// Lists for each service which members may own its queue, the first choice first.
 ///
-/// Which members can be reached is left out on purpose. Each process sees that differently, and if the loss of one
-/// member moved the owners of other services, two processes would disagree on all of them.
+/// Which members can be reached is left out on purpose. Each process sees that differently, and if
+/// the loss of one member moved the owners of other services, two processes would disagree on all
+/// of them.
 pub fn orders<'a>(
     members: &[readers::Member<'a>],
     services: impl IntoIterator<Item = &'a id::ServiceName>,
--- a/laburnumcart/src/patience.rs
+++ b/laburnumcart/src/patience.rs
@@ -1,4 +1,5 @@
-//! How much of its time a caller has spent before, inferred from how long it says that it will wait.
+//! How much of its time a caller has spent before, inferred from how long it says that it will
+//! wait.
 
 use std::time;
 
@@ -29,8 +30,8 @@
 impl Patience {
     /// Takes in the patience that a caller names; returns what it has spent before this attempt.
     ///
-    /// Callers that come again name what is left of the patience that they began with. That is known
-    /// only up to the spread, so the middle is taken.
+    /// Callers that come again name what is left of the patience that they began with. That is
+    /// known only up to the spread, so the middle is taken.
     pub fn spent(&mut self, named: time::Duration) -> time::Duration {
         self.most = self.most.max(named);
         if named >= self.most.mul_f64(1.0 - SPREAD) {
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -196,10 +196,11 @@
         Some(self.engines[home].data_centre.clone())
     }
 
-    /// Chooses an engine; `None` when all have failed the request, or are cold and have had their share.
+    /// Chooses an engine; `None` when all have failed the request, or are cold and have had their
+    /// share.
     ///
-    /// One that is avoided is still used where there is no other, a cold one never beyond its quota: it would
-    /// crash, and all that it runs with it.
+    /// One that is avoided is still used where there is no other, a cold one never beyond its
+    /// quota: it would crash, and all that it runs with it.
     pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Option<Place> {
         let home = self.home(ask.parts, now);
         let fits = |key: EngineKey, e: &Engine| !ask.avoid.contains(&key) && e.gate.is_open(now);
--- a/laburnumcart/src/readers.rs
+++ b/laburnumcart/src/readers.rs
@@ -1,8 +1,8 @@
 //! Which processes read a shared service for all others.
 //!
 //! Each call of the service is paid for and counts toward its rate. If each process followed it by
-//! itself, calls would grow with the fleet, and most would tell nothing. A few readers make them, and
-//! the others ask a reader.
+//! itself, calls would grow with the fleet, and most would tell nothing. A few readers make them,
+//! and the others ask a reader.
 //!
 //! Nothing is agreed on. Two processes that see different members may take different ones for
 //! readers; what a process passes on carries its age, so that any of them can be asked.
@@ -23,8 +23,8 @@
 /// Others are asked when both are lost.
 const FEWEST: usize = 2;
 
-/// Members for each reader. It answers each of them about three times a second, so that no reader has
-/// more than 120 answers a second to give, however large the fleet is.
+/// Members for each reader. It answers each of them about three times a second, so that no reader
+/// has more than 120 answers a second to give, however large the fleet is.
 const SERVED: usize = 40;
 
 /// A process that may read for others.
@@ -55,7 +55,8 @@
 
 /// Chooses the readers, spread over data centres as far as they go.
 ///
-/// The loss of a data centre takes away as few of them as possible, and most processes have one near.
+/// The loss of a data centre takes away as few of them as possible, and most processes have one
+/// near.
 pub fn choose<'a>(members: impl IntoIterator<Item = Member<'a>>) -> Vec<Member<'a>> {
     let mut members: Vec<_> = members.into_iter().collect();
     let count = count(members.len());
--- a/laburnumcart/src/rendezvous.rs
+++ b/laburnumcart/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Order of processes that each of them finds alone, without any agreement.
 //!
-//! Each process hashes the name of a task with the names of all processes. Who sees the same members
-//! finds the same order; a member that comes or goes moves nobody else.
+//! Each process hashes the name of a task with the names of all processes. Who sees the same
+//! members finds the same order; a member that comes or goes moves nobody else.
 
 use std::cmp;
 
@@ -11,8 +11,8 @@
 
 /// Part of the strongest member's processor below which a member comes after all others.
 ///
-/// A task serves all processes; on an instance with a tenth of a core its answers would wait for the
-/// processor.
+/// A task serves all processes; on an instance with a tenth of a core its answers would wait for
+/// the processor.
 const WEAK: f64 = 0.6;
 
 /// A process that can take a task.
@@ -29,7 +29,8 @@
     order_by(members, task, candidate, |_| ());
 }
 
-/// Sorts members for a task: strong ones first, among these the ones of least cost, the first choice first.
+/// Sorts members for a task: strong ones first, among these the ones of least cost, the first
+/// choice first.
 pub fn order_by<T, C: Ord>(
     members: &mut [T],
     task: &str,
--- a/laburnumcart/tests/batch/admission.rs
+++ b/laburnumcart/tests/batch/admission.rs
@@ -206,10 +206,11 @@
     }
 }
 
-// Twice as many callers come as the stages can serve. Those who are refused know it at once; those whose
-// requests are begun are told nothing until the answer. If requests are begun until the queue is as long as their
-// objective, half of them end just after it, and what was done for them is lost for all others. Three of four that are
-// begun end on time, and they are three quarters of what the stages can do at all.
+// Twice as many callers come as the stages can serve. Those who are refused know it at once; those
+// whose requests are begun are told nothing until the answer. If requests are begun until the queue
+// is as long as their objective, half of them end just after it, and what was done for them is lost
+// for all others. Three of four that are begun end on time, and they are three quarters of what the
+// stages can do at all.
 #[test]
 fn what_is_begun_in_a_burst_ends_on_time() {
     for seed in 0..5 {
--- a/laburnumcart/tests/cold.rs
+++ b/laburnumcart/tests/cold.rs
@@ -32,8 +32,8 @@
     members.iter().map(|own| quota(own).count).sum()
 }
 
-// Engines of a data centre come back cold and all gateways have more for them than they bear. If each
-// gateway rounded its part up, or took the whole rate, the engines would crash again.
+// Engines of a data centre come back cold and all gateways have more for them than they bear. If
+// each gateway rounded its part up, or took the whole rate, the engines would crash again.
 #[rstest]
 #[case(1, 13.0)]
 #[case(4, 13.0)]
@@ -48,8 +48,8 @@
     }
 }
 
-// With more gateways than requests a second, the same few gateways must not hold all engines: the callers
-// of the others would be refused while engines have room.
+// With more gateways than requests a second, the same few gateways must not hold all engines: the
+// callers of the others would be refused while engines have room.
 #[test]
 fn parts_of_different_targets_go_to_different_members() {
     let members = names(27);
@@ -62,8 +62,8 @@
     }
 }
 
-// Two gateways see a member more or less for a moment. Together they may go a little beyond the rate, far
-// less than the half of it that a target bears beyond.
+// Two gateways see a member more or less for a moment. Together they may go a little beyond the
+// rate, far less than the half of it that a target bears beyond.
 #[test]
 fn views_that_differ_go_little_beyond() {
     let (old, new) = (names(26), names(27));
@@ -103,9 +103,9 @@
     );
 }
 
-// Callers press on a gateway for ten seconds while an engine is cold. In no second may more arrive there
-// than its part, wherever the second begins; a count by fixed seconds lets twice as many through at their
-// border.
+// Callers press on a gateway for ten seconds while an engine is cold. In no second may more arrive
+// there than its part, wherever the second begins; a count by fixed seconds lets twice as many
+// through at their border.
 #[tokio::test(start_paused = true)]
 async fn no_second_has_more_than_the_part() {
     let mut gate = cold::Gate::default();
--- a/laburnumcart/tests/evacuation.rs
+++ b/laburnumcart/tests/evacuation.rs
@@ -26,8 +26,8 @@
     assert!(places.is_closed(&place("south")));
 }
 
-// Two data centres are evacuated, and one comes back. Its targets may be cold without having told it; the other
-// one stays closed, and those that were never evacuated are as warm as they say.
+// Two data centres are evacuated, and one comes back. Its targets may be cold without having told
+// it; the other one stays closed, and those that were never evacuated are as warm as they say.
 #[tokio::test(start_paused = true)]
 async fn who_comes_back_is_cold_for_a_while() {
     let mut places = evacuation::Places::default();
--- a/laburnumcart/tests/forecast.rs
+++ b/laburnumcart/tests/forecast.rs
@@ -30,7 +30,8 @@
 };
 
 // Three stages wait at a time, so that only the longest queue counts and what comes after it. A sum
-// would refuse requests that could be on time. A fifth is added to what a queue takes beside the call itself.
+// would refuse requests that could be on time. A fifth is added to what a queue takes beside the
+// call itself.
 #[rstest]
 #[case(&[300, 300, 300], true)]
 #[case(&[300, 550, 300], true)]
--- a/laburnumcart/tests/owners.rs
+++ b/laburnumcart/tests/owners.rs
@@ -16,7 +16,8 @@
 }
 
 impl Fleet {
-    /// Strong instances, then weak ones, over three data centres in turn; `salt` gives them other names.
+    /// Strong instances, then weak ones, over three data centres in turn; `salt` gives them other
+    /// names.
     fn new(strong: usize, weak: usize, salt: usize) -> Self {
         let all = 0..strong + weak;
         let place = |i: usize| ["north", "south", "west"][i % 3].parse().unwrap();
@@ -55,9 +56,9 @@
     counts.into_values().max().unwrap_or(0)
 }
 
-// Callers are refused for the rest of a day after a short burst: one gateway owns the queues of all three stages,
-// its calls take more than twice as long as the targets need, and these stand idle. By chance alone two of three
-// queues meet on one of 15 gateways once in five days.
+// Callers are refused for the rest of a day after a short burst: one gateway owns the queues of all
+// three stages, its calls take more than twice as long as the targets need, and these stand idle.
+// By chance alone two of three queues meet on one of 15 gateways once in five days.
 #[rstest]
 #[case(15, 88, 3)]
 #[case(6, 21, 3)]
@@ -93,7 +94,8 @@
     }
 }
 
-// Two strong gateways, four services, many weak gateways: a weak one could not make the calls of all others.
+// Two strong gateways, four services, many weak gateways: a weak one could not make the calls of
+// all others.
 #[test]
 fn strong_members_share_where_there_are_few() {
     let fleet = Fleet::new(2, 20, 0);
@@ -104,7 +106,8 @@
     assert!(orders.values().all(|order| order[0].cores > 0.4));
 }
 
-// A weak gateway comes and goes, as machines do all day. No queue moves by it, as each move makes jobs queue up anew.
+// A weak gateway comes and goes, as machines do all day. No queue moves by it, as each move makes
+// jobs queue up anew.
 #[test]
 fn weak_members_move_no_queue() {
     let services = services(3);
--- a/laburnumcart/tests/placement.rs
+++ b/laburnumcart/tests/placement.rs
@@ -75,9 +75,9 @@
     assert!(used.len() >= 3, "{}", used.len());
 }
 
-// The home of a session reads other prompts. With time to wait its requests go there all the same: read
-// anywhere else, what they share costs the fleet as much again, and so would the next one of the session.
-// Without time they go where the first token comes sooner.
+// The home of a session reads other prompts. With time to wait its requests go there all the same:
+// read anywhere else, what they share costs the fleet as much again, and so would the next one of
+// the session. Without time they go where the first token comes sooner.
 #[test]
 fn a_session_waits_for_its_home_while_it_has_time() {
     let now = Instant::now();
@@ -168,8 +168,9 @@
     assert_eq!(fleet.choose(&ask(&parts), later).unwrap().engine, home);
 }
 
-// All engines have crashed and are back, cold, under more load than they bear. Each gets its part of the rate and
-// the other requests are refused; an engine that is paused after a failure is no way around that.
+// All engines have crashed and are back, cold, under more load than they bear. Each gets its part
+// of the rate and the other requests are refused; an engine that is paused after a failure is no
+// way around that.
 #[tokio::test(start_paused = true)]
 async fn cold_engines_get_no_more_than_their_part() {
     let (mut fleet, keys) = fleet();
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -36,9 +36,9 @@
 
 /// Wait of a watch of the configuration and of the targets.
 ///
-/// Each end of a watch confirms that nothing has changed, and a silent connection hides changes for as
-/// long. Others that ask this process take nothing that is older than 1.7 s, which is two waits and the
-/// time for a slow answer.
+/// Each end of a watch confirms that nothing has changed, and a silent connection hides changes for
+/// as long. Others that ask this process take nothing that is older than 1.7 s, which is two waits
+/// and the time for a slow answer.
 const WAIT: unit::Period = unit::Period::from_millis(750);
 
 /// Wait of a watch of the members, whose changes are seen on connections as well.
@@ -57,8 +57,8 @@
 
 /// The same time while targets or members go on to change.
 ///
-/// A change takes it at a reader and again at those who ask there, well within the 2 s after which a
-/// target that leaves may get no work.
+/// A change takes it at a reader and again at those who ask there, well within the 2 s after which
+/// a target that leaves may get no work.
 const SPREAD: unit::Period = unit::Period::from_millis(400);
 
 /// Pause before the own entry is written again after a failure.
@@ -66,7 +66,8 @@
 
 /// Starts the followers on the current thread and returns when the process ends.
 ///
-/// Evacuations are followed where the operator uses them, with `evacuates`; calls of the store are paid for.
+/// Evacuations are followed where the operator uses them, with `evacuates`; calls of the store are
+/// paid for.
 pub async fn run<S: store::Store + Clone>(
     store: S,
     directory: Arc<dyn dialect::Directory>,
@@ -128,8 +129,8 @@
 
 /// Writes the own entry until it is there.
 ///
-/// The first listing of the members tells whether an earlier life has left one, so that a start takes one
-/// call and not three.
+/// The first listing of the members tells whether an earlier life has left one, so that a start
+/// takes one call and not three.
 async fn enter(
     store: impl store::Store,
     key: String,
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -37,14 +37,16 @@
 
 /// Time for which a target is remembered whose entry is gone or names no target any more.
 ///
-/// A write of the target itself can take effect seconds after it was sent, and an entry of an earlier
-/// life or from before it began to leave would give it work again.
+/// A write of the target itself can take effect seconds after it was sent, and an entry of an
+/// earlier life or from before it began to leave would give it work again.
 const REMEMBERED: time::Duration = time::Duration::from_secs(60);
 
-/// Most targets that are remembered beside those in use; another writer could add names without end.
+/// Most targets that are remembered beside those in use; another writer could add names without
+/// end.
 const REMEMBERED_MAX: usize = 4096;
 
-/// Longest time that an entry may call its target cold, so that another writer's cannot do so for ever.
+/// Longest time that an entry may call its target cold, so that another writer's cannot do so for
+/// ever.
 const COLD_MAX: time::Duration = time::Duration::from_secs(600);
 
 /// Least difference between two ends of a cold time that counts as a change.
@@ -248,8 +250,9 @@
 
 /// Returns until when a target is cold, given what its entry says and what was known before.
 ///
-/// Entries tell the time that was left when they were written, and each puts the end a little later or
-/// sooner. Only a difference that matters is a change, or each would have all targets looked over anew.
+/// Entries tell the time that was left when they were written, and each puts the end a little later
+/// or sooner. Only a difference that matters is a change, or each would have all targets looked
+/// over anew.
 fn cold(left: time::Duration, known: Option<Instant>, now: Instant) -> Option<Instant> {
     if left.is_zero() {
         return None;
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -201,9 +201,10 @@
 
     /// Takes in that results have been read, though their request is not done with them.
     ///
-    /// Their room is what binds a congested stage: held to the end of the next stage's call, it would
-    /// leave calls half empty, whose fixed time is the same. Without congestion they are kept, as a piece
-    /// that fails can be made again of them; its whole request would have to begin again otherwise.
+    /// Their room is what binds a congested stage: held to the end of the next stage's call, it
+    /// would leave calls half empty, whose fixed time is the same. Without congestion they are
+    /// kept, as a piece that fails can be made again of them; its whole request would have to begin
+    /// again otherwise.
     pub fn read(self: &Arc<Self>, service: &id::ServiceName, handles: Vec<batch::Handle>) {
         let is_crowded = |line: &Line| line.queue.is_crowded();
         if view::lock(&self.lines).get(service).is_some_and(is_crowded) {
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -143,8 +143,8 @@
 
     /// Gives up the jobs whose inputs have gone with an earlier life of their target.
     ///
-    /// Sent to a target, which asks the next life for them, they would fail after the fixed time of a
-    /// call.
+    /// Sent to a target, which asks the next life for them, they would fail after the fixed time of
+    /// a call.
     pub(super) fn drop_lost(
         &mut self,
         targets: &view::Targets,
--- a/laburnumcart_gateway/src/peers/order.rs
+++ b/laburnumcart_gateway/src/peers/order.rs
@@ -19,8 +19,8 @@
 
 /// Orders of owners, worked out anew when members or configuration change.
 ///
-/// Each job, notice and freed result asks for an owner; sorting all members of a large fleet each time would take
-/// a good part of a weak instance's processor.
+/// Each job, notice and freed result asks for an owner; sorting all members of a large fleet each
+/// time would take a good part of a weak instance's processor.
 #[derive(Default)]
 pub(super) struct Orders {
     members: Arc<Vec<view::Member>>,
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -177,7 +177,8 @@
         Ok(self.collect())
     }
 
-    /// Tells the owners of the stages' queues of their jobs, and judges the request by what they say.
+    /// Tells the owners of the stages' queues of their jobs, and judges the request by what they
+    /// say.
     async fn admit(&mut self) -> Result<(), batch::Failure> {
         let stages = &self.request.route.stages;
         if !(0..stages.len()).all(|i| self.pieces(i) == 0 || self.has_target(&stages[i].service)) {
@@ -260,7 +261,8 @@
 
     /// Reports whether a service has a target where the request may run.
     ///
-    /// Without one the job of a confined request would wait for its deadline, behind targets that are free.
+    /// Without one the job of a confined request would wait for its deadline, behind targets that
+    /// are free.
     fn has_target(&self, service: &id::ServiceName) -> bool {
         let Some(places) = &self.request.places else {
             return true;
@@ -298,7 +300,8 @@
         }
     }
 
-    /// Reports whether a stage that has not begun, or the target itself, will read the results of one.
+    /// Reports whether a stage that has not begun, or the target itself, will read the results of
+    /// one.
     fn is_unread(&self, i: usize, started: &[bool]) -> bool {
         let stages = &self.request.route.stages;
         let mut readers = (0..stages.len()).filter(|k| stages[*k].after.contains(&i));
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -1,15 +1,15 @@
 //! One view of the store for all processes: a few read it, the others ask them.
 //!
-//! Each process follows three topics of the store. Followed by each for itself, that took two calls a
-//! second of every process, nearly all of which told nothing. Now the readers
-//! ([`laburnumcart::readers`]) make these calls, and [`source::Source`] puts an exchange with a reader
-//! in the place of the others'. What is passed on is the store's own text with its versions, read as
-//! strictly as what the store says, and the age of the knowledge.
+//! Each process follows three topics of the store. Followed by each for itself, that took two calls
+//! a second of every process, nearly all of which told nothing. Now the readers
+//! ([`laburnumcart::readers`]) make these calls, and [`source::Source`] puts an exchange with a
+//! reader in the place of the others'. What is passed on is the store's own text with its versions,
+//! read as strictly as what the store says, and the age of the knowledge.
 //!
-//! Ages are lengths of time on a clock that counts suspensions, never times of day. An age counts from
-//! before a read was sent and goes on while an answer waits anywhere, so that a pause, a slow link or
-//! a chain of processes makes knowledge older and never younger. Nobody has to be right about who
-//! reads: an answer is as good as its age.
+//! Ages are lengths of time on a clock that counts suspensions, never times of day. An age counts
+//! from before a read was sent and goes on while an answer waits anywhere, so that a pause, a slow
+//! link or a chain of processes makes knowledge older and never younger. Nobody has to be right
+//! about who reads: an answer is as good as its age.
 
 pub mod copies;
 pub mod source;
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -33,8 +33,8 @@
 
 /// Longest wait of one question; its end also tells that the connection works.
 ///
-/// A reader that stands still is given up 0.6 s after that, early enough for what another one tells to
-/// be in force within 2 s.
+/// A reader that stands still is given up 0.6 s after that, early enough for what another one tells
+/// to be in force within 2 s.
 const WAIT: time::Duration = time::Duration::from_millis(750);
 
 /// The same for the members, whose changes are seen on connections as well.
@@ -42,10 +42,10 @@
 
 /// Greatest age that is taken from a reader.
 ///
-/// It counts from before a call was sent. A reader's calls end every 0.75 s, so that its knowledge is
-/// up to twice as old. One that is cut off from the store is found within a second: with the exchange
-/// that follows, a change arrives before the 2 s are over after which a target that leaves may get no
-/// work.
+/// It counts from before a call was sent. A reader's calls end every 0.75 s, so that its knowledge
+/// is up to twice as old. One that is cut off from the store is found within a second: with the
+/// exchange that follows, a change arrives before the 2 s are over after which a target that leaves
+/// may get no work.
 const AGE: time::Duration = time::Duration::from_millis(1700);
 
 /// The same of the members, whose calls end every 5 s.
@@ -57,8 +57,8 @@
 /// confirmation; older than this, the next question would come too late.
 const AGE_OTHERS: time::Duration = time::Duration::from_millis(2500);
 
-/// Others that are asked when the readers know nothing. A share of all processes that the store turns
-/// away rarely takes all readers and both of these.
+/// Others that are asked when the readers know nothing. A share of all processes that the store
+/// turns away rarely takes all readers and both of these.
 const OTHERS: usize = 2;
 
 struct Shared<S> {
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -26,7 +26,8 @@
     pub instance: id::InstanceName,
     /// Its data centre.
     pub data_centre: id::DataCentre,
-    /// Region of each data centre; requests that are confined to regions run only where it is known.
+    /// Region of each data centre; requests that are confined to regions run only where it is
+    /// known.
     #[serde(default)]
     pub regions: homes::Regions,
     /// Address for callers.
@@ -66,7 +67,8 @@
     pub grace: unit::Period,
     /// Time after which a revoked key works nowhere.
     pub revoke: unit::Period,
-    /// Time after which targets of an evacuated data centre get nothing; without it none is ever evacuated.
+    /// Time after which targets of an evacuated data centre get nothing; without it none is ever
+    /// evacuated.
     pub evacuation: Option<unit::Period>,
     /// Extra sends to a service as a share of its requests, over all processes.
     pub retry_ratio: f64,
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -72,8 +72,8 @@
 impl Targets {
     /// Collects targets.
     ///
-    /// One that is leaving, or stands where `is_evacuated`, gets no requests, but its results can still be
-    /// freed.
+    /// One that is leaving, or stands where `is_evacuated`, gets no requests, but its results can
+    /// still be freed.
     pub fn new(
         targets: impl IntoIterator<Item = Target>,
         is_evacuated: impl Fn(&id::DataCentre) -> bool,
@@ -312,7 +312,8 @@
         self.members.load().len().max(1)
     }
 
-    /// Returns what holds for a target of a service that may be cold, as far as the process `own` is concerned.
+    /// Returns what holds for a target of a service that may be cold, as far as the process `own`
+    /// is concerned.
     pub fn chill(
         &self,
         own: &id::InstanceName,
--- a/laburnumcart_gateway/tests/balancer.rs
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -25,8 +25,8 @@
     })
 }
 
-// A target fails its requests and starts again under its name. Answers and reports of the earlier life
-// come late. Taken for the new one's they would exclude it, or show it as full, for seconds.
+// A target fails its requests and starts again under its name. Answers and reports of the earlier
+// life come late. Taken for the new one's they would exclude it, or show it as full, for seconds.
 #[tokio::test(start_paused = true)]
 async fn a_new_life_does_not_answer_for_the_one_before() {
     let start = Instant::now();
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -250,9 +250,9 @@
     assert!(kept.iter().all(|id| second.count(*id) == 1), "sent once");
 }
 
-// The owner of a queue begins to leave, and goes on to answer for its grace period. Jobs go to the next
-// process. Were their results freed at the first one, the next one would hold their room to be taken
-// until they expire, and make no call for seconds while jobs wait.
+// The owner of a queue begins to leave, and goes on to answer for its grace period. Jobs go to the
+// next process. Were their results freed at the first one, the next one would hold their room to be
+// taken until they expire, and make no call for seconds while jobs wait.
 #[tokio::test]
 async fn results_are_freed_where_their_job_was_executed() {
     let caller = Caller::new();
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -1,8 +1,8 @@
 //! Randomized soak of real gateways under faults from outside.
 //!
-//! Gateways run as separate processes. The store, the targets and the callers are tasks of the soak,
-//! behind relays that can fall silent. What callers and targets see is checked against the promises.
-//! One seed decides all faults; the interleaving is the machine's.
+//! Gateways run as separate processes. The store, the targets and the callers are tasks of the
+//! soak, behind relays that can fall silent. What callers and targets see is checked against the
+//! promises. One seed decides all faults; the interleaving is the machine's.
 
 mod callers;
 mod check;
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -133,7 +133,8 @@
 
 /// Reports whether a run began where it may not.
 ///
-/// Faults excuse a gateway that cannot know. Planned work excuses none, and neither do faults that are over.
+/// Faults excuse a gateway that cannot know. Planned work excuses none, and neither do faults that
+/// are over.
 fn is_evacuated(state: &State, plan: &Plan, run: &Run) -> bool {
     let place = state.places.get(&run.target);
     let evacuations = state.evacuations.iter().filter(|e| Some(&e.place) == place);
--- a/laburnumcart_system/src/soak/evacuations.rs
+++ b/laburnumcart_system/src/soak/evacuations.rs
@@ -25,7 +25,8 @@
 
 /// Evacuates one data centre after another, the last one until the run ends.
 ///
-/// They are drawn apart from the faults, so that a seed plays the same faults with them and without.
+/// They are drawn apart from the faults, so that a seed plays the same faults with them and
+/// without.
 pub(super) async fn play(site: &Site) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(!site.plan.seed);
     let end = time::Instant::now() + site.plan.length;
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -13,7 +13,8 @@
 // Gateways are killed, paused and stopped, targets fail in many ways, connections fall silent and
 // the store has outages, one over the other. What callers and targets see must keep the promises:
 // whole answers of the own request, at most one run, true refusals, no revoked key, and nothing cut
-// by planned work alone (seeds 4 and 8). In two cases data centres are evacuated beside all that, and get nothing.
+// by planned work alone (seeds 4 and 8). In two cases data centres are evacuated beside all that,
+// and get nothing.
 //
 // Seed 202 failed once: a gateway that was paused and then told to stop was not woken at the end of
 // the faults, which was the soak's own mistake. Seed 511 failed once: a late second answer of an
