--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -1,6 +1,6 @@
 //! One view of the store for all processes: a few read it, the others ask them.
 //!
-//! Each process follows three topics of the store. Followed by each for itself, that took two calls
+//! Each process follows several topics of the store. Followed by each for itself, that took two calls
 //! a second of every process, nearly all of which told nothing. Now the readers
 //! ([`laburnumcart::readers`]) make these calls, and [`source::Source`] puts an exchange with a
 //! reader in the place of the others'. What is passed on is the store's own text with its versions,
