--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -14,9 +14,9 @@
         Spec, //
     },
     cold,
-    homes,
     id,
     ingress,
+    residency,
     unit, //
 };
 
@@ -215,7 +215,7 @@
     pub(super) fn allows(&self, key: EngineKey, spec: &Spec) -> bool {
         let places = spec.places.as_deref();
         let engine = self.engines.get(key);
-        engine.is_some_and(|e| homes::allows(places, &e.data_centre))
+        engine.is_some_and(|e| residency::allows(places, &e.data_centre))
     }
 
     pub(super) fn is_far(&self, key: EngineKey, near: Option<&id::DataCentre>) -> bool {
--- a/laburnumcart/src/homes.rs
+++ b/laburnumcart/src/residency.rs
@@ -9,9 +9,9 @@
 
 /// Regions that a route and a team allow; each that names any binds.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Homes(Vec<collections::BTreeSet<id::Region>>);
+pub struct Residency(Vec<collections::BTreeSet<id::Region>>);
 
-impl Homes {
+impl Residency {
     /// Confines to some regions beside what binds already; `None` names none.
     #[must_use]
     pub fn and(mut self, regions: Option<impl IntoIterator<Item = id::Region>>) -> Self {
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -10,9 +10,9 @@
 use laburnumcart::{
     cold,
     eject,
-    homes,
     id,
     placement,
+    residency,
     route,
     unit, //
 };
@@ -105,7 +105,7 @@
             self.entries
                 .iter()
                 .filter(|e| e.gate.is_open(now))
-                .filter(|e| homes::allows(places, &e.target.data_centre))
+                .filter(|e| residency::allows(places, &e.target.data_centre))
                 .map(|e| self.candidate(e, now))
                 .collect(),
         );
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -10,10 +10,10 @@
 
 use laburnumcart::{
     cold,
-    homes,
     id,
     ingress,
     placement, //
+    residency,
 };
 
 use crate::view;
@@ -72,7 +72,7 @@
         places: Option<&[id::DataCentre]>,
     ) -> Vec<placement::EngineKey> {
         let is_avoided = |target: &view::Target| {
-            names.contains(&target.name) || !homes::allows(places, &target.data_centre)
+            names.contains(&target.name) || !residency::allows(places, &target.data_centre)
         };
         let avoided = self.targets.iter().filter(|(_, target)| is_avoided(target));
         avoided.map(|(key, _)| key).collect()
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -26,9 +26,9 @@
 use laburnumcart::{
     event,
     freshness,
-    homes,
     id,
     ingress,
+    residency,
     retry,
     unit,
     verdict, //
@@ -190,9 +190,9 @@
     admitted: &admission::Admitted,
 ) -> Option<Vec<id::DataCentre>> {
     let team = admitted.team.as_ref().and_then(|team| team.regions.clone());
-    let homes = homes::Homes::default();
-    let homes = homes.and(admitted.route.regions.clone()).and(team);
-    homes.data_centres(&gateway.settings.regions)
+    let residency = residency::Residency::default();
+    let residency = residency.and(admitted.route.regions.clone()).and(team);
+    residency.data_centres(&gateway.settings.regions)
 }
 
 async fn whole(body: Incoming, most: usize) -> Result<Bytes, verdict::Refusal> {
--- a/laburnumcart_gateway/src/settings.rs
+++ b/laburnumcart_gateway/src/settings.rs
@@ -9,8 +9,8 @@
 };
 
 use laburnumcart::{
-    homes,
     id,
+    residency,
     unit, //
 };
 use laburnumcart_daemon::{
@@ -29,7 +29,7 @@
     /// Region of each data centre; requests that are confined to regions run only where it is
     /// known.
     #[serde(default)]
-    pub regions: homes::Regions,
+    pub regions: residency::Regions,
     /// Address for callers.
     #[schemars(with = "settings::Address")]
     pub callers: net::SocketAddr,
