Read and log the limits that targets name; nothing heeds them yet

Neither logs nor metrics could tell whether a gateway had been told of a target's limit, and so not whether nobody heeds it or each gateway heeds it for itself. All sends to targets go through one place now, which reads the head of every answer: of requests, of calls of stages, of freed results. Logged are changes only, with the sends under the limit before; counted are targets with a limit and sends to them.

No decision has changed.

--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -20,7 +20,8 @@
     batch,
     id,
     ingress,
-    placement, //
+    placement,
+    unit, //
 };
 
 use crate::view;
@@ -77,8 +78,23 @@
     pub rank: u8,
 }
 
+/// What the head of a target's answer says of the requests that the target takes.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq)]
+pub enum Limit {
+    /// It names no limit.
+    #[default]
+    #[display("none")]
+    None,
+    /// It takes so many requests in a second from all processes together.
+    #[display("{_0}")]
+    Named(unit::Rate),
+    /// It names one that cannot be read.
+    #[display("unreadable")]
+    Unreadable,
+}
+
 /// What the head of a target's answer says.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// Attempt that it answers.
     pub attempt: Option<String>,
@@ -94,6 +110,8 @@
     pub slots: Option<u32>,
     /// How long the target keeps an idle connection.
     pub idle: Option<time::Duration>,
+    /// Requests that the target takes.
+    pub limit: Limit,
 }
 
 /// Input of a piece.
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -40,6 +40,7 @@
 use crate::{
     dialect,
     metrics,
+    outbound,
     pool,
     view, //
 };
@@ -134,7 +135,7 @@
 /// Queues of the services that this process owns jobs of.
 pub struct Dispatcher {
     view: Arc<view::View>,
-    pool: Arc<pool::Pool>,
+    outbound: Arc<outbound::Outbound>,
     dialect: Arc<dyn dialect::Dialect>,
     metrics: metrics::Metrics,
     lines: Mutex<collections::HashMap<id::ServiceName, Line>>,
@@ -158,14 +159,14 @@
     /// Creates a dispatcher without jobs; inputs that were read go to `consumed`.
     pub fn new(
         view: Arc<view::View>,
-        pool: Arc<pool::Pool>,
+        outbound: Arc<outbound::Outbound>,
         dialect: Arc<dyn dialect::Dialect>,
         metrics: metrics::Metrics,
         consumed: mpsc::UnboundedSender<Vec<batch::Handle>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             view,
-            pool,
+            outbound,
             dialect,
             metrics,
             lines: Mutex::default(),
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -24,6 +24,7 @@
         Dispatcher,
         line::Line, //
     },
+    outbound,
     pool,
     view, //
 };
@@ -211,12 +212,11 @@
         bounds: &pool::Bounds,
         count: usize,
     ) -> Result<Vec<batch::Outcome>, Failed> {
-        let sent = self.pool.send(target, request, bounds).await;
-        let answer = sent.map_err(|failure| match failure {
+        let sent = self.outbound.send(target, request, bounds).await;
+        let outbound::Received { answer, reply } = sent.map_err(|failure| match failure {
             pool::Failure::Unreached | pool::Failure::Exhausted => Failed::NotRun("unreached"),
             failure => Failed::Lost(failure),
         })?;
-        let reply = self.dialect.reply(&answer.head);
         let answer = match reply.attempt.as_deref() {
             Some(echoed) if echoed == label => answer,
             // The connection ends here, as the answer to this call may still come on it.
@@ -247,8 +247,8 @@
 ) {
     let request = dispatcher.dialect.free(&target.name, &handles);
     let sent = async {
-        let answer = dispatcher.pool.send(&target, request, &bounds).await?;
-        let reply = dispatcher.dialect.reply(&answer.head);
+        let sent = dispatcher.outbound.send(&target, request, &bounds).await;
+        let outbound::Received { answer, reply } = sent?;
         answer.whole(reply.idle).await
     };
     let result = tokio::time::timeout(FREE_LIMIT, sent).await;
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -23,6 +23,7 @@
     admission,
     dialect,
     gateway,
+    outbound,
     pipeline::Inputs,
     pool, //
 };
@@ -131,7 +132,7 @@
         self.sent += 1;
         let bounds = self.gateway.bounds(&request, &self.service);
         let onward = self.onward(&seat, inputs, after);
-        let pool = self.gateway.pool.clone();
+        let outbound = self.gateway.outbound.clone();
         let target = seat.target.clone();
         event!(
             Info,
@@ -144,13 +145,13 @@
         );
         let start = Instant::now();
         self.pending = true;
-        let sent = pool.send(&target, onward, &bounds);
+        let sent = outbound.send(&target, onward, &bounds);
         let result = match tokio::time::timeout(limit, sent).await {
             Ok(result) => result,
             Err(_) => Err(pool::Failure::Timeout),
         };
         match result {
-            Ok(answer) => self.judge(seat, answer, start),
+            Ok(received) => self.judge(seat, received, start),
             Err(failure) => {
                 if failure.verdict() == verdict::Verdict::NotRun {
                     // Nothing was sent to this target.
@@ -236,10 +237,10 @@
     fn judge(
         &mut self,
         mut seat: gateway::Seat,
-        answer: pool::Answer,
+        received: outbound::Received,
         start: Instant,
     ) -> Result<Opened, Failure> {
-        let reply = self.gateway.dialect.reply(&answer.head);
+        let outbound::Received { answer, reply } = received;
         let status = answer.head.status;
         event!(
             Info,
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -34,6 +34,7 @@
     dispatcher,
     engines,
     metrics,
+    outbound,
     peers,
     pipeline::Inputs,
     pool,
@@ -57,8 +58,8 @@
     pub view: Arc<view::View>,
     /// The platform's HTTP.
     pub dialect: Arc<dyn dialect::Dialect>,
-    /// Connections to targets.
-    pub pool: Arc<pool::Pool>,
+    /// Sends to targets.
+    pub outbound: Arc<outbound::Outbound>,
     /// Other processes.
     pub peers: peers::Peers,
     /// Queues that this process owns.
@@ -96,11 +97,11 @@
         gate: stop::Gate,
         metrics: metrics::Metrics,
     ) -> Arc<Self> {
-        let pool = Arc::new(pool::Pool::default());
+        let outbound = outbound::Outbound::new(dialect.clone(), &metrics);
         let (consumed, receiver) = mpsc::unbounded_channel();
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
-            pool.clone(),
+            outbound.clone(),
             dialect.clone(),
             metrics.clone(),
             consumed,
@@ -111,7 +112,7 @@
             settings,
             view,
             dialect,
-            pool,
+            outbound,
             dispatcher,
             gate,
             metrics,
@@ -133,7 +134,7 @@
         }
         loop {
             tokio::select! {
-                _ = sweep.tick() => self.pool.sweep(Instant::now()),
+                _ = sweep.tick() => self.outbound.pool.sweep(Instant::now()),
                 _ = changes.changed() => self.refresh(),
             }
         }
@@ -161,6 +162,7 @@
         self.dispatcher
             .consolidate(|service| self.peers.is_first(service));
         let targets = self.view.targets.load();
+        self.outbound.limits.retain(|life| targets.is_listed(life));
         for (service, engines) in view::lock(&self.engines).iter_mut() {
             engines.update(targets.service(service), |t| self.chill(t));
         }
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -5,6 +5,7 @@
     metrics::{
         counter,
         family,
+        gauge,
         histogram, //
     },
 };
@@ -26,6 +27,15 @@
     pub verdict: metrics::Label<verdict::Verdict>,
 }
 
+/// What is counted of targets that have named a limit.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    /// Targets whose limit is known.
+    pub targets: gauge::Gauge<i64>,
+    /// Sends to them.
+    pub sends: counter::Counter<u64>,
+}
+
 /// Counters and histograms of one gateway; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -47,6 +57,8 @@
     pub pieces: counter::Counter<u64>,
     /// Jobs that were refused because they would have been late.
     pub refused_early: counter::Counter<u64>,
+    /// Targets that have named a limit.
+    pub limits: Limits,
     /// Time until the stages were done.
     pub stages: histogram::Histogram,
     /// Time until the first byte of an answer.
@@ -65,6 +77,7 @@
             calls: counter::Counter::default(),
             pieces: counter::Counter::default(),
             refused_early: counter::Counter::default(),
+            limits: Limits::default(),
             stages: histogram::Histogram::new(BUCKETS),
             first: histogram::Histogram::new(BUCKETS),
         }
@@ -104,6 +117,16 @@
                 "Jobs refused early",
                 self.refused_early.clone(),
             );
+            r.register(
+                "targets_limited",
+                "Targets that have named a limit",
+                self.limits.targets.clone(),
+            );
+            r.register(
+                "limited_sends",
+                "Sends to targets that have named a limit",
+                self.limits.sends.clone(),
+            );
             r.register("stages_seconds", "Time of the stages", self.stages.clone());
             r.register(
                 "first_byte_seconds",
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -121,7 +121,7 @@
         running.gate(),
         counters.clone(),
     );
-    counters.register(&registry, &gateway.pool.counters);
+    counters.register(&registry, &gateway.outbound.pool.counters);
     usage::register(&registry);
     let own = control::member(&settings);
     let copies = Arc::new(copies::Copies::default());
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -114,6 +114,12 @@
         self.addrs.contains_key(addr) && self.at(addr, life).is_none()
     }
 
+    /// Reports whether a life of a target is listed.
+    pub fn is_listed(&self, life: &id::TargetLife) -> bool {
+        let mut all = self.addrs.values().flatten();
+        all.any(|target| target.name == life.name && target.life == life.life)
+    }
+
     /// Returns the number of targets.
     pub fn len(&self) -> usize {
         self.addrs.values().map(Vec::len).sum()
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -32,6 +32,7 @@
     dialect,
     dispatcher,
     metrics,
+    outbound,
     peers::{
         self,
         Answer,
@@ -186,11 +187,12 @@
 impl Caller {
     fn new() -> Self {
         let view = Arc::<view::View>::default();
+        let metrics = metrics::Metrics::default();
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
-            Arc::default(),
+            outbound::Outbound::new(Arc::new(Silence), &metrics),
             Arc::new(Silence),
-            metrics::Metrics::default(),
+            metrics,
             mpsc::unbounded_channel().0,
         );
         let own = "gateway-1".parse().unwrap();
