--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -192,7 +192,8 @@
     tokio::time::sleep(CHECK).await;
 }
 
-fn serve_peers(
+/// Serves other gateways: jobs for the queues that this one owns, and what it knows of the store.
+pub fn serve_peers(
     gateway: &Arc<gateway::Gateway>,
     own: &view::Member,
     copies: &Arc<copies::Copies>,
