Hold what is sent to a target to the limit that it names

Callers saw nothing; the engines did. Engines in need that named 1 request a second got 15 and 12 in 4 s from gateways that had been told, 11 being borne.

Cause: nobody heeded a limit. Requests were placed by load, prefixes and distance; what a target says of itself was read only where a caller's request was answered, and its load alone. The bound on cold targets stood in three places, one for each way of choosing a target, each with a count of its own, and the freeing of results went past all of them.

Ruled out: one gateway at fault (all four sent 2 to 6), repeats (8 of 501 sends).

Mend: one gate a target and use. It holds the sends to the bounds of cold targets and of limits alike, is set in one place from members, configuration and what was heard (quotas), and is asked by placement, balancer and queues; freed results go through the gate of calls. A limit is shared as a cold target's rate is: parts that each gateway works out alone and that add up to the rate, over spans of up to 4 s for low ones; members without a part try once in a while, at moments that do not add up. Where stages and requests share a target each has a half, and two owners of a queue stay within the bound. An answer without a limit ends it only if its request was sent after the last answer that named one. Sessions whose home is out of quota have the next engine in their order as home; forecasts of queues count what targets may be called.

Why it is enough: what is sent is chosen under a lock that asks the gate and records there, all ways share the gate, and the parts of all members add up to the rate for any number of them.

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -13,9 +13,9 @@
         Handle,
         Spec, //
     },
-    cold,
     id,
     ingress,
+    quota,
     residency,
     unit, //
 };
@@ -70,8 +70,8 @@
     steady: bool,
     /// Time of calls, as a multiple of the promised one.
     pace: f64,
-    /// Own calls, held to a quota while it is cold.
-    gate: cold::Gate,
+    /// Own calls, and what frees results there.
+    gate: quota::Gate,
 }
 
 #[derive(Clone, Debug)]
@@ -118,14 +118,14 @@
             failed: 0,
             steady: false,
             pace: 1.0,
-            gate: cold::Gate::default(),
+            gate: quota::Gate::default(),
         })
     }
 
-    /// Takes in whether a target is cold.
-    pub fn chill(&mut self, key: EngineKey, chill: Option<cold::Chill>) {
+    /// Holds calls of a target, and requests that free results there, to what its gate lets through.
+    pub fn set_gate(&mut self, key: EngineKey, gate: quota::Gate) {
         if let Some(engine) = self.engines.get_mut(key) {
-            engine.gate.set(chill);
+            engine.gate = gate;
         }
     }
 
@@ -180,19 +180,20 @@
     }
 
     /// Returns the pieces that are done in a second while enough wait.
-    pub(super) fn capacity(&self) -> f64 {
+    pub(super) fn capacity(&self, now: Instant) -> f64 {
         let fill = self.fill.max(1.0);
-        let call = self.promised(fill as usize).as_secs_f64();
+        let call = self.promised(fill as usize).as_secs_f64().max(0.001);
         // One that has failed may be back; with none counted, all requests would be refused.
-        let speed = |e: &Engine| 0.5f64.powi(e.failed.min(8) as i32) / e.pace.max(1.0);
-        let speeds: f64 = self.engines.values().map(speed).sum();
-        speeds * fill / call.max(0.001)
+        let speed = |e: &Engine| 0.5f64.powi(e.failed.min(8) as i32) / e.pace.max(1.0) / call;
+        let bound = |e: &Engine| e.gate.rate(now).map_or(f64::INFINITY, |rate| rate.0);
+        let calls = self.engines.values().map(|e| speed(e).min(bound(e)));
+        calls.sum::<f64>() * fill
     }
 
     /// Returns how long a job of `own` pieces takes when as many as `ahead` go before it.
     pub(super) fn outlook(&self, ahead: f64, own: usize, now: Instant) -> time::Duration {
         let count = self.engines.len();
-        let capacity = self.capacity();
+        let capacity = self.capacity(now);
         if count == 0 || capacity == 0.0 {
             return time::Duration::MAX;
         }
@@ -239,12 +240,16 @@
 
     /// Returns the time until a target is free; nobody knows it once a call takes far too long.
     fn wait(&self, engine: &Engine, now: Instant) -> Option<time::Duration> {
+        let held = engine.gate.wait(now);
+        if held == time::Duration::MAX {
+            return None;
+        }
         let Some((start, pieces)) = engine.call else {
-            return Some(time::Duration::ZERO);
+            return Some(held);
         };
         let length = self.promised(pieces).mul_f64(engine.pace.max(1.0));
         let is_over = now > start + length.mul_f64(STEADY);
-        (!is_over).then(|| self.left(engine, now).max(SOON))
+        (!is_over).then(|| self.left(engine, now).max(SOON).max(held))
     }
 
     /// Returns the time until a target should end its call.
@@ -359,6 +364,11 @@
         });
     }
 
+    /// Reports whether a result is accounted at a target, which keeps it until it expires.
+    pub fn holds(&self, handle: &Handle) -> bool {
+        self.held.contains_key(handle)
+    }
+
     pub(super) fn free(&mut self, handle: &Handle) -> Option<EngineKey> {
         let held = self.held.remove(handle)?;
         self.release(held.engine, unit::Size(held.size));
--- a/laburnumcart/src/batch/outlook.rs
+++ b/laburnumcart/src/batch/outlook.rs
@@ -65,7 +65,7 @@
         let pieces: usize = earlier.map(|(_, pieces)| pieces).sum();
         match own.0 {
             false => pieces as f64,
-            true => pieces as f64 / self.load.spare(self.engines.capacity(), now),
+            true => pieces as f64 / self.load.spare(self.engines.capacity(now), now),
         }
     }
 
@@ -80,7 +80,7 @@
         }
         self.checked = Some(now);
         let order = self.order(now);
-        let spare = self.load.spare(self.engines.capacity(), now);
+        let spare = self.load.spare(self.engines.capacity(now), now);
         let mut ahead = 0;
         let mut hopeless = Vec::new();
         for (key, (late, _)) in order {
--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -239,6 +239,12 @@
         self.services.values()
     }
 
+    /// Reports whether a route sends requests to a service.
+    pub fn is_routed(&self, service: &id::ServiceName) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| route.backends.iter().any(|b| b.service == *service))
+    }
+
     /// Returns the number of routes.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -14,9 +14,9 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    cold,
     id,
     ingress,
+    quota,
     unit, //
 };
 
@@ -113,8 +113,8 @@
     cached: collections::HashMap<u64, Instant>,
     failed: u32,
     paused: Option<Instant>,
-    /// Own requests sent there, held to a quota while it is cold.
-    gate: cold::Gate,
+    /// Own requests sent there.
+    gate: quota::Gate,
 }
 
 /// Place of a request at an engine, until [`Fleet::end`].
@@ -169,14 +169,14 @@
             cached: collections::HashMap::new(),
             failed: 0,
             paused: None,
-            gate: cold::Gate::default(),
+            gate: quota::Gate::default(),
         })
     }
 
-    /// Takes in whether an engine is cold.
-    pub fn chill(&mut self, key: EngineKey, chill: Option<cold::Chill>) {
+    /// Holds the requests for an engine to what its gate lets through.
+    pub fn set_gate(&mut self, key: EngineKey, gate: quota::Gate) {
         if let Some(engine) = self.engines.get_mut(key) {
-            engine.gate.set(chill);
+            engine.gate = gate;
         }
     }
 
@@ -196,11 +196,10 @@
         Some(self.engines[home].data_centre.clone())
     }
 
-    /// Chooses an engine; `None` when all have failed the request, or are cold and have had their
-    /// share.
+    /// Chooses an engine; `None` when all have failed the request or have had their quota.
     ///
-    /// One that is avoided is still used where there is no other, a cold one never beyond its
-    /// quota: it would crash, and all that it runs with it.
+    /// One that is avoided is still used where there is no other, but none beyond its quota: it
+    /// would crash, and all that it runs with it.
     pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Option<Place> {
         let home = self.home(ask.parts, now);
         let fits = |key: EngineKey, e: &Engine| !ask.avoid.contains(&key) && e.gate.is_open(now);
@@ -270,7 +269,8 @@
     fn home(&self, parts: &[Part], now: Instant) -> Option<EngineKey> {
         let (session, _) = prefixes(shared(parts)).last()?;
         let rank = |e: &Engine| xxh3::xxh3_64_with_seed(&e.hash.to_le_bytes(), session);
-        let open = self.engines.iter().filter(|(_, e)| !is_paused(e, now));
+        let is_home = |e: &Engine| !is_paused(e, now) && e.gate.is_open(now);
+        let open = self.engines.iter().filter(|(_, e)| is_home(e));
         open.max_by_key(|(_, e)| rank(e)).map(|(key, _)| key)
     }
 
--- a/laburnumcart/tests/placement.rs
+++ b/laburnumcart/tests/placement.rs
@@ -3,9 +3,9 @@
 use std::time;
 
 use laburnumcart::{
-    cold,
     ingress,
     placement,
+    quota,
     unit, //
 };
 use tokio::time::Instant;
@@ -175,13 +175,18 @@
 async fn cold_engines_get_no_more_than_their_part() {
     let (mut fleet, keys) = fleet();
     let start = Instant::now();
-    let quota = cold::Quota {
+    let quota = quota::Quota {
         count: 2,
         span: time::Duration::from_millis(1100),
     };
     let until = start + time::Duration::from_secs(3);
     for key in &keys {
-        fleet.chill(*key, Some(cold::Chill { until, quota }));
+        let gate = quota::Gate::default();
+        gate.set(quota::Bounds {
+            cold: Some(quota::Bound::new(quota).until(until)),
+            limit: None,
+        });
+        fleet.set_gate(*key, gate);
         fleet.fail(*key, start);
     }
     let (mut served, mut refused) = (0, 0);
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -8,10 +8,10 @@
 use tokio::time::Instant;
 
 use laburnumcart::{
-    cold,
     eject,
     id,
     placement,
+    quota,
     residency,
     route,
     unit, //
@@ -37,7 +37,7 @@
     key: eject::TargetKey,
     own: u32,
     load: route::Load,
-    gate: cold::Gate,
+    gate: quota::Gate,
 }
 
 /// Targets of one plain service.
@@ -60,11 +60,11 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     ///
-    /// `chill` tells what holds for those that are cold.
+    /// `gate` returns what holds requests for one to what it takes.
     pub fn update(
         &mut self,
         targets: &[Arc<view::Target>],
-        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+        gate: impl Fn(&view::Target) -> quota::Gate,
         now: Instant,
     ) {
         let known = self.entries.iter().map(|e| e.target.key());
@@ -83,15 +83,9 @@
                 key: self.ejector.add(),
                 own: 0,
                 load: unknown(now),
-                gate: cold::Gate::default(),
+                gate: gate(target),
             });
         }
-        for target in targets {
-            let entry = self.entries.iter_mut();
-            if let Some(entry) = entry.into_iter().find(|e| e.target.key() == target.key()) {
-                entry.gate.set(chill(target));
-            }
-        }
     }
 
     /// Chooses a target other than those tried, in one of some data centres if these are given.
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -30,10 +30,10 @@
 
 use laburnumcart::{
     batch,
-    cold,
     event,
     forecast,
     id,
+    quota,
     unit, //
 };
 
@@ -56,9 +56,6 @@
 /// Time in which the results to free at one target are collected into one call.
 const FREE_DELAY: time::Duration = time::Duration::from_millis(10);
 
-/// Most processes that call the targets of one queue at the same time, as its owner changes.
-const OWNERS: f64 = 2.0;
-
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -265,7 +262,7 @@
             if let Some(shape) = known.and_then(|s| s.batching) {
                 line.queue.set_shape(shape);
             }
-            line.update(targets.service(service), |t| self.chill(t));
+            line.update(targets.service(service), |t| self.gate(t));
             let gone = line.drop_lost(&targets, &*self.dialect);
             line.settle(gone, &*self.dialect);
         }
@@ -282,7 +279,7 @@
             let shape = table.as_ref()?.service(service)?.batching?;
             let mut line = Line::new(shape);
             let targets = self.view.targets.load();
-            line.update(targets.service(service), |t| self.chill(t));
+            line.update(targets.service(service), |t| self.gate(t));
             event!(
                 Info,
                 "queue-owned",
@@ -404,12 +401,20 @@
         };
         line.flushing = false;
         let targets = self.view.targets.load();
-        for (holder, handles) in line.frees.drain() {
+        let now = Instant::now();
+        for (holder, handles) in std::mem::take(&mut line.frees) {
             let (addr, life) = holder;
             let Some(target) = targets.at(&addr, life) else {
                 // Its results have gone with that life of the target.
                 continue;
             };
+            let gate = self.gate(target);
+            // Without its last request it would make nothing; results expire by themselves.
+            if !gate.is_wide(now) {
+                line.keep(holder, handles);
+                continue;
+            }
+            gate.record(now);
             let bounds = self.bounds(service);
             tokio::spawn(call::free(
                 self.clone(),
@@ -421,15 +426,9 @@
         }
     }
 
-    /// Returns what holds for a target that is cold.
-    ///
-    /// Only owners of its queue call it, rarely two for a moment, so each may use half of its rate.
-    fn chill(&self, target: &view::Target) -> Option<cold::Chill> {
-        let until = target.cold.filter(|until| *until > Instant::now())?;
-        let table = self.view.table.load();
-        let rate = table.as_ref()?.service(&target.service)?.cold?;
-        let quota = cold::Quota::whole(unit::Rate(rate.0 / OWNERS));
-        Some(cold::Chill { until, quota })
+    /// Returns the gate of calls of a target.
+    fn gate(&self, target: &view::Target) -> quota::Gate {
+        self.outbound.quotas.gates(target).calls
     }
 
     /// Returns the bounds of a call to a target of a service.
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -212,7 +212,10 @@
         bounds: &pool::Bounds,
         count: usize,
     ) -> Result<Vec<batch::Outcome>, Failed> {
-        let sent = self.outbound.send(target, request, bounds).await;
+        let sent = self
+            .outbound
+            .send(target, request, bounds, Some(label))
+            .await;
         let outbound::Received { answer, reply } = sent.map_err(|failure| match failure {
             pool::Failure::Unreached | pool::Failure::Exhausted => Failed::NotRun("unreached"),
             failure => Failed::Lost(failure),
@@ -247,7 +250,10 @@
 ) {
     let request = dispatcher.dialect.free(&target.name, &handles);
     let sent = async {
-        let sent = dispatcher.outbound.send(&target, request, &bounds).await;
+        let sent = dispatcher
+            .outbound
+            .send(&target, request, &bounds, None)
+            .await;
         let outbound::Received { answer, reply } = sent?;
         answer.whole(reply.idle).await
     };
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -14,9 +14,9 @@
 
 use laburnumcart::{
     batch,
-    cold,
     id,
-    ingress, //
+    ingress,
+    quota, //
 };
 
 use crate::{
@@ -89,11 +89,11 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     ///
-    /// `chill` tells what holds for those that are cold.
+    /// `gate` returns what holds calls of one to what it takes.
     pub(super) fn update(
         &mut self,
         targets: &[Arc<view::Target>],
-        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+        gate: impl Fn(&view::Target) -> quota::Gate,
     ) {
         let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
         for life in gone {
@@ -104,14 +104,10 @@
         }
         for target in new {
             let key = self.queue.engines.add(target.data_centre.clone());
+            self.queue.engines.set_gate(key, gate(target));
             self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
-        for target in targets {
-            if let Some(key) = self.keys.get(&target.key()) {
-                self.queue.engines.chill(*key, chill(target));
-            }
-        }
     }
 
     pub(super) fn push(&mut self, job: Job, done: Done, now: Instant) {
@@ -197,6 +193,19 @@
         }
     }
 
+    /// Keeps results to be freed later, those that have not expired by themselves.
+    pub(super) fn keep(
+        &mut self,
+        holder: (net::SocketAddr, id::Life),
+        handles: Vec<batch::Handle>,
+    ) {
+        let held = |handle: &batch::Handle| self.queue.engines.holds(handle);
+        let held: Vec<_> = handles.into_iter().filter(held).collect();
+        if !held.is_empty() {
+            self.frees.entry(holder).or_default().extend(held);
+        }
+    }
+
     fn done(
         &mut self,
         key: batch::JobKey,
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -9,11 +9,11 @@
 use tokio::time::Instant;
 
 use laburnumcart::{
-    cold,
     id,
     ingress,
-    placement, //
-    residency,
+    placement,
+    quota,
+    residency, //
 };
 
 use crate::view;
@@ -39,11 +39,11 @@
 
     /// Takes in the list of targets; what is known of those that stay is kept.
     ///
-    /// `chill` tells what holds for those that are cold.
+    /// `gate` returns what holds requests for one to what it takes.
     pub fn update(
         &mut self,
         targets: &[Arc<view::Target>],
-        chill: impl Fn(&view::Target) -> Option<cold::Chill>,
+        gate: impl Fn(&view::Target) -> quota::Gate,
     ) {
         let (gone, new) = view::changes(self.keys.keys().cloned(), targets);
         for life in gone {
@@ -55,14 +55,10 @@
         for target in new {
             let zone = target.data_centre.clone();
             let key = self.fleet.add(target.name.as_str(), zone);
+            self.fleet.set_gate(key, gate(target));
             self.keys.insert(target.key(), key);
             self.targets.insert(key, target.clone());
         }
-        for target in targets {
-            if let Some(key) = self.keys.get(&target.key()) {
-                self.fleet.chill(*key, chill(target));
-            }
-        }
     }
 
     /// Returns the keys of the engines that have these names, or stand where a request may not run.
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -145,7 +145,8 @@
         );
         let start = Instant::now();
         self.pending = true;
-        let sent = outbound.send(&target, onward, &bounds);
+        let label = Some(request.call.attempt.as_str());
+        let sent = outbound.send(&target, onward, &bounds, label);
         let result = match tokio::time::timeout(limit, sent).await {
             Ok(result) => result,
             Err(_) => Err(pool::Failure::Timeout),
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -17,12 +17,12 @@
 use laburnumcart::{
     batch,
     budget,
-    cold,
     eject,
     id,
     ingress,
     patience,
     placement,
+    quota,
     unit, //
 };
 use laburnumcart_daemon::stop;
@@ -38,6 +38,7 @@
     peers,
     pipeline::Inputs,
     pool,
+    quotas,
     settings,
     view, //
 };
@@ -97,7 +98,9 @@
         gate: stop::Gate,
         metrics: metrics::Metrics,
     ) -> Arc<Self> {
-        let outbound = outbound::Outbound::new(dialect.clone(), &metrics);
+        let own = settings.instance.clone();
+        let quotas = quotas::Quotas::new(own.clone(), view.clone(), &metrics);
+        let outbound = outbound::Outbound::new(dialect.clone(), quotas);
         let (consumed, receiver) = mpsc::unbounded_channel();
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
@@ -106,7 +109,6 @@
             metrics.clone(),
             consumed,
         );
-        let own = settings.instance.clone();
         Arc::new(Self {
             peers: peers::Peers::new(own, view.clone(), dispatcher.clone()),
             settings,
@@ -161,23 +163,20 @@
     fn refresh(&self) {
         self.dispatcher
             .consolidate(|service| self.peers.is_first(service));
+        self.outbound.quotas.refresh();
         let targets = self.view.targets.load();
-        self.outbound.limits.retain(|life| targets.is_listed(life));
         for (service, engines) in view::lock(&self.engines).iter_mut() {
-            engines.update(targets.service(service), |t| self.chill(t));
+            engines.update(targets.service(service), |t| self.gate(t));
         }
         let now = Instant::now();
         for (service, balancer) in view::lock(&self.balancers).iter_mut() {
-            balancer.update(targets.service(service), |t| self.chill(t), now);
+            balancer.update(targets.service(service), |t| self.gate(t), now);
         }
     }
 
-    /// Returns what holds for a target that is cold.
-    fn chill(&self, target: &view::Target) -> Option<cold::Chill> {
-        let table = self.view.table.load();
-        let service = table.as_ref()?.service(&target.service)?;
-        let own = &self.settings.instance;
-        self.view.chill(own, service, target, Instant::now())
+    /// Returns the gate of requests for a target.
+    fn gate(&self, target: &view::Target) -> quota::Gate {
+        self.outbound.quotas.gates(target).requests
     }
 
     /// Returns where the inputs of a request are best made.
@@ -240,7 +239,7 @@
         if !engines.contains_key(service) {
             let limits = table.service(service)?.engine?;
             let mut known = engines::Engines::new(limits);
-            known.update(self.view.targets.load().service(service), |t| self.chill(t));
+            known.update(self.view.targets.load().service(service), |t| self.gate(t));
             engines.insert(service.clone(), known);
         }
         engines.get_mut(service)
@@ -258,7 +257,7 @@
             let own = self.settings.data_centre.clone();
             let mut balancer = balancer::Balancer::new(own, now);
             let targets = self.view.targets.load();
-            balancer.update(targets.service(service), |t| self.chill(t), now);
+            balancer.update(targets.service(service), |t| self.gate(t), now);
             balancer
         });
         balancer.choose(places, tried, now)
--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use http::Request;
+use tokio::time::Instant;
 
 use crate::{
     dialect,
-    limits,
-    metrics,
     pool,
+    quotas,
     view, //
 };
 
@@ -28,22 +28,23 @@
 pub struct Outbound {
     /// Connections to targets.
     pub pool: Arc<pool::Pool>,
-    /// Rates that targets have named.
-    pub limits: limits::Limits,
+    /// What targets take.
+    pub quotas: Arc<quotas::Quotas>,
     dialect: Arc<dyn dialect::Dialect>,
 }
 
 impl Outbound {
     /// Creates an outbound side without connections.
-    pub fn new(dialect: Arc<dyn dialect::Dialect>, metrics: &metrics::Metrics) -> Arc<Self> {
+    pub fn new(dialect: Arc<dyn dialect::Dialect>, quotas: Arc<quotas::Quotas>) -> Arc<Self> {
         Arc::new(Self {
             pool: Arc::default(),
-            limits: limits::Limits::new(metrics),
+            quotas,
             dialect,
         })
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer; a target that echoes `label` answers
+    /// this request and no other.
     ///
     /// Dropping the future closes the connection, so that the target stops its work.
     pub async fn send(
@@ -51,13 +52,21 @@
         target: &view::Target,
         request: Request<Bytes>,
         bounds: &pool::Bounds,
+        label: Option<&str>,
     ) -> Result<Received, pool::Failure> {
-        self.limits.count(target);
+        let sent = Instant::now();
+        self.quotas.count(target);
         let answer = self.pool.send(target, request, bounds).await?;
         let reply = self.dialect.reply(&answer.head);
         // Another target's answer, from an address that it has taken over, says nothing of this one.
         if !reply.misdirected {
-            self.limits.note(target, reply.limit);
+            let echoed = |label| reply.attempt.as_deref().is_none_or(|echo| echo == label);
+            let word = quotas::Word {
+                limit: reply.limit,
+                own: answer.head.status.is_success() && label.is_some_and(echoed),
+                sent,
+            };
+            self.quotas.note(target, word);
         }
         Ok(Received { answer, reply })
     }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -26,7 +26,6 @@
 };
 
 use laburnumcart::{
-    cold,
     evacuation,
     freshness,
     id,
@@ -114,10 +113,9 @@
         self.addrs.contains_key(addr) && self.at(addr, life).is_none()
     }
 
-    /// Reports whether a life of a target is listed.
-    pub fn is_listed(&self, life: &id::TargetLife) -> bool {
-        let mut all = self.addrs.values().flatten();
-        all.any(|target| target.name == life.name && target.life == life.life)
+    /// Lists all targets, those that get no requests among them.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.addrs.values().flatten()
     }
 
     /// Returns the number of targets.
@@ -318,27 +316,6 @@
         self.members.load().len().max(1)
     }
 
-    /// Returns what holds for a target of a service that may be cold, as far as the process `own`
-    /// is concerned.
-    pub fn chill(
-        &self,
-        own: &id::InstanceName,
-        service: &ingress::Service,
-        target: &Target,
-        now: Instant,
-    ) -> Option<cold::Chill> {
-        let until = target.cold.filter(|until| *until > now)?;
-        let rate = service.cold?;
-        let members = self.members.load();
-        let names: Vec<_> = members.iter().map(|m| &m.instance).collect();
-        let senders = cold::Senders {
-            own,
-            members: &names,
-        };
-        let quota = senders.quota(&target.name, rate);
-        Some(cold::Chill { until, quota })
-    }
-
     fn changed(&self) {
         self.changes.send_modify(|n| *n += 1);
     }
--- a/laburnumcart_gateway/tests/balancer.rs
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -32,8 +32,16 @@
     let start = Instant::now();
     let (first, second, other) = (target("a", 1), target("a", 2), target("b", 1));
     let mut balancer = balancer::Balancer::new("north".parse().unwrap(), start);
-    balancer.update(&[first.clone(), other.clone()], |_| None, start);
-    balancer.update(&[second.clone(), other.clone()], |_| None, start);
+    balancer.update(
+        &[first.clone(), other.clone()],
+        |_| Default::default(),
+        start,
+    );
+    balancer.update(
+        &[second.clone(), other.clone()],
+        |_| Default::default(),
+        start,
+    );
     for _ in 0..8 {
         balancer.end(&first.key(), Some(eject::Outcome::Failure), start);
     }
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -38,6 +38,7 @@
         Answer,
         PeerServer, //
     },
+    quotas,
     view, //
 };
 use laburnumcart_wire::peer;
@@ -188,14 +189,15 @@
     fn new() -> Self {
         let view = Arc::<view::View>::default();
         let metrics = metrics::Metrics::default();
+        let own: id::InstanceName = "gateway-1".parse().unwrap();
+        let quotas = quotas::Quotas::new(own.clone(), view.clone(), &metrics);
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
-            outbound::Outbound::new(Arc::new(Silence), &metrics),
+            outbound::Outbound::new(Arc::new(Silence), quotas),
             Arc::new(Silence),
             metrics,
             mpsc::unbounded_channel().0,
         );
-        let own = "gateway-1".parse().unwrap();
         Self {
             peers: Arc::new(peers::Peers::new(own, view.clone(), dispatcher)),
             view,
