Charge the budget of extra sends for sends that are made

Seen by a test: a service whose only target fails one request loses the whole budget of extra sends, 8 of 8, at once. Cause: a request that finds no other target was decided upon again and again, each time charged to the budget until that was empty, also for routes whose callers allow one send only. It follows whenever all other targets were tried, are out of quota or evacuated. For ten seconds no other request of that gateway had a second attempt. Now a request is given up without a charge when its sends are used up, when no target is left that takes requests, or when none could be chosen.

--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -93,6 +93,24 @@
         self.verdict
     }
 
+    /// Takes in a failure after which there is no other target; returns the answer for the caller.
+    pub fn end(
+        &mut self,
+        refusal: verdict::Refusal,
+        now: Instant,
+        budget: &mut budget::Budget,
+    ) -> verdict::Refusal {
+        self.failed += 1;
+        self.verdict = self.verdict.and(refusal.verdict);
+        if is_overload(refusal.reason) {
+            budget.refuse(now);
+        }
+        verdict::Refusal {
+            verdict: self.verdict,
+            ..refusal
+        }
+    }
+
     /// Takes in a failure and decides what follows.
     pub fn decide(
         &mut self,
@@ -101,11 +119,7 @@
         budget: &mut budget::Budget,
     ) -> Decision {
         let refusal = failure.refusal;
-        self.failed += 1;
-        self.verdict = self.verdict.and(refusal.verdict);
-        if is_overload(refusal.reason) {
-            budget.refuse(time.now);
-        }
+        self.end(refusal, time.now, budget);
         if !self.may_repeat(refusal) {
             return self.give_up(refusal);
         }
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -62,6 +62,8 @@
     tried: Vec<id::TargetName>,
     sent: u32,
     refused: u32,
+    /// Whether no target could be chosen.
+    exhausted: bool,
     /// Whether a send is in flight, or its answer is being read.
     pending: bool,
     attempts: retry::Attempts,
@@ -85,6 +87,7 @@
             tried: Vec::new(),
             sent: 0,
             refused: 0,
+            exhausted: false,
             pending: false,
             attempts: retry::Attempts::new(idempotent, verdict::Verdict::NotRun),
         })
@@ -92,7 +95,14 @@
 
     /// Reports whether another target may still be asked.
     pub fn has_more(&self) -> bool {
-        self.sent < self.request.route.sends.max(1) && self.refused < REFUSALS
+        let sends = self.request.route.sends.max(1);
+        self.sent < sends && self.refused < REFUSALS && !self.exhausted
+    }
+
+    /// Reports whether there is a target that was not asked and takes requests now.
+    pub fn has_target(&self) -> bool {
+        let (request, service) = (&self.request, &self.service);
+        self.gateway.has_target(request, service, &self.tried)
     }
 
     /// Reports whether another target may be asked should the next send fail.
@@ -126,8 +136,10 @@
         let seat = self
             .gateway
             .seat(&request, &self.service, inputs, &self.tried);
-        let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
-        let mut seat = seat.ok_or(Failure::Refused(missing))?;
+        let Some(mut seat) = seat else {
+            self.exhausted = true;
+            return Err(Failure::Refused(not_run(verdict::Reason::NoTarget)));
+        };
         self.tried.push(seat.target.name.clone());
         self.sent += 1;
         let bounds = self.gateway.bounds(&request, &self.service);
@@ -192,19 +204,15 @@
             resumable: false,
         };
         self.pending = false;
-        let more = self.has_more();
+        // Charged for sends that nobody makes, the budget would be gone for all other requests.
+        let more = self.has_more() && self.has_target();
         let attempts = &mut self.attempts;
-        let decision = self.gateway.with_budget(&self.service, |budget, _| {
-            attempts.decide(&failure, time, budget)
-        });
-        let decision = match decision {
-            retry::Decision::GiveUp(refusal) => retry::Decision::GiveUp(refusal),
-            other if more => other,
-            _ => retry::Decision::GiveUp(verdict::Refusal {
-                verdict: self.verdict(),
-                ..failure.refusal
-            }),
-        };
+        let decision = self
+            .gateway
+            .with_budget(&self.service, |budget, now| match more {
+                true => attempts.decide(&failure, time, budget),
+                false => retry::Decision::GiveUp(attempts.end(failure.refusal, now, budget)),
+            });
         if !matches!(decision, retry::Decision::GiveUp(_)) {
             self.gateway.metrics.resent.inc();
         }
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -303,7 +303,7 @@
 /// Reports whether another target may bring a better answer than this one.
 fn is_retried(head: &response::Parts, request: &admission::Request, sends: &Sends) -> bool {
     let repeatable = request.route.repeat != ingress::Repeat::Never;
-    head.status.is_server_error() && repeatable && sends.has_more()
+    head.status.is_server_error() && repeatable && sends.has_more() && sends.has_target()
 }
 
 /// Passes a target's whole answer on.
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -263,7 +263,7 @@
     }
 
     fn is_retried(&self, head: &response::Parts) -> bool {
-        head.status.is_server_error() && self.may_resume()
+        head.status.is_server_error() && self.may_resume() && self.sends.has_target()
     }
 
     fn limit_first(&self) -> time::Duration {
