Free results of an owner that is gone through its successor

Found while looking for other ways around a limit: when the owner of a queue is gone, each gateway freed the results that it held by itself, with a part of the target's rate of its own, as many parts as there are gateways. Now the next owner frees them for all; a process does so itself only when no owner answers. An owner uses half of a target's rate for its calls: with two of them for a moment, as a queue changes its owner, that is the whole, and with three, which each see another one down, still what a target bears. The test waits in vain for the successor on the code before.

--- a/laburnumcart/src/quota.rs
+++ b/laburnumcart/src/quota.rs
@@ -46,7 +46,7 @@
 /// Part of a rate that one owner of a queue may use for its calls.
 ///
 /// Two processes can call the targets of one queue for a moment, as its owner changes.
-const OWNER: f64 = 0.7;
+const OWNER: f64 = 0.5;
 
 /// Part of a rate that each of two uses has, such as requests beside the calls of stages.
 const HALF: f64 = 0.5;
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -251,15 +251,20 @@
             self.dispatcher.free(service, handles);
             return;
         }
-        let Some(link) = self.link(owner) else {
-            self.dispatcher.free(service, handles);
-            return;
-        };
+        // With that one gone, its successor frees them for all: together, many processes would send
+        // a target in need more than it takes.
+        let mut others = self.owners(service, false).into_iter();
+        let next = others.find(|m| m.instance != owner.instance);
+        let next = next.filter(|m| m.instance != self.own);
+        let links = [self.link(owner), next.and_then(|m| self.link(&m))];
         let (dispatcher, service) = (self.dispatcher.clone(), service.clone());
         tokio::spawn(async move {
-            if !link.free(&service, &handles).await {
-                dispatcher.free(&service, handles);
+            for link in links.into_iter().flatten() {
+                if link.free(&service, &handles).await {
+                    return;
+                }
             }
+            dispatcher.free(&service, handles);
         });
     }
 
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -288,3 +288,20 @@
     wait_for(|| next.freed.load(atomic::Ordering::Relaxed) == SERVICES.len()).await;
     assert_eq!(leaving.freed.load(atomic::Ordering::Relaxed), 0);
 }
+
+// The owner of a queue has crashed, and each process that holds results of it frees them by itself.
+#[tokio::test]
+async fn results_of_an_owner_that_is_gone_are_freed_by_its_successor() {
+    let caller = Caller::new();
+    let handles = vec![batch::Handle::new("result", id::Life(1))];
+    let (first, second) = (Silent::default(), Silent::default());
+    let (gone, earlier) = first.serve("gateway-2", "secret-of-the-second-process");
+    let (_second, later) = second.serve("gateway-3", "secret-of-the-third-process");
+    caller.view.set_members(vec![earlier.clone(), later]);
+    gone.stop();
+    for service in SERVICES {
+        let service = service.parse().unwrap();
+        caller.peers.free(&service, &earlier, handles.clone());
+    }
+    wait_for(|| second.freed.load(atomic::Ordering::Relaxed) == SERVICES.len()).await;
+}
