Tell all gateways of limits that targets name, and of their end

A limit holds for all gateways together, but each heard of it from answers to its own requests alone. The more gateways there are, the later each is told; until then it sends to a target in need as to any other. The same at the end: where a limit is too low for all, most gateways have no part of it and try once in minutes. Gateways tell the readers what their own answers bring, and readers add it to the answers about targets, which end early for that. The later knowledge wins. The state of one target is a decision of its own (quota::Heard); gates are set from it.

--- a/laburnumcart/src/quota.rs
+++ b/laburnumcart/src/quota.rs
@@ -5,6 +5,8 @@
 //! one second. Each works out a [`Quota`] of its own from the members that it knows, so that the sum
 //! of all quotas stays within the rate, and counts its own sends against it in a [`Gate`].
 
+mod heard;
+
 use std::{
     collections,
     sync::{
@@ -24,6 +26,13 @@
     unit, //
 };
 
+pub use heard::{
+    Heard,
+    Limit,
+    Named,
+    Word, //
+};
+
 /// Length of a span above what the rate is counted in.
 ///
 /// It covers sends that are held up on their way and arrive closer together.
@@ -138,18 +147,12 @@
         self.part(target, Quota::whole(rate))
     }
 
-    /// Returns the part of a target's limit that this process may use, from `told` on.
+    /// Returns the part of a target's limit that this process may use of `rate`, which is the limit
+    /// or a part of it.
     ///
-    /// Where a limit is too low for all, members without a part try once in a while, as nothing but
-    /// an answer tells that the limit has ended. `draw`, from 0 to 1, tells when this one begins:
-    /// all are told in one moment, and must not try in one.
-    pub fn limit(
-        &self,
-        target: &id::TargetName,
-        rate: unit::Rate,
-        told: Instant,
-        draw: f64,
-    ) -> Bound {
+    /// Where it is too low for all, members without a part try once in a while, as nothing but an
+    /// answer tells that the limit has ended. All are told in one moment, and must not try in one.
+    pub fn limit(&self, target: &id::TargetName, rate: unit::Rate, named: &Named) -> Bound {
         let members = self.members.len().max(1) as f64;
         let even = members / rate.0.max(f64::MIN_POSITIVE);
         let quota = self.part(target, Quota::over(rate, even.clamp(1.0, SHARED_SPAN)));
@@ -159,7 +162,7 @@
         let trials = TRIALS * rate.0.max(TRIALS_MIN);
         let span = time::Duration::from_secs_f64(members / trials);
         Bound {
-            from: Some(told + span.mul_f64(draw.clamp(0.0, 1.0))),
+            from: Some(named.since + span.mul_f64(named.draw.clamp(0.0, 1.0))),
             ..Bound::new(Quota { count: 1, span })
         }
     }
--- a/laburnumcart/tests/quota.rs
+++ b/laburnumcart/tests/quota.rs
@@ -176,8 +176,14 @@
         let gate = |own| {
             let after = time::Duration::from_millis(rng.random_range(0..2000));
             let senders = quota::Senders { own, members: &all };
-            let draw = rng.random();
-            let bound = senders.limit(&target(3), unit::Rate(rate), start + after, draw);
+            let rate = unit::Rate(rate);
+            let named = quota::Named {
+                rate,
+                since: start + after,
+                confirmed: start + after,
+                draw: rng.random(),
+            };
+            let bound = senders.limit(&target(3), rate, &named);
             let gate = quota::Gate::default();
             gate.set(quota::Bounds {
                 cold: None,
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -78,7 +78,8 @@
 ) {
     let key = format!("{}/{}", directory.members_prefix(), own.instance);
     let (direct, member) = (store.clone(), own.clone());
-    let store = source::Source::new(store, own.clone(), view.clone(), directory.clone());
+    let limits = copies.limits.clone();
+    let store = source::Source::new(store, own.clone(), view.clone(), directory.clone(), limits);
     let settings = |wait, longest, spread| follow::Settings {
         wait,
         interval: INTERVAL,
@@ -123,6 +124,7 @@
         targets.run(),
         members.run(),
         evacuations,
+        store.tell(),
         entry
     );
 }
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -21,7 +21,7 @@
     id,
     ingress,
     placement,
-    unit, //
+    quota, //
 };
 
 use crate::view;
@@ -78,21 +78,6 @@
     pub rank: u8,
 }
 
-/// What the head of a target's answer says of the requests that the target takes.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq)]
-pub enum Limit {
-    /// It names no limit.
-    #[default]
-    #[display("none")]
-    None,
-    /// It takes so many requests in a second from all processes together.
-    #[display("{_0}")]
-    Named(unit::Rate),
-    /// It names one that cannot be read.
-    #[display("unreadable")]
-    Unreadable,
-}
-
 /// What the head of a target's answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
@@ -111,7 +96,7 @@
     /// How long the target keeps an idle connection.
     pub idle: Option<time::Duration>,
     /// Requests that the target takes.
-    pub limit: Limit,
+    pub limit: quota::Limit,
 }
 
 /// Input of a piece.
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -130,6 +130,7 @@
     /// Takes in changes of targets until the process ends.
     pub async fn follow(self: Arc<Self>) {
         let mut changes = self.view.subscribe();
+        let mut limits = self.outbound.quotas.limits.subscribe();
         let mut sweep = tokio::time::interval(time::Duration::from_secs(1));
         let consumed = view::lock(&self.consumed).take();
         if let Some(consumed) = consumed {
@@ -139,6 +140,7 @@
             tokio::select! {
                 _ = sweep.tick() => self.outbound.pool.sweep(Instant::now()),
                 _ = changes.changed() => self.refresh(),
+                _ = limits.changed() => self.outbound.quotas.refresh(),
             }
         }
     }
--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -9,6 +9,8 @@
 use http::Request;
 use tokio::time::Instant;
 
+use laburnumcart::quota;
+
 use crate::{
     dialect,
     pool,
@@ -61,7 +63,7 @@
         // Another target's answer, from an address that it has taken over, says nothing of this one.
         if !reply.misdirected {
             let echoed = |label| reply.attempt.as_deref().is_none_or(|echo| echo == label);
-            let word = quotas::Word {
+            let word = quota::Word {
                 limit: reply.limit,
                 own: answer.head.status.is_success() && label.is_some_and(echoed),
                 sent,
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -203,7 +203,7 @@
     ///
     /// The answer is due when the wait ends. A connection that went silent is given up soon after, as
     /// it hides changes.
-    pub(crate) async fn follow(self: &Arc<Self>, ask: relay::Ask) -> Option<relay::Answer> {
+    pub(crate) async fn follow(self: &Arc<Self>, ask: relay::Ask) -> Option<relay::Reply> {
         let mut open = self.client().await?;
         let limit = ask.wait.0 + SILENCE;
         let call = async {
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Tells of limits that targets have named.
+    pub(crate) async fn tell(self: &Arc<Self>, limits: Vec<relay::limits::Told>) {
+        if let Some(open) = self.client().await {
+            // Without an answer others hear of them from their own requests' answers.
+            let _ = tokio::time::timeout(SILENCE, open.client.tell(limits)).await;
+        }
+    }
+
     fn report(&self, error: &client::Error) {
         event!(
             Warn,
--- a/laburnumcart_gateway/src/quotas.rs
+++ b/laburnumcart_gateway/src/quotas.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    dialect,
     metrics,
+    relay::limits,
     view, //
 };
 
@@ -37,47 +37,29 @@
     pub calls: quota::Gate,
 }
 
-/// A limit that a target has named.
-#[derive(Clone, Copy, Debug)]
-struct Limit {
-    limit: dialect::Limit,
-    since: Instant,
-    /// When an answer has named it last.
-    confirmed: Instant,
-    /// When trials begin, from 0 to 1.
-    draw: f64,
-    /// Own sends since it was named.
-    sends: u64,
-}
-
 #[derive(Debug)]
 struct Known {
     target: view::Target,
     gates: Gates,
-    limit: Option<Limit>,
+    /// Limit that the gates hold to.
+    limit: quota::Limit,
+    /// When that came into force, and the own sends since.
+    since: Instant,
+    sends: u64,
     listed: Instant,
 }
 
-/// What is known of all targets.
+/// The gates of all targets.
 #[derive(Debug)]
 pub struct Quotas {
     own: id::InstanceName,
     view: Arc<view::View>,
+    /// Limits that targets have named.
+    pub limits: Arc<limits::Limits>,
     known: Mutex<collections::HashMap<id::TargetLife, Known>>,
     metrics: metrics::Limits,
 }
 
-/// What an answer says, and how far it can be believed.
-#[derive(Clone, Copy, Debug)]
-pub struct Word {
-    /// Limit that it names.
-    pub limit: dialect::Limit,
-    /// Whether it is a success and answers the request that was sent.
-    pub own: bool,
-    /// When that request was sent.
-    pub sent: Instant,
-}
-
 impl Quotas {
     /// Creates the quotas of the process `own`.
     pub fn new(
@@ -88,6 +70,7 @@
         Arc::new(Self {
             own,
             view,
+            limits: Arc::default(),
             known: Mutex::default(),
             metrics: metrics.limits.clone(),
         })
@@ -103,43 +86,24 @@
     pub fn count(&self, target: &view::Target) {
         let mut known = view::lock(&self.known);
         let known = known.get_mut(&target.key());
-        if let Some(limit) = known.and_then(|known| known.limit.as_mut()) {
-            limit.sends += 1;
+        if let Some(known) = known.filter(|known| known.limit != quota::Limit::None) {
+            known.sends += 1;
             self.metrics.sends.inc();
         }
     }
 
     /// Takes in what an answer of a target says.
-    pub fn note(&self, target: &view::Target, word: Word) {
-        let mut all = view::lock(&self.known);
-        let now = Instant::now();
-        let known = self.known(&mut all, target);
-        let last = known.limit;
-        let Some(limit) = heed(last, word, now) else {
-            return;
-        };
-        known.limit = limit;
-        let heard = |limit: Option<Limit>| limit.map_or(dialect::Limit::None, |l| l.limit);
-        if heard(last) == heard(limit) {
+    pub fn note(&self, target: &view::Target, word: quota::Word) {
+        if !self.limits.answer(&target.key(), word) {
             return;
         }
-        let lasted = last.map(|last| now - last.since).unwrap_or_default();
-        event!(
-            Info,
-            "target-limit",
-            target = target.name,
-            service = target.service,
-            limit = heard(limit),
-            before = heard(last),
-            sends = last.map_or(0, |last| last.sends),
-            lasted_ms = lasted.as_millis()
-        );
-        self.bind(known, now);
-        let limited = all.values().filter(|known| known.limit.is_some());
-        self.metrics.targets.set(limited.count() as i64);
+        let mut all = view::lock(&self.known);
+        let known = self.known(&mut all, target);
+        self.bind(known, Instant::now());
+        self.measure(&all);
     }
 
-    /// Takes in changes of targets, members and configuration.
+    /// Takes in changes of targets, members, configuration and limits.
     pub fn refresh(&self) {
         let now = Instant::now();
         let targets = self.view.targets.load();
@@ -151,6 +115,12 @@
         }
         all.retain(|_, known| now < known.listed + FORGET);
         all.values_mut().for_each(|known| self.bind(known, now));
+        self.measure(&all);
+    }
+
+    fn measure(&self, all: &collections::HashMap<id::TargetLife, Known>) {
+        let limited = all.values().filter(|k| k.limit != quota::Limit::None);
+        self.metrics.targets.set(limited.count() as i64);
     }
 
     fn known<'a>(
@@ -160,33 +130,54 @@
     ) -> &'a mut Known {
         all.entry(target.key()).or_insert_with(|| {
             let now = Instant::now();
-            let known = Known {
+            let mut known = Known {
                 target: target.clone(),
                 gates: Gates::default(),
-                limit: None,
+                limit: quota::Limit::None,
+                since: now,
+                sends: 0,
                 listed: now,
             };
-            self.bind(&known, now);
+            self.bind(&mut known, now);
             known
         })
     }
 
     /// Sets the gates of a target by what is known of it.
-    fn bind(&self, known: &Known, now: Instant) {
-        let bounds = self.bounds(known, now);
-        known.gates.requests.set(bounds.0);
-        known.gates.calls.set(bounds.1);
+    fn bind(&self, known: &mut Known, now: Instant) {
+        let heard = self.limits.heard(&known.target.key());
+        let (requests, calls) = self.bounds(&known.target, heard.named(), now);
+        known.gates.requests.set(requests);
+        known.gates.calls.set(calls);
+        let limit = heard.limit();
+        if limit == known.limit {
+            return;
+        }
+        event!(
+            Info,
+            "target-limit",
+            target = known.target.name,
+            service = known.target.service,
+            limit = limit,
+            before = known.limit,
+            sends = known.sends,
+            lasted_ms = (now - known.since).as_millis(),
+            part = known.gates.requests.rate(now).unwrap_or_default()
+        );
+        known.limit = limit;
+        known.since = now;
+        known.sends = 0;
     }
 
     /// Returns the bounds on requests and on calls.
-    fn bounds(&self, known: &Known, now: Instant) -> (quota::Bounds, quota::Bounds) {
+    fn bounds(
+        &self,
+        target: &view::Target,
+        named: Option<&quota::Named>,
+        now: Instant,
+    ) -> (quota::Bounds, quota::Bounds) {
         let (mut requests, mut calls) = (quota::Bounds::default(), quota::Bounds::default());
-        let target = &known.target;
         let until = target.cold.filter(|until| *until > now);
-        let named = known.limit.and_then(|limit| match limit.limit {
-            dialect::Limit::Named(rate) => Some((rate, limit)),
-            dialect::Limit::None | dialect::Limit::Unreadable => None,
-        });
         if until.is_none() && named.is_none() {
             return (requests, calls);
         }
@@ -208,37 +199,11 @@
             let quota = quota::Quota::whole(uses.calls(rate));
             calls.cold = Some(quota::Bound::new(quota).until(until));
         }
-        if let Some((rate, limit)) = named {
-            let (told, draw) = (limit.since, limit.draw);
-            let part = senders.limit(&target.name, uses.requests(rate), told, draw);
-            requests.limit = Some(part);
-            calls.limit = Some(quota::Bound::calls(uses.calls(rate), told));
+        if let Some(named) = named {
+            let part = uses.requests(named.rate);
+            requests.limit = Some(senders.limit(&target.name, part, named));
+            calls.limit = Some(quota::Bound::calls(uses.calls(named.rate), named.since));
         }
         (requests, calls)
     }
 }
-
-/// Returns what is known of a target's limit after an answer; `None` if that stays as it was.
-fn heed(last: Option<Limit>, word: Word, now: Instant) -> Option<Option<Limit>> {
-    match (last, word.limit) {
-        (None, dialect::Limit::None) => None,
-        // Answers overtake each other: one that was on its way before the limit was named ends
-        // nothing, and neither does one that may be another request's.
-        (Some(last), dialect::Limit::None) => {
-            (word.own && word.sent > last.confirmed).then_some(None)
-        }
-        (Some(last), limit) if limit == last.limit => Some(Some(Limit {
-            confirmed: now,
-            ..last
-        })),
-        // What cannot be read takes the place of nothing that was.
-        (Some(_), dialect::Limit::Unreadable) => None,
-        (_, limit) => Some(Some(Limit {
-            limit,
-            since: now,
-            confirmed: now,
-            draw: rand::random(),
-            sends: 0,
-        })),
-    }
-}
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -12,6 +12,7 @@
 //! about who reads: an answer is as good as its age.
 
 pub mod copies;
+pub mod limits;
 pub mod source;
 
 use derive_more::Display;
@@ -71,6 +72,8 @@
     pub hold: bool,
     /// Whether an answer may be of any size.
     pub large: bool,
+    /// Version of the limits of targets that the asking process has; without one it wants none.
+    pub limits: Option<u64>,
 }
 
 /// Answer to a question.
@@ -89,10 +92,23 @@
     Large,
 }
 
-/// What a process tells others of the store.
+/// Answer to a question, with the limits of targets if there is more than the asking process has.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Answer.
+    pub answer: Answer,
+    /// Limits.
+    pub limits: Option<limits::News>,
+}
+
+/// What a process tells others of the store, and what it is told of targets.
 #[rpc(server, client)]
 pub trait Relay {
     /// Answers a question.
     #[method(name = "follow")]
-    async fn follow(&self, ask: Ask) -> RpcResult<Answer>;
+    async fn follow(&self, ask: Ask) -> RpcResult<Reply>;
+
+    /// Takes in limits that targets have named.
+    #[method(name = "tell")]
+    async fn tell(&self, limits: Vec<limits::Told>) -> RpcResult<()>;
 }
--- a/laburnumcart_gateway/src/relay/copies.rs
+++ b/laburnumcart_gateway/src/relay/copies.rs
@@ -30,7 +30,9 @@
         Answer,
         Ask,
         RelayServer,
-        Topic, //
+        Reply,
+        Topic,
+        limits, //
     },
 };
 
@@ -137,9 +139,11 @@
     !ask.large && size > SMALL
 }
 
-/// The copies of all topics.
+/// The copies of all topics, and the limits of targets.
 #[derive(Debug, Default)]
 pub struct Copies {
+    /// Limits that targets have named.
+    pub limits: Arc<limits::Limits>,
     table: watch::Sender<Copy>,
     targets: watch::Sender<Copy>,
     members: watch::Sender<Copy>,
@@ -147,6 +151,14 @@
 }
 
 impl Copies {
+    /// Creates empty copies beside what is known of limits.
+    pub fn new(limits: Arc<limits::Limits>) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     fn topic(&self, topic: Topic) -> &watch::Sender<Copy> {
         match topic {
             Topic::Table => &self.table,
@@ -156,6 +168,35 @@
         }
     }
 
+    /// Answers a question, at once if there is something to tell of the topic or of limits.
+    pub async fn reply(&self, ask: &Ask) -> Reply {
+        let Some(known) = ask.limits else {
+            let answer = self.answer(ask).await;
+            return Reply {
+                answer,
+                limits: None,
+            };
+        };
+        let mut version = self.limits.subscribe();
+        let answer = tokio::select! {
+            answer = self.answer(ask) => answer,
+            // The sender lives as long as these limits.
+            _ = version.wait_for(|version| version.all > known) => self.present(ask),
+        };
+        Reply {
+            answer,
+            limits: self.limits.since(known),
+        }
+    }
+
+    /// Answers a question without a wait.
+    fn present(&self, ask: &Ask) -> Answer {
+        let now = clock::now();
+        let copy = self.topic(ask.topic).borrow();
+        let answer = copy.answer(ask, now, now);
+        answer.unwrap_or_else(|| copy.ended(ask, now, now))
+    }
+
     /// Answers a question, at once if there is something to tell.
     pub async fn answer(&self, ask: &Ask) -> Answer {
         let arrived = clock::now();
@@ -223,7 +264,12 @@
 
 #[async_trait]
 impl RelayServer for Served {
-    async fn follow(&self, ask: Ask) -> RpcResult<Answer> {
-        Ok(self.0.answer(&ask).await)
+    async fn follow(&self, ask: Ask) -> RpcResult<Reply> {
+        Ok(self.0.reply(&ask).await)
+    }
+
+    async fn tell(&self, limits: Vec<limits::Told>) -> RpcResult<()> {
+        self.0.limits.merge(&limits);
+        Ok(())
     }
 }
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -9,6 +9,7 @@
     time,
 };
 
+use futures_util::future;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
@@ -26,7 +27,9 @@
     relay::{
         Answer,
         Ask,
-        Topic, //
+        Reply,
+        Topic,
+        limits, //
     },
     view, //
 };
@@ -57,6 +60,9 @@
 /// confirmation; older than this, the next question would come too late.
 const AGE_OTHERS: time::Duration = time::Duration::from_millis(2500);
 
+/// Time in which news of limits is collected; a trouble of many targets is told once.
+const COLLECT: time::Duration = time::Duration::from_millis(100);
+
 /// Others that are asked when the readers know nothing. A share of all processes that the store
 /// turns away rarely takes all readers and both of these.
 const OTHERS: usize = 2;
@@ -67,6 +73,9 @@
     view: Arc<view::View>,
     directory: Arc<dyn dialect::Directory>,
     links: links::Links,
+    limits: Arc<limits::Limits>,
+    /// Versions of other processes' limits that were taken in, by their lives.
+    heard: Mutex<collections::HashMap<id::InstanceName, (id::Incarnation, u64)>>,
     standing: Mutex<readers::Standing>,
     /// Who told each topic last; nobody where the store did.
     tellers: Mutex<collections::HashMap<Topic, Option<id::InstanceName>>>,
@@ -99,6 +108,7 @@
         own: view::Member,
         view: Arc<view::View>,
         directory: Arc<dyn dialect::Directory>,
+        limits: Arc<limits::Limits>,
     ) -> Self {
         Self(Arc::new(Shared {
             links: links::Links::silent(own.instance.clone(), view.clone()),
@@ -106,10 +116,33 @@
             own,
             view,
             directory,
+            limits,
+            heard: Mutex::default(),
             standing: Mutex::default(),
             tellers: Mutex::default(),
         }))
     }
+
+    /// Tells the readers of limits that answers to this process name, until the process ends.
+    pub async fn tell(&self) {
+        let mut version = self.0.limits.subscribe();
+        let mut told = version.borrow().own;
+        loop {
+            // The sender lives as long as these limits.
+            if let Ok(version) = version.wait_for(|version| version.own > told).await {
+                told = version.own;
+            }
+            let limits = self.0.limits.told();
+            let (readers, _) = self.0.sources();
+            let links = readers.iter().filter_map(|r| self.0.links.link(r));
+            let calls = links.map(|link| {
+                let limits = limits.clone();
+                async move { link.tell(limits).await }
+            });
+            future::join_all(calls).await;
+            tokio::time::sleep(COLLECT).await;
+        }
+    }
 }
 
 impl<S: store::Store> Shared<S> {
@@ -206,13 +239,21 @@
     /// Asks one process; `None` if it knows nothing that is young enough.
     async fn exchange(&self, member: &view::Member, ask: &Ask) -> Option<Told> {
         let link = self.links.link(member)?;
-        let mut answer = link.follow(ask.clone()).await?;
+        let wants = ask.topic == Topic::Targets && !ask.hold;
+        let mut ask = Ask {
+            limits: wants.then(|| self.heard_of(member)),
+            ..ask.clone()
+        };
+        let Reply { mut answer, limits } = link.follow(ask.clone()).await?;
+        if let Some(news) = limits {
+            self.limits.merge(&news.told);
+            let heard = (member.incarnation, news.version);
+            view::lock(&self.heard).insert(member.instance.clone(), heard);
+        }
         if answer == Answer::Large && self.standing().is_failing() {
-            let ask = Ask {
-                large: true,
-                ..ask.clone()
-            };
-            answer = link.follow(ask).await?;
+            ask.large = true;
+            ask.limits = None;
+            answer = link.follow(ask.clone()).await?.answer;
         }
         let (age, told) = match answer {
             Answer::Listing(listing) => (listing.age, Told::Listing(listing)),
@@ -225,6 +266,13 @@
         Some(told)
     }
 
+    /// Returns the version of a process's limits that was taken in.
+    fn heard_of(&self, member: &view::Member) -> u64 {
+        let heard = view::lock(&self.heard).get(&member.instance).copied();
+        let heard = heard.filter(|(life, _)| *life == member.incarnation);
+        heard.map_or(0, |(_, version)| version)
+    }
+
     /// Notes who has told a topic, and says so when it is another one than before.
     fn note_teller(&self, topic: Topic, teller: Option<&id::InstanceName>, age: unit::Period) {
         let teller = teller.cloned();
@@ -288,6 +336,7 @@
         limit: unit::Period(age),
         hold: false,
         large: false,
+        limits: None,
     }
 }
 
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -124,7 +124,8 @@
     counters.register(&registry, &gateway.outbound.pool.counters);
     usage::register(&registry);
     let own = control::member(&settings);
-    let copies = Arc::new(copies::Copies::default());
+    let limits = gateway.outbound.quotas.limits.clone();
+    let copies = Arc::new(copies::Copies::new(limits));
     let _peers = serve_peers(&gateway, &own, &copies, peer_listener)?;
     let _admin = serve_admin(&settings, view.clone(), registry, admin_listener)?;
     let followed = (platform.store, platform.directory, view.clone(), own);
