Tell operators which data centres are evacuated, who owns what, and why a target gets little

Each gateway serves its state on its admin port; laburnumctl gateways asks any number of them, and names those that see what others do not. Gauges of cold targets and evacuated data centres. A part of a limit is taken over the span that rounding costs least: of 1.5 a second, one gateway used 0.9 before and 1.36 now (test).

--- a/laburnumcart/src/evacuation.rs
+++ b/laburnumcart/src/evacuation.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Places {
     evacuated: Option<Evacuated>,
+    /// When each evacuation in force was heard of.
+    since: collections::BTreeMap<id::DataCentre, Instant>,
     /// Ends of evacuations that are held to leave targets cold.
     cold: collections::BTreeMap<id::DataCentre, Instant>,
 }
@@ -29,6 +31,10 @@
 impl Places {
     /// Takes in which data centres are evacuated.
     pub fn set(&mut self, evacuated: Evacuated, now: Instant) {
+        self.since.retain(|place, _| evacuated.contains(place));
+        for place in &evacuated {
+            self.since.entry(place.clone()).or_insert(now);
+        }
         let before = self.evacuated.replace(evacuated).unwrap_or_default();
         self.cold.retain(|_, until| *until > now);
         let returned = before.into_iter().filter(|place| !self.is_closed(place));
@@ -43,6 +49,11 @@
         self.evacuated.as_ref()
     }
 
+    /// Returns when the evacuation of a data centre was heard of.
+    pub fn since(&self, place: &id::DataCentre) -> Option<Instant> {
+        self.since.get(place).copied()
+    }
+
     /// Reports whether the targets of a data centre get no work.
     ///
     /// Before it is known which ones are evacuated, none gets any: a process that has just started
--- a/laburnumcart/src/quota.rs
+++ b/laburnumcart/src/quota.rs
@@ -44,6 +44,9 @@
 /// Longest span over which a limit is shared, so that more members have a part of a low one.
 const SHARED_SPAN: f64 = 4.0;
 
+/// Difference of two rates that is due to rounding.
+const ROUNDING: f64 = 1e-9;
+
 /// Part of a limit that all members without a part of it use together for trials.
 const TRIALS: f64 = 0.25;
 
@@ -83,9 +86,28 @@
         Self::over(rate, 1.0)
     }
 
+    /// Returns the whole of a rate in spans of `least` seconds or more, those of which rounding
+    /// takes least.
+    fn longest(rate: unit::Rate, least: f64) -> Self {
+        let least = least.clamp(1.0, SHARED_SPAN);
+        let whole = [least, 2.0, 3.0, SHARED_SPAN];
+        let spans = whole.into_iter().filter(|seconds| *seconds >= least);
+        let quotas = spans.map(|seconds| Self::over(rate, seconds));
+        let better = |best: Self, next: Self| match next.rate() > best.rate() * (1.0 + ROUNDING) {
+            true => next,
+            false => best,
+        };
+        quotas.reduce(better).unwrap_or(Self::NONE)
+    }
+
+    /// Returns the requests in a second.
+    pub fn rate(self) -> f64 {
+        f64::from(self.count) / self.span.as_secs_f64()
+    }
+
     /// Returns the whole of a rate in spans of so many seconds, longer ones for a lower rate.
     fn over(rate: unit::Rate, seconds: f64) -> Self {
-        let count = (rate.0 * seconds).min(f64::from(u32::MAX)) as u32;
+        let count = (rate.0 * seconds * (1.0 + ROUNDING)).min(f64::from(u32::MAX)) as u32;
         if count >= 1 {
             let span = time::Duration::from_secs_f64(seconds * STRETCH);
             return Self { count, span };
@@ -155,7 +177,7 @@
     pub fn limit(&self, target: &id::TargetName, rate: unit::Rate, named: &Named) -> Bound {
         let members = self.members.len().max(1) as f64;
         let even = members / rate.0.max(f64::MIN_POSITIVE);
-        let quota = self.part(target, Quota::over(rate, even.clamp(1.0, SHARED_SPAN)));
+        let quota = self.part(target, Quota::longest(rate, even));
         if quota.count > 0 || !self.members.contains(&self.own) {
             return Bound::new(quota);
         }
@@ -219,7 +241,7 @@
     ///
     /// A target that takes next to nothing is called once in a while, to hear whether it takes more.
     pub fn calls(rate: unit::Rate, told: Instant) -> Self {
-        let quota = Quota::whole(rate);
+        let quota = Quota::longest(rate, 1.0);
         if quota.count > 0 {
             return Self::new(quota);
         }
@@ -336,8 +358,7 @@
     /// Returns how many requests may be sent in a second, if that is bounded.
     pub fn rate(&self, now: Instant) -> Option<unit::Rate> {
         let state = self.state();
-        let quotas = state.bounds.in_force(now).map(|b| b.quota);
-        let rates = quotas.map(|q| f64::from(q.count) / q.span.as_secs_f64());
+        let rates = state.bounds.in_force(now).map(|b| b.quota.rate());
         rates.min_by(f64::total_cmp).map(unit::Rate)
     }
 
--- a/laburnumcart/tests/quota.rs
+++ b/laburnumcart/tests/quota.rs
@@ -237,7 +237,10 @@
 // What rounding leaves over is given to nobody, and a target in need stands idle.
 #[rstest]
 #[case(1, 1.0)]
+#[case(1, 1.5)]
+#[case(1, 2.75)]
 #[case(4, 1.0)]
+#[case(4, 1.5)]
 #[case(4, 7.5)]
 #[case(5, 20.0)]
 #[case(27, 1.0)]
--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -79,6 +79,13 @@
         options: &[],
         free: (0, usize::MAX),
     },
+    Command {
+        name: "gateways",
+        usage: "ADDRESS...",
+        about: "show what gateways know: evacuations, owners of queues, targets held back",
+        options: &[],
+        free: (1, usize::MAX),
+    },
     Command {
         name: "drain",
         usage: "ADDRESS...",
--- a/laburnumcart_ctl/src/command.rs
+++ b/laburnumcart_ctl/src/command.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod file;
 mod fleet;
+mod gateways;
 mod key;
 mod lines;
 mod rollout;
@@ -31,6 +32,7 @@
         "accept" => rollout::accept(&args).await,
         "rollback" => rollout::rollback(&args).await,
         "status" => status::status(&args).await,
+        "gateways" => gateways::gateways(&args).await,
         "drain" => fleet::drain(&args).await,
         "teams" => teams::teams(&args),
         "explain" => explain::explain(&args),
--- a/laburnumcart_daemon/src/admin.rs
+++ b/laburnumcart_daemon/src/admin.rs
@@ -1,6 +1,7 @@
 //! Pages for operators and their tools: `/metrics`, `/healthz`, `/readyz`.
 
 use std::{
+    fmt,
     io,
     net,
     sync,
@@ -25,6 +26,9 @@
 
 const TEXT: &str = "text/plain; charset=utf-8";
 
+/// A page of a program's own.
+type Own = sync::Arc<dyn Fn() -> Page + Send + Sync>;
+
 /// The pages' content; clones share it.
 #[derive(Clone)]
 pub struct Pages {
@@ -32,6 +36,8 @@
     /// Path that tells readiness beside `/readyz`.
     path: Option<sync::Arc<str>>,
     ready: sync::Arc<dyn Fn() -> Result<(), String> + Send + Sync>,
+    /// A page of the program's own, by its path.
+    own: Option<(&'static str, Own)>,
 }
 
 /// One answer.
@@ -46,6 +52,20 @@
 }
 
 impl Page {
+    /// Creates an answer in JSON.
+    pub fn json(body: impl Into<String>) -> Self {
+        Self {
+            status: 200,
+            content_type: "application/json",
+            body: body.into(),
+        }
+    }
+
+    /// Creates the answer for a page that cannot be written.
+    pub fn failed(error: impl fmt::Display) -> Self {
+        Self::text(500, format!("{error}\n"))
+    }
+
     fn text(status: u16, body: impl Into<String>) -> Self {
         Self {
             status,
@@ -65,9 +85,21 @@
             metrics,
             path: None,
             ready: sync::Arc::new(ready),
+            own: None,
         }
     }
 
+    /// Adds a page of the program's own.
+    #[must_use]
+    pub fn page(
+        mut self,
+        path: &'static str,
+        page: impl Fn() -> Page + Send + Sync + 'static,
+    ) -> Self {
+        self.own = Some((path, sync::Arc::new(page)));
+        self
+    }
+
     /// Tells readiness on one more path, which a balancer may demand.
     #[must_use]
     pub fn ready_path(mut self, path: impl Into<sync::Arc<str>>) -> Self {
@@ -82,7 +114,10 @@
             "/healthz" => Some(Page::text(200, "ok\n")),
             "/readyz" => Some(self.ready()),
             path if self.path.as_deref() == Some(path) => Some(self.ready()),
-            _ => None,
+            path => {
+                let (known, page) = self.own.as_ref()?;
+                (path == *known).then(|| page())
+            }
         }
     }
 
@@ -93,7 +128,7 @@
                 content_type: metrics::CONTENT_TYPE,
                 body,
             },
-            Err(error) => Page::text(500, format!("{error}\n")),
+            Err(error) => Page::failed(error),
         }
     }
 
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -326,6 +326,12 @@
         Some(outlook)
     }
 
+    /// Returns the number of pieces of a service that wait here.
+    pub fn waiting(&self, service: &id::ServiceName) -> usize {
+        let lines = view::lock(&self.lines);
+        lines.get(service).map_or(0, |line| line.queue.waiting())
+    }
+
     /// Forgets a job that will not come.
     pub fn withdraw(&self, service: &id::ServiceName, id: u64) {
         if let Some(line) = view::lock(&self.lines).get_mut(service) {
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -138,7 +138,10 @@
         }
         loop {
             tokio::select! {
-                _ = sweep.tick() => self.outbound.pool.sweep(Instant::now()),
+                _ = sweep.tick() => {
+                    self.outbound.pool.sweep(Instant::now());
+                    self.outbound.quotas.sweep();
+                }
                 _ = changes.changed() => self.refresh(),
                 _ = limits.changed() => self.outbound.quotas.refresh(),
             }
--- a/laburnumcart_gateway/src/lib.rs
+++ b/laburnumcart_gateway/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod request;
 pub mod run;
 pub mod settings;
+pub mod state;
 pub mod stream;
 pub mod view;
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -27,13 +27,17 @@
     pub verdict: metrics::Label<verdict::Verdict>,
 }
 
-/// What is counted of targets that have named a limit.
+/// What is counted of targets that get less than others.
 #[derive(Clone, Debug, Default)]
-pub struct Limits {
-    /// Targets whose limit is known.
-    pub targets: gauge::Gauge<i64>,
+pub struct Held {
+    /// Targets that have named a limit.
+    pub limited: gauge::Gauge<i64>,
     /// Sends to them.
     pub sends: counter::Counter<u64>,
+    /// Targets that are cold.
+    pub cold: gauge::Gauge<i64>,
+    /// Data centres that are evacuated.
+    pub evacuated: gauge::Gauge<i64>,
 }
 
 /// Counters and histograms of one gateway; clones share them.
@@ -57,8 +61,8 @@
     pub pieces: counter::Counter<u64>,
     /// Jobs that were refused because they would have been late.
     pub refused_early: counter::Counter<u64>,
-    /// Targets that have named a limit.
-    pub limits: Limits,
+    /// Targets that get less than others.
+    pub held: Held,
     /// Time until the stages were done.
     pub stages: histogram::Histogram,
     /// Time until the first byte of an answer.
@@ -77,7 +81,7 @@
             calls: counter::Counter::default(),
             pieces: counter::Counter::default(),
             refused_early: counter::Counter::default(),
-            limits: Limits::default(),
+            held: Held::default(),
             stages: histogram::Histogram::new(BUCKETS),
             first: histogram::Histogram::new(BUCKETS),
         }
@@ -120,12 +124,22 @@
             r.register(
                 "targets_limited",
                 "Targets that have named a limit",
-                self.limits.targets.clone(),
+                self.held.limited.clone(),
             );
             r.register(
                 "limited_sends",
                 "Sends to targets that have named a limit",
-                self.limits.sends.clone(),
+                self.held.sends.clone(),
+            );
+            r.register(
+                "targets_cold",
+                "Targets that are cold",
+                self.held.cold.clone(),
+            );
+            r.register(
+                "data_centres_evacuated",
+                "Data centres that get no work",
+                self.held.evacuated.clone(),
             );
             r.register("stages_seconds", "Time of the stages", self.stages.clone());
             r.register(
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -285,6 +285,11 @@
         }
     }
 
+    /// Returns the process that jobs of a service are sent to.
+    pub fn owner_of(&self, service: &id::ServiceName) -> Option<id::InstanceName> {
+        self.owner(service).map(|owner| owner.instance.clone())
+    }
+
     /// Reports whether this process is the first choice of owner of a service's queue.
     pub fn is_first(&self, service: &id::ServiceName) -> bool {
         let owner = self.owner(service);
--- a/laburnumcart_gateway/src/quotas.rs
+++ b/laburnumcart_gateway/src/quotas.rs
@@ -57,7 +57,7 @@
     /// Limits that targets have named.
     pub limits: Arc<limits::Limits>,
     known: Mutex<collections::HashMap<id::TargetLife, Known>>,
-    metrics: metrics::Limits,
+    metrics: metrics::Held,
 }
 
 impl Quotas {
@@ -72,7 +72,7 @@
             view,
             limits: Arc::default(),
             known: Mutex::default(),
-            metrics: metrics.limits.clone(),
+            metrics: metrics.held.clone(),
         })
     }
 
@@ -99,8 +99,9 @@
         }
         let mut all = view::lock(&self.known);
         let known = self.known(&mut all, target);
-        self.bind(known, Instant::now());
-        self.measure(&all);
+        let now = Instant::now();
+        self.bind(known, now);
+        self.measure(&all, now);
     }
 
     /// Takes in changes of targets, members, configuration and limits.
@@ -115,12 +116,22 @@
         }
         all.retain(|_, known| now < known.listed + FORGET);
         all.values_mut().for_each(|known| self.bind(known, now));
-        self.measure(&all);
+        self.measure(&all, now);
     }
 
-    fn measure(&self, all: &collections::HashMap<id::TargetLife, Known>) {
+    fn measure(&self, all: &collections::HashMap<id::TargetLife, Known>, now: Instant) {
         let limited = all.values().filter(|k| k.limit != quota::Limit::None);
-        self.metrics.targets.set(limited.count() as i64);
+        self.metrics.limited.set(limited.count() as i64);
+        let is_cold = |known: &&Known| known.target.cold.is_some_and(|until| now < until);
+        let cold = all.values().filter(is_cold);
+        self.metrics.cold.set(cold.count() as i64);
+        let evacuated = self.view.evacuated().unwrap_or_default();
+        self.metrics.evacuated.set(evacuated.len() as i64);
+    }
+
+    /// Counts anew what ends by itself.
+    pub fn sweep(&self) {
+        self.measure(&view::lock(&self.known), Instant::now());
     }
 
     fn known<'a>(
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -27,6 +27,7 @@
 };
 use laburnumcart_platform::store;
 use laburnumcart_wire::{
+    gateway as wire,
     peer,
     secret, //
 };
@@ -46,6 +47,7 @@
         copies, //
     },
     settings,
+    state,
     view, //
 };
 
@@ -127,7 +129,7 @@
     let limits = gateway.outbound.quotas.limits.clone();
     let copies = Arc::new(copies::Copies::new(limits));
     let _peers = serve_peers(&gateway, &own, &copies, peer_listener)?;
-    let _admin = serve_admin(&settings, view.clone(), registry, admin_listener)?;
+    let _admin = serve_admin(&gateway, registry, admin_listener)?;
     let followed = (platform.store, platform.directory, view.clone(), own);
     let (store, directory, shared, own) = followed;
     let evacuates = settings.bounds.evacuation.is_some();
@@ -212,11 +214,11 @@
 }
 
 fn serve_admin(
-    settings: &settings::Settings,
-    view: Arc<view::View>,
+    gateway: &Arc<gateway::Gateway>,
     registry: registry::Metrics,
     listener: std::net::TcpListener,
 ) -> io::Result<admin::Admin> {
+    let (shown, view) = (gateway.clone(), gateway.view.clone());
     let ready = move || {
         let fresh = view.freshness.is_within(READY_AGE, crate::clock::now());
         match (view.is_leaving(), view.is_complete(), fresh) {
@@ -227,7 +229,8 @@
         }
     };
     let mut pages = admin::Pages::new(registry, ready);
-    if let Some(path) = &settings.ready_path {
+    pages = pages.page(wire::STATE, move || state::page(&shown));
+    if let Some(path) = &gateway.settings.ready_path {
         pages = pages.ready_path(path.as_str());
     }
     admin::serve(listener, pages)
--- /dev/null
+++ b/laburnumcart_gateway/src/state.rs
@@ -0,0 +1,124 @@
+//! What a gateway tells operators of itself.
+
+use std::time;
+
+use tokio::time::Instant;
+
+use laburnumcart::{
+    id,
+    quota,
+    readers,
+    unit, //
+};
+use laburnumcart_daemon::admin;
+use laburnumcart_wire::gateway as wire;
+
+use crate::{
+    clock,
+    gateway,
+    view, //
+};
+
+/// Returns the state as a page.
+pub fn page(gateway: &gateway::Gateway) -> admin::Page {
+    match serde_json::to_string(&state(gateway)) {
+        Ok(body) => admin::Page::json(body),
+        Err(error) => admin::Page::failed(error),
+    }
+}
+
+/// Returns the state.
+pub fn state(gateway: &gateway::Gateway) -> wire::State {
+    let view = &gateway.view;
+    let now = Instant::now();
+    let targets = view.targets.load();
+    let held = targets.all().filter_map(|t| held(gateway, t, now));
+    let mut held: Vec<_> = held.collect();
+    held.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
+    wire::State {
+        instance: gateway.settings.instance.clone(),
+        data_centre: gateway.settings.data_centre.clone(),
+        leaving: view.is_leaving(),
+        version: view.table.load().as_ref().map(|table| table.version),
+        age: view.freshness.age(clock::now()).map(rounded),
+        members: view.share(),
+        readers: readers(view),
+        evacuated: evacuated(view, now),
+        queues: queues(gateway),
+        held,
+        targets: targets.len(),
+    }
+}
+
+fn evacuated(view: &view::View, now: Instant) -> Option<Vec<wire::Evacuated>> {
+    let known = |(data_centre, since): (id::DataCentre, Instant)| wire::Evacuated {
+        data_centre,
+        known: rounded(now.saturating_duration_since(since)),
+    };
+    Some(view.evacuated_since()?.into_iter().map(known).collect())
+}
+
+fn readers(view: &view::View) -> Vec<id::InstanceName> {
+    let members = view.members.load();
+    let members = members.iter().map(|m| readers::Member {
+        name: &m.instance,
+        data_centre: &m.data_centre,
+        cores: m.cores,
+    });
+    let chosen = readers::choose(members);
+    chosen.into_iter().map(|m| m.name.clone()).collect()
+}
+
+fn queues(gateway: &gateway::Gateway) -> Vec<wire::Queue> {
+    let table = gateway.view.table.load();
+    let services = table.iter().flat_map(|table| table.services());
+    let staged = services.filter(|service| service.batching.is_some());
+    let queue = |service: &id::ServiceName| wire::Queue {
+        service: service.clone(),
+        owner: gateway.peers.owner_of(service),
+        waiting: gateway.dispatcher.waiting(service),
+    };
+    let mut queues: Vec<_> = staged.map(|service| queue(&service.name)).collect();
+    queues.sort_by(|a, b| a.service.cmp(&b.service));
+    queues
+}
+
+/// Tells why a target gets less than others; nothing of one that does not.
+fn held(gateway: &gateway::Gateway, target: &view::Target, now: Instant) -> Option<wire::Held> {
+    let mut causes = Vec::new();
+    if target.leaving {
+        causes.push(wire::Cause::Leaving);
+    }
+    if gateway.view.is_evacuated(&target.data_centre) {
+        causes.push(wire::Cause::Evacuated);
+    }
+    if let Some(until) = target.cold.filter(|until| *until > now) {
+        causes.push(wire::Cause::Cold(rounded(until - now)));
+    }
+    let quotas = &gateway.outbound.quotas;
+    if let quota::Limit::Named(rate) = quotas.limits.heard(&target.key()).limit() {
+        causes.push(wire::Cause::Limit(rate));
+    }
+    if causes.is_empty() {
+        return None;
+    }
+    let gates = quotas.gates(target);
+    let rates = [gates.requests.rate(now), gates.calls.rate(now)];
+    let part = rates
+        .into_iter()
+        .flatten()
+        .map(|rate| rate.0)
+        .reduce(f64::max);
+    Some(wire::Held {
+        target: target.name.clone(),
+        service: target.service.clone(),
+        data_centre: target.data_centre.clone(),
+        causes,
+        part: part.map(|rate| unit::Rate((rate * 100.0).round() / 100.0)),
+    })
+}
+
+/// Returns a time in whole milliseconds.
+fn rounded(time: time::Duration) -> unit::Period {
+    unit::Period::from_millis(time.as_millis().try_into().unwrap_or(u64::MAX))
+}
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -235,6 +235,21 @@
         lock(&self.listed).places.evacuated().cloned()
     }
 
+    /// Returns which data centres are evacuated and since when, once that is known.
+    pub fn evacuated_since(&self) -> Option<Vec<(id::DataCentre, Instant)>> {
+        let listed = lock(&self.listed);
+        let evacuated = listed.places.evacuated()?.iter();
+        let since = |place: &id::DataCentre| Some((place.clone(), listed.places.since(place)?));
+        Some(evacuated.filter_map(since).collect())
+    }
+
+    /// Reports whether a data centre is known to be evacuated.
+    pub fn is_evacuated(&self, place: &id::DataCentre) -> bool {
+        let listed = lock(&self.listed);
+        let evacuated = listed.places.evacuated();
+        evacuated.is_some_and(|evacuated| evacuated.contains(place))
+    }
+
     /// Publishes what may get work, from all that is known.
     fn publish(&self, listed: &Listed) {
         let places = &listed.places;
--- a/laburnumcart_wire/src/lib.rs
+++ b/laburnumcart_wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod gateway;
 pub mod lane;
 pub mod peer;
 pub mod secret;
