--- a/laburnumcart_system/src/bin/laburnum-soak.rs
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -11,7 +11,7 @@
 
 const HELP: &str = "Runs gateways under random faults and checks what callers and targets see.
 
-Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations]";
+Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations] [--needs]";
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -20,6 +20,11 @@
     options.optopt("", "gateways", "gateways of a run (default 3)", "N");
     options.optopt("", "seconds", "time under faults of a run (default 8)", "N");
     options.optflag("", "evacuations", "evacuate data centres meanwhile");
+    options.optflag(
+        "",
+        "needs",
+        "let targets name limits and start cold meanwhile",
+    );
     options.optflag("h", "help", "print this text");
     options
 }
@@ -55,6 +60,7 @@
             gateways: gateways.max(1) as usize,
             length: time::Duration::from_secs(seconds),
             evacuations: matches.opt_present("evacuations"),
+            needs: matches.opt_present("needs"),
         };
         broken += u32::from(!play(plan));
     }
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod gateways;
 mod ledger;
+mod needs;
 mod targets;
 
 use std::{
@@ -57,6 +58,8 @@
     pub length: time::Duration,
     /// Whether data centres are evacuated meanwhile.
     pub evacuations: bool,
+    /// Whether targets name limits meanwhile, and start cold.
+    pub needs: bool,
 }
 
 impl Plan {
@@ -79,7 +82,10 @@
     tale["resumable"] = json!(true);
     tale["gap_target_ms"] = json!(100);
     tale["stages"] = json!([{ "service": "encode", "after": [], "byte_count": 1000 }]);
-    let plain = |name: &str| json!({ "name": name, "health_path": "/h", "max_connections": 200 });
+    let plain = |name: &str| {
+        json!({ "name": name, "health_path": "/h", "max_connections": 200,
+            "cold_per_s": needs::COLD_PER_S })
+    };
     let mut encode = plain("encode");
     encode["segments"] = json!({ "slots": 1, "queue": 2, "batch": 6, "call_ms": 10.0,
         "item_ms": 1.0, "headroom_mb": 1.0, "handle_ttl_s": 4.0, "link_mbps": 1000 });
@@ -114,7 +120,8 @@
         objects::serve(behind, store.clone()).await?;
         let store_relay = relay::Relay::start(port::free(), behind).await?;
         let ledger = Arc::new(ledger::Ledger::default());
-        let targets = targets::Targets::start(store.clone(), ledger.clone()).await?;
+        let cold = plan.needs.then_some(needs::COLD);
+        let targets = targets::Targets::start(store.clone(), ledger.clone(), cold).await?;
         let gateways = gateways::Gateways::start(dir, plan.gateways, store_relay.addr())?;
         let site = Self {
             plan,
@@ -168,7 +175,12 @@
             evacuations::play(&site).await;
         }
     };
-    tokio::join!(faults::play(&site, &mut rng), evacuations);
+    let needs = async {
+        if plan.needs {
+            needs::play(&site).await;
+        }
+    };
+    tokio::join!(faults::play(&site, &mut rng), evacuations, needs);
     faults::heal(&site).await;
     site.gateways.lock().await.ready(SETTLE * 5).await?;
     tokio::time::sleep(SETTLE).await;
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -14,6 +14,7 @@
         Run,
         State, //
     },
+    needs,
     targets::EVENTS,
 };
 
@@ -76,6 +77,7 @@
             breaches.push(format!("{route}: nothing was served after the faults"));
         }
     }
+    breaches.extend(needs::breaches(&state, plan.is_planned()));
     Report {
         breaches,
         faults: state.faults.clone(),
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -10,6 +10,8 @@
     time,
 };
 
+use crate::soak::needs;
+
 /// What a caller asked for and got.
 #[derive(Clone, Debug)]
 pub(super) struct Call {
@@ -54,6 +56,12 @@
     pub(super) places: collections::HashMap<String, &'static str>,
     /// Evacuations in order.
     pub(super) evacuations: Vec<Evacuation>,
+    /// Limits that targets have named, in order.
+    pub(super) needs: Vec<needs::Need>,
+    /// Targets that have started cold, and until when they were.
+    pub(super) cold: collections::HashMap<String, time::Instant>,
+    /// When requests of any kind came to each target.
+    pub(super) arrivals: collections::HashMap<String, Vec<time::Instant>>,
     /// Breaches that were seen on the spot.
     pub(super) breaches: Vec<String>,
     pub(super) faults: Vec<String>,
@@ -73,6 +81,28 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn arrived(&self, target: &str) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        state.arrivals.entry(target.into()).or_default().push(now);
+    }
+
+    /// Notes that a target names a limit from now on, or none any more.
+    pub(super) fn named(&self, target: &str, rate: Option<f64>) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let open = state.needs.iter_mut();
+        for need in open.filter(|n| n.target == target && n.until.is_none()) {
+            need.until = Some(now);
+        }
+        state.needs.extend(rate.map(|rate| needs::Need {
+            target: target.into(),
+            rate,
+            from: now,
+            until: None,
+        }));
+    }
+
     pub(super) fn ran(&self, attempt: &str, target: &str) {
         let run = Run {
             target: target.into(),
--- /dev/null
+++ b/laburnumcart_system/src/soak/needs.rs
@@ -0,0 +1,97 @@
+//! Targets in need while faults are played: they name a limit for a while, or start cold.
+
+use std::time;
+
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+
+use crate::soak::{
+    Site,
+    ledger::State, //
+};
+
+/// Requests in a second that a target bears while it is cold.
+pub(super) const COLD_PER_S: f64 = 20.0;
+
+/// Time for which targets that start are cold.
+pub(super) const COLD: time::Duration = time::Duration::from_millis(1500);
+
+/// Limits that targets name, in requests a second.
+const LIMITS: [f64; 4] = [0.5, 2.0, 7.5, 20.0];
+
+/// Pauses between two changes in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 300..2000;
+
+/// Time after a target has first named a limit from which it is kept.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+
+/// A limit that a target has named.
+#[derive(Clone, Debug)]
+pub(super) struct Need {
+    pub(super) target: String,
+    pub(super) rate: f64,
+    pub(super) from: time::Instant,
+    pub(super) until: Option<time::Instant>,
+}
+
+/// Lets targets name limits until the time of the plan is over; some still do at the end.
+///
+/// They are drawn apart from the faults, so that a seed plays the same faults with them and
+/// without.
+pub(super) async fn play(site: &Site) {
+    let mut rng = rand::rngs::StdRng::seed_from_u64(site.plan.seed.rotate_left(32));
+    let end = time::Instant::now() + site.plan.length;
+    while time::Instant::now() < end {
+        let targets = site.targets.lock().await;
+        let index = rng.random_range(0..targets.count());
+        let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+        targets.name_limit(index, rng.random_bool(0.7).then_some(limit));
+        drop(targets);
+        let pause = rng.random_range(PAUSE_MS);
+        tokio::time::sleep(time::Duration::from_millis(pause)).await;
+    }
+}
+
+/// Lists the spans in which a target got more than it bears.
+///
+/// Faults excuse the gateways that they hit, so that beside them limits count once they are over.
+pub(super) fn breaches(state: &State, planned: bool) -> Vec<String> {
+    let healed = match planned {
+        true => None,
+        false => state.healed,
+    };
+    let mut breaches = Vec::new();
+    for need in &state.needs {
+        let from = (need.from + CONTACT).max(healed.map_or(need.from, |at| at + CONTACT));
+        let span = time::Duration::from_secs(4);
+        let most = most(state, &need.target, from, need.until, span);
+        if (planned || state.healed.is_some()) && most as f64 > need.rate * 4.0 * 1.5 + 5.0 {
+            breaches.push(format!("{most} requests in 4 s at {need:?}"));
+        }
+    }
+    for (target, until) in &state.cold {
+        let (from, span) = (*until - COLD, time::Duration::from_secs(1));
+        let most = most(state, target, from, Some(*until), span);
+        if most as f64 > COLD_PER_S * 1.5 + 5.0 {
+            breaches.push(format!("{most} requests in 1 s at {target}, which is cold"));
+        }
+    }
+    breaches
+}
+
+/// Returns the most requests that a target got in one span between two moments.
+fn most(
+    state: &State,
+    target: &str,
+    from: time::Instant,
+    until: Option<time::Instant>,
+    span: time::Duration,
+) -> usize {
+    let arrivals = state.arrivals.get(target).map_or(&[][..], Vec::as_slice);
+    let within = |at: &&time::Instant| **at >= from && until.is_none_or(|until| **at < until);
+    let arrivals: Vec<_> = arrivals.iter().filter(within).collect();
+    let after = |i: usize| arrivals.partition_point(|at| **at < *arrivals[i] + span) - i;
+    (0..arrivals.len()).map(after).max().unwrap_or(0)
+}
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -68,6 +68,7 @@
     service: &'static str,
     place: &'static str,
     mode: Arc<Mutex<Mode>>,
+    limit: Arc<Mutex<Option<f64>>>,
     relay: relay::Relay,
 }
 
@@ -77,15 +78,22 @@
     ledger: Arc<Ledger>,
     lives: Vec<Life>,
     next: u32,
+    /// Time for which targets that start later are cold.
+    cold: Option<time::Duration>,
 }
 
 impl Targets {
-    pub(super) async fn start(store: memory::Memory, ledger: Arc<Ledger>) -> io::Result<Self> {
+    pub(super) async fn start(
+        store: memory::Memory,
+        ledger: Arc<Ledger>,
+        cold: Option<time::Duration>,
+    ) -> io::Result<Self> {
         let mut targets = Self {
             store,
             ledger,
             lives: Vec::new(),
             next: 0,
+            cold: None,
         };
         for service in SERVICES {
             for place in PLACES {
@@ -93,6 +101,7 @@
                 targets.lives.push(life);
             }
         }
+        targets.cold = cold;
         Ok(targets)
     }
 
@@ -107,6 +116,15 @@
         self.ledger.fault(format!("{} {mode:?}", life.name));
     }
 
+    /// Lets one target name a limit from now on, or none any more.
+    pub(super) fn name_limit(&self, index: usize, rate: Option<f64>) {
+        let life = &self.lives[index];
+        self.ledger.fault(format!("{} names {rate:?}", life.name));
+        let mut limit = life.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        self.ledger.named(&life.name, rate);
+        *limit = rate;
+    }
+
     /// Silences the connections to one target that exist now.
     pub(super) fn silence(&self, index: usize, silence: relay::Silence) {
         self.lives[index].relay.silence(silence);
@@ -156,12 +174,14 @@
         self.next += 1;
         let name = format!("i-{}", self.next);
         let mode = Arc::new(Mutex::new(Mode::Good));
+        let limit = Arc::new(Mutex::new(None));
         let addr = port::free();
         let script = Script {
             name: name.clone(),
             host: addr.to_string(),
             service,
             mode: mode.clone(),
+            limit: limit.clone(),
             ledger: self.ledger.clone(),
         };
         let target = scripted::Target::start(move |seen, _| script.steps(seen)).await?;
@@ -172,9 +192,15 @@
             service,
             place,
             mode,
+            limit,
             relay,
         };
-        let entry = entry(&life, "ready");
+        let mut entry = entry(&life, "ready");
+        if let Some(cold) = self.cold {
+            entry["cold_remaining_ms"] = json!(cold.as_millis() as u64);
+            let until = time::Instant::now() + cold;
+            self.ledger.lock().cold.insert(life.name.clone(), until);
+        }
         super::put(&self.store, &format!("servers/{}", life.name), &entry).await;
         Ok(life)
     }
@@ -207,11 +233,28 @@
     host: String,
     service: &'static str,
     mode: Arc<Mutex<Mode>>,
+    limit: Arc<Mutex<Option<f64>>>,
     ledger: Arc<Ledger>,
 }
 
 impl Script {
     fn steps(&self, seen: &Seen) -> Vec<Step> {
+        // Held while the answer is made, so that the limit it names is the one that is counted.
+        let limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut steps = self.answer(seen);
+        let first = steps.iter_mut().find_map(|step| match step {
+            Step::Send(bytes) => Some(bytes),
+            _ => None,
+        });
+        let named = limit.map(|limit| format!("\r\nserver-limit: {limit}\r\n"));
+        if let (Some(named), Some(first)) = (named, first) {
+            let head = String::from_utf8_lossy(first);
+            *first = head.replacen("\r\n", &named, 1).into_bytes();
+        }
+        steps
+    }
+
+    fn answer(&self, seen: &Seen) -> Vec<Step> {
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
         if mode == Mode::Dead {
             return vec![Step::Reset];
@@ -219,6 +262,7 @@
         if seen.header("x-laburnumcart-expect-instance") != Some(&self.name) {
             return vec![head(seen, "421 Misdirected Request", "", "")];
         }
+        self.ledger.arrived(&self.name);
         if seen.path() == "/api/stage-free" {
             return vec![head(seen, "200 OK", "", "")];
         }
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -13,21 +13,27 @@
 // Gateways are killed, paused and stopped, targets fail in many ways, connections fall silent and
 // the store has outages, one over the other. What callers and targets see must keep the promises:
 // whole answers of the own request, at most one run, true refusals, no revoked key, and nothing cut
-// by planned work alone (seeds 4 and 8). In two cases data centres are evacuated beside all that,
-// and get nothing.
+// by planned work alone (seeds 4, 8 and 12). In some cases data centres are evacuated beside all
+// that, and get nothing, or targets name limits or start cold, and get no more than they bear.
 //
 // Seed 202 failed once: a gateway that was paused and then told to stop was not woken at the end of
 // the faults, which was the soak's own mistake. Seed 511 failed once: a late second answer of an
 // encoder gave a request the results of another.
 #[rstest]
-#[case(4, false)]
-#[case(5, false)]
-#[case(202, false)]
-#[case(511, false)]
-#[case(8, true)]
-#[case(9, true)]
+#[case(4, false, false)]
+#[case(5, false, false)]
+#[case(202, false, false)]
+#[case(511, false, false)]
+#[case(8, true, false)]
+#[case(9, true, false)]
+#[case(12, false, true)]
+#[case(13, true, true)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn promises_hold_under_faults(#[case] seed: u64, #[case] evacuations: bool) {
+async fn promises_hold_under_faults(
+    #[case] seed: u64,
+    #[case] evacuations: bool,
+    #[case] needs: bool,
+) {
     let dir = env::temp_dir().join(format!("laburnum-soak-test-{}-{seed}", process::id()));
     fs::create_dir_all(&dir).unwrap();
     let plan = soak::Plan {
@@ -35,6 +41,7 @@
         gateways: 3,
         length: time::Duration::from_secs(5),
         evacuations,
+        needs,
     };
     let report = soak::run(plan, &dir).await.unwrap();
     assert!(
