Read the configuration by another call while one hangs, and ask again when the store answers anyone

Cause: calls that were sent before the return are never answered and hang to their timeout of 0.9 s, in all four followers; nothing else is sent meanwhile. A gateway that starts knows no member that it could ask. Ruled out: the readers (others knew at 26.15), age of knowledge (theirs was fresh). Mend: while the store is down the configuration is read by another call each 0.35 s, three at most at once; the first answer to any follower has those whose call is older than 0.1 s ask again.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -47,6 +47,11 @@
 /// Longest pause between reads of the configuration while the store is down.
 const PAUSE: unit::Period = unit::Period::from_millis(400);
 
+/// Time after which the configuration is read by another call while the store is silent.
+///
+/// A store that is slow answers within it.
+const PROBE: unit::Period = unit::Period::from_millis(350);
+
 /// The same of the other topics, which are read again once the configuration was read.
 const PAUSE_SHARED: unit::Period = unit::Period::from_millis(1500);
 
@@ -104,7 +109,7 @@
         follow::follower(store.clone(), topic.prefix(&*directory), settings)
     };
     let (follows, _table) = follower(Topic::Table, settings(WAIT, PAUSE, INTERVAL));
-    let table = follows.observe(table).share(&returns);
+    let table = follows.observe(table).share(&returns).probe(PROBE);
     let (follows, _targets) = follower(Topic::Targets, settings(WAIT, PAUSE_SHARED, SPREAD));
     let targets = follows.observe(targets).share(&returns);
     let (follows, listed) = follower(Topic::Members, settings(MEMBERS_WAIT, PAUSE_SHARED, SPREAD));
--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -6,6 +6,10 @@
     time, //
 };
 
+use futures_util::{
+    StreamExt,
+    stream, //
+};
 use tokio::{
     sync::watch,
     time::Instant, //
@@ -119,6 +123,9 @@
     }
 }
 
+/// Most calls of one follower that wait for an answer at once.
+const PROBES: usize = 3;
+
 /// First pause after a failure.
 const FIRST: time::Duration = time::Duration::from_millis(100);
 
@@ -136,7 +143,7 @@
 }
 
 /// Hears of each read of a [`Follower`], so that it can tell how old its knowledge is.
-pub trait Observer: Send {
+pub trait Observer: Send + Sync {
     /// A call is about to be sent.
     fn ask(&mut self);
 
@@ -160,10 +167,18 @@
     behind: bool,
     observer: Option<Box<dyn Observer>>,
     returns: Returns,
+    /// Time after which another call is sent beside one that is not answered.
+    probe: Option<time::Duration>,
     /// Least time to the next watch.
     interval: time::Duration,
 }
 
+/// Answer to a call.
+enum Told {
+    Listing(store::Listing),
+    Changes(store::Changes),
+}
+
 /// Creates a follower and the receiver of its snapshots; nothing is called before
 /// [`Follower::run`].
 pub fn follower<S: store::Store>(
@@ -183,6 +198,7 @@
         behind: false,
         observer: None,
         returns: Returns::default(),
+        probe: None,
         interval: settings.interval.0,
     };
     (follower, receiver)
@@ -203,6 +219,16 @@
         self
     }
 
+    /// Sends another call after this time beside one that is not answered, while the service is down.
+    ///
+    /// A service that was silent answers no call from before its return, and each of these hides
+    /// that return until its timeout.
+    #[must_use]
+    pub fn probe(mut self, after: unit::Period) -> Self {
+        self.probe = Some(after.0);
+        self
+    }
+
     /// Follows until the last receiver is gone.
     pub async fn run(mut self) {
         let sender = self.sender.clone();
@@ -213,17 +239,19 @@
     }
 
     async fn follow(&mut self) {
+        let mut returns = self.returns.0.subscribe();
         loop {
             let start = Instant::now();
             if let Some(observer) = &mut self.observer {
                 observer.ask();
             }
-            let mut returns = self.returns.0.subscribe();
-            let result = match self.lost {
-                true => self.list().await,
-                false => self.watch().await,
+            returns.mark_unchanged();
+            let Some((told, number)) = self.ask_until(&mut returns).await else {
+                continue;
             };
-            if self.behind && result.is_ok() {
+            let was_down = self.is_down();
+            let result = self.take(told);
+            if was_down && result.is_ok() {
                 self.returns.0.send_replace(());
             }
             self.report(result.is_err());
@@ -233,13 +261,17 @@
             match result {
                 Ok(_) => {
                     self.pause.reset();
+                    if number > 0 {
+                        // The age counts from the first call, which was long ago.
+                        self.behind = true;
+                        continue;
+                    }
                     tokio::time::sleep_until(start + self.interval).await;
                 }
                 Err(failure) => {
                     let pause = tokio::time::sleep(self.wait(&failure));
                     tokio::select! {
                         () = pause => {}
-                        // The sender lives as long as this follower.
                         _ = returns.changed() => {}
                     }
                 }
@@ -247,37 +279,106 @@
         }
     }
 
-    async fn list(&mut self) -> Result<unit::Period, store::Failure> {
-        let listing = self.store.list(&self.prefix).await?;
-        let age = listing.age;
-        let applied = self.snapshot.apply(listing);
-        applied.map_err(|Stale| store::Failure::Unavailable { retry: None })?;
-        self.lost = false;
-        self.publish();
-        Ok(age)
+    /// Reports whether the service has not answered yet, or not lately.
+    fn is_down(&self) -> bool {
+        self.behind || !self.snapshot.listed
     }
 
-    async fn watch(&mut self) -> Result<unit::Period, store::Failure> {
-        let after = self.snapshot.revision;
+    /// Asks, unless another follower is answered while this one's call is out.
+    ///
+    /// Sent before the return of the service, the call may never be answered. One that was sent just
+    /// now is let be: many followers start in one moment.
+    async fn ask_until(
+        &self,
+        returns: &mut watch::Receiver<()>,
+    ) -> Option<(Result<Told, store::Failure>, u32)> {
+        let end = Instant::now() + FIRST;
+        let asked = self.ask();
+        tokio::pin!(asked);
+        loop {
+            tokio::select! {
+                asked = &mut asked => return Some(asked),
+                // The sender lives as long as this follower.
+                _ = returns.changed(), if self.is_down() => {
+                    if Instant::now() >= end {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the first answer to a call or to those that are sent after it, and the number of
+    /// these.
+    async fn ask(&self) -> (Result<Told, store::Failure>, u32) {
+        let Some(probe) = self.probe.filter(|_| self.is_down()) else {
+            return (self.call().await, 0);
+        };
+        let mut calls = stream::FuturesUnordered::new();
+        calls.push(self.call());
+        let mut number = 0;
+        let mut next = Instant::now() + probe;
+        loop {
+            tokio::select! {
+                Some(told) = calls.next() => {
+                    let answered = matches!(told, Ok(_) | Err(store::Failure::Compacted));
+                    if answered || calls.is_empty() {
+                        return (told, number);
+                    }
+                }
+                () = tokio::time::sleep_until(next), if calls.len() < PROBES => {
+                    calls.push(self.call());
+                    number += 1;
+                    next = Instant::now() + probe;
+                }
+            }
+        }
+    }
+
+    /// Makes one call.
+    async fn call(&self) -> Result<Told, store::Failure> {
+        if self.lost {
+            return self.store.list(&self.prefix).await.map(Told::Listing);
+        }
         // After a failure the first watch does not wait: only its answer tells that the service is
         // back, and what depends on fresh knowledge would stand still for as long.
         let wait = match self.behind {
             true => time::Duration::ZERO,
             false => self.settings.wait.0,
         };
+        let after = self.snapshot.revision;
         let changes = self.store.watch(&self.prefix, after, wait).await;
-        self.lost = changes == Err(store::Failure::Compacted);
-        let changes = changes?;
-        let age = changes.age;
-        let differs = self.snapshot.update(changes);
-        if differs {
-            self.publish();
+        changes.map(Told::Changes)
+    }
+
+    /// Takes in an answer; returns the age of what it tells.
+    fn take(&mut self, told: Result<Told, store::Failure>) -> Result<unit::Period, store::Failure> {
+        match told {
+            Ok(Told::Listing(listing)) => {
+                let age = listing.age;
+                let applied = self.snapshot.apply(listing);
+                applied.map_err(|Stale| store::Failure::Unavailable { retry: None })?;
+                self.lost = false;
+                self.publish();
+                Ok(age)
+            }
+            Ok(Told::Changes(changes)) => {
+                let age = changes.age;
+                let differs = self.snapshot.update(changes);
+                if differs {
+                    self.publish();
+                }
+                self.interval = match differs {
+                    true => (self.interval * 2).min(self.settings.spread.0),
+                    false => self.settings.interval.0,
+                };
+                Ok(age)
+            }
+            Err(failure) => {
+                self.lost |= failure == store::Failure::Compacted;
+                Err(failure)
+            }
         }
-        self.interval = match differs {
-            true => (self.interval * 2).min(self.settings.spread.0),
-            false => self.settings.interval.0,
-        };
-        Ok(age)
     }
 
     fn publish(&self) {
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -10,7 +10,11 @@
 };
 
 use proptest::prelude::*;
-use tokio::sync::watch;
+use rstest::rstest;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
 
 use laburnumcart::unit;
 use laburnumcart_platform::{
@@ -291,3 +295,106 @@
         }
     }
 }
+
+/// A service that was silent until a moment: calls sent before it fail after their timeout.
+#[derive(Clone)]
+struct Silent {
+    memory: memory::Memory,
+    until: Instant,
+    calls: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Silent {
+    async fn pass(&self) -> Result<(), store::Failure> {
+        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        if Instant::now() >= self.until {
+            return Ok(());
+        }
+        tokio::time::sleep(TIMEOUT).await;
+        Err(store::Failure::Unanswered)
+    }
+}
+
+impl Store for Silent {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.pass().await?;
+        self.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.pass().await?;
+        self.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.pass().await?;
+        self.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.pass().await?;
+        self.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        self.pass().await?;
+        self.memory.watch(prefix, after, wait).await
+    }
+}
+
+/// Longest call of a silent service.
+const TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Time after which another call is sent beside one that is not answered.
+const PROBE: unit::Period = unit::Period::from_millis(300);
+
+// A service that was silent is back, and calls that were sent before wait for their timeouts: what
+// has started meanwhile knows nothing for a second more.
+#[rstest]
+#[case(5000)]
+#[case(5150)]
+#[case(5300)]
+#[case(5650)]
+#[case(6020)]
+#[tokio::test(start_paused = true)]
+async fn calls_from_before_a_return_hold_up_nobody(#[case] millis: u64) {
+    let until = Instant::now() + time::Duration::from_millis(millis);
+    let store = Silent {
+        memory: memory::Memory::new(),
+        until,
+        calls: sync::Arc::default(),
+    };
+    let returns = follow::Returns::default();
+    let settings = follow::Settings {
+        longest: unit::Period::from_millis(1500),
+        ..follow::Settings::default()
+    };
+    let mut mirrors = Vec::new();
+    for prefix in ["p/", "q/", "r/"] {
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        let follower = match prefix {
+            "p/" => follower.probe(PROBE),
+            _ => follower,
+        };
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    for mirror in &mut mirrors {
+        mirror.wait_for(|m| m.listed).await.unwrap();
+    }
+    let taken = Instant::now() - until;
+    assert!(taken <= PROBE.0 + SECOND / 10, "{taken:?}");
+    // A call each 300 ms of one follower, and those of the two others.
+    let calls = store.calls.load(atomic::Ordering::Relaxed);
+    assert!(calls < 40, "{calls}");
+}
