Break four circles of files: levels of logs, trust of a fleet, the settings' path, limits in the soak

Moves only: Level stands beside the logs that it filters, Fleet tells whom it trusts, the path of the command line's settings has a file of its own, the soak's ledger holds what it records.

--- a/laburnumcart_agent/src/run.rs
+++ b/laburnumcart_agent/src/run.rs
@@ -95,7 +95,7 @@
 }
 
 fn options(settings: &settings::Settings) -> Result<bundle::Options, document::Faults> {
-    let trust = bundle::trust(&settings.fleet)?;
+    let trust = settings.fleet.trust()?;
     Ok(bundle::Options::new(trust).peers(settings.fleet.peers.clone()))
 }
 
--- a/laburnumcart_ctl/src/args.rs
+++ b/laburnumcart_ctl/src/args.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     error,
+    paths,
     settings, //
 };
 
@@ -182,7 +183,7 @@
     /// Reads the settings.
     pub fn settings(&self) -> Result<settings::Checked, error::Error> {
         let file = self.matches.opt_str("settings");
-        settings::Checked::load(file.as_deref().unwrap_or(settings::FILE))
+        settings::Checked::load(file.as_deref().unwrap_or(paths::SETTINGS))
     }
 }
 
@@ -233,7 +234,7 @@
     for (name, hint, help) in command.options {
         options.optopt("", name, help, hint);
     }
-    let help = format!("file with the settings, {} unless set", settings::FILE);
+    let help = format!("file with the settings, {} unless set", paths::SETTINGS);
     options.optopt("s", "settings", &help, "FILE");
     options.optflag("", "json", "print JSON");
     options.optflag("h", "help", "print this text");
--- a/laburnumcart_ctl/src/error.rs
+++ b/laburnumcart_ctl/src/error.rs
@@ -14,7 +14,7 @@
     seal, //
 };
 
-use crate::settings;
+use crate::paths;
 
 /// A command that failed.
 #[derive(Debug, Display, Error)]
@@ -140,7 +140,7 @@
 fn advise_file(file: &str, cause: io::ErrorKind) -> &'static str {
     match cause {
         io::ErrorKind::AlreadyExists => "choose another name: a key file is never overwritten",
-        io::ErrorKind::NotFound if file == settings::FILE => {
+        io::ErrorKind::NotFound if file == paths::SETTINGS => {
             "name the settings with `--settings FILE`; `examples` has one for each fleet"
         }
         _ => "check the name and its permissions",
--- a/laburnumcart_ctl/src/lib.rs
+++ b/laburnumcart_ctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod command;
 pub mod error;
 pub mod output;
+pub mod paths;
 pub mod peers;
 pub mod publish;
 pub mod settings;
--- a/laburnumcart_ctl/src/settings.rs
+++ b/laburnumcart_ctl/src/settings.rs
@@ -11,17 +11,11 @@
     document,
     seal, //
 };
-use laburnumcart_daemon::{
-    bundle,
-    settings, //
-};
+use laburnumcart_daemon::settings;
 use laburnumcart_platform::client;
 
 use crate::error;
 
-/// Settings file when none is named.
-pub const FILE: &str = "laburnumctl.json";
-
 /// Settings of `laburnumctl`.
 #[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -58,7 +52,7 @@
             faults,
         };
         let settings: Settings = document::parse(&text).map_err(invalid)?;
-        let trust = bundle::trust(&settings.fleet).map_err(invalid)?;
+        let trust = settings.fleet.trust().map_err(invalid)?;
         Ok(Self { settings, trust })
     }
 
--- a/laburnumcart_daemon/src/args.rs
+++ b/laburnumcart_daemon/src/args.rs
@@ -7,7 +7,7 @@
     Error, //
 };
 
-use crate::settings;
+use crate::logs;
 
 /// What a program says about itself.
 #[derive(Clone, Copy, Debug)]
@@ -37,7 +37,7 @@
     /// File with the settings.
     pub settings: path::PathBuf,
     /// Level of logs in place of the one in the settings.
-    pub level: Option<settings::Level>,
+    pub level: Option<logs::Level>,
 }
 
 /// A command line that cannot be used.
--- a/laburnumcart_daemon/src/bundle.rs
+++ b/laburnumcart_daemon/src/bundle.rs
@@ -3,13 +3,6 @@
 //! The control thread runs [`run`], which follows the head in the object service and asks peers
 //! where that falls short. Everything else holds a [`Feed`] and reads from it without waiting.
 
-use laburnumcart::{
-    document,
-    seal, //
-};
-
-use crate::settings;
-
 pub use counters::Failure;
 pub use feed::{
     Feed,
@@ -32,9 +25,3 @@
 mod gather;
 mod options;
 mod peers;
-
-/// Returns the keys that a fleet trusts, whose settings stand at `$.fleet`.
-pub fn trust(fleet: &settings::Fleet) -> Result<seal::Trust, document::Faults> {
-    let at = document::Path::root().key("fleet");
-    seal::Trust::new(fleet.keys.clone(), fleet.signers, &at)
-}
--- a/laburnumcart_daemon/src/logs.rs
+++ b/laburnumcart_daemon/src/logs.rs
@@ -12,6 +12,7 @@
 //! request's cause by its id.
 
 pub mod bounded;
+mod level;
 
 use std::{
     fmt,
@@ -20,7 +21,7 @@
 
 pub use laburnumcart::event::Quoted;
 
-use crate::settings;
+pub use self::level::Level;
 
 /// Crates whose lines are written at every level; of others only errors and warnings are.
 const OWN: &str = "laburnum";
@@ -36,7 +37,7 @@
 }
 
 /// Starts the process's log; a second call changes nothing.
-pub fn start(level: settings::Level, output: Output) {
+pub fn start(level: Level, output: Output) {
     let logger = match output {
         Output::Error => logger(level, io::stderr()),
         Output::Bounded => match bounded::Bounded::start(io::stdout()) {
@@ -50,7 +51,7 @@
 }
 
 /// Creates a logger that writes to `out`.
-pub fn logger(level: settings::Level, out: impl io::Write + Send + 'static) -> Box<dyn log::Log> {
+pub fn logger(level: Level, out: impl io::Write + Send + 'static) -> Box<dyn log::Log> {
     Box::new(Logger {
         inner: simplelog::WriteLogger::new(level.into(), config(), out),
     })
--- a/laburnumcart_daemon/src/settings.rs
+++ b/laburnumcart_daemon/src/settings.rs
@@ -28,10 +28,7 @@
 use laburnumcart_platform::budget;
 use laburnumcart_wire::secret;
 
-use crate::{
-    bundle,
-    logs, //
-};
+use crate::logs;
 
 pub use self::schema::{
     Address,
@@ -158,9 +155,15 @@
         self.secrets.first()
     }
 
+    /// Returns the keys that the fleet trusts; the settings stand at `$.fleet`.
+    pub fn trust(&self) -> Result<seal::Trust, document::Faults> {
+        let at = document::Path::root().key("fleet");
+        seal::Trust::new(self.keys.clone(), self.signers, &at)
+    }
+
     /// Lists faults that no schema can express, with paths below `path`.
     pub fn check(&self, path: &str) -> Vec<Fault> {
-        let Err(faults) = bundle::trust(self) else {
+        let Err(faults) = self.trust() else {
             return Vec::new();
         };
         let place = |fault: &document::Fault| fault.path.to_string().replacen("$.fleet", path, 1);
@@ -200,53 +203,9 @@
 pub struct Telemetry {
     /// Least severe lines that are written.
     #[serde(default)]
-    pub level: Level,
+    pub level: logs::Level,
     /// Address of a collector that takes OTLP over HTTP; without one, spans cost nothing.
     #[serde(default)]
     #[schemars(with = "Option<Address>")]
     pub traces: Option<net::SocketAddr>,
 }
-
-/// Severity of log lines.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    derive_more::FromStr,
-    Eq,
-    PartialEq,
-    Deserialize,
-    schemars::JsonSchema,
-)]
-#[serde(rename_all = "lowercase")]
-#[display(rename_all = "lowercase")]
-pub enum Level {
-    /// No lines at all.
-    Off,
-    /// Something is broken.
-    Error,
-    /// Something needs a look.
-    Warn,
-    /// Changes of state.
-    #[default]
-    Info,
-    /// Details for a developer.
-    Debug,
-    /// Everything.
-    Trace,
-}
-
-impl From<Level> for log::LevelFilter {
-    fn from(level: Level) -> Self {
-        match level {
-            Level::Off => Self::Off,
-            Level::Error => Self::Error,
-            Level::Warn => Self::Warn,
-            Level::Info => Self::Info,
-            Level::Debug => Self::Debug,
-            Level::Trace => Self::Trace,
-        }
-    }
-}
--- a/laburnumcart_daemon/tests/settings.rs
+++ b/laburnumcart_daemon/tests/settings.rs
@@ -1,6 +1,9 @@
 //! Settings: every fault in one run, by path, with nothing secret.
 
-use laburnumcart_daemon::settings;
+use laburnumcart_daemon::{
+    logs,
+    settings, //
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use serde::Deserialize;
@@ -51,7 +54,7 @@
 #[test]
 fn valid_settings_are_read() {
     let sample: Sample = settings::parse(&valid().to_string()).unwrap();
-    assert_eq!(sample.telemetry.level, settings::Level::Warn);
+    assert_eq!(sample.telemetry.level, logs::Level::Warn);
     assert_eq!(sample.fleet.signers, 1);
     assert_eq!(sample.fleet.peers[0].port(), 7000);
     assert_eq!(sample.platform.address.port(), 7100);
--- a/laburnumcart_daemon/tests/start.rs
+++ b/laburnumcart_daemon/tests/start.rs
@@ -43,7 +43,7 @@
 fn run_is_the_default() {
     let wanted = args::Args {
         settings: "a.json".into(),
-        level: Some(settings::Level::Debug),
+        level: Some(logs::Level::Debug),
     };
     let command = parse("--settings a.json --level debug").unwrap();
     assert_eq!(command, args::Command::Run(wanted));
@@ -126,7 +126,7 @@
 
 fn line(level: log::Level, target: &str, text: &str) -> String {
     let out = Out::default();
-    let logger = logs::logger(settings::Level::Debug, out.clone());
+    let logger = logs::logger(logs::Level::Debug, out.clone());
     let mut record = log::Record::builder();
     record.level(level).target(target);
     logger.log(&record.args(format_args!("{text}")).build());
--- a/laburnumcart_entry/src/run.rs
+++ b/laburnumcart_entry/src/run.rs
@@ -177,7 +177,7 @@
         secret: secret.clone(),
         timing: links::Timing::default(),
     };
-    let trust = bundle::trust(&settings.fleet).map_err(io::Error::other)?;
+    let trust = settings.fleet.trust().map_err(io::Error::other)?;
     let start = control::thread::Start {
         entry: entry.clone(),
         store,
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -10,8 +10,6 @@
     time,
 };
 
-use crate::soak::needs;
-
 /// What a caller asked for and got.
 #[derive(Clone, Debug)]
 pub(super) struct Call {
@@ -44,6 +42,15 @@
     pub(super) until: Option<time::Instant>,
 }
 
+/// A limit that a target has named.
+#[derive(Clone, Debug)]
+pub(super) struct Need {
+    pub(super) target: String,
+    pub(super) rate: f64,
+    pub(super) from: time::Instant,
+    pub(super) until: Option<time::Instant>,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub(super) calls: collections::HashMap<String, Call>,
@@ -57,7 +64,7 @@
     /// Evacuations in order.
     pub(super) evacuations: Vec<Evacuation>,
     /// Limits that targets have named, in order.
-    pub(super) needs: Vec<needs::Need>,
+    pub(super) needs: Vec<Need>,
     /// Targets that have started cold, and until when they were.
     pub(super) cold: collections::HashMap<String, time::Instant>,
     /// When requests of any kind came to each target.
@@ -95,7 +102,7 @@
         for need in open.filter(|n| n.target == target && n.until.is_none()) {
             need.until = Some(now);
         }
-        state.needs.extend(rate.map(|rate| needs::Need {
+        state.needs.extend(rate.map(|rate| Need {
             target: target.into(),
             rate,
             from: now,
--- a/laburnumcart_system/src/soak/needs.rs
+++ b/laburnumcart_system/src/soak/needs.rs
@@ -27,15 +27,6 @@
 /// Time after a target has first named a limit from which it is kept.
 const CONTACT: time::Duration = time::Duration::from_secs(3);
 
-/// A limit that a target has named.
-#[derive(Clone, Debug)]
-pub(super) struct Need {
-    pub(super) target: String,
-    pub(super) rate: f64,
-    pub(super) from: time::Instant,
-    pub(super) until: Option<time::Instant>,
-}
-
 /// Lets targets name limits until the time of the plan is over; some still do at the end.
 ///
 /// They are drawn apart from the faults, so that a seed plays the same faults with them and
