--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -5,6 +5,8 @@
 //! may be executed twice, but no result is lost by it.
 
 mod call;
+mod frees;
+mod job;
 mod line;
 
 use std::{
@@ -16,10 +18,6 @@
     time,
 };
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use tokio::{
     sync::{
         mpsc,
@@ -33,8 +31,7 @@
     event,
     forecast,
     id,
-    quota,
-    unit, //
+    quota, //
 };
 
 use crate::{
@@ -47,88 +44,17 @@
 
 use self::line::Line;
 
+pub use self::job::{
+    Job,
+    Notice, //
+};
+
 /// Pause between two looks at queues in which something waits.
 const TICK: time::Duration = time::Duration::from_millis(25);
 
 /// Pause between two looks at empty queues.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(250);
 
-/// Time in which the results to free at one target are collected into one call.
-const FREE_DELAY: time::Duration = time::Duration::from_millis(10);
-
-/// A job of another process or of this one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Job {
-    /// Identity, drawn by the sender.
-    pub id: u64,
-    /// Attempt of the caller.
-    pub attempt: String,
-    /// Number of the stage.
-    pub stage: u32,
-    /// Service that executes it.
-    pub service: id::ServiceName,
-    /// Number of its pieces.
-    pub pieces: u32,
-    /// Approximate size of one result.
-    pub size: unit::Size,
-    /// What each piece works on.
-    pub input: dialect::Input,
-    /// Time until the results are due.
-    pub due: unit::Period,
-    /// Time until the results are of no use.
-    pub deadline: unit::Period,
-    /// Urgency.
-    pub rank: batch::Rank,
-    /// Data centre where it is best executed.
-    pub near: Option<id::DataCentre>,
-    /// Bytes that cross between data centres when it is executed in another one.
-    pub moved: unit::Size,
-    /// Data centres where it may be executed; any without a list.
-    pub places: Option<Vec<id::DataCentre>>,
-    /// Whether nothing else reads its inputs.
-    pub consumes: bool,
-    /// Whether a process that is leaving takes it too, as no other does.
-    pub last: bool,
-}
-
-impl Job {
-    /// Returns what the queue is told of it.
-    fn spec(&self, now: Instant) -> batch::Spec {
-        batch::Spec::new(self.pieces, self.size, now + self.due.0)
-            .deadline(now + self.deadline.0)
-            .rank(self.rank)
-            .near(self.near.clone(), self.moved)
-            .places(self.places.clone())
-    }
-}
-
-/// What the owner of a stage's queue is told when a request begins.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Notice {
-    /// Identity of the job that will come.
-    pub id: u64,
-    /// Service that will execute it.
-    pub service: id::ServiceName,
-    /// Number of its pieces.
-    pub pieces: u32,
-    /// Approximate size of one result.
-    pub size: unit::Size,
-    /// Time until its results are due.
-    pub due: unit::Period,
-    /// Time until its results are of no use.
-    pub deadline: unit::Period,
-    /// Urgency.
-    pub rank: batch::Rank,
-}
-
-impl Notice {
-    fn spec(&self, now: Instant) -> batch::Spec {
-        batch::Spec::new(self.pieces, self.size, now + self.due.0)
-            .deadline(now + self.deadline.0)
-            .rank(self.rank)
-    }
-}
-
 /// Queues of the services that this process owns jobs of.
 pub struct Dispatcher {
     view: Arc<view::View>,
@@ -387,51 +313,6 @@
         self.flush_later(service, line);
     }
 
-    /// Frees what has been collected, after a short while.
-    fn flush_later(self: &Arc<Self>, service: &id::ServiceName, line: &mut Line) {
-        if line.flushing || line.frees.is_empty() {
-            return;
-        }
-        line.flushing = true;
-        let (dispatcher, service) = (self.clone(), service.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep(FREE_DELAY).await;
-            dispatcher.flush(&service);
-        });
-    }
-
-    fn flush(self: &Arc<Self>, service: &id::ServiceName) {
-        let mut lines = view::lock(&self.lines);
-        let Some(line) = lines.get_mut(service) else {
-            return;
-        };
-        line.flushing = false;
-        let targets = self.view.targets.load();
-        let now = Instant::now();
-        for (holder, handles) in std::mem::take(&mut line.frees) {
-            let (addr, life) = holder;
-            let Some(target) = targets.at(&addr, life) else {
-                // Its results have gone with that life of the target.
-                continue;
-            };
-            let gate = self.gate(target);
-            // Without its last request it would make nothing; results expire by themselves.
-            if !gate.is_wide(now) {
-                line.keep(holder, handles);
-                continue;
-            }
-            gate.record(now);
-            let bounds = self.bounds(service);
-            tokio::spawn(call::free(
-                self.clone(),
-                service.clone(),
-                target.clone(),
-                handles,
-                bounds,
-            ));
-        }
-    }
-
     /// Returns the gate of calls of a target.
     fn gate(&self, target: &view::Target) -> quota::Gate {
         self.outbound.quotas.gates(target).calls
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -35,9 +35,6 @@
 /// Time that a call may take beside that.
 const GRACE: time::Duration = time::Duration::from_millis(300);
 
-/// Longest time for a call that frees results; they expire by themselves in any case.
-const FREE_LIMIT: time::Duration = time::Duration::from_millis(1500);
-
 /// Why a call brought no outcomes.
 enum Failed {
     /// The target proves that it did nothing.
@@ -239,39 +236,3 @@
         outcomes.map_err(|_| Failed::Lost(pool::Failure::Malformed))
     }
 }
-
-/// Frees results at their target.
-pub(super) async fn free(
-    dispatcher: Arc<Dispatcher>,
-    service: id::ServiceName,
-    target: Arc<view::Target>,
-    handles: Vec<batch::Handle>,
-    bounds: pool::Bounds,
-) {
-    let request = dispatcher.dialect.free(&target.name, &handles);
-    let sent = async {
-        let sent = dispatcher
-            .outbound
-            .send(&target, request, &bounds, None)
-            .await;
-        let outbound::Received { answer, reply } = sent?;
-        answer.whole(reply.idle).await
-    };
-    let result = tokio::time::timeout(FREE_LIMIT, sent).await;
-    if !matches!(result, Ok(Ok(_))) {
-        // They expire by themselves; until then their room stays accounted.
-        event!(
-            Warn,
-            "free-failed",
-            target = target.name,
-            results = handles.len()
-        );
-        return;
-    }
-    if let Some(line) = view::lock(&dispatcher.lines).get_mut(&service) {
-        for handle in &handles {
-            line.queue.free(handle);
-        }
-    }
-    dispatcher.pump(&service);
-}
