--- a/laburnumcart/tests/quota.rs
+++ b/laburnumcart/tests/quota.rs
@@ -10,8 +10,9 @@
     quota,
     unit, //
 };
+use proptest::prelude::*;
 use rand::{
-    Rng,
+    Rng as _,
     SeedableRng,
     rngs::StdRng, //
 };
@@ -299,3 +300,81 @@
     let requests = others.press(Spread::Even, 30_000, &mut rng);
     assert!(calls + requests <= borne(rate), "{calls} and {requests}");
 }
+
+/// An answer or a word of another process, some time after the one before.
+#[derive(Clone, Debug)]
+enum Event {
+    Answer {
+        limit: Option<u32>,
+        own: bool,
+        flight: u64,
+    },
+    Told {
+        limit: Option<u32>,
+        age: u64,
+    },
+}
+
+fn event() -> impl Strategy<Value = (u64, Event)> {
+    let limit = prop::option::of(0u32..4);
+    let answer = (limit.clone(), any::<bool>(), 0u64..500)
+        .prop_map(|(limit, own, flight)| Event::Answer { limit, own, flight });
+    let told = (limit, 0u64..500).prop_map(|(limit, age)| Event::Told { limit, age });
+    (0u64..200, prop_oneof![answer, told])
+}
+
+proptest! {
+    // Answers overtake each other and words of others come late. What was true last is known, and a
+    // limit ends by nothing older than the last answer that named it.
+    #[test]
+    fn what_was_true_last_is_known(events in prop::collection::vec(event(), 1..40)) {
+        let start = Instant::now() + time::Duration::from_secs(10);
+        let mut now = start;
+        let mut heard = quota::Heard::default();
+        for (pause, event) in events {
+            now += time::Duration::from_millis(pause);
+            let before = heard;
+            let (limit, since) = match event {
+                Event::Answer { limit, own, flight } => {
+                    let sent = now - time::Duration::from_millis(flight);
+                    let rate = |limit| quota::Limit::Named(unit::Rate(f64::from(limit)));
+                    let limit = limit.map_or(quota::Limit::None, rate);
+                    heard.answer(quota::Word { limit, own, sent }, 0.5, now);
+                    prop_assert!(own || heard.named().is_some() || before.named().is_none());
+                    (limit, sent)
+                }
+                Event::Told { limit, age } => {
+                    let at = now - time::Duration::from_millis(age);
+                    let rate = limit.map(|limit| unit::Rate(f64::from(limit)));
+                    heard.tell(rate, at, 0.5);
+                    (rate.map_or(quota::Limit::None, quota::Limit::Named), at)
+                }
+            };
+            if let (Some(named), None) = (before.named(), heard.named()) {
+                prop_assert!(since > named.confirmed && limit == quota::Limit::None);
+            }
+            if heard.limit() != before.limit() {
+                prop_assert_eq!(heard.limit(), limit);
+            }
+            prop_assert!(heard.at() >= before.at());
+        }
+    }
+
+    // A target names any number, to any number of members. Quotas are counted, not computed to
+    // nonsense, and all members together have no more than the limit over the longest span.
+    #[test]
+    fn any_rate_can_be_shared(rate in prop_oneof![0.0..1e-9, 0.0..1e3, Just(f64::MAX)], count in 1usize..40) {
+        let members = names(count);
+        let all: Vec<_> = members.iter().collect();
+        let at = Instant::now();
+        let rate = unit::Rate(rate);
+        let named = quota::Named { rate, since: at, confirmed: at, draw: 1.0 };
+        let part = |own| {
+            let senders = quota::Senders { own, members: &all };
+            senders.limit(&target(1), rate, &named)
+        };
+        let parts = members.iter().map(part).filter(|bound| bound.from.is_none());
+        let sum: f64 = parts.map(|bound| bound.quota.rate()).sum();
+        prop_assert!(sum <= rate.0 * (1.0 + 1e-6), "{sum}");
+    }
+}
