Test: a burst at the owners of three queues, and what callers get ten seconds after it

Three queues, owners of whose processor each message takes 2.5 ms (announcements, jobs, calls and their answers), refused callers who come back once, 2.3 times the capacity for 5 s, half of it before and after. With the owners that are assigned to 20 fleets of 15 gateways, nine in ten requests or more are on time ten seconds after the burst. The play of a burst stands in a file of its own, with the test on admission that it was taken from; its bounds are as they were.

--- a/laburnumcart/tests/batch/main.rs
+++ b/laburnumcart/tests/batch/main.rs
@@ -1,8 +1,10 @@
 //! The queue of pieces.
 
 mod admission;
+mod burst;
 mod calls;
 mod load;
 mod order;
 mod outlook;
+mod owners;
 mod support;
