--- a/laburnumcart/tests/batch/owners.rs
+++ b/laburnumcart/tests/batch/owners.rs
@@ -46,7 +46,7 @@
     let service = |i| format!("stage-{salt}-{i}").parse().unwrap();
     let services: Vec<id::ServiceName> = (0..STAGES).map(service).collect();
     let orders = owners::orders(&members, &services);
-    let mut owners = orders.iter().map(|(_, order)| {
+    let mut owners = orders.values().map(|order| {
         let first = order[0].name;
         names.iter().position(|name| name == first).unwrap()
     });
