Log what targets ask for in the heads of their answers

Decoded once, into whether the target says that it is leaving and the time for which it wants no requests from this process; a line target-told for each such answer, on every way (requests, calls of stages, freed results). Nothing is decided by it yet.

--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -97,6 +97,10 @@
     pub idle: Option<time::Duration>,
     /// Requests that the target takes.
     pub limit: quota::Limit,
+    /// Whether the target says that it is leaving.
+    pub leaving: bool,
+    /// Time for which the target wants no requests from this process.
+    pub backoff: Option<time::Duration>,
 }
 
 /// Input of a piece.
--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -9,7 +9,10 @@
 use http::Request;
 use tokio::time::Instant;
 
-use laburnumcart::quota;
+use laburnumcart::{
+    event,
+    quota, //
+};
 
 use crate::{
     dialect,
@@ -69,6 +72,17 @@
                 sent,
             };
             self.quotas.note(target, word);
+            if reply.leaving || reply.backoff.is_some() {
+                event!(
+                    Info,
+                    "target-told",
+                    target = target.name,
+                    service = target.service,
+                    status = answer.head.status.as_u16(),
+                    leaving = reply.leaving,
+                    backoff_ms = reply.backoff.unwrap_or_default().as_millis()
+                );
+            }
         }
         Ok(Received { answer, reply })
     }
