Give a target that says in its answers that it leaves no more work, by any way

What callers saw: nothing. Two gateways sent requests to an engine 11 s and 12 s after they had passed on an answer of it with Server-Leaving (DRAIN; 2 s are borne). Cause: only the store's entry made a target leave. While the store was away (7 s to 19.2 s) the entry said that the engine was ready, and it did so until 20.46 s; what the engine itself said was read nowhere. The class: a target's own word about itself was taken from one source alone. Ruled out: knowledge that was lost as the store came back (there was none before); one way among several that does not heed it (none did). Why it works: all sends go through one place, which reads every head. The life that leaves gets a closed gate at once, so that nothing placed before the list changes goes there, and it is leaving in the list, whatever an entry says. Only another life of it gets work again. Results there are not freed any more, as nobody needs the room. Gateways tell each other through the readers, like limits: the others need not each send a request to be told.

--- a/laburnumcart/src/quota.rs
+++ b/laburnumcart/src/quota.rs
@@ -255,6 +255,11 @@
         }
     }
 
+    /// Returns the bound on a target that takes nothing.
+    pub fn closed() -> Self {
+        Self::new(Quota::NONE)
+    }
+
     /// Adds its end.
     #[must_use]
     pub fn until(mut self, until: Instant) -> Self {
@@ -288,11 +293,13 @@
     pub cold: Option<Bound>,
     /// While it names a limit.
     pub limit: Option<Bound>,
+    /// While it takes nothing, as it has said itself.
+    pub closed: Option<Bound>,
 }
 
 impl Bounds {
     fn in_force(&self, now: Instant) -> impl Iterator<Item = &Bound> {
-        let all = self.cold.iter().chain(&self.limit);
+        let all = self.cold.iter().chain(&self.limit).chain(&self.closed);
         all.filter(move |bound| bound.is_in_force(now))
     }
 }
@@ -314,7 +321,7 @@
 /// let now = Instant::now();
 /// let gate = quota::Gate::default();
 /// let quota = quota::Quota::whole(unit::Rate(1.0));
-/// gate.set(quota::Bounds { limit: Some(quota::Bound::new(quota)), cold: None });
+/// gate.set(quota::Bounds { limit: Some(quota::Bound::new(quota)), ..Default::default() });
 /// assert!(gate.is_open(now));
 /// gate.record(now);
 /// assert!(!gate.is_open(now + Duration::from_millis(900)));
--- a/laburnumcart/src/quota/heard.rs
+++ b/laburnumcart/src/quota/heard.rs
@@ -1,4 +1,4 @@
-//! What is known of the limit that a target names, from its answers and from other processes.
+//! What is known of a target from its answers and from other processes.
 
 use derive_more::Display;
 use tokio::time::Instant;
@@ -44,7 +44,7 @@
     pub draw: f64,
 }
 
-/// What one process knows of the limit of one life of a target.
+/// What one process knows of one life of a target.
 ///
 /// ```
 /// use std::time::Duration;
@@ -67,6 +67,8 @@
     /// When an answer has shown last that there is no limit any more.
     ended: Option<Instant>,
     unreadable: bool,
+    /// When an answer has said last that the target is leaving.
+    left: Option<Instant>,
 }
 
 impl Heard {
@@ -89,6 +91,20 @@
         self.named.map(|named| named.confirmed).or(self.ended)
     }
 
+    /// Returns when the target has said last that it is leaving.
+    pub fn left(&self) -> Option<Instant> {
+        self.left
+    }
+
+    /// Takes in that the target said at `at` that it is leaving; returns whether it is news.
+    ///
+    /// One that has begun to leave does not come back in the same life.
+    pub fn leave(&mut self, at: Instant) -> bool {
+        let news = self.left.is_none();
+        self.left = self.left.max(Some(at));
+        news
+    }
+
     /// Takes in an answer; returns whether it is news. `draw`, from 0 to 1, is a random number.
     ///
     /// Answers overtake each other: one that was on its way before the limit was named ends nothing,
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -83,8 +83,8 @@
 ) {
     let key = format!("{}/{}", directory.members_prefix(), own.instance);
     let (direct, member) = (store.clone(), own.clone());
-    let limits = copies.limits.clone();
-    let store = source::Source::new(store, own.clone(), view.clone(), directory.clone(), limits);
+    let signals = copies.signals.clone();
+    let store = source::Source::new(store, own.clone(), view.clone(), directory.clone(), signals);
     let settings = |wait, longest, spread| follow::Settings {
         wait,
         interval: INTERVAL,
--- a/laburnumcart_gateway/src/dispatcher/frees.rs
+++ b/laburnumcart_gateway/src/dispatcher/frees.rs
@@ -57,6 +57,10 @@
                 // Its results have gone with that life of the target.
                 continue;
             };
+            // Nobody needs the room of a target that makes nothing any more.
+            if target.leaving {
+                continue;
+            }
             let gate = self.gate(target);
             // Without its last request it would make nothing; results expire by themselves.
             if !gate.is_wide(now) {
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -130,7 +130,7 @@
     /// Takes in changes of targets until the process ends.
     pub async fn follow(self: Arc<Self>) {
         let mut changes = self.view.subscribe();
-        let mut limits = self.outbound.quotas.limits.subscribe();
+        let mut signals = self.outbound.quotas.signals.subscribe();
         let mut sweep = tokio::time::interval(time::Duration::from_secs(1));
         let consumed = view::lock(&self.consumed).take();
         if let Some(consumed) = consumed {
@@ -143,7 +143,10 @@
                     self.outbound.quotas.sweep();
                 }
                 _ = changes.changed() => self.refresh(),
-                _ = limits.changed() => self.outbound.quotas.refresh(),
+                _ = signals.changed() => {
+                    self.view.set_leaving(self.outbound.quotas.signals.leaving());
+                    self.outbound.quotas.refresh();
+                }
             }
         }
     }
--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -72,6 +72,9 @@
                 sent,
             };
             self.quotas.note(target, word);
+            if reply.leaving {
+                self.quotas.leave(target);
+            }
             if reply.leaving || reply.backoff.is_some() {
                 event!(
                     Info,
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -229,11 +229,11 @@
         }
     }
 
-    /// Tells of limits that targets have named.
-    pub(crate) async fn tell(self: &Arc<Self>, limits: Vec<relay::limits::Told>) {
+    /// Tells what targets have said of themselves.
+    pub(crate) async fn tell(self: &Arc<Self>, signals: Vec<relay::signals::Told>) {
         if let Some(open) = self.client().await {
             // Without an answer others hear of them from their own requests' answers.
-            let _ = tokio::time::timeout(SILENCE, open.client.tell(limits)).await;
+            let _ = tokio::time::timeout(SILENCE, open.client.tell(signals)).await;
         }
     }
 
--- a/laburnumcart_gateway/src/quotas.rs
+++ b/laburnumcart_gateway/src/quotas.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     metrics,
-    relay::limits,
+    relay::signals,
     view, //
 };
 
@@ -54,8 +54,8 @@
 pub struct Quotas {
     own: id::InstanceName,
     view: Arc<view::View>,
-    /// Limits that targets have named.
-    pub limits: Arc<limits::Limits>,
+    /// What targets have said of themselves.
+    pub signals: Arc<signals::Signals>,
     known: Mutex<collections::HashMap<id::TargetLife, Known>>,
     metrics: metrics::Held,
 }
@@ -70,7 +70,7 @@
         Arc::new(Self {
             own,
             view,
-            limits: Arc::default(),
+            signals: Arc::default(),
             known: Mutex::default(),
             metrics: metrics.held.clone(),
         })
@@ -92,9 +92,27 @@
         }
     }
 
-    /// Takes in what an answer of a target says.
+    /// Takes in that an answer of a target says that it is leaving.
+    pub fn leave(&self, target: &view::Target) {
+        if self.signals.leave(&target.key()) {
+            // Work that is placed before the list of targets has changed must not go there either.
+            let mut all = view::lock(&self.known);
+            let known = self.known(&mut all, target);
+            self.bind(known, Instant::now());
+            event!(
+                Info,
+                "target-leaving",
+                target = target.name,
+                life = target.life,
+                service = target.service,
+                listed = target.leaving
+            );
+        }
+    }
+
+    /// Takes in what an answer of a target says of its limit.
     pub fn note(&self, target: &view::Target, word: quota::Word) {
-        if !self.limits.answer(&target.key(), word) {
+        if !self.signals.answer(&target.key(), word) {
             return;
         }
         let mut all = view::lock(&self.known);
@@ -156,8 +174,11 @@
 
     /// Sets the gates of a target by what is known of it.
     fn bind(&self, known: &mut Known, now: Instant) {
-        let heard = self.limits.heard(&known.target.key());
-        let (requests, calls) = self.bounds(&known.target, heard.named(), now);
+        let heard = self.signals.heard(&known.target.key());
+        let (mut requests, mut calls) = self.shares(&known.target, heard.named(), now);
+        let closed = heard.left().map(|_| quota::Bound::closed());
+        requests.closed = closed;
+        calls.closed = closed;
         known.gates.requests.set(requests);
         known.gates.calls.set(calls);
         let limit = heard.limit();
@@ -180,8 +201,8 @@
         known.sends = 0;
     }
 
-    /// Returns the bounds on requests and on calls.
-    fn bounds(
+    /// Returns the bounds on requests and on calls, this process's parts of what all may send.
+    fn shares(
         &self,
         target: &view::Target,
         named: Option<&quota::Named>,
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -12,7 +12,7 @@
 //! about who reads: an answer is as good as its age.
 
 pub mod copies;
-pub mod limits;
+pub mod signals;
 pub mod source;
 
 use derive_more::Display;
@@ -72,8 +72,8 @@
     pub hold: bool,
     /// Whether an answer may be of any size.
     pub large: bool,
-    /// Version of the limits of targets that the asking process has; without one it wants none.
-    pub limits: Option<u64>,
+    /// Version of the signals of targets that the asking process has; without one it wants none.
+    pub signals: Option<u64>,
 }
 
 /// Answer to a question.
@@ -92,13 +92,13 @@
     Large,
 }
 
-/// Answer to a question, with the limits of targets if there is more than the asking process has.
+/// Answer to a question, with the signals of targets if there is more than the asking process has.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     /// Answer.
     pub answer: Answer,
-    /// Limits.
-    pub limits: Option<limits::News>,
+    /// What targets have said of themselves.
+    pub signals: Option<signals::News>,
 }
 
 /// What a process tells others of the store, and what it is told of targets.
@@ -108,7 +108,7 @@
     #[method(name = "follow")]
     async fn follow(&self, ask: Ask) -> RpcResult<Reply>;
 
-    /// Takes in limits that targets have named.
+    /// Takes in what targets have said of themselves.
     #[method(name = "tell")]
-    async fn tell(&self, limits: Vec<limits::Told>) -> RpcResult<()>;
+    async fn tell(&self, signals: Vec<signals::Told>) -> RpcResult<()>;
 }
--- a/laburnumcart_gateway/src/relay/copies.rs
+++ b/laburnumcart_gateway/src/relay/copies.rs
@@ -32,7 +32,7 @@
         RelayServer,
         Reply,
         Topic,
-        limits, //
+        signals, //
     },
 };
 
@@ -139,11 +139,11 @@
     !ask.large && size > SMALL
 }
 
-/// The copies of all topics, and the limits of targets.
+/// The copies of all topics, and the signals of targets.
 #[derive(Debug, Default)]
 pub struct Copies {
     /// Limits that targets have named.
-    pub limits: Arc<limits::Limits>,
+    pub signals: Arc<signals::Signals>,
     table: watch::Sender<Copy>,
     targets: watch::Sender<Copy>,
     members: watch::Sender<Copy>,
@@ -151,10 +151,10 @@
 }
 
 impl Copies {
-    /// Creates empty copies beside what is known of limits.
-    pub fn new(limits: Arc<limits::Limits>) -> Self {
+    /// Creates empty copies beside what is known of signals.
+    pub fn new(signals: Arc<signals::Signals>) -> Self {
         Self {
-            limits,
+            signals,
             ..Self::default()
         }
     }
@@ -168,24 +168,24 @@
         }
     }
 
-    /// Answers a question, at once if there is something to tell of the topic or of limits.
+    /// Answers a question, at once if there is something to tell of the topic or of signals.
     pub async fn reply(&self, ask: &Ask) -> Reply {
-        let Some(known) = ask.limits else {
+        let Some(known) = ask.signals else {
             let answer = self.answer(ask).await;
             return Reply {
                 answer,
-                limits: None,
+                signals: None,
             };
         };
-        let mut version = self.limits.subscribe();
+        let mut version = self.signals.subscribe();
         let answer = tokio::select! {
             answer = self.answer(ask) => answer,
-            // The sender lives as long as these limits.
+            // The sender lives as long as these signals.
             _ = version.wait_for(|version| version.all > known) => self.present(ask),
         };
         Reply {
             answer,
-            limits: self.limits.since(known),
+            signals: self.signals.since(known),
         }
     }
 
@@ -268,8 +268,8 @@
         Ok(self.0.reply(&ask).await)
     }
 
-    async fn tell(&self, limits: Vec<limits::Told>) -> RpcResult<()> {
-        self.0.limits.merge(&limits);
+    async fn tell(&self, signals: Vec<signals::Told>) -> RpcResult<()> {
+        self.0.signals.merge(&signals);
         Ok(())
     }
 }
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -29,7 +29,7 @@
         Ask,
         Reply,
         Topic,
-        limits, //
+        signals, //
     },
     view, //
 };
@@ -60,7 +60,7 @@
 /// confirmation; older than this, the next question would come too late.
 const AGE_OTHERS: time::Duration = time::Duration::from_millis(2500);
 
-/// Time in which news of limits is collected; a trouble of many targets is told once.
+/// Time in which signals of targets are collected; a trouble of many targets is told once.
 const COLLECT: time::Duration = time::Duration::from_millis(100);
 
 /// Others that are asked when the readers know nothing. A share of all processes that the store
@@ -73,8 +73,8 @@
     view: Arc<view::View>,
     directory: Arc<dyn dialect::Directory>,
     links: links::Links,
-    limits: Arc<limits::Limits>,
-    /// Versions of other processes' limits that were taken in, by their lives.
+    signals: Arc<signals::Signals>,
+    /// Versions of what other processes have told of targets, by the lives of these processes.
     heard: Mutex<collections::HashMap<id::InstanceName, (id::Incarnation, u64)>>,
     standing: Mutex<readers::Standing>,
     /// Who told each topic last; nobody where the store did.
@@ -108,7 +108,7 @@
         own: view::Member,
         view: Arc<view::View>,
         directory: Arc<dyn dialect::Directory>,
-        limits: Arc<limits::Limits>,
+        signals: Arc<signals::Signals>,
     ) -> Self {
         Self(Arc::new(Shared {
             links: links::Links::silent(own.instance.clone(), view.clone()),
@@ -116,28 +116,28 @@
             own,
             view,
             directory,
-            limits,
+            signals,
             heard: Mutex::default(),
             standing: Mutex::default(),
             tellers: Mutex::default(),
         }))
     }
 
-    /// Tells the readers of limits that answers to this process name, until the process ends.
+    /// Tells the readers what answers to this process say of targets, until the process ends.
     pub async fn tell(&self) {
-        let mut version = self.0.limits.subscribe();
+        let mut version = self.0.signals.subscribe();
         let mut told = version.borrow().own;
         loop {
-            // The sender lives as long as these limits.
+            // The sender lives as long as these signals.
             if let Ok(version) = version.wait_for(|version| version.own > told).await {
                 told = version.own;
             }
-            let limits = self.0.limits.told();
+            let signals = self.0.signals.told();
             let (readers, _) = self.0.sources();
             let links = readers.iter().filter_map(|r| self.0.links.link(r));
             let calls = links.map(|link| {
-                let limits = limits.clone();
-                async move { link.tell(limits).await }
+                let signals = signals.clone();
+                async move { link.tell(signals).await }
             });
             future::join_all(calls).await;
             tokio::time::sleep(COLLECT).await;
@@ -241,18 +241,21 @@
         let link = self.links.link(member)?;
         let wants = ask.topic == Topic::Targets && !ask.hold;
         let mut ask = Ask {
-            limits: wants.then(|| self.heard_of(member)),
+            signals: wants.then(|| self.heard_of(member)),
             ..ask.clone()
         };
-        let Reply { mut answer, limits } = link.follow(ask.clone()).await?;
-        if let Some(news) = limits {
-            self.limits.merge(&news.told);
+        let Reply {
+            mut answer,
+            signals,
+        } = link.follow(ask.clone()).await?;
+        if let Some(news) = signals {
+            self.signals.merge(&news.told);
             let heard = (member.incarnation, news.version);
             view::lock(&self.heard).insert(member.instance.clone(), heard);
         }
         if answer == Answer::Large && self.standing().is_failing() {
             ask.large = true;
-            ask.limits = None;
+            ask.signals = None;
             answer = link.follow(ask.clone()).await?.answer;
         }
         let (age, told) = match answer {
@@ -266,7 +269,7 @@
         Some(told)
     }
 
-    /// Returns the version of a process's limits that was taken in.
+    /// Returns the version of a process's signals that this one has taken in.
     fn heard_of(&self, member: &view::Member) -> u64 {
         let heard = view::lock(&self.heard).get(&member.instance).copied();
         let heard = heard.filter(|(life, _)| *life == member.incarnation);
@@ -336,7 +339,7 @@
         limit: unit::Period(age),
         hold: false,
         large: false,
-        limits: None,
+        signals: None,
     }
 }
 
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -126,8 +126,8 @@
     counters.register(&registry, &gateway.outbound.pool.counters);
     usage::register(&registry);
     let own = control::member(&settings);
-    let limits = gateway.outbound.quotas.limits.clone();
-    let copies = Arc::new(copies::Copies::new(limits));
+    let targets = gateway.outbound.quotas.signals.clone();
+    let copies = Arc::new(copies::Copies::new(targets));
     let _peers = serve_peers(&gateway, &own, &copies, peer_listener)?;
     let _admin = serve_admin(&gateway, registry, admin_listener)?;
     let followed = (platform.store, platform.directory, view.clone(), own);
--- a/laburnumcart_gateway/src/state.rs
+++ b/laburnumcart_gateway/src/state.rs
@@ -96,7 +96,7 @@
         causes.push(wire::Cause::Cold(rounded(until - now)));
     }
     let quotas = &gateway.outbound.quotas;
-    if let quota::Limit::Named(rate) = quotas.limits.heard(&target.key()).limit() {
+    if let quota::Limit::Named(rate) = quotas.signals.heard(&target.key()).limit() {
         causes.push(wire::Cause::Limit(rate));
     }
     if causes.is_empty() {
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -165,11 +165,12 @@
 /// The balancer notices within two seconds; callers that came before are served to their end.
 const WELCOME: time::Duration = time::Duration::from_millis(2700);
 
-/// What the store lists of targets.
+/// What the store lists of targets, and what they say themselves.
 #[derive(Debug, Default)]
 struct Listed {
     targets: Option<Vec<Target>>,
     places: evacuation::Places,
+    leaving: collections::HashSet<id::TargetLife>,
 }
 
 /// A stop in progress.
@@ -182,7 +183,7 @@
 /// Control state as last published.
 #[derive(Debug)]
 pub struct View {
-    /// Listed targets and what is known of their data centres, as read from the store.
+    /// Listed targets and what is known of them and of their data centres.
     listed: Mutex<Listed>,
     /// Configuration in force.
     pub table: ArcSwapOption<ingress::Table>,
@@ -230,6 +231,15 @@
         self.publish(&listed);
     }
 
+    /// Publishes which targets have said that they are leaving, whatever the store lists.
+    pub fn set_leaving(&self, leaving: collections::HashSet<id::TargetLife>) {
+        let mut listed = lock(&self.listed);
+        if listed.leaving != leaving {
+            listed.leaving = leaving;
+            self.publish(&listed);
+        }
+    }
+
     /// Returns which data centres are evacuated, once that is known.
     pub fn evacuated(&self) -> Option<evacuation::Evacuated> {
         lock(&self.listed).places.evacuated().cloned()
@@ -255,6 +265,7 @@
         let places = &listed.places;
         let targets = listed.targets.iter().flatten().map(|target| Target {
             cold: target.cold.max(places.cold(&target.data_centre)),
+            leaving: target.leaving || listed.leaving.contains(&target.key()),
             ..target.clone()
         });
         let targets = Targets::new(targets, |place| places.is_closed(place));
