--- a/laburnumcart/tests/placement.rs
+++ b/laburnumcart/tests/placement.rs
@@ -184,7 +184,7 @@
         let gate = quota::Gate::default();
         gate.set(quota::Bounds {
             cold: Some(quota::Bound::new(quota).until(until)),
-            limit: None,
+            ..quota::Bounds::default()
         });
         fleet.set_gate(*key, gate);
         fleet.fail(*key, start);
--- a/laburnumcart/tests/quota.rs
+++ b/laburnumcart/tests/quota.rs
@@ -123,7 +123,7 @@
     let until = start + time::Duration::from_secs(10);
     gate.set(quota::Bounds {
         cold: Some(quota::Bound::new(quota).until(until)),
-        limit: None,
+        ..quota::Bounds::default()
     });
     let mut sent = collections::VecDeque::new();
     for _ in 0..1000 {
@@ -187,8 +187,8 @@
             let bound = senders.limit(&target(3), rate, &named);
             let gate = quota::Gate::default();
             gate.set(quota::Bounds {
-                cold: None,
                 limit: Some(bound),
+                ..quota::Bounds::default()
             });
             (after, gate)
         };
@@ -283,8 +283,8 @@
         let gate = quota::Gate::default();
         let bound = quota::Bound::calls(uses.calls(unit::Rate(rate)), told);
         gate.set(quota::Bounds {
-            cold: None,
             limit: Some(bound),
+            ..quota::Bounds::default()
         });
         (time::Duration::ZERO, gate)
     };
--- a/laburnumcart_gateway/tests/relay.rs
+++ b/laburnumcart_gateway/tests/relay.rs
@@ -32,7 +32,7 @@
         limit: unit::Period::from_millis(limit),
         hold: false,
         large: false,
-        limits: None,
+        signals: None,
     }
 }
 
