Send nothing to a target that has refused a request and asked for a while without any

Cause: Retry-After in the answers of targets was read nowhere; such an engine seems idle, as it runs nothing, and got up to 10 requests of one gateway in 5.5 s. The class is that of a target's word about itself, as with limits and leaving. Ruled out: repeats (20 of 253 sends), requests that were on their way. Why it works: the answer closes the gate of that target for this process until the time is over, by every way; the longest time named counts, 600 s at most. It is asked again once there is a connection, as a target in need takes long to accept one. Shown by target-backoff, two metrics (leaving, backing off) and GET /state.

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -252,13 +252,14 @@
         (!is_over).then(|| self.left(engine, now).max(SOON).max(held))
     }
 
-    /// Returns the time until a target should end its call.
+    /// Returns the time until a target should end its call, and takes calls again.
     fn left(&self, engine: &Engine, now: Instant) -> time::Duration {
+        let backoff = engine.gate.backoff(now);
         let Some((start, pieces)) = engine.call else {
-            return time::Duration::ZERO;
+            return backoff;
         };
         let end = start + self.promised(pieces).mul_f64(engine.pace);
-        end.saturating_duration_since(now)
+        end.saturating_duration_since(now).max(backoff)
     }
 
     /// Returns the room for results that is left at a target.
--- a/laburnumcart/src/quota.rs
+++ b/laburnumcart/src/quota.rs
@@ -298,10 +298,17 @@
 }
 
 impl Bounds {
-    fn in_force(&self, now: Instant) -> impl Iterator<Item = &Bound> {
-        let all = self.cold.iter().chain(&self.limit).chain(&self.closed);
+    /// Lists this process's shares that are in force.
+    fn shares(&self, now: Instant) -> impl Iterator<Item = &Bound> {
+        let all = self.cold.iter().chain(&self.limit);
         all.filter(move |bound| bound.is_in_force(now))
     }
+
+    fn in_force(&self, now: Instant) -> impl Iterator<Item = &Bound> {
+        let closed = self.closed.iter();
+        let closed = closed.filter(move |bound| bound.is_in_force(now));
+        self.shares(now).chain(closed)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -353,6 +360,12 @@
         waits.max().unwrap_or_default()
     }
 
+    /// Reports whether the target takes nothing, as it has said itself.
+    pub fn is_closed(&self, now: Instant) -> bool {
+        let closed = self.state().bounds.closed;
+        closed.is_some_and(|bound| bound.is_in_force(now))
+    }
+
     /// Reports whether a request may be sent and another one after it.
     pub fn is_wide(&self, now: Instant) -> bool {
         let state = self.state();
@@ -362,10 +375,19 @@
         bounds.all(|b| b.wait(&state.sent, now).is_zero() && b.wait(&sent, now).is_zero())
     }
 
-    /// Returns how many requests may be sent in a second, if that is bounded.
+    /// Returns the time that is left until the target takes anything, if it has told one.
+    pub fn backoff(&self, now: Instant) -> time::Duration {
+        let end = self.state().bounds.closed.and_then(|bound| bound.until);
+        end.map_or(time::Duration::ZERO, |end| {
+            end.saturating_duration_since(now)
+        })
+    }
+
+    /// Returns how many requests may be sent in a second while the target takes any, if that is
+    /// bounded.
     pub fn rate(&self, now: Instant) -> Option<unit::Rate> {
         let state = self.state();
-        let rates = state.bounds.in_force(now).map(|b| b.quota.rate());
+        let rates = state.bounds.shares(now).map(|b| b.quota.rate());
         rates.min_by(f64::total_cmp).map(unit::Rate)
     }
 
--- a/laburnumcart/tests/batch/outlook.rs
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use laburnumcart::batch;
+use laburnumcart::{
+    batch,
+    quota, //
+};
 use tokio::time::Instant;
 
 use crate::support::{
@@ -140,3 +143,30 @@
     assert!(events.len() < jobs.len());
     assert!(queue.take(now).is_some(), "the others are done");
 }
+
+// All targets of a queue back off. A job that would be done once they are back is told that there is
+// none, or that they are free.
+#[tokio::test(start_paused = true)]
+async fn the_outlook_counts_the_time_for_which_targets_back_off() {
+    let now = Instant::now();
+    let mut queue = batch::Queue::new(SHAPE);
+    let gates = ["north", "south"].map(|place| {
+        let key = queue.engines.add(place.parse().unwrap());
+        let gate = quota::Gate::default();
+        queue.engines.set_gate(key, gate.clone());
+        gate
+    });
+    let spec = batch::Spec::new(4, SIZE, now + 5000 * MS);
+    let free = queue.outlook(&spec, now);
+    let closed = quota::Bound::closed().until(now + 2000 * MS);
+    for gate in &gates {
+        gate.set(quota::Bounds {
+            closed: Some(closed),
+            ..quota::Bounds::default()
+        });
+    }
+    assert_eq!(queue.outlook(&spec, now), free + 2000 * MS);
+    push(&mut queue, 4, 900 * MS, now);
+    assert!(queue.take(now).is_none());
+    assert!(queue.take(now + 2000 * MS).is_some());
+}
--- a/laburnumcart_ctl/src/command/gateways.rs
+++ b/laburnumcart_ctl/src/command/gateways.rs
@@ -182,6 +182,7 @@
         wire::Cause::Evacuated => "evacuated".to_owned(),
         wire::Cause::Cold(_) => "cold".to_owned(),
         wire::Cause::Limit(rate) => format!("limit:{rate}"),
+        wire::Cause::Backoff(_) => "backoff".to_owned(),
     };
     let causes: Vec<_> = held.causes.iter().map(cause).collect();
     format!(
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -215,6 +215,7 @@
             .await;
         let outbound::Received { answer, reply } = sent.map_err(|failure| match failure {
             pool::Failure::Unreached | pool::Failure::Exhausted => Failed::NotRun("unreached"),
+            pool::Failure::Closed => Failed::NotRun("closed"),
             failure => Failed::Lost(failure),
         })?;
         let answer = match reply.attempt.as_deref() {
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -171,7 +171,8 @@
                     self.sent -= 1;
                     self.refused += 1;
                 }
-                if failure != pool::Failure::Exhausted {
+                let is_own = [pool::Failure::Exhausted, pool::Failure::Closed].contains(&failure);
+                if !is_own {
                     seat.fail();
                 }
                 let verdict = failure.verdict();
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -36,6 +36,10 @@
     pub sends: counter::Counter<u64>,
     /// Targets that are cold.
     pub cold: gauge::Gauge<i64>,
+    /// Targets that want nothing from this process for a while.
+    pub backing_off: gauge::Gauge<i64>,
+    /// Targets that are leaving.
+    pub leaving: gauge::Gauge<i64>,
     /// Data centres that are evacuated.
     pub evacuated: gauge::Gauge<i64>,
 }
@@ -136,6 +140,16 @@
                 "Targets that are cold",
                 self.held.cold.clone(),
             );
+            r.register(
+                "targets_backing_off",
+                "Targets that want nothing for a while",
+                self.held.backing_off.clone(),
+            );
+            r.register(
+                "targets_leaving",
+                "Targets that are leaving",
+                self.held.leaving.clone(),
+            );
             r.register(
                 "data_centres_evacuated",
                 "Data centres that get no work",
--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -9,10 +9,7 @@
 use http::Request;
 use tokio::time::Instant;
 
-use laburnumcart::{
-    event,
-    quota, //
-};
+use laburnumcart::quota;
 
 use crate::{
     dialect,
@@ -61,7 +58,8 @@
     ) -> Result<Received, pool::Failure> {
         let sent = Instant::now();
         self.quotas.count(target);
-        let answer = self.pool.send(target, request, bounds).await?;
+        let is_open = || !self.quotas.is_closed(target);
+        let answer = self.pool.send_if(target, request, bounds, is_open).await?;
         let reply = self.dialect.reply(&answer.head);
         // Another target's answer, from an address that it has taken over, says nothing of this one.
         if !reply.misdirected {
@@ -75,16 +73,8 @@
             if reply.leaving {
                 self.quotas.leave(target);
             }
-            if reply.leaving || reply.backoff.is_some() {
-                event!(
-                    Info,
-                    "target-told",
-                    target = target.name,
-                    service = target.service,
-                    status = answer.head.status.as_u16(),
-                    leaving = reply.leaving,
-                    backoff_ms = reply.backoff.unwrap_or_default().as_millis()
-                );
+            if let Some(wait) = reply.backoff {
+                self.quotas.back_off(target, wait);
             }
         }
         Ok(Received { answer, reply })
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -75,6 +75,9 @@
     /// All connections that this process may have are in use.
     #[display("no connection left")]
     Exhausted,
+    /// The target has said meanwhile that it takes nothing.
+    #[display("target takes nothing")]
+    Closed,
     /// The connection failed after the request may have been sent.
     #[display("connection failed")]
     Broken,
@@ -90,7 +93,7 @@
     /// Tells whether the target may have run the request.
     pub fn verdict(self) -> verdict::Verdict {
         match self {
-            Self::Unreached | Self::Exhausted => verdict::Verdict::NotRun,
+            Self::Unreached | Self::Exhausted | Self::Closed => verdict::Verdict::NotRun,
             Self::Broken | Self::Malformed | Self::Timeout => verdict::Verdict::MayHaveRun,
         }
     }
@@ -99,7 +102,7 @@
     pub fn reason(self) -> verdict::Reason {
         match self {
             Self::Unreached => verdict::Reason::NoTarget,
-            Self::Exhausted => verdict::Reason::Overloaded,
+            Self::Exhausted | Self::Closed => verdict::Reason::Overloaded,
             Self::Broken => verdict::Reason::Lost,
             Self::Malformed => verdict::Reason::Corrupt,
             Self::Timeout => verdict::Reason::DeadlineExceeded,
@@ -168,10 +171,28 @@
         target: &view::Target,
         request: Request<Bytes>,
         bounds: &Bounds,
+    ) -> Result<Answer, Failure> {
+        self.send_if(target, request, bounds, || true).await
+    }
+
+    /// Does the same if `is_open` says so once there is a connection.
+    ///
+    /// To open one takes long at a target in need, which may have told another request meanwhile to
+    /// stay away.
+    pub async fn send_if(
+        self: &Arc<Self>,
+        target: &view::Target,
+        request: Request<Bytes>,
+        bounds: &Bounds,
+        is_open: impl Fn() -> bool,
     ) -> Result<Answer, Failure> {
         let mut request = request.map(Full::new);
         for _ in 0..TRIES {
             let mut lease = self.lease(target, bounds).await?;
+            if !is_open() {
+                lease.give_back(None);
+                return Err(Failure::Closed);
+            }
             let connection = lease.connection.as_mut().expect("a new lease has one");
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
--- a/laburnumcart_gateway/src/quotas.rs
+++ b/laburnumcart_gateway/src/quotas.rs
@@ -28,6 +28,10 @@
 /// Entries can lapse with a store that is away and come back after it. What was sent before counts.
 const FORGET: time::Duration = time::Duration::from_secs(30);
 
+/// Longest time for which a target can ask for no requests, so that a senseless one does not shut it
+/// out for ever.
+const BACKOFF_MAX: time::Duration = time::Duration::from_secs(600);
+
 /// The gates of one target; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Gates {
@@ -46,9 +50,26 @@
     /// When that came into force, and the own sends since.
     since: Instant,
     sends: u64,
+    /// Moment until which the target wants nothing from this process.
+    backoff: Option<Instant>,
     listed: Instant,
 }
 
+impl Known {
+    /// Returns the bound on a target that takes nothing.
+    fn closed(&self, heard: &quota::Heard) -> Option<quota::Bound> {
+        let closed = quota::Bound::closed();
+        match heard.left() {
+            Some(_) => Some(closed),
+            None => self.backoff.map(|until| closed.until(until)),
+        }
+    }
+
+    fn is_backing_off(&self, now: Instant) -> bool {
+        self.backoff.is_some_and(|until| now < until)
+    }
+}
+
 /// The gates of all targets.
 #[derive(Debug)]
 pub struct Quotas {
@@ -110,6 +131,35 @@
         }
     }
 
+    /// Takes in that a target has refused a request and wants no other from this process for so long.
+    ///
+    /// A shorter time that it names later does not take back the longer one.
+    pub fn back_off(&self, target: &view::Target, wait: time::Duration) {
+        let now = Instant::now();
+        let until = now + wait.min(BACKOFF_MAX);
+        let mut all = view::lock(&self.known);
+        let known = self.known(&mut all, target);
+        let was_backing_off = known.is_backing_off(now);
+        known.backoff = known.backoff.max(Some(until));
+        self.bind(known, now);
+        if !was_backing_off {
+            event!(
+                Info,
+                "target-backoff",
+                target = target.name,
+                service = target.service,
+                wait_ms = wait.as_millis()
+            );
+        }
+        self.measure(&all, now);
+    }
+
+    /// Reports whether a target takes nothing now, as it has said itself.
+    pub fn is_closed(&self, target: &view::Target) -> bool {
+        let gates = self.gates(target);
+        gates.requests.is_closed(Instant::now())
+    }
+
     /// Takes in what an answer of a target says of its limit.
     pub fn note(&self, target: &view::Target, word: quota::Word) {
         if !self.signals.answer(&target.key(), word) {
@@ -132,7 +182,7 @@
             known.target = (**target).clone();
             known.listed = now;
         }
-        all.retain(|_, known| now < known.listed + FORGET);
+        all.retain(|_, known| now < known.listed + FORGET || known.is_backing_off(now));
         all.values_mut().for_each(|known| self.bind(known, now));
         self.measure(&all, now);
     }
@@ -143,6 +193,11 @@
         let is_cold = |known: &&Known| known.target.cold.is_some_and(|until| now < until);
         let cold = all.values().filter(is_cold);
         self.metrics.cold.set(cold.count() as i64);
+        let is_backing_off = |known: &&Known| known.is_backing_off(now);
+        let backing_off = all.values().filter(is_backing_off);
+        self.metrics.backing_off.set(backing_off.count() as i64);
+        let leaving = all.values().filter(|known| known.target.leaving);
+        self.metrics.leaving.set(leaving.count() as i64);
         let evacuated = self.view.evacuated().unwrap_or_default();
         self.metrics.evacuated.set(evacuated.len() as i64);
     }
@@ -165,6 +220,7 @@
                 limit: quota::Limit::None,
                 since: now,
                 sends: 0,
+                backoff: None,
                 listed: now,
             };
             self.bind(&mut known, now);
@@ -176,7 +232,7 @@
     fn bind(&self, known: &mut Known, now: Instant) {
         let heard = self.signals.heard(&known.target.key());
         let (mut requests, mut calls) = self.shares(&known.target, heard.named(), now);
-        let closed = heard.left().map(|_| quota::Bound::closed());
+        let closed = known.closed(&heard);
         requests.closed = closed;
         calls.closed = closed;
         known.gates.requests.set(requests);
--- a/laburnumcart_gateway/src/state.rs
+++ b/laburnumcart_gateway/src/state.rs
@@ -99,10 +99,14 @@
     if let quota::Limit::Named(rate) = quotas.signals.heard(&target.key()).limit() {
         causes.push(wire::Cause::Limit(rate));
     }
+    let gates = quotas.gates(target);
+    let backoff = gates.requests.backoff(now);
+    if !backoff.is_zero() {
+        causes.push(wire::Cause::Backoff(rounded(backoff)));
+    }
     if causes.is_empty() {
         return None;
     }
-    let gates = quotas.gates(target);
     let rates = [gates.requests.rate(now), gates.calls.rate(now)];
     let part = rates
         .into_iter()
--- a/laburnumcart_wire/src/gateway.rs
+++ b/laburnumcart_wire/src/gateway.rs
@@ -86,4 +86,6 @@
     Cold(unit::Period),
     /// It has named a limit.
     Limit(unit::Rate),
+    /// It wants nothing from this process; for so long.
+    Backoff(unit::Period),
 }
