Refuse at once what no target takes in time, and tell callers when one does

What callers saw: where all targets of a service leave or back off, the stages of a request were executed, and only then it was refused; and whoever was refused was told to come again in 0.3 s, whatever the targets had asked for. Cause: nobody asked before the stages whether there is a target; the time in Retry-After was a constant. The time is that until the first gate opens, with up to 0.3 s drawn on top, so that those who are told of one moment do not come in one. Answers that may have run and refusals that have a time of their own are as before. The questions about targets stand in a file of their own now.

--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -214,9 +214,11 @@
                 true => attempts.decide(&failure, time, budget),
                 false => retry::Decision::GiveUp(attempts.end(failure.refusal, now, budget)),
             });
-        if !matches!(decision, retry::Decision::GiveUp(_)) {
-            self.gateway.metrics.resent.inc();
+        if let retry::Decision::GiveUp(refusal) = decision {
+            let refusal = self.gateway.advise(&self.request, &self.service, refusal);
+            return retry::Decision::GiveUp(refusal);
         }
+        self.gateway.metrics.resent.inc();
         decision
     }
 
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -1,5 +1,7 @@
 //! State of one gateway that its requests share.
 
+mod availability;
+
 use std::{
     collections,
     sync::{
@@ -23,7 +25,6 @@
     patience,
     placement,
     quota,
-    residency,
     unit, //
 };
 use laburnumcart_daemon::stop;
@@ -239,23 +240,6 @@
         })
     }
 
-    /// Reports whether a service has a target for a request that takes requests now.
-    pub fn has_target(
-        &self,
-        request: &admission::Request,
-        service: &id::ServiceName,
-        tried: &[id::TargetName],
-    ) -> bool {
-        let now = Instant::now();
-        let places = request.places.as_deref();
-        let targets = self.view.targets.load();
-        let mut targets = targets.service(service).iter();
-        targets.any(|target| {
-            let allowed = residency::allows(places, &target.data_centre);
-            allowed && !tried.contains(&target.name) && self.gate(target).is_open(now)
-        })
-    }
-
     fn engines_of<'a>(
         &self,
         engines: &'a mut collections::HashMap<id::ServiceName, engines::Engines>,
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -214,7 +214,10 @@
 ) -> Result<Response<reply::Body>, verdict::Refusal> {
     let inputs = match request.route.stages.is_empty() {
         true => None,
-        false => Some(pipeline::run(gateway, &request).await?),
+        false => {
+            gateway.check_targets(&request)?;
+            Some(pipeline::run(gateway, &request).await?)
+        }
     };
     if inputs.is_some() {
         gateway
