Leave an address alone for a second where another target answers

An engine that is gone, and whose address another one has, turns away with 421 all that is sent there. That costs nothing, so the engine seems idle, and it stays the home of its sessions: 20 of 20 requests of a session went there first (test, engines, requests and streams; seen to fail; the two cases of plain services passed before), each a send beyond the first, until the store removed the entry. Now the gate of that life is closed for a second each time, by every way. A life that is listed at the address is another key and gets work at once.

--- a/laburnumcart_gateway/src/outbound.rs
+++ b/laburnumcart_gateway/src/outbound.rs
@@ -3,7 +3,10 @@
 //! Requests, calls of stages and the freeing of results all go through here, so that what a target
 //! says of itself is read whatever it answers.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time, //
+};
 
 use bytes::Bytes;
 use http::Request;
@@ -18,6 +21,11 @@
     view, //
 };
 
+/// Time for which a target is left alone at whose address another one answers.
+///
+/// Refusing costs that one little, so that the address seems idle until its entry is removed.
+const MISDIRECTED: time::Duration = time::Duration::from_secs(1);
+
 /// An answer whose head has come.
 pub struct Received {
     /// Answer.
@@ -61,8 +69,11 @@
         let is_open = || !self.quotas.is_closed(target);
         let answer = self.pool.send_if(target, request, bounds, is_open).await?;
         let reply = self.dialect.reply(&answer.head);
-        // Another target's answer, from an address that it has taken over, says nothing of this one.
-        if !reply.misdirected {
+        // Another target's answer, from an address that it has taken over, says nothing of this one but
+        // that it is not there.
+        if reply.misdirected {
+            self.quotas.back_off(target, MISDIRECTED);
+        } else {
             let echoed = |label| reply.attempt.as_deref().is_none_or(|echo| echo == label);
             let word = quota::Word {
                 limit: reply.limit,
