Soak: targets say that they leave before the store does, and ask for pauses

Targets do not see which gateway a request comes from, so the bounds are those of all gateways, each of which may have to be told once in each of its lives.

--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -58,7 +58,7 @@
     pub length: time::Duration,
     /// Whether data centres are evacuated meanwhile.
     pub evacuations: bool,
-    /// Whether targets name limits meanwhile, and start cold.
+    /// Whether targets name limits meanwhile, start cold, ask for pauses, and say that they leave.
     pub needs: bool,
 }
 
@@ -120,6 +120,7 @@
         objects::serve(behind, store.clone()).await?;
         let store_relay = relay::Relay::start(port::free(), behind).await?;
         let ledger = Arc::new(ledger::Ledger::default());
+        ledger.lock().gateways = plan.gateways;
         let cold = plan.needs.then_some(needs::COLD);
         let targets = targets::Targets::start(store.clone(), ledger.clone(), cold).await?;
         let gateways = gateways::Gateways::start(dir, plan.gateways, store_relay.addr())?;
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -53,6 +53,8 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
+    /// Number of gateways.
+    pub(super) gateways: usize,
     pub(super) calls: collections::HashMap<String, Call>,
     pub(super) runs: collections::HashMap<String, Vec<Run>>,
     /// Keys that were taken away, and when that was accepted.
@@ -65,6 +67,10 @@
     pub(super) evacuations: Vec<Evacuation>,
     /// Limits that targets have named, in order.
     pub(super) needs: Vec<Need>,
+    /// Targets that say in their answers that they are leaving, and since when.
+    pub(super) said: collections::HashMap<String, time::Instant>,
+    /// When each target has refused a request and asked for a pause.
+    pub(super) refused: collections::HashMap<String, Vec<time::Instant>>,
     /// Targets that have started cold, and until when they were.
     pub(super) cold: collections::HashMap<String, time::Instant>,
     /// When requests of any kind came to each target.
@@ -94,6 +100,12 @@
         state.arrivals.entry(target.into()).or_default().push(now);
     }
 
+    pub(super) fn refused(&self, target: &str) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        state.refused.entry(target.into()).or_default().push(now);
+    }
+
     /// Notes that a target names a limit from now on, or none any more.
     pub(super) fn named(&self, target: &str, rate: Option<f64>) {
         let now = time::Instant::now();
--- a/laburnumcart_system/src/soak/needs.rs
+++ b/laburnumcart_system/src/soak/needs.rs
@@ -1,4 +1,5 @@
-//! Targets in need while faults are played: they name a limit for a while, or start cold.
+//! Targets in need while faults are played: they name a limit for a while, start cold, ask for a pause,
+//! or say that they leave before the store does.
 
 use std::time;
 
@@ -18,6 +19,21 @@
 /// Time for which targets that start are cold.
 pub(super) const COLD: time::Duration = time::Duration::from_millis(1500);
 
+/// Time for which targets that refuse requests want no other.
+pub(super) const BACKOFF: time::Duration = time::Duration::from_secs(2);
+
+/// Time after a refusal from which no request comes until the time that it asked for is over.
+const TOLD: time::Duration = time::Duration::from_millis(500);
+
+/// Requests of one gateway that are borne in that time.
+const BORNE: usize = 2;
+
+/// Time between a target's first word that it leaves and the store's.
+pub(super) const UNTOLD: time::Duration = time::Duration::from_secs(3);
+
+/// Time after a target has told a gateway that it leaves in which the gateway still sends to it.
+const LEAVE: time::Duration = time::Duration::from_secs(2);
+
 /// Limits that targets name, in requests a second.
 const LIMITS: [f64; 4] = [0.5, 2.0, 7.5, 20.0];
 
@@ -69,6 +85,39 @@
             breaches.push(format!("{most} requests in 1 s at {target}, which is cold"));
         }
     }
+    breaches.extend(unheeded(state));
+    breaches
+}
+
+/// Lists the targets that got more than what gateways send that were not told.
+///
+/// Targets do not see which gateway a request comes from. Each, and each that has started again, may
+/// have to be told once.
+fn unheeded(state: &State) -> Vec<String> {
+    let untold = state.gateways + state.faults.iter().filter(|f| f.contains("SIG")).count();
+    let mut breaches = Vec::new();
+    for (target, refused) in &state.refused {
+        let span = BACKOFF - TOLD;
+        let after = |from: &time::Instant| {
+            let span = *from..*from + span;
+            refused.iter().filter(|at| span.contains(*at)).count()
+        };
+        let most = refused.iter().map(after).max().unwrap_or(0);
+        if most > untold * (1 + BORNE) {
+            breaches.push(format!(
+                "{most} requests in {span:?} at {target}, which asks for a pause"
+            ));
+        }
+    }
+    for (target, since) in &state.said {
+        let arrivals = state.arrivals.get(target).map_or(&[][..], Vec::as_slice);
+        let late = arrivals.iter().filter(|at| **at > *since + LEAVE).count();
+        if late > untold {
+            breaches.push(format!(
+                "{late} requests at {target}, which says that it leaves"
+            ));
+        }
+    }
     breaches
 }
 
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -5,7 +5,8 @@
     sync::{
         Arc,
         Mutex,
-        PoisonError, //
+        PoisonError,
+        atomic, //
     },
     time,
 };
@@ -26,9 +27,11 @@
 };
 
 use crate::{
-    port,
-    relay,
-    soak::ledger::Ledger, //
+    port, relay,
+    soak::{
+        ledger::Ledger,
+        needs, //
+    },
 };
 
 /// Targets of each service.
@@ -69,6 +72,8 @@
     place: &'static str,
     mode: Arc<Mutex<Mode>>,
     limit: Arc<Mutex<Option<f64>>>,
+    /// Whether its answers say that it is leaving.
+    leaving: Arc<atomic::AtomicBool>,
     relay: relay::Relay,
 }
 
@@ -149,17 +154,21 @@
     /// Replaces a target by a planned stop: the new one first, then the old one leaves.
     pub(super) async fn release(&mut self, index: usize) -> io::Result<()> {
         let old = self.replace(index).await?;
-        let entry = entry(&old, "draining");
-        super::put(&self.store, &format!("servers/{}", old.name), &entry).await;
+        let (store, ledger) = (self.store.clone(), self.ledger.clone());
+        ledger.fault(format!("{} leaves", old.name));
+        if self.cold.is_none() {
+            drain(&store, &ledger, &old).await;
+            tokio::spawn(retire(store, old));
+            return Ok(());
+        }
+        // It says so itself, and the store is told late.
+        old.leaving.store(true, atomic::Ordering::Release);
         let now = time::Instant::now();
-        self.ledger.lock().leaving.insert(old.name.clone(), now);
-        self.ledger.fault(format!("{} leaves", old.name));
-        // It serves on for a while, then it is gone.
-        let (store, key) = (self.store.clone(), format!("servers/{}", old.name));
+        ledger.lock().said.insert(old.name.clone(), now);
         tokio::spawn(async move {
-            tokio::time::sleep(time::Duration::from_secs(5)).await;
-            remove(&store, &key).await;
-            drop(old);
+            tokio::time::sleep(needs::UNTOLD).await;
+            drain(&store, &ledger, &old).await;
+            retire(store, old).await;
         });
         Ok(())
     }
@@ -175,6 +184,7 @@
         let name = format!("i-{}", self.next);
         let mode = Arc::new(Mutex::new(Mode::Good));
         let limit = Arc::new(Mutex::new(None));
+        let leaving = Arc::new(atomic::AtomicBool::new(false));
         let addr = port::free();
         let script = Script {
             name: name.clone(),
@@ -182,6 +192,8 @@
             service,
             mode: mode.clone(),
             limit: limit.clone(),
+            leaving: leaving.clone(),
+            backs_off: self.cold.is_some(),
             ledger: self.ledger.clone(),
         };
         let target = scripted::Target::start(move |seen, _| script.steps(seen)).await?;
@@ -193,6 +205,7 @@
             place,
             mode,
             limit,
+            leaving,
             relay,
         };
         let mut entry = entry(&life, "ready");
@@ -210,6 +223,20 @@
     }
 }
 
+/// Writes that a target leaves.
+async fn drain(store: &memory::Memory, ledger: &Ledger, target: &Life) {
+    let entry = entry(target, "draining");
+    super::put(store, &format!("servers/{}", target.name), &entry).await;
+    let now = time::Instant::now();
+    ledger.lock().leaving.insert(target.name.clone(), now);
+}
+
+/// Ends a target that leaves once it has served on for a while.
+async fn retire(store: memory::Memory, target: Life) {
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    remove(&store, &format!("servers/{}", target.name)).await;
+}
+
 pub(super) async fn remove(store: &memory::Memory, key: &str) {
     loop {
         match store.get(key).await {
@@ -234,6 +261,9 @@
     service: &'static str,
     mode: Arc<Mutex<Mode>>,
     limit: Arc<Mutex<Option<f64>>>,
+    leaving: Arc<atomic::AtomicBool>,
+    /// Whether its refusals ask for a pause.
+    backs_off: bool,
     ledger: Arc<Ledger>,
 }
 
@@ -246,10 +276,14 @@
             Step::Send(bytes) => Some(bytes),
             _ => None,
         });
-        let named = limit.map(|limit| format!("\r\nserver-limit: {limit}\r\n"));
-        if let (Some(named), Some(first)) = (named, first) {
+        let limit = limit.map(|limit| format!("server-limit: {limit}\r\n"));
+        let leaving = self.leaving.load(atomic::Ordering::Acquire);
+        let leaving = leaving.then(|| "server-leaving: 1\r\n".to_owned());
+        let said: String = limit.into_iter().chain(leaving).collect();
+        if let Some(first) = first.filter(|_| !said.is_empty()) {
             let head = String::from_utf8_lossy(first);
-            *first = head.replacen("\r\n", &named, 1).into_bytes();
+            let head = head.replacen("\r\n", &format!("\r\n{said}"), 1);
+            *first = head.into_bytes();
         }
         steps
     }
@@ -267,8 +301,12 @@
             return vec![head(seen, "200 OK", "", "")];
         }
         if mode == Mode::Shed {
-            let proof = "x-laburnumcart-not-executed: 1\r\n";
-            return vec![head(seen, "503 Service Unavailable", proof, "")];
+            let mut proof = "x-laburnumcart-not-executed: 1\r\n".to_owned();
+            if self.backs_off {
+                self.ledger.refused(&self.name);
+                proof += &format!("retry-after: {}\r\n", needs::BACKOFF.as_secs());
+            }
+            return vec![head(seen, "503 Service Unavailable", &proof, "")];
         }
         let whole = match self.service {
             "encode" => self.encode(seen),
