Ask again in a long watch once another follower has found out that connections had fallen silent

Configuration and targets are watched for 0.75 s at a time, so that their followers find out after 1.8 s; the members for 5 s: each gateway took itself for the only one for 6.5 s, and used the whole rate of the cold target. Mend: a follower whose call is out for more than 0.1 s asks again when another one has found the service again, also if its own call is not late yet. It costs a call for each that still waits, after an outage that only some have noticed.

--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -286,7 +286,8 @@
 
     /// Asks, unless another follower is answered while this one's call is out.
     ///
-    /// Sent before the return of the service, the call may never be answered. One that was sent just
+    /// Sent before the return of the service, the call may never be answered, also a watch that is
+    /// not late yet: its connection can have fallen silent with the other's. One that was sent just
     /// now is let be: many followers start in one moment.
     async fn ask_until(
         &self,
@@ -299,7 +300,7 @@
             tokio::select! {
                 asked = &mut asked => return Some(asked),
                 // The sender lives as long as this follower.
-                _ = returns.changed(), if self.is_down() => {
+                _ = returns.changed() => {
                     if Instant::now() >= end {
                         return None;
                     }
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -398,3 +398,81 @@
     let calls = store.calls.load(atomic::Ordering::Relaxed);
     assert!(calls < 40, "{calls}");
 }
+
+/// A service whose open connections have fallen silent: watches from before a moment fail after
+/// their wait and a timeout.
+#[derive(Clone)]
+struct Stuck(Silent);
+
+impl Store for Stuck {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.0.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.0.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.0.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.0.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        if Instant::now() < self.0.until {
+            tokio::time::sleep(wait).await;
+        }
+        self.0.watch(prefix, after, wait).await
+    }
+}
+
+// Connections fall silent. One follower finds out, and another one's long watch goes on to hide what
+// has changed: a process that has just started knows no other, and takes the whole of shared rates.
+#[tokio::test(start_paused = true)]
+async fn a_long_watch_is_asked_again_when_a_short_one_has_failed() {
+    let start = Instant::now();
+    let memory = memory::Memory::new();
+    let store = Stuck(Silent {
+        memory: memory.clone(),
+        until: start + SECOND * 3 / 2,
+        calls: sync::Arc::default(),
+    });
+    let returns = follow::Returns::default();
+    let mut mirrors = Vec::new();
+    for (prefix, wait) in [("short/", 750), ("long/", 5000)] {
+        let settings = follow::Settings {
+            wait: unit::Period::from_millis(wait),
+            ..follow::Settings::default()
+        };
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    for mirror in &mut mirrors {
+        mirror.wait_for(|m| m.listed).await.unwrap();
+    }
+    tokio::time::sleep(SECOND).await;
+    memory
+        .put("long/1", store::Expect::Absent, "1")
+        .await
+        .unwrap();
+    mirrors[1]
+        .wait_for(|m| !m.objects.is_empty())
+        .await
+        .unwrap();
+    let taken = start.elapsed();
+    assert!(taken <= SECOND * 5 / 2, "{taken:?}");
+}
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -18,7 +18,8 @@
 //
 // Seed 202 failed once: a gateway that was paused and then told to stop was not woken at the end of
 // the faults, which was the soak's own mistake. Seed 511 failed once: a late second answer of an
-// encoder gave a request the results of another.
+// encoder gave a request the results of another. Seed 21 failed in some plays: gateways that had just
+// started did not know each other, and each took the whole rate of a cold target.
 #[rstest]
 #[case(4, false, false)]
 #[case(5, false, false)]
@@ -28,6 +29,7 @@
 #[case(9, true, false)]
 #[case(12, false, true)]
 #[case(13, true, true)]
+#[case(21, false, true)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_faults(
     #[case] seed: u64,
