Keep the owner of a queue that answers anything while its heartbeats are late

Cause: a process under much load answers a heartbeat late; it was taken for gone, and its queues moved to the next process with all their load. Mend: a heartbeat that is not answered in time counts only if nothing else was answered in that time.

--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -83,6 +83,8 @@
 struct State {
     down: Option<Instant>,
     failed: u32,
+    /// When the process has answered anything last.
+    heard: Option<Instant>,
     /// Closes the connection when it is dropped.
     breaker: Option<watch::Sender<bool>>,
 }
@@ -123,6 +125,11 @@
         self.left.load(atomic::Ordering::Relaxed)
     }
 
+    /// Records that the process has answered.
+    fn hear(&self) {
+        view::lock(&self.state).heard = Some(Instant::now());
+    }
+
     /// Fails all calls on the connection.
     pub(super) fn cut(&self, cause: &'static str) {
         fail(&self.state, &self.member, cause);
@@ -142,7 +149,10 @@
         };
         canceller.open = None;
         match answer {
-            Ok(answer) => Some(answer),
+            Ok(answer) => {
+                self.hear();
+                Some(answer)
+            }
             Err(error) => {
                 // All calls on the connection fail together; it is one failure of the process.
                 if !*open.broken.borrow() {
@@ -160,7 +170,9 @@
     ) -> Option<forecast::Outlook> {
         let call = async {
             let open = self.client().await?;
-            open.client.announce(notice).await.ok().flatten()
+            let outlook = open.client.announce(notice).await.ok()?;
+            self.hear();
+            outlook
         };
         tokio::time::timeout(NOTICE, call).await.ok().flatten()
     }
@@ -298,7 +310,10 @@
     }
 }
 
-/// Sends heartbeats until one is not answered in time.
+/// Sends heartbeats until one is not answered in time, and nothing else is.
+///
+/// A process under much load answers them late. Taken for gone, its queues would move to the next
+/// one with all their load, and from there on.
 async fn beat(mut open: Open, state: Arc<Mutex<State>>, member: view::Member) {
     loop {
         tokio::select! {
@@ -306,7 +321,12 @@
             _ = open.broken.wait_for(|broken| *broken) => return,
         }
         match tokio::time::timeout(SILENCE, open.client.beat()).await {
-            Ok(Ok(())) => view::lock(&state).failed = 0,
+            Ok(Ok(())) => {
+                let mut state = view::lock(&state);
+                state.failed = 0;
+                state.heard = Some(Instant::now());
+            }
+            Err(_) if is_heard(&state) => {}
             _ => {
                 fail(&state, &member, "silent");
                 return;
@@ -315,6 +335,12 @@
     }
 }
 
+/// Reports whether the process has answered anything within the time of a heartbeat.
+fn is_heard(state: &Mutex<State>) -> bool {
+    let heard = view::lock(state).heard;
+    heard.is_some_and(|at| at.elapsed() < SILENCE)
+}
+
 /// Closes the connection and passes the process over for a while.
 fn fail(state: &Mutex<State>, member: &view::Member, cause: &'static str) {
     let mut state = view::lock(state);
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -90,6 +90,8 @@
     jobs: Arc<Mutex<Vec<u64>>>,
     answer: Arc<Mutex<Option<Answer>>>,
     freed: Arc<atomic::AtomicUsize>,
+    /// Time that a heartbeat waits for its answer.
+    lag: time::Duration,
 }
 
 #[async_trait]
@@ -125,6 +127,7 @@
     }
 
     async fn beat(&self) -> RpcResult<()> {
+        tokio::time::sleep(self.lag).await;
         Ok(())
     }
 }
@@ -305,3 +308,41 @@
     }
     wait_for(|| second.freed.load(atomic::Ordering::Relaxed) == SERVICES.len()).await;
 }
+
+// An owner under load answers heartbeats late, is taken for gone, and its load moves to the next one.
+#[tokio::test]
+async fn a_process_under_load_is_not_taken_for_gone() {
+    let caller = Caller::new();
+    let slow = Silent {
+        lag: time::Duration::from_secs(5),
+        ..Silent::default()
+    };
+    let (_slow, member) = slow.serve("gateway-2", "secret-of-the-second-process");
+    caller.view.set_members(vec![member.clone()]);
+    let service: id::ServiceName = SERVICES[0].parse().unwrap();
+    let start = tokio::time::Instant::now();
+    while start.elapsed() < time::Duration::from_millis(2500) {
+        caller.peers.announce(notice(&service)).await;
+        let owner = caller.peers.owner_of(&service);
+        assert_eq!(
+            owner.as_ref(),
+            Some(&member.instance),
+            "{:?}",
+            start.elapsed()
+        );
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
+
+fn notice(service: &id::ServiceName) -> dispatcher::Notice {
+    let limit = unit::Period::from_secs(2);
+    dispatcher::Notice {
+        id: 1,
+        service: service.clone(),
+        pieces: 1,
+        size: unit::Size(100),
+        due: limit,
+        deadline: limit,
+        rank: 0.into(),
+    }
+}
