Count only targets that take calls in the outlook of a queue

Found by reading. With one of two targets backing off for 600 s a job was told that it would be done after 300 s, and refused: the time left was averaged over all targets as if it were that of calls. Now the outlook counts the targets that take calls; where none does, the first one that will and the time until then. The test, made stricter, fails before (300.28 s, 0.28 s expected).

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -186,25 +186,25 @@
         // One that has failed may be back; with none counted, all requests would be refused.
         let speed = |e: &Engine| 0.5f64.powi(e.failed.min(8) as i32) / e.pace.max(1.0) / call;
         let bound = |e: &Engine| e.gate.rate(now).map_or(f64::INFINITY, |rate| rate.0);
-        let calls = self.engines.values().map(|e| speed(e).min(bound(e)));
+        let calls = self.taking(now).map(|e| speed(e).min(bound(e)));
         calls.sum::<f64>() * fill
     }
 
     /// Returns how long a job of `own` pieces takes when as many as `ahead` go before it.
     pub(super) fn outlook(&self, ahead: f64, own: usize, now: Instant) -> time::Duration {
-        let count = self.engines.len();
+        let count = self.taking(now).count();
         let capacity = self.capacity(now);
         if count == 0 || capacity == 0.0 {
             return time::Duration::MAX;
         }
         let most = self.shape.pieces.max(1);
-        let left = self.engines.values().map(|e| self.left(e, now));
+        let left = self.taking(now).map(|e| self.left(e, now));
         let busy: time::Duration = left.sum();
         let queued = time::Duration::try_from_secs_f64(ahead / capacity);
         let queued = queued.unwrap_or(time::Duration::MAX);
         let waves = own.div_ceil(most).div_ceil(count).max(1) as u32;
         let own = self.promised(own.min(most)) * waves;
-        queued.saturating_add(busy / count as u32 + own)
+        queued.saturating_add(self.backoff(now) + busy / count as u32 + own)
     }
 
     pub(super) fn free_count(&self, now: Instant) -> usize {
@@ -252,14 +252,26 @@
         (!is_over).then(|| self.left(engine, now).max(SOON).max(held))
     }
 
-    /// Returns the time until a target should end its call, and takes calls again.
+    /// Returns the time until a target should end its call.
     fn left(&self, engine: &Engine, now: Instant) -> time::Duration {
-        let backoff = engine.gate.backoff(now);
         let Some((start, pieces)) = engine.call else {
-            return backoff;
+            return time::Duration::ZERO;
         };
         let end = start + self.promised(pieces).mul_f64(engine.pace);
-        end.saturating_duration_since(now).max(backoff)
+        end.saturating_duration_since(now)
+    }
+
+    /// Returns the time until the first target takes calls, zero if one does, as they have told.
+    fn backoff(&self, now: Instant) -> time::Duration {
+        let waits = self.engines.values().map(|e| e.gate.backoff(now));
+        waits.min().unwrap_or_default()
+    }
+
+    /// Lists the targets that take calls by then.
+    fn taking(&self, now: Instant) -> impl Iterator<Item = &Engine> {
+        let first = self.backoff(now);
+        let engines = self.engines.values();
+        engines.filter(move |e| e.gate.backoff(now) <= first)
     }
 
     /// Returns the room for results that is left at a target.
--- a/laburnumcart/tests/batch/outlook.rs
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -144,10 +144,10 @@
     assert!(queue.take(now).is_some(), "the others are done");
 }
 
-// All targets of a queue back off. A job that would be done once they are back is told that there is
-// none, or that they are free.
+// Targets of a queue back off: jobs are told that there is none or that they are free, or wait for a
+// target that is away for minutes beside another one that is free.
 #[tokio::test(start_paused = true)]
-async fn the_outlook_counts_the_time_for_which_targets_back_off() {
+async fn the_outlook_counts_the_time_for_which_all_targets_back_off() {
     let now = Instant::now();
     let mut queue = batch::Queue::new(SHAPE);
     let gates = ["north", "south"].map(|place| {
@@ -158,13 +158,15 @@
     });
     let spec = batch::Spec::new(4, SIZE, now + 5000 * MS);
     let free = queue.outlook(&spec, now);
-    let closed = quota::Bound::closed().until(now + 2000 * MS);
-    for gate in &gates {
+    let close = |gate: &quota::Gate, left: time::Duration| {
         gate.set(quota::Bounds {
-            closed: Some(closed),
+            closed: Some(quota::Bound::closed().until(now + left)),
             ..quota::Bounds::default()
         });
-    }
+    };
+    close(&gates[0], 600_000 * MS);
+    assert_eq!(queue.outlook(&spec, now), free);
+    close(&gates[1], 2000 * MS);
     assert_eq!(queue.outlook(&spec, now), free + 2000 * MS);
     push(&mut queue, 4, 900 * MS, now);
     assert!(queue.take(now).is_none());
