--- a/laburnumcart/tests/batch/outlook.rs
+++ b/laburnumcart/tests/batch/outlook.rs
@@ -144,8 +144,7 @@
     assert!(queue.take(now).is_some(), "the others are done");
 }
 
-// Targets of a queue back off: jobs are told that there is none or that they are free, or wait for a
-// target that is away for minutes beside another one that is free.
+// Jobs are refused for a target that backs off for minutes while another one is free.
 #[tokio::test(start_paused = true)]
 async fn the_outlook_counts_the_time_for_which_all_targets_back_off() {
     let now = Instant::now();
--- a/laburnumcart/tests/quota.rs
+++ b/laburnumcart/tests/quota.rs
@@ -255,8 +255,7 @@
     assert!(used >= 0.75, "{used}");
 }
 
-// Callers all come to a gateway whose part of a low limit is nothing. It would never send to the
-// target again, long after that has stopped to name a limit.
+// A gateway without a part of a low limit never sends to the target again, long after its end.
 #[rstest]
 fn nobody_keeps_away_for_ever(#[values(0.0, 0.1, 1.0)] rate: f64) {
     let mut rng = StdRng::seed_from_u64(2);
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -439,8 +439,7 @@
     }
 }
 
-// Connections fall silent. One follower finds out, and another one's long watch goes on to hide what
-// has changed: a process that has just started knows no other, and takes the whole of shared rates.
+// Connections fall silent, one follower finds out, and another one's long watch hides what changes.
 #[tokio::test(start_paused = true)]
 async fn a_long_watch_is_asked_again_when_a_short_one_has_failed() {
     let start = Instant::now();
