--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -133,9 +133,10 @@
         if handles.any(|handle| self.gateway.is_lost(handle)) {
             return Err(Failure::InputsGone);
         }
+        let places = inputs.map_or(&[][..], |inputs| &inputs.places);
         let seat = self
             .gateway
-            .seat(&request, &self.service, inputs, &self.tried);
+            .seat(&request, &self.service, places, &self.tried);
         let Some(mut seat) = seat else {
             self.exhausted = true;
             return Err(Failure::Refused(not_run(verdict::Reason::NoTarget)));
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -38,7 +38,6 @@
     metrics,
     outbound,
     peers,
-    pipeline::Inputs,
     pool,
     quotas,
     settings,
@@ -207,12 +206,12 @@
         addr.is_some_and(|addr| targets.is_replaced(&addr, handle.life))
     }
 
-    /// Chooses a target of a service for a request.
+    /// Chooses a target of a service for a request, whose inputs lie in these data centres.
     pub fn seat(
         self: &Arc<Self>,
         request: &admission::Request,
         service: &id::ServiceName,
-        inputs: Option<&Inputs>,
+        inputs: &[(id::DataCentre, unit::Size)],
         tried: &[id::TargetName],
     ) -> Option<Seat> {
         let now = Instant::now();
@@ -328,7 +327,7 @@
 fn choose(
     engines: &mut engines::Engines,
     request: &admission::Request,
-    inputs: Option<&Inputs>,
+    inputs: &[(id::DataCentre, unit::Size)],
     tried: &[id::TargetName],
     now: Instant,
 ) -> Option<(placement::Place, Arc<view::Target>)> {
@@ -337,7 +336,7 @@
     let ask = placement::Ask {
         parts: prompt.map_or(&[], |p| &p.parts),
         tokens: prompt.map_or(0, |p| p.input + p.output),
-        inputs: inputs.map_or(&[], |i| &i.places),
+        inputs,
         avoid: &avoid,
         slack: request.slack(),
     };
