Break two circles of files: the start of the bundle's followers, progress of a stage

The two loops that keep a bundle up to date are started from a file of their own, and what is known of a stage's attempts stands apart from the code that runs it.

--- a/laburnumcart_daemon/src/bundle.rs
+++ b/laburnumcart_daemon/src/bundle.rs
@@ -8,7 +8,6 @@
     Feed,
     Snapshot, //
 };
-pub use follow::run;
 pub use options::{
     Options,
     Timing, //
@@ -18,6 +17,7 @@
     Peers,
     Rpc, //
 };
+pub use run::run;
 
 mod counters;
 mod feed;
@@ -25,3 +25,4 @@
 mod gather;
 mod options;
 mod peers;
+mod run;
--- a/laburnumcart_daemon/src/bundle/follow.rs
+++ b/laburnumcart_daemon/src/bundle/follow.rs
@@ -21,28 +21,10 @@
 use super::{
     counters::Failure,
     feed,
-    gather,
-    options,
-    peers, //
+    options, //
 };
 
-/// Keeps `feed` up to date; never returns, and can be dropped at any time.
-pub async fn run(
-    feed: feed::Feed,
-    store: impl store::Store,
-    peers: impl peers::Peers,
-    options: options::Options,
-) {
-    let follower = Follower {
-        feed,
-        options,
-        down: AtomicBool::new(false),
-        reported: AtomicBool::new(false),
-    };
-    tokio::join!(follower.follow(&store), gather::gather(&follower, &peers));
-}
-
-/// State of [`run`] that its two loops share.
+/// State that the loops over the object service and over the peers share.
 pub(super) struct Follower {
     pub(super) feed: feed::Feed,
     pub(super) options: options::Options,
@@ -61,12 +43,23 @@
 }
 
 impl Follower {
+    /// Creates a follower that has not called the object service.
+    pub(super) fn new(feed: feed::Feed, options: options::Options) -> Self {
+        Self {
+            feed,
+            options,
+            down: AtomicBool::new(false),
+            reported: AtomicBool::new(false),
+        }
+    }
+
     /// Returns whether the last call of the object service failed.
     pub(super) fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
     }
 
-    async fn follow(&self, store: &impl store::Store) {
+    /// Follows the head; never returns.
+    pub(super) async fn follow(&self, store: &impl store::Store) {
         loop {
             match self.call(store.list(head::KEY)).await {
                 Ok(listing) => self.watch(store, listing).await,
--- a/laburnumcart_entry/src/driver.rs
+++ b/laburnumcart_entry/src/driver.rs
@@ -4,6 +4,7 @@
 mod place;
 mod race;
 mod stage;
+mod tries;
 
 use std::sync::Arc;
 
--- a/laburnumcart_entry/src/driver/place.rs
+++ b/laburnumcart_entry/src/driver/place.rs
@@ -12,7 +12,7 @@
 use crate::{
     driver::{
         Driver,
-        stage::Tries, //
+        tries::Tries, //
     },
     links::pull,
     routes, //
--- a/laburnumcart_entry/src/driver/race.rs
+++ b/laburnumcart_entry/src/driver/race.rs
@@ -22,7 +22,7 @@
         Driver,
         Event,
         place,
-        stage::Tries, //
+        tries::Tries, //
     },
     links::pull,
     metrics,
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -1,7 +1,5 @@
 //! One stage of a request: its attempts until one is whole or no further is allowed.
 
-use std::net;
-
 use serde::Serialize;
 use serde_json::value;
 use tokio::time;
@@ -20,7 +18,8 @@
     driver::{
         Driver,
         account,
-        race, //
+        race,
+        tries::Tries, //
     },
     links::pull, //
 };
@@ -36,23 +35,6 @@
     previous: Option<&'a value::RawValue>,
 }
 
-/// Progress of one stage over its attempts.
-pub(super) struct Tries<'a> {
-    pub(super) stage: &'a bundle::Stage,
-    pub(super) kind: bundle::Kind,
-    pub(super) idempotent: bool,
-    /// Whether the text goes to the caller as it comes.
-    pub(super) streams: bool,
-    body: Box<value::RawValue>,
-    /// Text that earlier attempts have received; engines only.
-    pub(super) received: String,
-    /// Agents that attempts went to, the last one last.
-    pub(super) tried: Vec<net::SocketAddr>,
-    /// Least time that this stage and those after it need.
-    needed: time::Duration,
-    attempts: retry::Attempts,
-}
-
 /// A stage within its pipeline.
 #[derive(Clone, Copy)]
 pub(super) struct Place<'a> {
