--- a/laburnumcart_system/src/files.rs
+++ b/laburnumcart_system/src/files.rs
@@ -1,10 +1,6 @@
 //! Files of a fleet's folder and objects of its object service, as operators and intruders write them.
 
-use std::{
-    fs,
-    path,
-    process::Command, //
-};
+use std::fs;
 
 use serde_json::Value;
 
@@ -71,14 +67,3 @@
         self.wait_healthy(self.store_addr).await;
     }
 }
-
-/// Has `laburnumctl` generate a signing key and returns it.
-pub(crate) fn generate_key(dir: &path::Path) -> Value {
-    let output = Command::new(process::binary("laburnumctl"))
-        .current_dir(dir)
-        .args(["keygen", "--name", "test", "--out", "key.json", "--json"])
-        .output()
-        .expect("laburnumctl");
-    assert!(output.status.success(), "keygen: {output:?}");
-    serde_json::from_slice(&output.stdout).expect("JSON of keygen")
-}
--- a/laburnumcart_system/src/fleet.rs
+++ b/laburnumcart_system/src/fleet.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    files,
     http,
+    keygen,
     port,
     process,
     relay,
@@ -111,7 +111,7 @@
         let mut args = vec!["--listen".into(), store_addr.to_string()];
         args.extend(plan.store.iter().map(|arg| String::from(*arg)));
         let store = process::Process::start(&dir.0, "store", "laburnum-fake-store", &args);
-        let key = files::generate_key(&dir.0);
+        let key = keygen::generate_key(&dir.0);
         let mut fleet = Self {
             dir,
             plan: plan.clone(),
--- a/laburnumcart_system/src/lib.rs
+++ b/laburnumcart_system/src/lib.rs
@@ -5,6 +5,7 @@
 mod files;
 pub mod fleet;
 pub mod http;
+mod keygen;
 pub mod letters;
 pub use laburnumcart_fakes::port;
 pub mod process;
