Add up the targets of a queue in one pass for its outlook

The mend of the outlook asked each target's gate seven times for each job, where one was asked before; now it is two. Same results but for rounding, same tests.

--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -81,6 +81,16 @@
     expiry: Instant,
 }
 
+/// Targets that take calls, added up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Taking {
+    count: usize,
+    /// Pieces that they do in a second while enough wait.
+    capacity: f64,
+    /// Time until their calls should end.
+    busy: time::Duration,
+}
+
 /// The targets of one service.
 #[derive(Clone, Debug)]
 pub struct Engines {
@@ -181,30 +191,53 @@
 
     /// Returns the pieces that are done in a second while enough wait.
     pub(super) fn capacity(&self, now: Instant) -> f64 {
-        let fill = self.fill.max(1.0);
-        let call = self.promised(fill as usize).as_secs_f64().max(0.001);
-        // One that has failed may be back; with none counted, all requests would be refused.
-        let speed = |e: &Engine| 0.5f64.powi(e.failed.min(8) as i32) / e.pace.max(1.0) / call;
-        let bound = |e: &Engine| e.gate.rate(now).map_or(f64::INFINITY, |rate| rate.0);
-        let calls = self.taking(now).map(|e| speed(e).min(bound(e)));
-        calls.sum::<f64>() * fill
+        self.taking(now).0.capacity
     }
 
     /// Returns how long a job of `own` pieces takes when as many as `ahead` go before it.
     pub(super) fn outlook(&self, ahead: f64, own: usize, now: Instant) -> time::Duration {
-        let count = self.taking(now).count();
-        let capacity = self.capacity(now);
-        if count == 0 || capacity == 0.0 {
+        let (taking, wait) = self.taking(now);
+        if taking.count == 0 || taking.capacity == 0.0 {
             return time::Duration::MAX;
         }
         let most = self.shape.pieces.max(1);
-        let left = self.taking(now).map(|e| self.left(e, now));
-        let busy: time::Duration = left.sum();
-        let queued = time::Duration::try_from_secs_f64(ahead / capacity);
+        let queued = time::Duration::try_from_secs_f64(ahead / taking.capacity);
         let queued = queued.unwrap_or(time::Duration::MAX);
-        let waves = own.div_ceil(most).div_ceil(count).max(1) as u32;
+        let waves = own.div_ceil(most).div_ceil(taking.count).max(1) as u32;
         let own = self.promised(own.min(most)) * waves;
-        queued.saturating_add(self.backoff(now) + busy / count as u32 + own)
+        queued.saturating_add(wait + taking.busy / taking.count as u32 + own)
+    }
+
+    /// Adds up the targets that take calls; where none does, those that will first, and the time
+    /// until then.
+    fn taking(&self, now: Instant) -> (Taking, time::Duration) {
+        let taking = self.taking_by(time::Duration::ZERO, now);
+        if taking.count > 0 {
+            return (taking, time::Duration::ZERO);
+        }
+        let waits = self.engines.values().map(|e| e.gate.backoff(now));
+        let first = waits.min().unwrap_or_default();
+        (self.taking_by(first, now), first)
+    }
+
+    /// Adds up the targets that take calls after a time.
+    fn taking_by(&self, wait: time::Duration, now: Instant) -> Taking {
+        let fill = self.fill.max(1.0);
+        let call = self.promised(fill as usize).as_secs_f64().max(0.001);
+        let mut taking = Taking::default();
+        for engine in self.engines.values() {
+            if engine.gate.backoff(now) > wait {
+                continue;
+            }
+            // One that has failed may be back; with none counted, all requests would be refused.
+            let failed = 0.5f64.powi(engine.failed.min(8) as i32);
+            let speed = failed / engine.pace.max(1.0) / call;
+            let bound = engine.gate.rate(now).map_or(f64::INFINITY, |rate| rate.0);
+            taking.capacity += speed.min(bound) * fill;
+            taking.busy += self.left(engine, now);
+            taking.count += 1;
+        }
+        taking
     }
 
     pub(super) fn free_count(&self, now: Instant) -> usize {
@@ -261,19 +294,6 @@
         end.saturating_duration_since(now)
     }
 
-    /// Returns the time until the first target takes calls, zero if one does, as they have told.
-    fn backoff(&self, now: Instant) -> time::Duration {
-        let waits = self.engines.values().map(|e| e.gate.backoff(now));
-        waits.min().unwrap_or_default()
-    }
-
-    /// Lists the targets that take calls by then.
-    fn taking(&self, now: Instant) -> impl Iterator<Item = &Engine> {
-        let first = self.backoff(now);
-        let engines = self.engines.values();
-        engines.filter(move |e| e.gate.backoff(now) <= first)
-    }
-
     /// Returns the room for results that is left at a target.
     pub(super) fn room(&self, key: EngineKey) -> unit::Size {
         unit::Size(self.shape.room.0.saturating_sub(self.used(key).0))
