Ask again in long watches alone when another follower is answered

Cause: since a follower asks again at each return of another one, also short watches of configuration and targets were cut off each time; while gateways answer each other in turn they never ended. A test of a watch beside one that flaps fails before; the test of the long watch passes as before.

--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -129,6 +129,11 @@
 /// First pause after a failure.
 const FIRST: time::Duration = time::Duration::from_millis(100);
 
+/// Wait of a watch from which on it is asked again although it is not late.
+///
+/// Shorter ones find out by themselves; cut off by each return of another, they would never end.
+const LONG: time::Duration = time::Duration::from_secs(2);
+
 /// Tells followers of one service that it has answered again.
 ///
 /// One of them asks often while the service is down, the others seldom. Each call is paid for, and
@@ -286,21 +291,22 @@
 
     /// Asks, unless another follower is answered while this one's call is out.
     ///
-    /// Sent before the return of the service, the call may never be answered, also a watch that is
-    /// not late yet: its connection can have fallen silent with the other's. One that was sent just
-    /// now is let be: many followers start in one moment.
+    /// Sent before the return of the service, the call may never be answered, also a long watch that
+    /// is not late yet: its connection can have fallen silent with the other's. One that was sent
+    /// just now is let be: many followers start in one moment.
     async fn ask_until(
         &self,
         returns: &mut watch::Receiver<()>,
     ) -> Option<(Result<Told, store::Failure>, u32)> {
         let end = Instant::now() + FIRST;
+        let is_long = self.settings.wait.0 > LONG;
         let asked = self.ask();
         tokio::pin!(asked);
         loop {
             tokio::select! {
                 asked = &mut asked => return Some(asked),
                 // The sender lives as long as this follower.
-                _ = returns.changed() => {
+                _ = returns.changed(), if self.is_down() || is_long => {
                     if Instant::now() >= end {
                         return None;
                     }
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -475,3 +475,78 @@
     let taken = start.elapsed();
     assert!(taken <= SECOND * 5 / 2, "{taken:?}");
 }
+
+/// A service that is slow, and fails every other watch of one prefix.
+#[derive(Clone)]
+struct Flapping(Silent);
+
+impl Store for Flapping {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.0.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.0.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.0.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.0.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        if prefix == "flapping/" {
+            let calls = self.0.calls.fetch_add(1, atomic::Ordering::Relaxed);
+            tokio::time::sleep(SECOND / 20).await;
+            return match calls % 2 {
+                0 => Err(store::Failure::Unanswered),
+                _ => self.0.memory.watch(prefix, after, SECOND / 20).await,
+            };
+        }
+        tokio::time::sleep(SECOND / 2).await;
+        self.0.memory.watch(prefix, after, wait).await
+    }
+}
+
+// Each time that one follower is answered again cuts off the watch of another, which never ends.
+#[tokio::test(start_paused = true)]
+async fn a_short_watch_is_not_cut_off_by_each_return_of_another() {
+    let memory = memory::Memory::new();
+    let store = Flapping(Silent {
+        memory: memory.clone(),
+        until: Instant::now(),
+        calls: sync::Arc::default(),
+    });
+    let returns = follow::Returns::default();
+    let mut mirrors = Vec::new();
+    for prefix in ["flapping/", "slow/"] {
+        let settings = follow::Settings {
+            wait: unit::Period::from_millis(750),
+            interval: unit::Period::from_millis(10),
+            ..follow::Settings::default()
+        };
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    mirrors[1].wait_for(|m| m.listed).await.unwrap();
+    memory
+        .put("slow/1", store::Expect::Absent, "1")
+        .await
+        .unwrap();
+    let seen = mirrors[1].wait_for(|m| !m.objects.is_empty());
+    assert!(tokio::time::timeout(SECOND * 3, seen).await.is_ok());
+}
