--- /dev/null
+++ b/laburnumcart_platform/tests/returns.rs
@@ -0,0 +1,277 @@
+//! Followers of a service that comes back, and what each tells the others.
+
+use std::{
+    sync::{
+        self,
+        atomic, //
+    },
+    time,
+};
+
+use laburnumcart::unit;
+use laburnumcart_platform::{
+    follow, memory,
+    store::{
+        self,
+        Store, //
+    },
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+/// A service that was silent until a moment: calls sent before it fail after their timeout.
+#[derive(Clone)]
+struct Silent {
+    memory: memory::Memory,
+    until: Instant,
+    calls: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Silent {
+    async fn pass(&self) -> Result<(), store::Failure> {
+        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        if Instant::now() >= self.until {
+            return Ok(());
+        }
+        tokio::time::sleep(TIMEOUT).await;
+        Err(store::Failure::Unanswered)
+    }
+}
+
+impl Store for Silent {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.pass().await?;
+        self.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.pass().await?;
+        self.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.pass().await?;
+        self.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.pass().await?;
+        self.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        self.pass().await?;
+        self.memory.watch(prefix, after, wait).await
+    }
+}
+
+/// Longest call of a silent service.
+const TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Time after which another call is sent beside one that is not answered.
+const PROBE: unit::Period = unit::Period::from_millis(300);
+
+// A service that was silent is back, and calls that were sent before wait for their timeouts: what
+// has started meanwhile knows nothing for a second more.
+#[rstest]
+#[case(5000)]
+#[case(5150)]
+#[case(5300)]
+#[case(5650)]
+#[case(6020)]
+#[tokio::test(start_paused = true)]
+async fn calls_from_before_a_return_hold_up_nobody(#[case] millis: u64) {
+    let until = Instant::now() + time::Duration::from_millis(millis);
+    let store = Silent {
+        memory: memory::Memory::new(),
+        until,
+        calls: sync::Arc::default(),
+    };
+    let returns = follow::Returns::default();
+    let settings = follow::Settings {
+        longest: unit::Period::from_millis(1500),
+        ..follow::Settings::default()
+    };
+    let mut mirrors = Vec::new();
+    for prefix in ["p/", "q/", "r/"] {
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        let follower = match prefix {
+            "p/" => follower.probe(PROBE),
+            _ => follower,
+        };
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    for mirror in &mut mirrors {
+        mirror.wait_for(|m| m.listed).await.unwrap();
+    }
+    let taken = Instant::now() - until;
+    assert!(taken <= PROBE.0 + SECOND / 10, "{taken:?}");
+    // A call each 300 ms of one follower, and those of the two others.
+    let calls = store.calls.load(atomic::Ordering::Relaxed);
+    assert!(calls < 40, "{calls}");
+}
+
+/// A service whose open connections have fallen silent: watches from before a moment fail after
+/// their wait and a timeout.
+#[derive(Clone)]
+struct Stuck(Silent);
+
+impl Store for Stuck {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.0.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.0.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.0.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.0.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        if Instant::now() < self.0.until {
+            tokio::time::sleep(wait).await;
+        }
+        self.0.watch(prefix, after, wait).await
+    }
+}
+
+// Connections fall silent, one follower finds out, and another one's long watch hides what changes.
+#[tokio::test(start_paused = true)]
+async fn a_long_watch_is_asked_again_when_a_short_one_has_failed() {
+    let start = Instant::now();
+    let memory = memory::Memory::new();
+    let store = Stuck(Silent {
+        memory: memory.clone(),
+        until: start + SECOND * 3 / 2,
+        calls: sync::Arc::default(),
+    });
+    let returns = follow::Returns::default();
+    let mut mirrors = Vec::new();
+    for (prefix, wait) in [("short/", 750), ("long/", 5000)] {
+        let settings = follow::Settings {
+            wait: unit::Period::from_millis(wait),
+            ..follow::Settings::default()
+        };
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    for mirror in &mut mirrors {
+        mirror.wait_for(|m| m.listed).await.unwrap();
+    }
+    tokio::time::sleep(SECOND).await;
+    memory
+        .put("long/1", store::Expect::Absent, "1")
+        .await
+        .unwrap();
+    mirrors[1]
+        .wait_for(|m| !m.objects.is_empty())
+        .await
+        .unwrap();
+    let taken = start.elapsed();
+    assert!(taken <= SECOND * 5 / 2, "{taken:?}");
+}
+
+/// A service that is slow, and fails every other watch of one prefix.
+#[derive(Clone)]
+struct Flapping(Silent);
+
+impl Store for Flapping {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.0.memory.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        self.0.memory.put(key, expect, value).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        self.0.memory.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.0.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        if prefix == "flapping/" {
+            let calls = self.0.calls.fetch_add(1, atomic::Ordering::Relaxed);
+            tokio::time::sleep(SECOND / 20).await;
+            return match calls % 2 {
+                0 => Err(store::Failure::Unanswered),
+                _ => self.0.memory.watch(prefix, after, SECOND / 20).await,
+            };
+        }
+        tokio::time::sleep(SECOND / 2).await;
+        self.0.memory.watch(prefix, after, wait).await
+    }
+}
+
+// Each time that one follower is answered again cuts off the watch of another, which never ends.
+#[tokio::test(start_paused = true)]
+async fn a_short_watch_is_not_cut_off_by_each_return_of_another() {
+    let memory = memory::Memory::new();
+    let store = Flapping(Silent {
+        memory: memory.clone(),
+        until: Instant::now(),
+        calls: sync::Arc::default(),
+    });
+    let returns = follow::Returns::default();
+    let mut mirrors = Vec::new();
+    for prefix in ["flapping/", "slow/"] {
+        let settings = follow::Settings {
+            wait: unit::Period::from_millis(750),
+            interval: unit::Period::from_millis(10),
+            ..follow::Settings::default()
+        };
+        let (follower, mirror) = follow::follower(store.clone(), prefix, settings);
+        tokio::spawn(follower.share(&returns).run());
+        mirrors.push(mirror);
+    }
+    mirrors[1].wait_for(|m| m.listed).await.unwrap();
+    memory
+        .put("slow/1", store::Expect::Absent, "1")
+        .await
+        .unwrap();
+    let seen = mirrors[1].wait_for(|m| !m.objects.is_empty());
+    assert!(tokio::time::timeout(SECOND * 3, seen).await.is_ok());
+}
