--- a/laburnumcart_platform/tests/returns.rs
+++ b/laburnumcart_platform/tests/returns.rs
@@ -83,8 +83,7 @@
 /// Time after which another call is sent beside one that is not answered.
 const PROBE: unit::Period = unit::Period::from_millis(300);
 
-// A service that was silent is back, and calls that were sent before wait for their timeouts: what
-// has started meanwhile knows nothing for a second more.
+// Calls from before a silent service is back wait for their timeouts, and hide that it is back.
 #[rstest]
 #[case(5000)]
 #[case(5150)]
@@ -124,12 +123,20 @@
     assert!(calls < 40, "{calls}");
 }
 
-/// A service whose open connections have fallen silent: watches from before a moment fail after
-/// their wait and a timeout.
+/// How watches fail.
+#[derive(Clone, Copy)]
+enum Trouble {
+    /// Open connections have fallen silent: those from before a moment wait, and then time out.
+    Stuck,
+    /// All are slow, but every other one of one prefix fails at once.
+    Flapping,
+}
+
+/// A service whose watches are in trouble.
 #[derive(Clone)]
-struct Stuck(Silent);
+struct Troubled(Silent, Trouble);
 
-impl Store for Stuck {
+impl Store for Troubled {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
         self.0.memory.get(key).await
     }
@@ -157,8 +164,22 @@
         after: store::Revision,
         wait: time::Duration,
     ) -> Result<store::Changes, store::Failure> {
-        if Instant::now() < self.0.until {
-            tokio::time::sleep(wait).await;
+        match self.1 {
+            Trouble::Stuck if Instant::now() < self.0.until => tokio::time::sleep(wait).await,
+            Trouble::Flapping if prefix == "flapping/" => {
+                tokio::time::sleep(SECOND / 20).await;
+                if self
+                    .0
+                    .calls
+                    .fetch_add(1, atomic::Ordering::Relaxed)
+                    .is_multiple_of(2)
+                {
+                    return Err(store::Failure::Unanswered);
+                }
+                return self.0.memory.watch(prefix, after, SECOND / 20).await;
+            }
+            Trouble::Flapping => tokio::time::sleep(SECOND / 2).await,
+            Trouble::Stuck => {}
         }
         self.0.watch(prefix, after, wait).await
     }
@@ -169,11 +190,14 @@
 async fn a_long_watch_is_asked_again_when_a_short_one_has_failed() {
     let start = Instant::now();
     let memory = memory::Memory::new();
-    let store = Stuck(Silent {
-        memory: memory.clone(),
-        until: start + SECOND * 3 / 2,
-        calls: sync::Arc::default(),
-    });
+    let store = Troubled(
+        Silent {
+            memory: memory.clone(),
+            until: start + SECOND * 3 / 2,
+            calls: sync::Arc::default(),
+        },
+        Trouble::Stuck,
+    );
     let returns = follow::Returns::default();
     let mut mirrors = Vec::new();
     for (prefix, wait) in [("short/", 750), ("long/", 5000)] {
@@ -201,60 +225,18 @@
     assert!(taken <= SECOND * 5 / 2, "{taken:?}");
 }
 
-/// A service that is slow, and fails every other watch of one prefix.
-#[derive(Clone)]
-struct Flapping(Silent);
-
-impl Store for Flapping {
-    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
-        self.0.memory.get(key).await
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        expect: store::Expect,
-        value: &str,
-    ) -> Result<store::Version, store::Failure> {
-        self.0.memory.put(key, expect, value).await
-    }
-
-    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
-        self.0.memory.delete(key, version).await
-    }
-
-    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
-        self.0.memory.list(prefix).await
-    }
-
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: store::Revision,
-        wait: time::Duration,
-    ) -> Result<store::Changes, store::Failure> {
-        if prefix == "flapping/" {
-            let calls = self.0.calls.fetch_add(1, atomic::Ordering::Relaxed);
-            tokio::time::sleep(SECOND / 20).await;
-            return match calls % 2 {
-                0 => Err(store::Failure::Unanswered),
-                _ => self.0.memory.watch(prefix, after, SECOND / 20).await,
-            };
-        }
-        tokio::time::sleep(SECOND / 2).await;
-        self.0.memory.watch(prefix, after, wait).await
-    }
-}
-
 // Each time that one follower is answered again cuts off the watch of another, which never ends.
 #[tokio::test(start_paused = true)]
 async fn a_short_watch_is_not_cut_off_by_each_return_of_another() {
     let memory = memory::Memory::new();
-    let store = Flapping(Silent {
-        memory: memory.clone(),
-        until: Instant::now(),
-        calls: sync::Arc::default(),
-    });
+    let store = Troubled(
+        Silent {
+            memory: memory.clone(),
+            until: Instant::now(),
+            calls: sync::Arc::default(),
+        },
+        Trouble::Flapping,
+    );
     let returns = follow::Returns::default();
     let mut mirrors = Vec::new();
     for prefix in ["flapping/", "slow/"] {
