Explain by a look at the target only the failures from before it

Callers: a request that crashes each target that executes it crashed one target more than the bound allows.

Cause: an agent that looks at its target while an attempt fails there can get an answer that is older than the failure. It took that answer for the reason of the failure (the target is well), forgot the content and told the sender. The crash was never a fact, the request had a strike less and went to a third target.

Ruled out: a second attempt that races the first (none before 10 s of measuring), innocents with the same strikes (no crash shares two contents).

Now the failures are counted before the look is sent, and its answer explains just these; those that come meanwhile ask for a look of their own, as before. crash_is_a_fact_although_an_earlier_look_found_the_target_well fails without it (no crash is told).

--- a/laburnumcart_agent/src/control.rs
+++ b/laburnumcart_agent/src/control.rs
@@ -43,8 +43,8 @@
     /// State of the target for the orders, `None` while it is not known.
     states: watch::Sender<Option<target::State>>,
     next: snapshot::Snapshot,
-    /// Whether it is known why attempts failed up to now.
-    explained: bool,
+    /// Failed attempts, the oldest ones, of which it is known now why they failed.
+    explained: usize,
     /// Who waits until it is known whether the target crashed.
     doubtful: Vec<shared::Taken>,
     /// Who waits for the next publication.
@@ -66,7 +66,7 @@
         watching: watching::Watching::default(),
         states: watch::Sender::new(None),
         next: snapshot::Snapshot::default(),
-        explained: false,
+        explained: 0,
         doubtful: Vec::new(),
         taken: Vec::new(),
     };
@@ -163,10 +163,9 @@
         self.shared
             .snapshot
             .store(sync::Arc::new(self.next.clone()));
-        if std::mem::take(&mut self.explained) {
-            // Not before the crash is in force: a suspect that was held would start meanwhile.
-            self.shared.work().explain();
-        }
+        // Not before the crash is in force: a suspect that was held would start meanwhile.
+        let explained = std::mem::take(&mut self.explained);
+        self.shared.work().explain(explained);
         if !self.shared.work().is_doubtful() {
             self.taken.append(&mut self.doubtful);
         }
--- a/laburnumcart_agent/src/control/watching.rs
+++ b/laburnumcart_agent/src/control/watching.rs
@@ -56,8 +56,10 @@
     /// Looks at the target; a crash ends all that ran there.
     pub(super) async fn watch(&mut self) {
         let ready = self.watching.is_ready();
+        // An answer can be older than a failure that happens while it is on its way.
+        let failures = self.shared.work().unexplained();
         match self.shared.target.state().await {
-            Ok(state) => self.seen(&state),
+            Ok(state) => self.seen(&state, failures),
             Err(failure) => self.missed(failure),
         }
         if ready != self.watching.is_ready() {
@@ -65,11 +67,12 @@
         }
     }
 
-    fn seen(&mut self, state: &target::State) {
+    /// Takes in a state, which explains the failures from before it was asked for.
+    fn seen(&mut self, state: &target::State, failures: usize) {
+        self.explained = failures;
         if self.watching.see(state) {
             self.crashed();
         }
-        self.explained = true;
         self.states.send_replace(Some(state.clone()));
     }
 
@@ -90,8 +93,11 @@
 
     /// Ends all that ran on the target and names it as suspect.
     fn crashed(&mut self) {
-        let suspects = self.shared.work().suspects();
-        self.explained = true;
+        let (suspects, failures) = {
+            let work = self.shared.work();
+            (work.suspects(), work.unexplained())
+        };
+        self.explained = failures;
         self.shared.crashes.send_modify(|count| *count += 1);
         self.shared.counters.crashes.inc();
         event!(Warn, "target-crashed", suspects = suspects.len());
--- a/laburnumcart_agent/src/work.rs
+++ b/laburnumcart_agent/src/work.rs
@@ -241,9 +241,14 @@
         }
     }
 
-    /// Takes note that it is known why attempts failed: the target is well, or its crash a fact.
-    pub fn explain(&mut self) {
-        self.lost.clear();
+    /// Returns the number of failed attempts of which it is not known yet why the target failed them.
+    pub fn unexplained(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// Takes note that it is known of the oldest failures why: the target is well, or its crash a fact.
+    pub fn explain(&mut self, failures: usize) {
+        self.lost.drain(..failures.min(self.lost.len()));
     }
 
     /// Returns the content of all that ran on the target when it went down.
@@ -256,7 +261,7 @@
 
     /// Reports whether attempts have failed since the target was last seen well.
     pub fn is_doubtful(&self) -> bool {
-        !self.lost.is_empty()
+        self.unexplained() > 0
     }
 
     /// Reports whether attempts have failed since the target was last seen well and none runs.
--- a/laburnumcart_agent/tests/agent/suspects.rs
+++ b/laburnumcart_agent/tests/agent/suspects.rs
@@ -26,6 +26,7 @@
         refusal, //
     },
     target::{
+        Finish,
         Mode,
         Target, //
     },
@@ -193,3 +194,35 @@
     assert!(matches!(state, stage::State::Done(_)), "{state:?}");
     assert_eq!(shared.counters.crashes.get(), 1);
 }
+
+/// A look that was answered before the target crashed explains no attempt that the crash failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_is_a_fact_although_an_earlier_look_found_the_target_well() {
+    let target = Target::start(Mode::Stream(Vec::new(), Finish::Cut)).await;
+    let agent = fixture::start(target.addr, Kind::Engine).await;
+    let lane = fixture::Sender::new(agent.addr()).connect().await;
+    let poison = call(&lane, 6);
+    let run = lane.run(&poison);
+    let crash = async {
+        target.wait_seen(1).await;
+        target.hold_looks();
+        target.wait_looks(1).await;
+        target.release();
+        while !agent.shared().work().is_doubtful() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        target.release_look();
+        target.wait_looks(1).await;
+        target.stop().await;
+    };
+    let ((_, state), ()) = bounded(async { tokio::join!(run, crash) }).await;
+    assert_eq!(refusal(&state).reason, Reason::TargetFailed);
+    let beat = Beat {
+        peer: None,
+        session: lane.session,
+        facts: None,
+    };
+    let report = bounded(lane.client.beat(beat)).await.unwrap();
+    let suspects: Vec<_> = report.facts.crashes.iter().map(|c| &c.suspects).collect();
+    assert_eq!(suspects, [&vec![id::Fingerprint(6)]]);
+}
--- a/laburnumcart_agent/tests/agent/target.rs
+++ b/laburnumcart_agent/tests/agent/target.rs
@@ -69,6 +69,8 @@
     cancelled: watch::Sender<Vec<String>>,
     orders: watch::Sender<Vec<Value>>,
     looks: watch::Sender<usize>,
+    hold_looks: watch::Sender<bool>,
+    look: Notify,
     go: Notify,
 }
 
@@ -103,6 +105,8 @@
             cancelled: watch::Sender::default(),
             orders: watch::Sender::default(),
             looks: watch::Sender::default(),
+            hold_looks: watch::Sender::default(),
+            look: Notify::new(),
             go: Notify::new(),
         });
         let tasks = task::spawn(accept(listener, inner.clone()));
@@ -159,6 +163,16 @@
         looks.wait_for(|now| *now >= until).await.unwrap();
     }
 
+    /// Keeps back the answers to looks at its state; each says what was true when the look came.
+    pub(crate) fn hold_looks(&self) {
+        self.inner.hold_looks.send_replace(true);
+    }
+
+    /// Sends one answer that was kept back.
+    pub(crate) fn release_look(&self) {
+        self.inner.look.notify_one();
+    }
+
     /// Waits until an attempt is cancelled.
     pub(crate) async fn wait_cancelled(&self, attempt: &str) {
         let mut cancelled = self.inner.cancelled.subscribe();
@@ -251,6 +265,9 @@
     let boot = inner.boot.lock().unwrap().clone();
     let models = inner.models.lock().unwrap().clone();
     let body = serde_json::json!({"boot": boot, "models": models, "term": 0, "sequence": 0});
+    if *inner.hold_looks.borrow() {
+        inner.look.notified().await;
+    }
     answer(stream, 200, &body.to_string()).await
 }
 
