Agent: judge what may start by the suspects that are known under the lock

Found by reading, beside the fault before it; no run shows it. A thread that had loaded the suspects and then waited for the lock could start content as clean beside a suspect that another thread had started by newer facts. A crash would strike both, and neither is refused until a third. The suspects are loaded under the lock now, so that of two threads the later one sees all that the earlier saw.

The agent's tests pass as before (41 and 3); none can hold a thread between the two steps.

--- a/laburnumcart_agent/src/execute.rs
+++ b/laburnumcart_agent/src/execute.rs
@@ -24,8 +24,11 @@
 /// Starts every queued attempt that has a slot.
 pub fn pump(shared: &sync::Arc<shared::Shared>) {
     loop {
-        let snapshot = shared.snapshot.load();
-        let next = shared.work().next(&snapshot.suspects, time::Instant::now());
+        let mut work = shared.work();
+        // Loaded before the lock, they could be from before another suspect was started.
+        let suspects = shared.snapshot.load().suspects.clone();
+        let next = work.next(&suspects, time::Instant::now());
+        drop(work);
         let Some(job) = next else {
             return;
         };
