Tell a gateway that starts, or was cut off, of all targets that leave

Callers' requests reached a target that leaves from a gateway that had started more than 10 s after the target said so, until that gateway's own first answer told it; the same from one that was cut off from the others meanwhile, and from one that reads the store, at any time: it asks the others for nothing.

Cause: that a target leaves was told for 10 s and to those that ask a reader. Now each that asks is told what it has missed since the version that it knows, and a process that starts asks the readers and two others once.

Of what is told, only the first answer to a process grows, by the targets that began to leave in the last half hour; what follows are changes as before.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -129,6 +129,7 @@
         targets.run(),
         members.run(),
         evacuations,
+        store.catch_up(),
         store.tell(),
         entry
     );
--- a/laburnumcart_gateway/src/relay/signals.rs
+++ b/laburnumcart_gateway/src/relay/signals.rs
@@ -28,7 +28,7 @@
 
 use crate::view;
 
-/// Time for which others are told that a limit has ended, or that a target leaves.
+/// Time for which others are told that a limit has ended, and the readers that a target leaves.
 const RECENT: time::Duration = time::Duration::from_secs(10);
 
 /// Time after which a limit, or that a target leaves, is forgotten if nothing says it again.
@@ -80,66 +80,73 @@
     pub own: u64,
 }
 
+/// What is known of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    heard: quota::Heard,
+    /// Version of all knowledge in which the target began to leave.
+    left: u64,
+}
+
 /// What is known of all targets.
 #[derive(Debug, Default)]
 pub struct Signals {
-    heard: Mutex<collections::HashMap<id::TargetLife, quota::Heard>>,
+    known: Mutex<collections::HashMap<id::TargetLife, Known>>,
     version: watch::Sender<Version>,
 }
 
 impl Signals {
     /// Returns what is known of one target.
     pub fn heard(&self, target: &id::TargetLife) -> quota::Heard {
-        let heard = view::lock(&self.heard).get(target).copied();
-        heard.unwrap_or_default()
+        let known = view::lock(&self.known).get(target).copied();
+        known.unwrap_or_default().heard
     }
 
     /// Takes in what an answer of a target says of its limit; returns whether it is news.
     pub fn answer(&self, target: &id::TargetLife, word: quota::Word) -> bool {
-        let mut all = view::lock(&self.heard);
+        let mut all = view::lock(&self.known);
         if word.limit == quota::Limit::None && !all.contains_key(target) {
             return false;
         }
-        let heard = all.entry(target.clone()).or_default();
-        let news = heard.answer(word, rand::random(), Instant::now());
-        drop(all);
+        let known = all.entry(target.clone()).or_default();
+        let news = known.heard.answer(word, rand::random(), Instant::now());
         if news {
-            self.count_own();
+            self.count(true);
         }
         news
     }
 
     /// Takes in that an answer of a target says that it is leaving; returns whether it is news.
     pub fn leave(&self, target: &id::TargetLife) -> bool {
-        let mut all = view::lock(&self.heard);
-        let heard = all.entry(target.clone()).or_default();
-        let news = heard.leave(Instant::now());
-        drop(all);
+        let mut all = view::lock(&self.known);
+        let known = all.entry(target.clone()).or_default();
+        let news = known.heard.leave(Instant::now());
         if news {
-            self.count_own();
+            known.left = self.count(true);
         }
         news
     }
 
     /// Returns the targets that have said that they are leaving.
     pub fn leaving(&self) -> collections::HashSet<id::TargetLife> {
-        let all = view::lock(&self.heard);
-        let leaving = all.iter().filter(|(_, heard)| heard.left().is_some());
+        let all = view::lock(&self.known);
+        let leaving = all.iter().filter(|(_, known)| known.heard.left().is_some());
         leaving.map(|(target, _)| target.clone()).collect()
     }
 
-    fn count_own(&self) {
+    /// Counts a change and returns its version; called under the lock.
+    fn count(&self, own: bool) -> u64 {
         self.version.send_modify(|version| {
             version.all += 1;
-            version.own += 1;
+            version.own += u64::from(own);
         });
+        self.version.borrow().all
     }
 
     /// Takes in what another process knows.
     pub fn merge(&self, told: &[Told]) {
         let now = Instant::now();
-        let mut all = view::lock(&self.heard);
-        let mut news = false;
+        let mut all = view::lock(&self.known);
         for told in told.iter().take(MOST) {
             let target = id::TargetLife {
                 name: told.target.clone(),
@@ -147,24 +154,28 @@
             };
             // What is older than this process's clock is too old to matter.
             if let Some(at) = now.checked_sub(told.age.0) {
-                let heard = all.entry(target).or_default();
-                news |= match told.signal {
-                    Signal::Limit(rate) => heard.tell(rate, at, rand::random()),
-                    Signal::Leaving => heard.leave(at),
-                };
+                let known = all.entry(target).or_default();
+                match told.signal {
+                    Signal::Limit(rate) if known.heard.tell(rate, at, rand::random()) => {
+                        self.count(false);
+                    }
+                    Signal::Leaving if known.heard.leave(at) => known.left = self.count(false),
+                    Signal::Limit(_) | Signal::Leaving => {}
+                }
             }
         }
-        drop(all);
-        if news {
-            self.version.send_modify(|version| version.all += 1);
-        }
     }
 
-    /// Lists what others should know.
+    /// Lists what the readers should know.
     pub fn told(&self) -> Vec<Told> {
+        self.list(None)
+    }
+
+    /// Lists what one should know that knows a version, or has been told all along.
+    fn list(&self, version: Option<u64>) -> Vec<Told> {
         let now = Instant::now();
-        let mut all = view::lock(&self.heard);
-        all.retain(|_, heard| {
+        let mut all = view::lock(&self.known);
+        all.retain(|_, Known { heard, .. }| {
             let kept = if heard.named().is_some() {
                 FORGET
             } else {
@@ -173,10 +184,11 @@
             let leaves = heard.left().is_some_and(|at| now < at + FORGET);
             leaves || heard.at().is_some_and(|at| now < at + kept)
         });
-        let told = all.iter().flat_map(|(target, heard)| {
+        let told = all.iter().flat_map(|(target, Known { heard, left })| {
             let limit = Signal::Limit(heard.named().map(|named| named.rate));
             let limit = heard.at().map(|at| (limit, at));
-            let left = heard.left().filter(|at| now < *at + RECENT);
+            let missed = version.is_some_and(|version| *left > version);
+            let left = heard.left().filter(|at| missed || now < *at + RECENT);
             let leaving = left.map(|at| (Signal::Leaving, at));
             let told = |(signal, at)| Told {
                 target: target.name.clone(),
@@ -194,7 +206,7 @@
         let present = self.version.borrow().all;
         (present > version).then(|| News {
             version: present,
-            told: self.told(),
+            told: self.list(Some(version)),
         })
     }
 
--- a/laburnumcart_gateway/src/relay/source.rs
+++ b/laburnumcart_gateway/src/relay/source.rs
@@ -63,6 +63,9 @@
 /// Time in which signals of targets are collected; a trouble of many targets is told once.
 const COLLECT: time::Duration = time::Duration::from_millis(100);
 
+/// Pause before others are asked again by a process that has just started.
+const CATCH_UP: time::Duration = time::Duration::from_millis(500);
+
 /// Others that are asked when the readers know nothing. A share of all processes that the store
 /// turns away rarely takes all readers and both of these.
 const OTHERS: usize = 2;
@@ -123,6 +126,15 @@
         }))
     }
 
+    /// Takes in what others know of targets.
+    ///
+    /// A process that reads the store itself asks them nothing more.
+    pub async fn catch_up(&self) {
+        while !self.0.take_over().await {
+            tokio::time::sleep(CATCH_UP).await;
+        }
+    }
+
     /// Tells the readers what answers to this process say of targets, until the process ends.
     pub async fn tell(&self) {
         let mut version = self.0.signals.subscribe();
@@ -248,11 +260,7 @@
             mut answer,
             signals,
         } = link.follow(ask.clone()).await?;
-        if let Some(news) = signals {
-            self.signals.merge(&news.told);
-            let heard = (member.incarnation, news.version);
-            view::lock(&self.heard).insert(member.instance.clone(), heard);
-        }
+        self.take_in(member, signals.as_ref());
         if answer == Answer::Large && self.standing().is_failing() {
             ask.large = true;
             ask.signals = None;
@@ -269,6 +277,33 @@
         Some(told)
     }
 
+    /// Asks others for what they know of targets; returns whether one has answered.
+    async fn take_over(&self) -> bool {
+        let (readers, others) = self.sources();
+        let asked = readers.iter().chain(&others);
+        let asked = asked.filter_map(|member| Some((member, self.links.link(member)?)));
+        let replies = asked.map(|(member, link)| async move {
+            let ask = Ask {
+                signals: Some(self.heard_of(member)),
+                ..question(Topic::Targets, None, time::Duration::ZERO)
+            };
+            let reply = link.follow(ask).await;
+            self.take_in(member, reply.as_ref().and_then(|r| r.signals.as_ref()));
+            reply.is_some()
+        });
+        let answered = future::join_all(replies).await;
+        answered.into_iter().any(|answered| answered)
+    }
+
+    /// Takes in what a process has told of targets.
+    fn take_in(&self, member: &view::Member, news: Option<&signals::News>) {
+        if let Some(news) = news {
+            self.signals.merge(&news.told);
+            let heard = (member.incarnation, news.version);
+            view::lock(&self.heard).insert(member.instance.clone(), heard);
+        }
+    }
+
     /// Returns the version of a process's signals that this one has taken in.
     fn heard_of(&self, member: &view::Member) -> u64 {
         let heard = view::lock(&self.heard).get(&member.instance).copied();
