Add up what waits in a queue from a compact list, and sort it only for a free target

Cause: the owner of the last stage's queue was starved. Each job that came, each notice and each freed result made it sort all that waited, look at each target for each job, and add up both lists twice. That grows with the queue, each refused caller comes again, and the owner got to its work up to 1.2 s late by a timer of its own; for six seconds it wrote nothing. The others took it for gone, and 94 of 103 gateways called the same targets for themselves.

Now the turns of all that waits or is announced lie in a dense list of their own and are added up in one pass; nothing is sorted while no target is free with room for the smallest result; what no target has room for is not offered again for each job; what has expired is looked for each 10 ms. Order and calls are as before.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -11,13 +11,17 @@
 mod load;
 mod order;
 mod outlook;
+mod turns;
 
 use std::collections;
 
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::ingress;
+use crate::{
+    ingress,
+    unit, //
+};
 
 pub use self::{
     engines::{
@@ -110,8 +114,12 @@
 pub struct Queue {
     shape: ingress::Batching,
     jobs: SlotMap<JobKey, Job>,
+    /// Turns of the jobs.
+    turns: turns::Turns,
     /// Jobs that will come, by the identity that was announced.
-    expected: collections::HashMap<u64, Spec>,
+    expected: collections::HashMap<u64, turns::TurnKey>,
+    /// Turns of the jobs that will come.
+    coming: turns::Turns,
     /// Pieces of jobs on time that calls have taken of late.
     load: load::Load,
     /// When it was last looked for jobs to give up.
@@ -126,7 +134,9 @@
         Self {
             shape,
             jobs: SlotMap::with_key(),
+            turns: turns::Turns::default(),
             expected: collections::HashMap::new(),
+            coming: turns::Turns::default(),
             load: load::Load::default(),
             checked: None,
             engines: Engines::new(shape),
@@ -141,12 +151,13 @@
 
     /// Adds a job.
     pub fn push(&mut self, spec: Spec) -> JobKey {
-        self.jobs.insert(Job::new(spec))
+        let turn = self.turns.add(turns::Turn::new(&spec));
+        self.jobs.insert(Job::new(spec, turn))
     }
 
     /// Returns the number of pieces that wait.
     pub fn waiting(&self) -> usize {
-        self.jobs.values().map(|j| j.waiting.len()).sum()
+        self.turns.pieces()
     }
 
     /// Reports whether a full call waits, so that room is wanted.
@@ -156,15 +167,27 @@
 
     /// Drops a job that nobody waits for; returns what it has made.
     pub fn cancel(&mut self, key: JobKey) -> Vec<Handle> {
-        let job = self.jobs.remove(key);
-        job.map(Job::made).unwrap_or_default()
+        self.remove(key).map(Job::made).unwrap_or_default()
+    }
+
+    fn remove(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        self.turns.remove(job.turn);
+        Some(job)
     }
 
     /// Gives up the jobs whose deadline has passed, and forgets results that have expired.
     pub fn expire(&mut self, now: Instant) -> Vec<Event> {
         self.engines.expire(now);
         // The process that has announced it may be gone.
-        self.expected.retain(|_, spec| spec.due > now);
+        let coming = &mut self.coming;
+        self.expected.retain(|_, turn| {
+            let comes = coming.get(*turn).is_some_and(|turn| turn.due > now);
+            if !comes {
+                coming.remove(*turn);
+            }
+            comes
+        });
         let mut events = self.give_up(now);
         let passed = |j: &Job| !j.waiting.is_empty() && j.spec.deadline <= now;
         let keys: Vec<_> = self.jobs.iter().filter(|(_, j)| passed(j)).collect();
@@ -185,13 +208,23 @@
 
     /// Chooses the next call, if a target is free and has room.
     pub fn take(&mut self, now: Instant) -> Option<Call> {
+        let smallest = self.turns.smallest()?;
+        if !self.engines.is_any_free(smallest, now) {
+            return None;
+        }
         let order = self.order(now);
         let waiting = self.waiting();
         let mut tried = Vec::new();
+        // Size for which no target is left.
+        let mut blocked: Option<unit::Size> = None;
         for (first, _) in &order {
-            let spec = self.jobs[*first].spec.clone();
-            let near = spec.near.as_ref();
-            while let Some(engine) = self.engines.choose(near, spec.size, &tried, now) {
+            let spec = &self.jobs[*first].spec;
+            let size = spec.size;
+            if blocked.is_some_and(|blocked| size >= blocked) {
+                continue;
+            }
+            let near = spec.near.clone();
+            while let Some(engine) = self.engines.choose(near.as_ref(), size, &tried, now) {
                 let most = self.fill(waiting, now);
                 let order = self.order_at(engine, &order);
                 if let Some(call) = self.call(&order, engine, most, now) {
@@ -199,6 +232,7 @@
                 }
                 tried.push(engine);
             }
+            blocked = Some(size);
         }
         None
     }
@@ -206,7 +240,7 @@
     /// Makes a call to a free target, if a job fits there.
     fn call(
         &mut self,
-        order: &[(JobKey, (bool, Instant))],
+        order: &[(JobKey, turns::Place)],
         engine: EngineKey,
         most: usize,
         now: Instant,
@@ -249,10 +283,19 @@
                 self.engines.reserve(engine, job.spec.size);
                 pieces.extend(job.take(key));
             }
+            self.count(key);
         }
         pieces
     }
 
+    /// Takes in how many pieces of a job wait now.
+    fn count(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get(key) {
+            let waiting = job.waiting.len() as u32;
+            self.turns.set(job.turn, waiting, job.is_started());
+        }
+    }
+
     /// Takes the outcomes of a call, one for each of its pieces.
     pub fn finish(&mut self, call: &Call, outcomes: Vec<Outcome>, now: Instant) -> Vec<Event> {
         self.engines.finish(call.engine, call.pieces.len(), now);
@@ -325,7 +368,7 @@
         };
         job.done[piece.index as usize] = Some(handle);
         if job.is_done()
-            && let Some(job) = self.jobs.remove(piece.job)
+            && let Some(job) = self.remove(piece.job)
         {
             events.push(Event::Done(piece.job, job.made()));
         }
@@ -340,14 +383,16 @@
         if counts {
             job.tries += 1;
         }
-        if job.tries >= TRIES * job.spec.pieces {
+        let is_spent = job.tries >= TRIES * job.spec.pieces;
+        self.count(piece.job);
+        if is_spent {
             events.extend(self.fail(piece.job, Failure::Failed));
         }
     }
 
     /// Gives up a job.
     pub fn fail(&mut self, key: JobKey, failure: Failure) -> Vec<Event> {
-        let Some(job) = self.jobs.remove(key) else {
+        let Some(job) = self.remove(key) else {
             return Vec::new();
         };
         let orphans = job.made().into_iter().map(Event::Orphan);
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -83,12 +83,14 @@
 
 /// Targets that take calls, added up.
 #[derive(Clone, Copy, Debug, Default)]
-struct Taking {
+pub(super) struct Supply {
     count: usize,
     /// Pieces that they do in a second while enough wait.
-    capacity: f64,
+    pub(super) capacity: f64,
     /// Time until their calls should end.
     busy: time::Duration,
+    /// Time until the first of them takes any.
+    wait: time::Duration,
 }
 
 /// The targets of one service.
@@ -189,42 +191,37 @@
         self.fill += FILL_WEIGHT * (pieces as f64 - self.fill);
     }
 
-    /// Returns the pieces that are done in a second while enough wait.
-    pub(super) fn capacity(&self, now: Instant) -> f64 {
-        self.taking(now).0.capacity
-    }
-
     /// Returns how long a job of `own` pieces takes when as many as `ahead` go before it.
-    pub(super) fn outlook(&self, ahead: f64, own: usize, now: Instant) -> time::Duration {
-        let (taking, wait) = self.taking(now);
-        if taking.count == 0 || taking.capacity == 0.0 {
+    pub(super) fn outlook(&self, supply: &Supply, ahead: f64, own: usize) -> time::Duration {
+        if supply.count == 0 || supply.capacity == 0.0 {
             return time::Duration::MAX;
         }
         let most = self.shape.pieces.max(1);
-        let queued = time::Duration::try_from_secs_f64(ahead / taking.capacity);
+        let queued = time::Duration::try_from_secs_f64(ahead / supply.capacity);
         let queued = queued.unwrap_or(time::Duration::MAX);
-        let waves = own.div_ceil(most).div_ceil(taking.count).max(1) as u32;
+        let waves = own.div_ceil(most).div_ceil(supply.count).max(1) as u32;
         let own = self.promised(own.min(most)) * waves;
-        queued.saturating_add(wait + taking.busy / taking.count as u32 + own)
+        queued.saturating_add(supply.wait + supply.busy / supply.count as u32 + own)
     }
 
-    /// Adds up the targets that take calls; where none does, those that will first, and the time
-    /// until then.
-    fn taking(&self, now: Instant) -> (Taking, time::Duration) {
-        let taking = self.taking_by(time::Duration::ZERO, now);
-        if taking.count > 0 {
-            return (taking, time::Duration::ZERO);
+    /// Adds up the targets that take calls; where none does, those that will first.
+    pub(super) fn supply(&self, now: Instant) -> Supply {
+        let supply = self.supply_after(time::Duration::ZERO, now);
+        if supply.count > 0 {
+            return supply;
         }
         let waits = self.engines.values().map(|e| e.gate.backoff(now));
-        let first = waits.min().unwrap_or_default();
-        (self.taking_by(first, now), first)
+        self.supply_after(waits.min().unwrap_or_default(), now)
     }
 
     /// Adds up the targets that take calls after a time.
-    fn taking_by(&self, wait: time::Duration, now: Instant) -> Taking {
+    fn supply_after(&self, wait: time::Duration, now: Instant) -> Supply {
         let fill = self.fill.max(1.0);
         let call = self.promised(fill as usize).as_secs_f64().max(0.001);
-        let mut taking = Taking::default();
+        let mut supply = Supply {
+            wait,
+            ..Supply::default()
+        };
         for engine in self.engines.values() {
             if engine.gate.backoff(now) > wait {
                 continue;
@@ -233,11 +230,11 @@
             let failed = 0.5f64.powi(engine.failed.min(8) as i32);
             let speed = failed / engine.pace.max(1.0) / call;
             let bound = engine.gate.rate(now).map_or(f64::INFINITY, |rate| rate.0);
-            taking.capacity += speed.min(bound) * fill;
-            taking.busy += self.left(engine, now);
-            taking.count += 1;
+            supply.capacity += speed.min(bound) * fill;
+            supply.busy += self.left(engine, now);
+            supply.count += 1;
         }
-        taking
+        supply
     }
 
     pub(super) fn free_count(&self, now: Instant) -> usize {
@@ -245,6 +242,12 @@
         self.engines.values().filter(free).count()
     }
 
+    /// Reports whether any target is free and has room for a result.
+    pub(super) fn is_any_free(&self, size: unit::Size, now: Instant) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|e| self.has_room(e, size) && is_free(e, now))
+    }
+
     /// Reports whether a job may be executed at a target.
     pub(super) fn allows(&self, key: EngineKey, spec: &Spec) -> bool {
         let places = spec.places.as_deref();
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    batch::turns,
     id,
     unit, //
 };
@@ -151,6 +152,8 @@
 #[derive(Clone, Debug)]
 pub struct Job {
     pub(super) spec: Spec,
+    /// Its turn among those that wait.
+    pub(super) turn: turns::TurnKey,
     /// Pieces in no call.
     pub(super) waiting: collections::VecDeque<u32>,
     /// Results by piece.
@@ -160,8 +163,9 @@
 }
 
 impl Job {
-    pub(super) fn new(spec: Spec) -> Self {
+    pub(super) fn new(spec: Spec, turn: turns::TurnKey) -> Self {
         Self {
+            turn,
             waiting: (0..spec.pieces).collect(),
             done: vec![None; spec.pieces as usize],
             tries: 0,
--- a/laburnumcart/src/batch/order.rs
+++ b/laburnumcart/src/batch/order.rs
@@ -5,21 +5,13 @@
 use tokio::time::Instant;
 
 use crate::batch::{
-    EngineKey,
-    JobKey,
-    Queue,
-    Spec, //
+    EngineKey, Job, JobKey, Queue, Spec,
+    turns::{
+        Place,
+        Turn, //
+    },
 };
 
-/// By how much a job of the next lower rank counts as due later.
-///
-/// Under overload the urgent ranks go first, and the others wait longer by this time; they do not
-/// starve, as what is due moves on.
-const RANK_STEP: time::Duration = time::Duration::from_millis(400);
-
-/// The same for the next lower rank of routes within a team's.
-const MINOR_STEP: time::Duration = time::Duration::from_millis(120);
-
 /// By how much a job counts as due later at a target in another data centre, in milliseconds for
 /// each mebibyte that would cross.
 ///
@@ -42,30 +34,27 @@
     ///
     /// Jobs that can still be on time go before those that cannot, or under overload every job
     /// would be served just too late.
-    pub(super) fn order(&self, now: Instant) -> Vec<(JobKey, (bool, Instant))> {
-        let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
-        let mut order: Vec<_> = waiting
-            .map(|(key, j)| (key, self.turn(&j.spec, j.is_started(), now)))
-            .collect();
-        order.sort_unstable_by_key(|(_, rank)| *rank);
+    pub(super) fn order(&self, now: Instant) -> Vec<(JobKey, Place)> {
+        let horizon = self.horizon(now);
+        let turn = |job: &Job| self.turns.get(job.turn).filter(|turn| turn.pieces > 0);
+        let waiting = self
+            .jobs
+            .iter()
+            .filter_map(|(key, job)| Some((key, turn(job)?)));
+        let order = waiting.map(|(key, turn)| (key, turn.place(horizon)));
+        let mut order: Vec<_> = order.collect();
+        order.sort_unstable_by_key(|(_, place)| *place);
         order
     }
 
-    /// Returns the place of a job in the order: whether it goes behind, and when it counts as due.
-    ///
-    /// A job that has begun holds room for its results that others wait for. Put behind once it is
-    /// late, it would hold it to its deadline, and the room fills with jobs that do not go on. Jobs
-    /// that only work on the results of others do not go first: most of them are late then, and
-    /// those that can still be on time would wait behind them.
-    pub(super) fn turn(&self, spec: &Spec, started: bool, now: Instant) -> (bool, Instant) {
-        if started {
-            return (false, spec.due);
-        }
-        let late = spec.due < now + self.shape.call + self.shape.piece;
-        let due = spec.due
-            + RANK_STEP * u32::from(spec.rank.major)
-            + MINOR_STEP * u32::from(spec.rank.minor);
-        (late, due)
+    /// Returns the place of a job that has not begun.
+    pub(super) fn place(&self, spec: &Spec, now: Instant) -> Place {
+        Turn::new(spec).place(self.horizon(now))
+    }
+
+    /// Returns the moment before which what is due can no longer be on time.
+    pub(super) fn horizon(&self, now: Instant) -> Instant {
+        now + self.shape.call + self.shape.piece
     }
 
     /// Returns how much later a job counts as due at a target than where it is best executed.
@@ -102,8 +91,8 @@
     pub(super) fn order_at(
         &self,
         engine: EngineKey,
-        order: &[(JobKey, (bool, Instant))],
-    ) -> Vec<(JobKey, (bool, Instant))> {
+        order: &[(JobKey, Place)],
+    ) -> Vec<(JobKey, Place)> {
         let far = |key: JobKey| self.far(engine, &self.jobs[key].spec);
         let moved = order
             .iter()
--- a/laburnumcart/src/batch/outlook.rs
+++ b/laburnumcart/src/batch/outlook.rs
@@ -1,16 +1,20 @@
 //! How long jobs will take, and which cannot be done in time.
 
-use std::time;
+use std::{
+    array,
+    time, //
+};
 
 use tokio::time::Instant;
 
 use crate::{
     batch::{
-        Event,
-        Failure,
-        JobKey,
-        Queue,
-        Spec, //
+        Event, Failure, JobKey, Queue, Spec,
+        engines::Supply,
+        turns::{
+            Place,
+            Turn, //
+        },
     },
     forecast,
     unit, //
@@ -25,48 +29,56 @@
 impl Queue {
     /// Takes in that a job will come, when the stages before it are done.
     pub fn expect(&mut self, id: u64, spec: Spec) {
-        self.expected.insert(id, spec);
+        self.unexpect(id);
+        let turn = self.coming.add(Turn::new(&spec));
+        self.expected.insert(id, turn);
     }
 
     /// Forgets a job that has come, or will not come any more.
     pub fn unexpect(&mut self, id: u64) {
-        self.expected.remove(&id);
+        if let Some(turn) = self.expected.remove(&id) {
+            self.coming.remove(turn);
+        }
     }
 
     /// Returns how long a job will take, as far as is known.
     pub fn outlook(&self, spec: &Spec, now: Instant) -> time::Duration {
-        let ahead = self.ahead(self.turn(spec, false, now), now);
-        self.engines.outlook(ahead, spec.pieces as usize, now)
+        let supply = self.engines.supply(now);
+        let [turn] = self.ends(spec, [self.place(spec, now)], &supply, now);
+        turn
     }
 
     /// Returns how long a job that will come would take from now on.
     pub fn forecast(&self, spec: &Spec, now: Instant) -> forecast::Outlook {
-        let behind = self.ahead((true, now), now);
-        let behind = self.engines.outlook(behind, spec.pieces as usize, now);
+        let supply = self.engines.supply(now);
+        let places = [self.place(spec, now), (true, now)];
+        let [turn, behind] = self.ends(spec, places, &supply, now);
         forecast::Outlook {
-            turn: unit::Period(self.outlook(spec, now).min(FORECAST_MAX)),
+            turn: unit::Period(turn.min(FORECAST_MAX)),
             behind: unit::Period(behind.min(FORECAST_MAX)),
         }
     }
 
-    /// Returns the pieces that are done before a job with this turn.
+    /// Returns how long a job takes at each of these places.
     ///
     /// A job that is not on time gets what those on time leave, now and in the time to come.
-    fn ahead(&self, own: (bool, Instant), now: Instant) -> f64 {
-        let waiting = self.jobs.values().map(|j| {
-            let turn = self.turn(&j.spec, j.is_started(), now);
-            (turn, j.waiting.len())
-        });
-        let expected = self.expected.values().map(|spec| {
-            let turn = self.turn(spec, false, now);
-            (turn, spec.pieces as usize)
-        });
-        let earlier = waiting.chain(expected).filter(|(turn, _)| *turn <= own);
-        let pieces: usize = earlier.map(|(_, pieces)| pieces).sum();
-        match own.0 {
-            false => pieces as f64,
-            true => pieces as f64 / self.load.spare(self.engines.capacity(now), now),
-        }
+    fn ends<const N: usize>(
+        &self,
+        spec: &Spec,
+        places: [Place; N],
+        supply: &Supply,
+        now: Instant,
+    ) -> [time::Duration; N] {
+        let horizon = self.horizon(now);
+        let waiting = self.turns.ahead(places, horizon);
+        let coming = self.coming.ahead(places, horizon);
+        let spare = self.load.spare(supply.capacity, now);
+        array::from_fn(|i| {
+            let ahead = (waiting[i] + coming[i]) as f64;
+            let (late, _) = places[i];
+            let ahead = if late { ahead / spare } else { ahead };
+            self.engines.outlook(supply, ahead, spec.pieces as usize)
+        })
     }
 
     /// Gives up the late jobs that cannot be done before their deadline.
@@ -80,13 +92,14 @@
         }
         self.checked = Some(now);
         let order = self.order(now);
-        let spare = self.load.spare(self.engines.capacity(now), now);
+        let supply = self.engines.supply(now);
+        let spare = self.load.spare(supply.capacity, now);
         let mut ahead = 0;
         let mut hopeless = Vec::new();
         for (key, (late, _)) in order {
             let job = &self.jobs[key];
             let pieces = job.waiting.len();
-            let outlook = self.engines.outlook(ahead as f64 / spare, pieces, now);
+            let outlook = self.engines.outlook(&supply, ahead as f64 / spare, pieces);
             if late && now + outlook.min(FORECAST_MAX) > job.spec.deadline {
                 let excess = outlook.min(FORECAST_MAX).as_millis() as u32;
                 hopeless.push((key, Failure::Busy(excess)));
@@ -102,9 +115,10 @@
 
     /// Returns how many of the pieces are of jobs that are on time.
     pub(super) fn on_time(&self, jobs: &[(JobKey, usize)], now: Instant) -> usize {
+        let horizon = self.horizon(now);
         let is_late = |key: JobKey| {
-            let job = &self.jobs[key];
-            self.turn(&job.spec, job.is_started(), now).0
+            let turn = self.turns.get(self.jobs[key].turn);
+            turn.is_some_and(|turn| turn.place(horizon).0)
         };
         let on_time = jobs.iter().filter(|(key, _)| !is_late(*key));
         on_time.map(|(_, pieces)| pieces).sum()
--- /dev/null
+++ b/laburnumcart/tests/batch/cost.rs
@@ -0,0 +1,77 @@
+//! What a long queue costs its owner.
+
+use std::{
+    hint,
+    time, //
+};
+
+use laburnumcart::batch;
+use tokio::time::Instant;
+
+use crate::support::{
+    MS,
+    SHAPE,
+    SIZE, //
+};
+
+/// Targets of the service.
+const TARGETS: usize = 40;
+
+/// Jobs that wait, and as many that are announced.
+const JOBS: u64 = 2000;
+
+/// Passes over all that waits which a job may cost its owner.
+const PASSES: u32 = 80;
+
+/// Returns a queue in which so many jobs wait, and as many are announced, while all targets work.
+fn congested(jobs: u64, now: Instant) -> batch::Queue {
+    let mut queue = batch::Queue::new(SHAPE);
+    for _ in 0..TARGETS {
+        queue.engines.add("north".parse().unwrap());
+    }
+    let spec = |i: u64| {
+        let due = now + MS * (2000 + i % 977) as u32;
+        batch::Spec::new(4, SIZE, due)
+            .deadline(due + 4000 * MS)
+            .rank((i % 3) as u8)
+    };
+    (0..jobs + TARGETS as u64 * 2).for_each(|i| _ = queue.push(spec(i)));
+    while queue.take(now).is_some() {}
+    (0..jobs).for_each(|i| queue.expect(i, spec(i)));
+    queue
+}
+
+/// Returns the shortest of some measurements of the same work.
+fn shortest(mut work: impl FnMut()) -> time::Duration {
+    let measured = (0..9).map(|_| {
+        let start = time::Instant::now();
+        (0..20).for_each(|_| work());
+        start.elapsed()
+    });
+    measured.min().unwrap()
+}
+
+/// Returns the time of one pass over so many due times, as far as any owner must look at them.
+fn pass(jobs: u64, now: Instant) -> time::Duration {
+    let dues: Vec<_> = (0..jobs)
+        .map(|i| (now + MS * (i % 977) as u32, i))
+        .collect();
+    let until = now + MS * 500;
+    let sum = || dues.iter().filter(|(due, _)| *due <= until).map(|(_, i)| i);
+    shortest(|| _ = hint::black_box(sum().sum::<u64>()))
+}
+
+// An owner that sorts all jobs for each that comes is starved by a burst, and stays so after it.
+#[test]
+fn a_long_queue_is_not_sorted_for_each_job_that_comes() {
+    let now = Instant::now();
+    let mut queue = congested(JOBS, now);
+    let spec = batch::Spec::new(4, SIZE, now + 2500 * MS);
+    let pass = pass(JOBS, now);
+    let announced = shortest(|| _ = hint::black_box(queue.forecast(&spec, now)));
+    let checked = shortest(|| _ = hint::black_box(queue.outlook(&spec, now)));
+    let offered = shortest(|| assert!(queue.take(now).is_none()));
+    println!("pass={pass:?} announced={announced:?} checked={checked:?} offered={offered:?}");
+    let all = announced + checked + offered;
+    assert!(all < PASSES * pass, "{all:?} of {pass:?}");
+}
--- a/laburnumcart/tests/batch/main.rs
+++ b/laburnumcart/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod burst;
 mod calls;
+mod cost;
 mod load;
 mod order;
 mod outlook;
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -305,7 +305,7 @@
         let Some(line) = lines.get_mut(service) else {
             return;
         };
-        let expired = line.queue.expire(now);
+        let expired = line.expire(now);
         line.settle(expired, &*self.dialect);
         while let Some(call) = line.queue.take(now) {
             self.start(service, line, call, now);
--- a/laburnumcart_gateway/src/dispatcher/line.rs
+++ b/laburnumcart_gateway/src/dispatcher/line.rs
@@ -3,7 +3,8 @@
 use std::{
     collections,
     net,
-    sync::Arc, //
+    sync::Arc,
+    time, //
 };
 
 use slotmap::SecondaryMap;
@@ -25,6 +26,9 @@
     view, //
 };
 
+/// Pause between two looks for what has expired; jobs and results last for seconds.
+const EXPIRE: time::Duration = time::Duration::from_millis(10);
+
 type Done = oneshot::Sender<Result<Vec<batch::Handle>, batch::Failure>>;
 
 /// Who waits for a job, and what a call of it says.
@@ -63,6 +67,8 @@
     ids: collections::HashMap<u64, batch::JobKey>,
     /// Results to free, by the address and the life of their target.
     pub(super) frees: collections::HashMap<(net::SocketAddr, id::Life), Vec<batch::Handle>>,
+    /// When it was last looked for what has expired.
+    expired: Option<Instant>,
     /// Whether a task will send them.
     pub(super) flushing: bool,
     /// Whether this process is the first choice of owner, as last looked up.
@@ -78,6 +84,7 @@
             keys: collections::HashMap::new(),
             ids: collections::HashMap::new(),
             frees: collections::HashMap::new(),
+            expired: None,
             flushing: false,
             first: true,
         }
@@ -137,6 +144,15 @@
         }
     }
 
+    /// Gives up jobs whose time is over, and forgets results that have expired.
+    pub(super) fn expire(&mut self, now: Instant) -> Vec<batch::Event> {
+        if self.expired.is_some_and(|at| now < at + EXPIRE) {
+            return Vec::new();
+        }
+        self.expired = Some(now);
+        self.queue.expire(now)
+    }
+
     /// Gives up the jobs whose inputs have gone with an earlier life of their target.
     ///
     /// Sent to a target, which asks the next life for them, they would fail after the fixed time of
