Tell how late a gateway gets to its work, in its log, metrics and state

A starved owner of a queue could be told from slow targets by nothing: it took logging each gateway's timer to find it. A timer of 100 ms of its own tells now: event=strain when the mean lateness passes 80 ms, and when it is below 30 ms again; laburnum_gateway_late_seconds; late= in laburnumctl gateways.

Nothing is decided by it.

--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod route;
 pub mod seal;
 pub mod sse;
+pub mod strain;
 pub mod subset;
 pub mod suspects;
 pub mod unit;
--- a/laburnumcart_ctl/src/command/gateways.rs
+++ b/laburnumcart_ctl/src/command/gateways.rs
@@ -145,13 +145,14 @@
         let readers: Vec<&str> = state.readers.iter().map(|name| name.as_str()).collect();
         write!(
             f,
-            "{} gateway {} data_centre={} version={} age={} leaving={} members={} readers={} targets={}",
+            "{} gateway {} data_centre={} version={} age={} leaving={} late={} members={} readers={} targets={}",
             self.address,
             state.instance,
             state.data_centre,
             known(state.version.map(|version| version.to_string())),
             known(state.age.map(|age| age.to_string())),
             state.leaving,
+            state.late,
             state.members,
             readers.join(","),
             state.targets
--- a/laburnumcart_gateway/src/lib.rs
+++ b/laburnumcart_gateway/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod run;
 pub mod settings;
 pub mod state;
+pub mod strain;
 pub mod stream;
 pub mod view;
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! What a gateway counts.
 
+use std::sync::atomic;
+
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -65,6 +67,8 @@
     pub pieces: counter::Counter<u64>,
     /// Jobs that were refused because they would have been late.
     pub refused_early: counter::Counter<u64>,
+    /// How late a timer of the process is in the mean, in seconds.
+    pub late: gauge::Gauge<f64, atomic::AtomicU64>,
     /// Targets that get less than others.
     pub held: Held,
     /// Time until the stages were done.
@@ -85,6 +89,7 @@
             calls: counter::Counter::default(),
             pieces: counter::Counter::default(),
             refused_early: counter::Counter::default(),
+            late: gauge::Gauge::default(),
             held: Held::default(),
             stages: histogram::Histogram::new(BUCKETS),
             first: histogram::Histogram::new(BUCKETS),
@@ -125,6 +130,11 @@
                 "Jobs refused early",
                 self.refused_early.clone(),
             );
+            r.register(
+                "late_seconds",
+                "Mean lateness of a timer of the process",
+                self.late.clone(),
+            );
             r.register(
                 "targets_limited",
                 "Targets that have named a limit",
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -48,6 +48,7 @@
     },
     settings,
     state,
+    strain,
     view, //
 };
 
@@ -136,6 +137,7 @@
     let _control =
         thread::spawn(move || control::run(store, directory, shared, own, copies, evacuates))?;
     tokio::spawn(gateway.clone().follow());
+    tokio::spawn(strain::watch(counters));
     tokio::spawn(gateway.dispatcher.clone().run());
     let (closing, closed) = watch::channel(false);
     tokio::spawn(callers::serve(gateway.clone(), listener, closed));
--- a/laburnumcart_gateway/src/state.rs
+++ b/laburnumcart_gateway/src/state.rs
@@ -41,6 +41,7 @@
         leaving: view.is_leaving(),
         version: view.table.load().as_ref().map(|table| table.version),
         age: view.freshness.age(clock::now()).map(rounded),
+        late: rounded(time::Duration::from_secs_f64(gateway.metrics.late.get())),
         members: view.share(),
         readers: readers(view),
         evacuated: evacuated(view, now),
--- a/laburnumcart_wire/src/gateway.rs
+++ b/laburnumcart_wire/src/gateway.rs
@@ -25,6 +25,9 @@
     pub version: Option<u64>,
     /// Age of the configuration.
     pub age: Option<unit::Period>,
+    /// How late it gets to its work, in the mean.
+    #[serde(default)]
+    pub late: unit::Period,
     /// Gateways that it knows, itself included.
     pub members: usize,
     /// Gateways that follow the store, as it sees them.
