--- a/laburnumcart_agent/tests/agent/suspects.rs
+++ b/laburnumcart_agent/tests/agent/suspects.rs
@@ -13,7 +13,8 @@
 use laburnumcart_wire::{
     agent::{
         AgentClient,
-        Beat, //
+        Beat,
+        Report, //
     },
     stage,
 };
@@ -61,6 +62,22 @@
     bounded(lane.client.beat(beat)).await.unwrap();
 }
 
+/// Asks the agent for its state and for facts that it has not told yet.
+async fn report(lane: &Connection) -> Report {
+    let beat = Beat {
+        peer: None,
+        session: lane.session,
+        facts: None,
+    };
+    bounded(lane.client.beat(beat)).await.unwrap()
+}
+
+/// Returns the content that is suspected of each crash.
+fn suspected(report: &Report) -> Vec<Vec<id::Fingerprint>> {
+    let crashes = report.facts.crashes.iter();
+    crashes.map(|crash| crash.suspects.clone()).collect()
+}
+
 /// Waits until the agent has this many attempts that wait.
 async fn wait_queued(agent: &laburnumcart_agent::agent::Agent, count: usize) {
     bounded(async {
@@ -160,14 +177,8 @@
     };
     let ((_, state), ()) = bounded(async { tokio::join!(run, crash) }).await;
     assert_eq!(refusal(&state).reason, Reason::TargetFailed);
-    let beat = Beat {
-        peer: None,
-        session: lane.session,
-        facts: None,
-    };
-    let report = bounded(lane.client.beat(beat)).await.unwrap();
-    let suspects: Vec<_> = report.facts.crashes.iter().map(|c| &c.suspects).collect();
-    assert_eq!(suspects, [&vec![id::Fingerprint(3)]]);
+    let report = report(&lane).await;
+    assert_eq!(suspected(&report), [[id::Fingerprint(3)]]);
     assert!(!report.ready);
 }
 
@@ -217,12 +228,5 @@
     };
     let ((_, state), ()) = bounded(async { tokio::join!(run, crash) }).await;
     assert_eq!(refusal(&state).reason, Reason::TargetFailed);
-    let beat = Beat {
-        peer: None,
-        session: lane.session,
-        facts: None,
-    };
-    let report = bounded(lane.client.beat(beat)).await.unwrap();
-    let suspects: Vec<_> = report.facts.crashes.iter().map(|c| &c.suspects).collect();
-    assert_eq!(suspects, [&vec![id::Fingerprint(6)]]);
+    assert_eq!(suspected(&report(&lane).await), [[id::Fingerprint(6)]]);
 }
