Log and count what reaches targets beyond the first of each request

Each decision is one line now (event=repeat: request, service, way, count, outcome, cause, what was spent and is allowed, this process's part) and one counter (laburnum_gateway_repeats_total by way and outcome). A job says whether it is the first of its request at the service or was sent before; a job that moves to another owner says whether any of its pieces was sent (batch::Failure::Moved, Answer::Moved, and Lost in place of no answer). allotment works out a process's part; nothing uses it yet but the line.

--- a/laburnumcart/examples/embed.rs
+++ b/laburnumcart/examples/embed.rs
@@ -82,6 +82,7 @@
             };
             tried.push(chosen);
             let failure = retry::Failure {
+                reached: false,
                 refusal,
                 resumable: false,
             };
--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -60,9 +60,12 @@
     /// Its pieces failed time and again.
     #[display("failed")]
     Failed,
-    /// Nobody executes the pieces of this service here.
+    /// Nobody executes the pieces of this service here, and none were sent.
     #[display("unavailable")]
     Unavailable,
+    /// Another process executes the rest of it; some pieces were sent.
+    #[display("moved")]
+    Moved,
 }
 
 /// What the end of a call decides.
@@ -122,6 +125,8 @@
     coming: turns::Turns,
     /// Pieces of jobs on time that calls have taken of late.
     load: load::Load,
+    /// Jobs whose pieces wait once more after the last call, with the number of these pieces.
+    repeated: Vec<(JobKey, u32)>,
     /// When it was last looked for jobs to give up.
     checked: Option<Instant>,
     /// Targets with their room and speed.
@@ -138,6 +143,7 @@
             expected: collections::HashMap::new(),
             coming: turns::Turns::default(),
             load: load::Load::default(),
+            repeated: Vec::new(),
             checked: None,
             engines: Engines::new(shape),
         }
@@ -202,10 +208,22 @@
         let waiting = self.jobs.iter().filter(|(_, j)| !j.waiting.is_empty());
         let keys: Vec<_> = waiting.map(|(key, _)| key).collect();
         keys.into_iter()
-            .flat_map(|key| self.fail(key, Failure::Unavailable))
+            .flat_map(|key| {
+                let failure = match self.jobs[key].sent {
+                    true => Failure::Moved,
+                    false => Failure::Unavailable,
+                };
+                self.fail(key, failure)
+            })
             .collect()
     }
 
+    /// Lists the jobs whose pieces wait once more after the last call, with the number of these
+    /// pieces. Who has a bound on that gives up what exceeds it before the next call.
+    pub fn repeated(&self) -> &[(JobKey, u32)] {
+        &self.repeated
+    }
+
     /// Chooses the next call, if a target is free and has room.
     pub fn take(&mut self, now: Instant) -> Option<Call> {
         let smallest = self.turns.smallest()?;
@@ -299,6 +317,7 @@
     /// Takes the outcomes of a call, one for each of its pieces.
     pub fn finish(&mut self, call: &Call, outcomes: Vec<Outcome>, now: Instant) -> Vec<Event> {
         self.engines.finish(call.engine, call.pieces.len(), now);
+        self.repeated.clear();
         let mut events = Vec::new();
         for (piece, outcome) in call.pieces.iter().zip(outcomes) {
             self.settle(call.engine, piece, outcome, now, &mut events);
@@ -312,6 +331,7 @@
     /// room stays accounted for as long as the target keeps them.
     pub fn abandon(&mut self, call: &Call, ran: bool, now: Instant) -> Vec<Event> {
         self.engines.fail(call.engine, now);
+        self.repeated.clear();
         let mut events = Vec::new();
         for piece in &call.pieces {
             match ran {
@@ -380,6 +400,10 @@
             return;
         };
         job.waiting.push_front(piece.index);
+        match self.repeated.last_mut() {
+            Some((key, count)) if *key == piece.job => *count += 1,
+            _ => self.repeated.push((piece.job, 1)),
+        }
         if counts {
             job.tries += 1;
         }
--- a/laburnumcart/src/batch/job.rs
+++ b/laburnumcart/src/batch/job.rs
@@ -160,6 +160,8 @@
     pub(super) done: Vec<Option<Handle>>,
     /// Pieces that were sent in vain.
     pub(super) tries: u32,
+    /// Whether a call has taken any of its pieces.
+    pub(super) sent: bool,
 }
 
 impl Job {
@@ -169,12 +171,14 @@
             waiting: (0..spec.pieces).collect(),
             done: vec![None; spec.pieces as usize],
             tries: 0,
+            sent: false,
             spec,
         }
     }
 
     pub(super) fn take(&mut self, key: JobKey) -> Option<Piece> {
         let index = self.waiting.pop_front()?;
+        self.sent = true;
         Some(Piece {
             job: key,
             index,
--- a/laburnumcart/src/budget.rs
+++ b/laburnumcart/src/budget.rs
@@ -31,6 +31,17 @@
 /// Slots that are kept: those of a window and the one that it begins in.
 const SLOTS: usize = WINDOW_SLOTS + 1;
 
+/// What decides on extra attempts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Account {
+    /// Extra attempts in the last window.
+    pub spent: u32,
+    /// Extra attempts that a window may have.
+    pub allowed: f64,
+    /// Whether there are none while the fleet refuses work as overloaded.
+    pub shut: bool,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Slot {
     earned: u32,
@@ -55,7 +66,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     ratio: f64,
-    reserve: u32,
+    reserve: f64,
     slots: [Slot; SLOTS],
     /// Index of the present slot, and its start.
     present: usize,
@@ -67,7 +78,7 @@
     pub fn new(ratio: unit::Share, now: Instant) -> Self {
         Self {
             ratio: ratio.0,
-            reserve: RESERVE,
+            reserve: f64::from(RESERVE),
             slots: [Slot::default(); SLOTS],
             present: 0,
             since: now,
@@ -81,8 +92,9 @@
 
     /// Changes the extra attempts in a window that need no success.
     ///
-    /// Where the fleet has a bound on extra attempts, each process gets its part of it.
-    pub fn set_reserve(&mut self, reserve: u32) {
+    /// Where the fleet has a bound on extra attempts, each process gets its part of it, which may
+    /// have a fraction.
+    pub fn set_reserve(&mut self, reserve: f64) {
         self.reserve = reserve;
     }
 
@@ -98,19 +110,28 @@
 
     /// Takes one extra attempt from the budget, if it is open.
     pub fn spend(&mut self, now: Instant) -> bool {
-        if !self.is_open(now) {
+        self.spend_all(1, now)
+    }
+
+    /// Takes so many extra attempts from the budget, or none of them.
+    pub fn spend_all(&mut self, count: u32, now: Instant) -> bool {
+        let account = self.account(now);
+        if account.shut || f64::from(account.spent + count) > account.allowed {
             return false;
         }
-        self.slot(now).spent += 1;
+        self.slot(now).spent += count;
         true
     }
 
-    /// Reports whether an extra attempt is allowed.
-    pub fn is_open(&mut self, now: Instant) -> bool {
+    /// Returns what was spent and what may be.
+    pub fn account(&mut self, now: Instant) -> Account {
         self.slot(now);
         let sum = self.sum();
-        let allowed = self.ratio * f64::from(sum.earned) + f64::from(self.reserve);
-        !Self::is_overloaded(sum) && f64::from(sum.spent + 1) <= allowed
+        Account {
+            spent: sum.spent,
+            allowed: self.ratio * f64::from(sum.earned) + self.reserve,
+            shut: Self::is_overloaded(sum),
+        }
     }
 
     fn is_overloaded(sum: Slot) -> bool {
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -4,6 +4,7 @@
 //! runtime's clock, so that a test can pause and advance it.
 
 pub mod admit;
+pub mod allotment;
 pub mod attempt;
 pub mod attempts;
 pub mod batch;
--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 use crate::{
@@ -23,11 +24,30 @@
     GiveUp(verdict::Refusal),
 }
 
+/// What a decision rests on.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum Cause {
+    /// No target was used, so that another attempt costs nothing.
+    #[default]
+    Unused,
+    /// The budget.
+    Budget,
+    /// Another attempt could execute the request twice, or would end the same.
+    Unsafe,
+    /// The time that is left.
+    Time,
+    /// No other target or attempt is left.
+    Exhausted,
+}
+
 /// A failed attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Failure {
     /// What is known of it.
     pub refusal: verdict::Refusal,
+    /// Whether a target has received the request, in this attempt or before, whatever came of it.
+    pub reached: bool,
     /// Whether text was received that another target can go on after.
     pub resumable: bool,
 }
@@ -60,11 +80,11 @@
 /// };
 /// let mut attempts = retry::Attempts::new(false, verdict::Verdict::NotRun);
 /// let refusal = verdict::Refusal::not_run(verdict::Reason::Leaving);
-/// let failure = retry::Failure { refusal, resumable: false };
+/// let failure = retry::Failure { refusal, reached: false, resumable: false };
 /// assert_eq!(attempts.decide(&failure, time, &mut budget), retry::Decision::Elsewhere);
 ///
 /// let refusal = verdict::Refusal::may_have_run(verdict::Reason::Lost);
-/// let failure = retry::Failure { refusal, resumable: false };
+/// let failure = retry::Failure { refusal, reached: true, resumable: false };
 /// let decision = attempts.decide(&failure, time, &mut budget);
 /// assert_eq!(decision, retry::Decision::GiveUp(refusal));
 /// ```
@@ -73,6 +93,7 @@
     idempotent: bool,
     verdict: verdict::Verdict,
     failed: u32,
+    cause: Cause,
 }
 
 impl Attempts {
@@ -82,6 +103,7 @@
             idempotent,
             verdict: before,
             failed: 0,
+            cause: Cause::default(),
         }
     }
 
@@ -93,6 +115,11 @@
         self.verdict
     }
 
+    /// Returns what the last decision rests on.
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
     /// Takes in a failure after which there is no other target; returns the answer for the caller.
     pub fn end(
         &mut self,
@@ -100,6 +127,7 @@
         now: Instant,
         budget: &mut budget::Budget,
     ) -> verdict::Refusal {
+        self.cause = Cause::Exhausted;
         self.failed += 1;
         self.verdict = self.verdict.and(refusal.verdict);
         if is_overload(refusal.reason) {
@@ -120,16 +148,23 @@
     ) -> Decision {
         let refusal = failure.refusal;
         self.end(refusal, time.now, budget);
+        self.cause = Cause::Unsafe;
         if !self.may_repeat(refusal) {
             return self.give_up(refusal);
         }
+        self.cause = Cause::Time;
         if time.remaining.is_zero() {
             return self.give_up(verdict::Refusal::not_run(verdict::Reason::DeadlineExceeded));
         }
         if time.remaining < time.needed {
             return self.give_up(verdict::Refusal::not_run(verdict::Reason::DeadlineTooShort));
         }
-        if !self.is_free(refusal) && !budget.spend(time.now) {
+        let is_free = !failure.reached && self.is_free(refusal);
+        self.cause = match is_free {
+            true => Cause::Unused,
+            false => Cause::Budget,
+        };
+        if !is_free && !budget.spend(time.now) {
             return self.give_up(refusal);
         }
         if failure.resumable && refusal.reason != verdict::Reason::Corrupt {
--- a/laburnumcart/tests/retry.rs
+++ b/laburnumcart/tests/retry.rs
@@ -31,6 +31,7 @@
     };
     let failure = retry::Failure {
         refusal,
+        reached: false,
         resumable: false,
     };
     retry::Attempts::new(idempotent, Verdict::NotRun).decide(&failure, time, budget)
@@ -80,6 +81,7 @@
     let mut attempts = retry::Attempts::new(true, Verdict::NotRun);
     let lost = retry::Failure {
         refusal: Refusal::may_have_run(Reason::Lost),
+        reached: true,
         resumable: true,
     };
     assert_eq!(
@@ -89,6 +91,7 @@
     let wrong = Refusal::not_run(Reason::TargetRefused);
     let wrong = retry::Failure {
         refusal: wrong,
+        reached: true,
         resumable: false,
     };
     let refusal = Refusal::may_have_run(Reason::TargetRefused);
--- a/laburnumcart_entry/src/driver/stage.rs
+++ b/laburnumcart_entry/src/driver/stage.rs
@@ -64,6 +64,8 @@
             self.learn(&tries, &refusal).await;
             let failure = retry::Failure {
                 refusal,
+                // Agents refuse before their target gets anything.
+                reached: refusal.verdict == verdict::Verdict::MayHaveRun,
                 resumable: tries.received.len() > before,
             };
             self.note(refusal.verdict);
--- a/laburnumcart_gateway/src/control/members.rs
+++ b/laburnumcart_gateway/src/control/members.rs
@@ -6,7 +6,9 @@
 };
 
 use laburnumcart::{
+    allotment,
     event,
+    freshness,
     unit, //
 };
 use laburnumcart_platform::{
@@ -14,7 +16,10 @@
     store, //
 };
 
-use crate::view;
+use crate::{
+    clock,
+    view, //
+};
 
 /// Most processors that an entry may claim; an instance with more is none of ours.
 ///
@@ -31,6 +36,8 @@
     own: view::Member,
     /// Entries that were refused, so that each is told once.
     refused: collections::HashMap<String, store::Version>,
+    /// When the call in progress was sent.
+    asked: freshness::Moment,
 }
 
 impl Observer {
@@ -39,6 +46,17 @@
             view,
             own,
             refused: collections::HashMap::new(),
+            asked: freshness::Moment::default(),
+        }
+    }
+
+    /// Returns how a list of members shows this process.
+    fn entry(&self, members: &[view::Member]) -> allotment::Entry {
+        let own = members.iter().find(|m| m.instance == self.own.instance);
+        match own.map(|own| own.incarnation == self.own.incarnation) {
+            None => allotment::Entry::Absent,
+            Some(false) => allotment::Entry::Earlier,
+            Some(true) => allotment::Entry::Present,
         }
     }
 
@@ -80,15 +98,20 @@
 }
 
 impl follow::Observer for Observer {
-    fn ask(&mut self) {}
+    fn ask(&mut self) {
+        self.asked = clock::now();
+    }
 
-    fn read(&mut self, snapshot: &follow::Snapshot, _age: unit::Period) {
+    fn read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
         let objects = &snapshot.objects;
         self.refused.retain(|key, _| objects.contains_key(key));
         let entries = objects.values();
         let mut members: Vec<_> = entries.filter_map(|object| self.member(object)).collect();
+        let entry = self.entry(&members);
         // The own entry may not be written yet, or be one of an earlier life.
         members.retain(|m| m.instance != self.own.instance);
+        let others = members.iter().map(|m| &m.instance);
+        self.view.allot(entry, others, self.asked.before(age.0));
         members.push(self.own.clone());
         members.sort_by(|a, b| a.instance.cmp(&b.instance));
         if **self.view.members.load() != members {
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -35,6 +35,7 @@
 };
 
 use crate::{
+    budgets,
     dialect,
     metrics,
     outbound,
@@ -45,6 +46,7 @@
 use self::line::Line;
 
 pub use self::job::{
+    Arrival,
     Job,
     Notice, //
 };
@@ -59,6 +61,7 @@
 pub struct Dispatcher {
     view: Arc<view::View>,
     outbound: Arc<outbound::Outbound>,
+    budgets: Arc<budgets::Budgets>,
     dialect: Arc<dyn dialect::Dialect>,
     metrics: metrics::Metrics,
     lines: Mutex<collections::HashMap<id::ServiceName, Line>>,
@@ -83,6 +86,7 @@
     pub fn new(
         view: Arc<view::View>,
         outbound: Arc<outbound::Outbound>,
+        budgets: Arc<budgets::Budgets>,
         dialect: Arc<dyn dialect::Dialect>,
         metrics: metrics::Metrics,
         consumed: mpsc::UnboundedSender<Vec<batch::Handle>>,
@@ -90,6 +94,7 @@
         Arc::new(Self {
             view,
             outbound,
+            budgets,
             dialect,
             metrics,
             lines: Mutex::default(),
@@ -233,6 +238,7 @@
             return Err(batch::Failure::Gone);
         }
         self.check(line, &job, now)?;
+        self.count(&job)?;
         let (sender, receiver) = oneshot::channel();
         line.push(job, sender, now);
         Ok(receiver)
@@ -290,6 +296,26 @@
         ))
     }
 
+    /// Counts a job's request, or takes the job from the budget if its pieces were sent before.
+    fn count(&self, job: &Job) -> Result<(), batch::Failure> {
+        match job.arrival {
+            Arrival::First => self.budgets.earn(&job.service),
+            Arrival::Further => {}
+            Arrival::Repeated => {
+                let repeat = budgets::Repeat {
+                    request: &job.attempt,
+                    service: &job.service,
+                    way: budgets::Way::Stage,
+                    count: job.pieces,
+                };
+                if !self.budgets.spend(&repeat) {
+                    return Err(batch::Failure::Failed);
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Cancels a job; one that is not known has ended.
     pub fn cancel(&self, service: &id::ServiceName, id: u64) {
         let mut lines = view::lock(&self.lines);
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    budgets,
     dialect,
     dispatcher::{
         Dispatcher,
@@ -37,6 +38,8 @@
 
 /// Why a call brought no outcomes.
 enum Failed {
+    /// Nothing was sent.
+    Unsent(&'static str),
     /// The target proves that it did nothing.
     NotRun(&'static str),
     /// It may have executed the pieces.
@@ -154,8 +157,10 @@
             return;
         };
         let tally = tally(&result);
+        let reached = !matches!(result, Err(Failed::Unsent(_)));
         let (events, outcome) = match result {
             Ok(outcomes) => (line.queue.finish(&ready.call, outcomes, now), "done"),
+            Err(Failed::Unsent(cause)) => (line.queue.abandon(&ready.call, false, now), cause),
             Err(Failed::NotRun(cause)) => (line.queue.abandon(&ready.call, false, now), cause),
             Err(Failed::Lost(failure)) => {
                 let cause = match failure {
@@ -179,10 +184,39 @@
             used = line.queue.engines.used(ready.call.engine)
         );
         line.settle(events, &*self.dialect);
+        if reached {
+            let denied = self.charge(&ready.service, line);
+            line.settle(denied, &*self.dialect);
+        }
         drop(lines);
         self.pump(&ready.service);
     }
 
+    /// Takes the pieces that wait once more from the budget; gives up the jobs that exceed it.
+    fn charge(&self, service: &id::ServiceName, line: &mut Line) -> Vec<batch::Event> {
+        let mut denied = Vec::new();
+        for (key, count) in line.queue.repeated() {
+            // A job that nobody waits for any more has failed already.
+            let Some(waiter) = line.waiters.get(*key) else {
+                continue;
+            };
+            let repeat = budgets::Repeat {
+                request: &waiter.attempt,
+                service,
+                way: budgets::Way::Pieces,
+                count: *count,
+            };
+            if !self.budgets.spend(&repeat) {
+                denied.push(*key);
+            }
+        }
+        let queue = &mut line.queue;
+        let denied = denied.into_iter();
+        denied
+            .flat_map(|key| queue.fail(key, batch::Failure::Failed))
+            .collect()
+    }
+
     /// Waits for a call to end, and passes on when the inputs of its pieces have been read.
     async fn watch<T>(&self, ready: &Ready, sent: impl Future<Output = T>) -> T {
         tokio::pin!(sent);
@@ -214,8 +248,8 @@
             .send(target, request, bounds, Some(label))
             .await;
         let outbound::Received { answer, reply } = sent.map_err(|failure| match failure {
-            pool::Failure::Unreached | pool::Failure::Exhausted => Failed::NotRun("unreached"),
-            pool::Failure::Closed => Failed::NotRun("closed"),
+            pool::Failure::Unreached | pool::Failure::Exhausted => Failed::Unsent("unreached"),
+            pool::Failure::Closed => Failed::Unsent("closed"),
             failure => Failed::Lost(failure),
         })?;
         let answer = match reply.attempt.as_deref() {
--- a/laburnumcart_gateway/src/dispatcher/job.rs
+++ b/laburnumcart_gateway/src/dispatcher/job.rs
@@ -14,6 +14,19 @@
 
 use crate::dialect;
 
+/// What a job is to the budget of its service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arrival {
+    /// The first of its request at the service.
+    First,
+    /// Another one of its request, whose pieces were not sent before.
+    #[default]
+    Further,
+    /// Its pieces were, or may have been, sent before.
+    Repeated,
+}
+
 /// A job of another process or of this one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Job {
@@ -47,6 +60,9 @@
     pub consumes: bool,
     /// Whether a process that is leaving takes it too, as no other does.
     pub last: bool,
+    /// Whether its pieces were sent before.
+    #[serde(default)]
+    pub arrival: Arrival,
 }
 
 impl Job {
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     admission,
+    budgets,
     dialect,
     gateway,
     outbound,
@@ -62,6 +63,8 @@
     tried: Vec<id::TargetName>,
     sent: u32,
     refused: u32,
+    /// Whether a target has received the request, whatever came of it.
+    reached: bool,
     /// Whether no target could be chosen.
     exhausted: bool,
     /// Whether a send is in flight, or its answer is being read.
@@ -78,7 +81,7 @@
         let service = request.route.backend(rand::random());
         let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
         let service = service.ok_or(missing)?.clone();
-        gateway.with_budget(&service, |budget, now| budget.earn(now));
+        gateway.budgets.earn(&service);
         let idempotent = request.route.repeat != ingress::Repeat::Never;
         Ok(Self {
             gateway: gateway.clone(),
@@ -87,6 +90,7 @@
             tried: Vec::new(),
             sent: 0,
             refused: 0,
+            reached: false,
             exhausted: false,
             pending: false,
             attempts: retry::Attempts::new(idempotent, verdict::Verdict::NotRun),
@@ -121,6 +125,14 @@
         }
     }
 
+    /// Returns a refusal of the request as a whole.
+    pub fn refuse(&self, refusal: verdict::Refusal) -> verdict::Refusal {
+        verdict::Refusal {
+            verdict: self.verdict().and(refusal.verdict),
+            ..refusal
+        }
+    }
+
     /// Sends the request to the next target; `limit` bounds the wait for the head.
     pub async fn next(
         &mut self,
@@ -164,6 +176,8 @@
             Ok(result) => result,
             Err(_) => Err(pool::Failure::Timeout),
         };
+        let unsent = |failure: &pool::Failure| failure.verdict() == verdict::Verdict::NotRun;
+        self.reached |= !result.as_ref().is_err_and(unsent);
         match result {
             Ok(received) => self.judge(seat, received, start),
             Err(failure) => {
@@ -195,7 +209,7 @@
     }
 
     /// Takes in a failure and decides whether the request goes to another target.
-    pub fn decide(&mut self, failure: verdict::Refusal) -> retry::Decision {
+    pub fn decide(&mut self, failure: verdict::Refusal, way: budgets::Way) -> retry::Decision {
         let time = retry::Time {
             remaining: self.request.left(),
             needed: NEEDED,
@@ -203,18 +217,19 @@
         };
         let failure = retry::Failure {
             refusal: failure,
+            reached: false,
             resumable: false,
         };
         self.pending = false;
         // Charged for sends that nobody makes, the budget would be gone for all other requests.
         let more = self.has_more() && self.has_target();
         let attempts = &mut self.attempts;
-        let decision = self
-            .gateway
-            .with_budget(&self.service, |budget, now| match more {
-                true => attempts.decide(&failure, time, budget),
-                false => retry::Decision::GiveUp(attempts.end(failure.refusal, now, budget)),
-            });
+        let budgets = &self.gateway.budgets;
+        let decision = budgets.with(&self.service, |budget, now| match more {
+            true => attempts.decide(&failure, retry::Time { now, ..time }, budget),
+            false => retry::Decision::GiveUp(attempts.end(failure.refusal, now, budget)),
+        });
+        self.note(&decision, way);
         if let retry::Decision::GiveUp(refusal) = decision {
             let refusal = self.gateway.advise(&self.request, &self.service, refusal);
             return retry::Decision::GiveUp(refusal);
@@ -223,6 +238,25 @@
         decision
     }
 
+    /// Logs a decision on what would reach a target once more.
+    fn note(&self, decision: &retry::Decision, way: budgets::Way) {
+        if !self.reached {
+            return;
+        }
+        let outcome = match decision {
+            retry::Decision::GiveUp(_) => budgets::Outcome::Denied,
+            _ => budgets::Outcome::Granted,
+        };
+        let repeat = budgets::Repeat {
+            request: &self.request.call.attempt,
+            service: &self.service,
+            way,
+            count: 1,
+        };
+        let cause = self.attempts.cause();
+        self.gateway.budgets.note(&repeat, outcome, cause);
+    }
+
     fn onward(
         &self,
         seat: &gateway::Seat,
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 
 use laburnumcart::{
     batch,
-    budget,
     eject,
     id,
     ingress,
@@ -32,6 +31,7 @@
 use crate::{
     admission,
     balancer,
+    budgets,
     dialect,
     dispatcher,
     engines,
@@ -44,11 +44,6 @@
     view, //
 };
 
-/// Part of the shared bound on extra sends that is used.
-///
-/// Windows of the processes do not begin together, and sends cross them.
-const BUDGET_SHARE: f64 = 0.8;
-
 /// Most routes whose callers' patience is remembered.
 const ROUTES_MAX: usize = 4096;
 
@@ -64,6 +59,8 @@
     pub outbound: Arc<outbound::Outbound>,
     /// Other processes.
     pub peers: peers::Peers,
+    /// Budgets of what targets get once more.
+    pub budgets: Arc<budgets::Budgets>,
     /// Queues that this process owns.
     pub dispatcher: Arc<dispatcher::Dispatcher>,
     /// Gate of requests.
@@ -72,7 +69,6 @@
     pub metrics: metrics::Metrics,
     engines: Mutex<collections::HashMap<id::ServiceName, engines::Engines>>,
     balancers: Mutex<collections::HashMap<id::ServiceName, balancer::Balancer>>,
-    budgets: Mutex<collections::HashMap<id::ServiceName, budget::Budget>>,
     patience: Mutex<collections::HashMap<String, patience::Patience>>,
     /// Results that the own queues have read, taken by the task that frees them.
     consumed: Mutex<Option<mpsc::UnboundedReceiver<Vec<batch::Handle>>>>,
@@ -103,9 +99,11 @@
         let quotas = quotas::Quotas::new(own.clone(), view.clone(), &metrics);
         let outbound = outbound::Outbound::new(dialect.clone(), quotas);
         let (consumed, receiver) = mpsc::unbounded_channel();
+        let budgets = budgets::Budgets::new(settings.bounds, view.clone(), metrics.clone());
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
             outbound.clone(),
+            budgets.clone(),
             dialect.clone(),
             metrics.clone(),
             consumed,
@@ -116,12 +114,12 @@
             view,
             dialect,
             outbound,
+            budgets,
             dispatcher,
             gate,
             metrics,
             engines: Mutex::default(),
             balancers: Mutex::default(),
-            budgets: Mutex::default(),
             patience: Mutex::default(),
             consumed: Mutex::new(Some(receiver)),
         })
@@ -272,24 +270,6 @@
         balancer.choose(places, tried, now)
     }
 
-    /// Does something with the budget of extra sends of a service.
-    pub fn with_budget<T>(
-        &self,
-        service: &id::ServiceName,
-        act: impl FnOnce(&mut budget::Budget, Instant) -> T,
-    ) -> T {
-        let now = Instant::now();
-        let bounds = &self.settings.bounds;
-        let mut budgets = view::lock(&self.budgets);
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let ratio = unit::Share(bounds.retry_ratio * BUDGET_SHARE);
-            budget::Budget::new(ratio, now)
-        });
-        let extra = bounds.retry_extra * BUDGET_SHARE / self.view.share() as f64;
-        budget.set_reserve(extra as u32);
-        act(budget, now)
-    }
-
     /// Returns how much of its time a caller had spent on a request before this attempt.
     ///
     /// The objective counts from the first attempt.
--- a/laburnumcart_gateway/src/lib.rs
+++ b/laburnumcart_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod balancer;
+pub mod budgets;
 pub mod callers;
 pub mod clock;
 pub mod control;
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -15,7 +15,10 @@
 use laburnumcart::verdict;
 use laburnumcart_daemon::metrics;
 
-use crate::pool;
+use crate::{
+    budgets,
+    pool, //
+};
 
 /// Bounds of the latency histograms in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
@@ -61,6 +64,8 @@
     pub resumed: counter::Counter<u64>,
     /// Sends to another target after a failure.
     pub resent: counter::Counter<u64>,
+    /// Arrivals at targets beyond the first of each request, by what was decided.
+    pub repeats: family::Family<budgets::Labels, counter::Counter>,
     /// Batches sent.
     pub calls: counter::Counter<u64>,
     /// Pieces in them.
@@ -86,6 +91,7 @@
             broken: counter::Counter::default(),
             resumed: counter::Counter::default(),
             resent: counter::Counter::default(),
+            repeats: family::Family::default(),
             calls: counter::Counter::default(),
             pieces: counter::Counter::default(),
             refused_early: counter::Counter::default(),
@@ -123,6 +129,11 @@
                 self.resumed.clone(),
             );
             r.register("resent", "Sends after a failure", self.resent.clone());
+            r.register(
+                "repeats",
+                "Arrivals beyond the first of each request",
+                self.repeats.clone(),
+            );
             r.register("calls", "Batches sent", self.calls.clone());
             r.register("pieces", "Pieces in batches", self.pieces.clone());
             r.register(
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -54,10 +54,31 @@
     Failed(batch::Failure),
     /// The process does not know the service yet.
     Elsewhere,
+    /// Another process is to execute the rest; some pieces were sent.
+    Moved,
     /// The process is leaving.
     Leaving,
 }
 
+impl From<batch::Failure> for Answer {
+    fn from(failure: batch::Failure) -> Self {
+        match failure {
+            batch::Failure::Unavailable => Self::Elsewhere,
+            batch::Failure::Moved => Self::Moved,
+            failure => Self::Failed(failure),
+        }
+    }
+}
+
+/// A job that no process has answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Unanswered {
+    /// It was not sent.
+    Unsent,
+    /// It may have been executed in part.
+    Lost,
+}
+
 /// Results of a job, and the process that accounts for their room.
 #[derive(Clone, Debug)]
 pub struct Made {
@@ -118,8 +139,7 @@
         }
         Ok(match self.dispatcher.submit(job).await {
             Ok(handles) => Answer::Done(handles),
-            Err(batch::Failure::Unavailable) => Answer::Elsewhere,
-            Err(failure) => Answer::Failed(failure),
+            Err(failure) => Answer::from(failure),
         })
     }
 
@@ -188,18 +208,23 @@
     pub async fn submit(&self, job: dispatcher::Job) -> Result<Made, batch::Failure> {
         let start = Instant::now();
         let (due, deadline) = (start + job.due.0, start + job.deadline.0);
+        let mut arrival = job.arrival;
         loop {
             for last in [false, true] {
                 for owner in self.owners(&job.service, last) {
                     let mut job = job.clone();
                     let now = Instant::now();
                     job.last = last;
+                    job.arrival = arrival;
                     job.due.0 = due.saturating_duration_since(now);
                     job.deadline.0 = deadline.saturating_duration_since(now);
                     match self.offer(&owner, job).await {
-                        Some(Answer::Done(handles)) => return Ok(Made { handles, owner }),
-                        Some(Answer::Failed(failure)) => return Err(failure),
-                        Some(Answer::Elsewhere | Answer::Leaving) | None => {}
+                        Ok(Answer::Done(handles)) => return Ok(Made { handles, owner }),
+                        Ok(Answer::Failed(failure)) => return Err(failure),
+                        Ok(Answer::Moved) | Err(Unanswered::Lost) => {
+                            arrival = dispatcher::Arrival::Repeated;
+                        }
+                        Ok(Answer::Elsewhere | Answer::Leaving) | Err(Unanswered::Unsent) => {}
                     }
                 }
             }
@@ -296,19 +321,22 @@
         owner.is_none_or(|owner| owner.instance == self.own)
     }
 
-    async fn offer(&self, owner: &view::Member, job: dispatcher::Job) -> Option<Answer> {
+    async fn offer(
+        &self,
+        owner: &view::Member,
+        job: dispatcher::Job,
+    ) -> Result<Answer, Unanswered> {
         if owner.instance != self.own {
-            let link = self.link(owner)?;
+            let link = self.link(owner).ok_or(Unanswered::Unsent)?;
             let answer = link.submit(job).await;
-            if matches!(answer, Some(Answer::Leaving)) {
+            if matches!(answer, Ok(Answer::Leaving)) {
                 link.leave();
             }
             return answer;
         }
-        Some(match self.dispatcher.submit(job).await {
+        Ok(match self.dispatcher.submit(job).await {
             Ok(handles) => Answer::Done(handles),
-            Err(batch::Failure::Unavailable) => Answer::Elsewhere,
-            Err(failure) => Answer::Failed(failure),
+            Err(failure) => Answer::from(failure),
         })
     }
 
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -31,7 +31,8 @@
     dispatcher,
     peers::{
         Answer,
-        PeerClient, //
+        PeerClient,
+        Unanswered, //
     },
     relay::{
         self,
@@ -135,9 +136,12 @@
         fail(&self.state, &self.member, cause);
     }
 
-    /// Submits a job; `None` when the connection failed.
-    pub(super) async fn submit(self: &Arc<Self>, job: dispatcher::Job) -> Option<Answer> {
-        let mut open = self.client().await?;
+    /// Submits a job.
+    pub(super) async fn submit(
+        self: &Arc<Self>,
+        job: dispatcher::Job,
+    ) -> Result<Answer, Unanswered> {
+        let mut open = self.client().await.ok_or(Unanswered::Unsent)?;
         let mut canceller = Canceller {
             open: Some(open.clone()),
             service: job.service.clone(),
@@ -145,20 +149,20 @@
         };
         let answer = tokio::select! {
             answer = open.client.submit(job) => answer,
-            _ = open.broken.wait_for(|broken| *broken) => return None,
+            _ = open.broken.wait_for(|broken| *broken) => return Err(Unanswered::Lost),
         };
         canceller.open = None;
         match answer {
             Ok(answer) => {
                 self.hear();
-                Some(answer)
+                Ok(answer)
             }
             Err(error) => {
                 // All calls on the connection fail together; it is one failure of the process.
                 if !*open.broken.borrow() {
                     self.report(&error);
                 }
-                None
+                Err(Unanswered::Lost)
             }
         }
     }
--- a/laburnumcart_gateway/src/pipeline.rs
+++ b/laburnumcart_gateway/src/pipeline.rs
@@ -61,6 +61,8 @@
     again: bool,
     /// Whether it was admitted although it will be late.
     late: bool,
+    /// Stages whose pieces were, or may have been, sent before.
+    asked: Vec<bool>,
 }
 
 /// Results of one stage, freed when dropped.
@@ -87,7 +89,8 @@
     gateway: &Arc<gateway::Gateway>,
     request: &admission::Request,
 ) -> Result<Inputs, verdict::Refusal> {
-    run_as(gateway, request, request.is_again()).await
+    let asked = vec![false; request.route.stages.len()];
+    run_as(gateway, request, request.is_again(), asked).await
 }
 
 /// Runs the stages once more, as their results have disappeared before they were used.
@@ -95,14 +98,17 @@
     gateway: &Arc<gateway::Gateway>,
     request: &admission::Request,
 ) -> Result<Inputs, verdict::Refusal> {
-    run_as(gateway, request, true).await
+    let asked = vec![true; request.route.stages.len()];
+    run_as(gateway, request, true, asked).await
 }
 
-/// Runs the stages; with `again`, a request is taken that will be late.
+/// Runs the stages; with `again`, a request is taken that will be late. `asked` are the stages
+/// whose pieces were sent before.
 async fn run_as(
     gateway: &Arc<gateway::Gateway>,
     request: &admission::Request,
     again: bool,
+    asked: Vec<bool>,
 ) -> Result<Inputs, verdict::Refusal> {
     let run = Run {
         gateway,
@@ -112,6 +118,7 @@
         notices: Notices::new(request.route.stages.len()),
         again,
         late: false,
+        asked,
     };
     let finish = tokio::time::timeout(request.left(), run.finish());
     let result = tokio::select! {
@@ -128,7 +135,7 @@
     let reason = match failure {
         batch::Failure::Late | batch::Failure::Busy(_) => verdict::Reason::DeadlineTooShort,
         batch::Failure::Gone | batch::Failure::Failed => verdict::Reason::TargetFailed,
-        batch::Failure::Unavailable => verdict::Reason::NoTarget,
+        batch::Failure::Unavailable | batch::Failure::Moved => verdict::Reason::NoTarget,
     };
     let refusal = verdict::Refusal::not_run(reason);
     match failure {
@@ -290,9 +297,29 @@
             places: request.places.clone(),
             consumes: self.consumes(i),
             last: false,
+            arrival: self.arrival(i),
         }
     }
 
+    /// Returns what a stage's job is to the budget of its service, for a job that is made now.
+    fn arrival(&mut self, i: usize) -> dispatcher::Arrival {
+        let is_repeated = std::mem::replace(&mut self.asked[i], true);
+        match (is_repeated, self.is_first(i)) {
+            (true, _) => dispatcher::Arrival::Repeated,
+            (false, true) => dispatcher::Arrival::First,
+            (false, false) => dispatcher::Arrival::Further,
+        }
+    }
+
+    /// Reports whether nothing else of the request counts it at the service of a stage.
+    fn is_first(&self, i: usize) -> bool {
+        let route = &self.request.route;
+        let service = &route.stages[i].service;
+        let mut before = (0..i).filter(|k| self.pieces(*k) > 0);
+        let is_other = |k: usize| route.stages[k].service != *service;
+        before.all(is_other) && route.backend(0) != Some(service)
+    }
+
     /// Returns where a stage is best executed, and the bytes that cross when it is not.
     ///
     /// Each piece reads all its inputs, which is often far more than the stage makes of them.
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -36,6 +36,7 @@
 
 use crate::{
     admission,
+    budgets,
     clock,
     forward::{
         self,
@@ -240,6 +241,12 @@
     let mut sends = Sends::new(gateway, &request)?;
     let mut fallback = None;
     loop {
+        if inputs.is_none() && !request.route.stages.is_empty() {
+            match pipeline::run_again(gateway, &request).await {
+                Ok(made) => inputs = Some(made),
+                Err(refusal) => return end(gateway, &request, fallback, sends.refuse(refusal)),
+            }
+        }
         let limit = try_limit(&request, &sends);
         let failure = match sends.next(inputs.as_ref(), None, limit).await {
             Ok(opened) => match answer(&request, opened, limit).await {
@@ -251,21 +258,32 @@
                 Err(refusal) => refusal,
             },
             Err(forward::Failure::InputsGone) => {
-                inputs = Some(pipeline::run_again(gateway, &request).await?);
-                verdict::Refusal::not_run(verdict::Reason::Overloaded)
+                inputs = None;
+                verdict::Refusal::not_run(verdict::Reason::TargetFailed)
             }
             Err(forward::Failure::Refused(refusal)) => refusal,
         };
-        if let retry::Decision::GiveUp(refusal) = sends.decide(failure) {
-            // A failure that a target has answered says more than one of the gateway.
-            return match fallback {
-                Some((head, body)) => Ok(pass(gateway, &request, &head, body)),
-                None => Err(refusal),
-            };
+        if let retry::Decision::GiveUp(refusal) = sends.decide(failure, budgets::Way::Request) {
+            return end(gateway, &request, fallback, refusal);
         }
     }
 }
 
+/// Ends a request without success.
+///
+/// A failure that a target has answered says more than one of the gateway.
+fn end(
+    gateway: &gateway::Gateway,
+    request: &admission::Request,
+    fallback: Option<(response::Parts, Bytes)>,
+    refusal: verdict::Refusal,
+) -> Result<Response<reply::Body>, verdict::Refusal> {
+    match fallback {
+        Some((head, body)) => Ok(pass(gateway, request, &head, body)),
+        None => Err(refusal),
+    }
+}
+
 /// Returns how long a target gets before the next one is asked.
 fn try_limit(request: &admission::Request, sends: &Sends) -> time::Duration {
     let left = request.left();
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     admission,
+    budgets,
     forward::{
         self,
         Sends, //
@@ -81,6 +82,20 @@
     Whole(Box<response::Parts>, Bytes),
 }
 
+/// Why no target has begun to answer.
+enum Unopened {
+    /// A send has failed.
+    Sent(verdict::Refusal),
+    /// The inputs could not be made again.
+    Inputs(verdict::Refusal),
+}
+
+impl From<verdict::Refusal> for Unopened {
+    fn from(refusal: verdict::Refusal) -> Self {
+        Self::Sent(refusal)
+    }
+}
+
 /// Serves a request.
 pub async fn serve(
     gateway: &Arc<gateway::Gateway>,
@@ -148,19 +163,22 @@
                     verdict::Refusal::may_have_run(verdict::Reason::TargetFailed)
                 }
                 Ok(start) => return Ok(start),
-                Err(refusal) => refusal,
+                Err(Unopened::Inputs(refusal)) => return Err(self.sends.refuse(refusal)),
+                Err(Unopened::Sent(refusal)) => refusal,
             };
-            if let retry::Decision::GiveUp(refusal) = self.sends.decide(failure) {
+            let decision = self.sends.decide(failure, budgets::Way::Request);
+            if let retry::Decision::GiveUp(refusal) = decision {
                 return Err(refusal);
             }
         }
     }
 
     /// Sends the request to one target and waits for its first events.
-    async fn open(&mut self, limit: time::Duration) -> Result<Start, verdict::Refusal> {
+    async fn open(&mut self, limit: time::Duration) -> Result<Start, Unopened> {
         let after = self.last.filter(|_| self.last != self.request.call.after);
         if self.inputs.is_none() && !self.request.route.stages.is_empty() {
-            self.inputs = Some(pipeline::run_again(&self.gateway, &self.request).await?);
+            let made = pipeline::run_again(&self.gateway, &self.request).await;
+            self.inputs = Some(made.map_err(Unopened::Inputs)?);
         }
         let opened = self.sends.next(self.inputs.as_ref(), after, limit).await;
         let mut opened = opened.map_err(|failure| match failure {
@@ -195,7 +213,7 @@
             }
             Chunk::Failed => {
                 source.fail();
-                Err(verdict::Refusal::may_have_run(verdict::Reason::Lost))
+                Err(verdict::Refusal::may_have_run(verdict::Reason::Lost).into())
             }
         }
     }
@@ -235,7 +253,8 @@
             if !self.may_resume() || self.last.is_none() {
                 return Err(self.broken(failure.reason));
             }
-            if let retry::Decision::GiveUp(refusal) = self.sends.decide(failure) {
+            let decision = self.sends.decide(failure, budgets::Way::Stream);
+            if let retry::Decision::GiveUp(refusal) = decision {
                 return Err(self.broken(refusal.reason));
             }
             let limit = self.limit_first();
@@ -252,7 +271,8 @@
                     return Ok(());
                 }
                 Ok(Ok(Start::Whole(..))) => failure.reason = verdict::Reason::TargetFailed,
-                Ok(Err(refusal)) => failure = refusal,
+                Ok(Err(Unopened::Sent(refusal))) => failure = refusal,
+                Ok(Err(Unopened::Inputs(refusal))) => return Err(self.broken(refusal.reason)),
                 Err(_) => return Err(self.broken(verdict::Reason::DeadlineExceeded)),
             }
         }
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -26,12 +26,15 @@
 };
 
 use laburnumcart::{
+    allotment,
     evacuation,
     freshness,
     id,
     ingress, //
 };
 
+use crate::clock;
+
 /// A target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -191,6 +194,8 @@
     pub targets: ArcSwap<Targets>,
     /// Processes of the system, this one included once it is known.
     pub members: ArcSwap<Vec<Member>>,
+    /// Part of this process in what all may spend together.
+    allotment: Mutex<allotment::Allotment>,
     /// Age of the configuration.
     pub freshness: freshness::Freshness,
     /// Counts the changes of targets and members.
@@ -207,6 +212,7 @@
             table: ArcSwapOption::empty(),
             targets: ArcSwap::default(),
             members: ArcSwap::default(),
+            allotment: Mutex::default(),
             freshness: freshness::Freshness::default(),
             changes: watch::Sender::new(0),
             exiting: watch::Sender::new(false),
@@ -281,6 +287,21 @@
         self.changed();
     }
 
+    /// Takes in a listing of all processes that holds for `at`.
+    pub fn allot<'a>(
+        &self,
+        own: allotment::Entry,
+        others: impl IntoIterator<Item = &'a id::InstanceName>,
+        at: freshness::Moment,
+    ) {
+        lock(&self.allotment).read(own, others, at);
+    }
+
+    /// Returns this process's part of what all may spend together, from 0 to 1.
+    pub fn part(&self) -> f64 {
+        lock(&self.allotment).part(clock::now())
+    }
+
     /// Publishes a configuration, unless a later one is in force.
     pub fn set_table(&self, table: ingress::Table) -> bool {
         let older = |known: &Arc<ingress::Table>| known.version >= table.version;
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -29,6 +29,7 @@
     unit, //
 };
 use laburnumcart_gateway::{
+    budgets,
     dialect,
     dispatcher,
     metrics,
@@ -39,6 +40,7 @@
         PeerServer, //
     },
     quotas,
+    settings,
     view, //
 };
 use laburnumcart_wire::peer;
@@ -179,6 +181,7 @@
         places: None,
         consumes: false,
         last: false,
+        arrival: dispatcher::Arrival::First,
     }
 }
 
@@ -194,9 +197,11 @@
         let metrics = metrics::Metrics::default();
         let own: id::InstanceName = "gateway-1".parse().unwrap();
         let quotas = quotas::Quotas::new(own.clone(), view.clone(), &metrics);
+        let bounds = settings::Bounds::default();
         let dispatcher = dispatcher::Dispatcher::new(
             view.clone(),
             outbound::Outbound::new(Arc::new(Silence), quotas),
+            budgets::Budgets::new(bounds, view.clone(), metrics.clone()),
             Arc::new(Silence),
             metrics,
             mpsc::unbounded_channel().0,
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -11,6 +11,7 @@
 mod gateways;
 mod ledger;
 mod needs;
+mod repeats;
 mod targets;
 
 use std::{
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -14,7 +14,7 @@
         Run,
         State, //
     },
-    needs,
+    needs, repeats,
     targets::EVENTS,
 };
 
@@ -78,6 +78,10 @@
         }
     }
     breaches.extend(needs::breaches(&state, plan.is_planned()));
+    breaches.extend(repeats::breaches(&state));
+    for (service, arrivals) in &state.repeats {
+        counts.insert(format!("{service} repeats"), arrivals.repeats());
+    }
     Report {
         breaches,
         faults: state.faults.clone(),
--- a/laburnumcart_system/src/soak/gateways.rs
+++ b/laburnumcart_system/src/soak/gateways.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     port,
-    process, //
+    process,
+    soak::repeats, //
 };
 
 struct Gateway {
@@ -44,7 +45,7 @@
                 "instance": name, "data_centre": "north", "callers": callers.to_string(),
                 "admin": admin.to_string(), "peer": peer.to_string(), "store": store.to_string(),
                 "bounds": { "grace": "6s", "revoke": "5s", "evacuation": "5s",
-                    "retry_ratio": 0.3, "retry_extra": 200 }
+                    "retry_ratio": repeats::RATIO, "retry_extra": repeats::EXTRA }
             });
             let file = dir.join(format!("{name}.json"));
             fs::write(&file, settings.to_string())?;
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -10,6 +10,8 @@
     time,
 };
 
+use crate::soak::repeats;
+
 /// What a caller asked for and got.
 #[derive(Clone, Debug)]
 pub(super) struct Call {
@@ -75,6 +77,8 @@
     pub(super) cold: collections::HashMap<String, time::Instant>,
     /// When requests of any kind came to each target.
     pub(super) arrivals: collections::HashMap<String, Vec<time::Instant>>,
+    /// What reached the targets of each service, by what must come once.
+    pub(super) repeats: collections::BTreeMap<&'static str, repeats::Arrivals>,
     /// Breaches that were seen on the spot.
     pub(super) breaches: Vec<String>,
     pub(super) faults: Vec<String>,
@@ -100,6 +104,14 @@
         state.arrivals.entry(target.into()).or_default().push(now);
     }
 
+    /// Notes that a request, or the pieces of a call, reached a service.
+    pub(super) fn reached(&self, service: &'static str, keys: Vec<String>) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let arrivals = state.repeats.entry(service).or_default();
+        keys.into_iter().for_each(|key| arrivals.add(key, now));
+    }
+
     pub(super) fn refused(&self, target: &str) {
         let now = time::Instant::now();
         let mut state = self.lock();
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -254,6 +254,24 @@
     })
 }
 
+/// Returns what of a request must come once: its attempt, or each piece of a call.
+fn keys(seen: &Seen) -> Vec<String> {
+    match seen.path() {
+        "/api/stage-free" => Vec::new(),
+        "/api/stage-run" => {
+            let body: Value = serde_json::from_slice(&seen.body).unwrap_or(Value::Null);
+            let items = body["items"].as_array().cloned().unwrap_or_default();
+            let key =
+                |item: &Value| format!("{}-{}-{}", item["id"], item["stage"], item["segment"]);
+            items.iter().map(key).collect()
+        }
+        _ => {
+            let attempt = seen.header("x-laburnumcart-attempt-id");
+            attempt.map(str::to_owned).into_iter().collect()
+        }
+    }
+}
+
 /// What one life of a target does.
 struct Script {
     name: String,
@@ -290,6 +308,7 @@
 
     fn answer(&self, seen: &Seen) -> Vec<Step> {
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
+        self.ledger.reached(self.service, keys(seen));
         if mode == Mode::Dead {
             return vec![Step::Reset];
         }
