Charge each send of a request that a target has received before

Callers saw: nothing. The class: what a repeat costs was decided by what the failure proves of the request, not by whether a target was reached. Evidence: stages_run_again_...: 142 requests sent again where 30 are allowed; in the code each is free. Ruled out: counting 409 and 421 as overload, as 503 is (they would shut the budget for all others). Now a request remembers that a target was reached, and only sends before that are free.

--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -217,7 +217,7 @@
         };
         let failure = retry::Failure {
             refusal: failure,
-            reached: false,
+            reached: self.reached,
             resumable: false,
         };
         self.pending = false;
