Charge pieces that are asked for again and stages that are run again

Only requests had a budget. A piece that a call had not brought was asked for again up to four times, without end where targets had no room; a stage whose results were gone was run again three times a request; a job went to the next owner when its own was lost. The class: a bound that holds for a service was kept at one way to it. The owner of a queue charges them: each piece that waits once more after a call that reached its target, and all pieces of a job that was sent before. A job whose repeat is denied fails, and its request is refused as not run. The service earns by the first job of each request there.

--- a/laburnumcart_gateway/src/budgets.rs
+++ b/laburnumcart_gateway/src/budgets.rs
@@ -121,8 +121,15 @@
 
     /// Takes a repeat from the budget of its service; returns whether it may be sent.
     pub fn spend(&self, repeat: &Repeat<'_>) -> bool {
-        self.note(repeat, Outcome::Granted, retry::Cause::Unused);
-        true
+        let granted = self.with(repeat.service, |budget, now| {
+            budget.spend_all(repeat.count, now) //
+        });
+        let outcome = match granted {
+            true => Outcome::Granted,
+            false => Outcome::Denied,
+        };
+        self.note(repeat, outcome, retry::Cause::Budget);
+        granted
     }
 
     /// Logs and counts a decision on a repeat.
