Look for a job that fits before a queue is sorted

Where targets are free but have no room for the job whose turn it is, each message sorted all that waits, once for each target. Cause: the check before the sort asked for room for one result, while a job needs room for all of its own. Now the first job of each size is looked up at the target with the most room of each data centre, in one pass each; only if it fits, or may not run there, is the queue sorted.

--- a/laburnumcart/src/batch.rs
+++ b/laburnumcart/src/batch.rs
@@ -7,6 +7,7 @@
 
 mod draft;
 mod engines;
+mod fit;
 mod job;
 mod load;
 mod order;
@@ -227,7 +228,7 @@
     /// Chooses the next call, if a target is free and has room.
     pub fn take(&mut self, now: Instant) -> Option<Call> {
         let smallest = self.turns.smallest()?;
-        if !self.engines.is_any_free(smallest, now) {
+        if !self.engines.is_any_free(smallest, now) || !self.may_call(now) {
             return None;
         }
         let order = self.order(now);
@@ -263,12 +264,7 @@
         most: usize,
         now: Instant,
     ) -> Option<Call> {
-        let mut draft = draft::Draft::new(draft::Bounds {
-            room: self.engines.room(engine),
-            whole: self.shape.room,
-            most,
-            limit: self.shape.pieces,
-        });
+        let mut draft = draft::Draft::new(self.bounds(engine, most));
         for (key, _) in order {
             let job = &self.jobs[*key];
             if !self.engines.allows(engine, &job.spec) || self.is_left(engine, &job.spec, now) {
@@ -292,6 +288,16 @@
         Some(Call { engine, pieces })
     }
 
+    /// Returns what a target can take in a call of at most so many pieces.
+    fn bounds(&self, engine: EngineKey, most: usize) -> draft::Bounds {
+        draft::Bounds {
+            room: self.engines.room(engine),
+            whole: self.shape.room,
+            most,
+            limit: self.shape.pieces,
+        }
+    }
+
     /// Takes pieces out of their jobs and reserves room for their results.
     fn reserve(&mut self, engine: EngineKey, jobs: Vec<(JobKey, usize)>) -> Vec<Piece> {
         let mut pieces = Vec::new();
--- a/laburnumcart/src/batch/engines.rs
+++ b/laburnumcart/src/batch/engines.rs
@@ -248,6 +248,18 @@
         engines.any(|e| self.has_room(e, size) && is_free(e, now))
     }
 
+    /// Lists the free target with the most room of each data centre.
+    pub(super) fn roomiest(&self, now: Instant) -> Vec<EngineKey> {
+        let mut least: collections::HashMap<&id::DataCentre, (u64, EngineKey)> =
+            collections::HashMap::new();
+        for (key, engine) in self.engines.iter().filter(|(_, e)| is_free(e, now)) {
+            let best = least.entry(&engine.data_centre);
+            let best = best.or_insert((engine.used, key));
+            *best = (*best).min((engine.used, key));
+        }
+        least.into_values().map(|(_, key)| key).collect()
+    }
+
     /// Reports whether a job may be executed at a target.
     pub(super) fn allows(&self, key: EngineKey, spec: &Spec) -> bool {
         let places = spec.places.as_deref();
--- a/laburnumcart/tests/allotment.rs
+++ b/laburnumcart/tests/allotment.rs
@@ -238,7 +238,7 @@
 #[test]
 fn requests_that_move_are_not_paid_for_twice() {
     let start = Instant::now();
-    let requests = 1000;
+    let requests: u32 = 1000;
     let spent = [0, 1].map(|turn| {
         let begin = start + budget::WINDOW * turn;
         let mut budget = BOUND.budget(begin);
@@ -247,7 +247,7 @@
         let end = begin + budget::WINDOW - time::Duration::from_secs(1);
         (0..requests).filter(|_| budget.spend(end)).count()
     });
-    let allowed = BOUND.ratio * requests as f64 + BOUND.extra;
+    let allowed = BOUND.ratio * f64::from(requests) + BOUND.extra;
     assert!(spent[0] > 0);
     assert!(
         (spent[0] + spent[1]) as f64 <= allowed,
