Refuse content that has crashed one target after the other

Cause: the suspects of the product's own interface need an agent that knows what ran; gateways had nothing. Now a gateway remembers what failed at a target (team, path, body). When the target is gone from the list, all gateways are told, with the signals of targets. Content under which three targets that are gone have failed one after the other is refused as not run for a minute from the first. Ruled out: counting failures alone (targets that reset a part of their requests would have innocent content refused); any three crashes (half of all targets can crash at once under content that many ask for): only runs that follow each other count. Telling at once, not at the crash: resets are far more than crashes.

--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -252,12 +252,17 @@
 impl Fingerprint {
     /// Digests what identifies a request's content: its team, its pipeline and its body.
     pub fn of(team: &TeamName, pipeline: &PipelineName, body: &[u8]) -> Self {
+        Self::digest([team.as_str(), pipeline.as_str()], body)
+    }
+
+    /// Digests names, none of which has a zero byte, and a body.
+    pub fn digest<'a>(names: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
-        // A zero byte cannot occur in a name, so no two triples run together.
-        hash.update(team.as_str().as_bytes());
-        hash.update(&[0]);
-        hash.update(pipeline.as_str().as_bytes());
-        hash.update(&[0]);
+        // The zero byte keeps names from running together.
+        for name in names {
+            hash.update(name.as_bytes());
+            hash.update(&[0]);
+        }
         hash.update(body);
         Self(hash.digest128())
     }
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod seal;
 pub mod sse;
 pub mod strain;
+pub mod strikes;
 pub mod subset;
 pub mod suspects;
 pub mod unit;
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -93,6 +93,12 @@
         self.route.objective.saturating_sub(spent)
     }
 
+    /// Returns what tells its content from others', equal for one that comes again.
+    pub fn content(&self) -> id::Fingerprint {
+        let team = self.team.as_ref().map_or("", |team| team.as_str());
+        id::Fingerprint::digest([team, self.path.as_str()], &self.body)
+    }
+
     /// Returns its urgency in queues: that of its team first, then that of its route.
     pub fn urgency(&self) -> batch::Rank {
         let own = self.team_rank.map(|major| batch::Rank {
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -16,6 +16,7 @@
     id,
     ingress,
     retry,
+    strikes,
     verdict, //
 };
 
@@ -69,6 +70,8 @@
     exhausted: bool,
     /// Whether a send is in flight, or its answer is being read.
     pending: bool,
+    /// Target of the last send, and when that was.
+    last: Option<(id::TargetLife, Instant)>,
     attempts: retry::Attempts,
 }
 
@@ -93,6 +96,7 @@
             reached: false,
             exhausted: false,
             pending: false,
+            last: None,
             attempts: retry::Attempts::new(idempotent, verdict::Verdict::NotRun),
         })
     }
@@ -169,6 +173,7 @@
             left_ms = request.left().as_millis()
         );
         let start = Instant::now();
+        self.last = Some((target.key(), start));
         self.pending = true;
         let label = Some(request.call.attempt.as_str());
         let sent = outbound.send(&target, onward, &bounds, label);
@@ -191,6 +196,9 @@
                     seat.fail();
                 }
                 let verdict = failure.verdict();
+                if verdict == verdict::Verdict::MayHaveRun {
+                    self.strike();
+                }
                 // A target that is slow is no reason to stop while the request has time.
                 let reason = match failure {
                     pool::Failure::Timeout if request.left() > NEEDED => verdict::Reason::Lost,
@@ -238,6 +246,19 @@
         decision
     }
 
+    /// Tells all processes that the target of the last send has failed under this request.
+    pub fn strike(&mut self) {
+        let Some((target, sent)) = self.last.take() else {
+            return;
+        };
+        let strike = strikes::Strike {
+            content: self.request.content(),
+            sent,
+            failed: Instant::now(),
+        };
+        self.gateway.outbound.quotas.signals.fail(&target, strike);
+    }
+
     /// Logs a decision on what would reach a target once more.
     fn note(&self, decision: &retry::Decision, way: budgets::Way) {
         if !self.reached {
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -172,6 +172,8 @@
             .consolidate(|service| self.peers.is_first(service));
         self.outbound.quotas.refresh();
         let targets = self.view.targets.load();
+        let signals = &self.outbound.quotas.signals;
+        signals.list_targets(|life| targets.all().any(|target| target.key() == *life));
         for (service, engines) in view::lock(&self.engines).iter_mut() {
             engines.update(targets.service(service), |t| self.gate(t));
         }
--- a/laburnumcart_gateway/src/gateway/availability.rs
+++ b/laburnumcart_gateway/src/gateway/availability.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Refuses a request whose content has crashed one target after the other.
+    pub fn check_content(&self, request: &admission::Request) -> Result<(), verdict::Refusal> {
+        let signals = &self.outbound.quotas.signals;
+        let Some(until) = signals.refused(|| request.content()) else {
+            return Ok(());
+        };
+        let wait = unit::Period(until.saturating_duration_since(Instant::now()));
+        Err(verdict::Refusal::not_run(verdict::Reason::Quarantined).retry_after(wait))
+    }
+
     /// Refuses a request that none of its targets would take in time.
     ///
     /// Begun nevertheless, its stages would be executed for nothing, and its caller told later.
--- a/laburnumcart_gateway/src/relay/signals.rs
+++ b/laburnumcart_gateway/src/relay/signals.rs
@@ -23,6 +23,7 @@
 use laburnumcart::{
     id,
     quota,
+    strikes,
     unit, //
 };
 
@@ -39,7 +40,10 @@
 /// Most signals that are taken from another process.
 const MOST: usize = 2048;
 
-/// What a target has said of itself.
+/// Most failed requests that another process is told of.
+const STRIKES_MOST: usize = 512;
+
+/// What a target has said of itself, or what has failed there.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Signal {
@@ -47,6 +51,8 @@
     Limit(Option<unit::Rate>),
     /// It is leaving.
     Leaving,
+    /// A request with this content, which ran for so long, has failed there.
+    Failed(id::Fingerprint, unit::Period),
 }
 
 /// What one process tells another of a target.
@@ -88,10 +94,28 @@
     left: u64,
 }
 
+/// A target that is not there any more.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    /// When that was noticed.
+    at: Instant,
+    /// Version of all knowledge in which others are told of what failed there.
+    version: u64,
+}
+
+/// Requests that have failed.
+#[derive(Debug, Default)]
+struct Struck {
+    strikes: strikes::Strikes,
+    /// Targets among theirs that are gone.
+    gone: collections::HashMap<id::TargetLife, Gone>,
+}
+
 /// What is known of all targets.
 #[derive(Debug, Default)]
 pub struct Signals {
     known: Mutex<collections::HashMap<id::TargetLife, Known>>,
+    struck: Mutex<Struck>,
     version: watch::Sender<Version>,
 }
 
@@ -127,6 +151,39 @@
         news
     }
 
+    /// Takes in that a request has failed at a target.
+    pub fn fail(&self, target: &id::TargetLife, strike: strikes::Strike) {
+        let mut struck = view::lock(&self.struck);
+        struck.strikes.add(target.clone(), strike);
+    }
+
+    /// Takes in which targets are still there; others are told of what failed at those that are
+    /// not.
+    pub fn list_targets(&self, is_listed: impl Fn(&id::TargetLife) -> bool) {
+        let now = Instant::now();
+        let mut struck = view::lock(&self.struck);
+        let Struck { strikes, gone } = &mut *struck;
+        strikes.forget(now);
+        gone.retain(|target, _| strikes.has(target));
+        let lost = |target: &&id::TargetLife| !gone.contains_key(*target) && !is_listed(target);
+        let lost: Vec<_> = strikes.targets().filter(lost).cloned().collect();
+        if !lost.is_empty() {
+            let version = self.count(true);
+            let lost = lost.into_iter();
+            gone.extend(lost.map(|target| (target, Gone { at: now, version })));
+        }
+    }
+
+    /// Returns until when content is refused, as it has crashed targets; `content` is asked only if
+    /// any target has crashed.
+    pub fn refused(&self, content: impl FnOnce() -> id::Fingerprint) -> Option<Instant> {
+        let Struck { strikes, gone } = &*view::lock(&self.struck);
+        match gone.is_empty() {
+            true => None,
+            false => strikes.refused(content(), |t| gone.contains_key(t), Instant::now()),
+        }
+    }
+
     /// Returns the targets that have said that they are leaving.
     pub fn leaving(&self) -> collections::HashSet<id::TargetLife> {
         let all = view::lock(&self.known);
@@ -147,20 +204,32 @@
     pub fn merge(&self, told: &[Told]) {
         let now = Instant::now();
         let mut all = view::lock(&self.known);
+        let mut struck = view::lock(&self.struck);
         for told in told.iter().take(MOST) {
             let target = id::TargetLife {
                 name: told.target.clone(),
                 life: told.life,
             };
             // What is older than this process's clock is too old to matter.
-            if let Some(at) = now.checked_sub(told.age.0) {
+            let at = now.checked_sub(told.age.0);
+            if let (Some(failed), Signal::Failed(content, ran)) = (at, told.signal) {
+                let strike = strikes::Strike {
+                    content,
+                    sent: failed.checked_sub(ran.0).unwrap_or(failed),
+                    failed,
+                };
+                if struck.strikes.add(target.clone(), strike) {
+                    let version = self.count(false);
+                    struck.gone.insert(target, Gone { at: now, version });
+                }
+            } else if let Some(at) = at {
                 let known = all.entry(target).or_default();
                 match told.signal {
                     Signal::Limit(rate) if known.heard.tell(rate, at, rand::random()) => {
                         self.count(false);
                     }
                     Signal::Leaving if known.heard.leave(at) => known.left = self.count(false),
-                    Signal::Limit(_) | Signal::Leaving => {}
+                    Signal::Limit(_) | Signal::Leaving | Signal::Failed(..) => {}
                 }
             }
         }
@@ -198,7 +267,26 @@
             };
             limit.into_iter().chain(leaving).map(told)
         });
-        told.collect()
+        let mut told: Vec<_> = told.collect();
+        let Struck { strikes, gone } = &*view::lock(&self.struck);
+        let is_news = |target: &id::TargetLife| {
+            let gone = gone.get(target);
+            gone.is_some_and(|gone| match version {
+                Some(version) => gone.version > version,
+                None => now < gone.at + RECENT,
+            })
+        };
+        let failed = strikes.iter().filter(|(target, _)| is_news(target));
+        told.extend(failed.take(STRIKES_MOST).map(|(target, strike)| Told {
+            target: target.name.clone(),
+            life: target.life,
+            signal: Signal::Failed(
+                strike.content,
+                unit::Period(strike.failed.saturating_duration_since(strike.sent)),
+            ),
+            age: unit::Period(now.saturating_duration_since(strike.failed)),
+        }));
+        told
     }
 
     /// Lists what others should know, if more is known than in a version.
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -213,6 +213,7 @@
     request: Arc<admission::Request>,
     work: laburnumcart_daemon::stop::Work,
 ) -> Result<Response<reply::Body>, verdict::Refusal> {
+    gateway.check_content(&request)?;
     let inputs = match request.route.stages.is_empty() {
         true => None,
         false => {
@@ -255,7 +256,10 @@
                     verdict::Refusal::may_have_run(verdict::Reason::TargetFailed)
                 }
                 Ok((head, body)) => return Ok(pass(gateway, &request, &head, body)),
-                Err(refusal) => refusal,
+                Err(refusal) => {
+                    sends.strike();
+                    refusal
+                }
             },
             Err(forward::Failure::InputsGone) => {
                 inputs = None;
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -213,6 +213,7 @@
             }
             Chunk::Failed => {
                 source.fail();
+                self.sends.strike();
                 Err(verdict::Refusal::may_have_run(verdict::Reason::Lost).into())
             }
         }
@@ -247,6 +248,7 @@
         if let Some(mut source) = self.source.take() {
             source.fail();
         }
+        self.sends.strike();
         let mut failure = verdict::Refusal::may_have_run(verdict::Reason::Lost);
         loop {
             // Without a number there is no place to go on from.
--- a/laburnumcart_system/src/soak/repeats.rs
+++ b/laburnumcart_system/src/soak/repeats.rs
@@ -8,8 +8,8 @@
 use crate::soak::ledger::State;
 
 /// Bound on what targets of a service get once more in a window, from all gateways together.
-pub(super) const RATIO: f64 = 0.2;
-pub(super) const EXTRA: f64 = 20.0;
+pub(super) const RATIO: f64 = 0.02;
+pub(super) const EXTRA: f64 = 5.0;
 const WINDOW: time::Duration = time::Duration::from_secs(10);
 
 /// What reached the targets of one service.
