--- a/laburnumcart_system/src/bin/laburnum-soak.rs
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -11,7 +11,8 @@
 
 const HELP: &str = "Runs gateways under random faults and checks what callers and targets see.
 
-Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations] [--needs]";
+Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations] [--needs]
+                     [--services]";
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -25,6 +26,11 @@
         "needs",
         "let targets name limits and start cold meanwhile",
     );
+    options.optflag(
+        "",
+        "services",
+        "let all targets of a service fail meanwhile",
+    );
     options.optflag("h", "help", "print this text");
     options
 }
@@ -61,6 +67,7 @@
             length: time::Duration::from_secs(seconds),
             evacuations: matches.opt_present("evacuations"),
             needs: matches.opt_present("needs"),
+            services: matches.opt_present("services"),
         };
         broken += u32::from(!play(plan));
     }
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod needs;
 mod repeats;
+mod services;
 mod targets;
 
 use std::{
@@ -61,6 +62,8 @@
     pub evacuations: bool,
     /// Whether targets name limits meanwhile, start cold, ask for pauses, and say that they leave.
     pub needs: bool,
+    /// Whether all targets of a service fail at once meanwhile.
+    pub services: bool,
 }
 
 impl Plan {
@@ -182,7 +185,12 @@
             needs::play(&site).await;
         }
     };
-    tokio::join!(faults::play(&site, &mut rng), evacuations, needs);
+    let services = async {
+        if plan.services {
+            services::play(&site).await;
+        }
+    };
+    tokio::join!(faults::play(&site, &mut rng), evacuations, needs, services);
     faults::heal(&site).await;
     site.gateways.lock().await.ready(SETTLE * 5).await?;
     tokio::time::sleep(SETTLE).await;
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -41,7 +41,7 @@
 pub(super) const EVENTS: u32 = 8;
 
 /// Services, in the order of their targets.
-const SERVICES: [&str; 3] = ["desk", "tale", "encode"];
+pub(super) const SERVICES: [&str; 3] = ["desk", "tale", "encode"];
 
 /// Data centres, in each of which every service has a target.
 pub(super) const PLACES: [&str; COUNT] = ["north", "south", "west"];
@@ -121,6 +121,14 @@
         self.ledger.fault(format!("{} {mode:?}", life.name));
     }
 
+    /// Sets the mode of all targets of a service.
+    pub(super) fn set_all(&self, service: &str, mode: Mode) {
+        let all = self.lives.iter().enumerate();
+        for (index, _) in all.filter(|(_, life)| life.service == service) {
+            self.set(index, mode);
+        }
+    }
+
     /// Lets one target name a limit from now on, or none any more.
     pub(super) fn name_limit(&self, index: usize, rate: Option<f64>) {
         let life = &self.lives[index];
