--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -69,7 +69,7 @@
 impl Plan {
     /// Reports whether only planned work happens, in which nothing may be cut off.
     pub fn is_planned(&self) -> bool {
-        self.seed.is_multiple_of(4)
+        self.seed.is_multiple_of(4) && !self.services
     }
 }
 
