--- a/laburnumcart_ctl/src/command/explain.rs
+++ b/laburnumcart_ctl/src/command/explain.rs
@@ -115,7 +115,25 @@
             line.field("reason")
         )
     };
-    failed.map(tell).collect()
+    let failed: String = failed.map(tell).collect();
+    failed + &denied(lines)
+}
+
+/// Tells why a request was not sent again, if a budget decided that.
+fn denied(lines: &[Line]) -> String {
+    let is_denied = |line: &&Line| {
+        let decided = (line.field("outcome"), line.field("cause"));
+        line.event == "repeat" && decided == ("denied", "budget")
+    };
+    let Some(line) = lines.iter().rev().find(is_denied) else {
+        return String::new();
+    };
+    format!(
+        "; not sent again: {} of {} repeats of {} were spent",
+        line.field("spent"),
+        line.field("allowed"),
+        line.field("service")
+    )
 }
 
 /// Tells which stage took longest.
--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -29,6 +29,9 @@
 time=2026-05-04T00:14:54.002Z level=info event=refused request=r5 reason=deadline-too-short verdict=not-run status=503
 time=2026-05-04T00:14:55.000Z level=info event=sent request=r6 target=i-3 number=1
 time=2026-05-04T00:14:55.040Z level=info event=answered request=r6 status=500 taken_ms=45
+time=2026-05-04T00:14:56.000Z level=info event=send-failed request=r7 target=i-3 reason=lost verdict=may-have-run
+time=2026-05-04T00:14:56.000Z level=info event=repeat request=r7 service=desk way=request count=1 outcome=denied cause=budget spent=9 allowed=9.4 shut=false part=0.250
+time=2026-05-04T00:14:56.001Z level=info event=refused request=r7 reason=lost verdict=may-have-run status=502
 not a line of the log
 ";
 
@@ -80,6 +83,11 @@
     "refused (not-run): not begun, as the queues of its stages would be done with it after \
      260,1490,? ms, and it was due in 1100 ms"
 )]
+#[case(
+    "r7",
+    "refused (may-have-run): lost; target i-3: lost; not sent again: 9 of 9.4 repeats of desk \
+     were spent"
+)]
 #[case("r6", "the target itself answered 500, after 45 ms")]
 #[case("r4", "no end is logged: the caller left, or the process ended")]
 fn the_cause_stands_first(#[case] id: &str, #[case] cause: &str) {
