Forget old failures of a target as new ones come

A gateway remembers at most 64 failures of a target and forgot old ones only when the list of targets changed. Where it stays the same for long, a target that had ever failed as many requests kept no other, and content that crashes it was not found. Found by reading; failures_that_are_forgotten_make_room_for_others fails before.

--- a/laburnumcart/src/strikes.rs
+++ b/laburnumcart/src/strikes.rs
@@ -61,6 +61,7 @@
     /// Takes in a failure; returns whether it is news.
     pub fn add(&mut self, target: id::TargetLife, strike: Strike) -> bool {
         let known = self.0.entry(target).or_default();
+        known.retain(|known| strike.failed < known.failed + REMEMBERED);
         if known.len() >= MOST || known.iter().any(|s| s.content == strike.content) {
             return false;
         }
--- a/laburnumcart/tests/strikes.rs
+++ b/laburnumcart/tests/strikes.rs
@@ -51,6 +51,28 @@
     assert_eq!(strikes.refused(CONTENT, is_gone, start + MS * 1000), None);
 }
 
+// A target that has failed many requests long ago is crashed by the next one.
+#[test]
+fn failures_that_are_forgotten_make_room_for_others() {
+    let start = Instant::now();
+    let mut strikes = strikes::Strikes::default();
+    for content in 2..1000 {
+        let strike = Strike {
+            content: id::Fingerprint(content),
+            sent: start,
+            failed: start,
+        };
+        strikes.add(target(0), strike);
+    }
+    let later = 60_000;
+    (0..3).for_each(|i| {
+        let sent = later + i as u32 * 100;
+        strike(&mut strikes, start, i, sent, sent + 50);
+    });
+    let now = start + MS * (later + 300);
+    assert!(strikes.refused(CONTENT, |_| true, now).is_some());
+}
+
 // The content comes again once its failures are forgotten.
 #[test]
 fn a_refusal_ends() {
