Soak: count a target as leaving from its first word, and limits that are still in force

It was told to leave while it reset every connection, so that none of its answers said so (no target-leaving line at any gateway, all sends lost); the store told it 3 s later, and nothing was sent after that. It counts from the first answer that says so now. While a limit is in force any route of the service counts.

--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -71,8 +71,14 @@
             breaches.push(format!("{attempt} ran and was never sent"));
         }
     }
+    // A limit that is still in force lets few requests through, of whichever route.
+    let is_limited = state.needs.iter().any(|need| need.until.is_none());
     for route in ["safe", "once", "tale"] {
-        let served = |c: &&Call| c.calm && c.route == route && c.status == Some(200);
+        let counts = |other| match is_limited {
+            true => repeats::services(other) == repeats::services(route),
+            false => other == route,
+        };
+        let served = |c: &&Call| c.calm && counts(c.route) && c.status == Some(200);
         if !state.calls.values().any(|c| served(&c)) {
             breaches.push(format!("{route}: nothing was served after the faults"));
         }
--- a/laburnumcart_system/src/soak/ledger.rs
+++ b/laburnumcart_system/src/soak/ledger.rs
@@ -104,6 +104,12 @@
         state.arrivals.entry(target.into()).or_default().push(now);
     }
 
+    /// Notes that an answer of a target says that it is leaving.
+    pub(super) fn said(&self, target: &str) {
+        let now = time::Instant::now();
+        self.lock().said.entry(target.into()).or_insert(now);
+    }
+
     /// Notes that a request, or the pieces of a call, reached a service.
     pub(super) fn reached(&self, service: &'static str, keys: Vec<String>) {
         let now = time::Instant::now();
--- a/laburnumcart_system/src/soak/repeats.rs
+++ b/laburnumcart_system/src/soak/repeats.rs
@@ -64,7 +64,7 @@
 }
 
 /// Returns the services that requests of a route reach.
-fn services(route: &str) -> &'static [&'static str] {
+pub(super) fn services(route: &str) -> &'static [&'static str] {
     match route {
         "tale" => &["tale", "encode"],
         _ => &["desk"],
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -171,8 +171,6 @@
         }
         // It says so itself, and the store is told late.
         old.leaving.store(true, atomic::Ordering::Release);
-        let now = time::Instant::now();
-        ledger.lock().said.insert(old.name.clone(), now);
         tokio::spawn(async move {
             tokio::time::sleep(needs::UNTOLD).await;
             drain(&store, &ledger, &old).await;
@@ -304,6 +302,9 @@
         });
         let limit = limit.map(|limit| format!("server-limit: {limit}\r\n"));
         let leaving = self.leaving.load(atomic::Ordering::Acquire);
+        if leaving && first.is_some() {
+            self.ledger.said(&self.name);
+        }
         let leaving = leaving.then(|| "server-leaving: 1\r\n".to_owned());
         let said: String = limit.into_iter().chain(leaving).collect();
         if let Some(first) = first.filter(|_| !said.is_empty()) {
