Gateway: log where a configuration comes from, and what was asked in vain before it

What callers saw: a version in force late, with no line that tells a slow step from a long chain of steps.

event=table now names the source, the age of the data, the time since the last confirmation (an upper bound of the delay) and each attempt that yielded nothing, with its time; the histogram config_delay_seconds holds that bound. To play the control thread on a paused clock, it takes its connections to peers and the clock of ages from outside; the backoff of a link has a file of its own.

--- a/laburnumcart_gateway/src/clock.rs
+++ b/laburnumcart_gateway/src/clock.rs
@@ -2,8 +2,30 @@
 
 use std::time;
 
+use tokio::time::Instant;
+
 use laburnumcart::freshness;
 
+/// Clock by which a process measures the age of store data.
+#[derive(Clone, Copy, Debug, Default)]
+pub enum Clock {
+    /// Boot-time clock of the kernel.
+    #[default]
+    Boot,
+    /// Clock of the runtime since an instant; it can be paused, but doesn't count suspended time.
+    Runtime(Instant),
+}
+
+impl Clock {
+    /// Returns the current time.
+    pub fn now(self) -> freshness::BootTime {
+        match self {
+            Self::Boot => now(),
+            Self::Runtime(start) => freshness::BootTime(start.elapsed()),
+        }
+    }
+}
+
 /// Returns the current time.
 ///
 /// Used for the ages of store data and of requests; everything else uses the runtime's clock.
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -19,6 +19,7 @@
     event,
     freshness,
     id,
+    ingress,
     unit, //
 };
 use laburnumcart_platform::{
@@ -29,9 +30,12 @@
 use crate::{
     clock,
     dialect,
+    peers::links,
     relay::{
+        self,
         Topic,
         cache,
+        reads,
         relayed_store, //
     },
     view, //
@@ -75,6 +79,14 @@
 /// Pause before another attempt to write this process's entry.
 const REGISTER_RETRY_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Where a process reads store data.
+pub struct Sources<S, P> {
+    /// Client of the store.
+    pub store: S,
+    /// Connections to the other processes.
+    pub peers: P,
+}
+
 /// Watches the store on the current thread until the process ends.
 ///
 /// Evacuations are watched only if `has_evacuations`, as each call to the store has a cost.
@@ -85,16 +97,31 @@
     own: view::Member,
     cache: Arc<cache::Cache>,
     has_evacuations: bool,
+) {
+    let peers = links::Links::without_heartbeats(own.instance.clone(), view.clone());
+    let sources = Sources { store, peers };
+    run_with(sources, layout, view, own, cache, has_evacuations).await;
+}
+
+/// Like [`run`], with other connections to the peers.
+pub async fn run_with<S: store::Store + Clone, P: relay::Peers>(
+    sources: Sources<S, P>,
+    layout: Arc<dyn dialect::StoreLayout>,
+    view: Arc<view::View>,
+    own: view::Member,
+    cache: Arc<cache::Cache>,
+    has_evacuations: bool,
 ) {
     let key = format!("{}/{}", layout.members_prefix(), own.instance);
-    let (direct, member) = (store.clone(), own.clone());
+    let (direct, member) = (sources.store.clone(), own.clone());
     let target_signals = cache.signals.clone();
     let store = relayed_store::RelayedStore::new(
-        store,
+        sources,
         own.clone(),
         view.clone(),
         layout.clone(),
         target_signals,
+        cache.reads.clone(),
     );
     let settings = |wait, pause_max, interval_max| follow::Settings {
         wait,
@@ -107,10 +134,12 @@
         view: view.clone(),
         layout: layout.clone(),
         sent_at: freshness::BootTime::default(),
+        clock: cache.clock,
+        reads: cache.reads.clone(),
         version: store::Version::default(),
     };
     let targets = targets::Observer::new(view.clone(), layout.clone());
-    let members = members::Observer::new(view.clone(), own);
+    let members = members::Observer::new(view.clone(), own, cache.clock);
     let evacuations = evacuations::Observer::new(view.clone());
     let config = cache::Publisher::new(config, Topic::Table, &cache);
     let targets = cache::Publisher::new(targets, Topic::Targets, &cache);
@@ -204,12 +233,44 @@
     layout: Arc<dyn dialect::StoreLayout>,
     /// Start of the current call.
     sent_at: freshness::BootTime,
+    clock: clock::Clock,
+    reads: Arc<reads::Reads>,
     version: store::Version,
 }
 
+impl ConfigObserver {
+    /// Activates a configuration, and logs where it comes from and how late it may be.
+    fn activate(&self, table: ingress::Table) {
+        let (version, routes) = (table.version, table.route_count());
+        // False if the active configuration is as new or newer.
+        let is_activated = self.view.set_table(table);
+        let unconfirmed = self.view.freshness.age(self.clock.now());
+        let unconfirmed = unit::Period(unconfirmed.unwrap_or_default());
+        if is_activated {
+            let secs = unconfirmed.0.as_secs_f64();
+            self.reads.config_delay.observe(secs);
+        }
+        let read = self.reads.last(Topic::Table);
+        let source = read.as_ref().map_or(&reads::Source::Store, |r| &r.source);
+        let age = read.as_ref().map(|r| r.age).unwrap_or_default();
+        let attempts = read.as_ref().map(|r| r.attempts.clone());
+        event!(
+            Info,
+            "table",
+            version = version,
+            routes = routes,
+            taken = is_activated,
+            source = source,
+            age_ms = age.as_millis(),
+            unconfirmed_ms = unconfirmed.as_millis(),
+            tried = attempts.unwrap_or_default()
+        );
+    }
+}
+
 impl follow::Observer for ConfigObserver {
     fn before_call(&mut self) {
-        self.sent_at = clock::now();
+        self.sent_at = self.clock.now();
     }
 
     fn after_read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
@@ -217,18 +278,7 @@
         if let Some(object) = object.filter(|o| o.version > self.version) {
             self.version = object.version;
             match self.layout.parse_table(&object.value) {
-                Ok(table) => {
-                    let (version, routes) = (table.version, table.route_count());
-                    // False if the active configuration is as new or newer.
-                    let is_activated = self.view.set_table(table);
-                    event!(
-                        Info,
-                        "table",
-                        version = version,
-                        routes = routes,
-                        taken = is_activated
-                    );
-                }
+                Ok(table) => self.activate(table),
                 // The active configuration stays, but its freshness is no longer confirmed.
                 Err(error) => {
                     event!(
--- a/laburnumcart_gateway/src/control/members.rs
+++ b/laburnumcart_gateway/src/control/members.rs
@@ -36,16 +36,18 @@
     own: view::Member,
     /// Versions of rejected entries, so that each is logged once.
     rejected: collections::HashMap<String, store::Version>,
+    clock: clock::Clock,
     /// Start of the current call.
     sent_at: freshness::BootTime,
 }
 
 impl Observer {
-    pub(super) fn new(view: Arc<view::View>, own: view::Member) -> Self {
+    pub(super) fn new(view: Arc<view::View>, own: view::Member, clock: clock::Clock) -> Self {
         Self {
             view,
             own,
             rejected: collections::HashMap::new(),
+            clock,
             sent_at: freshness::BootTime::default(),
         }
     }
@@ -99,7 +101,7 @@
 
 impl follow::Observer for Observer {
     fn before_call(&mut self) {
-        self.sent_at = clock::now();
+        self.sent_at = self.clock.now();
     }
 
     fn after_read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     budgets,
-    pool, //
+    pool,
+    relay::reads, //
 };
 
 /// Buckets of the latency histograms in seconds.
@@ -190,8 +191,18 @@
 
 impl Metrics {
     /// Registers everything under `laburnum_gateway`.
-    pub fn register(&self, metrics: &metrics::Metrics, pool: &pool::Counters) {
+    pub fn register(
+        &self,
+        metrics: &metrics::Metrics,
+        pool: &pool::Counters,
+        reads: &reads::Reads,
+    ) {
         metrics.register("laburnum_gateway", |r| {
+            r.register(
+                "config_delay_seconds",
+                "Time since the last confirmation when a configuration was activated",
+                reads.config_delay.clone(),
+            );
             r.register("requests", "Requests received", self.requests.clone());
             r.register(
                 "answered",
--- a/laburnumcart_gateway/src/peers.rs
+++ b/laburnumcart_gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! Calls between the processes of the system, which send jobs of stages to their queue owners.
 
+pub mod backoff;
 mod link;
 pub(crate) mod links;
 mod owner_ranking;
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -32,7 +32,8 @@
     peers::{
         Answer,
         PeerClient,
-        SubmitError, //
+        SubmitError,
+        backoff, //
     },
     relay::{
         self,
@@ -58,12 +59,6 @@
 /// Timeout of any call; jobs also have their own deadlines.
 const REQUEST_TIMEOUT: unit::Period = unit::Period::from_secs(60);
 
-/// First backoff after a failure of a peer, which doubles with each further failure.
-const BACKOFF_MIN: time::Duration = time::Duration::from_millis(300);
-
-/// Longest backoff after a failure of a peer.
-const BACKOFF_MAX: time::Duration = time::Duration::from_secs(3);
-
 /// Whether heartbeats are sent on a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Heartbeats {
@@ -82,8 +77,7 @@
 
 #[derive(Default)]
 struct State {
-    down_until: Option<Instant>,
-    failures: u32,
+    backoff: backoff::Backoff,
     /// Time of the last answer of any kind.
     last_answer: Option<Instant>,
     /// Closes the connection when sent `true` or dropped.
@@ -111,9 +105,7 @@
     }
 
     pub(super) fn is_up(&self, now: Instant) -> bool {
-        view::lock(&self.state)
-            .down_until
-            .is_none_or(|until| until <= now)
+        view::lock(&self.state).backoff.is_over(now)
     }
 
     /// Records that the peer is shutting down, which is final for this incarnation.
@@ -236,7 +228,7 @@
         };
         match tokio::time::timeout(limit, call).await {
             Ok(Some(Ok(answer))) => {
-                view::lock(&self.state).failures = 0;
+                view::lock(&self.state).backoff.record_answer();
                 Some(answer)
             }
             Ok(Some(Err(error))) => {
@@ -372,7 +364,7 @@
         match tokio::time::timeout(ANSWER_TIMEOUT, open.client.beat()).await {
             Ok(Ok(())) => {
                 let mut state = view::lock(&state);
-                state.failures = 0;
+                state.backoff.record_answer();
                 state.last_answer = Some(Instant::now());
             }
             Err(_) if has_answered(&state) => {}
@@ -393,9 +385,7 @@
 /// Closes the connection and starts a backoff.
 fn mark_down(state: &Mutex<State>, member: &view::Member, cause: &'static str) {
     let mut state = view::lock(state);
-    let backoff = (BACKOFF_MIN * (1 << state.failures.min(5))).min(BACKOFF_MAX);
-    state.failures += 1;
-    state.down_until = Some(Instant::now() + backoff);
+    let backoff = state.backoff.record_failure(Instant::now());
     if let Some(closer) = state.closer.take() {
         // It fails only without receivers, when no call is waiting.
         let _ = closer.send(true);
--- a/laburnumcart_gateway/src/peers/links.rs
+++ b/laburnumcart_gateway/src/peers/links.rs
@@ -20,6 +20,7 @@
         Heartbeats,
         Link, //
     },
+    relay,
     view, //
 };
 
@@ -99,3 +100,32 @@
         Some(link)
     }
 }
+
+impl relay::Peers for Links {
+    fn is_up(&self, member: &view::Member) -> bool {
+        self.is_up(member)
+    }
+
+    async fn follow(
+        &self,
+        member: &view::Member,
+        request: relay::FollowRequest,
+    ) -> Option<relay::FollowReply> {
+        self.link(member)?.follow(request).await
+    }
+
+    async fn report(
+        &self,
+        member: &view::Member,
+        signals: Vec<relay::signals::TargetSignal>,
+        completed: Vec<relay::signals::Completion>,
+    ) {
+        let Some(link) = self.link(member) else {
+            return;
+        };
+        link.send_signals(signals).await;
+        if !completed.is_empty() {
+            link.send_completions(completed).await;
+        }
+    }
+}
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -13,6 +13,7 @@
 //! as an answer is judged by its age alone.
 
 pub mod cache;
+pub mod reads;
 pub mod relayed_store;
 pub mod signals;
 
@@ -32,7 +33,10 @@
 };
 use laburnumcart_platform::store;
 
-use crate::dialect;
+use crate::{
+    dialect,
+    view, //
+};
 
 /// Part of the store that processes follow.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -110,6 +114,27 @@
     pub signals: Option<signals::SignalUpdate>,
 }
 
+/// Connections by which a process requests store data from others and reports target signals.
+pub trait Peers: Send + Sync + 'static {
+    /// Returns whether a peer can be called, which is not so in a backoff after a failure.
+    fn is_up(&self, member: &view::Member) -> bool;
+
+    /// Requests store data from a peer and returns `None` if the connection failed.
+    fn follow(
+        &self,
+        member: &view::Member,
+        request: FollowRequest,
+    ) -> impl Future<Output = Option<FollowReply>> + Send;
+
+    /// Sends target signals and completions to a peer.
+    fn report(
+        &self,
+        member: &view::Member,
+        signals: Vec<signals::TargetSignal>,
+        completed: Vec<signals::Completion>,
+    ) -> impl Future<Output = ()> + Send;
+}
+
 /// Calls between processes that share store data and target signals.
 #[rpc(server, client)]
 pub trait Relay {
--- a/laburnumcart_gateway/src/relay/cache.rs
+++ b/laburnumcart_gateway/src/relay/cache.rs
@@ -34,6 +34,7 @@
         FollowRequest,
         RelayServer,
         Topic,
+        reads,
         signals, //
     },
 };
@@ -161,6 +162,10 @@
 /// Cached topics and target signals.
 #[derive(Debug, Default)]
 pub struct Cache {
+    /// Clock by which ages are measured.
+    pub clock: clock::Clock,
+    /// Reads of this process.
+    pub reads: Arc<reads::Reads>,
     /// Rate limits, shutdowns and failed requests of targets, as observed here or by peers.
     pub signals: Arc<signals::Signals>,
     /// Configuration, with the routing table.
@@ -179,6 +184,13 @@
         }
     }
 
+    /// Measures ages by another clock.
+    #[must_use]
+    pub fn with_clock(mut self, clock: clock::Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     fn topic(&self, topic: Topic) -> &watch::Sender<CachedTopic> {
         match topic {
             Topic::Table => &self.table,
@@ -211,7 +223,7 @@
 
     /// Answers a request without waiting.
     fn answer_now(&self, request: &FollowRequest) -> Answer {
-        let now = clock::now();
+        let now = self.clock.now();
         let topic = self.topic(request.topic).borrow();
         let answer = topic.answer(request, now, now);
         answer.unwrap_or_else(|| topic.empty_answer(request, now, now))
@@ -219,13 +231,13 @@
 
     /// Answers a request as soon as there are changes of the topic.
     pub async fn wait_for_answer(&self, request: &FollowRequest) -> Answer {
-        let arrived = clock::now();
+        let arrived = self.clock.now();
         let end = Instant::now() + request.wait.0.min(WAIT_MAX);
         let mut topic = self.topic(request.topic).subscribe();
         loop {
             let until = {
                 let topic = topic.borrow_and_update();
-                let now = clock::now();
+                let now = self.clock.now();
                 if let Some(answer) = topic.answer(request, arrived, now) {
                     return answer;
                 }
@@ -267,14 +279,15 @@
 
 impl<O: follow::Observer> follow::Observer for Publisher<O> {
     fn before_call(&mut self) {
-        self.sent_at = clock::now();
+        self.sent_at = self.cache.clock.now();
         self.observer.before_call();
     }
 
     fn after_read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
         self.observer.after_read(snapshot, age);
         let read = self.sent_at.before(age.0);
-        let update = |topic: &mut CachedTopic| topic.update(snapshot, read, clock::now());
+        let now = self.cache.clock.now();
+        let update = |topic: &mut CachedTopic| topic.update(snapshot, read, now);
         self.cache.topic(self.topic).send_if_modified(update);
     }
 }
--- a/laburnumcart_gateway/src/relay/relayed_store.rs
+++ b/laburnumcart_gateway/src/relay/relayed_store.rs
@@ -22,13 +22,15 @@
 use laburnumcart_platform::store;
 
 use crate::{
+    control,
     dialect,
-    peers::links,
     relay::{
         Answer,
         FollowReply,
         FollowRequest,
+        Peers,
         Topic,
+        reads,
         signals, //
     },
     view, //
@@ -71,24 +73,23 @@
 /// both of these.
 const FALLBACK_PEERS: usize = 2;
 
-struct Shared<S> {
+struct Shared<S, P> {
     store: S,
     own: view::Member,
     view: Arc<view::View>,
     layout: Arc<dyn dialect::StoreLayout>,
-    links: links::Links,
+    peers: P,
     signals: Arc<signals::Signals>,
     /// Versions of target signals merged from each peer, valid for one incarnation of the peer.
     signal_versions: Mutex<collections::HashMap<id::InstanceName, (id::Incarnation, u64)>>,
     standing: Mutex<readers::Health>,
-    /// Peer that supplied each topic last; `None` for the store itself.
-    sources: Mutex<collections::HashMap<Topic, Option<id::InstanceName>>>,
+    reads: Arc<reads::Reads>,
 }
 
 /// Store client that asks readers for watched topics and passes all other calls to the store.
-pub struct RelayedStore<S>(Arc<Shared<S>>);
+pub struct RelayedStore<S, P>(Arc<Shared<S, P>>);
 
-impl<S> Clone for RelayedStore<S> {
+impl<S, P> Clone for RelayedStore<S, P> {
     fn clone(&self) -> Self {
         Self(self.0.clone())
     }
@@ -105,25 +106,26 @@
     Unavailable,
 }
 
-impl<S: store::Store> RelayedStore<S> {
+impl<S: store::Store, P: Peers> RelayedStore<S, P> {
     /// Creates the store client of the process `own`.
     pub fn new(
-        store: S,
+        sources: control::Sources<S, P>,
         own: view::Member,
         view: Arc<view::View>,
         layout: Arc<dyn dialect::StoreLayout>,
         signals: Arc<signals::Signals>,
+        reads: Arc<reads::Reads>,
     ) -> Self {
         Self(Arc::new(Shared {
-            links: links::Links::without_heartbeats(own.instance.clone(), view.clone()),
-            store,
+            store: sources.store,
+            peers: sources.peers,
             own,
             view,
             layout,
             signals,
             signal_versions: Mutex::default(),
             standing: Mutex::default(),
-            sources: Mutex::default(),
+            reads,
         }))
     }
 
@@ -154,23 +156,19 @@
             let signals = self.0.signals.recent();
             let completed = self.0.signals.recent_completions();
             let (readers, _) = self.0.select_peers();
-            let links = readers.iter().filter_map(|r| self.0.links.link(r));
-            let calls = links.map(|link| {
+            let is_own = |member: &view::Member| member.instance == self.0.own.instance;
+            let reports = readers.iter().filter(|r| !is_own(r));
+            let reports = reports.map(|reader| {
                 let (signals, completed) = (signals.clone(), completed.clone());
-                async move {
-                    link.send_signals(signals).await;
-                    if !completed.is_empty() {
-                        link.send_completions(completed).await;
-                    }
-                }
+                self.0.peers.report(reader, signals, completed)
             });
-            future::join_all(calls).await;
+            future::join_all(reports).await;
             tokio::time::sleep(REPORT_INTERVAL).await;
         }
     }
 }
 
-impl<S: store::Store> Shared<S> {
+impl<S: store::Store, P: Peers> Shared<S, P> {
     fn topic(&self, prefix: &str) -> Option<Topic> {
         let topics = [
             Topic::Table,
@@ -247,7 +245,7 @@
         let members = self.view.members.load();
         let up: Vec<_> = members
             .iter()
-            .filter(|m| m.instance == self.own.instance || self.links.is_up(m))
+            .filter(|m| m.instance == self.own.instance || self.peers.is_up(m))
             .collect();
         let candidates = up.iter().map(|m| readers::Member {
             name: &m.instance,
@@ -272,44 +270,67 @@
 
     /// Asks one peer and returns `None` if it has no fresh data.
     async fn fetch_from(&self, member: &view::Member, request: &FollowRequest) -> Option<Fetched> {
-        let link = self.links.link(member)?;
+        let (start, topic) = (Instant::now(), request.topic);
+        let source = reads::Source::Peer(member.instance.clone());
+        let fetched = self.call_peer(member, request).await;
+        let failure = match &fetched {
+            Ok(Fetched::ReadStore) => Some(reads::Failure::TooLarge),
+            Ok(_) => None,
+            Err(failure) => Some(*failure),
+        };
+        if let Some(failure) = failure {
+            let took = start.elapsed();
+            self.reads.record_failure(topic, source, failure, took);
+        }
+        fetched.ok()
+    }
+
+    async fn call_peer(
+        &self,
+        member: &view::Member,
+        request: &FollowRequest,
+    ) -> Result<Fetched, reads::Failure> {
+        const UNANSWERED: reads::Failure = reads::Failure::Unanswered;
         let wants_signals = request.topic == Topic::Targets && !request.wait_fresh;
         let mut request = FollowRequest {
             signals: wants_signals.then(|| self.merged_version(member)),
             ..request.clone()
         };
+        let reply = self.peers.follow(member, request.clone()).await;
         let FollowReply {
             mut answer,
             signals,
-        } = link.follow(request.clone()).await?;
+        } = reply.ok_or(UNANSWERED)?;
         self.merge_signals(member, signals.as_ref());
         if answer == Answer::TooLarge && self.standing().is_failing() {
             request.allow_large = true;
             request.signals = None;
-            answer = link.follow(request.clone()).await?.answer;
+            let reply = self.peers.follow(member, request.clone()).await;
+            answer = reply.ok_or(UNANSWERED)?.answer;
         }
         let (age, fetched) = match answer {
             Answer::Listing(listing) => (listing.age, Fetched::Listing(listing)),
             Answer::Changes(changes) => (changes.age, Fetched::Changes(changes)),
-            Answer::Compacted => return Some(Fetched::Compacted),
-            Answer::TooLarge => return Some(Fetched::ReadStore),
-            Answer::Stale => return None,
+            Answer::Compacted => return Ok(Fetched::Compacted),
+            Answer::TooLarge => return Ok(Fetched::ReadStore),
+            Answer::Stale => return Err(reads::Failure::Stale),
         };
-        self.record_source(request.topic, Some(&member.instance), age);
-        Some(fetched)
+        let source = reads::Source::Peer(member.instance.clone());
+        self.record_source(request.topic, source, age);
+        Ok(fetched)
     }
 
     /// Gets target signals from all selected peers and returns whether one has answered.
     async fn pull_signals(&self) -> bool {
         let (readers, others) = self.select_peers();
         let peers = readers.iter().chain(&others);
-        let peers = peers.filter_map(|member| Some((member, self.links.link(member)?)));
-        let replies = peers.map(|(member, link)| async move {
+        let peers = peers.filter(|member| member.instance != self.own.instance);
+        let replies = peers.map(|member| async move {
             let request = FollowRequest {
                 signals: Some(self.merged_version(member)),
                 ..follow_request(Topic::Targets, None, time::Duration::ZERO)
             };
-            let reply = link.follow(request).await;
+            let reply = self.peers.follow(member, request).await;
             self.merge_signals(member, reply.as_ref().and_then(|r| r.signals.as_ref()));
             reply.is_some()
         });
@@ -336,24 +357,26 @@
         merged.map_or(0, |(_, version)| version)
     }
 
-    /// Records which peer supplied a topic and logs a change.
-    fn record_source(&self, topic: Topic, source: Option<&id::InstanceName>, age: unit::Period) {
-        let source = source.cloned();
-        let last = view::lock(&self.sources).insert(topic, source.clone());
-        if last.as_ref() != Some(&source) {
-            let name = source.as_ref().map_or("store", |name| name.as_str());
+    /// Records what supplied a topic and logs a change.
+    fn record_source(&self, topic: Topic, source: reads::Source, age: unit::Period) {
+        if self.reads.record_answer(topic, source.clone(), age) {
             event!(
                 Info,
                 "told-by",
                 topic = topic,
-                source = name,
+                source = source,
                 age_ms = age.as_millis()
             );
         }
     }
 
     /// Records the outcome of a call to the store.
-    fn record_result<T>(&self, topic: Option<Topic>, result: &Result<T, store::Failure>) {
+    fn record_result<T>(
+        &self,
+        topic: Option<Topic>,
+        result: &Result<T, store::Failure>,
+        took: time::Duration,
+    ) {
         let now = Instant::now();
         let mut standing = view::lock(&self.standing);
         let was_failing = standing.is_failing();
@@ -370,8 +393,17 @@
             let state = if is_failing { "failing" } else { "answering" };
             event!(Info, "store", state = state);
         }
-        if let (Some(topic), Ok(_)) = (topic, result) {
-            self.record_source(topic, None, unit::Period::default());
+        let Some(topic) = topic else {
+            return;
+        };
+        match result {
+            Ok(_) => self.record_source(topic, reads::Source::Store, unit::Period::default()),
+            Err(_) => self.reads.record_failure(
+                topic,
+                reads::Source::Store,
+                reads::Failure::Unanswered,
+                took,
+            ),
         }
     }
 
@@ -411,7 +443,7 @@
     store::Failure::Unavailable { retry: None }
 }
 
-impl<S: store::Store> store::Store for RelayedStore<S> {
+impl<S: store::Store, P: Peers> store::Store for RelayedStore<S, P> {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
         self.0.store.get(key).await
     }
@@ -438,8 +470,9 @@
                 Fetched::Changes(_) | Fetched::Compacted | Fetched::ReadStore => {}
             }
         }
+        let start = Instant::now();
         let result = self.0.store.list(prefix).await;
-        self.0.record_result(topic, &result);
+        self.0.record_result(topic, &result, start.elapsed());
         result
     }
 
@@ -459,8 +492,9 @@
             }
         }
         let wait = self.0.watch_wait(wait);
+        let start = Instant::now();
         let result = self.0.store.watch(prefix, after, wait).await;
-        self.0.record_result(topic, &result);
+        self.0.record_result(topic, &result, start.elapsed());
         result
     }
 }
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -124,11 +124,12 @@
         running.gate(),
         counters.clone(),
     );
-    counters.register(&registry, &gateway.outbound.pool.counters);
-    usage::register(&registry);
     let own = control::new_member(&settings);
     let target_signals = gateway.outbound.quotas.signals.clone();
     let cache = Arc::new(cache::Cache::new(target_signals));
+    let pool = &gateway.outbound.pool.counters;
+    counters.register(&registry, pool, &cache.reads);
+    usage::register(&registry);
     let _peers = serve_peers(&gateway, &own, &cache, peer_listener)?;
     let _admin = serve_admin(&gateway, registry, admin_listener)?;
     let followed = (platform.store, platform.layout, view.clone(), own);
