--- a/laburnumcart_gateway/src/relay/cache.rs
+++ b/laburnumcart_gateway/src/relay/cache.rs
@@ -52,6 +52,9 @@
 /// fresh data, even if it finds no changes.
 const READ_GAP_MIN: time::Duration = time::Duration::from_millis(1600);
 
+/// Time after which data that is just fresh is stale; without it, its expiry would be polled.
+const CLOCK_STEP: time::Duration = time::Duration::from_millis(1);
+
 /// A topic as of the last read.
 #[derive(Clone, Debug, Default)]
 pub struct CachedTopic {
@@ -150,7 +153,7 @@
             .map_or(request.max_age.0, |read| now.since(read));
         match request.wait_fresh {
             true => time::Duration::MAX,
-            false => request.max_age.0.saturating_sub(age),
+            false => request.max_age.0.saturating_sub(age) + CLOCK_STEP,
         }
     }
 }
--- /dev/null
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -0,0 +1,344 @@
+//! Gateways on a simulated network, and the check of what they have in force.
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex,
+        atomic, //
+    },
+    time,
+};
+
+use tokio::{
+    sync::watch,
+    task,
+    time::Instant, //
+};
+
+use laburnumcart::{
+    id,
+    ingress,
+    readers, //
+};
+use laburnumcart_gateway::{
+    clock, control, dialect,
+    relay::{Topic, cache},
+    view,
+};
+use laburnumcart_platform::{
+    memory,
+    store::{
+        self,
+        Store, //
+    },
+};
+
+use crate::network::{
+    Endpoint,
+    Endpoints,
+    Life,
+    Path,
+    SimPeers,
+    SimStore, //
+};
+
+/// Key of the configuration.
+const CONFIG: &str = "config/main";
+
+/// Layout in which the configuration is its version, with padding.
+struct Layout;
+
+impl dialect::StoreLayout for Layout {
+    fn table_key(&self) -> &'static str {
+        CONFIG
+    }
+
+    fn targets_prefix(&self) -> &'static str {
+        "targets"
+    }
+
+    fn members_prefix(&self) -> &'static str {
+        "gateways"
+    }
+
+    fn evacuations_prefix(&self) -> &'static str {
+        "evacuations"
+    }
+
+    fn parse_table(&self, value: &str) -> Result<ingress::Table, dialect::Malformed> {
+        let text = value.trim_matches('"').trim_end_matches('x');
+        let version = text.parse().map_err(|_| dialect::Malformed("version"))?;
+        let limits = ingress::Limits {
+            max_head: 0,
+            max_body: 0,
+            head_timeout: time::Duration::ZERO,
+            idle_timeout: time::Duration::ZERO,
+        };
+        Ok(ingress::Table::new(version, limits))
+    }
+
+    fn parse_target(&self, _: &str, _: &str) -> Result<dialect::TargetEntry, dialect::Malformed> {
+        Err(dialect::Malformed("target entry"))
+    }
+}
+
+/// A gateway of the fleet.
+pub(crate) struct Gateway {
+    pub(crate) member: view::Member,
+    pub(crate) endpoint: Arc<Endpoint>,
+    view: Arc<view::View>,
+    task: task::JoinHandle<()>,
+    /// Since when it could have got the version that it lacks.
+    able_since: Option<Instant>,
+    /// Highest version that it has had in force.
+    highest: u64,
+}
+
+impl Gateway {
+    fn version(&self) -> u64 {
+        let table = self.view.table.load();
+        table.as_ref().map_or(0, |table| table.version)
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        *self.endpoint.life.borrow() == Life::Running
+    }
+}
+
+/// A version that some gateways may not have yet.
+struct Change {
+    version: u64,
+    at: Instant,
+    /// Gateways that have had it in force.
+    taken: collections::HashSet<id::Incarnation>,
+}
+
+/// What was seen in an order.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    /// Time for each gateway and version, while it could have got the version.
+    pub(crate) delays: Vec<time::Duration>,
+    /// The slowest of them.
+    pub(crate) slowest: String,
+    /// Gateways that went back to an older version.
+    pub(crate) reverted: Vec<String>,
+    /// Calls of the store.
+    pub(crate) calls: usize,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) memory: memory::Memory,
+    pub(crate) gateways: Vec<Gateway>,
+    endpoints: Endpoints,
+    calls: Arc<atomic::AtomicUsize>,
+    start: Instant,
+    seed: u64,
+    started: u64,
+    changes: Vec<Change>,
+    report: Report,
+}
+
+impl Fleet {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            memory: memory::Memory::new(),
+            gateways: Vec::new(),
+            endpoints: Arc::default(),
+            calls: Arc::default(),
+            start: Instant::now(),
+            seed,
+            started: 0,
+            changes: Vec::new(),
+            report: Report::default(),
+        }
+    }
+
+    /// Starts the gateway `index`, in place of the one that has ended.
+    pub(crate) fn start_gateway(&mut self, index: usize) {
+        self.started += 1;
+        let run = self.seed.wrapping_mul(1000) + self.started;
+        let member = view::Member {
+            instance: format!("gateway-{index}").parse().unwrap(),
+            data_centre: format!("dc-{}", index % 3).parse().unwrap(),
+            peer: format!("127.0.0.1:{}", 1000 + index).parse().unwrap(),
+            incarnation: id::Incarnation(run),
+            cores: 1.0,
+            secret: format!("{run:032x}"),
+        };
+        let clock = clock::Clock::Runtime(self.start - time::Duration::from_secs(60));
+        let cache = Arc::new(cache::Cache::default().with_clock(clock));
+        let path = self
+            .gateways
+            .get(index)
+            .map_or(Path::Open, |old| *old.endpoint.path.borrow());
+        let endpoint = Arc::new(Endpoint {
+            path: watch::Sender::new(path),
+            life: watch::Sender::new(Life::Running),
+            cache: cache.clone(),
+        });
+        let key = (member.instance.clone(), member.incarnation);
+        let mut endpoints = self.endpoints.lock().unwrap();
+        endpoints.insert(key, endpoint.clone());
+        drop(endpoints);
+        let view = Arc::new(view::View::default());
+        let sources = control::Sources {
+            store: SimStore {
+                memory: self.memory.clone(),
+                own: endpoint.clone(),
+                calls: self.calls.clone(),
+            },
+            peers: SimPeers {
+                own: endpoint.clone(),
+                all: self.endpoints.clone(),
+                backoffs: Mutex::default(),
+            },
+        };
+        let layout = Arc::new(Layout);
+        let follow = control::run_with(sources, layout, view.clone(), member.clone(), cache, false);
+        let gateway = Gateway {
+            member,
+            endpoint,
+            view,
+            task: tokio::spawn(follow),
+            able_since: None,
+            highest: 0,
+        };
+        match self.gateways.get_mut(index) {
+            Some(old) => *old = gateway,
+            None => self.gateways.push(gateway),
+        }
+    }
+
+    /// Ends the process of a gateway.
+    pub(crate) fn end_gateway(&mut self, index: usize) {
+        let gateway = &self.gateways[index];
+        gateway.task.abort();
+        gateway.endpoint.life.send_replace(Life::Ended);
+    }
+
+    /// Writes a new version, with `padding` bytes beside it.
+    pub(crate) async fn change(&mut self, padding: usize) {
+        let version = self.changes.last().map_or(1, |change| change.version + 1);
+        let value = format!("\"{version}{}\"", "x".repeat(padding));
+        let known = self.memory.get(CONFIG).await.unwrap();
+        let expect = known.map_or(store::Expect::Absent, |o| store::Expect::Version(o.version));
+        self.memory.put(CONFIG, expect, &value).await.unwrap();
+        self.changes.push(Change {
+            version,
+            at: Instant::now(),
+            taken: collections::HashSet::new(),
+        });
+    }
+
+    /// Returns the indices of the gateways that are readers while all are running.
+    pub(crate) fn readers(&self) -> Vec<usize> {
+        let members = self.gateways.iter().map(|g| readers::Member {
+            name: &g.member.instance,
+            data_centre: &g.member.data_centre,
+            cores: g.member.cores,
+        });
+        let chosen = readers::choose(members);
+        let is_reader = |index: &usize| {
+            let name = &self.gateways[*index].member.instance;
+            chosen.iter().any(|reader| reader.name == name)
+        };
+        (0..self.gateways.len()).filter(is_reader).collect()
+    }
+
+    /// Returns the time since the start.
+    pub(crate) fn age(&self) -> time::Duration {
+        self.start.elapsed()
+    }
+
+    /// Returns whether all gateways know the configuration and each other.
+    pub(crate) fn is_settled(&self) -> bool {
+        let count = self.gateways.len();
+        let is_settled = |g: &Gateway| g.version() > 0 && g.view.members.load().len() == count;
+        self.gateways.iter().all(is_settled)
+    }
+
+    /// Checks what each gateway has in force.
+    pub(crate) fn check(&mut self) {
+        let now = Instant::now();
+        let versions: Vec<_> = self.gateways.iter().map(Gateway::version).collect();
+        for index in 0..self.gateways.len() {
+            if self.gateways[index].is_running() {
+                self.check_gateway(index, &versions, now);
+            } else {
+                self.gateways[index].able_since = None;
+            }
+        }
+    }
+
+    fn check_gateway(&mut self, index: usize, versions: &[u64], now: Instant) {
+        let version = versions[index];
+        let lacking = self.changes.iter().find(|change| change.version > version);
+        let is_able = lacking.is_none_or(|change| self.can_get(index, change.version, versions));
+        let gateway = &mut self.gateways[index];
+        if version < gateway.highest {
+            let text = format!("{}: {version}", gateway.member.instance);
+            self.report.reverted.push(text);
+        }
+        gateway.highest = version;
+        if !is_able {
+            gateway.able_since = None;
+            return;
+        }
+        let since = *gateway.able_since.get_or_insert(now);
+        let source = gateway.endpoint.cache.reads.last(Topic::Table);
+        let (name, incarnation) = (&gateway.member.instance, gateway.member.incarnation);
+        let describe = |change: &Change, delay| {
+            let at = change.at.duration_since(self.start);
+            let (source, tried) = source.as_ref().map_or_else(Default::default, |read| {
+                (read.source.to_string(), read.attempts.to_string())
+            });
+            format!(
+                "{name}: {} of {at:?} after {delay:?} from {source}, tried {tried}",
+                change.version
+            )
+        };
+        for change in &mut self.changes {
+            let first = change.version <= version && change.taken.insert(incarnation);
+            let delay = now - change.at.max(since);
+            let worst = self.report.delays.iter().copied().max().unwrap_or_default();
+            if delay > worst && (first || change.version > version) {
+                self.report.slowest = describe(change, delay);
+            }
+            if first {
+                self.report.delays.push(delay);
+            }
+        }
+        // A version that is never taken counts with the time that it has been lacking.
+        if let Some(change) = self.changes.iter().find(|change| change.version > version) {
+            let delay = now - change.at.max(since);
+            if delay > time::Duration::from_secs(4) && delay.as_millis().is_multiple_of(1000) {
+                self.report.delays.push(delay);
+            }
+        }
+    }
+
+    /// Returns whether the store, or a gateway that has the version, can be reached.
+    fn can_get(&self, index: usize, version: u64, versions: &[u64]) -> bool {
+        let gateway = &self.gateways[index];
+        if gateway.endpoint.path.borrow().is_usable() {
+            return true;
+        }
+        let members = gateway.view.members.load();
+        let others = self.gateways.iter().zip(versions);
+        others
+            .filter(|(other, _)| other.member.incarnation != gateway.member.incarnation)
+            .any(|(other, has)| {
+                *has >= version && other.is_running() && members.contains(&other.member)
+            })
+    }
+
+    /// Ends the order and returns what was seen.
+    pub(crate) fn finish(mut self) -> Report {
+        for gateway in &self.gateways {
+            gateway.task.abort();
+        }
+        self.report.calls = self.calls.load(atomic::Ordering::Relaxed);
+        self.report
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/tests/config_model/network.rs
@@ -0,0 +1,277 @@
+//! Simulated paths to the store and between gateways.
+
+use std::{
+    collections,
+    sync::{
+        Arc,
+        Mutex,
+        atomic, //
+    },
+    time,
+};
+
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+use laburnumcart::id;
+use laburnumcart_gateway::{
+    peers::backoff,
+    relay::{
+        self,
+        cache,
+        signals, //
+    },
+    view,
+};
+use laburnumcart_platform::{
+    memory,
+    store::{
+        self,
+        Store, //
+    },
+};
+
+/// Time that a call of the store takes.
+const STORE_DELAY: time::Duration = time::Duration::from_millis(4);
+
+/// Time that a message between two gateways takes.
+const PEER_DELAY: time::Duration = time::Duration::from_millis(2);
+
+/// Timeout of a call of the store, beside the wait of a watch.
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Timeout of a call between two gateways, beside the wait of the request.
+const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+
+/// State of the path from a gateway to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Path {
+    /// Calls are answered.
+    Open,
+    /// Calls are answered after an additional delay.
+    Slow(time::Duration),
+    /// Calls are refused.
+    Refused,
+    /// Calls are never answered.
+    Silent,
+}
+
+impl Path {
+    pub(crate) fn is_usable(self) -> bool {
+        matches!(self, Self::Open | Self::Slow(_))
+    }
+}
+
+/// State of a gateway as others see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Life {
+    /// It answers.
+    Running,
+    /// It is cut off from all, or frozen.
+    Silent,
+    /// Its process has ended.
+    Ended,
+}
+
+/// What can be changed of a gateway.
+pub(crate) struct Endpoint {
+    pub(crate) path: watch::Sender<Path>,
+    pub(crate) life: watch::Sender<Life>,
+    pub(crate) cache: Arc<cache::Cache>,
+}
+
+/// Gateways by name and incarnation.
+pub(crate) type Endpoints =
+    Arc<Mutex<collections::HashMap<(id::InstanceName, id::Incarnation), Arc<Endpoint>>>>;
+
+/// Client of the store with a path that can be changed.
+#[derive(Clone)]
+pub(crate) struct SimStore {
+    pub(crate) memory: memory::Memory,
+    pub(crate) own: Arc<Endpoint>,
+    pub(crate) calls: Arc<atomic::AtomicUsize>,
+}
+
+impl SimStore {
+    /// Makes a call, which fails or never ends as the path changes.
+    async fn call<T>(
+        &self,
+        wait: time::Duration,
+        operation: impl Future<Output = Result<T, store::Failure>>,
+    ) -> Result<T, store::Failure> {
+        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        let mut path = self.own.path.subscribe();
+        let mut life = self.own.life.subscribe();
+        let answer = async {
+            let state = *path.borrow_and_update();
+            if let Path::Slow(delay) = state {
+                tokio::time::sleep(delay).await;
+            }
+            tokio::time::sleep(STORE_DELAY).await;
+            operation.await
+        };
+        let broken = async {
+            // The senders live as long as the endpoint.
+            let _ = life.wait_for(|life| *life == Life::Silent).await;
+            std::future::pending::<()>().await;
+        };
+        let mut path = self.own.path.subscribe();
+        let refused = async {
+            let _ = path.wait_for(|path| !path.is_usable()).await;
+            if *path.borrow() == Path::Silent {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(STORE_DELAY).await;
+        };
+        let silenced = self.own.path.subscribe();
+        let call = async {
+            tokio::select! {
+                biased;
+                () = broken => Err(store::Failure::Unanswered),
+                () = refused => Err(store::Failure::Unavailable { retry: None }),
+                result = answer => {
+                    let usable = silenced.borrow().is_usable();
+                    if !usable || *self.own.life.borrow() == Life::Silent {
+                        std::future::pending::<()>().await;
+                    }
+                    result
+                }
+            }
+        };
+        let timeout = STORE_TIMEOUT + wait;
+        let result = tokio::time::timeout(timeout, call).await;
+        result.unwrap_or(Err(store::Failure::Unanswered))
+    }
+}
+
+impl Store for SimStore {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
+        self.call(time::Duration::ZERO, self.memory.get(key)).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: store::Expect,
+        value: &str,
+    ) -> Result<store::Version, store::Failure> {
+        let operation = self.memory.put(key, expect, value);
+        self.call(time::Duration::ZERO, operation).await
+    }
+
+    async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
+        let operation = self.memory.delete(key, version);
+        self.call(time::Duration::ZERO, operation).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
+        self.call(time::Duration::ZERO, self.memory.list(prefix))
+            .await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Changes, store::Failure> {
+        let operation = self.memory.watch(prefix, after, wait);
+        self.call(wait, operation).await
+    }
+}
+
+/// Connections of a gateway to the others.
+pub(crate) struct SimPeers {
+    pub(crate) own: Arc<Endpoint>,
+    pub(crate) all: Endpoints,
+    pub(crate) backoffs: Mutex<collections::HashMap<id::Incarnation, backoff::Backoff>>,
+}
+
+impl SimPeers {
+    fn record_failure(&self, member: &view::Member) {
+        let mut backoffs = self.backoffs.lock().unwrap();
+        let backoff = backoffs.entry(member.incarnation).or_default();
+        backoff.record_failure(Instant::now());
+    }
+
+    /// Passes a request to a peer; an ended one fails at once, a silent one never answers.
+    async fn exchange(
+        &self,
+        peer: &Endpoint,
+        request: &relay::FollowRequest,
+    ) -> Option<relay::FollowReply> {
+        let (mut own, mut life) = (self.own.life.subscribe(), peer.life.subscribe());
+        let call = async {
+            tokio::time::sleep(PEER_DELAY).await;
+            let reply = peer.cache.follow(request).await;
+            tokio::time::sleep(PEER_DELAY).await;
+            reply
+        };
+        let ended = async {
+            let _ = life.wait_for(|life| *life != Life::Running).await;
+            if *life.borrow() == Life::Silent {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(PEER_DELAY).await;
+        };
+        let cut = async {
+            let _ = own.wait_for(|life| *life == Life::Silent).await;
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            biased;
+            () = cut => None,
+            () = ended => None,
+            reply = call => {
+                if *peer.life.borrow() == Life::Silent {
+                    std::future::pending::<()>().await;
+                }
+                Some(reply)
+            }
+        }
+    }
+}
+
+impl relay::Peers for SimPeers {
+    fn is_up(&self, member: &view::Member) -> bool {
+        let backoffs = self.backoffs.lock().unwrap();
+        let backoff = backoffs.get(&member.incarnation);
+        backoff.is_none_or(|b| b.is_over(Instant::now()))
+    }
+
+    async fn follow(
+        &self,
+        member: &view::Member,
+        request: relay::FollowRequest,
+    ) -> Option<relay::FollowReply> {
+        if !self.is_up(member) {
+            return None;
+        }
+        let key = (member.instance.clone(), member.incarnation);
+        let peer = self.all.lock().unwrap().get(&key).cloned()?;
+        let timeout = request.wait.0 + PEER_TIMEOUT;
+        let exchange = self.exchange(&peer, &request);
+        let reply = tokio::time::timeout(timeout, exchange).await.ok().flatten();
+        match &reply {
+            Some(_) => {
+                let mut backoffs = self.backoffs.lock().unwrap();
+                backoffs
+                    .entry(member.incarnation)
+                    .or_default()
+                    .record_answer();
+            }
+            None => self.record_failure(member),
+        }
+        reply
+    }
+
+    async fn report(
+        &self,
+        _: &view::Member,
+        _: Vec<signals::TargetSignal>,
+        _: Vec<signals::Completion>,
+    ) {
+    }
+}
