Read a topic under one deadline: ask the next source beside a late one

What callers saw: a key that had been taken away still worked for requests sent 2.2 s after the change was confirmed, where 2 s are allowed (CONFIG).

Fix: a late source stays, the next is asked beside it, the first answer counts (relay::fetch, relay::steps). Only a process that reads the store itself says that nothing has changed, and it says that it is behind as soon as a call fails or is 0.3 s late. Changes are passed on whatever their age. A process may read the store unless its last call failed and no reader has had data since; in an outage it probes by the size of the fleet. A backoff does not hide the only peers that are left.

An older gateway understands the answers: it gets "behind" sooner, or changes with a greater age.

--- a/laburnumcart/src/readers/health.rs
+++ b/laburnumcart/src/readers/health.rs
@@ -11,17 +11,23 @@
 /// while no reader has data.
 const SUCCESS_TTL: time::Duration = time::Duration::from_secs(5);
 
-/// Mean interval between the probes of a process that is no reader, while no process has data.
+/// Mean interval between the probes of a process that is no reader, for each member of the fleet.
 ///
 /// If the service is down for all, the calls of the readers suffice, and each further call is
 /// billed. If it refuses only the readers, the other processes find out within this time.
-const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(4);
+const PROBE_INTERVAL_PER_MEMBER: time::Duration = time::Duration::from_millis(100);
+
+/// Shortest and longest mean interval between the probes of a process that is no reader.
+const PROBE_INTERVAL_MIN: time::Duration = time::Duration::from_millis(800);
+const PROBE_INTERVAL_MAX: time::Duration = time::Duration::from_secs(4);
 
 /// Times of the last successful and the last failed call to the service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     last_success: Option<Instant>,
     last_failure: Option<Instant>,
+    /// Time of the last answer of a process that reads the service.
+    last_relayed: Option<Instant>,
 }
 
 impl Health {
@@ -50,13 +56,29 @@
         !self.is_failing() && is_within(self.last_success, SUCCESS_TTL, now)
     }
 
-    /// Reports whether a process that is no reader probes the service when no process has data.
+    /// Reports whether a call may wait for changes, as the service has answered one lately.
+    pub fn can_wait(&self, now: Instant) -> bool {
+        self.can_call(now)
+    }
+
+    /// Records an answer of another process that reads the service.
+    pub fn record_relayed(&mut self, now: Instant) {
+        self.last_relayed = Some(now);
+    }
+
+    /// Reports whether a process that is no reader probes the service when no reader has data.
     ///
-    /// `jitter` is a random number from 0 to 1, drawn for each probe, so that hundreds of processes
-    /// do not call at the same time.
-    pub fn can_probe(&self, jitter: f64, now: Instant) -> bool {
-        let last_call = self.last_success.max(self.last_failure);
-        !is_within(last_call, PROBE_INTERVAL.mul_f64(0.5 + jitter), now)
+    /// A failure forbids it for a while, unless the service has answered a reader since: that
+    /// outage is over, and this one may be of the readers alone. `jitter` is a random number from 0
+    /// to 1, drawn for each probe, so that hundreds of processes do not call at the same time.
+    pub fn can_probe(&self, members: usize, jitter: f64, now: Instant) -> bool {
+        if !self.is_failing() || self.last_relayed > self.last_failure {
+            return true;
+        }
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        let interval = PROBE_INTERVAL_PER_MEMBER.saturating_mul(members);
+        let interval = interval.clamp(PROBE_INTERVAL_MIN, PROBE_INTERVAL_MAX);
+        !is_within(self.last_failure, interval.mul_f64(0.5 + jitter), now)
     }
 }
 
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -114,14 +114,12 @@
 ) {
     let key = format!("{}/{}", layout.members_prefix(), own.instance);
     let (direct, member) = (sources.store.clone(), own.clone());
-    let target_signals = cache.signals.clone();
     let store = relayed_store::RelayedStore::new(
         sources,
         own.clone(),
         view.clone(),
         layout.clone(),
-        target_signals,
-        cache.reads.clone(),
+        cache.clone(),
     );
     let settings = |wait, pause_max, interval_max| follow::Settings {
         wait,
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -303,7 +303,8 @@
         {
             return Some(open.clone());
         }
-        if !self.is_up(Instant::now()) {
+        // Without heartbeats, the caller chooses whom it asks despite a backoff.
+        if self.heartbeats == Heartbeats::Enabled && !self.is_up(Instant::now()) {
             return None;
         }
         let secret: secret::Secret = self.member.secret.parse().ok()?;
--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -13,9 +13,11 @@
 //! as an answer is judged by its age alone.
 
 pub mod cache;
+mod fetch;
 pub mod reads;
 pub mod relayed_store;
 pub mod signals;
+mod steps;
 
 use derive_more::Display;
 use jsonrpsee::{
--- a/laburnumcart_gateway/src/relay/cache.rs
+++ b/laburnumcart_gateway/src/relay/cache.rs
@@ -48,10 +48,6 @@
 /// a link of 10 Mbit/s; any longer, and they would time out and treat this process as down.
 const ANSWER_BYTES_MAX: usize = 16 << 10;
 
-/// Gap between two reads of the store from which the second one wakes the requests that wait for
-/// fresh data, even if it finds no changes.
-const READ_GAP_MIN: time::Duration = time::Duration::from_millis(1600);
-
 /// Time after which data that is just fresh is stale; without it, its expiry would be polled.
 const CLOCK_STEP: time::Duration = time::Duration::from_millis(1);
 
@@ -61,43 +57,58 @@
     replica: replica::Replica,
     /// Start of the last read; `None` before the first one.
     read_at: Option<freshness::BootTime>,
+    /// Whether the last read was answered by another process, or a read of the store has failed
+    /// since.
+    is_relayed: bool,
 }
 
 impl CachedTopic {
     /// Merges a snapshot as of `read` and returns whether waiting requests should be woken.
-    pub fn update(
-        &mut self,
-        snapshot: &follow::Snapshot,
-        read: freshness::BootTime,
-        now: freshness::BootTime,
-    ) -> bool {
-        let is_restored = self
-            .read_at
-            .is_none_or(|last| now.since(last) > READ_GAP_MIN);
+    pub fn update(&mut self, snapshot: &follow::Snapshot, read: freshness::BootTime) -> bool {
         let changed = self.replica.apply(snapshot);
+        let is_newer = self.read_at < Some(read);
         self.read_at = self.read_at.max(Some(read));
-        changed || is_restored
+        changed || is_newer
+    }
+
+    /// Sets whether the data no longer comes from the store; returns whether that is a change.
+    pub fn set_relayed(&mut self, is_relayed: bool) -> bool {
+        std::mem::replace(&mut self.is_relayed, is_relayed) != is_relayed
     }
 
     /// Returns the answer to a request that arrived at `arrived`, or `None` if it should wait.
+    ///
+    /// Only a process that reads the store itself says that there are no changes: two processes
+    /// that have lost it would otherwise confirm each other's data. Changes are passed on whatever
+    /// their age, as they are newer than what the caller has.
     pub fn answer(
         &self,
         request: &FollowRequest,
         arrived: freshness::BootTime,
         now: freshness::BootTime,
     ) -> Option<Answer> {
-        let age = self.read_at.map(|read| now.since(read));
-        let Some(age) = age.filter(|age| *age <= request.max_age.0) else {
+        let Some(age) = self.read_at.map(|read| now.since(read)) else {
             return (!request.wait_fresh).then_some(Answer::Stale);
         };
         // The caller adds the time since it sent the request, which includes the wait here.
-        let age = unit::Period(age.saturating_sub(now.since(arrived)));
+        let told = unit::Period(age.saturating_sub(now.since(arrived)));
+        if !self.is_fresh(request, age) {
+            let changes = request.after.and_then(|a| self.changes(request, a, told));
+            let is_newer = |answer: &Answer| *answer != Answer::Compacted;
+            let stale = (!request.wait_fresh).then_some(Answer::Stale);
+            return changes.filter(is_newer).or(stale);
+        }
         match request.after {
-            None => self.listing(request, age),
-            Some(after) => self.changes(request, after, age),
+            None => self.listing(request, told),
+            Some(after) => self.changes(request, after, told),
         }
     }
 
+    /// Returns whether data of this age may confirm that nothing has changed.
+    fn is_fresh(&self, request: &FollowRequest, age: time::Duration) -> bool {
+        age <= request.max_age.0 && (request.wait_fresh || !self.is_relayed)
+    }
+
     fn listing(&self, request: &FollowRequest, age: unit::Period) -> Option<Answer> {
         let listing = self.replica.listing()?;
         let size = listing.objects.iter().map(|o| o.value.len()).sum();
@@ -135,7 +146,7 @@
     ) -> Answer {
         let age = self.read_at.map(|read| now.since(read));
         match (age, request.after) {
-            (Some(age), Some(after)) if age <= request.max_age.0 => {
+            (Some(age), Some(after)) if self.is_fresh(request, age) => {
                 Answer::Changes(store::Changes {
                     revision: after.max(self.replica.revision()),
                     age: unit::Period(age.saturating_sub(now.since(arrived))),
@@ -203,6 +214,12 @@
         }
     }
 
+    /// Records whether a topic is read from the store or from another process.
+    pub fn set_relayed(&self, topic: Topic, is_relayed: bool) {
+        let set = |topic: &mut CachedTopic| topic.set_relayed(is_relayed);
+        self.topic(topic).send_if_modified(set);
+    }
+
     /// Answers a request as soon as there are changes of the topic or new signals.
     pub async fn follow(&self, request: &FollowRequest) -> FollowReply {
         let Some(known) = request.signals else {
@@ -237,6 +254,7 @@
         let arrived = self.clock.now();
         let end = Instant::now() + request.wait.0.min(WAIT_MAX);
         let mut topic = self.topic(request.topic).subscribe();
+        let known = topic.borrow().read_at;
         loop {
             let until = {
                 let topic = topic.borrow_and_update();
@@ -244,7 +262,9 @@
                 if let Some(answer) = topic.answer(request, arrived, now) {
                     return answer;
                 }
-                if Instant::now() >= end {
+                // A caller that waits for fresh data has none; any later read confirms its data.
+                let is_confirmed = request.wait_fresh && topic.read_at > known;
+                if Instant::now() >= end || is_confirmed {
                     return topic.empty_answer(request, arrived, now);
                 }
                 // The caller must turn to another process as soon as the data is too old.
@@ -289,8 +309,7 @@
     fn after_read(&mut self, snapshot: &follow::Snapshot, age: unit::Period) {
         self.observer.after_read(snapshot, age);
         let read = self.sent_at.before(age.0);
-        let now = self.cache.clock.now();
-        let update = |topic: &mut CachedTopic| topic.update(snapshot, read, now);
+        let update = |topic: &mut CachedTopic| topic.update(snapshot, read);
         self.cache.topic(self.topic).send_if_modified(update);
     }
 }
