An invalid configuration confirms nothing until a valid one follows it

What callers saw: nothing yet; found while the same cause was looked for elsewhere. A configuration that cannot be parsed is refused and its read confirms nothing, but the next read of the same version, 0.75 s later, was taken for a confirmation of the active one. Keys that the invalid version takes away would have worked for good.

Fix: the observer remembers that the newest version is refused. Keys are refused after 4.5 s, routes without keys are served; table-refused is logged once.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -135,6 +135,7 @@
         clock: cache.clock,
         reads: cache.reads.clone(),
         version: store::Version::default(),
+        is_refused: false,
     };
     let targets = targets::Observer::new(view.clone(), layout.clone());
     let members = members::Observer::new(view.clone(), own, cache.clock);
@@ -234,6 +235,8 @@
     clock: clock::Clock,
     reads: Arc<reads::Reads>,
     version: store::Version,
+    /// Whether that version is invalid.
+    is_refused: bool,
 }
 
 impl ConfigObserver {
@@ -275,21 +278,22 @@
         let object = snapshot.objects.values().next();
         if let Some(object) = object.filter(|o| o.version > self.version) {
             self.version = object.version;
-            match self.layout.parse_table(&object.value) {
+            let table = self.layout.parse_table(&object.value);
+            self.is_refused = table.is_err();
+            match table {
                 Ok(table) => self.activate(table),
-                // The active configuration stays, but its freshness is no longer confirmed.
-                Err(error) => {
-                    event!(
-                        Error,
-                        "table-refused",
-                        revision = object.version,
-                        error = error
-                    );
-                    return;
-                }
+                Err(error) => event!(
+                    Error,
+                    "table-refused",
+                    revision = object.version,
+                    error = error
+                ),
             }
         }
-        self.view.freshness.record_read(self.sent_at.before(age.0));
+        // The active configuration stays, but its keys may have been taken away.
+        if !self.is_refused {
+            self.view.freshness.record_read(self.sent_at.before(age.0));
+        }
     }
 }
 
--- a/laburnumcart_gateway/tests/config_model/fleet.rs
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -96,11 +96,17 @@
 }
 
 impl Gateway {
-    fn version(&self) -> u64 {
+    pub(crate) fn version(&self) -> u64 {
         let table = self.view.table.load();
         table.as_ref().map_or(0, |table| table.version)
     }
 
+    /// Returns the time since its configuration was last confirmed.
+    pub(crate) fn unconfirmed(&self) -> time::Duration {
+        let now = self.endpoint.cache.clock.now();
+        self.view.freshness.age(now).unwrap_or_default()
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         *self.endpoint.life.borrow() == Life::Running
     }
@@ -217,13 +223,19 @@
         gateway.endpoint.life.send_replace(Life::Ended);
     }
 
-    /// Writes a new version, with `padding` bytes beside it.
-    pub(crate) async fn change(&mut self, padding: usize) {
-        let version = self.changes.last().map_or(1, |change| change.version + 1);
-        let value = format!("\"{version}{}\"", "x".repeat(padding));
+    /// Writes a configuration as it is.
+    pub(crate) async fn write(&self, text: &str) {
         let known = self.memory.get(CONFIG).await.unwrap();
         let expect = known.map_or(store::Expect::Absent, |o| store::Expect::Version(o.version));
+        let value = format!("\"{text}\"");
         self.memory.put(CONFIG, expect, &value).await.unwrap();
+    }
+
+    /// Writes a new version, with `padding` bytes beside it.
+    pub(crate) async fn change(&mut self, padding: usize) {
+        let version = self.changes.last().map_or(1, |change| change.version + 1);
+        self.write(&format!("{version}{}", "x".repeat(padding)))
+            .await;
         self.changes.push(Change {
             version,
             at: Instant::now(),
--- a/laburnumcart_gateway/tests/config_model/main.rs
+++ b/laburnumcart_gateway/tests/config_model/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod network;
 mod order;
+mod rules;
 
 use std::time;
 
