Wait less after a late answer, and call the store again at once

Cause: two readers that fall silent one after the other cost a full wait each, and a reader repeated a late call of the store only after all others had been asked.

For 1.5 s after a late answer, requests wait 0.35 instead of 0.75 s; a late call of the store is repeated at once on another connection; a reader whose store fails calls it before it asks other followers. Steps no longer wait for peers that hold a request. The random choice of peers is drawn from the incarnation, so that a seed repeats but for the order of select.

--- a/laburnumcart_gateway/src/relay.rs
+++ b/laburnumcart_gateway/src/relay.rs
@@ -13,9 +13,11 @@
 //! as an answer is judged by its age alone.
 
 pub mod cache;
+mod candidates;
 mod fetch;
 pub mod reads;
 pub mod relayed_store;
+mod signal_sync;
 pub mod signals;
 mod steps;
 
--- a/laburnumcart_gateway/src/relay/fetch.rs
+++ b/laburnumcart_gateway/src/relay/fetch.rs
@@ -18,7 +18,11 @@
     future,
     stream, //
 };
-use rand::seq::IndexedRandom;
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs, //
+};
 use tokio::time::Instant;
 
 use laburnumcart::{
@@ -39,7 +43,6 @@
         Topic,
         cache,
         reads,
-        signals,
         steps::{
             self,
             Source, //
@@ -72,15 +75,15 @@
 /// Time for which such a peer waits for a read of its own.
 const FALLBACK_WAIT: time::Duration = time::Duration::from_millis(500);
 
-/// Number of other peers that are asked when no reader has fresh data.
-///
-/// Even if the store refuses a share of all processes, that share rarely includes every reader and
-/// both of these.
-const FALLBACK_PEERS: usize = 2;
-
 /// Time for which a peer that was late is asked after the others.
 const LATE_PEER_PENALTY: time::Duration = time::Duration::from_secs(1);
 
+/// Time after a late answer for which sources wait less, as the next one may fall silent too.
+const DOUBT_TIME: time::Duration = time::Duration::from_millis(1500);
+
+/// Timeout of a request within that time.
+const DOUBT_WAIT: time::Duration = time::Duration::from_millis(350);
+
 /// Data of a topic, from any source.
 #[derive(Debug)]
 pub(super) enum Data {
@@ -105,26 +108,18 @@
     pub(super) store: S,
     pub(super) peers: P,
     pub(super) own: view::Member,
-    view: Arc<view::View>,
+    pub(super) view: Arc<view::View>,
     layout: Arc<dyn dialect::StoreLayout>,
     pub(super) cache: Arc<cache::Cache>,
     /// Versions of target signals merged from each peer, valid for one incarnation of the peer.
-    signal_versions: Mutex<collections::HashMap<id::InstanceName, (id::Incarnation, u64)>>,
+    pub(super) signal_versions:
+        Mutex<collections::HashMap<id::InstanceName, (id::Incarnation, u64)>>,
     health: Mutex<readers::Health>,
     /// Peers that were late, and until when they are asked after others.
-    late_peers: Mutex<collections::HashMap<id::Incarnation, Instant>>,
-}
-
-/// Peers that a process can ask.
-pub(super) struct Candidates {
-    /// Readers in the order in which they are asked, without this process.
-    pub(super) readers: Vec<view::Member>,
-    /// Whether this process is a reader.
-    pub(super) is_reader: bool,
-    /// A few other peers, chosen at random.
-    pub(super) others: Vec<view::Member>,
-    /// Number of members.
-    members: usize,
+    pub(super) late_peers: Mutex<collections::HashMap<id::Incarnation, Instant>>,
+    /// Time of the last answer that another source has given in place of a late one.
+    last_late: Mutex<Option<Instant>>,
+    pub(super) rng: Mutex<rngs::StdRng>,
 }
 
 impl<S: store::Store, P: Peers> Shared<S, P> {
@@ -135,6 +130,8 @@
         layout: Arc<dyn dialect::StoreLayout>,
         cache: Arc<cache::Cache>,
     ) -> Self {
+        // A run of a process draws numbers of its own, and a test of it always the same.
+        let rng = rngs::StdRng::seed_from_u64(own.incarnation.0);
         Self {
             store: sources.store,
             peers: sources.peers,
@@ -145,13 +142,11 @@
             signal_versions: Mutex::default(),
             health: Mutex::default(),
             late_peers: Mutex::default(),
+            last_late: Mutex::default(),
+            rng: Mutex::new(rng),
         }
     }
 
-    pub(super) fn view(&self) -> &view::View {
-        &self.view
-    }
-
     pub(super) fn topic(&self, prefix: &str) -> Option<Topic> {
         let topics = [
             Topic::Table,
@@ -172,7 +167,8 @@
         after: Option<store::Revision>,
         wait: time::Duration,
     ) -> Result<Data, store::Failure> {
-        let (start, wait) = (Instant::now(), wait.min(follow_wait(topic)));
+        let start = Instant::now();
+        let wait = wait.min(self.follow_wait(topic, start));
         let mut steps = self.steps(topic);
         let mut calls = stream::FuturesUnordered::<Call>::new();
         let mut pending: Vec<Source> = Vec::new();
@@ -205,6 +201,7 @@
                     let is_late = !pending.is_empty() || !late.is_empty();
                     if pending.contains(&Source::Store) {
                         self.cache.set_relayed(topic, true);
+                        steps.repeat_store();
                     }
                     late.append(&mut pending);
                     let Some(step) = steps.next() else {
@@ -216,9 +213,8 @@
                         true => time::Duration::ZERO,
                         false => left,
                     };
-                    due = Instant::now() + step.patience(left, is_late);
+                    due = Instant::now() + step.patience(left, is_late, steps.is_empty());
                     for source in step.sources {
-                        // A late call of the store is repeated, as its connection may be silent.
                         pending.push(source.clone());
                         calls.push(self.clone().ask(source, topic, after, left).boxed());
                     }
@@ -227,12 +223,26 @@
         }
     }
 
+    /// Returns the longest wait of a request for a topic.
+    fn follow_wait(&self, topic: Topic, now: Instant) -> time::Duration {
+        let last_late = *view::lock(&self.last_late);
+        let is_in_doubt = last_late.is_some_and(|at| now < at + DOUBT_TIME);
+        match topic {
+            Topic::Members => MEMBERS_FOLLOW_WAIT,
+            _ if is_in_doubt => DOUBT_WAIT,
+            Topic::Table | Topic::Targets | Topic::Evacuations => FOLLOW_WAIT,
+        }
+    }
+
     /// Returns the sources in the order in which they are asked.
     fn steps(&self, topic: Topic) -> steps::Steps {
         let candidates = self.candidates();
         let (health, now) = (self.health(), Instant::now());
         let can_probe = match topic {
-            Topic::Table => health.can_probe(candidates.members, rand::random(), now),
+            Topic::Table => {
+                let jitter = view::lock(&self.rng).random();
+                health.can_probe(candidates.members, jitter, now)
+            }
             // One topic is enough to find out whether the store is available again.
             _ => !health.is_failing(),
         };
@@ -252,7 +262,9 @@
         if late.is_empty() {
             return;
         }
-        let until = Instant::now() + LATE_PEER_PENALTY;
+        let now = Instant::now();
+        *view::lock(&self.last_late) = Some(now);
+        let until = now + LATE_PEER_PENALTY;
         for source in late {
             match source {
                 Source::Store => self.record_store_failure(topic, time::Duration::ZERO),
@@ -386,50 +398,6 @@
         }
     }
 
-    /// Returns the peers to ask.
-    pub(super) fn candidates(&self) -> Candidates {
-        let members = self.view.members.load();
-        let is_own = |m: &view::Member| m.instance == self.own.instance;
-        let (up, down): (Vec<_>, Vec<_>) = members
-            .iter()
-            .partition(|m| is_own(m) || self.peers.is_up(m));
-        let choice = up.iter().map(|m| readers::Member {
-            name: &m.instance,
-            data_centre: &m.data_centre,
-            cores: m.cores,
-        });
-        let mut chosen = readers::choose(choice);
-        readers::sort_by_proximity(&mut chosen, &self.own.instance, &self.own.data_centre);
-        let find = |reader: &readers::Member<'_>| up.iter().find(|m| m.instance == *reader.name);
-        let chosen = chosen.iter().filter_map(find).map(|m| (*m).clone());
-        let mut readers: Vec<view::Member> = chosen.collect();
-        let is_reader = readers.is_empty() || readers.iter().any(is_own);
-        let is_other = |m: &&&view::Member| !is_own(m) && !readers.contains(m);
-        let rest: Vec<_> = up.iter().filter(is_other).copied().collect();
-        let mut rng = rand::rng();
-        let others = rest.choose_multiple(&mut rng, FALLBACK_PEERS);
-        let mut others: Vec<_> = others.map(|m| (*m).clone()).collect();
-        // A backoff must not hide the only peers that have news.
-        let missing = FALLBACK_PEERS - others.len();
-        let forced = down.choose_multiple(&mut rng, missing);
-        others.extend(forced.map(|m| (*m).clone()));
-        readers.retain(|m| !is_own(m));
-        self.sort_late_last(&mut readers);
-        Candidates {
-            readers,
-            is_reader,
-            others,
-            members: members.len(),
-        }
-    }
-
-    fn sort_late_last(&self, readers: &mut [view::Member]) {
-        let now = Instant::now();
-        let mut late = view::lock(&self.late_peers);
-        late.retain(|_, until| *until > now);
-        readers.sort_by_key(|m| late.contains_key(&m.incarnation));
-    }
-
     /// Asks one peer.
     async fn ask_peer(&self, member: &view::Member, request: FollowRequest) -> Outcome {
         let (start, topic) = (Instant::now(), request.topic);
@@ -480,54 +448,10 @@
         let reads = &self.cache.reads;
         reads.record_failure(topic, source, failure, start.elapsed());
     }
-
-    /// Gets target signals from all selected peers and returns whether one has answered.
-    pub(super) async fn pull_signals(&self) -> bool {
-        let candidates = self.candidates();
-        let peers = candidates.readers.iter().chain(&candidates.others);
-        let replies = peers.map(|member| async move {
-            let request = FollowRequest {
-                signals: Some(self.merged_version(member)),
-                ..follow_request(Topic::Targets, None, time::Duration::ZERO)
-            };
-            let reply = self.peers.follow(member, request).await;
-            self.merge_signals(member, reply.as_ref().and_then(|r| r.signals.as_ref()));
-            reply.is_some()
-        });
-        let answered = future::join_all(replies).await;
-        answered.into_iter().any(|answered| answered)
-    }
-
-    /// Merges target signals from a peer.
-    fn merge_signals(&self, member: &view::Member, update: Option<&signals::SignalUpdate>) {
-        if let Some(update) = update {
-            self.cache.signals.merge(&update.signals);
-            self.cache.signals.merge_completions(&update.completed);
-            let merged = (member.incarnation, update.version);
-            view::lock(&self.signal_versions).insert(member.instance.clone(), merged);
-        }
-    }
-
-    /// Returns the version of a peer's signals that was merged last.
-    fn merged_version(&self, member: &view::Member) -> u64 {
-        let merged = view::lock(&self.signal_versions)
-            .get(&member.instance)
-            .copied();
-        let merged = merged.filter(|(incarnation, _)| *incarnation == member.incarnation);
-        merged.map_or(0, |(_, version)| version)
-    }
-}
-
-/// Returns the longest wait of a request for a topic.
-fn follow_wait(topic: Topic) -> time::Duration {
-    match topic {
-        Topic::Members => MEMBERS_FOLLOW_WAIT,
-        Topic::Table | Topic::Targets | Topic::Evacuations => FOLLOW_WAIT,
-    }
 }
 
 /// Returns a request for a peer.
-fn follow_request(
+pub(super) fn follow_request(
     topic: Topic,
     after: Option<store::Revision>,
     wait: time::Duration,
--- a/laburnumcart_gateway/src/relay/relayed_store.rs
+++ b/laburnumcart_gateway/src/relay/relayed_store.rs
@@ -53,7 +53,7 @@
     ///
     /// A process that reads the store itself asks its peers for nothing else.
     pub async fn sync_target_signals(&self) {
-        let mut changes = self.0.view().subscribe();
+        let mut changes = self.0.view.subscribe();
         while !self.0.pull_signals().await {
             // At the first attempt the members are not known yet. One that knows which contents crash
             // targets may be about to stop.
--- a/laburnumcart_gateway/src/relay/steps.rs
+++ b/laburnumcart_gateway/src/relay/steps.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    relay::fetch::Candidates,
+    relay::candidates::Candidates,
     view, //
 };
 
@@ -46,9 +46,15 @@
 
 impl Step {
     /// Returns the time before the next step, if the sources have `wait` left for changes.
-    pub(super) fn patience(&self, wait: time::Duration, is_late: bool) -> time::Duration {
+    pub(super) fn patience(
+        &self,
+        wait: time::Duration,
+        is_late: bool,
+        is_last: bool,
+    ) -> time::Duration {
         match self.sources.first() {
-            Some(Source::Other(_)) => OTHERS_TIME,
+            Some(Source::Other(_)) if is_last => OTHERS_TIME,
+            Some(Source::Other(_)) => HEDGE_DELAY,
             Some(Source::Large(_)) => LARGE_TIME,
             _ if is_late => HEDGE_DELAY,
             Some(Source::Store) => wait + STORE_SLACK,
@@ -59,28 +65,44 @@
 
 /// Steps that are left.
 #[derive(Debug, Default)]
-pub(super) struct Steps(collections::VecDeque<Step>);
+pub(super) struct Steps {
+    steps: collections::VecDeque<Step>,
+    has_repeated: bool,
+}
 
 impl Steps {
     fn push(&mut self, sources: impl IntoIterator<Item = Source>) {
         let sources: Vec<_> = sources.into_iter().collect();
         if !sources.is_empty() {
-            self.0.push_back(Step { sources });
+            self.steps.push_back(Step { sources });
         }
     }
 
     /// Returns the next step.
     pub(super) fn next(&mut self) -> Option<Step> {
-        self.0.pop_front()
+        self.steps.pop_front()
+    }
+
+    /// Reports whether no step is left.
+    pub(super) fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Calls the store once more, as the connection of a late call may be silent.
+    pub(super) fn repeat_store(&mut self) {
+        if !std::mem::replace(&mut self.has_repeated, true) {
+            let sources = vec![Source::Store];
+            self.steps.push_front(Step { sources });
+        }
     }
 
     /// Puts the reads of a large change first: from the store, then from the peer that has it.
     pub(super) fn ask_large(&mut self, member: view::Member, is_failing: bool) {
         let sources = vec![Source::Large(member)];
-        self.0.push_front(Step { sources });
+        self.steps.push_front(Step { sources });
         if !is_failing {
             let sources = vec![Source::Store];
-            self.0.push_front(Step { sources });
+            self.steps.push_front(Step { sources });
         }
     }
 }
@@ -94,8 +116,10 @@
     for reader in candidates.readers {
         steps.push([Source::Peer(reader)]);
     }
+    if !can_call_first {
+        steps.push([Source::Store]);
+    }
     steps.push(candidates.others.into_iter().map(Source::Other));
-    steps.push([Source::Store]);
     steps
 }
 
--- a/laburnumcart_gateway/tests/config_model/main.rs
+++ b/laburnumcart_gateway/tests/config_model/main.rs
@@ -8,12 +8,17 @@
 mod order;
 mod rules;
 
-use std::time;
+use std::{
+    sync,
+    time, //
+};
 
 use fleet::Report;
 
-/// Longest time after which a gateway has a version in force that the store or a peer can give it:
-/// three quarters of the 2 s that users allow.
+/// Time after which users need a version to be in force at a gateway that can get it.
+const USERS_BOUND: time::Duration = time::Duration::from_secs(2);
+
+/// Time after which it should be: three quarters of that.
 const DELAY_MAX: time::Duration = time::Duration::from_millis(1500);
 
 /// Number of orders that are drawn, unless the environment says otherwise.
@@ -45,29 +50,50 @@
     sorted.get(index).copied().unwrap_or_default()
 }
 
+/// Returns the orders of all seeds, played once for all tests.
+fn reports() -> &'static [(u64, Report)] {
+    static REPORTS: sync::OnceLock<Vec<(u64, Report)>> = sync::OnceLock::new();
+    REPORTS.get_or_init(|| {
+        let reports: Vec<_> = seeds().map(|seed| (seed, play(seed))).collect();
+        let delays = reports.iter().flat_map(|(_, report)| &report.delays);
+        let mut delays: Vec<_> = delays.copied().collect();
+        delays.sort_unstable();
+        println!(
+            "{} versions taken: p99 {:?}, largest {:?}; {} calls",
+            delays.len(),
+            quantile(&delays, 0.99),
+            delays.last().copied().unwrap_or_default(),
+            reports.iter().map(|(_, r)| r.calls).sum::<usize>()
+        );
+        reports
+    })
+}
+
+/// Checks that no version is in force later than a bound.
+fn check_delays(bound: time::Duration) {
+    let worst = |report: &Report| report.delays.iter().copied().max().unwrap_or_default();
+    let late = reports().iter().filter(|(_, r)| worst(r) > bound);
+    let late: Vec<_> = late.map(|(seed, r)| (seed, worst(r), &r.slowest)).collect();
+    let shown: Vec<_> = late.iter().take(12).collect();
+    assert!(late.is_empty(), "{} orders late: {shown:#?}", late.len());
+}
+
 // Timeouts that add up let revoked keys work after the bound.
 #[test]
+fn a_version_is_in_force_within_the_bound_whatever_fails() {
+    check_delays(USERS_BOUND);
+}
+
+// Without a margin, a slow instance exceeds the bound.
+#[test]
 fn a_version_is_in_force_in_time_whatever_fails() {
-    let mut delays = Vec::new();
-    let mut late = Vec::new();
-    let mut calls = 0;
-    for seed in seeds() {
-        let report = play(seed);
+    check_delays(DELAY_MAX);
+}
+
+// A gateway that takes an older version back accepts keys that were taken away.
+#[test]
+fn no_version_reverts_whatever_fails() {
+    for (seed, report) in reports() {
         assert!(report.reverted.is_empty(), "seed {seed}: {report:?}");
-        let worst = report.delays.iter().copied().max().unwrap_or_default();
-        if worst > DELAY_MAX {
-            late.push((seed, worst, report.slowest));
-        }
-        delays.extend(report.delays);
-        calls += report.calls;
     }
-    delays.sort_unstable();
-    println!(
-        "{} versions taken: p99 {:?}, largest {:?}; {calls} calls",
-        delays.len(),
-        quantile(&delays, 0.99),
-        delays.last().copied().unwrap_or_default()
-    );
-    let shown: Vec<_> = late.iter().take(12).collect();
-    assert!(late.is_empty(), "{} orders late: {shown:#?}", late.len());
 }
