A run of content that may crash its target needs the permits of two gateways

Fix: a run needs the permits of the first two owners that answer, asked in the same order by all. The second one of the restarted gateway is asked by the others too. With one gateway left, one is enough. Cost: one more call for each run of suspected content.

Test: a_restarted_process_that_others_do_not_know_permits_no_run_beside_theirs, seen to fail before (the first content runs twice).

--- a/laburnumcart_gateway/src/peers/trial.rs
+++ b/laburnumcart_gateway/src/peers/trial.rs
@@ -1,7 +1,8 @@
 //! Permits to run content that may crash its target, of which one is given at a time.
 //!
-//! The permits of a content are given by one process, its owner, which is the first in a ranking of
-//! the members that answers. No agreement is needed: two owners at a time permit one run each.
+//! A run needs the permits of two processes, the first ones in a ranking of the members that answer.
+//! A process that cannot be called, as its new entry is not known yet, still permits runs to
+//! itself; the second permit is then given by a process that the others ask, too.
 
 use std::sync::Arc;
 
@@ -16,8 +17,11 @@
     view, //
 };
 
-/// Number of members that are asked for a permit.
-const OWNERS: usize = 3;
+/// Greatest number of members that are asked for a permit.
+const OWNERS: usize = 4;
+
+/// Number of permits that a run needs, if so many members answer.
+const PERMITS: usize = 2;
 
 /// Process that has given a permit.
 enum Owner {
@@ -30,60 +34,82 @@
     peers: Arc<Peers>,
     signals: Arc<signals::Signals>,
     content: id::Fingerprint,
-    /// `None` if the permit was not given.
-    owner: Option<Owner>,
+    /// Processes that have given a permit.
+    owners: Vec<Owner>,
+}
+
+impl Trial {
+    /// Gives the permit of an owner back.
+    fn return_permit(&self, owner: Owner) {
+        let content = self.content;
+        let Owner::Peer(owner) = owner else {
+            self.signals.end_trial(content);
+            return;
+        };
+        // The owner must know of a crash before it permits the next run.
+        let crashes = self.signals.crashes_of(content);
+        if let Some(link) = self.peers.link(&owner) {
+            tokio::spawn(async move { link.end_trial(content, crashes).await });
+        }
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        let content = self.content;
-        match self.owner.take() {
-            None => {}
-            Some(Owner::Own) => self.signals.end_trial(content),
-            Some(Owner::Peer(owner)) => {
-                // The owner must know of a crash before it permits the next run.
-                let crashes = self.signals.crashes_of(content);
-                if let Some(link) = self.peers.link(&owner) {
-                    tokio::spawn(async move { link.end_trial(content, crashes).await });
-                }
-            }
+        for owner in std::mem::take(&mut self.owners) {
+            self.return_permit(owner);
         }
     }
 }
 
 impl Peers {
-    /// Asks the owner of a content for a permit; `None` if another run is in progress.
+    /// Asks the owners of a content for permits; `None` if another run is in progress.
     pub async fn begin_trial(
         self: &Arc<Self>,
         signals: &Arc<signals::Signals>,
         content: id::Fingerprint,
     ) -> Option<Trial> {
-        let trial = |owner| Trial {
+        let mut trial = Trial {
             peers: self.clone(),
             signals: signals.clone(),
             content,
-            owner: Some(owner),
+            owners: Vec::new(),
         };
+        // All ask in the same order, so that two requests cannot deny each other's second permit.
         for owner in self.content_owners(content) {
+            if trial.owners.len() == PERMITS {
+                return Some(trial);
+            }
             if owner.instance == self.own {
-                break;
+                if !signals.begin_trial(content) {
+                    return None;
+                }
+                trial.owners.push(Owner::Own);
+                continue;
             }
             let Some(link) = self.link(&owner) else {
                 continue;
             };
             // The permit is given back if this future is dropped while the answer is on its way.
-            let mut trial = trial(Owner::Peer(owner));
+            trial.owners.push(Owner::Peer(owner));
             match link.begin_trial(content).await {
-                Some(true) => return Some(trial),
+                Some(true) => {}
                 Some(false) => {
-                    trial.owner = None;
+                    trial.owners.pop();
                     return None;
                 }
-                None => trial.owner = None,
+                None => {
+                    trial.owners.pop();
+                }
+            }
+        }
+        if trial.owners.is_empty() {
+            if !signals.begin_trial(content) {
+                return None;
             }
+            trial.owners.push(Owner::Own);
         }
-        let is_given = signals.begin_trial(content);
-        is_given.then(|| trial(Owner::Own))
+        Some(trial)
     }
 
     /// Lists the processes that may permit runs of a content, the preferred one first.
--- a/laburnumcart_gateway/tests/peers.rs
+++ b/laburnumcart_gateway/tests/peers.rs
@@ -40,6 +40,11 @@
         PeerServer, //
     },
     quotas,
+    relay::{
+        RelayServer,
+        cache,
+        signals, //
+    },
     settings,
     view, //
 };
@@ -101,6 +106,7 @@
     jobs: Arc<Mutex<Vec<u64>>>,
     answer: Arc<Mutex<Option<Answer>>>,
     freed: Arc<atomic::AtomicUsize>,
+    signals: Arc<signals::Signals>,
     /// Delay of the answer to a heartbeat.
     lag: time::Duration,
 }
@@ -167,7 +173,10 @@
             secret: secret.into(),
         };
         let server = peer::Server::new(&[secret.parse().unwrap()]);
-        let handle = server.serve(listener, self.clone().into_rpc()).unwrap();
+        let mut calls = self.clone().into_rpc();
+        let relay = cache::RelayService(Arc::new(cache::Cache::new(self.signals.clone())));
+        calls.merge(relay.into_rpc()).unwrap();
+        let handle = server.serve(listener, calls).unwrap();
         (handle, member)
     }
 }
@@ -203,9 +212,13 @@
 
 impl Caller {
     fn new() -> Self {
+        Self::named("gateway-1")
+    }
+
+    fn named(own: &str) -> Self {
         let view = Arc::<view::View>::default();
         let metrics = metrics::Metrics::default();
-        let own: id::InstanceName = "gateway-1".parse().unwrap();
+        let own: id::InstanceName = own.parse().unwrap();
         let quotas = quotas::Quotas::new(own.clone(), view.clone(), &metrics);
         let bounds = settings::Bounds::default();
         let dispatcher = dispatcher::Dispatcher::new(
@@ -361,3 +374,36 @@
         rank: 0.into(),
     }
 }
+
+// Content that crashes targets would run at both sides that do not know each other.
+#[tokio::test]
+async fn a_restarted_process_that_others_do_not_know_permits_no_run_beside_theirs() {
+    let names = ["gateway-1", "gateway-2", "gateway-3"];
+    let served = names.map(|name| {
+        let peer = FakePeer::default();
+        let (handle, member) = peer.serve(name, "secret-of-the-present-run");
+        (handle, peer, member)
+    });
+    let members: Vec<_> = served.iter().map(|(_, _, member)| member.clone()).collect();
+    let callers = names.map(Caller::named);
+    callers[0].view.set_members(members.clone());
+    let earlier = view::Member {
+        secret: "secret-of-the-earlier-run".into(),
+        ..members[0].clone()
+    };
+    let known = vec![earlier, members[1].clone(), members[2].clone()];
+    callers[1].view.set_members(known);
+    for content in (0..16).map(id::Fingerprint) {
+        let [first, second, _] = &served;
+        let held = callers[0]
+            .peers
+            .begin_trial(&first.1.signals, content)
+            .await;
+        assert!(held.is_some(), "{content:?}: nobody runs it");
+        let other = callers[1]
+            .peers
+            .begin_trial(&second.1.signals, content)
+            .await;
+        assert!(other.is_none(), "{content:?} runs twice");
+    }
+}
