Ask four other peers, two a little after the others; model of entries of targets

The model's seed 6 was late by 1.54 and 2.1 s in two plays: a gateway of a large fleet that the store refuses asked two others, both cut off, and waited 0.55 s for them before it could ask different ones.

Two more are asked 0.1 s after the first two, in trouble only.

--- a/laburnumcart_gateway/src/relay/candidates.rs
+++ b/laburnumcart_gateway/src/relay/candidates.rs
@@ -17,8 +17,8 @@
 /// Number of other peers that are asked when no reader has fresh data.
 ///
 /// Even if the store refuses a share of all processes, that share rarely includes every reader and
-/// both of these.
-const FALLBACK_PEERS: usize = 2;
+/// two of these. The others are asked a little later, as the first ones may be silent.
+const FALLBACK_PEERS: usize = 4;
 
 /// Peers that a process can ask.
 pub(super) struct Candidates {
--- a/laburnumcart_gateway/src/relay/steps.rs
+++ b/laburnumcart_gateway/src/relay/steps.rs
@@ -22,6 +22,9 @@
 /// Time for peers that wait for a read of their own.
 const OTHERS_TIME: time::Duration = time::Duration::from_millis(550);
 
+/// Number of such peers that are asked at once.
+const OTHERS_AT_ONCE: usize = 2;
+
 /// Pause between sources once one is late, which has used up the time for a change.
 const HEDGE_DELAY: time::Duration = time::Duration::from_millis(100);
 
@@ -78,6 +81,12 @@
         }
     }
 
+    fn push_others(&mut self, others: Vec<view::Member>) {
+        for group in others.chunks(OTHERS_AT_ONCE) {
+            self.push(group.iter().cloned().map(Source::Other));
+        }
+    }
+
     /// Returns the next step.
     pub(super) fn next(&mut self) -> Option<Step> {
         self.steps.pop_front()
@@ -119,7 +128,7 @@
     if !can_call_first {
         steps.push([Source::Store]);
     }
-    steps.push(candidates.others.into_iter().map(Source::Other));
+    steps.push_others(candidates.others);
     steps
 }
 
@@ -134,6 +143,6 @@
     if can_probe {
         steps.push([Source::Store]);
     }
-    steps.push(candidates.others.into_iter().map(Source::Other));
+    steps.push_others(candidates.others);
     steps
 }
--- a/laburnumcart_gateway/tests/config_model/fleet.rs
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways on a simulated network, and the check of what they have in force.
 
 use std::{
-    collections,
+    collections, net,
     sync::{
         Arc,
         Mutex,
@@ -46,6 +46,12 @@
 /// Key of the configuration.
 const CONFIG: &str = "config/main";
 
+/// Key of the only target.
+const TARGET: &str = "targets/t";
+
+/// Port of a target before its first version.
+const FIRST_PORT: u16 = 1024;
+
 /// Layout in which the configuration is its version, with padding.
 struct Layout;
 
@@ -78,8 +84,55 @@
         Ok(ingress::Table::new(version, limits))
     }
 
-    fn parse_target(&self, _: &str, _: &str) -> Result<dialect::TargetEntry, dialect::Malformed> {
-        Err(dialect::Malformed("target entry"))
+    /// Returns a target whose port tells the version of its entry.
+    fn parse_target(
+        &self,
+        name: &str,
+        value: &str,
+    ) -> Result<dialect::TargetEntry, dialect::Malformed> {
+        let text = value.trim_matches('"').trim_end_matches('x');
+        let version: u16 = text.parse().map_err(|_| dialect::Malformed("version"))?;
+        Ok(dialect::TargetEntry {
+            cold_for: time::Duration::ZERO,
+            target: view::Target {
+                name: name.parse().map_err(|_| dialect::Malformed("name"))?,
+                life: id::Life::default(),
+                addr: net::SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + version)),
+                data_centre: "dc-0".parse().expect("a valid name"),
+                service: service(),
+                leaving: false,
+                cold_until: None,
+            },
+        })
+    }
+}
+
+fn service() -> id::ServiceName {
+    "desk".parse().expect("a valid name")
+}
+
+/// What the versions of an order are of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Subject {
+    /// The configuration.
+    Config,
+    /// The entry of a target.
+    Target,
+}
+
+impl Subject {
+    fn key(self) -> &'static str {
+        match self {
+            Self::Config => CONFIG,
+            Self::Target => TARGET,
+        }
+    }
+
+    fn topic(self) -> Topic {
+        match self {
+            Self::Config => Topic::Table,
+            Self::Target => Topic::Targets,
+        }
     }
 }
 
@@ -96,6 +149,19 @@
 }
 
 impl Gateway {
+    fn version_of(&self, subject: Subject) -> u64 {
+        match subject {
+            Subject::Config => self.version(),
+            Subject::Target => self.target_version(),
+        }
+    }
+
+    fn target_version(&self) -> u64 {
+        let targets = self.view.targets.load();
+        let target = targets.service(&service()).first();
+        target.map_or(0, |target| u64::from(target.addr.port() - FIRST_PORT))
+    }
+
     pub(crate) fn version(&self) -> u64 {
         let table = self.view.table.load();
         table.as_ref().map_or(0, |table| table.version)
@@ -140,13 +206,14 @@
     calls: Arc<atomic::AtomicUsize>,
     start: Instant,
     seed: u64,
+    subject: Subject,
     started: u64,
     changes: Vec<Change>,
     report: Report,
 }
 
 impl Fleet {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, subject: Subject) -> Self {
         Self {
             memory: memory::Memory::new(),
             gateways: Vec::new(),
@@ -154,6 +221,7 @@
             calls: Arc::default(),
             start: Instant::now(),
             seed,
+            subject,
             started: 0,
             changes: Vec::new(),
             report: Report::default(),
@@ -225,17 +293,21 @@
 
     /// Writes a configuration as it is.
     pub(crate) async fn write(&self, text: &str) {
-        let known = self.memory.get(CONFIG).await.unwrap();
+        self.put(CONFIG, text).await;
+    }
+
+    async fn put(&self, key: &str, text: &str) {
+        let known = self.memory.get(key).await.unwrap();
         let expect = known.map_or(store::Expect::Absent, |o| store::Expect::Version(o.version));
         let value = format!("\"{text}\"");
-        self.memory.put(CONFIG, expect, &value).await.unwrap();
+        self.memory.put(key, expect, &value).await.unwrap();
     }
 
     /// Writes a new version, with `padding` bytes beside it.
     pub(crate) async fn change(&mut self, padding: usize) {
         let version = self.changes.last().map_or(1, |change| change.version + 1);
-        self.write(&format!("{version}{}", "x".repeat(padding)))
-            .await;
+        let text = format!("{version}{}", "x".repeat(padding));
+        self.put(self.subject.key(), &text).await;
         self.changes.push(Change {
             version,
             at: Instant::now(),
@@ -266,14 +338,19 @@
     /// Returns whether all gateways know the configuration and each other.
     pub(crate) fn is_settled(&self) -> bool {
         let count = self.gateways.len();
-        let is_settled = |g: &Gateway| g.version() > 0 && g.view.members.load().len() == count;
+        let is_settled =
+            |g: &Gateway| g.version_of(self.subject) > 0 && g.view.members.load().len() == count;
         self.gateways.iter().all(is_settled)
     }
 
     /// Checks what each gateway has in force.
     pub(crate) fn check(&mut self) {
         let now = Instant::now();
-        let versions: Vec<_> = self.gateways.iter().map(Gateway::version).collect();
+        let versions: Vec<_> = self
+            .gateways
+            .iter()
+            .map(|g| g.version_of(self.subject))
+            .collect();
         for index in 0..self.gateways.len() {
             if self.gateways[index].is_running() {
                 self.check_gateway(index, &versions, now);
@@ -298,7 +375,7 @@
             return;
         }
         let since = *gateway.able_since.get_or_insert(now);
-        let source = gateway.endpoint.cache.reads.last(Topic::Table);
+        let source = gateway.endpoint.cache.reads.last(self.subject.topic());
         let (name, incarnation) = (&gateway.member.instance, gateway.member.incarnation);
         let describe = |change: &Change, delay| {
             let at = change.at.duration_since(self.start);
--- a/laburnumcart_gateway/tests/config_model/order.rs
+++ b/laburnumcart_gateway/tests/config_model/order.rs
@@ -12,7 +12,8 @@
 use crate::{
     fleet::{
         Fleet,
-        Report, //
+        Report,
+        Subject, //
     },
     network::{
         Life,
@@ -138,14 +139,14 @@
 }
 
 /// Plays the order of a seed.
-pub(crate) async fn play(seed: u64) -> Report {
+pub(crate) async fn play(seed: u64, subject: Subject) -> Report {
     let mut rng = rngs::StdRng::seed_from_u64(seed);
     let count = match rng.random_range(0..20) {
         0 => rng.random_range(30..100),
         1..=4 => rng.random_range(9..30),
         _ => rng.random_range(3..9),
     };
-    let mut fleet = Fleet::new(seed);
+    let mut fleet = Fleet::new(seed, subject);
     fleet.change(0).await;
     (0..count).for_each(|index| fleet.start_gateway(index));
     while !fleet.is_settled() {
--- a/laburnumcart_gateway/tests/config_model/rules.rs
+++ b/laburnumcart_gateway/tests/config_model/rules.rs
@@ -4,7 +4,8 @@
 
 use crate::fleet::{
     Fleet,
-    Gateway, //
+    Gateway,
+    Subject, //
 };
 
 /// Number of gateways.
@@ -14,7 +15,7 @@
 const SPREAD: time::Duration = time::Duration::from_secs(3);
 
 async fn start_fleet() -> Fleet {
-    let mut fleet = Fleet::new(0);
+    let mut fleet = Fleet::new(0, Subject::Config);
     fleet.change(0).await;
     (0..GATEWAYS).for_each(|index| fleet.start_gateway(index));
     tokio::time::sleep(SPREAD).await;
