Wait for a slow store once all sources have been asked

Found by reading the diff: a read that had asked all of its sources gave up while its call of the store was still on its way, and the next one did the same.

Fix: it waits for that call up to 0.9 s after its wait, as long as a call of the store may take.

Test: a_gateway_without_peers_reads_a_slow_store, seen to fail before (version 1 in place of 2).

--- a/laburnumcart_gateway/src/relay/fetch.rs
+++ b/laburnumcart_gateway/src/relay/fetch.rs
@@ -84,6 +84,9 @@
 /// Timeout of a request within that time.
 const DOUBT_WAIT: time::Duration = time::Duration::from_millis(350);
 
+/// Time after the wait of a call for which a slow store is waited for once all have been asked.
+const STORE_TIME_MAX: time::Duration = time::Duration::from_millis(900);
+
 /// Data of a topic, from any source.
 #[derive(Debug)]
 pub(super) enum Data {
@@ -119,6 +122,7 @@
     pub(super) late_peers: Mutex<collections::HashMap<id::Incarnation, Instant>>,
     /// Time of the last answer that another source has given in place of a late one.
     last_late: Mutex<Option<Instant>>,
+    /// Random numbers for the choice of peers and the times of probes.
     pub(super) rng: Mutex<rngs::StdRng>,
 }
 
@@ -205,6 +209,11 @@
                     }
                     late.append(&mut pending);
                     let Some(step) = steps.next() else {
+                        let end = start + wait + STORE_TIME_MAX;
+                        if late.contains(&Source::Store) && Instant::now() < end {
+                            due = end;
+                            continue;
+                        }
                         self.leave_late(topic, late, calls);
                         return Err(store::Failure::Unavailable { retry: None });
                     };
--- a/laburnumcart_gateway/tests/config_model/rules.rs
+++ b/laburnumcart_gateway/tests/config_model/rules.rs
@@ -2,10 +2,13 @@
 
 use std::time;
 
-use crate::fleet::{
-    Fleet,
-    Gateway,
-    Subject, //
+use crate::{
+    fleet::{
+        Fleet,
+        Gateway,
+        Subject, //
+    },
+    network::Path, //
 };
 
 /// Number of gateways.
@@ -14,10 +17,11 @@
 /// Time in which all gateways have read a change.
 const SPREAD: time::Duration = time::Duration::from_secs(3);
 
-async fn start_fleet() -> Fleet {
+/// Starts gateways and waits until they know each other.
+async fn start_fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new(0, Subject::Config);
     fleet.change(0).await;
-    (0..GATEWAYS).for_each(|index| fleet.start_gateway(index));
+    (0..count).for_each(|index| fleet.start_gateway(index));
     tokio::time::sleep(SPREAD).await;
     assert!(fleet.is_settled());
     fleet
@@ -26,7 +30,7 @@
 // Confirmed beside an unreadable configuration, keys that it takes away would work for good.
 #[tokio::test(start_paused = true)]
 async fn an_invalid_configuration_is_not_taken_and_confirms_nothing() {
-    let mut fleet = start_fleet().await;
+    let mut fleet = start_fleet(GATEWAYS).await;
     fleet.write("invalid").await;
     tokio::time::sleep(SPREAD).await;
     let is_kept = |g: &Gateway| g.version() == 1 && g.unconfirmed() >= SPREAD;
@@ -37,3 +41,16 @@
     let is_confirmed = |g: &Gateway| g.version() == 2 && g.unconfirmed() < SPREAD;
     assert!(fleet.gateways.iter().all(is_confirmed));
 }
+
+// Given up for other sources, calls of a store that is merely slow would never end.
+#[tokio::test(start_paused = true)]
+async fn a_gateway_without_peers_reads_a_slow_store() {
+    let mut fleet = start_fleet(1).await;
+    let slow = Path::Slow(time::Duration::from_millis(600));
+    fleet.gateways[0].endpoint.path.send_replace(slow);
+    tokio::time::sleep(SPREAD).await;
+    fleet.change(0).await;
+    tokio::time::sleep(SPREAD).await;
+    assert_eq!(fleet.gateways[0].version(), 2);
+    assert!(fleet.gateways[0].unconfirmed() < SPREAD);
+}
