--- a/laburnumcart_gateway/src/relay/fetch.rs
+++ b/laburnumcart_gateway/src/relay/fetch.rs
@@ -84,7 +84,9 @@
 /// Timeout of a request within that time.
 const DOUBT_WAIT: time::Duration = time::Duration::from_millis(350);
 
-/// Time after the wait of a call for which a slow store is waited for once all have been asked.
+/// Time after the wait of a call for which a slow store is waited for if there are few peers.
+///
+/// Where others are asked, their time is enough for a slow store.
 const STORE_TIME_MAX: time::Duration = time::Duration::from_millis(900);
 
 /// Data of a topic, from any source.
@@ -210,7 +212,8 @@
                     late.append(&mut pending);
                     let Some(step) = steps.next() else {
                         let end = start + wait + STORE_TIME_MAX;
-                        if late.contains(&Source::Store) && Instant::now() < end {
+                        let can_wait = !steps.has_others() && late.contains(&Source::Store);
+                        if can_wait && Instant::now() < end {
                             due = end;
                             continue;
                         }
--- a/laburnumcart_gateway/src/relay/steps.rs
+++ b/laburnumcart_gateway/src/relay/steps.rs
@@ -71,6 +71,7 @@
 pub(super) struct Steps {
     steps: collections::VecDeque<Step>,
     has_repeated: bool,
+    has_others: bool,
 }
 
 impl Steps {
@@ -82,6 +83,7 @@
     }
 
     fn push_others(&mut self, others: Vec<view::Member>) {
+        self.has_others = !others.is_empty();
         for group in others.chunks(OTHERS_AT_ONCE) {
             self.push(group.iter().cloned().map(Source::Other));
         }
@@ -97,6 +99,11 @@
         self.steps.is_empty()
     }
 
+    /// Reports whether peers other than the readers are among the steps.
+    pub(super) fn has_others(&self) -> bool {
+        self.has_others
+    }
+
     /// Calls the store once more, as the connection of a late call may be silent.
     pub(super) fn repeat_store(&mut self) {
         if !std::mem::replace(&mut self.has_repeated, true) {
