--- a/laburnumcart/src/readers/health.rs
+++ b/laburnumcart/src/readers/health.rs
@@ -7,8 +7,9 @@
 /// Pause of a reader after a failed call while other processes can answer.
 const READER_RETRY: time::Duration = time::Duration::from_secs(2);
 
-/// Time after a successful call for which a process that is no reader keeps calling the service
-/// while no reader has data.
+/// Time after a successful call for which the next one may wait for changes.
+///
+/// A call that does not wait shows at once whether the service is available.
 const SUCCESS_TTL: time::Duration = time::Duration::from_secs(5);
 
 /// Mean interval between the probes of a process that is no reader, for each member of the fleet.
@@ -51,14 +52,9 @@
         !self.is_failing() || !is_within(self.last_failure, READER_RETRY, now)
     }
 
-    /// Reports whether a process that is no reader calls the service when no reader has data.
-    pub fn can_call(&self, now: Instant) -> bool {
-        !self.is_failing() && is_within(self.last_success, SUCCESS_TTL, now)
-    }
-
     /// Reports whether a call may wait for changes, as the service has answered one lately.
     pub fn can_wait(&self, now: Instant) -> bool {
-        self.can_call(now)
+        !self.is_failing() && is_within(self.last_success, SUCCESS_TTL, now)
     }
 
     /// Records an answer of another process that reads the service.
--- a/laburnumcart/tests/readers.rs
+++ b/laburnumcart/tests/readers.rs
@@ -155,11 +155,11 @@
         jitters.filter(can_probe).count()
     };
     assert_eq!([1900, 4000, 6000].map(probes), [0, 51, 100]);
-    assert!(!health.can_call(after(start, 10)));
+    assert!(!health.can_wait(after(start, 10)));
     health.record_success(after(start, 4000));
-    assert!(health.can_call(after(start, 8900)));
-    assert!(!health.can_call(after(start, 9100)));
+    assert!(health.can_wait(after(start, 8900)));
+    assert!(!health.can_wait(after(start, 9100)));
     // A failure right after a success means that the service is down for this process too.
     health.record_failure(after(start, 4100));
-    assert!(!health.can_call(after(start, 4200)));
+    assert!(!health.can_wait(after(start, 4200)));
 }
