Gateway: log a target's software version, and which stream a request takes up

The logs of the incident could not tell a request that takes a stream up from a new one, nor which version a target has: the entry's version was not read. The log lines of a target, an admitted request and a send now name them, so that the three hypotheses of the incident can be told apart.

--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -139,6 +139,42 @@
     "key name"
 );
 
+/// Longest software version in bytes.
+pub const VERSION_MAX: usize = 128;
+
+/// Version of a target's software, as its entry states it.
+///
+/// Versions are only compared for equality: what two versions generate does not fit together,
+/// whichever of them is newer.
+#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SoftwareVersion(std::sync::Arc<str>);
+
+impl str::FromStr for SoftwareVersion {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text.is_empty() || text.len() > VERSION_MAX {
+            true => Err(ParseError::new("software version", text)),
+            false => Ok(Self(text.into())),
+        }
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = ParseError;
+
+    fn try_from(text: String) -> Result<Self, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0.as_ref().into()
+    }
+}
+
 macro_rules! hex_id {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $width:literal, $kind:literal) => {
         $(#[$doc])*
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -177,6 +177,7 @@
                 target = target.name,
                 life = target.life,
                 service = target.service,
+                version = target.version_label(),
                 addr = target.addr,
                 leaving = target.leaving,
                 cold_ms = entry.cold_for.as_millis(),
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -53,6 +53,8 @@
     pub api_key: Option<String>,
     /// Last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
     /// Prompt, for requests to model engines.
     pub prompt: Option<Prompt>,
     /// Number of pieces of each stage; a stage with 0 pieces is skipped.
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -178,6 +178,7 @@
             request = request.call.attempt,
             service = self.service,
             target = target.name,
+            version = target.version_label(),
             number = self.sent,
             left_ms = request.remaining().as_millis()
         );
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -186,6 +186,8 @@
             .unwrap_or_default()
             .as_millis(),
         rank = request.rank,
+        after = request.call.last_event.unwrap_or(0),
+        resumes = request.call.resumes.as_deref().unwrap_or("none"),
         spent_ms = request.spent.as_millis(),
         patience_ms = request.timeout().as_millis()
     );
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -1,7 +1,7 @@
 //! Control state shared with the traffic thread: targets, members, configuration, shutdown.
 
 use std::{
-    collections, net,
+    collections, fmt, net,
     sync::{
         self,
         Arc,
@@ -48,6 +48,8 @@
     pub data_centre: id::DataCentre,
     /// Service that the target belongs to.
     pub service: id::ServiceName,
+    /// Version of its software, if its entry states one.
+    pub version: Option<id::SoftwareVersion>,
     /// Whether the target is shutting down and accepts no new work.
     pub leaving: bool,
     /// End of the warm-up time, during which the target gets a reduced rate.
@@ -55,6 +57,14 @@
 }
 
 impl Target {
+    /// Returns the version as text for the log.
+    pub fn version_label(&self) -> &dyn fmt::Display {
+        match &self.version {
+            Some(version) => version,
+            None => &"unknown",
+        }
+    }
+
     /// Returns the key that identifies this run of the target.
     pub fn key(&self) -> id::TargetLife {
         id::TargetLife {
--- a/laburnumcart_gateway/tests/balancer.rs
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -20,6 +20,7 @@
         addr: "127.0.0.1:9".parse().unwrap(),
         data_centre: "north".parse().unwrap(),
         service: "desk".parse().unwrap(),
+        version: None,
         leaving: false,
         cold_until: None,
     })
--- a/laburnumcart_gateway/tests/config_model/fleet.rs
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -100,6 +100,7 @@
                 addr: net::SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + version)),
                 data_centre: "dc-0".parse().expect("a valid name"),
                 service: service(),
+                version: None,
                 leaving: false,
                 cold_until: None,
             },
