A stream goes on only at the software version that began it

Cause: nothing in the system knew that targets of one service can differ. The version in a target's entry was not read; a resumption within one answer took any target of the service, and a caller that took its stream up was served as if the request were new, at a gateway that had mostly never seen it.

Fix: the first event fixes the origin of a stream (service, version, target). One function says whether a target may go on with it, and each way asks it: resumption, retry, a stream taken up, the choice of engines and of plain targets. A gateway tells three homes of the stream, chosen by rendezvous over the members and spread over data centres, and does not hold the event back. A gateway to which a caller returns asks six, in parallel, twice over connections that may be silent. Without a record the stream goes on only if the service had one version for as long as a stream can last, by this gateway's listings, those of its peers, and a note in the store for one that starts when all others have ended; else it is refused at once as not run. A version whose last target has gone is refused without Retry-After, so that the caller begins anew. A gateway that stops hands over what it holds.

Why it is enough: no way to a target is left that does not ask the origin, and where the origin is not known nothing is sent.

--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -175,6 +175,11 @@
     }
 }
 
+/// Returns a software version as text for the log.
+pub fn version_label(version: Option<&SoftwareVersion>) -> &str {
+    version.map_or("unknown", |version| &version.0)
+}
+
 macro_rules! hex_id {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $width:literal, $kind:literal) => {
         $(#[$doc])*
@@ -356,7 +361,7 @@
 ///
 /// A restarted target has none of its earlier state. What is known of a target (load, capacity,
 /// cached prompts, connections) is therefore kept by run and not by name.
-#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[display("{name}@{life}")]
 pub struct TargetLife {
     /// Name of the target.
--- a/laburnumcart/src/lib.rs
+++ b/laburnumcart/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ingress;
 pub mod lanes;
 pub mod orders;
+pub mod origin;
 pub mod outlier;
 pub mod owners;
 pub mod patience;
--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -219,7 +219,9 @@
         | Reason::Quarantined
         | Reason::TargetRefused
         | Reason::Cancelled
-        | Reason::NoBundle => true,
+        | Reason::NoBundle
+        | Reason::VersionGone
+        | Reason::OriginUnknown => true,
         Reason::DeadlineTooShort
         | Reason::OverShare
         | Reason::Overloaded
--- a/laburnumcart/src/verdict.rs
+++ b/laburnumcart/src/verdict.rs
@@ -84,6 +84,10 @@
     Cancelled,
     /// No bundle is in force yet.
     NoBundle,
+    /// No target is left of the software version that began the stream.
+    VersionGone,
+    /// It is not known which software version began the stream.
+    OriginUnknown,
 }
 
 /// Final refusal or failure of a request or of one attempt.
--- a/laburnumcart_entry/src/callers/problem.rs
+++ b/laburnumcart_entry/src/callers/problem.rs
@@ -85,7 +85,9 @@
         | verdict::Reason::NoTarget
         | verdict::Reason::WrongIncarnation
         | verdict::Reason::Fenced
-        | verdict::Reason::NoBundle => StatusCode::SERVICE_UNAVAILABLE,
+        | verdict::Reason::NoBundle
+        | verdict::Reason::VersionGone
+        | verdict::Reason::OriginUnknown => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -105,6 +105,12 @@
         })
     }
 
+    /// Returns the digest that names the stream which an attempt of this caller has begun.
+    pub fn stream(&self, attempt: &str) -> id::Fingerprint {
+        let team = self.team.as_ref().map_or("", |team| team.as_str());
+        id::Fingerprint::digest(["stream", team], attempt.as_bytes())
+    }
+
     /// Returns a fingerprint of the content of the stages that a service executes.
     ///
     /// It differs from that of the request: a target of a stage that survives it does not clear it
--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -13,7 +13,6 @@
     outlier,
     placement,
     quota,
-    residency,
     unit, //
 };
 
@@ -89,23 +88,22 @@
         }
     }
 
-    /// Chooses a target that was not tried, in one of the given data centres; `None` allows all.
+    /// Chooses an eligible target that was not tried.
     pub fn choose(
         &mut self,
-        data_centres: Option<&[id::DataCentre]>,
-        tried: &[id::TargetName],
+        eligible: &view::Eligible<'_>,
         now: Instant,
     ) -> Option<Arc<view::Target>> {
         let table = balancer::Table::new(
             self.entries
                 .iter()
                 .filter(|e| e.limiter.can_send(now))
-                .filter(|e| residency::is_allowed(data_centres, &e.target.data_centre))
+                .filter(|e| eligible.allows(&e.target))
                 .map(|e| self.candidate(e, now))
                 .collect(),
         );
         let names: Vec<_> = table.targets().iter().map(|t| t.name.clone()).collect();
-        let positions = (0..names.len()).filter(|i| tried.contains(&names[*i]));
+        let positions = (0..names.len()).filter(|i| eligible.tried.contains(&names[*i]));
         let tried: Vec<_> = positions.collect();
         let in_flight = |i: usize| self.entry(&names[i]).map_or(0, |e| e.in_flight);
         let request = balancer::Request {
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod members;
 mod targets;
+mod versions;
 
 use std::{
     sync::Arc,
@@ -114,6 +115,12 @@
 ) {
     let key = format!("{}/{}", layout.members_prefix(), own.instance);
     let (direct, member) = (sources.store.clone(), own.clone());
+    let notes = versions::Notes {
+        store: direct.clone(),
+        layout: layout.clone(),
+        view: view.clone(),
+        own: own.instance.clone(),
+    };
     let store = relayed_store::RelayedStore::new(
         sources,
         own.clone(),
@@ -186,6 +193,7 @@
         evacuations,
         store.sync_target_signals(),
         store.publish_target_signals(),
+        notes.run(),
         registration
     );
 }
--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    clock,
     dialect,
     view, //
 };
@@ -259,9 +260,13 @@
         changed
     }
 
-    fn used_targets(&self) -> Vec<view::Target> {
+    fn used(&self) -> impl Iterator<Item = &view::Target> {
         let used = self.records.values().filter(|known| known.is_used());
-        used.map(|k| k.target.clone()).collect()
+        used.map(|known| &known.target)
+    }
+
+    fn used_targets(&self) -> Vec<view::Target> {
+        self.used().cloned().collect()
     }
 }
 
@@ -298,6 +303,10 @@
         }
         let grace = is_restored.then_some(now + OUTAGE_GRACE);
         changed |= state.remove_missing(&snapshot.objects, grace, now);
+        // Recorded before a target can be used.
+        let versions = state.used().map(|t| (&t.service, &t.version));
+        self.view
+            .record_versions(versions, clock::now().before(age.0));
         if changed {
             self.view.set_targets(state.used_targets());
         }
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -210,6 +210,9 @@
     /// Returns the key prefix of evacuations; the last part of a key names a data centre.
     fn evacuations_prefix(&self) -> &'static str;
 
+    /// Returns the key prefix of notes on services with several software versions.
+    fn versions_prefix(&self) -> &'static str;
+
     /// Parses the configuration.
     fn parse_table(&self, value: &str) -> Result<ingress::Table, Malformed>;
 
--- a/laburnumcart_gateway/src/engines.rs
+++ b/laburnumcart_gateway/src/engines.rs
@@ -12,8 +12,7 @@
     id,
     ingress,
     placement,
-    quota,
-    residency, //
+    quota, //
 };
 
 use crate::view;
@@ -61,21 +60,10 @@
         }
     }
 
-    /// Returns the engines with one of these names or outside the data centres where a request may
-    /// run.
-    pub fn excluded(
-        &self,
-        names: &[id::TargetName],
-        data_centres: Option<&[id::DataCentre]>,
-    ) -> Vec<placement::EngineKey> {
-        let is_excluded = |target: &view::Target| {
-            names.contains(&target.name)
-                || !residency::is_allowed(data_centres, &target.data_centre)
-        };
-        let excluded = self
-            .targets
-            .iter()
-            .filter(|(_, target)| is_excluded(target));
+    /// Returns the engines that a request must not be placed on.
+    pub fn excluded(&self, eligible: &view::Eligible<'_>) -> Vec<placement::EngineKey> {
+        let targets = self.targets.iter();
+        let excluded = targets.filter(|(_, target)| !eligible.contains(target));
         excluded.map(|(key, _)| key).collect()
     }
 
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -15,6 +15,7 @@
     event,
     id,
     ingress,
+    origin,
     retry,
     verdict, //
 };
@@ -27,7 +28,8 @@
     gateway,
     outbound,
     pipeline::Inputs,
-    pool, //
+    pool,
+    view, //
 };
 
 /// Least time left in which another attempt can still bring a response.
@@ -63,6 +65,8 @@
     request: Arc<admission::Request>,
     /// Service that was chosen for the request.
     pub service: id::ServiceName,
+    /// Origin of the stream, if it has begun.
+    origin: Option<origin::Origin>,
     tried: Vec<id::TargetName>,
     sent: u32,
     refused: u32,
@@ -77,11 +81,17 @@
 
 impl Forwarder {
     /// Chooses a service for a request and counts the request in the service's retry budget.
+    ///
+    /// A stream that has begun goes on at the service of its origin.
     pub fn new(
         gateway: &Arc<gateway::Gateway>,
         request: &Arc<admission::Request>,
+        origin: Option<origin::Origin>,
     ) -> Result<Self, verdict::Refusal> {
-        let service = request.route.choose_backend(rand::random());
+        let service = match &origin {
+            Some(origin) => Some(&origin.service),
+            None => request.route.choose_backend(rand::random()),
+        };
         let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
         let service = service.ok_or(missing)?.clone();
         gateway.budgets.record_request(&service);
@@ -90,6 +100,7 @@
             gateway: gateway.clone(),
             request: request.clone(),
             service,
+            origin,
             tried: Vec::new(),
             sent: 0,
             refused: 0,
@@ -108,8 +119,25 @@
 
     /// Reports whether a target that was not tried yet accepts requests now.
     pub fn has_untried_target(&self) -> bool {
-        let (request, service) = (&self.request, &self.service);
-        self.gateway.has_target(request, service, &self.tried)
+        self.gateway.has_target(&self.service, &self.eligible())
+    }
+
+    /// Returns the origin of the stream, if it has begun.
+    pub fn origin(&self) -> Option<&origin::Origin> {
+        self.origin.as_ref()
+    }
+
+    /// Sets the origin of the stream, whose first event is about to be passed on.
+    pub fn set_origin(&mut self, origin: origin::Origin) {
+        self.origin = Some(origin);
+    }
+
+    fn eligible(&self) -> view::Eligible<'_> {
+        view::Eligible {
+            data_centres: self.request.data_centres.as_deref(),
+            tried: &self.tried,
+            origin: self.origin.as_ref(),
+        }
     }
 
     /// Reports whether another attempt is left if the next one fails.
@@ -161,7 +189,7 @@
         };
         let assignment =
             self.gateway
-                .assign_target(&request, &self.service, locations, &self.tried);
+                .assign_target(&request, &self.service, locations, &self.eligible());
         let Some(mut assignment) = assignment else {
             self.exhausted = true;
             return Err(Failure::Refused(not_run(verdict::Reason::NoTarget)));
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -37,6 +37,7 @@
     dispatcher,
     engines,
     metrics,
+    origins,
     outbound,
     peers,
     pool,
@@ -64,6 +65,8 @@
     pub budgets: Arc<budgets::Budgets>,
     /// Batch queues that this process owns.
     pub dispatcher: Arc<dispatcher::Dispatcher>,
+    /// Origins of streams.
+    pub origins: Arc<origins::Origins>,
     /// Counts requests in flight, for the graceful shutdown.
     pub gate: stop::Gate,
     /// Metrics of the process.
@@ -110,6 +113,7 @@
             consumed,
         );
         Arc::new(Self {
+            origins: origins::Origins::new(own.clone(), view.clone(), metrics.origins.clone()),
             peers: Arc::new(peers::Peers::new(own, view.clone(), dispatcher.clone())),
             settings,
             view,
@@ -136,6 +140,7 @@
         if let Some(consumed) = consumed {
             tokio::spawn(self.clone().report_consumed(consumed));
         }
+        tokio::spawn(self.origins.clone().learn_versions());
         loop {
             tokio::select! {
                 _ = sweep.tick() => {
@@ -216,25 +221,24 @@
 
     /// Chooses a target of a service for a request.
     ///
-    /// `inputs` are the sizes of its inputs by data centre, `tried` the targets to avoid.
+    /// `inputs` are the sizes of its inputs by data centre.
     pub fn assign_target(
         self: &Arc<Self>,
         request: &admission::Request,
         service: &id::ServiceName,
         inputs: &[(id::DataCentre, unit::Size)],
-        tried: &[id::TargetName],
+        eligible: &view::Eligible<'_>,
     ) -> Option<Assignment> {
         let now = Instant::now();
         let mut engines = view::lock(&self.engines);
         let known = self.service_engines(&mut engines, &request.table, service);
         let (place, target) = match known {
             Some(engines) => {
-                let (place, target) = choose_engine(engines, request, inputs, tried, now)?;
+                let (place, target) = choose_engine(engines, request, inputs, eligible, now)?;
                 (Some(place), target)
             }
             None => {
-                let places = request.data_centres.as_deref();
-                let target = self.choose_balanced(service, places, tried, now)?;
+                let target = self.choose_balanced(service, eligible, now)?;
                 (None, target)
             }
         };
@@ -269,8 +273,7 @@
     fn choose_balanced(
         &self,
         service: &id::ServiceName,
-        places: Option<&[id::DataCentre]>,
-        tried: &[id::TargetName],
+        eligible: &view::Eligible<'_>,
         now: Instant,
     ) -> Option<Arc<view::Target>> {
         let mut balancers = view::lock(&self.balancers);
@@ -281,7 +284,7 @@
             balancer.update_targets(targets.service(service), |t| self.request_limiter(t), now);
             balancer
         });
-        balancer.choose(places, tried, now)
+        balancer.choose(eligible, now)
     }
 
     /// Returns the time that a caller has spent on earlier attempts of a request.
@@ -322,11 +325,11 @@
     engines: &mut engines::Engines,
     request: &admission::Request,
     inputs: &[(id::DataCentre, unit::Size)],
-    tried: &[id::TargetName],
+    eligible: &view::Eligible<'_>,
     now: Instant,
 ) -> Option<(placement::Assignment, Arc<view::Target>)> {
     let prompt = request.call.prompt.as_ref();
-    let avoid = engines.excluded(tried, request.data_centres.as_deref());
+    let avoid = engines.excluded(eligible);
     let ask = placement::Request {
         parts: prompt.map_or(&[], |p| &p.parts),
         tokens: prompt.map_or(0, |p| p.input + p.output),
--- a/laburnumcart_gateway/src/gateway/availability.rs
+++ b/laburnumcart_gateway/src/gateway/availability.rs
@@ -7,8 +7,8 @@
 use laburnumcart::{
     event,
     id,
+    origin,
     poison,
-    residency,
     unit,
     verdict, //
 };
@@ -17,7 +17,8 @@
     admission,
     gateway::Gateway,
     peers::trial,
-    reply, //
+    reply,
+    view, //
 };
 
 /// Longest wait for a permit to run limited content.
@@ -31,33 +32,23 @@
 
 impl Gateway {
     /// Returns whether a service has a target that can accept a request now.
-    pub fn has_target(
-        &self,
-        request: &admission::Request,
-        service: &id::ServiceName,
-        tried: &[id::TargetName],
-    ) -> bool {
+    pub fn has_target(&self, service: &id::ServiceName, eligible: &view::Eligible<'_>) -> bool {
         let now = Instant::now();
-        let places = request.data_centres.as_deref();
         let targets = self.view.targets.load();
         let mut targets = targets.service(service).iter();
-        targets.any(|target| {
-            let allowed = residency::is_allowed(places, &target.data_centre);
-            allowed && !tried.contains(&target.name) && self.request_limiter(target).can_send(now)
-        })
+        targets.any(|t| eligible.contains(t) && self.request_limiter(t).can_send(now))
     }
 
     /// Returns the time until a target of a service can accept a request, if that is known.
     fn time_to_target(
         &self,
-        request: &admission::Request,
         service: &id::ServiceName,
+        eligible: &view::Eligible<'_>,
         now: Instant,
     ) -> Option<time::Duration> {
-        let places = request.data_centres.as_deref();
         let targets = self.view.targets.load();
         let targets = targets.service(service).iter();
-        let allowed = targets.filter(|t| residency::is_allowed(places, &t.data_centre));
+        let allowed = targets.filter(|t| eligible.allows(t));
         let waits = allowed.map(|target| self.request_limiter(target).wait_time(now));
         waits.min().filter(|wait| *wait < time::Duration::MAX)
     }
@@ -71,11 +62,15 @@
         service: &id::ServiceName,
         refusal: verdict::Refusal,
     ) -> verdict::Refusal {
-        let is_open = self.has_target(request, service, &[]);
+        let eligible = view::Eligible {
+            data_centres: request.data_centres.as_deref(),
+            ..view::Eligible::default()
+        };
+        let is_open = self.has_target(service, &eligible);
         if is_open || refusal.retry.is_some() || refusal.verdict != verdict::Verdict::NotRun {
             return refusal;
         }
-        match self.time_to_target(request, service, Instant::now()) {
+        match self.time_to_target(service, &eligible, Instant::now()) {
             Some(wait) => {
                 let after = wait + reply::RETRY_AFTER.mul_f64(1.0 + rand::random::<f64>());
                 refusal.retry_after(unit::Period(after))
@@ -131,17 +126,26 @@
     /// Refuses a request that no target would accept before the deadline.
     ///
     /// Otherwise its stages would be executed in vain, and the caller would be refused later.
-    pub fn check_targets(&self, request: &admission::Request) -> Result<(), verdict::Refusal> {
+    pub fn check_targets(
+        &self,
+        request: &admission::Request,
+        origin: Option<&origin::Origin>,
+    ) -> Result<(), verdict::Refusal> {
         let remaining = request.remaining();
+        let eligible = view::Eligible {
+            data_centres: request.data_centres.as_deref(),
+            origin,
+            ..view::Eligible::default()
+        };
         let backends = request.route.backends.iter().filter(|b| b.weight > 0);
         let services: Vec<_> = backends.map(|backend| &backend.service).collect();
-        if services.iter().any(|s| self.has_target(request, s, &[])) {
+        if services.iter().any(|s| self.has_target(s, &eligible)) {
             return Ok(());
         }
         let now = Instant::now();
         let waits = services
             .iter()
-            .filter_map(|s| self.time_to_target(request, s, now));
+            .filter_map(|s| self.time_to_target(s, &eligible, now));
         if waits.min().is_some_and(|wait| wait < remaining) {
             return Ok(());
         }
--- a/laburnumcart_gateway/src/lib.rs
+++ b/laburnumcart_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gateway;
 pub mod http_server;
 pub mod metrics;
+pub mod origins;
 pub mod outbound;
 pub mod peers;
 pub mod pipeline;
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 };
 
 use laburnumcart::{
+    id,
     poison,
     verdict, //
 };
@@ -132,6 +133,49 @@
     }
 }
 
+/// Outcome of a stream that its caller has taken up.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum TakenUp {
+    /// It went on.
+    WentOn,
+    /// It was refused, as no target of its version is left.
+    VersionGone,
+    /// It was refused, as its version is not known.
+    Unknown,
+}
+
+impl metrics::ClosedSet for TakenUp {}
+
+/// Labels of a stream that its caller has taken up.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct TakenUpLabels {
+    /// What became of it.
+    pub outcome: metrics::Label<TakenUp>,
+    /// Software version that began it.
+    pub version: String,
+}
+
+/// Metrics of the origins of streams.
+#[derive(Clone, Debug, Default)]
+pub struct OriginMetrics {
+    /// Streams that callers have taken up.
+    pub taken_up: family::Family<TakenUpLabels, counter::Counter>,
+    /// Origins that are kept here.
+    pub records: gauge::Gauge<i64>,
+}
+
+impl OriginMetrics {
+    /// Counts a stream that its caller has taken up.
+    pub fn record(&self, outcome: TakenUp, version: Option<&id::SoftwareVersion>) {
+        let labels = TakenUpLabels {
+            outcome: metrics::Label(outcome),
+            version: id::version_label(version).to_owned(),
+        };
+        self.taken_up.get_or_create(&labels).inc();
+    }
+}
+
 /// Counters, gauges and histograms of a gateway; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -161,6 +205,8 @@
     pub targets: TargetMetrics,
     /// Crashes of targets.
     pub crashes: CrashMetrics,
+    /// Origins of streams.
+    pub origins: OriginMetrics,
     /// Time until all stages of a request were complete.
     pub stages: histogram::Histogram,
     /// Time until the first byte of a response.
@@ -183,6 +229,7 @@
             timer_lag: gauge::Gauge::default(),
             targets: TargetMetrics::default(),
             crashes: CrashMetrics::default(),
+            origins: OriginMetrics::default(),
             stages: histogram::Histogram::new(BUCKETS),
             first_byte: histogram::Histogram::new(BUCKETS),
         }
@@ -277,6 +324,16 @@
                 self.targets.evacuated.clone(),
             );
             self.crashes.register(r);
+            r.register(
+                "streams_taken_up",
+                "Streams that callers have taken up, by outcome and version",
+                self.origins.taken_up.clone(),
+            );
+            r.register(
+                "stream_origins",
+                "Origins of streams that are kept",
+                self.origins.records.clone(),
+            );
             r.register(
                 "stages_seconds",
                 "Time until all stages of a request were complete",
--- /dev/null
+++ b/laburnumcart_gateway/src/origins.rs
@@ -0,0 +1,361 @@
+//! Origins of streams that this process began or keeps for others.
+//!
+//! A stream goes on only at the software version that began it ([`laburnumcart::origin`]). The
+//! caller may take it up at any process, so that each process tells the homes of a stream where it
+//! began, and asks them when a caller returns.
+
+pub mod calls;
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
+};
+
+use futures_util::future;
+
+use laburnumcart::{
+    event,
+    id,
+    origin::{
+        Origin,
+        evidence,
+        history,
+        homes,
+        records, //
+    },
+    rendezvous,
+    unit,
+    verdict, //
+};
+
+use crate::{
+    admission,
+    clock,
+    metrics,
+    peers::links::Links,
+    reply,
+    view, //
+};
+
+/// Interval at which other processes are asked for the versions they have seen, until they have
+/// answered.
+const LEARN_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Number of processes that are asked for them.
+const TEACHERS: usize = 4;
+
+/// Largest number of records in one call.
+const RECORDS_PER_CALL: usize = 512;
+
+/// What a process asks others about a stream that a caller takes up.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Question {
+    /// Stream, if the caller has named it.
+    pub stream: Option<id::Fingerprint>,
+    /// Services at which it may have begun.
+    pub services: Vec<id::ServiceName>,
+}
+
+/// Answer to a [`Question`].
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Answer {
+    /// Record of the stream.
+    pub begun: Option<records::Begun>,
+    /// What the process knows of the versions of each service.
+    pub known: Vec<history::Known>,
+}
+
+/// Origins of streams, and the connections over which they are told.
+pub struct Origins {
+    own: id::InstanceName,
+    view: Arc<view::View>,
+    links: Links,
+    records: Mutex<records::Records>,
+    metrics: metrics::OriginMetrics,
+}
+
+impl Origins {
+    /// Creates the state of the process `own`, without records.
+    pub fn new(
+        own: id::InstanceName,
+        view: Arc<view::View>,
+        metrics: metrics::OriginMetrics,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            links: Links::without_heartbeats(own.clone(), view.clone()),
+            own,
+            view,
+            records: Mutex::default(),
+            metrics,
+        })
+    }
+
+    /// Records where a new stream began, and tells its homes.
+    ///
+    /// The event is not held back meanwhile: a caller needs longer to return than the call takes.
+    pub fn begin(self: &Arc<Self>, request: &admission::Request, origin: Origin) {
+        let begun = records::Begun {
+            stream: request.stream(&request.call.attempt),
+            origin,
+            age: unit::Period::default(),
+        };
+        self.keep([begun.clone()]);
+        let homes = self.homes(begun.stream, homes::HOMES);
+        if homes.is_empty() {
+            return;
+        }
+        for home in homes {
+            tokio::spawn(self.clone().tell(home, begun.clone()));
+        }
+    }
+
+    /// Keeps records that another process has told.
+    pub fn keep(&self, begun: impl IntoIterator<Item = records::Begun>) {
+        let now = clock::now();
+        let mut records = view::lock(&self.records);
+        for begun in begun {
+            records.insert(begun, now);
+        }
+        self.metrics.records.set(records.len() as i64);
+    }
+
+    /// Answers a question of another process.
+    pub fn answer(&self, question: &Question) -> Answer {
+        let now = clock::now();
+        let find = |stream| view::lock(&self.records).find(stream, now);
+        Answer {
+            begun: question.stream.and_then(find),
+            known: self.view.known_versions(&question.services, now),
+        }
+    }
+
+    /// Decides where a stream may go on that a caller takes up.
+    pub async fn resolve(&self, request: &admission::Request) -> Result<Origin, verdict::Refusal> {
+        let backends = request.route.backends.iter().filter(|b| b.weight > 0);
+        let services: Vec<_> = backends.map(|b| b.service.clone()).collect();
+        let resumes = request.call.resumes.as_deref();
+        let question = Question {
+            stream: resumes.map(|attempt| request.stream(attempt)),
+            services,
+        };
+        let own = self.answer(&question);
+        let fresh = self.view.is_listing_fresh(clock::now());
+        let mut asked = 0;
+        let mut answers = Vec::new();
+        // A caller that does not name its stream, and a list that is up to date, leave nothing to ask.
+        if own.begun.is_none() && !(fresh && question.stream.is_none()) {
+            let stream = question.stream.unwrap_or(request.fingerprint());
+            let members = self.homes(stream, homes::ASKED);
+            asked = members.len();
+            answers = self.ask(members, &question).await;
+        }
+        let told = answers.iter().find_map(|answer| answer.begun.as_ref());
+        let known: Vec<_> = answers.iter().map(|answer| answer.known.clone()).collect();
+        let evidence = evidence::Evidence {
+            begun: own.begun.as_ref().or(told),
+            named: question.stream.is_some(),
+            own: &own.known,
+            fresh,
+            peers: &known,
+            has_peers: asked > 0,
+        };
+        let decision = evidence.decide();
+        let source = match own.begun {
+            Some(_) => "own",
+            None => "peers",
+        };
+        let origin = self.check(request, &question, decision, source);
+        if origin.is_err() {
+            event!(
+                Info,
+                "origin-refused",
+                request = request.call.attempt,
+                resumes = resumes.unwrap_or("none"),
+                asked = asked,
+                answered = answers.len(),
+                fresh = fresh
+            );
+        }
+        origin
+    }
+
+    /// Turns a decision into the origin of the stream or a refusal, and logs it.
+    fn check(
+        &self,
+        request: &admission::Request,
+        question: &Question,
+        decision: evidence::Decision,
+        source: &str,
+    ) -> Result<Origin, verdict::Refusal> {
+        let (origin, age, source) = match decision {
+            evidence::Decision::Recorded(begun) => (begun.origin, begun.age, source),
+            evidence::Decision::Sole(version) => {
+                let service = request.route.choose_backend(rand::random());
+                let origin = Origin {
+                    service: service.cloned().ok_or(no_target())?,
+                    version: Some(version),
+                    target: None,
+                };
+                (origin, unit::Period::default(), "sole-version")
+            }
+            evidence::Decision::Unknown => {
+                self.metrics.record(metrics::TakenUp::Unknown, None);
+                let refusal = verdict::Refusal::not_run(verdict::Reason::OriginUnknown);
+                // Another process may be asked with more success, or this one a little later.
+                return Err(refusal.retry_after(unit::Period(reply::RETRY_AFTER)));
+            }
+        };
+        event!(
+            Info,
+            "origin",
+            request = request.call.attempt,
+            service = origin.service,
+            version = origin.version_label(),
+            source = source,
+            age_ms = age.0.as_millis()
+        );
+        let is_left = question.services.contains(&origin.service)
+            && self
+                .view
+                .can_go_on(&origin, request.data_centres.as_deref());
+        if is_left {
+            return Ok(origin);
+        }
+        let version = origin.version.as_ref();
+        if version.is_some() && !self.view.has_seen_version(&origin) {
+            // The list of targets is behind that of the process that began the stream.
+            self.metrics.record(metrics::TakenUp::Unknown, version);
+            let refusal = verdict::Refusal::not_run(verdict::Reason::OriginUnknown);
+            return Err(refusal.retry_after(unit::Period(reply::RETRY_AFTER)));
+        }
+        self.metrics.record(metrics::TakenUp::VersionGone, version);
+        Err(verdict::Refusal::not_run(verdict::Reason::VersionGone))
+    }
+
+    /// Counts a stream that went on after its caller has taken it up.
+    pub fn record_went_on(&self, origin: &Origin) {
+        let version = origin.version.as_ref();
+        self.metrics.record(metrics::TakenUp::WentOn, version);
+    }
+
+    /// Hands all records to other processes, as this one is about to stop.
+    pub async fn hand_over(&self) {
+        let records = view::lock(&self.records).all(clock::now());
+        let mut lists: Vec<(view::Member, Vec<records::Begun>)> = Vec::new();
+        for begun in records {
+            for home in self.homes(begun.stream, homes::HOMES + 1) {
+                let known = lists.iter_mut().find(|(m, _)| m.instance == home.instance);
+                match known {
+                    Some((_, list)) => list.push(begun.clone()),
+                    None => lists.push((home, vec![begun.clone()])),
+                }
+            }
+        }
+        let count: usize = lists.iter().map(|(_, list)| list.len()).sum();
+        let peers = lists.len();
+        let calls = lists
+            .into_iter()
+            .map(|(home, list)| self.tell_all(home, list));
+        future::join_all(calls).await;
+        event!(Info, "origins-handed-over", records = count, peers = peers);
+    }
+
+    async fn tell_all(&self, home: view::Member, list: Vec<records::Begun>) {
+        let Some(link) = self.links.link(&home) else {
+            return;
+        };
+        for part in list.chunks(RECORDS_PER_CALL) {
+            if !link.tell_begun(part).await {
+                return;
+            }
+        }
+    }
+
+    /// Asks other processes for the versions that they have seen, after a start and after a time
+    /// without a listing, until the process ends.
+    pub async fn learn_versions(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(LEARN_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if !self.view.needs_versions(clock::now()) {
+                continue;
+            }
+            let mut teachers = self.others();
+            rendezvous::rank(
+                &mut teachers,
+                &format!("{}", rand::random::<u64>()),
+                candidate,
+            );
+            teachers.truncate(TEACHERS);
+            let calls = teachers.into_iter().map(|t| self.ask_versions(t));
+            for summary in future::join_all(calls).await.into_iter().flatten() {
+                self.view.merge_versions(&summary, clock::now());
+            }
+        }
+    }
+
+    /// Returns the software versions that this process has seen lately.
+    pub fn versions_seen(&self) -> history::Summary {
+        self.view.versions_seen(clock::now())
+    }
+
+    async fn ask_versions(&self, teacher: view::Member) -> Option<history::Summary> {
+        self.links.link(&teacher)?.seen_versions().await
+    }
+
+    async fn tell(self: Arc<Self>, home: view::Member, begun: records::Begun) {
+        let Some(link) = self.links.link(&home) else {
+            return;
+        };
+        if !link.tell_begun(std::slice::from_ref(&begun)).await {
+            event!(
+                Warn,
+                "origin-untold",
+                stream = begun.stream,
+                peer = home.instance
+            );
+        }
+    }
+
+    async fn ask(&self, asked: Vec<view::Member>, question: &Question) -> Vec<Answer> {
+        let calls = asked
+            .into_iter()
+            .map(|member| self.ask_one(member, question));
+        let answers = future::join_all(calls).await;
+        answers.into_iter().flatten().collect()
+    }
+
+    async fn ask_one(&self, member: view::Member, question: &Question) -> Option<Answer> {
+        self.links.link(&member)?.ask_origin(question).await
+    }
+
+    /// Returns the first `count` homes of a stream, without this process.
+    fn homes(&self, stream: id::Fingerprint, count: usize) -> Vec<view::Member> {
+        let mut members = self.view.members.load().as_ref().clone();
+        homes::rank(&mut members, stream, candidate, |m| &m.data_centre);
+        members.truncate(count);
+        members.retain(|member| member.instance != self.own);
+        members
+    }
+
+    fn others(&self) -> Vec<view::Member> {
+        let members = self.view.members.load();
+        let others = members.iter().filter(|m| m.instance != self.own);
+        others.cloned().collect()
+    }
+}
+
+fn no_target() -> verdict::Refusal {
+    verdict::Refusal::not_run(verdict::Reason::NoTarget)
+}
+
+fn candidate(member: &view::Member) -> rendezvous::Candidate<'_> {
+    rendezvous::Candidate {
+        name: &member.instance,
+        cores: member.cores,
+    }
+}
--- /dev/null
+++ b/laburnumcart_gateway/src/origins/calls.rs
@@ -0,0 +1,57 @@
+//! Calls between processes about the origins of streams.
+
+use std::sync::Arc;
+
+use jsonrpsee::{
+    core::{
+        RpcResult,
+        async_trait, //
+    },
+    proc_macros::rpc, //
+};
+
+use laburnumcart::origin::{
+    history,
+    records, //
+};
+
+use crate::origins::{
+    Answer,
+    Origins,
+    Question, //
+};
+
+/// Calls about the origins of streams.
+#[rpc(server, client)]
+pub trait OriginCalls {
+    /// Keeps the origins of streams that have begun.
+    #[method(name = "streams-begun")]
+    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()>;
+
+    /// Returns what is known of the origin of a stream.
+    #[method(name = "stream-origin")]
+    async fn stream_origin(&self, question: Question) -> RpcResult<Answer>;
+
+    /// Returns the software versions of targets that were listed lately.
+    #[method(name = "versions-seen")]
+    async fn versions_seen(&self) -> RpcResult<history::Summary>;
+}
+
+/// Serves calls about origins.
+pub struct OriginService(pub Arc<Origins>);
+
+#[async_trait]
+impl OriginCallsServer for OriginService {
+    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()> {
+        self.0.keep(begun);
+        Ok(())
+    }
+
+    async fn stream_origin(&self, question: Question) -> RpcResult<Answer> {
+        Ok(self.0.answer(&question))
+    }
+
+    async fn versions_seen(&self) -> RpcResult<history::Summary> {
+        Ok(self.0.versions_seen())
+    }
+}
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -1,5 +1,7 @@
 //! Connection to one peer, with heartbeats and failure detection.
 
+mod origin_calls;
+
 use std::{
     sync::{
         Arc,
--- a/laburnumcart_gateway/src/reply.rs
+++ b/laburnumcart_gateway/src/reply.rs
@@ -61,7 +61,9 @@
     let headers = response.headers_mut();
     let text = HeaderValue::from_static("text/plain; charset=utf-8");
     headers.insert(header::CONTENT_TYPE, text);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    // Another try would be refused as well; the caller can only begin anew.
+    let is_final = refusal.reason == verdict::Reason::VersionGone;
+    if status == StatusCode::SERVICE_UNAVAILABLE && !is_final {
         let after = refusal.retry.map_or(RETRY_AFTER, |period| period.0);
         let text = format!("{:.3}", after.as_secs_f64());
         let value = HeaderValue::try_from(text).expect("digits are a valid value");
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -226,10 +226,14 @@
     work: laburnumcart_daemon::stop::Work,
 ) -> Result<Response<reply::Body>, verdict::Refusal> {
     gateway.check_content(&request)?;
+    let origin = match request.route.stream && request.call.last_event.is_some() {
+        true => Some(gateway.origins.resolve(&request).await?),
+        false => None,
+    };
     let inputs = match request.route.stages.is_empty() {
         true => None,
         false => {
-            gateway.check_targets(&request)?;
+            gateway.check_targets(&request, origin.as_ref())?;
             Some(pipeline::run_stages(gateway, &request).await?)
         }
     };
@@ -240,7 +244,7 @@
             .observe(request.elapsed().as_secs_f64());
     }
     match request.route.stream {
-        true => stream::serve(gateway, request, inputs, work).await,
+        true => stream::serve(gateway, request, origin, inputs, work).await,
         false => serve_buffered(gateway, request, inputs).await,
     }
 }
@@ -251,7 +255,7 @@
     request: Arc<admission::Request>,
     mut inputs: Option<pipeline::Inputs>,
 ) -> Result<Response<reply::Body>, verdict::Refusal> {
-    let mut forwarder = Forwarder::new(gateway, &request)?;
+    let mut forwarder = Forwarder::new(gateway, &request, None)?;
     let mut fallback = None;
     loop {
         if inputs.is_none() && !request.route.stages.is_empty() {
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -38,6 +38,10 @@
     gateway,
     http_server,
     metrics,
+    origins::calls::{
+        OriginCallsServer,
+        OriginService, //
+    },
     peers::{
         self,
         PeerServer, //
@@ -179,7 +183,8 @@
     let end = start + gateway.settings.bounds.grace.0.saturating_sub(EXIT_RESERVE);
     view.start_leaving(end - REFUSAL_PERIOD);
     gateway.dispatcher.hand_over_all();
-    tokio::time::sleep_until(end.min(start + BALANCER_DELAY)).await;
+    let noticed = tokio::time::sleep_until(end.min(start + BALANCER_DELAY));
+    tokio::join!(gateway.origins.hand_over(), noticed);
     // It fails only without receivers, when there are no connections.
     let _ = closing.send(true);
     let gate = running.gate();
@@ -220,6 +225,8 @@
     let mut methods = served.into_rpc().remove_context();
     let relay = cache::RelayService(cache.clone()).into_rpc();
     methods.merge(relay).map_err(io::Error::other)?;
+    let origins = OriginService(gateway.origins.clone()).into_rpc();
+    methods.merge(origins).map_err(io::Error::other)?;
     peer::Server::new(&[secret]).serve(listener, methods)
 }
 
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use laburnumcart::{
     event,
     ingress,
+    origin,
     retry,
     verdict, //
 };
@@ -41,7 +42,8 @@
     gateway,
     pipeline,
     reply,
-    request, //
+    request,
+    view, //
 };
 
 use self::target_stream::{
@@ -99,16 +101,17 @@
     }
 }
 
-/// Serves a request with an event stream.
+/// Serves a request with an event stream; `origin` is that of a stream that its caller takes up.
 pub async fn serve(
     gateway: &Arc<gateway::Gateway>,
     request: Arc<admission::Request>,
+    origin: Option<origin::Origin>,
     inputs: Option<pipeline::Inputs>,
     work: stop::Work,
 ) -> Result<Response<reply::Body>, verdict::Refusal> {
     let mut run = StreamRun {
         gateway: gateway.clone(),
-        forwarder: Forwarder::new(gateway, &request)?,
+        forwarder: Forwarder::new(gateway, &request, origin)?,
         last_event: request.call.last_event,
         request,
         inputs,
@@ -216,6 +219,7 @@
         match target_stream.next_chunk(limit, self.last_event).await {
             Chunk::Events(bytes, last) => {
                 target_stream.begin();
+                self.fix_origin(target_stream.target());
                 self.buffered = Some(bytes);
                 self.last_event = last;
                 self.current = Some(target_stream);
@@ -234,6 +238,21 @@
         }
     }
 
+    /// Fixes the origin of a new stream by the target of its first event.
+    fn fix_origin(&mut self, target: &view::Target) {
+        if let Some(origin) = self.forwarder.origin() {
+            if self.request.call.last_event == self.last_event {
+                self.gateway.origins.record_went_on(origin);
+            }
+            return;
+        }
+        let origin = target.origin();
+        if self.request.route.retry == ingress::RetryPolicy::Resume {
+            self.gateway.origins.begin(&self.request, origin.clone());
+        }
+        self.forwarder.set_origin(origin);
+    }
+
     /// Returns the next events, or `None` at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, reply::Truncated> {
         loop {
@@ -285,6 +304,10 @@
                         Info,
                         "resumed",
                         request = self.request.call.attempt,
+                        version = self
+                            .forwarder
+                            .origin()
+                            .map_or("unknown", |o| o.version_label()),
                         after = self.last_event.unwrap_or(0)
                     );
                     return Ok(());
--- a/laburnumcart_gateway/src/stream/target_stream.rs
+++ b/laburnumcart_gateway/src/stream/target_stream.rs
@@ -12,7 +12,8 @@
     crashes,
     forward,
     gateway,
-    pool, //
+    pool,
+    view, //
 };
 
 /// Next part of a target's stream.
@@ -50,6 +51,11 @@
         }
     }
 
+    /// Returns the target.
+    pub(super) fn target(&self) -> &view::Target {
+        &self.assignment.target
+    }
+
     /// Waits up to `limit` for complete events after number `last`.
     pub(super) async fn next_chunk(&mut self, limit: time::Duration, last: Option<u64>) -> Chunk {
         let events = self.read_chunk(last);
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -1,7 +1,7 @@
 //! Control state shared with the traffic thread: targets, members, configuration, shutdown.
 
 use std::{
-    collections, fmt, net,
+    collections, net,
     sync::{
         self,
         Arc,
@@ -30,11 +30,37 @@
     fleet_budget,
     freshness,
     id,
-    ingress, //
+    ingress,
+    origin,
+    residency, //
 };
 
 use crate::clock;
 
+/// Targets among which one is chosen for a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Eligible<'a> {
+    /// Data centres in which the request may run; `None` allows all.
+    pub data_centres: Option<&'a [id::DataCentre]>,
+    /// Targets that have failed the request.
+    pub tried: &'a [id::TargetName],
+    /// Origin of the stream, if it has begun.
+    pub origin: Option<&'a origin::Origin>,
+}
+
+impl Eligible<'_> {
+    /// Returns whether a target may run the request, whether or not it was tried.
+    pub fn allows(&self, target: &Target) -> bool {
+        residency::is_allowed(self.data_centres, &target.data_centre)
+            && self.origin.is_none_or(|o| o.allows(&target.origin()))
+    }
+
+    /// Returns whether a target may run the request and was not tried.
+    pub fn contains(&self, target: &Target) -> bool {
+        self.allows(target) && !self.tried.contains(&target.name)
+    }
+}
+
 /// A target as listed in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -58,10 +84,16 @@
 
 impl Target {
     /// Returns the version as text for the log.
-    pub fn version_label(&self) -> &dyn fmt::Display {
-        match &self.version {
-            Some(version) => version,
-            None => &"unknown",
+    pub fn version_label(&self) -> &str {
+        id::version_label(self.version.as_ref())
+    }
+
+    /// Returns the origin of a stream that begins at this target.
+    pub fn origin(&self) -> origin::Origin {
+        origin::Origin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            target: Some(self.key()),
         }
     }
 
@@ -206,6 +238,8 @@
     budget_share: Mutex<fleet_budget::Share>,
     /// Freshness of the configuration.
     pub freshness: freshness::Freshness,
+    /// Software versions of targets that were listed lately.
+    versions: Mutex<origin::history::History>,
     /// Counts published changes.
     changes: watch::Sender<u64>,
     exiting: watch::Sender<bool>,
@@ -222,6 +256,7 @@
             members: ArcSwap::default(),
             budget_share: Mutex::default(),
             freshness: freshness::Freshness::default(),
+            versions: Mutex::default(),
             changes: watch::Sender::new(0),
             exiting: watch::Sender::new(false),
             leaving: OnceLock::new(),
@@ -296,6 +331,74 @@
         self.notify_changed();
     }
 
+    /// Records the software versions of all targets of a listing as of `at`.
+    pub fn record_versions<'a>(
+        &self,
+        listed: impl Iterator<Item = (&'a id::ServiceName, &'a Option<id::SoftwareVersion>)>,
+        at: freshness::BootTime,
+    ) {
+        lock(&self.versions).record_listing(listed, at);
+    }
+
+    /// Adds the software versions that another process has seen.
+    pub fn merge_versions(&self, summary: &origin::history::Summary, now: freshness::BootTime) {
+        lock(&self.versions).merge(summary, now);
+    }
+
+    /// Returns the software versions that were seen lately.
+    pub fn versions_seen(&self, now: freshness::BootTime) -> origin::history::Summary {
+        lock(&self.versions).summary(now)
+    }
+
+    /// Returns the software versions of each service that has had several lately.
+    pub fn several_versions(
+        &self,
+        now: freshness::BootTime,
+    ) -> collections::HashMap<id::ServiceName, Vec<id::SoftwareVersion>> {
+        lock(&self.versions).several(now)
+    }
+
+    /// Returns whether other processes are to be asked for the versions that they have seen.
+    pub fn needs_versions(&self, now: freshness::BootTime) -> bool {
+        lock(&self.versions).needs_peers(now)
+    }
+
+    /// Returns what is known of the versions of services.
+    pub fn known_versions(
+        &self,
+        services: &[id::ServiceName],
+        now: freshness::BootTime,
+    ) -> Vec<origin::history::Known> {
+        let versions = lock(&self.versions);
+        services.iter().map(|s| versions.known(s, now)).collect()
+    }
+
+    /// Returns whether the list of targets was read lately.
+    pub fn is_listing_fresh(&self, now: freshness::BootTime) -> bool {
+        lock(&self.versions).is_fresh(now)
+    }
+
+    /// Returns whether the version that began a stream was listed lately.
+    pub fn has_seen_version(&self, origin: &origin::Origin) -> bool {
+        lock(&self.versions).has_seen(&origin.service, &origin.version)
+    }
+
+    /// Returns whether a target can go on with a stream, in one of the data centres.
+    pub fn can_go_on(
+        &self,
+        origin: &origin::Origin,
+        data_centres: Option<&[id::DataCentre]>,
+    ) -> bool {
+        let eligible = Eligible {
+            data_centres,
+            origin: Some(origin),
+            ..Eligible::default()
+        };
+        let targets = self.targets.load();
+        let mut targets = targets.service(&origin.service).iter();
+        targets.any(|target| eligible.allows(target))
+    }
+
     /// Publishes the members.
     pub fn set_members(&self, members: Vec<Member>) {
         self.members.store(Arc::new(members));
--- a/laburnumcart_gateway/tests/balancer.rs
+++ b/laburnumcart_gateway/tests/balancer.rs
@@ -52,7 +52,7 @@
     balancer.record_load(&first.key(), full, Some(6), start);
     let mut chosen = 0;
     for _ in 0..40 {
-        let target = balancer.choose(None, &[], start).unwrap();
+        let target = balancer.choose(&view::Eligible::default(), start).unwrap();
         chosen += usize::from(target.name == second.name);
         balancer.record_end(&target.key(), None, start);
     }
--- a/laburnumcart_gateway/tests/config_model/fleet.rs
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -72,6 +72,10 @@
         "evacuations"
     }
 
+    fn versions_prefix(&self) -> &'static str {
+        "versions"
+    }
+
     fn parse_table(&self, value: &str) -> Result<ingress::Table, dialect::Malformed> {
         let text = value.trim_matches('"').trim_end_matches('x');
         let version = text.parse().map_err(|_| dialect::Malformed("version"))?;
