Origins: a gap of listings ends once others have answered; an older peer is asked once

A process whose own listings cover the time still counted its start as a gap and asked others for ever; seen by a unit test. A peer of an older version refuses calls about origins, and was asked again with a log line each time.

Unit tests of origins, records, history, evidence and homes; the test of gaps failed before.

--- a/laburnumcart/src/origin/history.rs
+++ b/laburnumcart/src/origin/history.rs
@@ -96,10 +96,8 @@
         listed: impl IntoIterator<Item = (&'a id::ServiceName, &'a Version)>,
         at: freshness::BootTime,
     ) {
-        self.has_gap |= match self.last_read {
-            Some(last) => at.since(last) > GAP_MAX,
-            None => self.start.is_none(),
-        };
+        let is_late = |last: freshness::BootTime| at.since(last) > GAP_MAX;
+        self.has_gap |= self.last_read.is_some_and(is_late);
         self.start = self.start.or(Some(Start::At(at)));
         self.last_read = self.last_read.max(Some(at));
         for (service, version) in listed {
@@ -116,7 +114,7 @@
             Coverage::Complete => Start::Always,
         };
         self.start = Some(self.start.map_or(start, |own| own.min(start)));
-        self.has_gap = !self.covers(now);
+        self.has_gap = false;
         for seen in &summary.seen {
             let at = now.before(time::Duration::from_millis(seen.age_ms));
             self.record(&seen.service, &seen.version, at);
--- a/laburnumcart_gateway/src/peers/link.rs
+++ b/laburnumcart_gateway/src/peers/link.rs
@@ -93,6 +93,8 @@
     state: Arc<Mutex<State>>,
     connection: tokio::sync::Mutex<Option<OpenConnection>>,
     leaving: atomic::AtomicBool,
+    /// Whether the peer runs a version of this program without calls about origins of streams.
+    lacks_origins: atomic::AtomicBool,
 }
 
 impl Link {
@@ -103,6 +105,7 @@
             state: Arc::default(),
             connection: tokio::sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
+            lacks_origins: atomic::AtomicBool::new(false),
         }
     }
 
--- a/laburnumcart_gateway/src/peers/link/origin_calls.rs
+++ b/laburnumcart_gateway/src/peers/link/origin_calls.rs
@@ -1,8 +1,11 @@
 //! Calls about the origins of streams, over a connection that may have gone silent.
 
 use std::{
-    sync::Arc,
-    time, //
+    sync::{
+        Arc,
+        atomic, //
+    },
+    time,
 };
 
 use jsonrpsee::core::client;
@@ -71,19 +74,22 @@
     where
         F: Future<Output = Result<T, client::Error>>,
     {
+        if self.lacks_origins.load(atomic::Ordering::Relaxed) {
+            return None;
+        }
         for _ in 0..TRIES {
             let open = tokio::time::timeout(limit, self.connection());
             let open = open.await.ok().flatten()?;
             match tokio::time::timeout(limit, call(open.client)).await {
                 Ok(Ok(answer)) => return Some(answer),
-                // An older version of this program does not know the call.
                 Ok(Err(client::Error::Call(error))) => {
                     event!(
                         Info,
-                        "peer-call-refused",
+                        "peer-lacks-origins",
                         peer = self.member.instance,
                         error = error
                     );
+                    self.lacks_origins.store(true, atomic::Ordering::Relaxed);
                     return None;
                 }
                 Ok(Err(error)) => self.record_error(&error),
