Model of streams that are taken up while versions change and gateways fail

Orders of rollouts, rollbacks, a third version, targets that drain and crash, gateways that stop, are killed (also all at once), freeze, are cut off or refused by the store, members that join, and an outage of the store, drawn by seed, with 3 to 100 gateways that use the library's origins. No stream may go on at another version, and nine in ten go on that are taken up at a gateway without a fault while two targets of their version serve.

--- /dev/null
+++ b/laburnumcart/tests/origin_model/main.rs
@@ -0,0 +1,46 @@
+//! Seeded model of streams that callers take up while versions change and gateways fail.
+
+mod model;
+
+use std::env;
+
+use model::{
+    Choice,
+    Model,
+    Outcome, //
+};
+use rstest::rstest;
+
+/// Gateways of a fleet times orders that are played, unless `MODEL_ORDERS` says how many orders.
+const ORDERS: usize = 240;
+
+/// Least share of the streams that go on, of those taken up at a gateway without any fault while
+/// two targets of their version serve.
+const LEAST: f64 = 0.9;
+
+fn play(gateways: usize, choice: Choice) -> Outcome {
+    let orders = env::var("MODEL_ORDERS").ok().and_then(|n| n.parse().ok());
+    let orders = orders.unwrap_or(ORDERS / gateways);
+    let mut all = Outcome::default();
+    for seed in 0..orders as u64 {
+        all.add(&Model::new(seed, gateways, choice).play());
+    }
+    println!("{gateways} gateways, {orders} orders: {all:?}");
+    all
+}
+
+// A stream is taken up at a gateway that has never seen it, while versions come and go.
+#[rstest]
+fn no_stream_goes_on_at_another_version_and_most_go_on(#[values(3, 5, 30, 100)] gateways: usize) {
+    let outcome = play(gateways, Choice::ByOrigin);
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    assert!(outcome.able > 1000, "{outcome:?}");
+    let share = outcome.went_on as f64 / outcome.able as f64;
+    assert!(share >= LEAST, "{share:.3} of {outcome:?}");
+}
+
+// The check finds mixed streams where any target of the service goes on.
+#[test]
+fn the_check_finds_mixed_streams() {
+    assert!(play(5, Choice::AnyTarget).mixed > 100);
+}
--- /dev/null
+++ b/laburnumcart/tests/origin_model/model.rs
@@ -0,0 +1,567 @@
+//! Gateways, a store and targets in steps of simulated time.
+
+use std::{
+    collections,
+    time, //
+};
+
+use laburnumcart::{
+    freshness::BootTime,
+    id,
+    origin::{
+        Origin,
+        evidence::{
+            Decision,
+            Evidence, //
+        },
+        history::{
+            Coverage,
+            History,
+            Seen,
+            Summary, //
+        },
+        homes,
+        records::{
+            Begun,
+            Records, //
+        },
+    },
+    rendezvous,
+    unit, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+/// Step of the simulation in milliseconds.
+const STEP: u64 = 50;
+
+/// Duration of an order in milliseconds.
+const DURATION: u64 = 60_000;
+
+/// Time without faults after which a gateway and its peers know what they should.
+const SETTLED: u64 = 3000;
+
+/// Time from one listing of a gateway to the next.
+const LISTING_INTERVAL: u64 = 400;
+
+/// Which targets a stream that was taken up may go on at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Choice {
+    ByOrigin,
+    AnyTarget,
+}
+
+/// What became of the streams that were taken up.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) taken_up: usize,
+    pub(crate) mixed: usize,
+    /// Streams taken up where nothing prevents that they go on.
+    pub(crate) able: usize,
+    /// Those of them that went on.
+    pub(crate) went_on: usize,
+}
+
+impl Outcome {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.taken_up += other.taken_up;
+        self.mixed += other.mixed;
+        self.able += other.able;
+        self.went_on += other.went_on;
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Target {
+    name: String,
+    version: usize,
+    /// When it was started.
+    since: u64,
+    /// Whether it accepts no new work.
+    leaving: Option<u64>,
+}
+
+struct Gateway {
+    name: id::InstanceName,
+    data_centre: id::DataCentre,
+    history: History,
+    records: Records,
+    listed: Vec<Target>,
+    read_at: u64,
+    /// Whether it has read the notes of earlier processes.
+    has_notes: bool,
+    /// End of the time in which it does not run.
+    down_until: u64,
+    /// End of the time in which it reaches neither the store nor any peer.
+    cut_until: u64,
+    /// End of the time in which the store refuses it.
+    refused_until: u64,
+    /// When the last of these ended, or it was started.
+    calm_since: u64,
+}
+
+struct Stream {
+    id: id::Fingerprint,
+    version: usize,
+    returns: u64,
+}
+
+/// One order of events.
+pub(crate) struct Model {
+    rng: StdRng,
+    choice: Choice,
+    now: u64,
+    gateways: Vec<Gateway>,
+    /// Number of members from the first on; the others join later.
+    joined: usize,
+    targets: Vec<Target>,
+    started: usize,
+    newest: usize,
+    notes: Option<Vec<usize>>,
+    note_due: Option<u64>,
+    store_until: u64,
+    streams: Vec<Stream>,
+    outcome: Outcome,
+}
+
+fn boot(millis: u64) -> BootTime {
+    BootTime(time::Duration::from_millis(millis))
+}
+
+fn version(number: usize) -> id::SoftwareVersion {
+    format!("v{number}").parse().unwrap()
+}
+
+fn service() -> id::ServiceName {
+    "desk".parse().unwrap()
+}
+
+/// A gateway as others know it.
+struct Member {
+    index: usize,
+    name: id::InstanceName,
+    data_centre: id::DataCentre,
+}
+
+fn candidate(member: &Member) -> rendezvous::Candidate<'_> {
+    rendezvous::Candidate {
+        name: &member.name,
+        cores: 1.0,
+    }
+}
+
+impl Target {
+    fn is_used(&self) -> bool {
+        self.leaving.is_none()
+    }
+
+    fn origin(&self) -> Origin {
+        Origin {
+            service: service(),
+            version: Some(version(self.version)),
+            target: Some(id::TargetLife {
+                name: self.name.parse().unwrap(),
+                life: id::Life(1),
+            }),
+        }
+    }
+}
+
+impl Gateway {
+    fn new(number: usize) -> Self {
+        Self {
+            name: format!("gateway-{number}").parse().unwrap(),
+            data_centre: format!("dc-{}", number % 3).parse().unwrap(),
+            history: History::default(),
+            records: Records::default(),
+            listed: Vec::new(),
+            read_at: 0,
+            has_notes: false,
+            down_until: 0,
+            cut_until: 0,
+            refused_until: 0,
+            calm_since: 0,
+        }
+    }
+
+    fn restart(&mut self) {
+        self.history = History::default();
+        self.records = Records::default();
+        self.listed = Vec::new();
+        self.read_at = 0;
+        self.has_notes = false;
+    }
+
+    fn runs(&self, now: u64) -> bool {
+        self.down_until <= now
+    }
+
+    fn reaches_peers(&self, now: u64) -> bool {
+        self.runs(now) && self.cut_until <= now
+    }
+
+    fn is_calm(&self, now: u64) -> bool {
+        let ends = [self.down_until, self.cut_until, self.refused_until];
+        let last = ends.into_iter().max().unwrap_or(0).max(self.calm_since);
+        last + SETTLED <= now
+    }
+}
+
+impl Model {
+    pub(crate) fn new(seed: u64, gateways: usize, choice: Choice) -> Self {
+        let mut model = Self {
+            rng: StdRng::seed_from_u64(seed),
+            choice,
+            now: 100_000,
+            // Two more join during the order.
+            gateways: (0..gateways + 2).map(Gateway::new).collect(),
+            joined: gateways,
+            targets: Vec::new(),
+            started: 0,
+            newest: 1,
+            notes: None,
+            note_due: None,
+            store_until: 0,
+            streams: Vec::new(),
+            outcome: Outcome::default(),
+        };
+        for _ in 0..6 {
+            model.start_target(1);
+        }
+        model
+    }
+
+    pub(crate) fn play(mut self) -> Outcome {
+        let end = self.now + DURATION;
+        while self.now < end {
+            self.change_targets();
+            self.draw_faults();
+            self.read_listings();
+            self.write_note();
+            self.ask_versions();
+            self.begin_streams();
+            self.take_up_streams();
+            self.now += STEP;
+        }
+        self.outcome
+    }
+
+    /// Returns whether something that happens once in `secs` seconds happens in this step.
+    fn happens(&mut self, secs: u64) -> bool {
+        self.rng.random_range(0..secs * 1000 / STEP) == 0
+    }
+
+    fn start_target(&mut self, number: usize) {
+        self.started += 1;
+        self.targets.push(Target {
+            name: format!("i-{}", self.started),
+            version: number,
+            since: self.now,
+            leaving: None,
+        });
+    }
+
+    /// Rolls a version out, rolls back, or starts a third one; targets drain and crash.
+    fn change_targets(&mut self) {
+        if self.happens(8) {
+            self.newest = match self.rng.random_range(0..3) {
+                0 => self.newest.saturating_sub(1).max(1),
+                _ => self.newest + 1,
+            };
+        }
+        let (newest, now) = (self.newest, self.now);
+        if self.happens(1) {
+            let used = self.targets.iter().filter(|t| t.is_used()).count();
+            let old = self
+                .targets
+                .iter_mut()
+                .find(|t| t.is_used() && t.version != newest);
+            let is_rollout = old.is_some();
+            if let Some(old) = old.filter(|_| used >= 6) {
+                old.leaving = Some(now);
+            }
+            if is_rollout || used < 6 {
+                self.start_target(newest);
+            }
+        }
+        if self.happens(10) && self.targets.len() > 3 {
+            let lost = self.rng.random_range(0..self.targets.len());
+            self.targets.remove(lost);
+        }
+        self.targets
+            .retain(|t| t.leaving.is_none_or(|since| now < since + 3000));
+    }
+
+    fn draw_faults(&mut self) {
+        let length = self.rng.random_range(500..6000);
+        let until = self.now + length;
+        if self.happens(20) {
+            self.store_until = until;
+        }
+        if self.happens(30) && self.joined < self.gateways.len() {
+            let joining = &mut self.gateways[self.joined];
+            joining.calm_since = self.now;
+            self.joined += 1;
+        }
+        // Now and then all are killed at once.
+        if self.happens(60) {
+            for i in 0..self.joined {
+                self.gateways[i].restart();
+                self.gateways[i].down_until = self.now + 1000;
+            }
+        }
+        let events = (self.joined / 20).max(1);
+        for _ in 0..events {
+            if !self.happens(4) {
+                continue;
+            }
+            let i = self.rng.random_range(0..self.joined);
+            let kind = self.rng.random_range(0..5);
+            match kind {
+                0 => self.stop(i),
+                1 => {
+                    self.gateways[i].restart();
+                    self.gateways[i].down_until = self.now + 1000;
+                }
+                // A frozen process keeps its state.
+                2 => self.gateways[i].down_until = until,
+                3 => self.gateways[i].cut_until = until,
+                _ => self.gateways[i].refused_until = until,
+            }
+        }
+    }
+
+    /// Stops a gateway, which hands its records over, and starts it again.
+    fn stop(&mut self, i: usize) {
+        let now = boot(self.now);
+        if self.gateways[i].reaches_peers(self.now) {
+            for begun in self.gateways[i].records.all(now) {
+                for home in self.ranked(begun.stream, homes::HOMES + 1) {
+                    if home != i && self.gateways[home].reaches_peers(self.now) {
+                        self.gateways[home].records.insert(begun.clone(), now);
+                    }
+                }
+            }
+        }
+        self.gateways[i].restart();
+        self.gateways[i].down_until = self.now + 1000;
+    }
+
+    fn ranked(&self, stream: id::Fingerprint, count: usize) -> Vec<usize> {
+        let gateways = self.gateways[..self.joined].iter().enumerate();
+        let mut members: Vec<_> = gateways
+            .map(|(index, g)| Member {
+                index,
+                name: g.name.clone(),
+                data_centre: g.data_centre.clone(),
+            })
+            .collect();
+        homes::rank(&mut members, stream, candidate, |m| &m.data_centre);
+        members.iter().take(count).map(|m| m.index).collect()
+    }
+
+    /// Lets each gateway read the list of targets from the store, or from a peer that has it.
+    fn read_listings(&mut self) {
+        let now = self.now;
+        let store_up = self.store_until <= now;
+        let direct: Vec<_> = self.gateways[..self.joined]
+            .iter()
+            .map(|g| store_up && g.reaches_peers(now) && g.refused_until <= now)
+            .collect();
+        let any = direct.contains(&true);
+        for (i, gateway) in self.gateways[..self.joined].iter_mut().enumerate() {
+            let can_read = direct[i] || any && gateway.reaches_peers(now);
+            let is_due = gateway.read_at + LISTING_INTERVAL <= now;
+            if !can_read || !is_due {
+                continue;
+            }
+            gateway.read_at = now;
+            gateway.listed = self.targets.clone();
+            let listed: Vec<_> = self
+                .targets
+                .iter()
+                .map(|t| (service(), Some(version(t.version))))
+                .collect();
+            let listed = listed.iter().map(|(service, version)| (service, version));
+            gateway.history.record_listing(listed, boot(now));
+            if direct[i] && !gateway.has_notes {
+                gateway.has_notes = true;
+                let numbers = self.notes.iter().flatten();
+                let seen = numbers.map(|number| Seen {
+                    service: service(),
+                    version: Some(version(*number)),
+                    age_ms: 0,
+                });
+                let summary = Summary {
+                    coverage: Coverage::Complete,
+                    seen: seen.collect(),
+                };
+                gateway.history.merge(&summary, boot(now));
+            }
+        }
+    }
+
+    /// Lets a gateway that has seen several versions write the note, 0.3 s later.
+    fn write_note(&mut self) {
+        let now = self.now;
+        let mut running = self.gateways[..self.joined].iter();
+        let several = running.any(|g| {
+            g.reaches_peers(now)
+                && g.refused_until <= now
+                && !g.history.several(boot(now)).is_empty()
+        });
+        if !several || self.notes.is_some() {
+            self.note_due = None;
+            return;
+        }
+        let due = *self.note_due.get_or_insert(now + 300);
+        if due <= now && self.store_until <= now {
+            let versions: collections::BTreeSet<_> =
+                self.targets.iter().map(|t| t.version).collect();
+            self.notes = Some(versions.into_iter().collect());
+        }
+    }
+
+    /// Lets gateways that need it ask others what they have seen.
+    fn ask_versions(&mut self) {
+        let now = self.now;
+        for i in 0..self.joined {
+            let asks = self.gateways[i].reaches_peers(now)
+                && self.gateways[i].history.needs_peers(boot(now));
+            if !asks {
+                continue;
+            }
+            for peer in 0..self.joined.min(5) {
+                if peer == i || !self.gateways[peer].reaches_peers(now) {
+                    continue;
+                }
+                let summary = self.gateways[peer].history.summary(boot(now));
+                self.gateways[i].history.merge(&summary, boot(now));
+            }
+        }
+    }
+
+    fn begin_streams(&mut self) {
+        for _ in 0..2 {
+            let i = self.rng.random_range(0..self.joined);
+            if !self.gateways[i].runs(self.now) {
+                continue;
+            }
+            let live = self.live_targets(i, None);
+            if live.is_empty() {
+                continue;
+            }
+            let target = live[self.rng.random_range(0..live.len())].clone();
+            let begun = Begun {
+                stream: id::Fingerprint(self.rng.random()),
+                origin: target.origin(),
+                age: unit::Period::default(),
+            };
+            let now = boot(self.now);
+            self.gateways[i].records.insert(begun.clone(), now);
+            for home in self.ranked(begun.stream, homes::HOMES) {
+                let reached = self.gateways[i].reaches_peers(self.now)
+                    && self.gateways[home].reaches_peers(self.now);
+                if reached {
+                    self.gateways[home].records.insert(begun.clone(), now);
+                }
+            }
+            let wait = self.rng.random_range(STEP..4000);
+            self.streams.push(Stream {
+                id: begun.stream,
+                version: target.version,
+                returns: self.now + wait,
+            });
+        }
+    }
+
+    /// Returns the listed targets that live, and that may go on with a stream.
+    fn live_targets(&self, i: usize, origin: Option<&Origin>) -> Vec<Target> {
+        let listed = self.gateways[i].listed.iter();
+        let allowed = listed.filter(|t| origin.is_none_or(|o| o.allows(&t.origin())));
+        let live = allowed.filter(|t| t.is_used() && self.targets.iter().any(|l| l.name == t.name));
+        live.cloned().collect()
+    }
+
+    fn take_up_streams(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.streams)
+            .into_iter()
+            .partition(|s: &Stream| s.returns <= now);
+        self.streams = waiting;
+        for stream in due {
+            let i = self.rng.random_range(0..self.joined);
+            if !self.gateways[i].runs(now) {
+                continue;
+            }
+            let able = self.can_go_on(i, &stream);
+            let chosen = self.go_on(i, &stream);
+            self.outcome.taken_up += 1;
+            self.outcome.able += usize::from(able);
+            let Some(target) = chosen else {
+                continue;
+            };
+            match target.version == stream.version {
+                true => self.outcome.went_on += usize::from(able),
+                false => self.outcome.mixed += 1,
+            }
+        }
+    }
+
+    /// Returns whether nothing prevents that a stream goes on at a gateway.
+    fn can_go_on(&self, i: usize, stream: &Stream) -> bool {
+        let now = self.now;
+        let serving = self
+            .targets
+            .iter()
+            .filter(|t| t.version == stream.version && t.is_used() && t.since + SETTLED <= now);
+        serving.count() >= 2 && self.gateways[i].is_calm(now) && self.store_until + SETTLED <= now
+    }
+
+    fn go_on(&mut self, i: usize, stream: &Stream) -> Option<Target> {
+        let origin = match self.choice {
+            Choice::AnyTarget => None,
+            Choice::ByOrigin => Some(self.resolve(i, stream)?),
+        };
+        let live = self.live_targets(i, origin.as_ref());
+        match live.is_empty() {
+            true => None,
+            false => Some(live[self.rng.random_range(0..live.len())].clone()),
+        }
+    }
+
+    fn resolve(&self, i: usize, stream: &Stream) -> Option<Origin> {
+        let now = boot(self.now);
+        let own = &self.gateways[i];
+        let known = |g: &Gateway| vec![g.history.known(&service(), now)];
+        let asked: Vec<_> = self.ranked(stream.id, homes::ASKED);
+        let asked: Vec<_> = asked.into_iter().filter(|peer| *peer != i).collect();
+        let reached = asked.iter().map(|peer| &self.gateways[*peer]);
+        let reached: Vec<_> = reached
+            .filter(|g| own.reaches_peers(self.now) && g.reaches_peers(self.now))
+            .collect();
+        let told = reached.iter().find_map(|g| g.records.find(stream.id, now));
+        let begun = own.records.find(stream.id, now).or(told);
+        let peers: Vec<_> = reached.iter().map(|g| known(g)).collect();
+        let evidence = Evidence {
+            begun: begun.as_ref(),
+            named: true,
+            own: &known(own),
+            fresh: own.history.is_fresh(now),
+            peers: &peers,
+            has_peers: !asked.is_empty(),
+        };
+        match evidence.decide() {
+            Decision::Recorded(begun) => Some(begun.origin),
+            Decision::Sole(version) => Some(Origin {
+                service: service(),
+                version: Some(version),
+                target: None,
+            }),
+            Decision::Unknown => None,
+        }
+    }
+}
