laburnumctl: versions of each service, and all tries of a stream

On call, nobody could see which software versions serve, nor what became of a stream over its caller's tries. The state page and `gateways` name the versions of each service with their numbers of targets; `explain` lists all tries of a stream whose logs name the attempt that began it, and where it began. An older `laburnumctl` ignores the new field, an older gateway leaves it out.

New streams avoid a version that drains and has one target left, beside another with several: if such a stream broke off once that target has left, nobody could go on with it.

--- a/laburnumcart_ctl/src/command/explain.rs
+++ b/laburnumcart_ctl/src/command/explain.rs
@@ -1,6 +1,9 @@
 //! `explain`: the course and outcome of one request, from the logs of gateways.
 
-use std::fmt;
+use std::{
+    collections,
+    fmt, //
+};
 
 use serde::Serialize;
 
@@ -44,22 +47,38 @@
         .iter()
         .find(|line| line.event == QUARANTINED && line.field("request") == request);
     let content = refused.map(|line| line.field("content").to_owned());
+    let tries = tries_of_stream(&lines, request);
     lines.retain(|line| {
         let is_of_content = content.as_deref() == Some(line.field("content"));
-        line.field("request") == request || is_of_content && line.event != QUARANTINED
+        tries.contains(line.field("request")) || is_of_content && line.event != QUARANTINED
     });
     if lines.is_empty() {
         let text = format!("no log line found for request {request}");
         return Err(error::Error::Usage(text));
     }
+    let is_own = |line: &&Line| ["", request].contains(&line.field("request"));
+    let own: Vec<_> = lines.iter().filter(is_own).cloned().collect();
     Ok(output::Output::new(&Explanation {
         request: request.into(),
-        cause: describe_outcome(&lines),
-        stages: lines.iter().filter_map(parse_stage).collect(),
+        cause: describe_outcome(&own),
+        stages: own.iter().filter_map(parse_stage).collect(),
         lines,
     }))
 }
 
+/// Returns the attempts by which a caller began a stream and took it up, as far as the logs tell.
+fn tries_of_stream(lines: &[Line], request: &str) -> collections::HashSet<String> {
+    let admitted = || lines.iter().filter(|line| line.event == "admitted");
+    let own = admitted().find(|line| line.field("request") == request);
+    let first = match own.map(|line| line.field("resumes")) {
+        Some(resumes) if !["", "none"].contains(&resumes) => resumes,
+        _ => request,
+    };
+    let later = admitted().filter(|line| line.field("resumes") == first);
+    let later = later.map(|line| line.field("request"));
+    later.chain([first, request]).map(str::to_owned).collect()
+}
+
 fn parse_stage(line: &Line) -> Option<Stage> {
     (line.event == "stage-ended").then(|| Stage {
         stage: line.field("stage").into(),
@@ -117,7 +136,24 @@
              {outlook} ms, and it was due in {due} ms"
         );
     }
-    format!("refused ({verdict}): {reason}{}", failed_sends(lines))
+    format!(
+        "refused ({verdict}): {reason}{}{}",
+        origin_of_stream(lines),
+        failed_sends(lines)
+    )
+}
+
+/// Describes where a stream began that the request takes up.
+fn origin_of_stream(lines: &[Line]) -> String {
+    let Some(origin) = lines.iter().find(|line| line.event == "origin") else {
+        return String::new();
+    };
+    format!(
+        "; the stream began at version {} of {}, by {}",
+        origin.field("version"),
+        origin.field("service"),
+        origin.field("source")
+    )
 }
 
 /// Lists the targets that crashed with the content of a request, and how long before.
@@ -197,7 +233,8 @@
         }
         for line in &self.lines {
             write!(f, "{} {}", line.time, line.event)?;
-            for (key, value) in line.fields.iter().filter(|(key, _)| *key != "request") {
+            let is_own = |key: &str, value: &str| key == "request" && value == self.request;
+            for (key, value) in line.fields.iter().filter(|(k, v)| !is_own(k, v)) {
                 write!(f, " {key}={value}")?;
             }
             writeln!(f)?;
--- a/laburnumcart_ctl/src/command/gateways.rs
+++ b/laburnumcart_ctl/src/command/gateways.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 use tokio::task;
 
+use laburnumcart::id;
 use laburnumcart_wire::gateway as wire;
 
 use crate::{
@@ -138,6 +139,9 @@
                 .collect()
         })?;
         self.write_merged(f, |state| state.queues.iter().map(format_queue).collect())?;
+        self.write_merged(f, |state| {
+            state.versions.iter().map(format_version).collect()
+        })?;
         self.write_merged(f, |state| {
             state.held.iter().map(format_restricted).collect()
         })
@@ -190,6 +194,15 @@
     format!("queue {} owner={owner}", queue.service)
 }
 
+fn format_version(version: &wire::Version) -> String {
+    format!(
+        "version {} of {} targets={}",
+        id::version_label(version.version.as_ref()),
+        version.service,
+        version.targets
+    )
+}
+
 fn format_restricted(target: &wire::Restricted) -> String {
     let cause = |cause: &wire::Cause| match cause {
         wire::Cause::Leaving => "leaving".to_owned(),
--- a/laburnumcart_ctl/tests/explain.rs
+++ b/laburnumcart_ctl/tests/explain.rs
@@ -45,6 +45,15 @@
 time=2026-05-04T00:14:49.770Z level=info event=job-refused request=r1 service=encode outlook_ms=798 due_ms=10 waiting=42
 ";
 
+/// Log of a gateway at which a caller takes a stream up.
+const STREAM_LOG: &str = "\
+time=2026-05-04T00:15:00.000Z level=info event=admitted request=s1 route=a rank=0 after=0 resumes=none
+time=2026-05-04T00:15:00.100Z level=info event=stream-broken request=s1 reason=lost last=7 taken_ms=100
+time=2026-05-04T00:15:00.200Z level=info event=admitted request=s2 route=a rank=0 after=7 resumes=s1
+time=2026-05-04T00:15:00.201Z level=info event=origin request=s2 service=desk version=v1 source=peers age_ms=150
+time=2026-05-04T00:15:00.202Z level=info event=refused request=s2 reason=version-gone verdict=not-run status=503
+";
+
 // The crashes stand in lines without the request, found by its content.
 #[test]
 fn a_refusal_by_content_names_the_targets_that_crashed() {
@@ -78,6 +87,7 @@
             write("gateway.log", GATEWAY_LOG),
             write("owner.log", OWNER_LOG),
         ])
+        .args((command[0] == "explain").then(|| write("stream.log", STREAM_LOG)))
         .args(more)
         .output()
         .unwrap();
@@ -111,6 +121,11 @@
      desk were spent"
 )]
 #[case("r6", "the target itself answered with status 500 after 45 ms")]
+#[case("s1", "the stream was cut off after event 7: lost")]
+#[case(
+    "s2",
+    "refused (not-run): version-gone; the stream began at version v1 of desk, by peers"
+)]
 #[case(
     "r4",
     "no outcome was logged: the caller disconnected, or the process exited"
@@ -136,6 +151,15 @@
     assert!(text.contains("\"route\":\"a b\""), "{text}");
 }
 
+#[rstest]
+fn all_tries_of_a_stream_are_listed(#[values("s1", "s2")] id: &str) {
+    let (_, text) = explain(id, &["--json"]);
+    let explanation: Value = serde_json::from_str(&text).unwrap();
+    let lines = explanation["lines"].as_array().unwrap();
+    let tries: Vec<_> = lines.iter().map(|l| &l["fields"]["request"]).collect();
+    assert_eq!(tries, ["s1", "s1", "s2", "s2", "s2"]);
+}
+
 #[test]
 fn unknown_request_is_reported() {
     let (code, text) = explain("r9", &[]);
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -17,6 +17,7 @@
     ingress,
     origin,
     retry,
+    unit,
     verdict, //
 };
 
@@ -137,9 +138,31 @@
             data_centres: self.request.data_centres.as_deref(),
             tried: &self.tried,
             origin: self.origin.as_ref(),
+            avoided: &[],
         }
     }
 
+    /// Assigns the request to its next target.
+    fn assign(&self, inputs: &[(id::DataCentre, unit::Size)]) -> Option<gateway::Assignment> {
+        let assign = |eligible: &view::Eligible<'_>| {
+            let (request, service) = (&self.request, &self.service);
+            self.gateway
+                .assign_target(request, service, inputs, eligible)
+        };
+        let eligible = self.eligible();
+        let targets = self.gateway.view.targets.load();
+        let avoided = targets.outgoing(&self.service);
+        let is_resumable = self.request.route.retry == ingress::RetryPolicy::Resume;
+        let preferred = match is_resumable && self.origin.is_none() && !avoided.is_empty() {
+            true => assign(&view::Eligible {
+                avoided,
+                ..eligible
+            }),
+            false => None,
+        };
+        preferred.or_else(|| assign(&eligible))
+    }
+
     /// Reports whether another attempt is left if the next one fails.
     pub fn has_spare_attempt(&self) -> bool {
         self.sent + 1 < self.request.route.max_sends && self.refused < REFUSALS_MAX
@@ -187,10 +210,7 @@
                 return Err(Failure::Refused(refusal));
             }
         };
-        let assignment =
-            self.gateway
-                .assign_target(&request, &self.service, locations, &self.eligible());
-        let Some(mut assignment) = assignment else {
+        let Some(mut assignment) = self.assign(locations) else {
             self.exhausted = true;
             return Err(Failure::Refused(not_run(verdict::Reason::NoTarget)));
         };
--- a/laburnumcart_gateway/src/state.rs
+++ b/laburnumcart_gateway/src/state.rs
@@ -1,6 +1,9 @@
 //! State of the gateway for operators, as served on the admin address.
 
-use std::time;
+use std::{
+    collections,
+    time, //
+};
 
 use tokio::time::Instant;
 
@@ -52,9 +55,25 @@
         queues: queue_states(gateway),
         held,
         targets: targets.len(),
+        versions: versions(&targets),
     }
 }
 
+fn versions(targets: &view::Targets) -> Vec<wire::Version> {
+    let mut counts: collections::BTreeMap<_, usize> = collections::BTreeMap::new();
+    for target in targets.used() {
+        let key = (target.service.clone(), target.version.clone());
+        *counts.entry(key).or_default() += 1;
+    }
+    let counts = counts.into_iter();
+    let version = |((service, version), targets)| wire::Version {
+        service,
+        version,
+        targets,
+    };
+    counts.map(version).collect()
+}
+
 fn evacuated_places(view: &view::View, now: Instant) -> Option<Vec<wire::Evacuated>> {
     let known = |(data_centre, since): (id::DataCentre, Instant)| wire::Evacuated {
         data_centre,
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -46,6 +46,8 @@
     pub tried: &'a [id::TargetName],
     /// Origin of the stream, if it has begun.
     pub origin: Option<&'a origin::Origin>,
+    /// Software versions that are to be avoided.
+    pub avoided: &'a [id::SoftwareVersion],
 }
 
 impl Eligible<'_> {
@@ -53,6 +55,10 @@
     pub fn allows(&self, target: &Target) -> bool {
         residency::is_allowed(self.data_centres, &target.data_centre)
             && self.origin.is_none_or(|o| o.allows(&target.origin()))
+            && !target
+                .version
+                .as_ref()
+                .is_some_and(|version| self.avoided.contains(version))
     }
 
     /// Returns whether a target may run the request and was not tried.
@@ -110,6 +116,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     services: collections::HashMap<id::ServiceName, Vec<Arc<Target>>>,
+    /// Versions of each service that are being replaced and have one target left.
+    outgoing: collections::HashMap<id::ServiceName, Vec<id::SoftwareVersion>>,
     addrs: collections::HashMap<net::SocketAddr, Vec<Arc<Target>>>,
 }
 
@@ -134,9 +142,36 @@
                 all.services.entry(service).or_default().push(target);
             }
         }
+        all.outgoing = all.find_outgoing();
         all
     }
 
+    /// Finds the versions that drain, have one target left, and stand beside another version with
+    /// several.
+    fn find_outgoing(&self) -> collections::HashMap<id::ServiceName, Vec<id::SoftwareVersion>> {
+        let mut outgoing: collections::HashMap<_, Vec<_>> = collections::HashMap::new();
+        for leaving in self.all().filter(|target| target.leaving) {
+            let Some(version) = &leaving.version else {
+                continue;
+            };
+            let used = self.service(&leaving.service);
+            let is_same = |target: &&Arc<Target>| target.version.as_ref() == Some(version);
+            let left = used.iter().filter(is_same).count();
+            if left == 1 && used.len() > 2 {
+                let versions = outgoing.entry(leaving.service.clone()).or_default();
+                versions.push(version.clone());
+            }
+        }
+        outgoing
+    }
+
+    /// Returns the versions of a service at which no new stream should begin.
+    ///
+    /// If it broke off once the last target has left, nobody could go on with it.
+    pub fn outgoing(&self, service: &id::ServiceName) -> &[id::SoftwareVersion] {
+        self.outgoing.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the targets of a service that may get work.
     pub fn service(&self, name: &id::ServiceName) -> &[Arc<Target>] {
         self.services.get(name).map_or(&[], Vec::as_slice)
@@ -158,6 +193,11 @@
         self.addrs.contains_key(addr) && self.find(addr, life).is_none()
     }
 
+    /// Iterates over the targets that may get work.
+    pub fn used(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.services.values().flatten()
+    }
+
     /// Iterates over all targets, including those that get no requests.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.addrs.values().flatten()
--- a/laburnumcart_wire/src/gateway.rs
+++ b/laburnumcart_wire/src/gateway.rs
@@ -40,6 +40,20 @@
     pub held: Vec<Restricted>,
     /// Number of known targets.
     pub targets: usize,
+    /// Software versions of the targets that get requests.
+    #[serde(default)]
+    pub versions: Vec<Version>,
+}
+
+/// Targets of a service with one software version.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Version {
+    /// Service of the targets.
+    pub service: id::ServiceName,
+    /// Version, if their entries state one.
+    pub version: Option<id::SoftwareVersion>,
+    /// Number of the targets.
+    pub targets: usize,
 }
 
 /// An evacuated data centre.
