--- a/laburnumcart_system/src/bin/laburnum-soak.rs
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -12,7 +12,7 @@
 const HELP: &str = "Runs gateways under random faults and checks what callers and targets observe.
 
 Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations] [--needs]
-                     [--services]";
+                     [--services] [--versions]";
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -33,6 +33,11 @@
     );
     options.optflag("", "services", "let all targets of a service fail at once");
     options.optflag("", "poison", "send content that crashes its targets");
+    options.optflag(
+        "",
+        "versions",
+        "let targets differ in their software versions, and callers take streams up",
+    );
     options.optflag("h", "help", "print this text");
     options
 }
@@ -71,6 +76,7 @@
             target_signals: matches.opt_present("needs"),
             service_outages: matches.opt_present("services"),
             poison: matches.opt_present("poison"),
+            versions: matches.opt_present("versions"),
         };
         failed += u32::from(!run_seed(plan));
     }
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -16,6 +16,7 @@
 mod repeats;
 mod target_signals;
 mod targets;
+mod versions;
 
 use std::{
     path,
@@ -68,6 +69,8 @@
     pub service_outages: bool,
     /// Whether callers send content that crashes its targets.
     pub poison: bool,
+    /// Whether targets differ in their software versions, and callers take streams up.
+    pub versions: bool,
 }
 
 impl Plan {
@@ -130,7 +133,9 @@
         let history = Arc::new(history::History::default());
         history.lock().gateways = plan.gateways;
         let warm_up = plan.target_signals.then_some(target_signals::WARM_UP);
-        let targets = targets::Targets::start(store.clone(), history.clone(), warm_up).await?;
+        let versions = versions::Versions::new(plan.versions);
+        let targets =
+            targets::Targets::start(store.clone(), history.clone(), warm_up, versions).await?;
         let gateways = gateways::Gateways::start(dir, plan.gateways, store_relay.addr())?;
         let testbed = Self {
             plan,
--- a/laburnumcart_system/src/soak/callers.rs
+++ b/laburnumcart_system/src/soak/callers.rs
@@ -17,7 +17,8 @@
 
 use crate::soak::{
     Testbed,
-    history, //
+    history,
+    versions, //
 };
 
 /// Deadline of each request; callers close the connection after twice this time.
@@ -55,14 +56,28 @@
         while !*stop.borrow() {
             count += 1;
             let attempt = format!("a-{}-{count}", self.number);
-            self.send_request(&attempt).await;
+            let call = self.send_request(&attempt, None).await;
+            let interrupted = call.and_then(|call| versions::interrupted(&attempt, &call));
+            if let Some(resumed) = interrupted.filter(|_| self.testbed.plan.versions) {
+                self.connection = None;
+                let again = format!("{attempt}-again");
+                self.send_request(&again, Some(resumed)).await;
+            }
             tokio::time::sleep(PAUSE).await;
         }
     }
 
-    async fn send_request(&mut self, attempt: &str) {
+    /// Sends a request, which may take up a stream, and returns what became of it.
+    async fn send_request(
+        &mut self,
+        attempt: &str,
+        resumed: Option<versions::Resumed>,
+    ) -> Option<history::Call> {
         let routes = ["safe", "once", "tale", "keyed"];
-        let route = routes[rand::random_range(0..routes.len())];
+        let route = match resumed {
+            Some(_) => "tale",
+            None => routes[rand::random_range(0..routes.len())],
+        };
         let key = (route == "keyed").then(|| "key-1".to_owned());
         let call = history::Call {
             route,
@@ -72,6 +87,7 @@
             body: String::new(),
             complete: false,
             fault_free: self.testbed.history.is_fault_free(),
+            resumed,
         };
         self.testbed
             .history
@@ -80,9 +96,13 @@
             .insert(attempt.into(), call.clone());
         let Some(mut sender) = self.take_connection().await else {
             self.testbed.history.lock().calls.remove(attempt);
-            return;
+            return None;
+        };
+        let one_in = match self.testbed.plan.versions {
+            true => CANCEL_ONE_IN / 5,
+            false => CANCEL_ONE_IN,
         };
-        let cancels = !call.fault_free && rand::random_ratio(1, CANCEL_ONE_IN);
+        let cancels = !call.fault_free && rand::random_ratio(1, one_in);
         let timeout = if cancels { DEADLINE / 30 } else { DEADLINE * 2 };
         let mut result = call;
         let exchanged = exchange(&mut sender, attempt, &mut result);
@@ -93,6 +113,7 @@
             let refused = &mut self.testbed.history.lock().refused;
             refused.push(attempt.to_owned());
         }
+        let seen = result.clone();
         if cancels && !result.complete {
             result.status = None;
             result.complete = true;
@@ -102,6 +123,7 @@
             .lock()
             .calls
             .insert(attempt.into(), result);
+        Some(seen)
     }
 
     /// Takes the open connection if it still works, or opens one to a random gateway.
@@ -146,6 +168,11 @@
     if let Some(key) = &call.key {
         request = request.header("x-api-key", key);
     }
+    if let Some(resumed) = &call.resumed {
+        request = request
+            .header("resumes", &resumed.attempt)
+            .header("last-event-id", resumed.after.to_string());
+    }
     let request = request.body(Full::default()).expect("a valid request");
     let Ok(response) = sender.send_request(request).await else {
         return;
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -16,6 +16,7 @@
     },
     poison, repeats, target_signals,
     targets::EVENTS,
+    versions,
 };
 
 /// Time after which no gateway accepts a revoked key.
@@ -87,6 +88,13 @@
     breaches.extend(target_signals::breaches(&state, plan.is_planned()));
     breaches.extend(repeats::breaches(&state));
     breaches.extend(poison::breaches(&state));
+    breaches.extend(versions::breaches(&state));
+    if plan.versions {
+        for outcome in ["in all", "went on", "refused"] {
+            let count = versions::count(&state, outcome);
+            counts.insert(format!("streams taken up, {outcome}"), count);
+        }
+    }
     for (content, arrivals) in &state.poison {
         counts.insert(format!("{content} arrivals"), arrivals.count());
         counts.insert(format!("{content} late"), arrivals.late());
@@ -116,10 +124,11 @@
     if matches!(call.status, Some(408 | 421 | 429 | 503)) && !runs.is_empty() {
         breach("was reported as not run but ran");
     }
-    if call.status == Some(200) && call.complete && call.body != expected(attempt, call.route) {
+    let (body, expected) = (versions::without_marks(&call.body), expected(attempt, call));
+    if call.status == Some(200) && call.complete && body != expected {
         breach("received a wrong response");
     }
-    if call.status == Some(200) && !expected(attempt, call.route).starts_with(&call.body) {
+    if call.status == Some(200) && !expected.starts_with(&body) {
         breach("received part of a wrong response");
     }
     if let Some(at) = call.key.as_ref().and_then(|key| state.revoked.get(key))
@@ -169,9 +178,10 @@
 }
 
 /// Returns the complete response body of a request.
-fn expected(attempt: &str, route: &str) -> String {
-    match route {
-        "tale" => (1..=EVENTS)
+fn expected(attempt: &str, call: &Call) -> String {
+    let after = call.resumed.as_ref().map_or(0, |resumed| resumed.after);
+    match call.route {
+        "tale" => (after + 1..=EVENTS)
             .map(|id| format!("id: {id}\ndata: {attempt} {id}\n\n"))
             .collect(),
         _ => format!("answer to {attempt}"),
--- a/laburnumcart_system/src/soak/history.rs
+++ b/laburnumcart_system/src/soak/history.rs
@@ -12,7 +12,8 @@
 
 use crate::soak::{
     poison,
-    repeats, //
+    repeats,
+    versions, //
 };
 
 /// A request of a caller and its response.
@@ -28,6 +29,8 @@
     pub(super) complete: bool,
     /// Whether the request was sent after the faults had ended.
     pub(super) fault_free: bool,
+    /// Stream that the request takes up.
+    pub(super) resumed: Option<versions::Resumed>,
 }
 
 /// An execution of a request at a target.
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -31,7 +31,8 @@
     soak::{
         history::History,
         poison,
-        target_signals, //
+        target_signals,
+        versions, //
     },
 };
 
@@ -69,6 +70,7 @@
     name: String,
     service: &'static str,
     data_centre: &'static str,
+    version: &'static str,
     mode: Arc<Mutex<Mode>>,
     limit: Arc<Mutex<Option<f64>>>,
     /// Whether its responses announce that it leaves.
@@ -85,6 +87,7 @@
     next_id: u32,
     /// Warm-up time of targets that start during the run.
     warm_up: Option<time::Duration>,
+    versions: versions::Versions,
 }
 
 impl Targets {
@@ -92,6 +95,7 @@
         store: memory::Memory,
         history: Arc<History>,
         warm_up: Option<time::Duration>,
+        versions: versions::Versions,
     ) -> io::Result<Self> {
         let mut targets = Self {
             store,
@@ -99,6 +103,7 @@
             running: Vec::new(),
             next_id: 0,
             warm_up: None,
+            versions,
         };
         for service in SERVICES {
             for data_centre in DATA_CENTRES {
@@ -217,8 +222,10 @@
         let limit = Arc::new(Mutex::new(None));
         let leaving = Arc::new(atomic::AtomicBool::new(false));
         let addr = port::reserve_addr();
+        let version = self.versions.next();
         let script = Script {
             name: name.clone(),
+            version,
             host: addr.to_string(),
             service,
             mode: mode.clone(),
@@ -237,6 +244,7 @@
             name,
             service,
             data_centre,
+            version,
             mode,
             limit,
             leaving,
@@ -286,7 +294,7 @@
 fn entry(target: &Target, state: &str) -> Value {
     json!({
         "service": target.service, "address": target.relay.addr().to_string(),
-        "zone": target.data_centre, "version": "v1",
+        "zone": target.data_centre, "version": target.version,
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1
     })
 }
@@ -313,6 +321,7 @@
 struct Script {
     name: String,
     host: String,
+    version: &'static str,
     service: &'static str,
     mode: Arc<Mutex<Mode>>,
     limit: Arc<Mutex<Option<f64>>>,
@@ -409,7 +418,8 @@
             .into_bytes(),
         )];
         for id in first..=EVENTS {
-            let event = format!("id: {id}\ndata: {attempt} {id}\n\n");
+            let mark = versions::mark(self.version);
+            let event = format!("{mark}id: {id}\ndata: {attempt} {id}\n\n");
             steps.push(Step::Pause(time::Duration::from_millis(15)));
             steps.push(Step::Send(
                 format!("{:x}\r\n{event}\r\n", event.len()).into_bytes(),
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -41,6 +41,7 @@
         target_signals,
         service_outages,
         poison: false,
+        versions: false,
     };
     check(plan, &dir).await;
 }
@@ -63,6 +64,28 @@
         target_signals: false,
         service_outages: false,
         poison: true,
+        versions: false,
+    };
+    check(plan, &dir).await;
+}
+
+// A stream goes on at a target of another software version, in one answer or over a caller's tries.
+#[rstest]
+#[case(41)]
+#[case(44)] // Planned work only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_their_version(#[case] seed: u64) {
+    let dir = env::temp_dir().join(format!("laburnum-soak-versions-{}-{seed}", process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let plan = soak::Plan {
+        seed,
+        gateways: 4,
+        length: time::Duration::from_secs(6),
+        evacuations: false,
+        target_signals: false,
+        service_outages: false,
+        poison: false,
+        versions: true,
     };
     check(plan, &dir).await;
 }
