--- a/laburnumcart/tests/origin_model/main.rs
+++ b/laburnumcart/tests/origin_model/main.rs
@@ -1,5 +1,6 @@
 //! Seeded model of streams that callers take up while versions change and gateways fail.
 
+mod gateway;
 mod model;
 
 use std::env;
--- a/laburnumcart/tests/origin_model/model.rs
+++ b/laburnumcart/tests/origin_model/model.rs
@@ -1,12 +1,8 @@
 //! Gateways, a store and targets in steps of simulated time.
 
-use std::{
-    collections,
-    time, //
-};
+use std::collections;
 
 use laburnumcart::{
-    freshness::BootTime,
     id,
     origin::{
         Origin,
@@ -16,17 +12,12 @@
         },
         history::{
             Coverage,
-            History,
             Seen,
             Summary, //
         },
         homes,
-        records::{
-            Begun,
-            Records, //
-        },
+        records::Begun,
     },
-    rendezvous,
     unit, //
 };
 use rand::{
@@ -35,15 +26,23 @@
     rngs::StdRng, //
 };
 
+use crate::gateway::{
+    Gateway,
+    Member,
+    SETTLED,
+    Target,
+    boot,
+    candidate,
+    service,
+    version, //
+};
+
 /// Step of the simulation in milliseconds.
 const STEP: u64 = 50;
 
 /// Duration of an order in milliseconds.
 const DURATION: u64 = 60_000;
 
-/// Time without faults after which a gateway and its peers know what they should.
-const SETTLED: u64 = 3000;
-
 /// Time from one listing of a gateway to the next.
 const LISTING_INTERVAL: u64 = 400;
 
@@ -74,35 +73,6 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq)]
-struct Target {
-    name: String,
-    version: usize,
-    /// When it was started.
-    since: u64,
-    /// Whether it accepts no new work.
-    leaving: Option<u64>,
-}
-
-struct Gateway {
-    name: id::InstanceName,
-    data_centre: id::DataCentre,
-    history: History,
-    records: Records,
-    listed: Vec<Target>,
-    read_at: u64,
-    /// Whether it has read the notes of earlier processes.
-    has_notes: bool,
-    /// End of the time in which it does not run.
-    down_until: u64,
-    /// End of the time in which it reaches neither the store nor any peer.
-    cut_until: u64,
-    /// End of the time in which the store refuses it.
-    refused_until: u64,
-    /// When the last of these ended, or it was started.
-    calm_since: u64,
-}
-
 struct Stream {
     id: id::Fingerprint,
     version: usize,
@@ -127,89 +97,6 @@
     outcome: Outcome,
 }
 
-fn boot(millis: u64) -> BootTime {
-    BootTime(time::Duration::from_millis(millis))
-}
-
-fn version(number: usize) -> id::SoftwareVersion {
-    format!("v{number}").parse().unwrap()
-}
-
-fn service() -> id::ServiceName {
-    "desk".parse().unwrap()
-}
-
-/// A gateway as others know it.
-struct Member {
-    index: usize,
-    name: id::InstanceName,
-    data_centre: id::DataCentre,
-}
-
-fn candidate(member: &Member) -> rendezvous::Candidate<'_> {
-    rendezvous::Candidate {
-        name: &member.name,
-        cores: 1.0,
-    }
-}
-
-impl Target {
-    fn is_used(&self) -> bool {
-        self.leaving.is_none()
-    }
-
-    fn origin(&self) -> Origin {
-        Origin {
-            service: service(),
-            version: Some(version(self.version)),
-            target: Some(id::TargetLife {
-                name: self.name.parse().unwrap(),
-                life: id::Life(1),
-            }),
-        }
-    }
-}
-
-impl Gateway {
-    fn new(number: usize) -> Self {
-        Self {
-            name: format!("gateway-{number}").parse().unwrap(),
-            data_centre: format!("dc-{}", number % 3).parse().unwrap(),
-            history: History::default(),
-            records: Records::default(),
-            listed: Vec::new(),
-            read_at: 0,
-            has_notes: false,
-            down_until: 0,
-            cut_until: 0,
-            refused_until: 0,
-            calm_since: 0,
-        }
-    }
-
-    fn restart(&mut self) {
-        self.history = History::default();
-        self.records = Records::default();
-        self.listed = Vec::new();
-        self.read_at = 0;
-        self.has_notes = false;
-    }
-
-    fn runs(&self, now: u64) -> bool {
-        self.down_until <= now
-    }
-
-    fn reaches_peers(&self, now: u64) -> bool {
-        self.runs(now) && self.cut_until <= now
-    }
-
-    fn is_calm(&self, now: u64) -> bool {
-        let ends = [self.down_until, self.cut_until, self.refused_until];
-        let last = ends.into_iter().max().unwrap_or(0).max(self.calm_since);
-        last + SETTLED <= now
-    }
-}
-
 impl Model {
     pub(crate) fn new(seed: u64, gateways: usize, choice: Choice) -> Self {
         let mut model = Self {
