Origins: the first answer with a record counts, and unreachable homes rank last

Found by reading the change: a lookup waited for all six answers, so that one gateway that is gone delayed each stream taken up elsewhere by 0.3 to 0.6 s. And entries of gateways that never come back stay in the list of members, so that in time most homes of a stream would be gone. A lookup now ends with the first record, and members whose connection has failed rank behind the others, for the telling and for the asking. Not measured by itself.

--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -14,7 +14,11 @@
     time,
 };
 
-use futures_util::future;
+use futures_util::{
+    StreamExt,
+    future,
+    stream, //
+};
 
 use laburnumcart::{
     event,
@@ -103,11 +107,7 @@
             age: unit::Period::default(),
         };
         self.keep([begun.clone()]);
-        let homes = self.homes(begun.stream, homes::HOMES);
-        if homes.is_empty() {
-            return;
-        }
-        for home in homes {
+        for home in self.homes(begun.stream, homes::HOMES) {
             tokio::spawn(self.clone().tell(home, begun.clone()));
         }
     }
@@ -145,7 +145,7 @@
         let fresh = self.view.is_listing_fresh(clock::now());
         let mut asked = 0;
         let mut answers = Vec::new();
-        // A caller that does not name its stream, and a list that is up to date, leave nothing to ask.
+        // A list that is up to date leaves nothing to ask about a stream without a name.
         if own.begun.is_none() && !(fresh && question.stream.is_none()) {
             let stream = question.stream.unwrap_or(request.fingerprint());
             let members = self.homes(stream, homes::ASKED);
@@ -321,12 +321,22 @@
         }
     }
 
+    /// Asks processes, and returns the answers up to the first one with a record.
+    ///
+    /// Waiting for the others would delay each stream by the time of one that is gone.
     async fn ask(&self, asked: Vec<view::Member>, question: &Question) -> Vec<Answer> {
         let calls = asked
             .into_iter()
             .map(|member| self.ask_one(member, question));
-        let answers = future::join_all(calls).await;
-        answers.into_iter().flatten().collect()
+        let mut calls: stream::FuturesUnordered<_> = calls.collect();
+        let mut answers = Vec::new();
+        while let Some(answer) = calls.next().await {
+            answers.extend(answer);
+            if answers.last().is_some_and(|answer| answer.begun.is_some()) {
+                break;
+            }
+        }
+        answers
     }
 
     async fn ask_one(&self, member: view::Member, question: &Question) -> Option<Answer> {
@@ -334,9 +344,12 @@
     }
 
     /// Returns the first `count` homes of a stream, without this process.
+    ///
+    /// Entries of processes that never come back stay; those that cannot be reached rank last.
     fn homes(&self, stream: id::Fingerprint, count: usize) -> Vec<view::Member> {
         let mut members = self.view.members.load().as_ref().clone();
         homes::rank(&mut members, stream, candidate, |m| &m.data_centre);
+        members.sort_by_key(|member| !self.links.is_up(member));
         members.truncate(count);
         members.retain(|member| member.instance != self.own);
         members
