--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -48,8 +48,8 @@
 /// answered.
 const LEARN_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Number of processes that are asked for them.
-const TEACHERS: usize = 4;
+/// Number of processes that are asked for a summary of them.
+const SUMMARIES: usize = 4;
 
 /// Largest number of records in one call.
 const RECORDS_PER_CALL: usize = 512;
@@ -284,14 +284,10 @@
             if !self.view.needs_versions(clock::now()) {
                 continue;
             }
-            let mut teachers = self.others();
-            rendezvous::rank(
-                &mut teachers,
-                &format!("{}", rand::random::<u64>()),
-                candidate,
-            );
-            teachers.truncate(TEACHERS);
-            let calls = teachers.into_iter().map(|t| self.ask_versions(t));
+            let mut peers = self.others();
+            rendezvous::rank(&mut peers, &format!("{}", rand::random::<u64>()), candidate);
+            peers.truncate(SUMMARIES);
+            let calls = peers.into_iter().map(|peer| self.ask_versions(peer));
             for summary in future::join_all(calls).await.into_iter().flatten() {
                 self.view.merge_versions(&summary, clock::now());
             }
@@ -303,8 +299,8 @@
         self.view.versions_seen(clock::now())
     }
 
-    async fn ask_versions(&self, teacher: view::Member) -> Option<history::Summary> {
-        self.links.link(&teacher)?.seen_versions().await
+    async fn ask_versions(&self, peer: view::Member) -> Option<history::Summary> {
+        self.links.link(&peer)?.seen_versions().await
     }
 
     async fn tell(self: Arc<Self>, home: view::Member, begun: records::Begun) {
@@ -314,7 +310,7 @@
         if !link.tell_begun(std::slice::from_ref(&begun)).await {
             event!(
                 Warn,
-                "origin-untold",
+                "origin-send-failed",
                 stream = begun.stream,
                 peer = home.instance
             );
