Log the size of a configuration, and how much of a failed answer had arrived

`table` has `bytes`, and each entry of `tried` ends with the bytes of the store's answer that had arrived.

--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -249,7 +249,7 @@
 
 impl ConfigObserver {
     /// Activates a configuration, and logs where it comes from and how late it may be.
-    fn activate(&self, table: ingress::Table) {
+    fn activate(&self, table: ingress::Table, size: usize) {
         let (version, routes) = (table.version, table.route_count());
         // False if the active configuration is as new or newer.
         let is_activated = self.view.set_table(table);
@@ -268,6 +268,7 @@
             "table",
             version = version,
             routes = routes,
+            bytes = size,
             taken = is_activated,
             source = source,
             age_ms = age.as_millis(),
@@ -289,7 +290,7 @@
             let table = self.layout.parse_table(&object.value);
             self.is_refused = table.is_err();
             match table {
-                Ok(table) => self.activate(table),
+                Ok(table) => self.activate(table, object.value.len()),
                 Err(error) => event!(
                     Error,
                     "table-refused",
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -344,13 +344,24 @@
 
     /// Reads the whole body and returns the connection to the pool.
     pub async fn read_all(
+        self,
+        idle_timeout: Option<time::Duration>,
+    ) -> Result<(response::Parts, Bytes), Failure> {
+        self.read_observed(idle_timeout, |_| ()).await
+    }
+
+    /// Reads the whole body like [`Response::read_all`]; `on_data` is called with the number of
+    /// bytes that have arrived.
+    pub async fn read_observed(
         mut self,
         idle_timeout: Option<time::Duration>,
+        on_data: impl Fn(usize),
     ) -> Result<(response::Parts, Bytes), Failure> {
         let mut bytes = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|_| Failure::Malformed)?;
             if let Ok(data) = frame.into_data() {
+                on_data(data.len());
                 bytes.extend_from_slice(&data);
             }
             if bytes.len() > BODY_MAX {
--- a/laburnumcart_gateway/src/relay/fetch.rs
+++ b/laburnumcart_gateway/src/relay/fetch.rs
@@ -31,7 +31,10 @@
     readers,
     unit, //
 };
-use laburnumcart_platform::store;
+use laburnumcart_platform::{
+    progress,
+    store, //
+};
 
 use crate::{
     control,
@@ -279,7 +282,7 @@
         let until = now + LATE_PEER_PENALTY;
         for source in late {
             match source {
-                Source::Store => self.record_store_failure(topic, time::Duration::ZERO),
+                Source::Store => self.record_store_failure(topic, time::Duration::ZERO, 0),
                 Source::Peer(member) | Source::Other(member) | Source::Large(member) => {
                     view::lock(&self.late_peers).insert(member.incarnation, until);
                 }
@@ -329,14 +332,17 @@
         after: Option<store::Revision>,
         wait: time::Duration,
     ) -> Outcome {
-        let start = Instant::now();
+        let (start, progress) = (Instant::now(), progress::Progress::default());
         let prefix = topic.prefix(&*self.layout);
         let result = match after {
-            None => self.store.list(prefix).await.map(Data::Listing),
+            None => {
+                let listing = self.store.list_observed(prefix, &progress);
+                listing.await.map(Data::Listing)
+            }
             Some(after) => {
                 let wait = self.watch_wait(wait);
-                let changes = self.store.watch(prefix, after, wait).await;
-                changes.map(Data::Changes)
+                let changes = self.store.watch_observed(prefix, after, wait, &progress);
+                changes.await.map(Data::Changes)
             }
         };
         match result {
@@ -352,7 +358,7 @@
                 Outcome::Compacted
             }
             Err(_) => {
-                self.record_store_failure(topic, start.elapsed());
+                self.record_store_failure(topic, start.elapsed(), progress.bytes());
                 Outcome::Nothing
             }
         }
@@ -382,10 +388,11 @@
         }
     }
 
-    fn record_store_failure(&self, topic: Topic, took: time::Duration) {
-        let failure = reads::Failure::Unanswered;
+    fn record_store_failure(&self, topic: Topic, took: time::Duration, received: usize) {
+        let (source, failure) = (reads::Source::Store, reads::Failure::Unanswered);
+        let received = unit::Size(received as u64);
         let reads = &self.cache.reads;
-        reads.record_failure(topic, reads::Source::Store, failure, took);
+        reads.record_failure(topic, source, failure, took, received);
         self.cache.set_relayed(topic, true);
         let mut health = view::lock(&self.health);
         let was_failing = health.is_failing();
@@ -458,7 +465,8 @@
         start: Instant,
     ) {
         let reads = &self.cache.reads;
-        reads.record_failure(topic, source, failure, start.elapsed());
+        let received = unit::Size::default();
+        reads.record_failure(topic, source, failure, start.elapsed(), received);
     }
 }
 
--- a/laburnumcart_gateway/src/relay/reads.rs
+++ b/laburnumcart_gateway/src/relay/reads.rs
@@ -50,7 +50,7 @@
 
 /// An attempt that has yielded nothing.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
-#[display("{source}:{failure}:{took}")]
+#[display("{source}:{failure}:{took}:{received}")]
 pub struct Attempt {
     /// Process or service that was asked.
     pub source: Source,
@@ -58,6 +58,8 @@
     pub failure: Failure,
     /// Time until that was known.
     pub took: unit::Period,
+    /// How much of an answer had arrived, if that is known.
+    pub received: unit::Size,
 }
 
 /// Source and age of the last answer for a topic.
@@ -118,6 +120,7 @@
         source: Source,
         failure: Failure,
         took: time::Duration,
+        received: unit::Size,
     ) {
         let took = unit::Period(took);
         let mut topics = view::lock(&self.topics);
@@ -127,6 +130,7 @@
                 source,
                 failure,
                 took,
+                received,
             });
         }
     }
--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod follow;
 pub mod memory;
+pub mod progress;
 pub mod replica;
 pub mod settle;
 pub mod store;
--- a/laburnumcart_platform/src/store.rs
+++ b/laburnumcart_platform/src/store.rs
@@ -17,6 +17,8 @@
 
 use laburnumcart::unit;
 
+use crate::progress;
+
 /// Largest value of an object in bytes.
 pub const VALUE_MAX: usize = 1 << 20;
 
@@ -168,6 +170,30 @@
         after: Revision,
         wait: time::Duration,
     ) -> impl future::Future<Output = Result<Changes, Failure>> + Send;
+
+    /// Lists like [`Store::list`], and records the bytes as they arrive.
+    ///
+    /// By default, no progress is seen.
+    fn list_observed(
+        &self,
+        prefix: &str,
+        _progress: &progress::Progress,
+    ) -> impl future::Future<Output = Result<Listing, Failure>> + Send {
+        self.list(prefix)
+    }
+
+    /// Watches like [`Store::watch`], and records the bytes as they arrive.
+    ///
+    /// By default, no progress is seen.
+    fn watch_observed(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: time::Duration,
+        _progress: &progress::Progress,
+    ) -> impl future::Future<Output = Result<Changes, Failure>> + Send {
+        self.watch(prefix, after, wait)
+    }
 }
 
 impl<S: Store> Store for sync::Arc<S> {
@@ -195,4 +221,22 @@
     ) -> Result<Changes, Failure> {
         S::watch(self, prefix, after, wait).await
     }
+
+    async fn list_observed(
+        &self,
+        prefix: &str,
+        progress: &progress::Progress,
+    ) -> Result<Listing, Failure> {
+        S::list_observed(self, prefix, progress).await
+    }
+
+    async fn watch_observed(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: time::Duration,
+        progress: &progress::Progress,
+    ) -> Result<Changes, Failure> {
+        S::watch_observed(self, prefix, after, wait, progress).await
+    }
 }
