Model of a large configuration over slow links (failing)

The model of the fleet that follows the configuration gets links: a bandwidth each way that all transfers share, lost packets, and a configuration that grows to a megabyte. 20 seeded orders of 3 to 30 gateways on links of 10 Mbit/s; a gateway that reaches the store, or another one that has a version, must have it in force within 1.5 s.

--- a/laburnumcart_gateway/tests/config_model/fleet.rs
+++ b/laburnumcart_gateway/tests/config_model/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways on a simulated network, and the check of what they have in force.
 
 use std::{
-    collections, net,
+    collections,
     sync::{
         Arc,
         Mutex,
@@ -18,11 +18,10 @@
 
 use laburnumcart::{
     id,
-    ingress,
     readers, //
 };
 use laburnumcart_gateway::{
-    clock, control, dialect,
+    clock, control,
     relay::{Topic, cache},
     view,
 };
@@ -34,88 +33,26 @@
     },
 };
 
-use crate::network::{
-    Endpoint,
-    Endpoints,
-    Life,
-    Path,
-    SimPeers,
-    SimStore, //
+use crate::{
+    layout::{
+        self,
+        CONFIG,
+        FIRST_PORT,
+        Layout,
+        ROUTES_MAX,
+        TARGET, //
+    },
+    network::{
+        Endpoint,
+        Endpoints,
+        Life,
+        Link,
+        Path,
+        SimPeers,
+        SimStore, //
+    },
 };
 
-/// Key of the configuration.
-const CONFIG: &str = "config/main";
-
-/// Key of the only target.
-const TARGET: &str = "targets/t";
-
-/// Port of a target before its first version.
-const FIRST_PORT: u16 = 1024;
-
-/// Layout in which the configuration is its version, with padding.
-struct Layout;
-
-impl dialect::StoreLayout for Layout {
-    fn table_key(&self) -> &'static str {
-        CONFIG
-    }
-
-    fn targets_prefix(&self) -> &'static str {
-        "targets"
-    }
-
-    fn members_prefix(&self) -> &'static str {
-        "gateways"
-    }
-
-    fn evacuations_prefix(&self) -> &'static str {
-        "evacuations"
-    }
-
-    fn versions_prefix(&self) -> &'static str {
-        "versions"
-    }
-
-    fn parse_table(&self, value: &str) -> Result<ingress::Table, dialect::Malformed> {
-        let text = value.trim_matches('"').trim_end_matches('x');
-        let version = text.parse().map_err(|_| dialect::Malformed("version"))?;
-        let limits = ingress::Limits {
-            max_head: 0,
-            max_body: 0,
-            head_timeout: time::Duration::ZERO,
-            idle_timeout: time::Duration::ZERO,
-        };
-        Ok(ingress::Table::new(version, limits))
-    }
-
-    /// Returns a target whose port tells the version of its entry.
-    fn parse_target(
-        &self,
-        name: &str,
-        value: &str,
-    ) -> Result<dialect::TargetEntry, dialect::Malformed> {
-        let text = value.trim_matches('"').trim_end_matches('x');
-        let version: u16 = text.parse().map_err(|_| dialect::Malformed("version"))?;
-        Ok(dialect::TargetEntry {
-            cold_for: time::Duration::ZERO,
-            target: view::Target {
-                name: name.parse().map_err(|_| dialect::Malformed("name"))?,
-                life: id::Life::default(),
-                addr: net::SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + version)),
-                data_centre: "dc-0".parse().expect("a valid name"),
-                service: service(),
-                version: None,
-                leaving: false,
-                cold_until: None,
-            },
-        })
-    }
-}
-
-fn service() -> id::ServiceName {
-    "desk".parse().expect("a valid name")
-}
-
 /// What the versions of an order are of.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Subject {
@@ -163,7 +100,7 @@
 
     fn target_version(&self) -> u64 {
         let targets = self.view.targets.load();
-        let target = targets.service(&service()).first();
+        let target = targets.service(&layout::service()).first();
         target.map_or(0, |target| u64::from(target.addr.port() - FIRST_PORT))
     }
 
@@ -212,6 +149,10 @@
     start: Instant,
     seed: u64,
     subject: Subject,
+    /// Bandwidth of each gateway's link in bytes per second, if it is limited.
+    links: Option<fn(usize) -> f64>,
+    /// Number of routes of the configuration.
+    pub(crate) routes: usize,
     started: u64,
     changes: Vec<Change>,
     report: Report,
@@ -227,12 +168,21 @@
             start: Instant::now(),
             seed,
             subject,
+            links: None,
+            routes: 0,
             started: 0,
             changes: Vec::new(),
             report: Report::default(),
         }
     }
 
+    /// Limits the bandwidth of the links of gateways that are started later.
+    #[must_use]
+    pub(crate) fn with_links(mut self, bytes_per_s: fn(usize) -> f64) -> Self {
+        self.links = Some(bytes_per_s);
+        self
+    }
+
     /// Starts the gateway `index`, in place of the one that has ended.
     pub(crate) fn start_gateway(&mut self, index: usize) {
         self.started += 1;
@@ -254,6 +204,7 @@
         let endpoint = Arc::new(Endpoint {
             path: watch::Sender::new(path),
             life: watch::Sender::new(Life::Running),
+            link: self.links.map(|rate| Link::new(rate(index), run)),
             cache: cache.clone(),
         });
         let key = (member.instance.clone(), member.incarnation);
@@ -310,9 +261,25 @@
 
     /// Writes a new version, with `padding` bytes beside it.
     pub(crate) async fn change(&mut self, padding: usize) {
-        let version = self.changes.last().map_or(1, |change| change.version + 1);
-        let text = format!("{version}{}", "x".repeat(padding));
-        self.put(self.subject.key(), &text).await;
+        let text = format!("{}{}", self.next_version(), "x".repeat(padding));
+        self.write_version(&text).await;
+    }
+
+    /// Writes a new version with some routes more.
+    pub(crate) async fn add_routes(&mut self, count: usize) {
+        self.routes = (self.routes + count).min(ROUTES_MAX);
+        let routes: String = (0..self.routes).map(layout::route).collect();
+        let text = format!("{} {routes}", self.next_version());
+        self.write_version(&text).await;
+    }
+
+    fn next_version(&self) -> u64 {
+        self.changes.last().map_or(1, |change| change.version + 1)
+    }
+
+    async fn write_version(&mut self, text: &str) {
+        let version = self.next_version();
+        self.put(self.subject.key(), text).await;
         self.changes.push(Change {
             version,
             at: Instant::now(),
@@ -412,9 +379,14 @@
         }
     }
 
-    /// Returns whether the store, or a gateway that has the version, can be reached.
+    /// Returns whether the store, or a gateway that has the version, can be reached over a link
+    /// that loses no packets.
     fn can_get(&self, index: usize, version: u64, versions: &[u64]) -> bool {
         let gateway = &self.gateways[index];
+        let is_lossy = |g: &Gateway| g.endpoint.link.as_ref().is_some_and(Link::is_lossy);
+        if is_lossy(gateway) {
+            return false;
+        }
         if gateway.endpoint.path.borrow().is_usable() {
             return true;
         }
@@ -423,7 +395,10 @@
         others
             .filter(|(other, _)| other.member.incarnation != gateway.member.incarnation)
             .any(|(other, has)| {
-                *has >= version && other.is_running() && members.contains(&other.member)
+                *has >= version
+                    && !is_lossy(other)
+                    && other.is_running()
+                    && members.contains(&other.member)
             })
     }
 
--- a/laburnumcart_gateway/tests/config_model/main.rs
+++ b/laburnumcart_gateway/tests/config_model/main.rs
@@ -4,6 +4,7 @@
 //! network between them. The gateways run the code of the control thread.
 
 mod fleet;
+mod layout;
 mod network;
 mod order;
 mod rules;
@@ -27,23 +28,26 @@
 /// Number of orders that are drawn, unless the environment says otherwise.
 const ORDERS: u64 = 60;
 
-/// Returns the seeds from the environment, as `FIRST..END`, or the default ones.
-fn seeds() -> std::ops::Range<u64> {
+/// Number of orders with a large configuration, which take longer to play.
+const LARGE_ORDERS: u64 = 20;
+
+/// Returns the seeds from the environment, as `FIRST..END`, or the first `count`.
+fn seeds(count: u64) -> std::ops::Range<u64> {
     let Ok(text) = std::env::var("CONFIG_MODEL_SEEDS") else {
-        return 0..ORDERS;
+        return 0..count;
     };
     let (first, end) = text.split_once("..").expect("FIRST..END");
     first.parse().expect("a number")..end.parse().expect("a number")
 }
 
 /// Plays an order on a paused clock of its own.
-fn play(seed: u64, subject: Subject) -> Report {
+fn play(order: impl Future<Output = Report>) -> Report {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime");
-    runtime.block_on(order::play(seed, subject))
+    runtime.block_on(order)
 }
 
 /// Returns the value at a share of a sorted list.
@@ -54,13 +58,17 @@
 }
 
 /// Plays the orders of all seeds and prints their delays.
-fn play_all(subject: Subject) -> Vec<(u64, Report)> {
-    let reports: Vec<_> = seeds().map(|seed| (seed, play(seed, subject))).collect();
+fn play_all<F: Future<Output = Report>>(
+    subject: &str,
+    count: u64,
+    order: impl Fn(u64) -> F,
+) -> Vec<(u64, Report)> {
+    let reports: Vec<_> = seeds(count).map(|seed| (seed, play(order(seed)))).collect();
     let delays = reports.iter().flat_map(|(_, report)| &report.delays);
     let mut delays: Vec<_> = delays.copied().collect();
     delays.sort_unstable();
     println!(
-        "{subject:?}: {} versions taken: p99 {:?}, largest {:?}; {} calls",
+        "{subject}: {} versions taken: p99 {:?}, largest {:?}; {} calls",
         delays.len(),
         quantile(&delays, 0.99),
         delays.last().copied().unwrap_or_default(),
@@ -72,7 +80,16 @@
 /// Returns the orders of the configuration, played once for all tests.
 fn reports() -> &'static [(u64, Report)] {
     static REPORTS: sync::OnceLock<Vec<(u64, Report)>> = sync::OnceLock::new();
-    REPORTS.get_or_init(|| play_all(Subject::Config))
+    REPORTS.get_or_init(|| {
+        let order = |seed| order::play(seed, Subject::Config);
+        play_all("configuration", ORDERS, order)
+    })
+}
+
+/// Returns the orders of a large configuration over slow links, played once for all tests.
+fn large_reports() -> &'static [(u64, Report)] {
+    static REPORTS: sync::OnceLock<Vec<(u64, Report)>> = sync::OnceLock::new();
+    REPORTS.get_or_init(|| play_all("large configuration", LARGE_ORDERS, order::play_large))
 }
 
 /// Checks that no version is in force later than a bound.
@@ -99,7 +116,22 @@
 // A target that leaves gets work for as long as a gateway has its old entry.
 #[test]
 fn an_entry_of_a_target_is_known_within_the_bound_whatever_fails() {
-    check_delays(&play_all(Subject::Target), USERS_BOUND);
+    let order = |seed| order::play(seed, Subject::Target);
+    check_delays(&play_all("entry of a target", ORDERS, order), USERS_BOUND);
+}
+
+// Reads that are given up and begun anew share a slow link, so that none of them ends.
+#[test]
+fn a_large_configuration_is_in_force_in_time_over_slow_links() {
+    check_delays(large_reports(), DELAY_MAX);
+}
+
+// A gateway that goes back to an older version while it reads a large one serves dropped routes.
+#[test]
+fn no_large_configuration_reverts() {
+    for (seed, report) in large_reports() {
+        assert!(report.reverted.is_empty(), "seed {seed}: {report:?}");
+    }
 }
 
 // A gateway that takes an older version back accepts keys that were taken away.
--- a/laburnumcart_gateway/tests/config_model/network.rs
+++ b/laburnumcart_gateway/tests/config_model/network.rs
@@ -10,6 +10,11 @@
     time,
 };
 
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs, //
+};
 use tokio::{
     sync::watch,
     time::Instant, //
@@ -45,6 +50,112 @@
 /// Timeout of a call between two gateways, beside the wait of the request.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
+/// Bytes of a transfer between which other transfers get their turn on a link.
+const CHUNK: usize = 16 << 10;
+
+/// Chunks of a transfer that are on their way at a time.
+const WINDOW: usize = 4;
+
+/// Bytes of a packet.
+const PACKET: usize = 1500;
+
+/// Time after which a lost packet is sent again.
+const RESEND_DELAY: time::Duration = time::Duration::from_millis(200);
+
+/// One direction of a gateway's link.
+pub(crate) struct Pipe {
+    bytes_per_s: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Pipe {
+    fn new(bytes_per_s: f64) -> Self {
+        Self {
+            bytes_per_s,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Queues bytes that arrive at `at`; returns when they have passed.
+    fn queue(&self, at: Instant, bytes: usize) -> Instant {
+        let mut free_at = self.free_at.lock().unwrap();
+        let passing = time::Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        *free_at = at.max(*free_at) + passing;
+        *free_at
+    }
+}
+
+/// Link of a gateway, shared by all of its transfers.
+pub(crate) struct Link {
+    up: Pipe,
+    down: Pipe,
+    /// Share of packets that are lost.
+    loss: Mutex<f64>,
+    rng: Mutex<rngs::StdRng>,
+}
+
+impl Link {
+    pub(crate) fn new(bytes_per_s: f64, seed: u64) -> Self {
+        Self {
+            up: Pipe::new(bytes_per_s),
+            down: Pipe::new(bytes_per_s),
+            loss: Mutex::default(),
+            rng: Mutex::new(rngs::StdRng::seed_from_u64(seed)),
+        }
+    }
+
+    pub(crate) fn set_loss(&self, share: f64) {
+        *self.loss.lock().unwrap() = share;
+    }
+
+    pub(crate) fn is_lossy(&self) -> bool {
+        *self.loss.lock().unwrap() > 0.0
+    }
+
+    /// Returns whether any packet of a chunk is lost.
+    fn loses(&self, bytes: usize) -> bool {
+        let loss = *self.loss.lock().unwrap();
+        let whole = (1.0 - loss).powi(bytes.div_ceil(PACKET) as i32);
+        self.rng.lock().unwrap().random_bool(1.0 - whole)
+    }
+}
+
+/// Waits until bytes have passed the links of the sender, unless that is the store, and receiver.
+async fn transfer(from: Option<&Endpoint>, to: &Endpoint, bytes: usize) {
+    let Some(down) = &to.link else {
+        return;
+    };
+    let mut passing = collections::VecDeque::new();
+    let mut left = bytes;
+    while left > 0 {
+        let chunk = left.min(CHUNK);
+        left -= chunk;
+        if passing.len() >= WINDOW
+            && let Some(passed) = passing.pop_front()
+        {
+            tokio::time::sleep_until(passed).await;
+        }
+        let up = from.and_then(|from| from.link.as_ref());
+        while down.loses(chunk) || up.is_some_and(|up| up.loses(chunk)) {
+            tokio::time::sleep(RESEND_DELAY).await;
+        }
+        let sent = up.map_or_else(Instant::now, |up| up.up.queue(Instant::now(), chunk));
+        passing.push_back(down.down.queue(sent, chunk));
+    }
+    if let Some(passed) = passing.back() {
+        tokio::time::sleep_until(*passed).await;
+    }
+}
+
+fn listing_size(listing: &store::Listing) -> usize {
+    listing.objects.iter().map(|o| o.value.len()).sum()
+}
+
+fn changes_size(changes: &store::Changes) -> usize {
+    let values = changes.events.iter().filter_map(|e| e.value.as_ref());
+    values.map(String::len).sum()
+}
+
 /// State of the path from a gateway to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Path {
@@ -79,6 +190,8 @@
 pub(crate) struct Endpoint {
     pub(crate) path: watch::Sender<Path>,
     pub(crate) life: watch::Sender<Life>,
+    /// Link, unless its bandwidth is not limited.
+    pub(crate) link: Option<Link>,
     pub(crate) cache: Arc<cache::Cache>,
 }
 
@@ -100,6 +213,7 @@
         &self,
         wait: time::Duration,
         operation: impl Future<Output = Result<T, store::Failure>>,
+        size: impl Fn(&T) -> usize,
     ) -> Result<T, store::Failure> {
         self.calls.fetch_add(1, atomic::Ordering::Relaxed);
         let mut path = self.own.path.subscribe();
@@ -110,7 +224,11 @@
                 tokio::time::sleep(delay).await;
             }
             tokio::time::sleep(STORE_DELAY).await;
-            operation.await
+            let result = operation.await;
+            if let Ok(value) = &result {
+                transfer(None, &self.own, size(value)).await;
+            }
+            result
         };
         let broken = async {
             // The senders live as long as the endpoint.
@@ -148,7 +266,9 @@
 
 impl Store for SimStore {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
-        self.call(time::Duration::ZERO, self.memory.get(key)).await
+        let size = |object: &Option<store::Object>| object.as_ref().map_or(0, |o| o.value.len());
+        self.call(time::Duration::ZERO, self.memory.get(key), size)
+            .await
     }
 
     async fn put(
@@ -158,16 +278,17 @@
         value: &str,
     ) -> Result<store::Version, store::Failure> {
         let operation = self.memory.put(key, expect, value);
-        self.call(time::Duration::ZERO, operation).await
+        self.call(time::Duration::ZERO, operation, |_| 0).await
     }
 
     async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
         let operation = self.memory.delete(key, version);
-        self.call(time::Duration::ZERO, operation).await
+        self.call(time::Duration::ZERO, operation, |()| 0).await
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
-        self.call(time::Duration::ZERO, self.memory.list(prefix))
+        let operation = self.memory.list(prefix);
+        self.call(time::Duration::ZERO, operation, listing_size)
             .await
     }
 
@@ -178,7 +299,7 @@
         wait: time::Duration,
     ) -> Result<store::Changes, store::Failure> {
         let operation = self.memory.watch(prefix, after, wait);
-        self.call(wait, operation).await
+        self.call(wait, operation, changes_size).await
     }
 }
 
@@ -206,6 +327,8 @@
         let call = async {
             tokio::time::sleep(PEER_DELAY).await;
             let reply = peer.cache.follow(request).await;
+            let size = serde_json::to_string(&reply).expect("valid JSON").len();
+            transfer(Some(peer), &self.own, size).await;
             tokio::time::sleep(PEER_DELAY).await;
             reply
         };
--- a/laburnumcart_gateway/tests/config_model/order.rs
+++ b/laburnumcart_gateway/tests/config_model/order.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Change { padding: usize },
+    AddRoutes { count: usize },
+    SetLoss { gateway: usize, share: f64 },
     SetPath { gateway: usize, path: Path },
     SetLife { gateway: usize, life: Life },
     Start { gateway: usize },
@@ -117,9 +119,54 @@
     events
 }
 
+/// Draws an order of changes of a large configuration, with faults around them.
+fn draw_large(
+    rng: &mut rngs::StdRng,
+    count: usize,
+    readers: &[usize],
+) -> Vec<(time::Duration, Event)> {
+    let mut events = Vec::new();
+    let mut at = time::Duration::from_millis(rng.random_range(500..2500));
+    while at < LENGTH {
+        for _ in 0..rng.random_range(0..3) {
+            let at = at + time::Duration::from_millis(rng.random_range(0..1500));
+            let struck = draw_struck(rng, count, readers);
+            events.extend(draw_fault(rng, at, &struck));
+        }
+        if rng.random_bool(0.4) {
+            let end = at + time::Duration::from_millis(rng.random_range(1000..4000));
+            let (share, data_centre) = (rng.random_range(0.02..0.1), rng.random_range(0..3));
+            for gateway in (0..count).filter(|index| index % 3 == data_centre) {
+                events.push((at, Event::SetLoss { gateway, share }));
+                events.push((
+                    end,
+                    Event::SetLoss {
+                        gateway,
+                        share: 0.0,
+                    },
+                ));
+            }
+        }
+        for _ in 0..rng.random_range(1..4) {
+            let at = at + time::Duration::from_millis(rng.random_range(0..2500));
+            let count = *[0, 0, 0, 350, 350, 1400].choose(rng).expect("a choice");
+            events.push((at, Event::AddRoutes { count }));
+        }
+        at += time::Duration::from_millis(rng.random_range(2500..7000));
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events
+}
+
 async fn apply(fleet: &mut Fleet, event: Event) {
     match event {
         Event::Change { padding } => fleet.change(padding).await,
+        Event::AddRoutes { count } => fleet.add_routes(count).await,
+        Event::SetLoss { gateway, share } => {
+            if let Some(link) = &fleet.gateways[gateway].endpoint.link {
+                link.set_loss(share);
+            }
+        }
         Event::SetPath { gateway, path } => {
             fleet.gateways[gateway].endpoint.path.send_replace(path);
         }
@@ -138,6 +185,26 @@
     }
 }
 
+/// Returns the bandwidth of the link of a gateway: 10 Mbit/s.
+fn slow_link(_: usize) -> f64 {
+    1.25e6
+}
+
+/// Plays the order of a seed in which a configuration of up to a megabyte passes slow links.
+pub(crate) async fn play_large(seed: u64) -> Report {
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let count = match rng.random_range(0..4) {
+        0 => rng.random_range(20..30),
+        _ => rng.random_range(3..9),
+    };
+    let mut fleet = Fleet::new(seed, Subject::Config).with_links(slow_link);
+    fleet.add_routes(400).await;
+    play_order(fleet, seed, count, |readers| {
+        draw_large(&mut rng, count, readers)
+    })
+    .await
+}
+
 /// Plays the order of a seed.
 pub(crate) async fn play(seed: u64, subject: Subject) -> Report {
     let mut rng = rngs::StdRng::seed_from_u64(seed);
@@ -148,13 +215,23 @@
     };
     let mut fleet = Fleet::new(seed, subject);
     fleet.change(0).await;
+    play_order(fleet, seed, count, |readers| draw(&mut rng, count, readers)).await
+}
+
+/// Starts gateways, plays the drawn events and returns what was seen.
+async fn play_order(
+    mut fleet: Fleet,
+    seed: u64,
+    count: usize,
+    draw: impl FnOnce(&[usize]) -> Vec<(time::Duration, Event)>,
+) -> Report {
     (0..count).for_each(|index| fleet.start_gateway(index));
     while !fleet.is_settled() {
         assert!(fleet.age() < SETTLE_MAX, "seed {seed}: no start");
         tokio::time::sleep(STEP).await;
     }
     let readers = fleet.readers();
-    let mut events = draw(&mut rng, count, &readers).into_iter().peekable();
+    let mut events = draw(&readers).into_iter().peekable();
     let start = tokio::time::Instant::now();
     while start.elapsed() < LENGTH + TAIL {
         while let Some((_, event)) = events.next_if(|(at, _)| *at <= start.elapsed()) {
