A listing raises the revision from which a replica knows all deletions

What callers saw: nothing reported; a gateway may keep a target that has left.

Cause: a replica that had been behind took a listing, and went on to say that it knew each deletion since its first listing. An object that was created and deleted in between is in neither of the listings, so that a process that asked this replica for changes was not told of the deletion and kept the object for good. It needs a process that falls behind the deletions that another one remembers, and a third one that asks it.

The price is that a process further behind than the last listing gets a listing.

--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -29,6 +29,8 @@
     pub listed: bool,
     /// Revision up to which the objects are complete.
     pub revision: store::Revision,
+    /// Revision of the last listing, which does not tell what was deleted before it.
+    pub listed_at: store::Revision,
     /// Objects by key.
     pub objects: collections::BTreeMap<String, sync::Arc<store::Object>>,
     /// Keys deleted by the last update, including keys that were not known here.
@@ -62,6 +64,7 @@
             self.objects.insert(object.key.clone(), object);
         }
         self.listed = true;
+        self.listed_at = listing.revision;
         self.revision = listing.revision;
         Ok(())
     }
--- a/laburnumcart_platform/src/replica.rs
+++ b/laburnumcart_platform/src/replica.rs
@@ -30,9 +30,7 @@
 impl Replica {
     /// Replaces the state by a newer snapshot; returns whether any object has changed.
     pub fn apply(&mut self, snapshot: &follow::Snapshot) -> bool {
-        if !self.snapshot.listed {
-            self.floor = snapshot.revision;
-        } else if snapshot.revision <= self.snapshot.revision {
+        if self.snapshot.listed && snapshot.revision <= self.snapshot.revision {
             return false;
         }
         let known = self.snapshot.objects.keys().chain(&snapshot.deleted);
@@ -48,6 +46,8 @@
             self.deleted.insert(snapshot.revision, missing);
             self.trim_deletions();
         }
+        // An object that was created and deleted between two listings is in neither of them.
+        self.floor = self.floor.max(snapshot.listed_at);
         self.snapshot = snapshot.clone();
         changed
     }
--- a/laburnumcart_platform/tests/replica.rs
+++ b/laburnumcart_platform/tests/replica.rs
@@ -222,3 +222,19 @@
     assert_eq!(changes, Err(store::Failure::Compacted));
     assert_eq!(replica.listing(), None);
 }
+
+// A process that is told nothing of the deletion keeps the object, such as a target that has left.
+#[test]
+fn deletion_that_a_listing_skipped_is_not_passed_over() {
+    let mut service = Service::default();
+    let [mut stale, mut reader, mut follower] = [(); 3].map(|()| Process::default());
+    stale.read_service(&service);
+    service.write("a");
+    reader.read_service(&service);
+    follower.read_from(&reader.replica);
+    service.delete("a");
+    reader.read_service(&service);
+    stale.read_from(&reader.replica);
+    follower.read_from(&stale.replica);
+    assert!(follower.versions().is_empty());
+}
