A small fleet probes a failing store more often, also for its targets

What callers saw: nothing reported.

Cause: during an outage only the configuration probed the store. Where its reads were answered by other gateways, nobody probed for the targets, though the gateways that were asked for these had ended or were late. In small fleets the pause between two probes, up to 1.2 s, took most of the time allowed.

Why this works: the targets probe as well. Failed calls of all topics count for the pause, so that both together probe no more often; its lower limit is 0.4 s, for fleets of up to four members, growing to the same as before at eight.

--- a/laburnumcart/src/readers/health.rs
+++ b/laburnumcart/src/readers/health.rs
@@ -19,7 +19,7 @@
 const PROBE_INTERVAL_PER_MEMBER: time::Duration = time::Duration::from_millis(100);
 
 /// Shortest and longest mean interval between the probes of a process that is no reader.
-const PROBE_INTERVAL_MIN: time::Duration = time::Duration::from_millis(800);
+const PROBE_INTERVAL_MIN: time::Duration = time::Duration::from_millis(400);
 const PROBE_INTERVAL_MAX: time::Duration = time::Duration::from_secs(4);
 
 /// Times of the last successful and the last failed call to the service.
--- a/laburnumcart_gateway/src/relay/fetch.rs
+++ b/laburnumcart_gateway/src/relay/fetch.rs
@@ -198,13 +198,11 @@
     /// Returns the sources in the order in which they are asked.
     pub(super) fn steps(&self, topic: Topic, candidates: Candidates) -> steps::Steps {
         let (health, now) = (self.health(), Instant::now());
+        // Calls of all topics count, so that two topics that are behind probe no more often than one.
+        let jitter = view::lock(&self.rng).random();
         let can_probe = match topic {
-            Topic::Table => {
-                let jitter = view::lock(&self.rng).random();
-                health.can_probe(candidates.members, jitter, now)
-            }
-            // One topic is enough to find out whether the store is available again.
-            _ => !health.is_failing(),
+            Topic::Table | Topic::Targets => health.can_probe(candidates.members, jitter, now),
+            Topic::Members | Topic::Evacuations => !health.is_failing(),
         };
         match candidates.is_reader {
             true => steps::of_reader(candidates, health.can_call_first(now)),
