--- a/laburnumcart_gateway/tests/config_model/rules.rs
+++ b/laburnumcart_gateway/tests/config_model/rules.rs
@@ -2,6 +2,12 @@
 
 use std::time;
 
+use laburnumcart::{
+    id,
+    poison, //
+};
+use tokio::time::Instant;
+
 use crate::{
     fleet::{
         Fleet,
@@ -17,6 +23,9 @@
 /// Time in which all gateways have read a change.
 const SPREAD: time::Duration = time::Duration::from_secs(3);
 
+/// Time that a request runs until its target crashes.
+const RUN: time::Duration = time::Duration::from_millis(100);
+
 /// Starts gateways and waits until they know each other.
 async fn start_fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new(0, Subject::Config);
@@ -54,3 +63,34 @@
     assert_eq!(fleet.gateways[0].version(), 2);
     assert!(fleet.gateways[0].unconfirmed() < SPREAD);
 }
+
+// Forgotten with all gateways at once, a content crashes as many targets again.
+#[tokio::test(start_paused = true)]
+async fn a_content_that_crashed_targets_is_known_once_all_gateways_have_restarted() {
+    let mut fleet = start_fleet(GATEWAYS).await;
+    let content = id::Fingerprint(7);
+    for life in 1..=3 {
+        let target = id::TargetLife {
+            name: "engine-1".parse().unwrap(),
+            life: id::Life(life),
+        };
+        let sent = Instant::now();
+        tokio::time::sleep(RUN).await;
+        let failure = poison::Failure {
+            content,
+            sent,
+            failed: Instant::now(),
+        };
+        for gateway in &fleet.gateways {
+            let signals = &gateway.endpoint.cache.signals;
+            signals.record_crash(&target, &[failure], poison::Sign::Closed);
+        }
+    }
+    tokio::time::sleep(SPREAD).await;
+    (0..GATEWAYS).for_each(|index| fleet.end_gateway(index));
+    (0..GATEWAYS).for_each(|index| fleet.start_gateway(index));
+    tokio::time::sleep(SPREAD).await;
+    let status = |g: &Gateway| g.endpoint.cache.signals.content_status(|| content);
+    let seen: Vec<_> = fleet.gateways.iter().map(status).collect();
+    assert!(!seen.contains(&poison::Status::Clean), "{seen:?}");
+}
