Notes in the store of contents that have crashed several targets

Cause: crashes by content lived in the memory of the gateways alone. When all of them ended at once, the next ones began at zero. Class: what must outlast every process was kept by processes.

Why this works: once a content is limited or refused, two gateways, chosen by rendezvous, write its crashes to the store; the others do not, and a crash of a target alone writes nothing. A gateway reads the notes at its start, with one call. A content that completes loses its note. At most 64 are kept.

What it does not cover: a store that is away from the third crash on, and the milliseconds between that crash and the note.

--- a/laburnumcart/src/poison/crashes.rs
+++ b/laburnumcart/src/poison/crashes.rs
@@ -221,6 +221,11 @@
             .collect()
     }
 
+    /// Returns the contents that may not run freely.
+    pub fn suspected(&self) -> impl Iterator<Item = id::Fingerprint> {
+        self.levels.keys().copied()
+    }
+
     /// Lists the failures with their targets.
     pub fn iter(&self) -> impl Iterator<Item = (&id::TargetLife, &Failure)> {
         let crashes = self.contents.values().flat_map(|known| &known.crashes);
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -3,6 +3,7 @@
 //! The configuration is one object of the store, which is parsed into a
 //! [`laburnumcart::ingress::Table`] and followed as [`Topic::Table`].
 
+mod contents;
 mod evacuations;
 mod members;
 mod targets;
@@ -121,6 +122,13 @@
         view: view.clone(),
         own: own.instance.clone(),
     };
+    let contents = contents::Notes {
+        store: direct.clone(),
+        layout: layout.clone(),
+        view: view.clone(),
+        own: own.instance.clone(),
+        signals: cache.signals.clone(),
+    };
     let store = relayed_store::RelayedStore::new(
         sources,
         own.clone(),
@@ -194,6 +202,7 @@
         store.sync_target_signals(),
         store.publish_target_signals(),
         notes.run(),
+        contents.run(),
         registration
     );
 }
--- /dev/null
+++ b/laburnumcart_gateway/src/control/contents.rs
@@ -0,0 +1,189 @@
+//! Notes in the store of contents that have crashed several targets.
+//!
+//! Gateways tell each other of crashes, but those that start once no other is left know of none:
+//! such a content would crash as many targets again. They read the notes. A note is written once a
+//! content is limited or refused, not for each crash of a target.
+
+use std::{
+    collections,
+    sync::Arc,
+    time, //
+};
+
+use laburnumcart::{
+    event,
+    id,
+    rendezvous, //
+};
+use laburnumcart_platform::store;
+
+use crate::{
+    dialect,
+    relay::signals, //
+    view,
+};
+
+/// Pause before another call after a failed one.
+const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Interval at which the notes are compared with the contents, while there are any.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Number of processes that write notes, so that the end of one loses none.
+const WRITERS: usize = 2;
+
+/// Maximum number of notes; of more contents, those with the most crashes are noted.
+const NOTES_MAX: usize = 64;
+
+/// Reads and writes notes.
+pub(super) struct Notes<S> {
+    pub(super) store: S,
+    pub(super) layout: Arc<dyn dialect::StoreLayout>,
+    pub(super) view: Arc<view::View>,
+    pub(super) own: id::InstanceName,
+    pub(super) signals: Arc<signals::Signals>,
+}
+
+impl<S: store::Store> Notes<S> {
+    /// Reads the notes of earlier processes, then writes notes until the process ends.
+    pub(super) async fn run(self) {
+        let mut noted = self.read().await;
+        let mut changes = self.signals.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let mut suspected = self.signals.suspected();
+            suspected.sort_by_key(|(_, crashes)| std::cmp::Reverse(crashes.len()));
+            suspected.truncate(NOTES_MAX);
+            if self.is_writer() {
+                self.write_all(&suspected, &mut noted).await;
+                self.remove_others(&suspected, &mut noted).await;
+            }
+            let pause = tokio::time::sleep(CHECK_INTERVAL);
+            tokio::select! {
+                // The sender is dropped only with the signals.
+                _ = changes.changed() => {}
+                () = pause, if !noted.is_empty() || !suspected.is_empty() => {}
+            }
+        }
+    }
+
+    /// Reads the notes and returns the number of crashes in each.
+    async fn read(&self) -> collections::HashMap<id::Fingerprint, usize> {
+        let prefix = self.layout.contents_prefix();
+        let listing = loop {
+            match self.store.list(prefix).await {
+                Ok(listing) => break listing,
+                Err(error) => event!(Warn, "content-notes-unread", error = error),
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        };
+        let mut noted = collections::HashMap::new();
+        for object in &listing.objects {
+            let name = object.key.rsplit_once('/').map_or("", |(_, name)| name);
+            let crashes: Result<Vec<signals::TargetSignal>, _> =
+                serde_json::from_str(&object.value);
+            match (name.parse(), crashes) {
+                (Ok(content), Ok(crashes)) => {
+                    noted.insert(content, crashes.len());
+                    self.signals.merge(&crashes);
+                }
+                _ => event!(Warn, "content-note-refused", key = object.key),
+            }
+        }
+        noted
+    }
+
+    /// Writes the notes of contents that have more crashes than theirs tells.
+    async fn write_all(
+        &self,
+        suspected: &[(id::Fingerprint, Vec<signals::TargetSignal>)],
+        noted: &mut collections::HashMap<id::Fingerprint, usize>,
+    ) {
+        for (content, crashes) in suspected {
+            if noted.get(content) >= Some(&crashes.len()) {
+                continue;
+            }
+            match self.write(*content, crashes).await {
+                Ok(()) => {
+                    noted.insert(*content, crashes.len());
+                    event!(
+                        Info,
+                        "content-noted",
+                        content = content,
+                        crashes = crashes.len()
+                    );
+                }
+                Err(error) => self.log_failure(*content, &error),
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        content: id::Fingerprint,
+        crashes: &[signals::TargetSignal],
+    ) -> Result<(), store::Failure> {
+        let key = self.key(content);
+        let known = self.store.get(&key).await?;
+        let expect = known.map_or(store::Expect::Absent, |object| {
+            store::Expect::Version(object.version)
+        });
+        let value = serde_json::to_string(crashes).expect("signals are valid JSON");
+        match self.store.put(&key, expect, &value).await {
+            // The other writer knows the same crashes.
+            Ok(_) | Err(store::Failure::Conflict) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Removes the notes of contents that have been cleared, or whose crashes have expired.
+    async fn remove_others(
+        &self,
+        suspected: &[(id::Fingerprint, Vec<signals::TargetSignal>)],
+        noted: &mut collections::HashMap<id::Fingerprint, usize>,
+    ) {
+        let is_suspected = |content: &id::Fingerprint| suspected.iter().any(|(c, _)| c == content);
+        let cleared: Vec<_> = noted.keys().filter(|c| !is_suspected(c)).copied().collect();
+        for content in cleared {
+            match self.remove(content).await {
+                Ok(()) | Err(store::Failure::Conflict) => {
+                    noted.remove(&content);
+                }
+                Err(error) => self.log_failure(content, &error),
+            }
+        }
+    }
+
+    async fn remove(&self, content: id::Fingerprint) -> Result<(), store::Failure> {
+        let key = self.key(content);
+        match self.store.get(&key).await? {
+            Some(object) => self.store.delete(&key, object.version).await,
+            None => Ok(()),
+        }
+    }
+
+    fn key(&self, content: id::Fingerprint) -> String {
+        format!("{}/{content}", self.layout.contents_prefix())
+    }
+
+    fn log_failure(&self, content: id::Fingerprint, error: &store::Failure) {
+        event!(
+            Warn,
+            "content-note-failed",
+            content = content,
+            error = error
+        );
+    }
+
+    /// Reports whether this process is among those that write notes.
+    fn is_writer(&self) -> bool {
+        let members = self.view.members.load();
+        let mut members: Vec<_> = members.iter().collect();
+        rendezvous::rank(&mut members, "contents", |m| rendezvous::Candidate {
+            name: &m.instance,
+            cores: m.cores,
+        });
+        let writers = members.iter().take(WRITERS);
+        writers.into_iter().any(|m| m.instance == self.own)
+    }
+}
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -213,6 +213,9 @@
     /// Returns the key prefix of notes on services with several software versions.
     fn versions_prefix(&self) -> &'static str;
 
+    /// Returns the key prefix of notes on contents that have crashed several targets.
+    fn contents_prefix(&self) -> &'static str;
+
     /// Parses the configuration.
     fn parse_table(&self, value: &str) -> Result<ingress::Table, Malformed>;
 
--- a/laburnumcart_gateway/src/relay/signals.rs
+++ b/laburnumcart_gateway/src/relay/signals.rs
@@ -238,6 +238,15 @@
         view::lock(&self.contents).failures_of(content)
     }
 
+    /// Returns the contents that may not run freely, with their crashes.
+    pub fn suspected(&self) -> Vec<(id::Fingerprint, Vec<TargetSignal>)> {
+        let contents = view::lock(&self.contents);
+        let suspected = contents.crashes.suspected();
+        suspected
+            .map(|content| (content, contents.failures_of(content)))
+            .collect()
+    }
+
     /// Drops crashes past their retention time.
     pub fn expire_crashes(&self) {
         view::lock(&self.contents).expire(Instant::now());
--- a/laburnumcart_gateway/tests/config_model/layout.rs
+++ b/laburnumcart_gateway/tests/config_model/layout.rs
@@ -50,6 +50,10 @@
         "versions"
     }
 
+    fn contents_prefix(&self) -> &'static str {
+        "contents"
+    }
+
     fn parse_table(&self, value: &str) -> Result<ingress::Table, dialect::Malformed> {
         let text = value.trim_matches('"').trim_end_matches('x');
         let text = text.split(' ').next().unwrap_or_default();
