Replica: only revisions that a listing skipped get a listing

Cause: raised the floor of a replica with each listing, also for processes that had not fallen into the skipped span; they got a listing in place of changes.

Why this works: a replica knows all deletions up to its revision before the listing, and all after the listing. Only a process in between may have an object that was created and deleted unseen. The spans are kept, 16 at most; beyond that the floor is raised.

--- a/laburnumcart_platform/src/replica.rs
+++ b/laburnumcart_platform/src/replica.rs
@@ -17,21 +17,30 @@
 /// Maximum number of deletions kept; a watch from an earlier revision has to list again.
 const DELETIONS_MAX: usize = 1024;
 
+/// Maximum number of gaps kept; a watch from an earlier revision has to list again.
+const GAPS_MAX: usize = 16;
+
 /// Objects under a prefix and the most recent deletions.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     snapshot: follow::Snapshot,
     /// Deleted keys by the revision at which the deletion was seen.
     deleted: collections::BTreeMap<store::Revision, Vec<String>>,
-    /// Oldest revision after which every deletion is known.
+    /// Oldest revision after which every deletion is known, but for the gaps.
     floor: store::Revision,
+    /// First and last revision of each listing that skipped changes, the newest last.
+    gaps: collections::VecDeque<(store::Revision, store::Revision)>,
 }
 
 impl Replica {
     /// Replaces the state by a newer snapshot; returns whether any object has changed.
     pub fn apply(&mut self, snapshot: &follow::Snapshot) -> bool {
-        if self.snapshot.listed && snapshot.revision <= self.snapshot.revision {
+        if !self.snapshot.listed {
+            self.floor = snapshot.revision;
+        } else if snapshot.revision <= self.snapshot.revision {
             return false;
+        } else if snapshot.listed_at > self.snapshot.revision {
+            self.add_gap(self.snapshot.revision, snapshot.listed_at);
         }
         let known = self.snapshot.objects.keys().chain(&snapshot.deleted);
         let missing = known.filter(|key| !snapshot.objects.contains_key(*key));
@@ -46,12 +55,28 @@
             self.deleted.insert(snapshot.revision, missing);
             self.trim_deletions();
         }
-        // An object that was created and deleted between two listings is in neither of them.
-        self.floor = self.floor.max(snapshot.listed_at);
         self.snapshot = snapshot.clone();
         changed
     }
 
+    /// Records that a listing skipped the changes between two revisions.
+    ///
+    /// An object that was created and deleted in between is not known here. A process whose
+    /// revision is in between may have it.
+    fn add_gap(&mut self, start: store::Revision, end: store::Revision) {
+        self.gaps.push_back((start, end));
+        if self.gaps.len() > GAPS_MAX
+            && let Some((_, end)) = self.gaps.pop_front()
+        {
+            self.floor = self.floor.max(end);
+        }
+    }
+
+    fn is_in_gap(&self, revision: store::Revision) -> bool {
+        let mut gaps = self.gaps.iter();
+        gaps.any(|(start, end)| *start < revision && revision < *end)
+    }
+
     /// Drops the oldest deletions beyond [`DELETIONS_MAX`].
     fn trim_deletions(&mut self) {
         while self.deleted.values().map(Vec::len).sum::<usize>() > DELETIONS_MAX
@@ -91,7 +116,7 @@
     /// Fails with [`store::Failure::Compacted`] before the first listing, and where deletions after
     /// the revision are no longer known.
     pub fn changes(&self, after: store::Revision) -> Result<store::Changes, store::Failure> {
-        if !self.snapshot.listed || after < self.floor {
+        if !self.snapshot.listed || after < self.floor || self.is_in_gap(after) {
             return Err(store::Failure::Compacted);
         }
         let later = self.deleted.range(after..).filter(|(at, _)| **at > after);
