Notes of contents: crashes keep their age

Cause: a note held the ages that crashes had when it was written, so that they seemed younger to a gateway that read it. The next crashes of the content did not follow them in sequence, and it was let run again.

Why this works: a note has the time of day at which it was written, and its crashes age by the time since. A clock that jumps makes them a few seconds older or younger; nothing else depends on it.

--- a/laburnumcart_gateway/src/control/contents.rs
+++ b/laburnumcart_gateway/src/control/contents.rs
@@ -10,10 +10,16 @@
     time, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use laburnumcart::{
     event,
     id,
-    rendezvous, //
+    rendezvous,
+    unit, //
 };
 use laburnumcart_platform::store;
 
@@ -35,6 +41,44 @@
 /// Maximum number of notes; of more contents, those with the most crashes are noted.
 const NOTES_MAX: usize = 64;
 
+/// Note of a content.
+#[derive(Debug, Serialize, Deserialize)]
+struct Note {
+    /// Time of day at which it was written, in milliseconds since 1970.
+    written_ms: u64,
+    /// Crashes of the content, with their ages at that time.
+    crashes: Vec<signals::TargetSignal>,
+}
+
+impl Note {
+    fn new(crashes: &[signals::TargetSignal]) -> Self {
+        Self {
+            written_ms: unix_ms(),
+            crashes: crashes.to_vec(),
+        }
+    }
+
+    /// Returns the crashes with their present ages.
+    ///
+    /// Crashes that seemed younger than they are would end after later sends have begun, so that
+    /// the next crashes would not follow them in sequence.
+    fn into_crashes(self) -> Vec<signals::TargetSignal> {
+        let elapsed = unix_ms().saturating_sub(self.written_ms);
+        let elapsed = time::Duration::from_millis(elapsed);
+        let crashes = self.crashes.into_iter();
+        let aged = crashes.map(|crash| signals::TargetSignal {
+            age: unit::Period(crash.age.0 + elapsed),
+            ..crash
+        });
+        aged.collect()
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
+
 /// Reads and writes notes.
 pub(super) struct Notes<S> {
     pub(super) store: S,
@@ -80,12 +124,11 @@
         let mut noted = collections::HashMap::new();
         for object in &listing.objects {
             let name = object.key.rsplit_once('/').map_or("", |(_, name)| name);
-            let crashes: Result<Vec<signals::TargetSignal>, _> =
-                serde_json::from_str(&object.value);
-            match (name.parse(), crashes) {
-                (Ok(content), Ok(crashes)) => {
-                    noted.insert(content, crashes.len());
-                    self.signals.merge(&crashes);
+            let note: Result<Note, _> = serde_json::from_str(&object.value);
+            match (name.parse(), note) {
+                (Ok(content), Ok(note)) => {
+                    noted.insert(content, note.crashes.len());
+                    self.signals.merge(&note.into_crashes());
                 }
                 _ => event!(Warn, "content-note-refused", key = object.key),
             }
@@ -128,7 +171,8 @@
         let expect = known.map_or(store::Expect::Absent, |object| {
             store::Expect::Version(object.version)
         });
-        let value = serde_json::to_string(crashes).expect("signals are valid JSON");
+        let note = Note::new(crashes);
+        let value = serde_json::to_string(&note).expect("a note is valid JSON");
         match self.store.put(&key, expect, &value).await {
             // The other writer knows the same crashes.
             Ok(_) | Err(store::Failure::Conflict) => Ok(()),
