Followers: a listing follows a compacted watch at once

Cause: a watch that fails as compacted counted as a failure of the service. The follower paused as long as after the failures before it, up to 1.5 s for targets, before it listed. It comes together with failures by nature: a gateway that was cut off meets readers that have just started, whose history begins after its own revision.

Ruled out: the sources. Readers and peers answered within the times that their steps allow; between the two calls none was asked.

Fix: a listing follows at once if a watch failed as compacted. The answer came from a working source. A listing that fails as compacted still pauses, so that no loop can form.

Seen to fail before: the test of the follower, listed after 4.7 s.

--- a/laburnumcart_platform/src/follow.rs
+++ b/laburnumcart_platform/src/follow.rs
@@ -258,6 +258,7 @@
                 observer.before_call();
             }
             recovery.mark_unchanged();
+            let is_watch = !self.must_list;
             let Some((answer, duplicates)) = self.call_until_recovery(&mut recovery).await else {
                 continue;
             };
@@ -281,6 +282,8 @@
                     }
                     tokio::time::sleep_until(start + self.interval).await;
                 }
+                // A working service has answered, so that the listing needs no pause.
+                Err(store::Failure::Compacted) if is_watch => {}
                 Err(failure) => {
                     let pause = tokio::time::sleep(self.next_pause(&failure));
                     tokio::select! {
--- a/laburnumcart_platform/tests/follow.rs
+++ b/laburnumcart_platform/tests/follow.rs
@@ -135,6 +135,30 @@
     wait_for_values(&mut mirror, &[("p/b", "2")]).await;
 }
 
+// A pause as long as after the failures before would delay the missed changes by seconds.
+#[tokio::test(start_paused = true)]
+async fn mirror_lists_at_once_when_a_watch_fails_as_compacted_after_an_outage() {
+    let store = sync::Arc::new(StaleStore::default());
+    let memory = store.memory.clone();
+    let mut mirror = start(store.clone());
+    wait_for_values(&mut mirror, &[]).await;
+    set_faults(&memory, |faults| faults.down = true);
+    tokio::time::sleep(SECOND * 300).await;
+    set_faults(&memory, |_| ());
+    create(&memory, "p/a", "1").await;
+    // The next watch fails as compacted, and the listing after it is current.
+    let listing = memory.list("p/").await.unwrap();
+    store.stale.lock().unwrap().push_back(listing);
+    let watches = store.watches.load(atomic::Ordering::Relaxed);
+    while store.watches.load(atomic::Ordering::Relaxed) == watches {
+        tokio::time::sleep(SECOND / 1000).await;
+    }
+    let compacted = tokio::time::Instant::now();
+    wait_for_values(&mut mirror, &[("p/a", "1")]).await;
+    let elapsed = compacted.elapsed();
+    assert!(elapsed < SECOND / 10, "listed after {elapsed:?}");
+}
+
 // An empty snapshot at a start during an outage must not be taken for an empty prefix.
 #[tokio::test(start_paused = true)]
 async fn mirror_started_in_an_outage_is_not_listed() {
