Crashes by content: what nothing else explains is weighed first

Cause: contents were weighed by their crashes in sequence. Harmless content that failed beside three such contents has more crashes than each of them, came first, and its crashes then counted as explained for the real ones.

Fix: contents come in the order of the share of their crashes that no other suspected content explains, then of the crashes in sequence. The length of a quarantine is as before.

--- a/laburnumcart/src/poison/crashes.rs
+++ b/laburnumcart/src/poison/crashes.rs
@@ -324,18 +324,37 @@
 
     /// Reports whether no request of another content ran when a target crashed.
     fn was_alone(&self, crash: &Crash) -> bool {
+        let mut crashes = self.others(crash).flat_map(|known| &known.crashes);
+        !crashes.any(|other| other.target == crash.target && self.was_running(other))
+    }
+
+    /// Returns the other contents that failed at the target of a crash.
+    fn others<'a>(&'a self, crash: &Crash) -> impl Iterator<Item = &'a Content> {
+        let content = crash.failure.content;
         let target = self.targets.get(&crash.target).into_iter();
         let others = target.flat_map(|target| &target.contents);
-        let others = others.filter(|content| **content != crash.failure.content);
-        let others = others.filter_map(|content| self.contents.get(content));
-        let mut crashes = others.flat_map(|known| &known.crashes);
-        !crashes.any(|other| other.target == crash.target && self.was_running(other))
+        let others = others.filter(move |other| **other != content);
+        others.filter_map(|other| self.contents.get(other))
+    }
+
+    /// Reports whether no other content is suspected of a crash.
+    fn is_only_suspect(&self, crash: &Crash) -> bool {
+        let mut others = self.others(crash).flat_map(|known| self.counted(known));
+        !others.any(|other| other.target == crash.target)
+    }
+
+    /// Returns how many of a content's crashes nothing else explains, in thousandths.
+    fn unexplained_share(&self, crashes: &[&Crash]) -> usize {
+        let unexplained = crashes.iter().filter(|c| self.is_only_suspect(c)).count();
+        unexplained * 1000 / crashes.len().max(1)
     }
 
     /// Recomputes the levels of all contents.
     ///
-    /// Contents with the most crashes in sequence come first. A crash of a target where such content
-    /// ran does not lead to the quarantine of another one that ran there.
+    /// Contents with the greatest share of crashes that nothing else explains come first, then those
+    /// with the most crashes in sequence: harmless content that ran beside several poisons has more
+    /// crashes than each of them. A crash of a target where content in quarantine ran does not lead
+    /// to the quarantine of another one that ran there.
     fn update_levels(&mut self) {
         let known = self.frequent.iter();
         let known = known.filter_map(|content| Some((content, self.contents.get(content)?)));
@@ -343,7 +362,8 @@
         let counted = counted.filter(|(_, crashes)| crashes.len() >= CRASHES);
         let mut counted: Vec<_> = counted.collect();
         counted.sort_by_cached_key(|(content, crashes)| {
-            (cmp::Reverse(sequence_length(crashes)), *content)
+            let share = self.unexplained_share(crashes);
+            (cmp::Reverse((share, sequence_length(crashes))), *content)
         });
         let candidates = counted.iter();
         let candidates = candidates.filter(|(_, crashes)| sequence_length(crashes) >= CRASHES);
--- a/laburnumcart/tests/poison_model/main.rs
+++ b/laburnumcart/tests/poison_model/main.rs
@@ -44,3 +44,11 @@
 fn harmless_content_is_refused_once_beside_many_poisons() {
     check_refusals([1356, 2700, 3626, 4888, 4957, 5188].into_iter());
 }
+
+// Failures that show late, at targets that fell silent, hide which crashes came in sequence.
+#[test]
+fn both_bounds_hold_in_rare_orders() {
+    check_late([8996, 9750, 12952, 35699].into_iter());
+    check_refusals([6025, 9186, 9742, 11082, 16353, 21717].into_iter());
+    check_refusals([26315, 29811, 33627, 33657, 34117].into_iter());
+}
