--- a/laburnumcart/tests/poison_model/main.rs
+++ b/laburnumcart/tests/poison_model/main.rs
@@ -45,7 +45,7 @@
     check_refusals([1356, 2700, 3626, 4888, 4957, 5188].into_iter());
 }
 
-// Failures that show late, at targets that fell silent, hide which crashes came in sequence.
+// Several poisons at once, some of whose targets fall silent, hide which crashes came in sequence.
 #[test]
 fn both_bounds_hold_in_rare_orders() {
     check_late([8996, 9750, 12952, 35699].into_iter());
