Gateway: log how a send failed, and that the process stood still

The lines of a request that failed did not tell a send that was given up in silence, which the target may still read, from one whose connection broke, which it has read or never will. Nor did any line tell that an owner of queues had been stopped, with what waited in them. Both are needed to tell the hypotheses on waiting repeats apart; no decision changes.

--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -37,6 +37,7 @@
 
 use crate::{
     budgets,
+    clock,
     dialect,
     metrics,
     outbound,
@@ -58,6 +59,11 @@
 /// Interval at which empty queues are polled.
 const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Lateness of a poll from which the process is taken to have stood still.
+///
+/// Callers give up an owner that is silent for as long, and submit their jobs to the next one.
+const STANDSTILL: time::Duration = time::Duration::from_millis(800);
+
 /// Batch queues of the services whose jobs were submitted to this process.
 pub struct Dispatcher {
     view: Arc<view::View>,
@@ -161,11 +167,16 @@
             } else {
                 POLL_INTERVAL
             };
+            let polled = clock::now();
             tokio::select! {
                 () = tokio::time::sleep(interval) => {}
                 _ = changes.changed() => self.update_queues(),
                 _ = signals.changed() => self.fail_refused(),
             }
+            let elapsed = clock::now().since(polled);
+            if elapsed > interval + STANDSTILL {
+                self.log_standstill(elapsed);
+            }
             let services: Vec<_> = view::lock(&self.queues).keys().cloned().collect();
             services
                 .iter()
@@ -173,6 +184,19 @@
         }
     }
 
+    /// Logs that the process stood still, and the pieces that waited in its queues.
+    fn log_standstill(&self, elapsed: time::Duration) {
+        let queues = view::lock(&self.queues);
+        let waiting: usize = queues.values().map(|o| o.queue.waiting_pieces()).sum();
+        event!(
+            Warn,
+            "stood-still",
+            lasted_ms = elapsed.as_millis(),
+            queues = queues.len(),
+            waiting = waiting
+        );
+    }
+
     /// Gives up all waiting jobs, so that their senders submit them to the next owner.
     pub fn hand_over_all(&self) {
         for (service, owned) in view::lock(&self.queues).iter_mut() {
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -266,14 +266,12 @@
                     }
                     other => other.reason(),
                 };
-                Err(self.send_failure(
-                    &assignment,
-                    verdict::Refusal {
-                        verdict,
-                        reason,
-                        retry: None,
-                    },
-                ))
+                let refusal = verdict::Refusal {
+                    verdict,
+                    reason,
+                    retry: None,
+                };
+                Err(self.send_failure(&assignment, refusal, Some(failure)))
             }
         }
     }
@@ -390,14 +388,16 @@
         if !is_echoed || status.is_success() && !head.stamped {
             assignment.record_failure();
             run.fail();
-            return Err(self.send_failure(&assignment, may_have_run(verdict::Reason::Corrupt)));
+            let corrupt = may_have_run(verdict::Reason::Corrupt);
+            return Err(self.send_failure(&assignment, corrupt, None));
         }
         assignment.record_load(&head);
         if head.misdirected {
             run.discard();
             self.sent -= 1;
             self.refused += 1;
-            return Err(self.send_failure(&assignment, not_run(verdict::Reason::WrongIncarnation)));
+            let refusal = not_run(verdict::Reason::WrongIncarnation);
+            return Err(self.send_failure(&assignment, refusal, None));
         }
         if head.not_run {
             run.discard();
@@ -405,7 +405,8 @@
             if status == StatusCode::CONFLICT {
                 return Err(Failure::InputsGone);
             }
-            return Err(self.send_failure(&assignment, not_run(verdict::Reason::Overloaded)));
+            let refusal = not_run(verdict::Reason::Overloaded);
+            return Err(self.send_failure(&assignment, refusal, None));
         }
         // A caller takes these statuses as proof that the request has not run, which this response
         // does not give.
@@ -418,7 +419,8 @@
         if not_run_statuses.contains(&status) {
             assignment.record_failure();
             run.fail();
-            return Err(self.send_failure(&assignment, may_have_run(verdict::Reason::TargetFailed)));
+            let refusal = may_have_run(verdict::Reason::TargetFailed);
+            return Err(self.send_failure(&assignment, refusal, None));
         }
         Ok(TargetResponse {
             assignment,
@@ -428,14 +430,22 @@
         })
     }
 
-    fn send_failure(&self, assignment: &gateway::Assignment, refusal: verdict::Refusal) -> Failure {
+    /// Logs a failed send; `failure` is that of the connection, if there was no response.
+    fn send_failure(
+        &self,
+        assignment: &gateway::Assignment,
+        refusal: verdict::Refusal,
+        failure: Option<pool::Failure>,
+    ) -> Failure {
         event!(
             Info,
             "send-failed",
             request = self.request.call.attempt,
             target = assignment.target.name,
+            life = assignment.target.life,
             reason = refusal.reason,
-            verdict = refusal.verdict
+            verdict = refusal.verdict,
+            failure = failure.map_or("none", pool::Failure::name)
         );
         Failure::Refused(refusal)
     }
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -92,6 +92,21 @@
 }
 
 impl Failure {
+    /// Returns the name in logs.
+    ///
+    /// After a timeout the target may still read the request; a broken connection it has read, or
+    /// never will.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unreached => "unreached",
+            Self::Exhausted => "exhausted",
+            Self::Closed => "closed",
+            Self::Broken => "broken",
+            Self::Malformed => "malformed",
+            Self::Timeout => "timeout",
+        }
+    }
+
     /// Returns whether the target may have executed the request.
     pub fn verdict(self) -> verdict::Verdict {
         match self {
