Targets that are stopped get what was granted in many windows at once (failing tests)

Real sockets, one gateway and four, six targets of a plain service that accept, read and send nothing for a time while the kernel keeps what is written for them.

--- a/laburnumcart_fakes/src/scripted.rs
+++ b/laburnumcart_fakes/src/scripted.rs
@@ -93,6 +93,16 @@
     closed_by_caller: atomic::AtomicUsize,
     probes: atomic::AtomicUsize,
     crash: watch::Sender<Option<Crash>>,
+    stopped: watch::Sender<bool>,
+}
+
+impl Shared {
+    /// Waits until the target is stopped, or until it is not.
+    async fn wait_stopped(&self, expected: bool) {
+        let mut stopped = self.stopped.subscribe();
+        // The sender is part of the target, so that it outlives the wait.
+        let _ = stopped.wait_for(|stopped| *stopped == expected).await;
+    }
 }
 
 /// A running target.
@@ -117,6 +127,7 @@
                 closed_by_caller: atomic::AtomicUsize::new(0),
                 probes: atomic::AtomicUsize::new(0),
                 crash: watch::Sender::new(None),
+                stopped: watch::Sender::new(false),
             }),
         };
         tokio::spawn(accept(listener, target.shared.clone()));
@@ -138,6 +149,17 @@
         self.shared.crash.send_replace(Some(crash));
     }
 
+    /// Stops the target, as a signal stops a process: it accepts, reads and sends nothing more,
+    /// while the system accepts connections and keeps what is sent.
+    pub fn stop(&self) {
+        self.shared.stopped.send_replace(true);
+    }
+
+    /// Continues a stopped target, which then reads all that waits.
+    pub fn resume(&self) {
+        self.shared.stopped.send_replace(false);
+    }
+
     /// Returns whether the target has crashed.
     pub fn is_crashed(&self) -> bool {
         self.shared.crash.borrow().is_some()
@@ -169,7 +191,10 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     let mut crash = shared.crash.subscribe();
     loop {
+        shared.wait_stopped(false).await;
         let stream = tokio::select! {
+            biased;
+            () = shared.wait_stopped(true) => continue,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(_) => return,
@@ -203,7 +228,7 @@
 
 async fn serve(stream: &mut TcpStream, shared: &Shared) -> io::Result<()> {
     let mut buffer = Vec::new();
-    while let Some(request) = read_request(stream, &mut buffer).await? {
+    while let Some(request) = read_request(stream, &mut buffer, shared).await? {
         if PROBE_PATHS.contains(&request.path()) {
             shared.probes.fetch_add(1, atomic::Ordering::AcqRel);
             stream.write_all(HEALTHY).await?;
@@ -215,6 +240,7 @@
             all.len() - 1
         };
         for step in (shared.script)(&request, number) {
+            shared.wait_stopped(false).await;
             match step {
                 Step::Send(bytes) => stream.write_all(&bytes).await?,
                 Step::Pause(period) => tokio::time::sleep(period).await,
@@ -242,16 +268,33 @@
     Ok(())
 }
 
+/// Reads bytes, but none while the target is stopped.
+async fn read_some(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    shared: &Shared,
+) -> io::Result<usize> {
+    loop {
+        shared.wait_stopped(false).await;
+        tokio::select! {
+            biased;
+            () = shared.wait_stopped(true) => {}
+            read = stream.read_buf(buffer) => return read,
+        }
+    }
+}
+
 /// Reads a request; `None` if the connection is closed.
 async fn read_request(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
+    shared: &Shared,
 ) -> io::Result<Option<ReceivedRequest>> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             break at;
         }
-        if stream.read_buf(buffer).await? == 0 {
+        if read_some(stream, buffer, shared).await? == 0 {
             return Ok(None);
         }
     };
@@ -270,7 +313,7 @@
         .and_then(|l| l.parse().ok());
     let length: usize = length.unwrap_or(0);
     while buffer.len() < length {
-        if stream.read_buf(buffer).await? == 0 {
+        if read_some(stream, buffer, shared).await? == 0 {
             return Ok(None);
         }
     }
