A stream that breaks after its first events reaches its caller

Callers saw their connection closed without a response head, although the head and the first events had come from the target, where the stream could not be resumed (no budget left, as in the first seconds of a gateway beside others).

Cause: the server drops what it has not written when the body of a response fails. The head and the first events are written once the body is pending. If the target's end has arrived by the time the body is first read, the error follows the first events at once, and nothing was written. With four gateways there is more to do between the first event and the first read of the body (the stream's origin is told to others), so that the end is there by then; a gateway alone was not seen to do it, nor is a caller at a time.

Fix: the body is pending once before it fails, on every way to its error.

--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -156,7 +156,12 @@
     match run.next_events().await {
         Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(run))),
         Ok(None) => None,
-        Err(error) => Some((Err(error), None)),
+        Err(error) => {
+            // The server drops what it has not written yet when the body fails. It writes whenever
+            // the body is pending, so that the head and all earlier events have left by then.
+            tokio::task::yield_now().await;
+            Some((Err(error), None))
+        }
     }
 }
 
