Silent targets get no requests until they answer

While a target stands still, part of all requests went on being sent to it: at most half of the targets are ejected as outliers. Each of these requests waited for its timeout and then drew on the retry budget, whose charges now last until the target goes on.

A target from which neither a request nor a status check was answered in time (1.6 s in all) is closed to requests and calls, and probed each second, less often by large fleets, until it answers or its entry is gone. All gateways do so on their own. What is already there for content that crashes targets decides that a target is silent.

--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -45,6 +45,15 @@
 /// Least time between two checks of a target that is only silent.
 const SILENCE_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Interval at which a silent target is probed, in a small fleet.
+const SILENT_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Number of processes from which each probes a silent target less often.
+const PROBING_MEMBERS: usize = 10;
+
+/// Greatest multiple of the interval.
+const PROBE_INTERVALS_MAX: usize = 5;
+
 /// Time without a sign of a target after which it is checked once a caller gives up a request.
 const QUIET: time::Duration = time::Duration::from_millis(300);
 
@@ -348,22 +357,55 @@
                 break outcome;
             }
         };
-        let mut state = view::lock(&self.state);
         if let poison::Outcome::Crashed(sign) = outcome {
-            self.record_crash(&mut state, &life, sign);
+            self.record_crash(&mut view::lock(&self.state), &life, sign);
         }
+        drop(self.take_trials(&life));
+        if outcome == poison::Outcome::Crashed(poison::Sign::Silent) {
+            self.wait_for_answer(&target).await;
+        }
+        let mut state = view::lock(&self.state);
         let Some(known) = state.targets.get_mut(&life) else {
             return;
         };
         known.checking = false;
         known.checked_at = Some(Instant::now());
-        let trials = std::mem::take(&mut known.trials);
         // Requests that failed during the check may have met a later crash.
         if outcome == poison::Outcome::Alive && state.failures.is_open(&life) {
             self.start_check(&mut state, &life);
         }
         drop(state);
-        drop(trials);
+        drop(self.take_trials(&life));
+    }
+
+    /// Takes the trials that have failed at a target.
+    fn take_trials(&self, target: &id::TargetLife) -> Vec<peers::trial::Trial> {
+        let mut state = view::lock(&self.state);
+        let known = state.targets.get_mut(target);
+        known.map_or_else(Vec::new, |known| std::mem::take(&mut known.trials))
+    }
+
+    /// Keeps requests from a silent target until it answers a probe, or is not listed any more.
+    async fn wait_for_answer(&self, target: &view::Target) {
+        self.quotas.set_silent(target, true);
+        let since = Instant::now();
+        let intervals = self.view.member_count() / PROBING_MEMBERS;
+        let intervals = intervals.clamp(1, PROBE_INTERVALS_MAX);
+        loop {
+            tokio::time::sleep(SILENT_PROBE_INTERVAL * intervals as u32).await;
+            let targets = self.view.targets.load();
+            let is_listed = targets.find(&target.addr, target.life).is_some();
+            drop(targets);
+            if !is_listed || self.has_heard(&target.key(), since) {
+                break;
+            }
+            let probe = self.probe(target).await;
+            self.metrics.record_probe(probe);
+            if [poison::Probe::Answered, poison::Probe::Replaced].contains(&probe) {
+                break;
+            }
+        }
+        self.quotas.set_silent(target, false);
     }
 
     /// Reports whether it is still open whether a target has crashed.
--- a/laburnumcart_gateway/src/quotas.rs
+++ b/laburnumcart_gateway/src/quotas.rs
@@ -54,16 +54,19 @@
     sends: u64,
     /// End of the backoff that the target asked this process for.
     backoff: Option<Instant>,
+    /// Whether the target answers nothing, not even status checks.
+    silent: bool,
     last_listed: Instant,
 }
 
 impl TargetState {
-    /// Returns the bound that stops all sends, if the target is leaving or asked for a backoff.
+    /// Returns the bound that stops all sends, if the target is leaving, silent or asked for a
+    /// backoff.
     fn closed_bound(&self, target_limit: &quota::TargetLimit) -> Option<quota::Bound> {
         let closed = quota::Bound::blocked();
-        match target_limit.leaving_since() {
-            Some(_) => Some(closed),
-            None => self.backoff.map(|until| closed.until(until)),
+        match self.silent || target_limit.leaving_since().is_some() {
+            true => Some(closed),
+            false => self.backoff.map(|until| closed.until(until)),
         }
     }
 
@@ -162,8 +165,26 @@
         self.set_gauges(&states, now);
     }
 
-    /// Reports whether a target accepts nothing at present, because it is leaving or asked for a
-    /// backoff.
+    /// Records that a target answers nothing, or that it has answered again.
+    ///
+    /// Requests sent to it meanwhile would wait there, and arrive all at once if it goes on.
+    pub fn set_silent(&self, target: &view::Target, silent: bool) {
+        let mut states = view::lock(&self.states);
+        let state = self.target_state(&mut states, target);
+        state.silent = silent;
+        self.update_limiters(state, Instant::now());
+        event!(
+            Info,
+            "target-silent",
+            target = target.name,
+            life = target.life,
+            service = target.service,
+            silent = silent
+        );
+    }
+
+    /// Reports whether a target accepts nothing at present, because it is leaving, silent or asked
+    /// for a backoff.
     pub fn is_closed(&self, target: &view::Target) -> bool {
         let limiters = self.limiters(target);
         limiters.requests.is_backing_off(Instant::now())
@@ -245,6 +266,7 @@
                 since: now,
                 sends: 0,
                 backoff: None,
+                silent: false,
                 last_listed: now,
             };
             self.update_limiters(&mut state, now);
