Soak: targets whose processes are stopped, and the greatest use of the budget

No test stopped a target's process and let it go on: the soak's targets answer, fail, crash or leave. This runs beside all other faults, stopped, killed and restarted gateways among them.

The report has the greatest use of the budget for repeats by service as a fraction, and the program names the seed with the greatest of its runs, so that a run without a breach tells how near it came. 1.0 is the bound as before.

--- a/laburnumcart_system/src/bin/laburnum-soak.rs
+++ b/laburnumcart_system/src/bin/laburnum-soak.rs
@@ -7,12 +7,15 @@
     time, //
 };
 
-use laburnumcart_system::soak;
+use laburnumcart_system::{
+    relay,
+    soak, //
+};
 
 const HELP: &str = "Runs gateways under random faults and checks what callers and targets observe.
 
 Usage: laburnum-soak [--seed N] [--runs N] [--gateways N] [--seconds N] [--evacuations] [--needs]
-                     [--services] [--versions]";
+                     [--services] [--versions] [--stops]";
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -38,6 +41,17 @@
         "versions",
         "let targets differ in their software versions, and callers take streams up",
     );
+    options.optflag(
+        "",
+        "stops",
+        "stop and continue the processes of targets by signals",
+    );
+    options.optopt(
+        "",
+        "relay",
+        "only forward connections, as the process of a target",
+        "LISTEN,DEST",
+    );
     options.optflag("h", "help", "print this text");
     options
 }
@@ -55,6 +69,9 @@
         print!("{}", options().usage(HELP));
         return process::ExitCode::SUCCESS;
     }
+    if let Some(addrs) = matches.opt_str("relay") {
+        return run_relay(&addrs);
+    }
     let number = |name: &str, default: u64| match matches.opt_str(name) {
         Some(text) => text.parse().ok(),
         None => Some(default),
@@ -67,6 +84,7 @@
         return 2.into();
     };
     let mut failed = 0;
+    let mut uses = Vec::new();
     for seed in seed..seed + runs {
         let plan = soak::Plan {
             seed,
@@ -77,15 +95,53 @@
             service_outages: matches.opt_present("services"),
             poison: matches.opt_present("poison"),
             versions: matches.opt_present("versions"),
+            stops: matches.opt_present("stops"),
         };
-        failed += u32::from(!run_seed(plan));
+        let report = run_seed(plan);
+        failed += u32::from(
+            !report
+                .as_ref()
+                .is_some_and(|report| report.breaches.is_empty()),
+        );
+        uses.extend(report.map(|report| (report.greatest_use(), seed)));
     }
     println!("{runs} seeds, {failed} broken");
+    if let Some((greatest, seed)) = uses.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)) {
+        println!("greatest use of a bound: {greatest:.2}, seed {seed}");
+    }
     process::ExitCode::from(u8::from(failed > 0))
 }
 
-/// Runs one seed and returns whether all guarantees held; keeps the logs of a failed run.
-fn run_seed(plan: soak::Plan) -> bool {
+/// Forwards connections until the process is killed.
+fn run_relay(addrs: &str) -> process::ExitCode {
+    let parsed = addrs.split_once(',').and_then(|(listen, dest)| {
+        let (listen, dest) = (listen.parse().ok()?, dest.parse().ok()?);
+        Some((listen, dest))
+    });
+    let Some((listen, dest)) = parsed else {
+        eprintln!("laburnum-soak: --relay takes two addresses, not {addrs:?}");
+        return 2.into();
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let served = runtime.and_then(|runtime| {
+        runtime.block_on(async {
+            let _relay = relay::Relay::start(listen, dest).await?;
+            std::future::pending::<std::io::Result<()>>().await
+        })
+    });
+    match served {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("laburnum-soak: relay {addrs}: {error}");
+            1.into()
+        }
+    }
+}
+
+/// Runs one seed and returns its report; keeps the logs unless all guarantees held.
+fn run_seed(plan: soak::Plan) -> Option<soak::Report> {
     let dir = env::temp_dir().join(format!("laburnum-soak-{}-{}", process::id(), plan.seed));
     let result = fs::create_dir_all(&dir).and_then(|()| {
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -109,5 +165,5 @@
         true => drop(fs::remove_dir_all(&dir)),
         false => println!("logs: {}", dir.display()),
     }
-    passed
+    result.ok()
 }
--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -14,6 +14,7 @@
 mod outages;
 mod poison;
 mod repeats;
+mod stops;
 mod target_signals;
 mod targets;
 mod versions;
@@ -71,12 +72,14 @@
     pub poison: bool,
     /// Whether targets differ in their software versions, and callers take streams up.
     pub versions: bool,
+    /// Whether targets are stopped and continued by signals during the run.
+    pub stops: bool,
 }
 
 impl Plan {
     /// Reports whether the run consists of planned work only, which must not cut off any request.
     pub fn is_planned(&self) -> bool {
-        self.seed.is_multiple_of(4) && !self.service_outages && !self.poison
+        self.seed.is_multiple_of(4) && !self.service_outages && !self.poison && !self.stops
     }
 }
 
@@ -133,9 +136,12 @@
         let history = Arc::new(history::History::default());
         history.lock().gateways = plan.gateways;
         let warm_up = plan.target_signals.then_some(target_signals::WARM_UP);
-        let versions = versions::Versions::new(plan.versions);
-        let targets =
-            targets::Targets::start(store.clone(), history.clone(), warm_up, versions).await?;
+        let kind = targets::Kind {
+            warm_up,
+            versions: versions::Versions::new(plan.versions),
+            process_dir: plan.stops.then(|| dir.to_owned()),
+        };
+        let targets = targets::Targets::start(store.clone(), history.clone(), kind).await?;
         let gateways = gateways::Gateways::start(dir, plan.gateways, store_relay.addr())?;
         let testbed = Self {
             plan,
@@ -205,6 +211,11 @@
             outages::inject(&testbed).await;
         }
     };
+    let stops = async {
+        if plan.stops {
+            stops::inject(&testbed).await;
+        }
+    };
     let poison = async {
         if plan.poison {
             poison::inject(&testbed).await;
@@ -215,6 +226,7 @@
         evacuations,
         signals,
         outages,
+        stops,
         poison
     );
     faults::heal(&testbed).await;
--- a/laburnumcart_system/src/soak/check.rs
+++ b/laburnumcart_system/src/soak/check.rs
@@ -40,6 +40,15 @@
     pub faults: Vec<String>,
     /// Number of calls by route and status, and of repeats by service.
     pub counts: collections::BTreeMap<String, usize>,
+    /// Greatest use of the budget for repeats by service, as a fraction.
+    pub uses: collections::BTreeMap<&'static str, f64>,
+}
+
+impl Report {
+    /// Returns the greatest use of the budget for repeats of any service, as a fraction.
+    pub fn greatest_use(&self) -> f64 {
+        self.uses.values().copied().fold(0.0, f64::max)
+    }
 }
 
 impl fmt::Display for Report {
@@ -47,6 +56,9 @@
         for (key, count) in &self.counts {
             writeln!(f, "{key}: {count}")?;
         }
+        for (service, fraction) in &self.uses {
+            writeln!(f, "{service}: {fraction:.2} of the budget for repeats")?;
+        }
         writeln!(f, "faults: {}", self.faults.join("; "))?;
         for breach in &self.breaches {
             writeln!(f, "BROKEN {breach}")?;
@@ -86,7 +98,8 @@
         }
     }
     breaches.extend(target_signals::breaches(&state, plan.is_planned()));
-    breaches.extend(repeats::breaches(&state));
+    let uses = repeats::uses(&state);
+    breaches.extend(repeats::breaches(&uses));
     breaches.extend(poison::breaches(&state));
     breaches.extend(versions::breaches(&state));
     if plan.versions {
@@ -106,6 +119,7 @@
         breaches,
         faults: state.faults.clone(),
         counts,
+        uses,
     }
 }
 
--- a/laburnumcart_system/src/soak/repeats.rs
+++ b/laburnumcart_system/src/soak/repeats.rs
@@ -37,29 +37,33 @@
     }
 }
 
-/// Lists the services whose repeats exceeded the budget in a window.
-pub(super) fn breaches(state: &State) -> Vec<String> {
-    let exceeds = |(service, arrivals): (&&'static str, &Arrivals)| {
-        let requests: Vec<_> = state
-            .calls
-            .values()
-            .filter(|call| services(call.route).contains(service))
-            .map(|call| call.sent)
-            .collect();
-        let worst = arrivals.repeats.iter().find_map(|from| {
-            let repeats = count(&arrivals.repeats, *from);
+/// Returns the greatest use of the budget in a window by the repeats of each service, as a fraction.
+pub(super) fn uses(state: &State) -> collections::BTreeMap<&'static str, f64> {
+    let greatest = |(service, arrivals): (&&'static str, &Arrivals)| {
+        let calls = state.calls.values();
+        let calls = calls.filter(|call| services(call.route).contains(service));
+        let requests: Vec<_> = calls.map(|call| call.sent).collect();
+        let use_from = |from: &time::Instant| {
             // Gateways may count the requests in a window that began earlier.
             let starts = [0.0, 0.5, 1.0].map(|back| *from - WINDOW.mul_f64(back));
             let most = starts.map(|from| count(&requests, from));
-            let most = most.into_iter().max().unwrap_or_default();
-            let allowed = RATIO * most as f64 + EXTRA;
-            (repeats as f64 > allowed).then_some((repeats, allowed))
-        });
-        worst.map(|(repeats, allowed)| {
-            format!("{service}: {repeats} repeats in a window, {allowed} allowed")
-        })
+            let allowed = RATIO * most.into_iter().max().unwrap_or_default() as f64 + EXTRA;
+            count(&arrivals.repeats, *from) as f64 / allowed
+        };
+        (
+            *service,
+            arrivals.repeats.iter().map(use_from).fold(0.0, f64::max),
+        )
     };
-    state.repeats.iter().filter_map(exceeds).collect()
+    state.repeats.iter().map(greatest).collect()
+}
+
+/// Lists the services whose repeats exceeded the budget in a window.
+pub(super) fn breaches(uses: &collections::BTreeMap<&'static str, f64>) -> Vec<String> {
+    let exceeded = uses.iter().filter(|(_, fraction)| **fraction > 1.0);
+    exceeded
+        .map(|(service, fraction)| format!("{service}: {fraction:.2} of the budget for repeats"))
+        .collect()
 }
 
 /// Returns the number of `times` in the window that begins at `from`.
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -1,7 +1,7 @@
 //! Targets of the soak: plain services, streaming engines and encoders that run a batched stage.
 
 use std::{
-    io,
+    io, net, path,
     sync::{
         Arc,
         Mutex,
@@ -11,6 +11,7 @@
     time,
 };
 
+use nix::sys::signal::Signal;
 use serde_json::{
     Value,
     json, //
@@ -27,10 +28,11 @@
 };
 
 use crate::{
-    port, relay,
+    port, process, relay,
     soak::{
         history::History,
         poison,
+        stops,
         target_signals,
         versions, //
     },
@@ -65,6 +67,16 @@
     Double,
 }
 
+/// What the targets of a run are like.
+pub(super) struct Kind {
+    /// Warm-up time of targets that start during the run.
+    pub(super) warm_up: Option<time::Duration>,
+    /// Software versions.
+    pub(super) versions: versions::Versions,
+    /// Directory for the logs of processes that read for the targets, if they have any.
+    pub(super) process_dir: Option<path::PathBuf>,
+}
+
 /// One running target.
 struct Target {
     name: String,
@@ -77,6 +89,10 @@
     leaving: Arc<atomic::AtomicBool>,
     relay: relay::Relay,
     server: scripted::Target,
+    /// Address in the store.
+    addr: net::SocketAddr,
+    /// Process that accepts and reads for the target.
+    process: Option<process::Process>,
 }
 
 /// All targets of a run.
@@ -88,14 +104,14 @@
     /// Warm-up time of targets that start during the run.
     warm_up: Option<time::Duration>,
     versions: versions::Versions,
+    process_dir: Option<path::PathBuf>,
 }
 
 impl Targets {
     pub(super) async fn start(
         store: memory::Memory,
         history: Arc<History>,
-        warm_up: Option<time::Duration>,
-        versions: versions::Versions,
+        kind: Kind,
     ) -> io::Result<Self> {
         let mut targets = Self {
             store,
@@ -103,7 +119,8 @@
             running: Vec::new(),
             next_id: 0,
             warm_up: None,
-            versions,
+            versions: kind.versions,
+            process_dir: kind.process_dir,
         };
         for service in SERVICES {
             for data_centre in DATA_CENTRES {
@@ -111,7 +128,7 @@
                 targets.running.push(target);
             }
         }
-        targets.warm_up = warm_up;
+        targets.warm_up = kind.warm_up;
         Ok(targets)
     }
 
@@ -119,6 +136,41 @@
         self.running.len()
     }
 
+    /// Returns the indices of the targets of a service.
+    pub(super) fn of_service(&self, service: &str) -> Vec<usize> {
+        let all = 0..self.running.len();
+        all.filter(|i| self.running[*i].service == service)
+            .collect()
+    }
+
+    /// Returns the name of a target.
+    pub(super) fn name(&self, index: usize) -> &str {
+        &self.running[index].name
+    }
+
+    /// Stops or continues the process of a target; has no effect on one that has been replaced.
+    pub(super) fn signal(&self, name: &str, signal: Signal) {
+        let target = self.running.iter().find(|target| target.name == name);
+        if let Some(process) = target.and_then(|target| target.process.as_ref()) {
+            process.signal(signal);
+            self.history.record_fault(format!("{name} {signal}"));
+        }
+    }
+
+    /// Lists a target, or removes its entry.
+    pub(super) async fn list(&self, name: &str, listed: bool) {
+        let Some(target) = self.running.iter().find(|target| target.name == name) else {
+            return;
+        };
+        match listed {
+            true => {
+                let entry = entry(target, "ready");
+                super::overwrite(&self.store, &format!("servers/{name}"), &entry).await;
+            }
+            false => self.delete(name).await,
+        }
+    }
+
     /// Sets the mode of one target.
     pub(super) fn set(&self, index: usize, mode: Mode) {
         let target = &self.running[index];
@@ -154,6 +206,9 @@
     pub(super) fn heal(&self) {
         for (index, target) in self.running.iter().enumerate() {
             target.relay.resume();
+            if let Some(process) = &target.process {
+                process.resume();
+            }
             self.set(index, Mode::Good);
         }
     }
@@ -235,7 +290,17 @@
             history: self.history.clone(),
         };
         let server = scripted::Target::start(move |seen, _| script.steps(seen)).await?;
-        let relay = relay::Relay::start(addr, server.addr()).await?;
+        let (relay, process) = match &self.process_dir {
+            None => (relay::Relay::start(addr, server.addr()).await?, None),
+            Some(dir) => {
+                let inner = port::reserve_addr();
+                let relay = relay::Relay::start(inner, server.addr()).await?;
+                (
+                    relay,
+                    Some(stops::start_process(dir, &name, addr, inner).await?),
+                )
+            }
+        };
         self.history
             .lock()
             .data_centres
@@ -250,6 +315,8 @@
             leaving,
             relay,
             server,
+            addr,
+            process,
         };
         let mut entry = entry(&target, "ready");
         if let Some(warm_up) = self.warm_up {
@@ -293,7 +360,7 @@
 
 fn entry(target: &Target, state: &str) -> Value {
     json!({
-        "service": target.service, "address": target.relay.addr().to_string(),
+        "service": target.service, "address": target.addr.to_string(),
         "zone": target.data_centre, "version": target.version,
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1
     })
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -42,6 +42,7 @@
         service_outages,
         poison: false,
         versions: false,
+        stops: false,
     };
     check(plan, &dir).await;
 }
@@ -65,6 +66,7 @@
         service_outages: false,
         poison: true,
         versions: false,
+        stops: false,
     };
     check(plan, &dir).await;
 }
@@ -86,6 +88,28 @@
         service_outages: false,
         poison: false,
         versions: true,
+        stops: false,
+    };
+    check(plan, &dir).await;
+}
+
+// What was sent to targets that stood still arrives at once when they go on.
+#[rstest]
+#[case(51)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeats_stay_within_the_budget_beside_stopped_targets(#[case] seed: u64) {
+    let dir = env::temp_dir().join(format!("laburnum-soak-stops-{}-{seed}", process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let plan = soak::Plan {
+        seed,
+        gateways: 4,
+        length: time::Duration::from_secs(20),
+        evacuations: false,
+        target_signals: false,
+        service_outages: false,
+        poison: false,
+        versions: false,
+        stops: true,
     };
     check(plan, &dir).await;
 }
