A send is not in doubt if its target has sent something since

Charges were held also for targets that are only slow: a request that was given up there held its repeat until the target answered a later request, though its other answers showed that it was reading. Now a send whose target has sent anything 50 ms or more after it counts as arrived.

Test: two targets that never answer one path and answer all others; before, the budget held a repeat after the last send, now none.

--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -45,6 +45,9 @@
 /// Least time between two checks of a target that is only silent.
 const SILENCE_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Time after which what comes from a target was sent after a request had reached it.
+const TRANSIT_MAX: time::Duration = time::Duration::from_millis(50);
+
 /// Interval at which a silent target is probed, in a small fleet.
 const SILENT_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -460,6 +463,12 @@
         poison::Probe::Answered
     }
 
+    /// Reports whether a target has read what was sent to it at `sent`, as it has sent something
+    /// since.
+    pub fn has_read(&self, target: &id::TargetLife, sent: Instant) -> bool {
+        self.has_heard(target, sent + TRANSIT_MAX)
+    }
+
     fn has_heard(&self, target: &id::TargetLife, since: Instant) -> bool {
         let state = view::lock(&self.state);
         let heard = state.targets.get(target).and_then(|known| known.heard);
--- a/laburnumcart_gateway/src/dispatcher/call.rs
+++ b/laburnumcart_gateway/src/dispatcher/call.rs
@@ -163,6 +163,10 @@
             Ok(result) => result,
             Err(_) => Err(CallError::Lost(pool::Failure::Timeout)),
         };
+        let target = prepared.target.key();
+        let is_given_up = matches!(result, Err(CallError::Lost(pool::Failure::Timeout)));
+        let is_unsettled = is_given_up && !detector.has_read(&target, start);
+        let unsettled_at = is_unsettled.then_some(target);
         match &result {
             Ok(_) => run.complete(),
             Err(CallError::Unsent(_) | CallError::NotRun(_)) => run.discard(),
@@ -176,8 +180,6 @@
         };
         let counts = count_outcomes(&result);
         let reached = !matches!(result, Err(CallError::Unsent(_)));
-        let is_given_up = matches!(result, Err(CallError::Lost(pool::Failure::Timeout)));
-        let unsettled_at = is_given_up.then(|| prepared.target.key());
         let (events, outcome) = match result {
             Ok(outcomes) => (
                 owned.queue.complete_call(&prepared.call, outcomes, now),
