--- a/laburnumcart_gateway/src/budgets.rs
+++ b/laburnumcart_gateway/src/budgets.rs
@@ -193,6 +193,7 @@
                 sends.end(key);
             }
         });
+        self.count_given_up(service, count);
         self.count_unsettled();
     }
 
@@ -242,6 +243,15 @@
         self.count_unsettled();
     }
 
+    /// Counts sends that were given up without a sign of their target.
+    fn count_given_up(&self, service: &id::ServiceName, count: u32) {
+        let labels = ServiceLabels {
+            service: service.to_string(),
+        };
+        let counter = self.metrics.unsettled.given_up.get_or_create(&labels);
+        counter.inc_by(count.into());
+    }
+
     /// Sets the gauges of unsettled sends.
     fn count_unsettled(&self) {
         let now = self.now();
--- a/laburnumcart_gateway/src/budgets/sends.rs
+++ b/laburnumcart_gateway/src/budgets/sends.rs
@@ -89,6 +89,7 @@
             let budget = &mut service.budget;
             service.sends.give_up(key, &target, budget, now);
         });
+        self.budgets.count_given_up(&self.service, 1);
         self.budgets.count_unsettled();
     }
 
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -136,6 +136,8 @@
 /// Metrics of sends that were given up without a sign of their target.
 #[derive(Clone, Debug, Default)]
 pub struct UnsettledMetrics {
+    /// Sends that were given up, by service.
+    pub given_up: family::Family<budgets::ServiceLabels, counter::Counter>,
     /// Such sends of requests that were sent again, by service.
     pub sends: family::Family<budgets::ServiceLabels, gauge::Gauge>,
     /// Age of the oldest of them in seconds, by service.
@@ -144,6 +146,11 @@
 
 impl UnsettledMetrics {
     fn register(&self, r: &mut registry::Registry) {
+        r.register(
+            "sends_given_up",
+            "Sends given up without a sign of their target",
+            self.given_up.clone(),
+        );
         r.register(
             "unsettled_sends",
             "Sends given up without a sign of their target, of requests sent again",
