Unsettled sends: less work for each answer; failures during a check are not lost

An answer of a target without unsettled sends no longer counts those of all targets. A request that fails at a silent target after it has answered, and before that is noticed, is checked at once, not after the next failure there.

--- a/laburnumcart/src/unsettled.rs
+++ b/laburnumcart/src/unsettled.rs
@@ -18,10 +18,9 @@
     id, //
 };
 
-/// Time after which a send counts as lost, as its target may never be heard of again.
+/// Time after which a send counts as lost.
 ///
-/// Longer than a process stands still in practice; until then its repeat can't be granted to
-/// another request.
+/// A target that never comes back must not keep repeats from other requests for good.
 pub const MAX_AGE: time::Duration = time::Duration::from_secs(90);
 
 /// Most unsettled sends that are kept; the oldest make room.
@@ -34,7 +33,7 @@
 
 /// How a send ended that was unsettled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum End {
+enum End {
     /// Its target reads what waits, so that it arrives now at the latest.
     Arrived,
     /// Its target has ended, or was not heard of for [`MAX_AGE`].
@@ -231,11 +230,6 @@
         self.end_sends(&ended, End::Lost, budget, now);
     }
 
-    /// Returns the targets with unsettled sends.
-    pub fn targets(&self) -> impl Iterator<Item = &id::TargetLife> {
-        self.targets.keys()
-    }
-
     /// Returns the number of unsettled sends of requests that were sent again, and the time of the
     /// oldest.
     pub fn summary(&self) -> (usize, Option<Instant>) {
--- a/laburnumcart_gateway/src/budgets.rs
+++ b/laburnumcart_gateway/src/budgets.rs
@@ -219,8 +219,8 @@
                 life = target.life,
                 repeats = settled
             );
+            self.count_unsettled();
         }
-        self.count_unsettled();
     }
 
     /// Ends the sends to targets that have ended, and those that are too old.
--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -374,7 +374,7 @@
         known.checking = false;
         known.checked_at = Some(Instant::now());
         // Requests that failed during the check may have met a later crash.
-        if outcome == poison::Outcome::Alive && state.failures.is_open(&life) {
+        if state.failures.is_open(&life) {
             self.start_check(&mut state, &life);
         }
         drop(state);
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -251,14 +251,12 @@
         };
         let is_unsent = |failure: &pool::Failure| failure.verdict() == verdict::Verdict::NotRun;
         self.reached |= !result.as_ref().is_err_and(is_unsent);
-        let has_read = self
-            .gateway
-            .outbound
-            .detector
-            .has_read(&target.key(), start);
+        let detector = &outbound.detector;
         match &result {
-            Err(pool::Failure::Timeout) if !has_read => self.sends.give_up(),
             Err(failure) if is_unsent(failure) => self.sends.record_unsent(),
+            Err(pool::Failure::Timeout) if !detector.has_read(&target.key(), start) => {
+                self.sends.give_up();
+            }
             // A connection that broke was read by its target, or never will be.
             Ok(_) | Err(_) => self.sends.record_arrival(),
         }
