--- a/laburnumcart_system/src/soak/stops.rs
+++ b/laburnumcart_system/src/soak/stops.rs
@@ -66,40 +66,37 @@
         let service = SERVICES[rng.random_range(0..SERVICES.len())];
         let length = time::Duration::from_millis(rng.random_range(LENGTH_MS));
         let left = end.saturating_duration_since(time::Instant::now());
-        let series = rng.random_bool(0.3);
-        let all_but = rng.random_range(0..=2);
-        stop_some(
-            testbed,
-            &mut rng,
+        let stop = Stop {
             service,
-            all_but,
-            series,
-            length.min(left),
-        )
-        .await;
+            length: length.min(left),
+            series: rng.random_bool(0.3),
+            spared: rng.random_range(0..=2),
+        };
+        stop_some(testbed, &mut rng, &stop).await;
         tokio::time::sleep(time::Duration::from_millis(rng.random_range(PAUSE_MS))).await;
     }
 }
 
-/// Stops all targets of a service but some, at once or in a series, for a time.
-async fn stop_some(
-    testbed: &Arc<Testbed>,
-    rng: &mut impl Rng,
-    service: &str,
-    spared: usize,
-    series: bool,
+/// Targets of a service that stand still together.
+struct Stop {
+    service: &'static str,
+    /// Time from the first stop until all go on.
     length: time::Duration,
-) {
-    let targets = testbed.targets.lock().await;
-    let mut names: Vec<_> = targets.of_service(service).into_iter().collect();
+    /// Whether they are stopped one after the other.
+    series: bool,
+    /// Number of targets of the service that are not stopped.
+    spared: usize,
+}
+
+/// Stops targets and lets them go on.
+async fn stop_some(testbed: &Arc<Testbed>, rng: &mut impl Rng, stop: &Stop) {
+    let mut names = testbed.targets.lock().await.names(stop.service);
     names.shuffle(rng);
-    let names = names.split_off(spared.min(names.len()));
-    let names: Vec<_> = names.iter().map(|i| targets.name(*i).to_owned()).collect();
-    drop(targets);
-    let end = time::Instant::now() + length;
+    names.drain(..stop.spared.min(names.len()));
+    let end = time::Instant::now() + stop.length;
     for name in &names {
         testbed.targets.lock().await.signal(name, Signal::SIGSTOP);
-        if series {
+        if stop.series {
             tokio::time::sleep(time::Duration::from_millis(SERIES_MS)).await;
         }
     }
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -135,16 +135,10 @@
         self.running.len()
     }
 
-    /// Returns the indices of the targets of a service.
-    pub(super) fn of_service(&self, service: &str) -> Vec<usize> {
-        let all = 0..self.running.len();
-        all.filter(|i| self.running[*i].service == service)
-            .collect()
-    }
-
-    /// Returns the name of a target.
-    pub(super) fn name(&self, index: usize) -> &str {
-        &self.running[index].name
+    /// Returns the names of the targets of a service.
+    pub(super) fn names(&self, service: &str) -> Vec<String> {
+        let of_service = self.running.iter().filter(|t| t.service == service);
+        of_service.map(|target| target.name.clone()).collect()
     }
 
     /// Stops or continues the process of a target; has no effect on one that has been replaced.
