Crashes by content: of several reports of one failure the earliest counts

Its logs: the note of the content gave ages 0.42 s too young. The peers then told of others' failures at the same targets, with the right times, so that the content seemed to have been sent after the first failure there, to targets that were down already. None of its crashes counted, and it ran freely. The peers' own reports of its crashes, with the right times, were dropped as known.

Now a report that ends earlier replaces the known one. It is not passed on, so that rounding cannot make processes correct each other without end. Ruled out: permits (none was needed, the content was held to be clean) and the old secret that the others still showed.

--- a/laburnumcart/src/poison/crashes.rs
+++ b/laburnumcart/src/poison/crashes.rs
@@ -127,6 +127,8 @@
 impl Crashes {
     /// Adds the failure of a content at a crashed target; returns whether it is new.
     ///
+    /// Of several reports the one with the earliest end counts.
+    ///
     /// If there are too many contents, one with a single crash makes room, so that content that
     /// differs in each request cannot displace what has crashed several targets.
     pub fn add(&mut self, target: &id::TargetLife, failure: Failure) -> bool {
@@ -134,10 +136,19 @@
             return false;
         }
         let known = self.contents.entry(failure.content).or_default();
-        let is_known = known.crashes.iter().any(|crash| crash.target == *target);
-        if is_known || known.crashes.len() >= CONTENT_CRASHES_MAX {
+        let reported = known.crashes.iter().position(|c| c.target == *target);
+        let is_new = reported.is_none();
+        if is_new && known.crashes.len() >= CONTENT_CRASHES_MAX {
             return false;
         }
+        if let Some(index) = reported {
+            // Reports of one failure differ by their way here, and by the clocks on it. A later one
+            // would follow the crash and not count.
+            if known.crashes[index].failure.failed <= failure.failed {
+                return false;
+            }
+            known.crashes.remove(index);
+        }
         let crash = Crash {
             target: target.clone(),
             failure,
@@ -157,7 +168,7 @@
         target.first = target.first.min(failure.failed);
         target.contents.insert(failure.content);
         self.update_levels();
-        true
+        is_new
     }
 
     /// Records that a request completed; returns whether this clears its content of a crash.
--- a/laburnumcart/tests/poison.rs
+++ b/laburnumcart/tests/poison.rs
@@ -189,6 +189,29 @@
     assert_eq!(crashes.crashed_targets(CONTENT).len(), 1);
 }
 
+// A report with times that are too late makes it look as if the targets had been down already.
+#[test]
+fn a_crash_that_is_reported_again_counts_from_its_earlier_time() {
+    let start = Instant::now();
+    let mut crashes = poison::Crashes::default();
+    for i in 0..3 {
+        crash(
+            &mut crashes,
+            start,
+            u64::from(i),
+            i * 100 + 400,
+            i * 100 + 450,
+        );
+    }
+    for i in 0..3 {
+        let beside = id::Fingerprint(10 + u128::from(i));
+        let failure = failure(beside, start, i * 100, i * 100 + 50);
+        crashes.add(&target(i.into()), failure);
+    }
+    crash_in_sequence(&mut crashes, start, 3);
+    assert!(is_quarantined(crashes.status(CONTENT, start + MS * 500)));
+}
+
 // Two contents ran beside each other at each crash, and one of them crashes a further target alone.
 #[test]
 fn contents_that_ran_together_are_told_apart_by_a_further_crash() {
