Notes of contents: the ages refer to the time at which they were taken

The ages were taken before the note was written, the time they refer to after the store had answered a read, and after the notes of other contents had been written.

Now both are taken together. The field keeps its name and its meaning for a reader, so that an older build reads the note. What remains: the time of day of two machines may differ; the earliest report counts, so that any peer's word corrects a note that is too young.

--- a/laburnumcart_gateway/src/control/contents.rs
+++ b/laburnumcart_gateway/src/control/contents.rs
@@ -44,20 +44,32 @@
 /// Note of a content.
 #[derive(Debug, Serialize, Deserialize)]
 struct Note {
-    /// Time of day at which it was written, in milliseconds since 1970.
+    /// Time of day to which the ages refer, in milliseconds since 1970.
     written_ms: u64,
     /// Crashes of the content, with their ages at that time.
     crashes: Vec<signals::TargetSignal>,
 }
 
-impl Note {
-    fn new(crashes: &[signals::TargetSignal]) -> Self {
-        Self {
-            written_ms: unix_ms(),
-            crashes: crashes.to_vec(),
-        }
+/// Contents that may not run freely, with the ages of their crashes at one time.
+struct Suspects {
+    /// Time of day to which the ages refer, in milliseconds since 1970.
+    taken_ms: u64,
+    contents: Vec<(id::Fingerprint, Vec<signals::TargetSignal>)>,
+}
+
+impl Suspects {
+    /// Takes those with the most crashes.
+    fn take(signals: &signals::Signals) -> Self {
+        // Writing takes as long as the store does, and the ages must not seem those of its end.
+        let taken_ms = unix_ms();
+        let mut contents = signals.suspected();
+        contents.sort_by_key(|(_, crashes)| std::cmp::Reverse(crashes.len()));
+        contents.truncate(NOTES_MAX);
+        Self { taken_ms, contents }
     }
+}
 
+impl Note {
     /// Returns the crashes with their present ages.
     ///
     /// Crashes that seemed younger than they are would end after later sends have begun, so that
@@ -95,18 +107,16 @@
         let mut changes = self.signals.subscribe();
         loop {
             changes.mark_unchanged();
-            let mut suspected = self.signals.suspected();
-            suspected.sort_by_key(|(_, crashes)| std::cmp::Reverse(crashes.len()));
-            suspected.truncate(NOTES_MAX);
+            let suspects = Suspects::take(&self.signals);
             if self.is_writer() {
-                self.write_all(&suspected, &mut noted).await;
-                self.remove_others(&suspected, &mut noted).await;
+                self.write_all(&suspects, &mut noted).await;
+                self.remove_others(&suspects, &mut noted).await;
             }
             let pause = tokio::time::sleep(CHECK_INTERVAL);
             tokio::select! {
                 // The sender is dropped only with the signals.
                 _ = changes.changed() => {}
-                () = pause, if !noted.is_empty() || !suspected.is_empty() => {}
+                () = pause, if !noted.is_empty() || !suspects.contents.is_empty() => {}
             }
         }
     }
@@ -139,14 +149,18 @@
     /// Writes the notes of contents that have more crashes than theirs tells.
     async fn write_all(
         &self,
-        suspected: &[(id::Fingerprint, Vec<signals::TargetSignal>)],
+        suspects: &Suspects,
         noted: &mut collections::HashMap<id::Fingerprint, usize>,
     ) {
-        for (content, crashes) in suspected {
+        for (content, crashes) in &suspects.contents {
             if noted.get(content) >= Some(&crashes.len()) {
                 continue;
             }
-            match self.write(*content, crashes).await {
+            let note = Note {
+                written_ms: suspects.taken_ms,
+                crashes: crashes.clone(),
+            };
+            match self.write(*content, &note).await {
                 Ok(()) => {
                     noted.insert(*content, crashes.len());
                     event!(
@@ -161,18 +175,13 @@
         }
     }
 
-    async fn write(
-        &self,
-        content: id::Fingerprint,
-        crashes: &[signals::TargetSignal],
-    ) -> Result<(), store::Failure> {
+    async fn write(&self, content: id::Fingerprint, note: &Note) -> Result<(), store::Failure> {
         let key = self.key(content);
         let known = self.store.get(&key).await?;
         let expect = known.map_or(store::Expect::Absent, |object| {
             store::Expect::Version(object.version)
         });
-        let note = Note::new(crashes);
-        let value = serde_json::to_string(&note).expect("a note is valid JSON");
+        let value = serde_json::to_string(note).expect("a note is valid JSON");
         match self.store.put(&key, expect, &value).await {
             // The other writer knows the same crashes.
             Ok(_) | Err(store::Failure::Conflict) => Ok(()),
@@ -183,10 +192,11 @@
     /// Removes the notes of contents that have been cleared, or whose crashes have expired.
     async fn remove_others(
         &self,
-        suspected: &[(id::Fingerprint, Vec<signals::TargetSignal>)],
+        suspects: &Suspects,
         noted: &mut collections::HashMap<id::Fingerprint, usize>,
     ) {
-        let is_suspected = |content: &id::Fingerprint| suspected.iter().any(|(c, _)| c == content);
+        let is_suspected =
+            |content: &id::Fingerprint| suspects.contents.iter().any(|(c, _)| c == content);
         let cleared: Vec<_> = noted.keys().filter(|c| !is_suspected(c)).copied().collect();
         for content in cleared {
             match self.remove(content).await {
