Tests of the gateway leave the folder that translates the platform

They stand with the other tests of the whole now (laburnumcart_system/tests/gateway), whose targets and callers speak the platform's protocol as well. What tests the client of the store alone stays.

--- a/platform/tests/it/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -17,7 +17,6 @@
 mod stages;
 mod state;
 mod stopped_targets;
-mod store;
 mod streams;
 mod support;
 mod versions;
