Tests of stopped targets: streams and pieces of stages as well

The bound was shown to hold for requests of plain services only. The bounds and what identifies an arrival are those of the other tests of the budget.

--- a/laburnumcart_system/tests/gateway/retry_budget.rs
+++ b/laburnumcart_system/tests/gateway/retry_budget.rs
@@ -46,8 +46,8 @@
 };
 
 /// Retry budget: share of the requests, and additional retries.
-const RETRY_RATIO: f64 = 0.1;
-const RETRY_EXTRA: usize = 10;
+pub(crate) const RETRY_RATIO: f64 = 0.1;
+pub(crate) const RETRY_EXTRA: usize = 10;
 
 /// Requests of one run, and the number of concurrent ones.
 const REQUESTS: usize = 200;
@@ -64,12 +64,8 @@
     /// Counts a request, or each piece of a call.
     fn record(&self, seen: &ReceivedRequest) {
         let mut all = self.0.lock().unwrap();
-        let keys = match seen.path() {
-            "/api/stage-run" => call_items(seen).iter().map(piece_key).collect(),
-            "/api/stage-free" => Vec::new(),
-            _ => vec![seen.header("x-laburnumcart-attempt-id").unwrap().to_owned()],
-        };
-        keys.into_iter()
+        arrival_keys(seen)
+            .into_iter()
             .for_each(|key| *all.entry(key).or_default() += 1);
     }
 
@@ -88,6 +84,15 @@
     }
 }
 
+/// Returns what identifies a request, or each piece of a call.
+pub(crate) fn arrival_keys(seen: &ReceivedRequest) -> Vec<String> {
+    match seen.path() {
+        "/api/stage-run" => call_items(seen).iter().map(piece_key).collect(),
+        "/api/stage-free" => Vec::new(),
+        _ => vec![seen.header("x-laburnumcart-attempt-id").unwrap().to_owned()],
+    }
+}
+
 fn piece_key(item: &Value) -> String {
     format!("{}-{}-{}", item["id"], item["stage"], item["segment"])
 }
@@ -169,7 +174,8 @@
     served.into_inner()
 }
 
-fn set_pieces(headers: &mut HeaderMap) {
+/// Sets the headers of a request with pieces for two stages.
+pub(crate) fn set_pieces(headers: &mut HeaderMap) {
     headers.insert("x-laburnumcart-chunks", "3,1".parse().unwrap());
     headers.insert("x-laburnumcart-chunk-key", "k-1".parse().unwrap());
 }
@@ -194,11 +200,11 @@
     vec![not_run(seen, "409 Conflict")]
 }
 
-fn full_response(seen: &ReceivedRequest) -> Vec<Step> {
+pub(crate) fn full_response(seen: &ReceivedRequest) -> Vec<Step> {
     vec![success(seen, "done")]
 }
 
-fn full_stream(seen: &ReceivedRequest) -> Vec<Step> {
+pub(crate) fn full_stream(seen: &ReceivedRequest) -> Vec<Step> {
     vec![stream_head(seen), chunk(&events(1..=3)), stream_end()]
 }
 
--- a/laburnumcart_system/tests/gateway/stopped_targets.rs
+++ b/laburnumcart_system/tests/gateway/stopped_targets.rs
@@ -23,16 +23,16 @@
 };
 use tokio::time::Instant;
 
-use crate::support::{
-    System,
-    config,
-    success, //
+use crate::{
+    retry_budget, stages,
+    support::{
+        System,
+        config,
+        desk_target,
+        success, //
+    },
 };
 
-/// Retry budget of [`laburnumcart_gateway::settings::Bounds::default`].
-const RETRY_RATIO: f64 = 0.1;
-const RETRY_EXTRA: f64 = 10.0;
-
 /// Window of the retry budget.
 const WINDOW: time::Duration = time::Duration::from_secs(10);
 
@@ -45,6 +45,45 @@
 /// Time for which requests are sent before targets are stopped, and after they have gone on.
 const MARGIN: time::Duration = time::Duration::from_secs(4);
 
+/// Requests that are sent, and the service whose targets are stopped.
+#[derive(Clone, Copy)]
+struct Work {
+    path: &'static str,
+    service: &'static str,
+    script: fn(&ReceivedRequest) -> Vec<Step>,
+}
+
+const REQUESTS: Work = Work {
+    path: "/safe/1",
+    service: "desk",
+    script: retry_budget::full_response,
+};
+
+const STREAMS: Work = Work {
+    path: "/resumed/1",
+    service: "desk",
+    script: retry_budget::full_stream,
+};
+
+const STAGES: Work = Work {
+    path: "/safe/1",
+    service: "encode",
+    script: stages::stage_response,
+};
+
+impl Work {
+    fn config(self) -> Value {
+        let mut config = match self.service {
+            "encode" => stages::two_stage_config(),
+            _ => config(|_| ()),
+        };
+        for route in config["routes"].as_array_mut().unwrap() {
+            route["max_attempts"] = json!(4);
+        }
+        config
+    }
+}
+
 /// Times at which requests were sent, and at which targets received one that was received before.
 #[derive(Clone, Default)]
 struct Repeats {
@@ -55,10 +94,11 @@
 
 impl Repeats {
     fn record(&self, seen: &ReceivedRequest) {
-        let attempt = seen.header("x-laburnumcart-attempt-id").unwrap();
-        if !self.seen.lock().unwrap().insert(attempt.to_owned()) {
-            self.at.lock().unwrap().push(Instant::now());
-        }
+        let now = Instant::now();
+        let mut known = self.seen.lock().unwrap();
+        let keys = retry_budget::arrival_keys(seen).into_iter();
+        let repeats = keys.filter(|key| !known.insert(key.clone())).count();
+        self.at.lock().unwrap().extend(vec![now; repeats]);
     }
 
     /// Returns the greatest use of the budget in any window, as a fraction.
@@ -68,7 +108,8 @@
             // Gateways may count the requests in a window that began earlier.
             let starts = [0.0, 0.5, 1.0].map(|back| *from - WINDOW.mul_f64(back));
             let requests = starts.map(|from| count(&sent, from)).into_iter().max();
-            let allowed = RETRY_RATIO * requests.unwrap_or(0) as f64 + RETRY_EXTRA;
+            let earned = retry_budget::RETRY_RATIO * requests.unwrap_or(0) as f64;
+            let allowed = earned + retry_budget::RETRY_EXTRA as f64;
             count(&at, *from) as f64 / allowed
         };
         at.iter().map(use_from).fold(0.0, f64::max)
@@ -113,12 +154,13 @@
     target.resume();
 }
 
-fn four_attempts(config: &mut Value) {
-    config["routes"][0]["max_attempts"] = json!(4);
-}
-
 /// Sends a request to one gateway after another without waiting for the responses.
-async fn send_steadily(fleet: &Arc<Vec<System>>, repeats: &Repeats, length: time::Duration) {
+async fn send_steadily(
+    fleet: &Arc<Vec<System>>,
+    work: Work,
+    repeats: &Repeats,
+    length: time::Duration,
+) {
     let end = Instant::now() + length;
     let first = repeats.sent.lock().unwrap().len();
     let mut sent = tokio::task::JoinSet::new();
@@ -131,10 +173,11 @@
         sent.spawn(async move {
             let id = HeaderValue::try_from(format!("request-{first}-{number}")).unwrap();
             let gateway = &fleet[number % fleet.len()];
-            let response = gateway.call("/safe/1", |headers| {
+            let response = gateway.try_call(work.path, |headers| {
                 headers.insert("x-laburnumcart-attempt-id", id);
+                retry_budget::set_pieces(headers);
             });
-            response.await.status.as_u16()
+            response.await.unwrap().status.as_u16()
         });
         tokio::time::sleep(PAUSE).await;
     }
@@ -144,25 +187,31 @@
 }
 
 /// Starts the targets; each records what reaches it.
-async fn start_targets(count: usize, repeats: &Repeats) -> Vec<Target> {
+async fn start_targets(work: Work, count: usize, repeats: &Repeats) -> Vec<Target> {
     let mut targets = Vec::new();
     for _ in 0..count {
         let repeats = repeats.clone();
         let target = Target::start(move |seen, _| {
             repeats.record(seen);
-            vec![success(seen, "done")]
+            (work.script)(seen)
         });
         targets.push(target.await.unwrap());
     }
     targets
 }
 
-/// Starts gateways that know the targets.
-async fn start_fleet(gateways: usize, targets: &[Target]) -> Arc<Vec<System>> {
-    let names: Vec<_> = (0..targets.len()).map(|i| format!("desk-{i}")).collect();
+/// Starts gateways that know the targets, and one target of the service behind a stage.
+async fn start_fleet(gateways: usize, work: Work, targets: &[Target]) -> Arc<Vec<System>> {
+    let names: Vec<_> = (0..targets.len()).map(|i| format!("target-{i}")).collect();
     let all = names.iter().zip(targets);
-    let all: Vec<_> = all.map(|(name, t)| (name.as_str(), "desk", t)).collect();
-    let first = System::start(config(four_attempts), &all).await;
+    let mut all: Vec<_> = all
+        .map(|(name, t)| (name.as_str(), work.service, t))
+        .collect();
+    let desk = desk_target().await;
+    if work.service != "desk" {
+        all.push(("desk", "desk", &desk));
+    }
+    let first = System::start(work.config(), &all).await;
     let mut fleet = first.start_peers(2..=gateways).await;
     fleet.push(first);
     Arc::new(fleet)
@@ -170,18 +219,23 @@
 
 // What was granted in many windows reaches the targets in one.
 #[rstest]
-#[case::five_of_six(five_of_six)]
-#[case::three_of_six(three_of_six)]
-#[case::one_more_at_a_time(one_more_at_a_time)]
-#[case::on_and_off(on_and_off)]
+#[case::five_of_six(REQUESTS, five_of_six)]
+#[case::three_of_six(REQUESTS, three_of_six)]
+#[case::one_more_at_a_time(REQUESTS, one_more_at_a_time)]
+#[case::on_and_off(REQUESTS, on_and_off)]
+#[case::streams_at_five_of_six(STREAMS, five_of_six)]
+#[case::streams_at_one_more_at_a_time(STREAMS, one_more_at_a_time)]
+#[case::pieces_at_five_of_six(STAGES, five_of_six)]
+#[case::pieces_at_one_more_at_a_time(STAGES, one_more_at_a_time)]
 #[tokio::test(flavor = "multi_thread")]
 async fn what_waits_at_stopped_targets_stays_within_the_budget(
     #[values(1, 4)] gateways: usize,
+    #[case] work: Work,
     #[case] stops: Stops,
 ) {
     let repeats = Repeats::default();
-    let targets = start_targets(TARGET_COUNT, &repeats).await;
-    let fleet = start_fleet(gateways, &targets).await;
+    let targets = start_targets(work, TARGET_COUNT, &repeats).await;
+    let fleet = start_fleet(gateways, work, &targets).await;
 
     let mut stopped = tokio::task::JoinSet::new();
     let mut end = time::Duration::ZERO;
@@ -191,7 +245,7 @@
             stopped.spawn(stop_for(target.clone(), stop));
         }
     }
-    send_steadily(&fleet, &repeats, MARGIN + end + MARGIN).await;
+    send_steadily(&fleet, work, &repeats, MARGIN + end + MARGIN).await;
     stopped.join_all().await;
 
     let worst = repeats.worst_use();
@@ -203,18 +257,18 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_targets_get_no_requests_until_they_answer() {
     let repeats = Repeats::default();
-    let targets = start_targets(TARGET_COUNT, &repeats).await;
-    let fleet = start_fleet(1, &targets).await;
-    send_steadily(&fleet, &repeats, secs(1)).await;
+    let targets = start_targets(REQUESTS, TARGET_COUNT, &repeats).await;
+    let fleet = start_fleet(1, REQUESTS, &targets).await;
+    send_steadily(&fleet, REQUESTS, &repeats, secs(1)).await;
     let stopped = &targets[1..];
     stopped.iter().for_each(Target::stop);
     // They are taken for silent once neither a request nor a status check was answered in time.
-    send_steadily(&fleet, &repeats, secs(3)).await;
+    send_steadily(&fleet, REQUESTS, &repeats, secs(3)).await;
     let silent = repeats.sent.lock().unwrap().len();
-    send_steadily(&fleet, &repeats, secs(3)).await;
+    send_steadily(&fleet, REQUESTS, &repeats, secs(3)).await;
     stopped.iter().for_each(Target::resume);
     let resumed = repeats.sent.lock().unwrap().len();
-    send_steadily(&fleet, &repeats, secs(4)).await;
+    send_steadily(&fleet, REQUESTS, &repeats, secs(4)).await;
 
     // Returns the number of requests from a position on that have reached these targets.
     let count_from = |first: usize| {
@@ -249,7 +303,7 @@
         ("desk-0", "desk", &targets[0]),
         ("desk-1", "desk", &targets[1]),
     ];
-    let system = System::start(config(four_attempts), &all).await;
+    let system = System::start(REQUESTS.config(), &all).await;
     let fleet = Arc::new(vec![system]);
     let slow = async {
         for _ in 0..2 {
@@ -257,7 +311,7 @@
         }
     };
     let repeats = Repeats::default();
-    tokio::join!(slow, send_steadily(&fleet, &repeats, secs(7)));
+    tokio::join!(slow, send_steadily(&fleet, REQUESTS, &repeats, secs(7)));
     let closed: usize = targets.iter().map(Target::closed_by_caller).sum();
     assert!(closed >= 2, "{closed} requests were slow");
     let labels = budgets::ServiceLabels {
