--- a/laburnumcart_system/src/soak.rs
+++ b/laburnumcart_system/src/soak.rs
@@ -54,7 +54,7 @@
 const CALLERS: usize = 12;
 
 /// Parameters of one run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Plan {
     /// Seed of the random number generators that choose the faults.
     pub seed: u64,
--- a/laburnumcart_system/tests/soak.rs
+++ b/laburnumcart_system/tests/soak.rs
@@ -3,7 +3,6 @@
 use std::{
     env,
     fs,
-    path,
     process,
     time, //
 };
@@ -31,8 +30,6 @@
     #[case] target_signals: bool,
     #[case] service_outages: bool,
 ) {
-    let dir = env::temp_dir().join(format!("laburnum-soak-test-{}-{seed}", process::id()));
-    fs::create_dir_all(&dir).unwrap();
     let plan = soak::Plan {
         seed,
         gateways: 3,
@@ -40,11 +37,9 @@
         evacuations,
         target_signals,
         service_outages,
-        poison: false,
-        versions: false,
-        stops: false,
+        ..soak::Plan::default()
     };
-    check(plan, &dir).await;
+    check("test", plan).await;
 }
 
 // Harmless requests are served, and the bound on crashes holds with the store away and entries that stay.
@@ -55,20 +50,14 @@
 #[case(500)] // A gateway that restarts is unknown to the others while the store is away.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn content_that_crashes_targets_is_refused_in_time(#[case] seed: u64) {
-    let dir = env::temp_dir().join(format!("laburnum-soak-poison-{}-{seed}", process::id()));
-    fs::create_dir_all(&dir).unwrap();
     let plan = soak::Plan {
         seed,
         gateways: 3,
         length: time::Duration::from_secs(12),
-        evacuations: false,
-        target_signals: false,
-        service_outages: false,
         poison: true,
-        versions: false,
-        stops: false,
+        ..soak::Plan::default()
     };
-    check(plan, &dir).await;
+    check("poison", plan).await;
 }
 
 // A stream goes on at a target of another software version, in one answer or over a caller's tries.
@@ -77,20 +66,14 @@
 #[case(44)] // Planned work only.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_go_on_at_their_version(#[case] seed: u64) {
-    let dir = env::temp_dir().join(format!("laburnum-soak-versions-{}-{seed}", process::id()));
-    fs::create_dir_all(&dir).unwrap();
     let plan = soak::Plan {
         seed,
         gateways: 4,
         length: time::Duration::from_secs(6),
-        evacuations: false,
-        target_signals: false,
-        service_outages: false,
-        poison: false,
         versions: true,
-        stops: false,
+        ..soak::Plan::default()
     };
-    check(plan, &dir).await;
+    check("versions", plan).await;
 }
 
 // What was sent to targets that stood still arrives at once when they go on.
@@ -98,25 +81,22 @@
 #[case(51)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn repeats_stay_within_the_budget_beside_stopped_targets(#[case] seed: u64) {
-    let dir = env::temp_dir().join(format!("laburnum-soak-stops-{}-{seed}", process::id()));
-    fs::create_dir_all(&dir).unwrap();
     let plan = soak::Plan {
         seed,
         gateways: 4,
         length: time::Duration::from_secs(20),
-        evacuations: false,
-        target_signals: false,
-        service_outages: false,
-        poison: false,
-        versions: false,
         stops: true,
+        ..soak::Plan::default()
     };
-    check(plan, &dir).await;
+    check("stops", plan).await;
 }
 
 /// Runs a plan and checks that no guarantee is broken; its logs are kept if one is.
-async fn check(plan: soak::Plan, dir: &path::Path) {
-    let report = soak::run(plan, dir).await.unwrap();
+async fn check(kind: &str, plan: soak::Plan) {
+    let name = format!("laburnum-soak-{kind}-{}-{}", process::id(), plan.seed);
+    let dir = env::temp_dir().join(name);
+    fs::create_dir_all(&dir).unwrap();
+    let report = soak::run(plan, &dir).await.unwrap();
     assert!(
         report.breaches.is_empty(),
         "{report}logs: {}",
