Log: a failed request is named with the parts of its prompt

When a part that many prompts share crashes engines, on-call engineers see many failures of different contents and nothing that they have in common. The line content-failed now has the request and the ids of the parts that others may have too (all but the last one, 16 at most). No text of a prompt is logged.

--- a/laburnumcart/src/placement.rs
+++ b/laburnumcart/src/placement.rs
@@ -336,8 +336,8 @@
     }
 }
 
-/// Returns the parts that other prompts may start with as well.
-fn shared(parts: &[Part]) -> &[Part] {
+/// Returns the parts that other prompts may have as well: all but the last one.
+pub fn shared(parts: &[Part]) -> &[Part] {
     parts.split_last().map_or(parts, |(_, shared)| shared)
 }
 
--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -63,6 +63,9 @@
 /// Path of a probe if the configuration states none.
 const DEFAULT_PROBE_PATH: &str = "/";
 
+/// Greatest number of parts of a prompt that a log line names.
+const LOGGED_PARTS_MAX: usize = 16;
+
 /// Time for the body of a status check.
 const PROBE_BODY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
@@ -87,6 +90,26 @@
             Self::Pieces(contents) => contents.clone(),
         }
     }
+
+    /// Returns the id of the request; empty for a batch call.
+    fn attempt(&self) -> &str {
+        match self {
+            Self::Request(request) => &request.call.attempt,
+            Self::Pieces(_) => "",
+        }
+    }
+
+    /// Returns the parts of the prompt that other requests may have too, for the log.
+    fn part_names(&self) -> String {
+        let Self::Request(request) = self else {
+            return String::new();
+        };
+        let prompt = request.call.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        let parts = parts.iter().take(LOGGED_PARTS_MAX);
+        let names: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
+        names.join(",")
+    }
 }
 
 /// A request in flight at a target.
@@ -323,7 +346,9 @@
             event!(
                 Info,
                 "content-failed",
+                request = run.content.attempt(),
                 content = failure.content,
+                parts = run.content.part_names(),
                 target = target.name,
                 life = target.life,
                 ran_ms = (failure.failed - failure.sent).as_millis(),
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -42,6 +42,13 @@
     pub output: u64,
 }
 
+impl Prompt {
+    /// Returns the parts that other requests may have too.
+    pub fn shared_parts(&self) -> &[placement::Part] {
+        placement::shared(&self.parts)
+    }
+}
+
 /// Parsed head of a caller's request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestHead {
