Test: a part of prompts that crashes targets is refused, and sound requests are served

Callers saw engines crash one after the other for as long as requests with one part in their prompts came; no two of these requests are alike.

--- a/laburnumcart_system/tests/gateway/poison.rs
+++ b/laburnumcart_system/tests/gateway/poison.rs
@@ -2,6 +2,7 @@
 
 mod harmless;
 mod in_time;
+mod parts;
 mod trial;
 
 use std::{
