--- a/laburnumcart/src/poison.rs
+++ b/laburnumcart/src/poison.rs
@@ -57,6 +57,18 @@
 }
 
 impl Failure {
+    /// Reports whether it shows more of the crash of its target than another one there.
+    ///
+    /// Reports of one failure differ by their way here, and by the clocks on it. A later one would
+    /// follow the crash and not count. Of several requests with a part, those that were sent later
+    /// may have met a target that was down, and failed sooner than the one that crashed it.
+    fn precedes(&self, other: &Self) -> bool {
+        match self.content == other.content {
+            true => self.failed < other.failed,
+            false => self.sent < other.sent,
+        }
+    }
+
     /// Reports whether the request had a cause.
     pub fn has(&self, cause: id::Fingerprint) -> bool {
         self.content == cause || self.parts.contains(&cause)
--- a/laburnumcart/src/poison/crashes.rs
+++ b/laburnumcart/src/poison/crashes.rs
@@ -161,9 +161,7 @@
             return false;
         }
         if let Some(index) = reported {
-            // Reports of one failure differ by their way here, and by the clocks on it. A later one
-            // would follow the crash and not count.
-            if known.crashes[index].failure.failed <= failure.failed {
+            if !failure.precedes(&known.crashes[index].failure) {
                 return false;
             }
             known.crashes.remove(index);
--- a/laburnumcart/src/poison/levels.rs
+++ b/laburnumcart/src/poison/levels.rs
@@ -36,6 +36,9 @@
 /// Number of quarantines that are skipped for such a cause.
 const SKIPPED_ALONE: usize = 2;
 
+/// Number of crashes after which the quarantine of what has just been sound does not grow yet.
+const SPARED_SOUND: usize = 2;
+
 /// Crashes by requests that were sent once a cause is limited, after which it is refused whatever
 /// else ran beside it: no more requests with it may reach targets.
 const LIMITED_CRASHES_MAX: usize = 3;
@@ -49,6 +52,9 @@
 /// requests down.
 const PART_SEQUENCE: usize = 2;
 
+/// Time for which crashes with a part that has just been sound go on before it is refused.
+const SOUND_SPAN: time::Duration = time::Duration::from_secs(2);
+
 /// Level of suspicion of a cause that has crashed several targets.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Level {
@@ -75,6 +81,51 @@
     fn sequence(&self) -> usize {
         sequence_length(&self.crashes)
     }
+
+    /// Returns the crashes in sequence from which it is refused.
+    fn refused_from(&self) -> usize {
+        CRASHES + usize::from(self.was_sound)
+    }
+
+    /// Reports whether crashes that nothing else explains are enough to refuse it.
+    ///
+    /// Requests with a part that most prompts have are in flight at all targets, and are sent to
+    /// those of a rack that has failed until all processes know of it. They complete elsewhere
+    /// within a moment, unless the part itself is the cause.
+    fn is_blamed(&self, open: &[&Crash]) -> bool {
+        let first = open.first().map(|crash| crash.failure.failed);
+        let last = open.last().map(|crash| crash.failure.failed);
+        let lasts = last >= first.map(|first| first + SOUND_SPAN);
+        sequence_length(open) >= self.refused_from() && (lasts || !self.was_sound)
+    }
+
+    /// Reports whether it is suspected by crashes that no part in quarantine explains.
+    ///
+    /// A part that has just been sound runs freely until it is blamed: what clears it are the
+    /// requests that have it and do not crash their targets.
+    fn is_suspected(&self, left: &[&Crash]) -> bool {
+        let is_repeated = match self.is_part {
+            true => sequence_length(left) >= PART_SEQUENCE,
+            false => left.len() >= CRASHES,
+        };
+        is_repeated && !self.was_sound
+    }
+
+    /// Reports whether it has crashed so many targets while it was limited that no further request
+    /// may reach one.
+    ///
+    /// A part is limited together with others of the same prompts, so it must be blamed as well.
+    fn is_final(&self, is_poison: bool) -> bool {
+        let is_sure = is_poison || !self.is_part;
+        is_sure && !self.was_sound && limited_crashes(&self.crashes) >= LIMITED_CRASHES_MAX
+    }
+
+    /// Returns its crashes but for those of some targets.
+    fn without(&self, explained: &collections::HashSet<&id::TargetLife>) -> Vec<&Crash> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| !explained.contains(&crash.target));
+        crashes.copied().collect()
+    }
 }
 
 /// Returns the levels of all causes.
@@ -97,31 +148,30 @@
         } = candidate;
         (*was_sound, weight, *is_part, *cause)
     });
-    let identified = identified(&candidates);
+    let (sound, others): (Vec<_>, Vec<_>) = candidates.iter().partition(|c| c.was_sound);
+    // A part that has just been sound is in the requests of others that crash targets: it does not
+    // keep these from being identified.
+    let identified: collections::HashSet<_> =
+        [sound, others].into_iter().flat_map(identified).collect();
     let mut levels = collections::HashMap::new();
-    let mut explained: collections::HashSet<&id::TargetLife> = collections::HashSet::new();
-    let mut explained_by_parts: collections::HashSet<&id::TargetLife> = collections::HashSet::new();
+    // Targets whose crashes a cause in quarantine explains, and a part in quarantine.
+    let mut explained = collections::HashSet::new();
+    let mut explained_by_parts = collections::HashSet::new();
     for candidate in &candidates {
-        let left = |explained: &collections::HashSet<&id::TargetLife>| {
-            let crashes = candidate.crashes.iter();
-            let crashes = crashes.filter(|crash| !explained.contains(&crash.target));
-            crashes.copied().collect::<Vec<_>>()
-        };
-        if !is_suspect(candidate, &left(&explained_by_parts)) {
-            continue;
-        }
-        let open = left(&explained);
+        let open = candidate.without(&explained);
         // Only whether it is quarantined depends on the open crashes: its time must not become
         // shorter when another cause turns out to be poison too.
-        let is_poison = identified.contains(&candidate.cause) && sequence_length(&open) >= CRASHES;
-        let counted = &candidate.crashes;
+        let is_poison = identified.contains(&candidate.cause) && candidate.is_blamed(&open);
+        if !is_poison && !candidate.is_suspected(&candidate.without(&explained_by_parts)) {
+            continue;
+        }
         let level = match is_poison {
-            _ if limited_crashes(counted) >= LIMITED_CRASHES_MAX => final_quarantine(counted),
+            _ if candidate.is_final(is_poison) => final_quarantine(&candidate.crashes),
             true => quarantine(crashes, candidate),
             false => None,
         };
         if is_poison && level.is_some() {
-            let targets = counted.iter().map(|crash| &crash.target);
+            let targets = candidate.crashes.iter().map(|crash| &crash.target);
             explained.extend(targets.clone());
             if candidate.is_part {
                 explained_by_parts.extend(targets);
@@ -140,7 +190,7 @@
         Some(Candidate {
             cause,
             is_part: known.is_part,
-            was_sound: known.is_part && known.was_sound,
+            was_sound: known.was_sound,
             crashes: counted,
         })
     });
@@ -164,17 +214,11 @@
     common.is_some_and(|common| !common.is_empty())
 }
 
-/// Reports whether a cause is suspected by crashes that no part in quarantine explains.
-fn is_suspect(candidate: &Candidate<'_>, left: &[&Crash]) -> bool {
-    match candidate.is_part {
-        true => sequence_length(left) >= PART_SEQUENCE,
-        false => left.len() >= CRASHES,
-    }
-}
-
 /// Returns the causes that are identified among those with enough crashes in sequence.
-fn identified(candidates: &[Candidate<'_>]) -> collections::HashSet<id::Fingerprint> {
-    let repeated = candidates.iter().filter(|c| c.sequence() >= CRASHES);
+fn identified(candidates: Vec<&Candidate<'_>>) -> collections::HashSet<id::Fingerprint> {
+    let repeated = candidates
+        .into_iter()
+        .filter(|c| c.sequence() >= c.refused_from());
     let targets = repeated.map(|candidate| {
         let targets = candidate.crashes.iter().map(|crash| &crash.target);
         (candidate.cause, targets.collect())
@@ -196,10 +240,17 @@
     let beyond = candidate.sequence().checked_sub(CRASHES)?;
     let alone = candidate.crashes.iter();
     let alone = alone.filter(|crash| crashes.was_alone(candidate.cause, &crash.target));
-    let skipped = match alone.count() >= CRASHES_ALONE {
+    // That all requests at a target have a part says nothing against it.
+    let skipped = match !candidate.is_part && alone.count() >= CRASHES_ALONE {
         true => SKIPPED_ALONE,
         false => 0,
     };
+    // Most requests may have what has just been sound: its first quarantines are the shortest.
+    let spared = match candidate.was_sound {
+        true => SPARED_SOUND,
+        false => 0,
+    };
+    let beyond = beyond.saturating_sub(spared);
     let end = |index: usize| last + QUARANTINES[index.min(QUARANTINES.len() - 1)];
     Some(Level::Quarantined {
         early: end(beyond),
--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -348,14 +348,12 @@
         let Some(run) = self.remove(target, key) else {
             return;
         };
-        let causes = || {
-            let mut causes = run.content.fingerprints();
-            if answered {
-                causes.extend(run.content.parts(&run.service));
-            }
-            causes
+        let parts = match answered {
+            true => run.content.parts(&run.service),
+            false => Vec::new(),
         };
-        self.signals.record_completion(causes);
+        self.signals
+            .record_completion(|| run.content.fingerprints(), &parts);
     }
 
     /// Clears the parts of prompts with which targets have got past the start of a response.
@@ -371,7 +369,8 @@
         }
         drop(state);
         for (content, service) in survived {
-            self.signals.record_completion(|| content.parts(&service));
+            let parts = content.parts(&service);
+            self.signals.record_completion(Vec::new, &parts);
         }
     }
 
--- a/laburnumcart_gateway/src/relay/signals.rs
+++ b/laburnumcart_gateway/src/relay/signals.rs
@@ -195,13 +195,19 @@
 
     /// Records that a request completed; clears its causes if they are suspected.
     ///
-    /// `causes` are computed only if any may be.
-    pub fn record_completion(&self, causes: impl FnOnce() -> Vec<id::Fingerprint>) {
+    /// `content` is computed only if any may be. That requests with `parts` complete is recorded in
+    /// any case: a part that has just been sound is blamed later.
+    pub fn record_completion(
+        &self,
+        content: impl FnOnce() -> Vec<id::Fingerprint>,
+        parts: &[id::Fingerprint],
+    ) {
         let mut contents = view::lock(&self.contents);
-        if contents.crashes.is_empty() {
-            return;
-        }
-        for cause in causes() {
+        let content = match contents.crashes.is_empty() {
+            true => Vec::new(),
+            false => content(),
+        };
+        for cause in content.into_iter().chain(parts.iter().copied()) {
             let next = self.version.borrow().all + 1;
             if contents.complete(cause, Instant::now(), next, &self.metrics) {
                 self.bump_version(true);
