Crashes: requests in flight have a file of their own; refusals name the parts of the prompt

A refusal by content or part names the ids of the parts of the prompt, so that on-call engineers see which part is refused.

--- a/laburnumcart/tests/parts_model/main.rs
+++ b/laburnumcart/tests/parts_model/main.rs
@@ -1,12 +1,16 @@
 //! Parts of prompts that crash targets are refused in time, and only these, for any order of
 //! events.
 
+mod event;
 mod model;
+mod outcome;
 
-use crate::model::{
-    Kind,
-    Model,
-    Outcome, //
+use crate::{
+    model::Model,
+    outcome::{
+        Kind,
+        Outcome, //
+    },
 };
 
 /// Number of histories of each kind.
--- a/laburnumcart/tests/parts_model/model.rs
+++ b/laburnumcart/tests/parts_model/model.rs
@@ -20,6 +20,15 @@
 };
 use tokio::time::Instant;
 
+use crate::{
+    event::Event,
+    outcome::{
+        Crashing,
+        Kind,
+        Outcome, //
+    },
+};
+
 /// Length of a run, and when the sound requests of its first seconds have ended.
 const LENGTH_MS: u64 = 25_000;
 const CALM_MS: u64 = 4000;
@@ -30,8 +39,7 @@
 /// Number of parts that sound prompts have after the first one.
 const MIDDLE_PARTS: u64 = 12;
 
-/// Time after the fifth crash from which arrivals are late, and from which sound requests count.
-const SPREAD_MS: u64 = 3000;
+/// Time after the fifth crash from which sound requests count.
 const SOUND_MS: u64 = 1000;
 
 /// Time for which a request waits for a permit, and the pause between two tries.
@@ -41,68 +49,6 @@
 /// Time after the start of a response from which its target has survived the parts of the prompt.
 const START_MS: u64 = 500;
 
-/// What happens in a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Kind {
-    /// One or two parts crash targets.
-    Part,
-    /// Racks and single targets crash as well.
-    PartBesideCrashes,
-    /// Only racks and single targets crash.
-    Crashes,
-}
-
-/// What has been seen in a run.
-#[derive(Debug)]
-pub(crate) struct Outcome {
-    /// Arrivals with a part later than 3 s after its fifth crash, of the worst part.
-    pub(crate) late: usize,
-    /// Share of the sound requests that are begun from 1 s after the fifth crash.
-    pub(crate) begun: f64,
-    /// Sound requests that were refused.
-    pub(crate) refused: usize,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    SendSound,
-    SendCrashing {
-        part: usize,
-    },
-    Admit {
-        request: usize,
-        since: u64,
-    },
-    /// A request completes, or crashes its target.
-    End {
-        request: usize,
-    },
-    /// A target has gone on for a while after the start of a response.
-    Survive {
-        request: usize,
-    },
-    Notice {
-        gateway: usize,
-        request: usize,
-        failed: u64,
-    },
-    Completed {
-        gateway: usize,
-        cause: id::Fingerprint,
-        at: u64,
-    },
-    Return {
-        target: usize,
-    },
-    TrialEnd {
-        request: usize,
-    },
-    /// A number of targets crash at once.
-    Rack {
-        size: usize,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Request {
     /// The part that crashes its target, if it has one.
@@ -127,16 +73,6 @@
     up: bool,
 }
 
-/// A part that crashes targets, as seen from outside.
-#[derive(Clone, Debug, Default)]
-struct Crashing {
-    rate: u64,
-    /// Whether its requests share the first part with sound ones.
-    has_first: bool,
-    arrivals: Vec<u64>,
-    crashes: Vec<u64>,
-}
-
 pub(crate) struct Model {
     rng: rngs::StdRng,
     start: Instant,
@@ -518,22 +454,17 @@
     }
 
     fn outcome(&self) -> Outcome {
-        let late = |part: &Crashing| {
-            let fifth = part.crashes.get(4);
-            let late = part.arrivals.iter();
-            fifth.map_or(0, |fifth| {
-                late.filter(|at| **at > fifth + SPREAD_MS).count()
-            })
-        };
-        let last = self.crashing.iter().filter_map(|part| {
-            let first = &part.crashes[..part.crashes.len().min(5)];
-            first.last()
-        });
+        let last = self.crashing.iter().filter_map(Crashing::fifth_or_last);
         let from = last.max().map_or(LENGTH_MS, |last| last + SOUND_MS);
         let sent = self.sound.iter().filter(|(at, _)| *at >= from);
         let begun = sent.clone().filter(|(_, begun)| *begun).count();
         Outcome {
-            late: self.crashing.iter().map(late).max().unwrap_or_default(),
+            late: self
+                .crashing
+                .iter()
+                .map(Crashing::late)
+                .max()
+                .unwrap_or_default(),
             begun: begun as f64 / sent.count().max(1) as f64,
             refused: self.refused,
         }
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -50,6 +50,9 @@
 /// Greatest number of parts of a prompt that are held for possible causes of a crash.
 const CAUSE_PARTS_MAX: usize = 32;
 
+/// Greatest number of parts of a prompt that a log line names.
+const LOGGED_PARTS_MAX: usize = 16;
+
 /// An admitted request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -121,6 +124,15 @@
             .collect()
     }
 
+    /// Returns the parts of its prompt that other requests may have too, for the log.
+    pub fn part_names(&self) -> String {
+        let prompt = self.call.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        let parts = parts.iter().take(LOGGED_PARTS_MAX);
+        let names: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
+        names.join(",")
+    }
+
     /// Returns what may crash the targets of a service that execute the request.
     pub fn causes(&self, service: &id::ServiceName) -> Vec<id::Fingerprint> {
         let mut causes = self.part_fingerprints(service);
--- a/laburnumcart_gateway/src/crashes.rs
+++ b/laburnumcart_gateway/src/crashes.rs
@@ -6,6 +6,7 @@
 //! ran there are reported to all processes ([`crate::relay::signals`]), with the parts of their
 //! prompts.
 
+mod in_flight;
 pub mod run;
 
 use std::{
@@ -17,7 +18,6 @@
     time,
 };
 
-use slotmap::SlotMap;
 use tokio::time::Instant;
 
 use laburnumcart::{
@@ -27,7 +27,6 @@
 };
 
 use crate::{
-    admission,
     budgets,
     dialect,
     metrics,
@@ -38,7 +37,15 @@
     view, //
 };
 
-use self::run::Run;
+pub use self::in_flight::Content;
+use self::{
+    in_flight::{
+        InFlight,
+        RunKey,
+        TargetState, //
+    },
+    run::Run, //
+};
 
 /// Interval at which targets with requests in flight are examined for silence.
 pub const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -58,164 +65,12 @@
 /// Greatest multiple of the interval.
 const PROBE_INTERVALS_MAX: usize = 5;
 
-/// Time without a sign of a target after which it is checked once a caller gives up a request.
-const QUIET: time::Duration = time::Duration::from_millis(300);
-
 /// Path of a probe if the configuration states none.
 const DEFAULT_PROBE_PATH: &str = "/";
 
-/// Time after the first part of a response's body from which its target is past the start.
-const START_TIME: time::Duration = time::Duration::from_millis(500);
-
-/// Greatest number of parts of a prompt that a log line names.
-const LOGGED_PARTS_MAX: usize = 16;
-
 /// Time for the body of a status check.
 const PROBE_BODY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
-slotmap::new_key_type! {
-    /// Key of a run in progress.
-    struct RunKey;
-}
-
-/// Contents of a request or a batch call.
-#[derive(Clone, Debug)]
-pub enum Content {
-    /// That of a request, whose fingerprint is computed only if needed.
-    Request(Arc<admission::Request>),
-    /// Those of the requests whose pieces a batch call carries.
-    Pieces(Vec<id::Fingerprint>),
-}
-
-impl Content {
-    fn fingerprints(&self) -> Vec<id::Fingerprint> {
-        match self {
-            Self::Request(request) => vec![request.fingerprint()],
-            Self::Pieces(contents) => contents.clone(),
-        }
-    }
-
-    /// Returns the parts of the prompt of a request for a service.
-    fn parts(&self, service: &id::ServiceName) -> Vec<id::Fingerprint> {
-        match self {
-            Self::Request(request) => request.part_fingerprints(service),
-            Self::Pieces(_) => Vec::new(),
-        }
-    }
-
-    /// Returns the id of the request; empty for a batch call.
-    fn attempt(&self) -> &str {
-        match self {
-            Self::Request(request) => &request.call.attempt,
-            Self::Pieces(_) => "",
-        }
-    }
-
-    /// Returns the parts of the prompt that other requests may have too, for the log.
-    fn part_names(&self) -> String {
-        let Self::Request(request) = self else {
-            return String::new();
-        };
-        let prompt = request.call.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
-        let parts = parts.iter().take(LOGGED_PARTS_MAX);
-        let names: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
-        names.join(",")
-    }
-}
-
-/// A request in flight at a target.
-#[derive(Debug)]
-struct InFlight {
-    content: Content,
-    service: id::ServiceName,
-    sent: Instant,
-    /// When the first part of the response's body came, and when the last one.
-    response: Option<(Instant, Instant)>,
-    /// Whether it is recorded that the target had got past the start of the response.
-    survived: bool,
-}
-
-impl InFlight {
-    /// Reports whether the target has gone on for a while after it began the response.
-    ///
-    /// A part of a prompt that crashes targets does so when these begin to answer.
-    fn is_past_start(&self) -> bool {
-        let response = self.response;
-        response.is_some_and(|(first, last)| last >= first + START_TIME)
-    }
-
-    fn failures(&self, failed: Instant, given_up: bool) -> impl Iterator<Item = poison::Failure> {
-        let sent = self.sent;
-        let parts: Arc<[_]> = match self.is_past_start() {
-            true => [].into(),
-            false => self.content.parts(&self.service).into(),
-        };
-        let contents = self.content.fingerprints().into_iter();
-        contents.map(move |content| poison::Failure {
-            content,
-            parts: parts.clone(),
-            sent,
-            failed,
-            given_up,
-        })
-    }
-}
-
-/// State of a target with requests in flight, or under a check.
-struct TargetState {
-    target: view::Target,
-    runs: SlotMap<RunKey, InFlight>,
-    /// When it last sent anything.
-    heard: Option<Instant>,
-    checking: bool,
-    checked_at: Option<Instant>,
-    /// Trials that have failed here, which end with the check.
-    trials: Vec<peers::trial::Trial>,
-}
-
-impl TargetState {
-    fn new(target: &view::Target) -> Self {
-        Self {
-            target: target.clone(),
-            runs: SlotMap::with_key(),
-            heard: None,
-            checking: false,
-            checked_at: None,
-            trials: Vec::new(),
-        }
-    }
-
-    /// Reports whether requests are in flight and nothing has come for a while.
-    fn is_silent(&self, now: Instant) -> bool {
-        let oldest = self.runs.values().map(|run| run.sent).min();
-        let Some(oldest) = oldest else {
-            return false;
-        };
-        let last = self.heard.map_or(oldest, |heard| heard.max(oldest));
-        now.saturating_duration_since(last) >= poison::Check::SILENCE
-    }
-
-    /// Returns when a run that still waits at a crashed target failed.
-    ///
-    /// A silent target is held to have crashed only after a probe. What was sent to others
-    /// meanwhile came after its failure all the same.
-    fn failure_time(&self, run: &InFlight, now: Instant) -> Instant {
-        let last = self.heard.map_or(run.sent, |heard| heard.max(run.sent));
-        now.min(last + poison::Check::SILENCE)
-    }
-
-    /// Reports whether nothing has come from the target recently, nor since a run was sent.
-    fn is_quiet(&self, run: &InFlight, now: Instant) -> bool {
-        let last = self.heard.map_or(run.sent, |heard| heard.max(run.sent));
-        now >= last + QUIET
-    }
-
-    fn is_idle(&self) -> bool {
-        self.runs.is_empty() && !self.checking
-    }
-}
-
 #[derive(Default)]
 struct State {
     failures: poison::Failures,
--- a/laburnumcart_gateway/src/gateway/availability.rs
+++ b/laburnumcart_gateway/src/gateway/availability.rs
@@ -200,6 +200,7 @@
         "quarantined",
         request = request.call.attempt,
         content = cause,
+        parts = request.part_names(),
         left_ms = wait.as_millis()
     );
     let after = wait + reply::RETRY_AFTER.mul_f64(rand::random::<f64>());
