Only a part of prompts is spared for having been sound

A content completes also with an error, as of a target that fails a share of its requests, so that one that crashes its targets could have needed four crashes over 2 s instead of three. Found by reading; no test.

--- a/laburnumcart/src/poison/levels.rs
+++ b/laburnumcart/src/poison/levels.rs
@@ -190,7 +190,7 @@
         Some(Candidate {
             cause,
             is_part: known.is_part,
-            was_sound: known.was_sound,
+            was_sound: known.is_part && known.was_sound,
             crashes: counted,
         })
     });
