Test of a crash behind a caller that left: no wait by the clock

It gave each request 100 ms.

Now the first caller leaves once the target has its request, and the second one stays, so that each run plays the order of the test's name.

--- a/laburnumcart_system/tests/gateway/poison/in_time.rs
+++ b/laburnumcart_system/tests/gateway/poison/in_time.rs
@@ -156,10 +156,12 @@
         let entry = target_entry("desk", &target, "ready");
         system.put(&format!("servers/i-{n}"), &entry).await;
         wait_for(|| system.gateway.view.targets.load().all().count() == n).await;
-        for path in [format!("/once/left-{n}"), "/once/poison".to_owned()] {
-            let patience = time::Duration::from_millis(100);
-            let _ = tokio::time::timeout(patience, system.call(&path, |_| ())).await;
+        let left = format!("/once/left-{n}");
+        tokio::select! {
+            _ = system.call(&left, |_| ()) => panic!("the target does not answer"),
+            () = wait_for(|| target.requests().iter().any(|seen| seen.path() == left)) => {}
         }
+        system.call("/once/poison", |_| ()).await;
         let targets = system.gateway.view.targets.load();
         let listed = targets.all().find(|listed| listed.addr == target.addr());
         let life = listed.unwrap().key();
