Origin: versions that each instance may have used, as pure types

After a kill of all gateways a stream goes on only if its service had one version; a version that appears or is noted after the kill is taken for possible (streams refused, LOST). Notes of each instance's own use tell them apart.

--- a/laburnumcart/src/origin.rs
+++ b/laburnumcart/src/origin.rs
@@ -9,6 +9,7 @@
 pub mod homes;
 pub mod journal;
 pub mod records;
+pub mod usage;
 
 use serde::{
     Deserialize,
--- a/laburnumcart/src/origin/evidence.rs
+++ b/laburnumcart/src/origin/evidence.rs
@@ -4,7 +4,8 @@
     id,
     origin::{
         history::Known,
-        records::Begun, //
+        records::Begun,
+        usage::Possible, //
     },
 };
 
@@ -23,6 +24,8 @@
     pub peers: &'a [Vec<Known>],
     /// Whether this process has others to ask.
     pub has_peers: bool,
+    /// Versions that are possible by the notes of all instances.
+    pub possible: &'a Possible,
 }
 
 /// Where a stream that a caller takes up may go on.
@@ -32,6 +35,8 @@
     Recorded(Begun),
     /// At the only version that can have begun it.
     Sole(id::SoftwareVersion),
+    /// At the only version that a process without a record of it can have used.
+    Used(id::SoftwareVersion),
     /// Nowhere, as it may have begun at any of several versions.
     Unknown,
 }
@@ -47,7 +52,10 @@
         }
         match sole(self.own) {
             Some(version) if self.is_enough(version) => Decision::Sole(version.clone()),
-            _ => Decision::Unknown,
+            _ => match self.possible.sole() {
+                Some(version) => Decision::Used(version.clone()),
+                None => Decision::Unknown,
+            },
         }
     }
 
--- a/laburnumcart/tests/origin.rs
+++ b/laburnumcart/tests/origin.rs
@@ -23,6 +23,7 @@
             Begun,
             Records, //
         },
+        usage::Possible, //
     },
     rendezvous,
     unit, //
@@ -281,6 +282,7 @@
         fresh: true,
         peers,
         has_peers: true,
+        possible: &Possible::Any,
     }
 }
 
--- a/laburnumcart/tests/origin_model/model.rs
+++ b/laburnumcart/tests/origin_model/model.rs
@@ -12,6 +12,7 @@
         },
         homes,
         records::Begun,
+        usage::Possible, //
     },
     unit, //
 };
@@ -458,10 +459,11 @@
             fresh: own.history.is_fresh(now),
             peers: &peers,
             has_peers: !asked.is_empty(),
+            possible: &Possible::Any,
         };
         match evidence.decide() {
             Decision::Recorded(begun) => Some(begun.origin),
-            Decision::Sole(version) => Some(Origin {
+            Decision::Sole(version) | Decision::Used(version) => Some(Origin {
                 service: service(),
                 version: Some(version),
                 target: None,
--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -32,7 +32,8 @@
         history,
         homes,
         journal::Entry,
-        records, //
+        records,
+        usage, //
     },
     rendezvous,
     unit,
@@ -219,6 +220,7 @@
             fresh,
             peers: &known,
             has_peers: asked > 0,
+            possible: &usage::Possible::Any,
         };
         let decision = evidence.decide();
         if let (evidence::Decision::Recorded(begun), None) = (&decision, &own.begun) {
@@ -254,7 +256,7 @@
     ) -> Result<Origin, verdict::Refusal> {
         let (origin, age, source) = match decision {
             evidence::Decision::Recorded(begun) => (begun.origin, begun.age, source),
-            evidence::Decision::Sole(version) => {
+            evidence::Decision::Sole(version) | evidence::Decision::Used(version) => {
                 let service = request.route.choose_backend(rand::random());
                 let origin = Origin {
                     service: service.cloned().ok_or(no_target())?,
