Origin: knowledge that has stopped is no knowledge up to now

Cause: a summary told coverage up to now and lent the note whatever the age of the last listing, and any coverage filled any gap. A summary now tells how old the last listing is, and neither coverage nor notes with a gap or without a recent listing; one that does not tell it, of an older build, fills no gap and lends no note, and its versions still count. A gap is filled only by coverage that began before it, or by the notes.

The same class in the same file: versions in use at the start of a gap count up to its end, and those still noted after it count from then, as they can have been used meanwhile; a process without a recent listing removes no version from a note. A gap ends after the time for which a stream can last.

The tests that merge a summary state the age of its listing.

--- a/laburnumcart/src/origin/history.rs
+++ b/laburnumcart/src/origin/history.rs
@@ -75,6 +75,11 @@
     /// Versions that the note of each service names.
     #[serde(default)]
     pub noted: Vec<Noted>,
+    /// Milliseconds since the last listing, up to which the rest holds.
+    ///
+    /// `None` if versions may be missing, or if the process does not tell.
+    #[serde(default)]
+    pub listed_ms: Option<u64>,
 }
 
 /// Versions of a service that its note in the store names.
@@ -104,13 +109,22 @@
     At(freshness::BootTime),
 }
 
+/// Time without a listing, in which versions may have come and gone.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    /// Last listing before it.
+    from: freshness::BootTime,
+    /// First listing after it.
+    to: freshness::BootTime,
+}
+
 /// Versions of all services.
 #[derive(Debug, Default)]
 pub struct History {
     start: Option<Start>,
     last_read: Option<freshness::BootTime>,
-    /// Whether other processes are to be asked what they have seen.
-    has_gap: bool,
+    /// From the first to the last of the gaps that nothing has filled.
+    gap: Option<Gap>,
     services: collections::HashMap<id::ServiceName, Vec<(Version, freshness::BootTime)>>,
     /// Versions that the note of each service names, as last read, written or told.
     noted: collections::HashMap<id::ServiceName, collections::HashSet<Version>>,
@@ -123,28 +137,47 @@
         listed: impl IntoIterator<Item = (&'a id::ServiceName, &'a Version)>,
         at: freshness::BootTime,
     ) {
-        let is_late = |last: freshness::BootTime| at.since(last) > GAP_MAX;
-        self.has_gap |= self.last_read.is_some_and(is_late);
+        match self.last_read {
+            Some(last) if at.since(last) > GAP_MAX => self.open_gap(last, at),
+            _ => (),
+        }
         self.start = self.start.or(Some(Start::At(at)));
         self.last_read = self.last_read.max(Some(at));
         for (service, version) in listed {
             self.record(service, version, at);
         }
         self.expire(at);
+        if let Some(gap) = self
+            .gap
+            .filter(|gap| at.since(gap.to) >= records::RETENTION)
+        {
+            // All streams that began in it have ended.
+            self.start = Some(Start::At(gap.to));
+            self.gap = None;
+        }
     }
 
     /// Adds what another process has seen.
+    ///
+    /// Its versions count in any case; that there were no others, only if it still lists them.
     pub fn merge(&mut self, summary: &Summary, now: freshness::BootTime) {
+        for seen in &summary.seen {
+            let at = now.before(time::Duration::from_millis(seen.age_ms));
+            self.record(&seen.service, &seen.version, at);
+        }
+        let listed = summary.listed_ms.map(time::Duration::from_millis);
+        let Some(listed) = listed.filter(|age| *age <= FRESH_MAX) else {
+            return;
+        };
         let start = match summary.coverage {
             Coverage::None => return,
             Coverage::Millis(millis) => Start::At(now.before(time::Duration::from_millis(millis))),
             Coverage::Complete => Start::Always,
         };
         self.start = Some(self.start.map_or(start, |own| own.min(start)));
-        self.has_gap = false;
-        for seen in &summary.seen {
-            let at = now.before(time::Duration::from_millis(seen.age_ms));
-            self.record(&seen.service, &seen.version, at);
+        self.last_read = self.last_read.or(Some(now.before(listed)));
+        if self.gap.is_some_and(|gap| start <= Start::At(gap.from)) {
+            self.gap = None;
         }
         for noted in &summary.noted {
             self.add_noted(&noted.service, &noted.versions, now);
@@ -153,17 +186,18 @@
 
     /// Records that all notes were read, so that no version was missed in a time without a listing.
     pub fn record_notes_read(&mut self) {
-        self.has_gap = false;
+        self.gap = None;
     }
 
     /// Returns whether versions may have come and gone in a time without a listing.
     pub fn has_gap(&self) -> bool {
-        self.has_gap
+        self.gap.is_some()
     }
 
     /// Records versions that the note of a service names.
     ///
-    /// One that is new here counts as listed now: another process has seen it.
+    /// One that is new here counts as listed now: another process has seen it. So does each one
+    /// after a gap, in which it may have come back.
     pub fn add_noted(
         &mut self,
         service: &id::ServiceName,
@@ -172,7 +206,7 @@
     ) {
         for version in versions {
             let noted = self.noted.entry(service.clone()).or_default();
-            if noted.insert(version.clone()) {
+            if noted.insert(version.clone()) || self.gap.is_some() {
                 self.record(service, version, now);
             }
         }
@@ -192,7 +226,7 @@
         let none = collections::HashSet::new();
         let is_recent =
             |(_, at): &&(Version, freshness::BootTime)| now.since(*at) < records::RETENTION;
-        let covers = self.covers(now);
+        let covers = self.covers(now) && self.is_fresh(now);
         let correction = |(service, seen): (&id::ServiceName, &Vec<_>)| {
             let noted = self.noted.get(service).unwrap_or(&none);
             let recent = seen.iter().filter(is_recent).map(|(version, _)| version);
@@ -224,7 +258,9 @@
             let millis = now.since(at).as_millis();
             u64::try_from(millis).unwrap_or(u64::MAX)
         };
-        let coverage = match self.start {
+        let listed = self.last_read.filter(|_| self.is_up_to_date(now));
+        // An older process relies on any other coverage.
+        let coverage = match self.start.filter(|_| listed.is_some()) {
             None => Coverage::None,
             Some(Start::Always) => Coverage::Complete,
             Some(Start::At(at)) => Coverage::Millis(millis(at)),
@@ -236,7 +272,8 @@
                 age_ms: millis(*at),
             })
         });
-        let noted = self.noted.iter().map(|(service, versions)| Noted {
+        let lent = self.noted.iter().filter(|_| listed.is_some());
+        let noted = lent.map(|(service, versions)| Noted {
             service: service.clone(),
             versions: versions.iter().cloned().collect(),
         });
@@ -244,6 +281,7 @@
             coverage,
             seen: seen.collect(),
             noted: noted.collect(),
+            listed_ms: listed.map(millis),
         }
     }
 
@@ -263,7 +301,7 @@
     pub fn known(&self, service: &id::ServiceName, now: freshness::BootTime) -> Known {
         let is_recent = |at: freshness::BootTime| now.since(at) < records::RETENTION;
         // Streams begin at a version once it is noted, so that the note names all of them.
-        let is_stated = !self.has_gap && self.noted.contains_key(service);
+        let is_stated = self.gap.is_none() && self.noted.contains_key(service);
         let is_complete = is_stated || self.covers(now);
         let seen = self.services.get(service).into_iter().flatten();
         let mut recent = seen.filter(|(_, at)| is_recent(*at));
@@ -284,13 +322,31 @@
     /// Returns whether all versions are known of streams that can still be taken up.
     fn covers(&self, now: freshness::BootTime) -> bool {
         match self.start {
-            _ if self.has_gap => false,
+            _ if self.gap.is_some() => false,
             None => false,
             Some(Start::Always) => true,
             Some(Start::At(at)) => now.since(at) >= records::RETENTION,
         }
     }
 
+    /// Returns whether no version can have been missed up to the last listing, a recent one.
+    fn is_up_to_date(&self, now: freshness::BootTime) -> bool {
+        self.gap.is_none() && self.is_fresh(now)
+    }
+
+    /// Records a time without listings.
+    ///
+    /// All processes use the list that they have meanwhile, so that its versions count as listed.
+    fn open_gap(&mut self, from: freshness::BootTime, to: freshness::BootTime) {
+        for (_, at) in self.services.values_mut().flatten() {
+            if *at >= from {
+                *at = to.max(*at);
+            }
+        }
+        let from = self.gap.map_or(from, |gap| gap.from);
+        self.gap = Some(Gap { from, to });
+    }
+
     fn record(&mut self, service: &id::ServiceName, version: &Version, at: freshness::BootTime) {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Vec::new());
--- a/laburnumcart/tests/origin.rs
+++ b/laburnumcart/tests/origin.rs
@@ -141,6 +141,7 @@
     assert!(history.needs_peers(at(100)));
     let told = Summary {
         coverage: Coverage::Complete,
+        listed_ms: Some(0),
         ..Summary::default()
     };
     history.merge(&told, at(101));
@@ -217,6 +218,7 @@
     history.merge(
         &Summary {
             coverage: Coverage::Complete,
+            listed_ms: Some(0),
             ..Summary::default()
         },
         at(100),
@@ -251,6 +253,7 @@
     history.merge(
         &Summary {
             coverage: Coverage::Complete,
+            listed_ms: Some(0),
             ..Summary::default()
         },
         at(100),
--- a/laburnumcart/tests/origin_history.rs
+++ b/laburnumcart/tests/origin_history.rs
@@ -101,6 +101,18 @@
     assert_eq!(known(&own, STOP + 10), Known::Sole(version("v1")));
 }
 
+// A process whose store refuses it the notes refuses streams for ever.
+#[test]
+fn a_gap_counts_as_long_as_its_streams_can_last() {
+    let mut own = lister();
+    for now in STOP + 10..STOP + 70 {
+        list(&mut own, &["v1"], now);
+        assert_eq!(known(&own, now), Known::Unknown);
+    }
+    list(&mut own, &["v1"], STOP + 70);
+    assert_eq!(known(&own, STOP + 70), Known::Sole(version("v1")));
+}
+
 // A process of an older build does not tell whether it still lists the targets.
 #[rstest]
 #[case::for_some_time(r#"{"coverage": {"millis": 90000}, "seen": []}"#)]
