Origin: notes of before the end of a gap do not fill it

A list of notes that was asked for before a process stood still, and is read when it lists targets again, counted as read after the time without listings: versions that came and went meanwhile were missing. The time at which the notes were asked for is told.

--- a/laburnumcart/src/origin/history.rs
+++ b/laburnumcart/src/origin/history.rs
@@ -184,9 +184,10 @@
         }
     }
 
-    /// Records that all notes were read, so that no version was missed in a time without a listing.
-    pub fn record_notes_read(&mut self) {
-        self.gap = None;
+    /// Records that all notes were read, as asked for at `sent`, so that no version was missed in a
+    /// time without a listing that ended before.
+    pub fn record_notes_read(&mut self, sent: freshness::BootTime) {
+        self.gap = self.gap.filter(|gap| gap.to > sent);
     }
 
     /// Returns whether versions may have come and gone in a time without a listing.
--- a/laburnumcart/tests/origin.rs
+++ b/laburnumcart/tests/origin.rs
@@ -273,7 +273,7 @@
     listing(&mut history, &[Some("v1")], at(110));
     assert!(history.needs_peers(at(110)));
     assert_eq!(known(&history, at(110)), Known::Unknown);
-    history.record_notes_read();
+    history.record_notes_read(at(110));
     assert_eq!(known(&history, at(110)), Known::Sole(version("v1")));
 }
 
--- a/laburnumcart/tests/origin_history.rs
+++ b/laburnumcart/tests/origin_history.rs
@@ -131,7 +131,7 @@
     let mut own = lister();
     list(&mut own, &["v2"], STOP + 70);
     own.add_noted(&desk(), &versions(&["v1", "v2"]), at(STOP + 70));
-    own.record_notes_read();
+    own.record_notes_read(at(STOP + 70));
     assert_eq!(known(&own, STOP + 70), Known::Several);
     for now in STOP + 71..STOP + 131 {
         list(&mut own, &["v2"], now);
@@ -150,7 +150,7 @@
     }
     list(&mut own, &["v1"], STOP + 10);
     own.add_noted(&desk(), &versions(&["v1", "v2"]), at(STOP + 10));
-    own.record_notes_read();
+    own.record_notes_read(at(STOP + 10));
     assert_eq!(known(&own, STOP + 10), Known::Several);
 }
 
@@ -160,3 +160,14 @@
     let own = lister();
     assert_eq!(own.corrections(at(STOP + 70)), []);
 }
+
+// A process stands still after it was sent the notes, and reads them when it lists again.
+#[test]
+fn notes_of_before_the_end_of_a_gap_do_not_fill_it() {
+    let mut own = lister();
+    list(&mut own, &["v1"], STOP + 10);
+    own.record_notes_read(at(STOP + 9));
+    assert_eq!(known(&own, STOP + 10), Known::Unknown);
+    own.record_notes_read(at(STOP + 10));
+    assert_eq!(known(&own, STOP + 10), Known::Sole(version("v1")));
+}
--- a/laburnumcart/tests/origin_model/model.rs
+++ b/laburnumcart/tests/origin_model/model.rs
@@ -288,7 +288,7 @@
                     let noted: Vec<_> = noted.iter().map(|n| Some(version(*n))).collect();
                     gateway.history.add_noted(&service(), &noted, boot(now));
                 }
-                gateway.history.record_notes_read();
+                gateway.history.record_notes_read(boot(now));
             }
         }
     }
--- a/laburnumcart_gateway/src/control/versions.rs
+++ b/laburnumcart_gateway/src/control/versions.rs
@@ -93,9 +93,10 @@
 
     /// Reads all notes.
     async fn read(&self) {
-        let listing = loop {
+        let (listing, sent) = loop {
+            let sent = clock::now();
             match self.store.list(self.layout.versions_prefix()).await {
-                Ok(listing) => break listing,
+                Ok(listing) => break (listing, sent),
                 Err(error) => event!(Warn, "version-notes-unread", error = error),
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -109,7 +110,7 @@
             let versions = parse(object).unwrap_or(vec![None]);
             self.view.add_noted(&service, &versions, clock::now());
         }
-        self.view.record_notes_read();
+        self.view.record_notes_read(sent);
     }
 
     /// Corrects the note of a service; returns whether it names the right versions now.
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -210,9 +210,9 @@
         lock(&self.versions).summary(now)
     }
 
-    /// Records that all notes of software versions were read.
-    pub fn record_notes_read(&self) {
-        lock(&self.versions).record_notes_read();
+    /// Records that all notes of software versions were read, as asked for at `sent`.
+    pub fn record_notes_read(&self, sent: freshness::BootTime) {
+        lock(&self.versions).record_notes_read(sent);
     }
 
     /// Returns whether software versions may have come and gone in a time without a listing.
