--- a/laburnumcart/tests/origin.rs
+++ b/laburnumcart/tests/origin.rs
@@ -23,6 +23,7 @@
             Begun,
             Records, //
         },
+        usage::Possible, //
     },
     rendezvous,
     unit, //
@@ -140,6 +141,7 @@
     assert!(history.needs_peers(at(100)));
     let told = Summary {
         coverage: Coverage::Complete,
+        listed_ms: Some(0),
         ..Summary::default()
     };
     history.merge(&told, at(101));
@@ -216,6 +218,7 @@
     history.merge(
         &Summary {
             coverage: Coverage::Complete,
+            listed_ms: Some(0),
             ..Summary::default()
         },
         at(100),
@@ -250,6 +253,7 @@
     history.merge(
         &Summary {
             coverage: Coverage::Complete,
+            listed_ms: Some(0),
             ..Summary::default()
         },
         at(100),
@@ -269,7 +273,7 @@
     listing(&mut history, &[Some("v1")], at(110));
     assert!(history.needs_peers(at(110)));
     assert_eq!(known(&history, at(110)), Known::Unknown);
-    history.record_notes_read();
+    history.record_notes_read(at(110));
     assert_eq!(known(&history, at(110)), Known::Sole(version("v1")));
 }
 
@@ -281,6 +285,7 @@
         fresh: true,
         peers,
         has_peers: true,
+        possible: &Possible::Any,
     }
 }
 
