Tests: streams beside a version that appeared after a kill

Callers whose stream began at the only version, before all gateways were killed, are refused once a second version has appeared while no gateway ran.

The tests of kills move to a file of their own, unchanged.

--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -1,5 +1,7 @@
 //! Streams while targets of several software versions serve.
 
+mod kills;
+
 use std::time;
 
 use http::StatusCode;
@@ -8,7 +10,6 @@
     Step,
     Target, //
 };
-use laburnumcart_platform::store::Store;
 use rstest::rstest;
 use tokio::io::{
     AsyncReadExt,
@@ -299,138 +300,6 @@
     assert!(two.requests().is_empty());
 }
 
-// All records are lost, and the first gateway to start cannot ask anyone.
-#[rstest]
-#[case::after_one_version("v1", StatusCode::OK)]
-#[case::after_two_versions("v2", StatusCode::SERVICE_UNAVAILABLE)]
-#[tokio::test]
-async fn a_stream_goes_on_after_all_gateways_were_killed_if_it_had_one_version(
-    #[case] newer: &'static str,
-    #[case] status: StatusCode,
-) {
-    let old = versioned_target("v1", |_| Some(Step::Hang)).await;
-    let new = versioned_target(newer, |_| Some(Step::Hang)).await;
-    let system = System::start(config(|_| ()), &[]).await;
-    list_targets(&system, &[("i-1", "v1", &old)]).await;
-    leave_stream(&system, "stream-1").await;
-    list_targets(&system, &[("i-1", "v1", &old), ("i-2", newer, &new)]).await;
-    let store = system.store.clone();
-    support::wait_for_object(&store, "software-versions/desk").await;
-    system.remove("servers/i-1").await;
-    knows_targets(&system, &["i-2"]).await;
-    drop(system);
-    let restarted = System::start_alone(store).await;
-    knows_targets(&restarted, &["i-2"]).await;
-    let response = take_up(&restarted, "stream-1").await;
-    assert_eq!(response.status, status, "{response:?}");
-}
-
-// All records in memory are lost while two versions serve, and no stream goes on.
-#[rstest]
-#[tokio::test]
-async fn streams_go_on_after_all_gateways_were_killed_beside_two_versions(
-    #[values(1, 3)] killed: usize,
-) {
-    let old = versioned_target("v1", |_| Some(Step::Hang)).await;
-    let new = versioned_target("v2", |_| Some(Step::Hang)).await;
-    let both = [("i-1", "v1", &old), ("i-2", "v2", &new)];
-    let system = System::start(config(|_| ()), &[]).await;
-    let store = system.store.clone();
-    let peers = match killed {
-        1 => Vec::new(),
-        count => system.start_peers(2..=count).await,
-    };
-    list_targets(&system, &both[..1]).await;
-    let mut begun = Vec::new();
-    for number in 0..STREAMS {
-        if number == STREAMS / 2 {
-            list_targets(&system, &both).await;
-        }
-        let attempt = format!("stream-{number}");
-        let events = leave_stream(&system, &attempt).await;
-        begun.push((attempt, events));
-    }
-    tokio::time::sleep(time::Duration::from_secs(1)).await;
-    drop((system, peers));
-    let restarted = System::start_alone(store).await;
-    let _peers = match killed {
-        1 => Vec::new(),
-        count => restarted.start_peers(2..=count).await,
-    };
-    knows_targets(&restarted, &["i-1", "i-2"]).await;
-    support::wait_for(|| !restarted.gateway.origins.is_empty()).await;
-    let mut outcome = Outcome::default();
-    for (attempt, events) in &begun {
-        outcome.record(events, &take_up(&restarted, attempt).await);
-    }
-    assert_eq!(outcome.mixed, 0, "{outcome:?}");
-    assert!(outcome.went_on >= LEAST, "{outcome:?}");
-}
-
-/// Versions that are listed while a stream runs, and once all gateways have started again.
-#[derive(Clone, Copy, Debug)]
-struct Release {
-    before: &'static [&'static str],
-    after: &'static [&'static str],
-}
-
-// The version that began a stream leaves while no gateway runs, and another one goes on with it.
-#[rstest]
-#[case::replaced(Release { before: &["v1"], after: &["v2"] })]
-#[case::replaced_in_part(Release { before: &["v1"], after: &["v1", "v2"] })]
-#[case::replaced_twice(Release { before: &["v1", "v2"], after: &["v3"] })]
-#[case::on_the_way(Release { before: &["v1", "v2"], after: &["v2"] })]
-#[case::rolled_back(Release { before: &["v1", "v2"], after: &["v1"] })]
-#[tokio::test]
-async fn no_stream_is_joined_from_two_versions_after_all_gateways_were_killed(
-    #[case] release: Release,
-    #[values(1, 3)] killed: usize,
-) {
-    let mut targets = Vec::new();
-    for version in ["v1", "v2", "v3"] {
-        targets.push(versioned_target(version, |_| Some(Step::Hang)).await);
-    }
-    let entry = |version: &&str| -> (&str, &str, &Target) {
-        match *version {
-            "v1" => ("i-1", "v1", &targets[0]),
-            "v2" => ("i-2", "v2", &targets[1]),
-            _ => ("i-3", "v3", &targets[2]),
-        }
-    };
-    let system = System::start(config(|_| ()), &[]).await;
-    let store = system.store.clone();
-    let peers = match killed {
-        1 => Vec::new(),
-        count => system.start_peers(2..=count).await,
-    };
-    let before: Vec<_> = release.before.iter().map(entry).collect();
-    list_targets(&system, &before).await;
-    let mut begun = Vec::new();
-    for number in 0..8 {
-        let attempt = format!("stream-{number}");
-        let events = leave_stream(&system, &attempt).await;
-        begun.push((attempt, events));
-    }
-    drop((system, peers));
-    for (name, ..) in &before {
-        let key = format!("servers/{name}");
-        let entry = store.get(&key).await.unwrap().unwrap();
-        store.delete(&key, entry.version).await.unwrap();
-    }
-    let restarted = System::start_alone(store).await;
-    let _peers = match killed {
-        1 => Vec::new(),
-        count => restarted.start_peers(2..=count).await,
-    };
-    let after: Vec<_> = release.after.iter().map(entry).collect();
-    list_targets(&restarted, &after).await;
-    let mut outcome = Outcome::default();
-    for (attempt, events) in &begun {
-        outcome.record(events, &take_up(&restarted, attempt).await);
-    }
-    assert_eq!(outcome.mixed, 0, "{outcome:?}");
-}
-
 // A new stream begins at the last target of a version that is being replaced, which leaves next.
 #[tokio::test]
 async fn new_streams_avoid_a_version_that_is_on_its_way_out() {
