--- a/laburnumcart_gateway/src/origins/usage.rs
+++ b/laburnumcart_gateway/src/origins/usage.rs
@@ -38,8 +38,9 @@
 /// Interval at which a version that has gone is noticed.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
-/// Share of the store's writes that all notes may use together.
-const WRITE_SHARE: f64 = 0.25;
+/// Rate of writes of all processes together, and that of their reads, as a share of the writes that
+/// the store bears.
+const CALL_SHARE: f64 = 0.25;
 
 /// Shortest interval between two reads of all notes.
 const READ_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -268,8 +269,13 @@
             cores: m.cores,
         });
         let rank = members.iter().position(|m| m.instance == self.instance);
-        let rank = rank.unwrap_or(members.len()) as f64;
-        time::Duration::from_secs_f64(rank / (self.store_writes * WRITE_SHARE))
+        self.spread(rank.unwrap_or(members.len()))
+    }
+
+    /// Returns the time in which this many processes may make one call each.
+    fn spread(&self, processes: usize) -> time::Duration {
+        let max_rate = self.store_writes * CALL_SHARE;
+        time::Duration::from_secs_f64(processes as f64 / max_rate)
     }
 
     /// Answers questions for what all instances may have used.
@@ -282,8 +288,7 @@
                 let _ = question.send(reading.clone());
             }
             let members = self.view.members.load().len();
-            let interval = time::Duration::from_secs_f64(members as f64 / self.store_writes);
-            tokio::time::sleep(interval.max(READ_INTERVAL)).await;
+            tokio::time::sleep(self.spread(members).max(READ_INTERVAL)).await;
         }
     }
 
