--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod failures;
 mod fixtures;
 mod headers;
+mod journal;
 mod leaving;
 mod limits;
 mod panics;
--- a/laburnumcart_system/tests/gateway/support.rs
+++ b/laburnumcart_system/tests/gateway/support.rs
@@ -297,6 +297,16 @@
         store: memory::Memory,
         instance: &str,
         edit: impl FnOnce(&mut settings::Settings),
+    ) -> Self {
+        Self::start_through(store.clone(), store, instance, edit).await
+    }
+
+    /// Does the same with a gateway that calls the store through `own`.
+    pub(crate) async fn start_through(
+        own: impl Store + Clone,
+        store: memory::Memory,
+        instance: &str,
+        edit: impl FnOnce(&mut settings::Settings),
     ) -> Self {
         let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.unwrap();
@@ -306,7 +316,7 @@
         let mut settings = settings(instance, addr, peer, settings::Bounds::default());
         edit(&mut settings);
         let running = stop::Running::new();
-        let own = control::new_member(&settings);
+        let member = control::new_member(&settings);
         let gateway = gateway::Gateway::new(
             settings,
             Arc::new(view::View::default()),
@@ -315,15 +325,14 @@
             metrics::Metrics::default(),
         );
         let layout = Arc::new(store_layout::StoreLayout);
-        let (view, shared) = (gateway.view.clone(), store.clone());
+        let (view, shared) = (gateway.view.clone(), own.clone());
         let cache = Arc::new(cache::Cache::new(gateway.outbound.quotas.signals.clone()));
-        let served = run::serve_peers(&gateway, &own, &cache, peer_listener).unwrap();
+        let served = run::serve_peers(&gateway, &member, &cache, peer_listener).unwrap();
         let mut tasks = tokio::task::JoinSet::new();
-        tasks.spawn(control::run(shared, layout, view, own, cache, true));
+        tasks.spawn(control::run(shared, layout, view, member, cache, true));
         let origins = gateway.origins.clone();
-        let shared = store.clone();
         let layout = Arc::new(store_layout::StoreLayout);
-        tasks.spawn(journal::run(origins, shared, layout, 200.0));
+        tasks.spawn(journal::run(origins, own, layout, 200.0));
         tasks.spawn(gateway.clone().follow_changes());
         tasks.spawn(gateway.dispatcher.clone().run());
         let (closing, closed) = watch::channel(false);
--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -26,10 +26,10 @@
 };
 
 /// Streams that callers leave and take up again in each case.
-const STREAMS: usize = 40;
+pub(crate) const STREAMS: usize = 40;
 
 /// Least number of them that go on.
-const LEAST: usize = STREAMS * 9 / 10;
+pub(crate) const LEAST: usize = STREAMS * 9 / 10;
 
 /// Last event of a stream.
 const LAST: u32 = 5;
@@ -42,7 +42,7 @@
 
 /// Starts a target that sends two events of a new stream, then takes the step that `then` returns
 /// for its number, and that resumes streams after any event without a check.
-async fn versioned_target(
+pub(crate) async fn versioned_target(
     version: &'static str,
     then: impl Fn(usize) -> Option<Step> + Send + Sync + 'static,
 ) -> Target {
@@ -66,7 +66,7 @@
 }
 
 /// Lists targets of a service, and waits until a gateway knows them.
-async fn list_targets(system: &System, versions: &[(&str, &str, &Target)]) {
+pub(crate) async fn list_targets(system: &System, versions: &[(&str, &str, &Target)]) {
     for (name, version, target) in versions {
         let entry = support::target_entry("desk", target, "ready");
         let entry = entry.replace("\"v1\"", &format!("\"{version}\""));
@@ -77,7 +77,7 @@
 }
 
 /// Waits until a gateway uses exactly these targets.
-async fn knows_targets(system: &System, names: &[&str]) {
+pub(crate) async fn knows_targets(system: &System, names: &[&str]) {
     support::wait_for(|| {
         let targets = system.gateway.view.targets.load();
         let listed = targets.service(&"desk".parse().unwrap());
@@ -87,7 +87,7 @@
 }
 
 /// Begins a stream at a gateway and leaves it after two events, which are returned.
-async fn leave_stream(system: &System, attempt: &str) -> String {
+pub(crate) async fn leave_stream(system: &System, attempt: &str) -> String {
     let stream = tokio::net::TcpStream::connect(system.addr).await;
     let mut stream = stream.unwrap();
     let request = format!(
@@ -107,7 +107,7 @@
 }
 
 /// Takes up a stream after its second event.
-async fn take_up(system: &System, attempt: &str) -> Response {
+pub(crate) async fn take_up(system: &System, attempt: &str) -> Response {
     let call = system.call("/resumed/1", |headers| {
         let again = format!("{attempt}-again");
         headers.insert("x-laburnumcart-attempt-id", again.parse().unwrap());
@@ -130,14 +130,14 @@
 
 /// Counts of streams that callers took up.
 #[derive(Debug, Default)]
-struct Outcome {
-    went_on: usize,
-    mixed: usize,
+pub(crate) struct Outcome {
+    pub(crate) went_on: usize,
+    pub(crate) mixed: usize,
     refused: usize,
 }
 
 impl Outcome {
-    fn record(&mut self, first: &str, response: &Response) {
+    pub(crate) fn record(&mut self, first: &str, response: &Response) {
         if response.status != StatusCode::OK {
             assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
             self.refused += 1;
