--- a/laburnumcart/src/origin/journal.rs
+++ b/laburnumcart/src/origin/journal.rs
@@ -4,7 +4,7 @@
 //! records are in memory, and are lost if all processes are killed at once. So each process writes
 //! the origins of its streams that are still in flight, many in one write, to segments of its own.
 //! A segment is rewritten while it grows, and its number is used again once all of its streams have
-//! ended.
+//! ended. What a process cannot write in time, others write as well.
 
 use std::time;
 
@@ -29,6 +29,10 @@
 /// Largest number of streams in a segment, about 100 bytes each.
 const STREAMS_MAX: usize = 512;
 
+/// Time after which a write is late, some times that of one by a store in order; streams that begin
+/// meanwhile are written to another segment.
+const LATE: time::Duration = time::Duration::from_millis(50);
+
 /// Stream in flight.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -54,6 +58,12 @@
         })
     }
 
+    /// Returns whether no caller can take the stream up any more.
+    pub fn is_expired(&self, now_ms: u64) -> bool {
+        let age = now_ms.saturating_sub(self.begun_ms);
+        time::Duration::from_millis(age) >= records::RETENTION
+    }
+
     /// Converts the entry to a record.
     pub fn into_begun(self, now_ms: u64) -> records::Begun {
         let age = time::Duration::from_millis(now_ms.saturating_sub(self.begun_ms));
@@ -69,15 +79,36 @@
     }
 }
 
+/// Who journals a stream first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// This process.
+    Own,
+    /// Another one, which could not write it.
+    Peer,
+}
+
+/// Entry of a segment.
+#[derive(Clone, Debug)]
+struct Slot {
+    entry: Entry,
+    /// Whether others need not write it.
+    is_copied: bool,
+}
+
 /// One object of the journal.
 #[derive(Clone, Debug, Default)]
-pub struct Segment {
+struct Segment {
     /// Number, which is a part of its name.
-    pub number: u32,
+    number: u32,
     /// Streams that began while it grew.
-    pub entries: Vec<Entry>,
-    /// Whether it has entries that are not written yet.
-    is_dirty: bool,
+    slots: Vec<Slot>,
+    /// Number of them that are written.
+    written: usize,
+    /// Start of the write that is not answered yet.
+    writing: Option<freshness::BootTime>,
+    /// Whether it belongs to this process.
+    is_own: bool,
     opened: freshness::BootTime,
     /// When the last entry was added.
     changed: freshness::BootTime,
@@ -85,20 +116,38 @@
 
 impl Segment {
     fn is_expired(&self, now: freshness::BootTime) -> bool {
-        now.since(self.changed) >= records::RETENTION
+        self.writing.is_none() && now.since(self.changed) >= records::RETENTION
     }
 
     fn grows(&self, now: freshness::BootTime) -> bool {
-        now.since(self.opened) < GROWTH && self.entries.len() < STREAMS_MAX
+        self.is_own
+            && now.since(self.opened) < GROWTH
+            && self.slots.len() < STREAMS_MAX
+            && !self.is_late(now)
+    }
+
+    fn is_unwritten(&self, now: freshness::BootTime) -> bool {
+        self.slots.len() > self.written && !self.is_expired(now)
+    }
+
+    fn is_late(&self, now: freshness::BootTime) -> bool {
+        self.writing.is_some_and(|at| now.since(at) >= LATE)
     }
 }
 
+/// Contents of a segment that is to be written.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// Number of the segment.
+    pub number: u32,
+    /// All of its streams.
+    pub entries: Vec<Entry>,
+}
+
 /// Segments of one process.
 #[derive(Debug, Default)]
 pub struct Journal {
     segments: Vec<Segment>,
-    /// Whether the last segment may still grow.
-    is_open: bool,
 }
 
 impl Journal {
@@ -111,62 +160,78 @@
         });
     }
 
-    /// Adds streams to the segment that grows, or to another one.
-    pub fn append(&mut self, entries: impl IntoIterator<Item = Entry>, now: freshness::BootTime) {
-        for entry in entries {
-            if !self.is_open || !self.segments.last().is_some_and(|s| s.grows(now)) {
-                self.open(now);
-            }
-            if let Some(segment) = self.segments.last_mut() {
-                segment.entries.push(entry);
-                segment.is_dirty = true;
-                segment.changed = now;
+    /// Adds a stream to a segment that grows, or to another one.
+    pub fn append(&mut self, entry: Entry, source: Source, now: freshness::BootTime) {
+        let growing = self.segments.iter().rposition(|s| s.grows(now));
+        let index = growing.unwrap_or_else(|| self.open(now));
+        let segment = &mut self.segments[index];
+        let is_copied = source == Source::Peer;
+        segment.slots.push(Slot { entry, is_copied });
+        segment.changed = now;
+    }
+
+    /// Returns whether streams in flight are not written yet.
+    pub fn is_unwritten(&self, now: freshness::BootTime) -> bool {
+        self.segments.iter().any(|s| s.is_unwritten(now))
+    }
+
+    /// Returns whether a write takes longer than it should.
+    pub fn is_late(&self, now: freshness::BootTime) -> bool {
+        self.segments.iter().any(|s| s.is_late(now))
+    }
+
+    /// Returns the streams that are not written yet and that no other process was asked to write.
+    pub fn take_uncopied(&mut self, now: freshness::BootTime) -> Vec<Entry> {
+        let mut taken = Vec::new();
+        for segment in self.segments.iter_mut().filter(|s| s.is_unwritten(now)) {
+            for slot in &mut segment.slots[segment.written..] {
+                if !slot.is_copied {
+                    slot.is_copied = true;
+                    taken.push(slot.entry.clone());
+                }
             }
         }
+        taken
     }
 
-    /// Returns the segments that have entries which are not written yet.
-    pub fn unwritten(&self) -> Vec<Segment> {
-        let dirty = self.segments.iter().filter(|s| s.is_dirty);
-        dirty.cloned().collect()
+    /// Returns a segment to be written, if any; it is not returned again until the write has ended.
+    pub fn start_write(&mut self, now: freshness::BootTime) -> Option<Write> {
+        let is_due = |s: &&mut Segment| s.is_unwritten(now) && s.writing.is_none();
+        let segment = self.segments.iter_mut().find(is_due)?;
+        segment.writing = Some(now);
+        Some(Write {
+            number: segment.number,
+            entries: segment.slots.iter().map(|s| s.entry.clone()).collect(),
+        })
     }
 
-    /// Records that a segment was written with its first `count` entries.
-    pub fn record_written(&mut self, number: u32, count: usize) {
+    /// Records that a segment was written with its first `count` entries; zero after a failure.
+    pub fn finish_write(&mut self, number: u32, count: usize) {
         if let Some(segment) = self.segments.iter_mut().find(|s| s.number == number) {
-            segment.is_dirty = segment.entries.len() > count;
+            segment.writing = None;
+            segment.written = segment.written.max(count);
         }
     }
 
-    /// Returns a segment whose streams have all ended, if any; it is then to be removed.
-    pub fn expired(&self, now: freshness::BootTime) -> Option<u32> {
-        let expired = self.segments.iter().find(|s| s.is_expired(now));
-        expired.map(|s| s.number)
+    /// Takes out a segment whose streams have all ended, if any; its object is to be removed.
+    pub fn take_expired(&mut self, now: freshness::BootTime) -> Option<u32> {
+        let expired = self.segments.iter().position(|s| s.is_expired(now))?;
+        Some(self.segments.remove(expired).number)
     }
 
-    /// Records that a segment was removed.
-    pub fn record_removed(&mut self, number: u32) {
-        let last = self.segments.last().map(|s| s.number);
-        self.is_open &= last != Some(number);
-        self.segments.retain(|s| s.number != number);
-    }
-
-    /// Opens a segment: one whose streams have all ended, or a new one.
-    fn open(&mut self, now: freshness::BootTime) {
-        let expired = self.segments.iter().position(|s| s.is_expired(now));
-        let number = match expired {
-            Some(index) => self.segments.remove(index).number,
-            None => {
-                let numbers = self.segments.iter().map(|s| s.number);
-                numbers.max().map_or(0, |number| number + 1)
-            }
-        };
+    /// Opens a segment, one whose streams have all ended or a new one, and returns its index.
+    fn open(&mut self, now: freshness::BootTime) -> usize {
+        let number = self.take_expired(now).unwrap_or_else(|| {
+            let numbers = self.segments.iter().map(|s| s.number);
+            numbers.max().map_or(0, |number| number + 1)
+        });
         self.segments.push(Segment {
             number,
+            is_own: true,
             opened: now,
             changed: now,
             ..Segment::default()
         });
-        self.is_open = true;
+        self.segments.len() - 1
     }
 }
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -157,6 +157,7 @@
             tokio::spawn(self.clone().report_consumed(consumed));
         }
         tokio::spawn(self.origins.clone().learn_versions());
+        tokio::spawn(self.origins.clone().send_copies());
         loop {
             tokio::select! {
                 _ = sweep.tick() => {
--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -31,7 +31,10 @@
         evidence,
         history,
         homes,
-        journal::Entry,
+        journal::{
+            Entry,
+            Source, //
+        },
         records, //
     },
     rendezvous,
@@ -83,9 +86,12 @@
     links: Links,
     records: Mutex<records::Records>,
     /// Streams in flight that no journal holds.
-    unjournaled: Mutex<collections::HashSet<id::Fingerprint>>,
+    unjournaled: Mutex<collections::HashMap<id::Fingerprint, Source>>,
     /// Tells the journal that a stream is to be written.
     journal_due: tokio::sync::Notify,
+    /// Streams that others are to write to their journals.
+    uncopied: Mutex<Vec<records::Begun>>,
+    copies_due: tokio::sync::Notify,
     metrics: metrics::OriginMetrics,
 }
 
@@ -103,6 +109,8 @@
             records: Mutex::default(),
             unjournaled: Mutex::default(),
             journal_due: tokio::sync::Notify::new(),
+            uncopied: Mutex::default(),
+            copies_due: tokio::sync::Notify::new(),
             metrics,
         })
     }
@@ -117,7 +125,7 @@
             age: unit::Period::default(),
         };
         self.keep([begun.clone()]);
-        self.journal(&begun);
+        self.journal(&begun, Source::Own);
         for home in self.homes(begun.stream, homes::HOMES) {
             tokio::spawn(self.clone().tell(home, begun.clone()));
         }
@@ -133,6 +141,39 @@
         self.metrics.records.set(records.len() as i64);
     }
 
+    /// Keeps records that another process cannot write to its journal, and writes them here.
+    fn keep_copies(&self, begun: Vec<records::Begun>) {
+        self.keep(begun.clone());
+        for begun in &begun {
+            self.journal(begun, Source::Peer);
+        }
+    }
+
+    /// Has others write streams to their journals.
+    fn copy(&self, entries: Vec<Entry>) {
+        if entries.is_empty() {
+            return;
+        }
+        let now_ms = clock::unix_ms();
+        let begun = entries.into_iter().map(|e| e.into_begun(now_ms));
+        view::lock(&self.uncopied).extend(begun);
+        self.copies_due.notify_one();
+    }
+
+    /// Sends others what they are to write to their journals, until the process ends.
+    pub async fn send_copies(self: Arc<Self>) {
+        loop {
+            self.copies_due.notified().await;
+            let begun = std::mem::take(&mut *view::lock(&self.uncopied));
+            let Some(first) = begun.first() else {
+                continue;
+            };
+            for home in self.homes(first.stream, homes::HOMES) {
+                tokio::spawn(self.clone().tell_all(home, begun.clone(), Some(true)));
+            }
+        }
+    }
+
     /// Returns whether no origin is kept here.
     pub fn is_empty(&self) -> bool {
         view::lock(&self.records).is_empty()
@@ -148,8 +189,10 @@
     }
 
     /// Has a stream in flight written to the journal while its service has several versions.
-    fn journal(&self, begun: &records::Begun) {
-        view::lock(&self.unjournaled).insert(begun.stream);
+    fn journal(&self, begun: &records::Begun, source: Source) {
+        view::lock(&self.unjournaled)
+            .entry(begun.stream)
+            .or_insert(source);
         if self.has_several_versions(&begun.origin.service, clock::now()) {
             self.journal_due.notify_one();
         }
@@ -162,19 +205,19 @@
 
     /// Returns the streams in flight that are to be written to the journal: those of services with
     /// several versions.
-    fn take_unjournaled(&self) -> Vec<Entry> {
+    fn take_unjournaled(&self) -> Vec<(Entry, Source)> {
         let (now, now_ms) = (clock::now(), clock::unix_ms());
         let records = view::lock(&self.records);
         let mut unjournaled = view::lock(&self.unjournaled);
         let mut taken = Vec::new();
-        unjournaled.retain(|stream| {
+        unjournaled.retain(|stream, source| {
             let Some(begun) = records.find(*stream, now) else {
                 return false;
             };
             if !self.has_several_versions(&begun.origin.service, now) {
                 return true;
             }
-            taken.extend(Entry::new(&begun, now_ms));
+            taken.extend(Entry::new(&begun, now_ms).map(|entry| (entry, *source)));
             false
         });
         taken
@@ -223,7 +266,7 @@
         let decision = evidence.decide();
         if let (evidence::Decision::Recorded(begun), None) = (&decision, &own.begun) {
             self.keep([begun.clone()]);
-            self.journal(begun);
+            self.journal(begun, Source::Own);
         }
         let source = match own.begun {
             Some(_) => "own",
@@ -304,7 +347,7 @@
     }
 
     /// Hands all records to other processes, as this one is about to stop.
-    pub async fn hand_over(&self) {
+    pub async fn hand_over(self: &Arc<Self>) {
         let records = view::lock(&self.records).all(clock::now());
         let mut lists: Vec<(view::Member, Vec<records::Begun>)> = Vec::new();
         for begun in records {
@@ -320,17 +363,22 @@
         let peers = lists.len();
         let calls = lists
             .into_iter()
-            .map(|(home, list)| self.tell_all(home, list));
+            .map(|(home, list)| self.clone().tell_all(home, list, None));
         future::join_all(calls).await;
         event!(Info, "origins-handed-over", records = count, peers = peers);
     }
 
-    async fn tell_all(&self, home: view::Member, list: Vec<records::Begun>) {
+    async fn tell_all(
+        self: Arc<Self>,
+        home: view::Member,
+        list: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) {
         let Some(link) = self.links.link(&home) else {
             return;
         };
         for part in list.chunks(RECORDS_PER_CALL) {
-            if !link.tell_begun(part).await {
+            if !link.tell_begun(part, unwritten).await {
                 return;
             }
         }
@@ -369,7 +417,7 @@
         let Some(link) = self.links.link(&home) else {
             return;
         };
-        if !link.tell_begun(std::slice::from_ref(&begun)).await {
+        if !link.tell_begun(std::slice::from_ref(&begun), None).await {
             event!(
                 Warn,
                 "origin-send-failed",
--- a/laburnumcart_gateway/src/origins/calls.rs
+++ b/laburnumcart_gateway/src/origins/calls.rs
@@ -24,9 +24,14 @@
 /// Calls about the origins of streams.
 #[rpc(server, client)]
 pub trait OriginCalls {
-    /// Keeps the origins of streams that have begun.
+    /// Keeps the origins of streams that have begun, and writes them to the journal if they are
+    /// `unwritten`; older builds neither send nor read this.
     #[method(name = "streams-begun")]
-    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()>;
+    async fn streams_begun(
+        &self,
+        begun: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) -> RpcResult<()>;
 
     /// Returns what is known of the origin of a stream.
     #[method(name = "stream-origin")]
@@ -42,8 +47,15 @@
 
 #[async_trait]
 impl OriginCallsServer for OriginService {
-    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()> {
-        self.0.keep(begun);
+    async fn streams_begun(
+        &self,
+        begun: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) -> RpcResult<()> {
+        match unwritten {
+            Some(true) => self.0.keep_copies(begun),
+            _ => self.0.keep(begun),
+        }
         Ok(())
     }
 
--- a/laburnumcart_gateway/src/origins/journal.rs
+++ b/laburnumcart_gateway/src/origins/journal.rs
@@ -2,10 +2,15 @@
 
 use std::{
     collections,
+    pin,
     sync::Arc,
     time, //
 };
 
+use futures_util::{
+    StreamExt,
+    stream, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -23,9 +28,6 @@
     origins::Origins, //
 };
 
-/// Pause before the journal is read again after a failure.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
-
 /// Shortest interval between two writes.
 ///
 /// What began within it is lost if all processes are killed, and most streams last for some hundred
@@ -38,6 +40,18 @@
 /// Interval at which streams are looked for that began before their service had several versions.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Interval at which streams are looked after that are not written yet.
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// Number of calls at the same time, so that one that is not answered holds up no other.
+const CALLS_MAX: usize = 2;
+
+/// Pause after the first failure; it doubles with each further one.
+const PAUSE_FIRST: time::Duration = time::Duration::from_millis(100);
+
+/// Longest pause after a failure.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(1600);
+
 /// Value of an object of the journal.
 #[derive(Debug, Serialize, Deserialize)]
 struct Stored {
@@ -68,36 +82,138 @@
     max_rate: f64,
 }
 
+/// Series of calls that failed.
+#[derive(Debug)]
+struct Outage {
+    since: time::Instant,
+    failures: u32,
+}
+
+impl Outage {
+    /// Counts a failure, and returns the pause before the next call.
+    fn record(outage: &mut Option<Self>) -> time::Duration {
+        let outage = outage.get_or_insert_with(|| Self {
+            since: time::Instant::now(),
+            failures: 0,
+        });
+        let full = PAUSE_FIRST * (1 << outage.failures.min(8));
+        outage.failures = outage.failures.saturating_add(1);
+        full.min(PAUSE_MAX)
+            .mul_f64(0.5 + rand::random::<f64>() / 2.0)
+    }
+
+    /// Logs the end of an outage.
+    fn end(outage: &mut Option<Self>) {
+        if let Some(outage) = outage.take() {
+            event!(
+                Info,
+                "origin-journal-resumed",
+                failures = outage.failures,
+                ms = outage.since.elapsed().as_millis()
+            );
+        }
+    }
+}
+
+/// What is known of the object of a segment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// Version; `None` if there is no object.
+    version: Option<store::Version>,
+    /// Whether a write without an answer may have changed it.
+    is_doubtful: bool,
+}
+
+/// A call that has ended.
+struct Done {
+    number: u32,
+    known: Known,
+    /// Number of entries that the call was to write; `None` if it was to remove the object.
+    count: Option<usize>,
+    result: Result<(), store::Failure>,
+}
+
 /// Segments of this process and the versions of their objects.
 #[derive(Default)]
 struct State {
     journal: journal::Journal,
-    versions: collections::HashMap<u32, store::Version>,
+    known: collections::HashMap<u32, Known>,
+    outage: Option<Outage>,
+    /// Earliest time of the next write.
+    next: Option<tokio::time::Instant>,
+    /// Earliest time of the next removal.
+    next_removal: Option<tokio::time::Instant>,
+}
+
+impl State {
+    fn append(&mut self, taken: Vec<(journal::Entry, journal::Source)>) {
+        let now = clock::now();
+        for (entry, source) in taken {
+            self.journal.append(entry, source, now);
+        }
+    }
 }
 
 impl<S: store::Store> Writer<S> {
     async fn run(self) {
-        let mut state = self.read().await;
+        let mut state = self.start().await;
+        let mut calls = stream::FuturesUnordered::new();
         loop {
-            let due = self.origins.journal_due.notified();
-            // Either way the journal is due.
-            let _ = tokio::time::timeout(CHECK_INTERVAL, due).await;
+            let pause = match state.journal.is_unwritten(clock::now()) {
+                true => TICK,
+                false => CHECK_INTERVAL,
+            };
+            tokio::select! {
+                Some(done) = calls.next() => self.record(done, &mut state),
+                () = self.origins.journal_due.notified() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+            state.append(self.origins.take_unjournaled());
             let now = clock::now();
-            state.journal.append(self.origins.take_unjournaled(), now);
-            let unwritten = state.journal.unwritten();
-            if unwritten.is_empty() {
-                self.remove_expired(&mut state).await;
+            if state.outage.is_some() || state.journal.is_late(now) {
+                self.origins.copy(state.journal.take_uncopied(now));
             }
-            for segment in unwritten {
-                if let Err(error) = self.write(&segment, &mut state).await {
-                    event!(Warn, "origin-journal-unwritten", error = error);
-                    break;
-                }
-                tokio::time::sleep(self.interval()).await;
+            let time = tokio::time::Instant::now();
+            let is_due = |next: Option<tokio::time::Instant>| next.is_none_or(|at| time >= at);
+            if calls.len() >= CALLS_MAX || !is_due(state.next) {
+                continue;
+            }
+            if let Some(write) = state.journal.start_write(now) {
+                let known = state.known.get(&write.number).copied();
+                calls.push(self.call(write.number, known, Some(write.entries)));
+                state.next = Some(time + self.interval());
+            } else if is_due(state.next_removal)
+                && let Some(number) = state.journal.take_expired(now)
+                && let Some(known) = state.known.remove(&number)
+            {
+                calls.push(self.call(number, Some(known), None));
+                state.next_removal = Some(time + CHECK_INTERVAL);
             }
         }
     }
 
+    /// Reads all journals; streams that begin meanwhile are written by others.
+    async fn start(&self) -> State {
+        let mut read = pin::pin!(self.read());
+        let mut held = Vec::new();
+        let mut state = loop {
+            tokio::select! {
+                state = &mut read => break state,
+                () = tokio::time::sleep(INTERVAL_MIN) => {}
+            }
+            let taken = self.origins.take_unjournaled();
+            let own = taken.iter().filter(|(_, s)| *s == journal::Source::Own);
+            self.origins.copy(own.map(|(e, _)| e.clone()).collect());
+            // Others were asked to write them.
+            let taken = taken.into_iter();
+            held.extend(taken.map(|(e, _)| (e, journal::Source::Peer)));
+            let now_ms = clock::unix_ms();
+            held.retain(|(e, _)| !e.is_expired(now_ms));
+        };
+        state.append(held);
+        state
+    }
+
     /// Returns the interval between two writes, which grows with the number of processes.
     fn interval(&self) -> time::Duration {
         let members = self.origins.view.members.load().len();
@@ -109,18 +225,28 @@
     /// Reads all journals, and returns the segments of earlier processes of the same name.
     async fn read(&self) -> State {
         let prefix = self.layout.origins_prefix();
+        let mut outage = None;
         let listing = loop {
             match self.store.list(prefix).await {
                 Ok(listing) => break listing,
-                Err(error) => event!(Warn, "origin-journal-unread", error = error),
+                Err(error) => {
+                    if outage.is_none() {
+                        event!(Warn, "origin-journal-unread", error = error);
+                    }
+                    tokio::time::sleep(Outage::record(&mut outage)).await;
+                }
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
         };
+        Outage::end(&mut outage);
         let mut state = State::default();
         let (mut count, now_ms) = (0, clock::unix_ms());
         for object in &listing.objects {
             if let Some(number) = self.own_number(&object.key) {
-                state.versions.insert(number, object.version);
+                let known = Known {
+                    version: Some(object.version),
+                    is_doubtful: false,
+                };
+                state.known.insert(number, known);
                 state.journal.restore(number, clock::now());
             }
             match serde_json::from_str::<Stored>(&object.value) {
@@ -149,53 +275,90 @@
         state
     }
 
-    /// Writes a segment.
-    async fn write(
+    /// Writes entries to the object of a segment, or removes it.
+    async fn call(
+        &self,
+        number: u32,
+        known: Option<Known>,
+        entries: Option<Vec<journal::Entry>>,
+    ) -> Done {
+        let mut known = known.unwrap_or_default();
+        let count = entries.as_ref().map(Vec::len);
+        let result = self.change(number, &mut known, entries).await;
+        Done {
+            number,
+            known,
+            count,
+            result,
+        }
+    }
+
+    async fn change(
         &self,
-        segment: &journal::Segment,
-        state: &mut State,
+        number: u32,
+        known: &mut Known,
+        entries: Option<Vec<journal::Entry>>,
     ) -> Result<(), store::Failure> {
-        let key = self.key(segment.number);
-        let stored = Stored {
-            entries: segment.entries.clone(),
+        let key = self.key(number);
+        if known.is_doubtful {
+            let found = self.store.get(&key).await?;
+            known.version = found.map(|object| object.version);
+        }
+        let result = match (entries, known.version) {
+            (Some(entries), version) => {
+                let value = serde_json::to_string(&Stored { entries });
+                let value = value.expect("a journal is valid JSON");
+                let expect = version.map_or(store::Expect::Absent, store::Expect::Version);
+                self.store.put(&key, expect, &value).await.map(Some)
+            }
+            (None, Some(version)) => self.store.delete(&key, version).await.map(|()| None),
+            (None, None) => Ok(None),
         };
-        let value = serde_json::to_string(&stored).expect("a journal is valid JSON");
-        let known = state.versions.get(&segment.number).copied();
-        let expect = known.map_or(store::Expect::Absent, store::Expect::Version);
-        match self.store.put(&key, expect, &value).await {
+        match result {
             Ok(version) => {
-                state.versions.insert(segment.number, version);
-                let count = segment.entries.len();
-                state.journal.record_written(segment.number, count);
-                self.origins.metrics.journal_writes.inc();
+                *known = Known {
+                    version,
+                    is_doubtful: false,
+                };
                 Ok(())
             }
             Err(error) => {
-                // The answer of an earlier write may have been lost, so that its version is
-                // another one.
-                if let Ok(found) = self.store.get(&key).await {
-                    match found {
-                        Some(object) => state.versions.insert(segment.number, object.version),
-                        None => state.versions.remove(&segment.number),
-                    };
-                }
+                // A call that was refused has changed nothing.
+                known.is_doubtful |= !matches!(error, store::Failure::Unavailable { .. });
                 Err(error)
             }
         }
     }
 
-    /// Removes one segment whose streams have all ended.
-    async fn remove_expired(&self, state: &mut State) {
-        let Some(number) = state.journal.expired(clock::now()) else {
-            return;
+    /// Records the end of a call.
+    fn record(&self, done: Done, state: &mut State) {
+        let count = match &done.result {
+            Ok(()) => {
+                Outage::end(&mut state.outage);
+                done.count.unwrap_or_default()
+            }
+            Err(error) => {
+                if state.outage.is_none() {
+                    let key = self.key(done.number);
+                    event!(Warn, "origin-journal-unwritten", key = key, error = error);
+                }
+                let pause = Outage::record(&mut state.outage);
+                state.next = Some(tokio::time::Instant::now() + pause.max(self.interval()));
+                0
+            }
         };
-        let version = state.versions.remove(&number);
-        if let Some(version) = version
-            && let Err(error) = self.store.delete(&self.key(number), version).await
-        {
-            event!(Warn, "origin-journal-unwritten", error = error);
+        if done.count.is_some() {
+            state.journal.finish_write(done.number, count);
+        } else if done.result.is_err() {
+            // It is removed later.
+            state.journal.restore(done.number, clock::now());
+        }
+        if done.known.version.is_some() || done.known.is_doubtful {
+            state.known.insert(done.number, done.known);
+        }
+        if count > 0 {
+            self.origins.metrics.journal_writes.inc();
         }
-        state.journal.record_removed(number);
     }
 
     fn key(&self, number: u32) -> String {
--- a/laburnumcart_gateway/src/peers/link/origin_calls.rs
+++ b/laburnumcart_gateway/src/peers/link/origin_calls.rs
@@ -41,11 +41,17 @@
 
 impl Link {
     /// Tells where streams began, and returns whether the peer has confirmed it.
-    pub(crate) async fn tell_begun(self: &Arc<Self>, begun: &[records::Begun]) -> bool {
+    ///
+    /// The peer is to write to its journal what is `unwritten` here.
+    pub(crate) async fn tell_begun(
+        self: &Arc<Self>,
+        begun: &[records::Begun],
+        unwritten: Option<bool>,
+    ) -> bool {
         let begun = begun.to_vec();
         let call = |client: Arc<peer::Client>| {
             let begun = begun.clone();
-            async move { client.streams_begun(begun).await }
+            async move { client.streams_begun(begun, unwritten).await }
         };
         self.call_twice(ANSWER_TIMEOUT, call).await.is_some()
     }
--- a/laburnumcart_system/tests/gateway/journal.rs
+++ b/laburnumcart_system/tests/gateway/journal.rs
@@ -3,12 +3,14 @@
 use std::{
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic, //
     },
     time, //
 };
 
 use laburnumcart_fakes::scripted::{
+    ReceivedRequest,
     Step,
     Target, //
 };
@@ -25,16 +27,22 @@
     support::{
         self,
         System,
-        config, //
+        chunk,
+        config,
+        stream_end,
+        stream_head, //
     },
     versions::{
+        LAST,
         LEAST,
         Outcome,
         STREAMS,
         knows_targets,
+        leave_after,
         leave_stream,
         list_targets,
         take_up,
+        versioned_events,
         versioned_target, //
     },
 };
@@ -182,6 +190,10 @@
             versioned_target("v1", |_| Some(Step::Hang)).await,
             versioned_target("v2", |_| Some(Step::Hang)).await,
         ];
+        Self::start_with(targets, listed).await
+    }
+
+    async fn start_with(targets: [Target; 2], listed: usize) -> Self {
         let mut fleet = Self {
             store: memory::Memory::new(),
             targets,
@@ -285,3 +297,86 @@
     assert_eq!(outcome.mixed, 0, "{outcome:?}");
     assert!(outcome.went_on >= LEAST, "{outcome:?}");
 }
+
+// Streams that began before the second version was listed are written too late.
+#[rstest]
+#[tokio::test]
+async fn streams_of_before_a_second_version_go_on_after_a_kill(
+    #[values(0, 50, 100, 150, 200)] wait_ms: u64,
+) {
+    let mut fleet = Fleet::start(1).await;
+    let begun = fleet.leave(0, time::Duration::ZERO).await;
+    tokio::time::sleep(time::Duration::from_millis(wait_ms)).await;
+    fleet.list(2).await;
+    tokio::time::sleep(LOST_MAX).await;
+    fleet.kill_all().await;
+    let outcome = fleet.take_up_at(1, &begun).await;
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    assert!(outcome.went_on >= LEAST, "{outcome:?}");
+}
+
+// What was read after the first kill is lost at the second one, or what began in between.
+#[tokio::test]
+async fn streams_go_on_after_two_kills_in_series() {
+    let mut fleet = Fleet::start(2).await;
+    let mut begun = fleet.leave(0, time::Duration::ZERO).await;
+    tokio::time::sleep(LOST_MAX).await;
+    fleet.kill_all().await;
+    fleet.paths[1].set_fault(Fault::Refuses);
+    for number in 0..STREAMS {
+        let attempt = format!("second-{number}");
+        let events = leave_stream(&fleet.gateways[1], &attempt).await;
+        begun.push((attempt, events));
+    }
+    tokio::time::sleep(LOST_MAX).await;
+    fleet.kill_all().await;
+    fleet.kill_all().await;
+    let outcome = fleet.take_up_at(2, &begun).await;
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    assert!(outcome.went_on >= 2 * LEAST, "{outcome:?}");
+}
+
+/// Starts a target that sends two events of a new stream; it goes on with one event while `hangs`,
+/// then to the end.
+async fn hanging_target(version: &'static str, hangs: Arc<atomic::AtomicBool>) -> Target {
+    let script = move |seen: &ReceivedRequest, _: usize| {
+        let after = seen.header("last-event-id");
+        let after: Option<u32> = after.map(|id| id.parse().unwrap());
+        let hangs = hangs.load(atomic::Ordering::SeqCst);
+        let (ids, step) = match after {
+            None => (1..=2, Step::Hang),
+            Some(after) if hangs => (after + 1..=after + 1, Step::Hang),
+            Some(after) => (after + 1..=LAST, stream_end()),
+        };
+        let events = versioned_events(version, ids);
+        vec![stream_head(seen), chunk(&events), step]
+    };
+    Target::start(script).await.unwrap()
+}
+
+// A gateway that took up streams of a killed one takes them for written.
+#[tokio::test]
+async fn streams_taken_up_at_a_home_go_on_after_a_kill() {
+    let hangs = Arc::new(atomic::AtomicBool::new(true));
+    let targets = [
+        hanging_target("v1", hangs.clone()).await,
+        hanging_target("v2", hangs.clone()).await,
+    ];
+    let mut fleet = Fleet::start_with(targets, 1).await;
+    let begun = fleet.leave(1, time::Duration::ZERO).await;
+    drop((fleet.gateways.remove(1), fleet.paths.remove(1)));
+    fleet.list(2).await;
+    for (attempt, _) in &begun {
+        let again = format!(
+            "last-event-id: 2\r\nresumes: {attempt}\r\n\
+             x-laburnumcart-attempt-id: {attempt}-again\r\n"
+        );
+        leave_after(&fleet.gateways[0], &again, "id: 3\ndata: v").await;
+    }
+    tokio::time::sleep(LOST_MAX).await;
+    hangs.store(false, atomic::Ordering::SeqCst);
+    fleet.kill_all().await;
+    let outcome = fleet.take_up_at(2, &begun).await;
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    assert!(outcome.went_on >= LEAST, "{outcome:?}");
+}
--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -32,10 +32,10 @@
 pub(crate) const LEAST: usize = STREAMS * 9 / 10;
 
 /// Last event of a stream.
-const LAST: u32 = 5;
+pub(crate) const LAST: u32 = 5;
 
 /// Returns events of a target with a software version, which is their data.
-fn versioned_events(version: &str, ids: std::ops::RangeInclusive<u32>) -> String {
+pub(crate) fn versioned_events(version: &str, ids: std::ops::RangeInclusive<u32>) -> String {
     ids.map(|id| format!("id: {id}\ndata: {version}\n\n"))
         .collect()
 }
@@ -88,22 +88,28 @@
 
 /// Begins a stream at a gateway and leaves it after two events, which are returned.
 pub(crate) async fn leave_stream(system: &System, attempt: &str) -> String {
+    let named = format!("x-laburnumcart-attempt-id: {attempt}\r\n");
+    leave_after(system, &named, "id: 2\ndata: v").await
+}
+
+/// Sends a request with these header lines, and leaves once the events end with `last`; returns them.
+pub(crate) async fn leave_after(system: &System, lines: &str, last: &str) -> String {
     let stream = tokio::net::TcpStream::connect(system.addr).await;
     let mut stream = stream.unwrap();
     let request = format!(
         "POST /resumed/1 HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 0\r\n\
-         x-laburnumcart-attempt-id: {attempt}\r\nx-laburnumcart-deadline-ms: 9000\r\n\r\n"
+         {lines}x-laburnumcart-deadline-ms: 9000\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
     let read = async {
-        while !String::from_utf8_lossy(&bytes).contains("id: 2\ndata: v") {
+        while !String::from_utf8_lossy(&bytes).contains(last) {
             assert_ne!(stream.read_buf(&mut bytes).await.unwrap(), 0);
         }
     };
     tokio::time::timeout(support::TIMEOUT, read).await.unwrap();
     let text = String::from_utf8(bytes).unwrap();
-    text[text.find("id: 1").unwrap()..].to_owned()
+    text[text.find("id: ").unwrap()..].to_owned()
 }
 
 /// Takes up a stream after its second event.
