--- a/laburnumcart/src/origin/journal.rs
+++ b/laburnumcart/src/origin/journal.rs
@@ -6,7 +6,10 @@
 //! A segment is rewritten while it grows, and its number is used again once all of its streams have
 //! ended. What a process cannot write in time, others write as well.
 
-use std::time;
+use std::{
+    collections,
+    time, //
+};
 
 use serde::{
     Deserialize,
@@ -148,6 +151,8 @@
 #[derive(Debug, Default)]
 pub struct Journal {
     segments: Vec<Segment>,
+    /// Streams that the segments hold.
+    streams: collections::HashSet<id::Fingerprint>,
 }
 
 impl Journal {
@@ -160,8 +165,11 @@
         });
     }
 
-    /// Adds a stream to a segment that grows, or to another one.
+    /// Adds a stream to a segment that grows, or to another one, unless a segment holds it.
     pub fn append(&mut self, entry: Entry, source: Source, now: freshness::BootTime) {
+        if !self.streams.insert(entry.stream) {
+            return;
+        }
         let growing = self.segments.iter().rposition(|s| s.grows(now));
         let index = growing.unwrap_or_else(|| self.open(now));
         let segment = &mut self.segments[index];
@@ -216,7 +224,11 @@
     /// Takes out a segment whose streams have all ended, if any; its object is to be removed.
     pub fn take_expired(&mut self, now: freshness::BootTime) -> Option<u32> {
         let expired = self.segments.iter().position(|s| s.is_expired(now))?;
-        Some(self.segments.remove(expired).number)
+        let segment = self.segments.remove(expired);
+        for slot in &segment.slots {
+            self.streams.remove(&slot.entry.stream);
+        }
+        Some(segment.number)
     }
 
     /// Opens a segment, one whose streams have all ended or a new one, and returns its index.
--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -264,8 +264,9 @@
             has_peers: asked > 0,
         };
         let decision = evidence.decide();
-        if let (evidence::Decision::Recorded(begun), None) = (&decision, &own.begun) {
+        if let evidence::Decision::Recorded(begun) = &decision {
             self.keep([begun.clone()]);
+            // The journal of the process that began it may lack it, also if it was told here.
             self.journal(begun, Source::Own);
         }
         let source = match own.begun {
