--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -209,12 +209,21 @@
         let (now, now_ms) = (clock::now(), clock::unix_ms());
         let records = view::lock(&self.records);
         let mut unjournaled = view::lock(&self.unjournaled);
-        let mut taken = Vec::new();
+        let (mut taken, mut several) = (Vec::new(), collections::HashMap::new());
         unjournaled.retain(|stream, source| {
             let Some(begun) = records.find(*stream, now) else {
                 return false;
             };
-            if !self.has_several_versions(&begun.origin.service, now) {
+            let service = &begun.origin.service;
+            let has_several = match several.get(service) {
+                Some(known) => *known,
+                None => {
+                    let known = self.has_several_versions(service, now);
+                    several.insert(service.clone(), known);
+                    known
+                }
+            };
+            if !has_several {
                 return true;
             }
             taken.extend(Entry::new(&begun, now_ms).map(|entry| (entry, *source)));
--- a/laburnumcart_gateway/src/origins/journal.rs
+++ b/laburnumcart_gateway/src/origins/journal.rs
@@ -38,7 +38,10 @@
 const WRITE_SHARE: f64 = 0.25;
 
 /// Interval at which streams are looked for that began before their service had several versions.
-const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Interval between removals of objects, which are in no hurry.
+const REMOVAL_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Interval at which streams are looked after that are not written yet.
 const TICK: time::Duration = time::Duration::from_millis(20);
@@ -187,7 +190,7 @@
                 && let Some(known) = state.known.remove(&number)
             {
                 calls.push(self.call(number, Some(known), None));
-                state.next_removal = Some(time + CHECK_INTERVAL);
+                state.next_removal = Some(time + REMOVAL_INTERVAL);
             }
         }
     }
