--- a/laburnumcart_system/tests/gateway/journal.rs
+++ b/laburnumcart_system/tests/gateway/journal.rs
@@ -60,6 +60,8 @@
     None,
     /// Refuses them.
     Refuses,
+    /// Refuses those about journals.
+    RefusesJournals,
     /// Does not answer them, and does nothing.
     Silent,
     /// Writes, and answers no write.
@@ -111,10 +113,13 @@
         }
     }
 
-    async fn pass(&self) -> Result<(), store::Failure> {
+    async fn pass(&self, key: &str) -> Result<(), store::Failure> {
         let fault = self.calls.lock().unwrap().fault;
         match fault {
-            Fault::None | Fault::LosesAnswers => Ok(()),
+            Fault::RefusesJournals if key.starts_with(JOURNALS) => {
+                Err(store::Failure::Unavailable { retry: None })
+            }
+            Fault::RefusesJournals | Fault::None | Fault::LosesAnswers => Ok(()),
             Fault::Refuses => Err(store::Failure::Unavailable { retry: None }),
             Fault::Silent => {
                 tokio::time::sleep(time::Duration::from_secs(2)).await;
@@ -138,7 +143,7 @@
 impl Store for Path {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, store::Failure> {
         self.count(key, false);
-        self.pass().await?;
+        self.pass(key).await?;
         self.memory.get(key).await
     }
 
@@ -149,18 +154,18 @@
         value: &str,
     ) -> Result<store::Version, store::Failure> {
         self.count(key, true);
-        self.pass().await?;
+        self.pass(key).await?;
         self.answer(self.memory.put(key, expect, value).await)
     }
 
     async fn delete(&self, key: &str, version: store::Version) -> Result<(), store::Failure> {
         self.count(key, false);
-        self.pass().await?;
+        self.pass(key).await?;
         self.answer(self.memory.delete(key, version).await)
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
-        self.pass().await?;
+        self.pass(prefix).await?;
         self.memory.list(prefix).await
     }
 
@@ -170,7 +175,7 @@
         after: store::Revision,
         wait: time::Duration,
     ) -> Result<store::Changes, store::Failure> {
-        self.pass().await?;
+        self.pass(prefix).await?;
         self.memory.watch(prefix, after, wait).await
     }
 }
@@ -181,6 +186,8 @@
     targets: [Target; 2],
     gateways: Vec<System>,
     paths: Vec<Path>,
+    /// Fault of the first path when the gateways start.
+    fault: Fault,
 }
 
 impl Fleet {
@@ -199,6 +206,7 @@
             targets,
             gateways: Vec::new(),
             paths: Vec::new(),
+            fault: Fault::None,
         };
         let config = config(|_| ()).to_string();
         let put = fleet
@@ -213,6 +221,9 @@
     async fn start_gateways(&mut self) {
         for number in 1..=3 {
             let path = Path::new(&self.store);
+            if number == 1 {
+                path.set_fault(self.fault);
+            }
             let (name, store) = (format!("gateway-{number}"), self.store.clone());
             let gateway = System::start_through(path.clone(), store, &name, |_| ());
             self.gateways.push(gateway.await);
@@ -336,6 +347,21 @@
     assert!(outcome.went_on >= 2 * LEAST, "{outcome:?}");
 }
 
+// A gateway that cannot read the journals after its start writes none.
+#[tokio::test]
+async fn streams_begun_before_the_journals_are_read_go_on_after_a_kill() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.fault = Fault::RefusesJournals;
+    fleet.kill_all().await;
+    let begun = fleet.leave(0, time::Duration::ZERO).await;
+    tokio::time::sleep(LOST_MAX).await;
+    fleet.fault = Fault::None;
+    fleet.kill_all().await;
+    let outcome = fleet.take_up_at(1, &begun).await;
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    assert!(outcome.went_on >= LEAST, "{outcome:?}");
+}
+
 /// Starts a target that sends two events of a new stream; it goes on with one event while `hangs`,
 /// then to the end.
 async fn hanging_target(version: &'static str, hangs: Arc<atomic::AtomicBool>) -> Target {
