--- a/laburnumcart_gateway/src/origins/lookup.rs
+++ b/laburnumcart_gateway/src/origins/lookup.rs
@@ -12,6 +12,7 @@
         Origin,
         evidence,
         homes,
+        journal,
         records,
         usage::{
             self,
@@ -175,10 +176,9 @@
                     Some(_) => "own",
                     None => "peers",
                 };
-                if own.begun.is_none() {
-                    self.keep([begun.clone()]);
-                    self.journal(&begun);
-                }
+                self.keep([begun.clone()]);
+                // The journal of the process that began it may lack it, also if it was told here.
+                self.journal(&begun, journal::Source::Own);
                 Some(Found {
                     origin: begun.origin,
                     age: begun.age,
@@ -279,7 +279,7 @@
             age: found.age,
         };
         self.keep([begun.clone()]);
-        self.journal(&begun);
+        self.journal(&begun, journal::Source::Own);
     }
 
     /// Checks that a target can go on with a stream, and logs its origin.
--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -27,23 +27,23 @@
 };
 
 /// Streams that callers leave and take up again in each case.
-const STREAMS: usize = 40;
+pub(crate) const STREAMS: usize = 40;
 
 /// Least number of them that go on.
-const LEAST: usize = STREAMS * 9 / 10;
+pub(crate) const LEAST: usize = STREAMS * 9 / 10;
 
 /// Last event of a stream.
-const LAST: u32 = 5;
+pub(crate) const LAST: u32 = 5;
 
 /// Returns events of a target with a software version, which is their data.
-fn versioned_events(version: &str, ids: std::ops::RangeInclusive<u32>) -> String {
+pub(crate) fn versioned_events(version: &str, ids: std::ops::RangeInclusive<u32>) -> String {
     ids.map(|id| format!("id: {id}\ndata: {version}\n\n"))
         .collect()
 }
 
 /// Starts a target that sends two events of a new stream, then takes the step that `then` returns
 /// for its number, and that resumes streams after any event without a check.
-async fn versioned_target(
+pub(crate) async fn versioned_target(
     version: &'static str,
     then: impl Fn(usize) -> Option<Step> + Send + Sync + 'static,
 ) -> Target {
@@ -67,7 +67,7 @@
 }
 
 /// Lists targets of a service, and waits until a gateway knows them.
-async fn list_targets(system: &System, versions: &[(&str, &str, &Target)]) {
+pub(crate) async fn list_targets(system: &System, versions: &[(&str, &str, &Target)]) {
     for (name, version, target) in versions {
         let entry = support::target_entry("desk", target, "ready");
         let entry = entry.replace("\"v1\"", &format!("\"{version}\""));
@@ -78,7 +78,7 @@
 }
 
 /// Waits until a gateway uses exactly these targets.
-async fn knows_targets(system: &System, names: &[&str]) {
+pub(crate) async fn knows_targets(system: &System, names: &[&str]) {
     support::wait_for(|| {
         let targets = system.gateway.view.targets.load();
         let listed = targets.service(&"desk".parse().unwrap());
@@ -88,27 +88,33 @@
 }
 
 /// Begins a stream at a gateway and leaves it after two events, which are returned.
-async fn leave_stream(system: &System, attempt: &str) -> String {
+pub(crate) async fn leave_stream(system: &System, attempt: &str) -> String {
+    let named = format!("x-laburnumcart-attempt-id: {attempt}\r\n");
+    leave_after(system, &named, "id: 2\ndata: v").await
+}
+
+/// Sends a request with these header lines, and leaves once the events end with `last`; returns them.
+pub(crate) async fn leave_after(system: &System, lines: &str, last: &str) -> String {
     let stream = tokio::net::TcpStream::connect(system.addr).await;
     let mut stream = stream.unwrap();
     let request = format!(
         "POST /resumed/1 HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 0\r\n\
-         x-laburnumcart-attempt-id: {attempt}\r\nx-laburnumcart-deadline-ms: 9000\r\n\r\n"
+         {lines}x-laburnumcart-deadline-ms: 9000\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
     let read = async {
-        while !String::from_utf8_lossy(&bytes).contains("id: 2\ndata: v") {
+        while !String::from_utf8_lossy(&bytes).contains(last) {
             assert_ne!(stream.read_buf(&mut bytes).await.unwrap(), 0);
         }
     };
     tokio::time::timeout(support::TIMEOUT, read).await.unwrap();
     let text = String::from_utf8(bytes).unwrap();
-    text[text.find("id: 1").unwrap()..].to_owned()
+    text[text.find("id: ").unwrap()..].to_owned()
 }
 
 /// Takes up a stream after its second event.
-async fn take_up(system: &System, attempt: &str) -> Response {
+pub(crate) async fn take_up(system: &System, attempt: &str) -> Response {
     let call = system.call("/resumed/1", |headers| {
         let again = format!("{attempt}-again");
         headers.insert("x-laburnumcart-attempt-id", again.parse().unwrap());
@@ -131,14 +137,14 @@
 
 /// Counts of streams that callers took up.
 #[derive(Debug, Default)]
-struct Outcome {
-    went_on: usize,
-    mixed: usize,
+pub(crate) struct Outcome {
+    pub(crate) went_on: usize,
+    pub(crate) mixed: usize,
     refused: usize,
 }
 
 impl Outcome {
-    fn record(&mut self, first: &str, response: &Response) {
+    pub(crate) fn record(&mut self, first: &str, response: &Response) {
         if response.status != StatusCode::OK {
             assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
             self.refused += 1;
