Streams: a resumption without events is the end of the stream

What callers saw: on a resumable route, a target that ended after its last event but before the end of its framing (in the last chunk, or in trailers) left a stream that was cut, although all events had arrived. The gateway resumed it, got a whole stream without events, took that for a failure of the second target as well, spent a third send and cut the answer.

Cause: `open_next_in_time` took each answer without events for an error.

--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -250,6 +250,12 @@
                 self.inputs = None;
                 Ok(Opening::Stream(head))
             }
+            // The earlier target had sent all events, and only the end was missing.
+            Chunk::End if after.is_some() => {
+                target_stream.put_back(Chunk::End);
+                self.current = Some(target_stream);
+                Ok(Opening::Stream(head))
+            }
             Chunk::End => {
                 target_stream.finish();
                 Ok(Opening::Whole(head, Bytes::new()))
--- a/laburnumcart_gateway/src/stream/target_stream.rs
+++ b/laburnumcart_gateway/src/stream/target_stream.rs
@@ -118,10 +118,15 @@
             Chunk::Failed(cause) => Some(*cause),
             Chunk::Events(..) | Chunk::End => None,
         };
-        self.ready = Some(chunk);
+        self.put_back(chunk);
         failure
     }
 
+    /// Makes the next part be this one, which was received before.
+    pub(super) fn put_back(&mut self, chunk: Chunk) {
+        self.ready = Some(chunk);
+    }
+
     /// Waits for complete events after number `last`, for any time.
     pub(super) async fn read_chunk(&mut self, last: Option<u64>) -> Chunk {
         if let Some(chunk) = self.ready.take() {
--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limits;
 mod panics;
+mod partial;
 mod pauses;
 mod poison;
 mod refusals;
