Answers: a change of the protocol is no answer of a target

What callers saw: a target that sent "101 Switching Protocols" with its name for the request, and nothing more, was answered to them as 101 without a body, on all kinds of requests; the request was not sent again where it could be. The caller's HTTP library takes this for the end of HTTP on the connection.

Cause: 101 is the one interim status that the HTTP library returns as a final one, and only statuses of success were checked for the target's stamp. Now it is a failure of the target, as the gateway asks for no such change.

--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -403,10 +403,11 @@
             taken_ms = start.elapsed().as_millis()
         );
         let is_echoed = head.attempt.as_ref() == Some(&self.request.call.attempt);
-        // A response to an earlier request on this connection, or one that lacks the target's
-        // stamp, must not reach the caller, and a refusal in it proves nothing about this request.
-        // Whether this request has run is unknown.
-        if !is_echoed || status.is_success() && !head.stamped {
+        // A response to an earlier request on this connection, one that lacks the target's stamp,
+        // or a change of the protocol that nobody asked for, must not reach the caller, and a refusal
+        // in it proves nothing about this request. Whether this request has run is unknown.
+        let is_unstamped = status.is_success() && !head.stamped;
+        if !is_echoed || is_unstamped || status.is_informational() {
             assignment.record_failure();
             run.fail();
             let corrupt = may_have_run(verdict::Reason::Corrupt);
--- a/laburnumcart_system/tests/gateway/partial.rs
+++ b/laburnumcart_system/tests/gateway/partial.rs
@@ -1,5 +1,7 @@
 //! Answers of targets that end at each of their bytes.
 
+mod heads;
+
 use std::{
     collections,
     sync::{
