--- a/laburnumcart_system/tests/gateway/partial.rs
+++ b/laburnumcart_system/tests/gateway/partial.rs
@@ -1,5 +1,6 @@
 //! Answers of targets that end at each of their bytes.
 
+mod calls;
 mod heads;
 
 use std::{
