--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod panics;
+mod partial;
 mod pauses;
 mod poison;
 mod refusals;
