Store client: an entry that is no JSON hides no other one

What callers would see: none of the targets that are listed while another writer's entry is in the list, and none that comes or changes, as the list or the watch is refused as a whole and asked again each time with the same result. A gateway that starts then knows no target.

Cause: each entry was isolated as a raw value, which only works for JSON. The parser checks what it skips, so that a word that is no JSON (NaN, Infinity, undefined; a writer or a store that reads 1e400 as infinite writes it so), a bad escape, a control character within a text, bytes outside of a text that are no UTF-8, or a comma too many made the whole body unreadable. Besides: - An entry that cannot be read was dropped from a watch, so that the entry before it stayed in force. - On a page on which it is the only one, the list ended with an error, as the next page's start was taken from what could be read. - A deletion with the largest revision overflowed, and an object above the store's own revision would rank above all later changes. - A write whose response holds such a field counted as unanswered. - The line that is logged quoted the entry whole, and was repeated at each read.

The body is split at brackets, commas and texts, without recursion and without a look at values; each entry is parsed alone. One that cannot be parsed keeps its name and revision, or the store's revision if its own cannot be read, and has no value, so that it names no target. One without a name is left out. No object is newer than the store's revision in the same response. One line of at most 120 characters of cause is logged for each entry, 4,096 at most.

Ruled out: nesting. 128, 10,000 and 100,000 levels of lists and objects in known and unknown fields, metadata and status held before, as raw values and ignored fields are skipped without recursion.

--- a/laburnumcart_platform/src/lib.rs
+++ b/laburnumcart_platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod memory;
 pub mod progress;
+pub mod raw;
 pub mod replica;
 pub mod settle;
 pub mod socket;
