Origin: a process without listings tells others no only version

The search over orders found streams joined from two versions: a process that has listed nothing for seconds asks another that has not either, which answers with the only version of its old list, while a third one began the stream at a version that both have missed. An answer to another process names an only version now only beside a recent listing; a process alone keeps deciding by its own list.

--- a/laburnumcart/src/origin/history.rs
+++ b/laburnumcart/src/origin/history.rs
@@ -314,6 +314,14 @@
         }
     }
 
+    /// Returns what other processes may take for knowledge up to now.
+    pub fn told(&self, service: &id::ServiceName, now: freshness::BootTime) -> Known {
+        match self.known(service, now) {
+            Known::Sole(_) if !self.is_fresh(now) => Known::Unknown,
+            known => known,
+        }
+    }
+
     /// Returns whether a version of a service was listed lately.
     pub fn has_seen(&self, service: &id::ServiceName, version: &Version) -> bool {
         let mut seen = self.services.get(service).into_iter().flatten();
--- a/laburnumcart/tests/origin_history.rs
+++ b/laburnumcart/tests/origin_history.rs
@@ -171,3 +171,12 @@
     own.record_notes_read(at(STOP + 10));
     assert_eq!(known(&own, STOP + 10), Known::Sole(version("v1")));
 }
+
+// Two processes that are cut off take each other's old lists for proof.
+#[test]
+fn a_process_without_listings_tells_no_only_version() {
+    let own = lister();
+    assert_eq!(own.told(&desk(), at(STOP + 2)), Known::Sole(version("v1")));
+    assert_eq!(own.told(&desk(), at(STOP + 10)), Known::Unknown);
+    assert_eq!(known(&own, STOP + 10), Known::Sole(version("v1")));
+}
--- a/laburnumcart_gateway/src/origins/calls.rs
+++ b/laburnumcart_gateway/src/origins/calls.rs
@@ -15,10 +15,13 @@
     records, //
 };
 
-use crate::origins::{
-    Answer,
-    Origins,
-    Question, //
+use crate::{
+    clock,
+    origins::{
+        Answer,
+        Origins,
+        Question, //
+    },
 };
 
 /// Calls about the origins of streams.
@@ -48,7 +51,11 @@
     }
 
     async fn stream_origin(&self, question: Question) -> RpcResult<Answer> {
-        Ok(self.0.answer(&question))
+        let known = self.0.view.told_versions(&question.services, clock::now());
+        Ok(Answer {
+            known,
+            ..self.0.answer(&question)
+        })
     }
 
     async fn versions_seen(&self) -> RpcResult<history::Summary> {
--- a/laburnumcart_gateway/src/view.rs
+++ b/laburnumcart_gateway/src/view.rs
@@ -263,6 +263,16 @@
         services.iter().map(|s| versions.known(s, now)).collect()
     }
 
+    /// Returns what other processes may take for knowledge of the versions of services up to now.
+    pub fn told_versions(
+        &self,
+        services: &[id::ServiceName],
+        now: freshness::BootTime,
+    ) -> Vec<origin::history::Known> {
+        let versions = lock(&self.versions);
+        services.iter().map(|s| versions.told(s, now)).collect()
+    }
+
     /// Returns whether the list of targets was read lately.
     pub fn is_listing_fresh(&self, now: freshness::BootTime) -> bool {
         lock(&self.versions).is_fresh(now)
