--- a/laburnumcart/tests/origin_model/gateway.rs
+++ b/laburnumcart/tests/origin_model/gateway.rs
@@ -13,6 +13,8 @@
     rendezvous, //
 };
 
+use crate::notes::Writer;
+
 /// Time without faults after which a gateway and its peers know what they should.
 pub(crate) const SETTLED: u64 = 3000;
 
@@ -44,6 +46,8 @@
     pub(crate) refused_until: u64,
     /// When the last of these ended, or it was started.
     pub(crate) calm_since: u64,
+    /// What its process writes to the store.
+    pub(crate) writer: Writer,
 }
 
 pub(crate) fn boot(millis: u64) -> BootTime {
@@ -110,6 +114,7 @@
             cut_until: 0,
             refused_until: 0,
             calm_since: 0,
+            writer: Writer::default(),
         }
     }
 
@@ -120,6 +125,7 @@
         self.read_at = 0;
         self.has_notes = false;
         self.note_due = None;
+        self.writer = Writer::default();
     }
 
     pub(crate) fn runs(&self, now: u64) -> bool {
