Load reports: the sum of two figures does not overflow

What callers would see: 500 "lost (may-have-run)" in place of an answer that the target has given, where sums are checked; where they are not, an overloaded target seems idle.

Cause: running and waiting requests of a load report are added as they are; a target that states the largest number in both overflows the sum.

--- a/laburnumcart_gateway/src/balancer.rs
+++ b/laburnumcart_gateway/src/balancer.rs
@@ -238,7 +238,7 @@
         now: Instant,
     ) {
         if let Some(entry) = self.entries.iter_mut().find(|e| e.target.key() == *life) {
-            entry.load.pending = report.running + report.waiting;
+            entry.load.pending = report.running.saturating_add(report.waiting);
             entry.load.own_pending = entry.in_flight;
             entry.load.limit = slots.unwrap_or(entry.load.limit);
             entry.load.at = now;
--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -387,7 +387,7 @@
             return;
         };
         self.observe(pace::Observation::Report {
-            running: report.running + report.waiting,
+            running: report.running.saturating_add(report.waiting),
             slots: head.slots,
         });
         let now = Instant::now();
