Targets: an idle timeout of any size is harmless

What callers would see: 500 "lost (may-have-run)" in place of an answer that the target has given.

Cause: a keep-alive timeout of 2^64 - 1 seconds was added to the time of the response, which panics.

Before: answers_pass_whatever_a_target_states::case_01_idle_timeout panicked and got the 500. After: all 12 cases pass: idle timeouts, rate limits, load reports and backoffs at and beyond the bounds of their types. That what peers tell each other of odd entries arrives unchanged was right before (laburnumcart_gateway/tests/odd_entries.rs, 8 cases).

--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -47,6 +47,9 @@
 pub use self::allowance::Body;
 use self::connection::Connection;
 
+/// Longest idle timeout that a target can state, so that no sum of times overflows.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(86_400);
+
 /// Time for which an idle connection is kept if the target doesn't state its idle timeout.
 const IDLE_DEFAULT: time::Duration = time::Duration::from_secs(4);
 
@@ -388,7 +391,9 @@
             return;
         };
         let now = Instant::now();
-        let kept = idle_timeout.map_or(IDLE_DEFAULT, |timeout| timeout.mul_f64(IDLE_FRACTION));
+        let kept = idle_timeout.map_or(IDLE_DEFAULT, |timeout| {
+            timeout.min(IDLE_MAX).mul_f64(IDLE_FRACTION)
+        });
         connection.last_used = now;
         connection.idle_until = now + kept;
         let mut targets = view::lock(&self.pool.targets);
--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod headers;
 mod leaving;
 mod limits;
+mod odd_figures;
 mod panics;
 mod pauses;
 mod poison;
