--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod journal;
 mod leaving;
 mod limits;
+mod odd_figures;
 mod panics;
 mod partial;
 mod pauses;
