Origins: a note that cannot be read is logged once

A reader met a spoilt note at each read, up to ten times a second, and logged it each time (from the code).

--- a/laburnumcart_gateway/src/origins/usage.rs
+++ b/laburnumcart_gateway/src/origins/usage.rs
@@ -1,10 +1,12 @@
 //! Usage notes in the store ([`laburnumcart::origin::usage`]).
 
 use std::{
-    collections,
-    future,
-    sync::Arc,
-    time, //
+    collections, future,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time,
 };
 
 use serde::Deserialize;
@@ -69,6 +71,7 @@
         instance: own.instance.clone(),
         incarnation: own.incarnation,
         store_writes,
+        refused: Mutex::default(),
     };
     async move {
         tokio::join!(notes.write(), notes.answer());
@@ -83,6 +86,8 @@
     incarnation: id::Incarnation,
     /// Writes a second that the store bears.
     store_writes: f64,
+    /// Versions of objects that cannot be read.
+    refused: Mutex<collections::HashMap<String, store::Version>>,
 }
 
 /// The note of this process, as known to be stored.
@@ -142,8 +147,8 @@
         let key = format!("{}/{}", self.layout.members_prefix(), self.instance);
         let entry = self.store.get(&key).await?;
         let found = self.store.get(&self.key()).await?;
-        let entry = entry.map(|object| parse::<Entry>(&object).map(|entry| entry.incarnation));
-        let note = found.as_ref().map(parse::<Usage>);
+        let entry = entry.map(|object| self.parse::<Entry>(&object).map(|entry| entry.incarnation));
+        let note = found.as_ref().map(|object| self.parse::<Usage>(object));
         let version = found.as_ref().map(|object| object.version);
         let usage = match (&entry, &note) {
             // What cannot be read may have named any version.
@@ -206,7 +211,9 @@
             }
         };
         stored.version = found.as_ref().map(|object| object.version);
-        let note = found.as_ref().and_then(parse::<Usage>);
+        let note = found
+            .as_ref()
+            .and_then(|object| self.parse::<Usage>(object));
         if let Some(own) = note.filter(|note| note.incarnation == self.incarnation) {
             stored.usage = own;
             return;
@@ -297,11 +304,11 @@
         let mut instances: collections::BTreeMap<String, usage::Instance> = Default::default();
         for object in self.list(self.layout.members_prefix()).await? {
             let instance = instances.entry(name(&object)).or_default();
-            instance.entry = Some(parse::<Entry>(&object)?.incarnation);
+            instance.entry = Some(self.parse::<Entry>(&object)?.incarnation);
         }
         for object in self.list(self.layout.usage_prefix()).await? {
             let instance = instances.entry(name(&object)).or_default();
-            instance.note = Some(parse::<Usage>(&object)?);
+            instance.note = Some(self.parse::<Usage>(&object)?);
         }
         Some(Arc::new(instances))
     }
@@ -316,6 +323,19 @@
         }
     }
 
+    /// Parses an object, and logs once why it cannot be read.
+    fn parse<T: for<'de> Deserialize<'de>>(&self, object: &store::Object) -> Option<T> {
+        let parsed = serde_json::from_str(&object.value);
+        if let Err(error) = &parsed {
+            let mut refused = view::lock(&self.refused);
+            let known = refused.insert(object.key.clone(), object.version);
+            if known != Some(object.version) {
+                event!(Warn, "usage-note-refused", key = object.key, error = error);
+            }
+        }
+        parsed.ok()
+    }
+
     fn key(&self) -> String {
         format!("{}/{}", self.layout.usage_prefix(), self.instance)
     }
@@ -327,15 +347,6 @@
     name.to_owned()
 }
 
-/// Parses an object, and logs why it cannot be read.
-fn parse<T: for<'de> Deserialize<'de>>(object: &store::Object) -> Option<T> {
-    serde_json::from_str(&object.value)
-        .inspect_err(|error| {
-            event!(Warn, "usage-note-refused", key = object.key, error = error);
-        })
-        .ok()
-}
-
 /// Returns versions as text for the log.
 fn label(used: &Used) -> String {
     let services = used.iter().map(|(service, versions)| {
