Native store client: an unreadable entry hides no other one

What callers would see: nothing new of what is followed through the native object service, such as a bundle, while one entry of the list or the watch cannot be parsed.

Cause: the body was parsed as one value, so that one entry of another type, beyond the parser's limit of nesting or with bytes that are no UTF-8 failed the whole.

The entries are split as those of the platform's store are, and parsed alone; one that cannot be is logged with 120 characters of cause and left out.

--- a/laburnumcart_platform/src/client.rs
+++ b/laburnumcart_platform/src/client.rs
@@ -296,7 +296,7 @@
     async fn list(&self, prefix: &str) -> Result<store::Listing, store::Failure> {
         let request = protocol::Request::list(prefix)?;
         let response = self.call(metrics::Kind::List, Cost::Read, request).await?;
-        response.parse()
+        response.parse_listing()
     }
 
     async fn watch(
@@ -308,7 +308,7 @@
         let request = protocol::Request::watch(prefix, after, wait)?;
         let kind = metrics::Kind::Watch;
         let response = self.call(kind, Cost::Watch(wait), request).await?;
-        response.parse()
+        response.parse_changes()
     }
 }
 
--- a/laburnumcart_platform/src/client/protocol.rs
+++ b/laburnumcart_platform/src/client/protocol.rs
@@ -19,7 +19,18 @@
 };
 use serde::de;
 
-use crate::store;
+use laburnumcart::{
+    event,
+    unit, //
+};
+
+use crate::{
+    raw,
+    store, //
+};
+
+/// Longest part of an error in characters that is logged, as it may quote an entry.
+const ERROR_MAX: usize = 120;
 
 /// A request before it is sent.
 pub(super) struct Request<'a> {
@@ -191,10 +202,57 @@
         }))
     }
 
-    /// Parses a listing or changes.
-    pub(super) fn parse<T: de::DeserializeOwned>(&self) -> Result<T, store::Failure> {
-        serde_json::from_slice(&self.body).map_err(|_| store::Failure::Invalid)
+    /// Parses a listing.
+    pub(super) fn parse_listing(&self) -> Result<store::Listing, store::Failure> {
+        let text = String::from_utf8_lossy(&self.body);
+        Ok(store::Listing {
+            revision: parse_field(&text, "revision")?,
+            objects: parse_entries(&text, "objects")?,
+            age: parse_age(&text)?,
+        })
     }
+
+    /// Parses changes.
+    pub(super) fn parse_changes(&self) -> Result<store::Changes, store::Failure> {
+        let text = String::from_utf8_lossy(&self.body);
+        Ok(store::Changes {
+            revision: parse_field(&text, "revision")?,
+            events: parse_entries(&text, "events")?,
+            age: parse_age(&text)?,
+        })
+    }
+}
+
+fn parse_field<T: de::DeserializeOwned>(text: &str, name: &str) -> Result<T, store::Failure> {
+    let value = raw::field(text, name).ok_or(store::Failure::Invalid)?;
+    serde_json::from_str(value).map_err(|_| store::Failure::Invalid)
+}
+
+/// Parses the age of the data, which the service itself leaves out.
+fn parse_age(text: &str) -> Result<unit::Period, store::Failure> {
+    match raw::field(text, "age") {
+        Some(_) => parse_field(text, "age"),
+        None => Ok(unit::Period::default()),
+    }
+}
+
+/// Parses the entries of a list; one that cannot be parsed is logged and left out.
+fn parse_entries<T: de::DeserializeOwned>(
+    text: &str,
+    name: &str,
+) -> Result<Vec<T>, store::Failure> {
+    let list = raw::field(text, name).and_then(raw::elements);
+    let entries = list.ok_or(store::Failure::Invalid)?.into_iter();
+    let parse = |entry: &str| {
+        let parsed = serde_json::from_str(entry);
+        parsed
+            .inspect_err(|error| {
+                let error: String = error.to_string().chars().take(ERROR_MAX).collect();
+                event!(Warn, "entry-unreadable", error = error);
+            })
+            .ok()
+    };
+    Ok(entries.filter_map(parse).collect())
 }
 
 fn etag(headers: &HeaderMap) -> Option<store::Version> {
