--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -5,6 +5,7 @@
 //! began, and asks them when a caller returns.
 
 pub mod calls;
+mod copies;
 pub mod journal;
 
 use std::{
@@ -141,39 +142,6 @@
         self.metrics.records.set(records.len() as i64);
     }
 
-    /// Keeps records that another process cannot write to its journal, and writes them here.
-    fn keep_copies(&self, begun: Vec<records::Begun>) {
-        self.keep(begun.clone());
-        for begun in &begun {
-            self.journal(begun, Source::Peer);
-        }
-    }
-
-    /// Has others write streams to their journals.
-    fn copy(&self, entries: Vec<Entry>) {
-        if entries.is_empty() {
-            return;
-        }
-        let now_ms = clock::unix_ms();
-        let begun = entries.into_iter().map(|e| e.into_begun(now_ms));
-        view::lock(&self.uncopied).extend(begun);
-        self.copies_due.notify_one();
-    }
-
-    /// Sends others what they are to write to their journals, until the process ends.
-    pub async fn send_copies(self: Arc<Self>) {
-        loop {
-            self.copies_due.notified().await;
-            let begun = std::mem::take(&mut *view::lock(&self.uncopied));
-            let Some(first) = begun.first() else {
-                continue;
-            };
-            for home in self.homes(first.stream, homes::HOMES) {
-                tokio::spawn(self.clone().tell_all(home, begun.clone(), Some(true)));
-            }
-        }
-    }
-
     /// Returns whether no origin is kept here.
     pub fn is_empty(&self) -> bool {
         view::lock(&self.records).is_empty()
@@ -383,15 +351,16 @@
         home: view::Member,
         list: Vec<records::Begun>,
         unwritten: Option<bool>,
-    ) {
+    ) -> bool {
         let Some(link) = self.links.link(&home) else {
-            return;
+            return false;
         };
         for part in list.chunks(RECORDS_PER_CALL) {
             if !link.tell_begun(part, unwritten).await {
-                return;
+                return false;
             }
         }
+        true
     }
 
     /// Asks other processes for the versions that they have seen, after a start and after a time
--- a/laburnumcart_system/tests/gateway/journal.rs
+++ b/laburnumcart_system/tests/gateway/journal.rs
@@ -231,8 +231,14 @@
         }
         let gateways = &self.gateways;
         support::wait_for(|| {
-            let mut views = gateways.iter().map(|g| &g.gateway.view);
-            views.all(|v| v.member_count() == 3 && v.is_loaded())
+            let knows = |g: &System, other: &System| {
+                let members = g.gateway.view.members.load();
+                let peer = other.gateway.settings.peer;
+                g.gateway.view.is_loaded() && members.iter().any(|m| m.peer == peer)
+            };
+            gateways
+                .iter()
+                .all(|g| gateways.iter().all(|o| knows(g, o)))
         })
         .await;
     }
