Soak: a version appears while all gateways are dark

After a kill of all gateways, two targets are replaced by ones of a version that none had before, before the gateways start again.

--- a/laburnumcart_system/src/soak/faults.rs
+++ b/laburnumcart_system/src/soak/faults.rs
@@ -142,6 +142,12 @@
             for gateway in 0..testbed.plan.gateways {
                 signal_gateway(testbed, gateway, Signal::SIGKILL).await;
             }
+            if testbed.plan.versions {
+                let mut targets = testbed.targets.lock().await;
+                let index = rng.random_range(0..targets.count());
+                // The old targets stay in place when others cannot be started.
+                targets.appear(index).await.ok();
+            }
         }
         _ => inject_store_fault(testbed, rng, length),
     }
--- a/laburnumcart_system/src/soak/targets.rs
+++ b/laburnumcart_system/src/soak/targets.rs
@@ -256,6 +256,15 @@
         Ok(())
     }
 
+    /// Replaces targets from `index` on by ones of another version.
+    pub(super) async fn appear(&mut self, index: usize) -> io::Result<()> {
+        self.versions.appear();
+        for n in 0..versions::DARK_TARGETS {
+            self.drain_one((index + n) % self.count()).await?;
+        }
+        Ok(())
+    }
+
     async fn replace(&mut self, index: usize) -> io::Result<Target> {
         let old = &self.running[index];
         let target = self.start_target(old.service, old.data_centre).await?;
--- a/laburnumcart_system/src/soak/versions.rs
+++ b/laburnumcart_system/src/soak/versions.rs
@@ -16,6 +16,12 @@
 /// Versions that targets have in turn.
 const VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2.1"];
 
+/// Versions that appear while no gateway runs, in turn.
+const DARK: [&str; 4] = ["v3", "v4", "v3.1", "v5"];
+
+/// Number of targets that start at such a version.
+pub(super) const DARK_TARGETS: usize = 2;
+
 /// Stream that a caller takes up.
 #[derive(Clone, Debug)]
 pub(super) struct Resumed {
@@ -31,6 +37,9 @@
     /// Whether targets differ in their versions.
     differ: bool,
     started: atomic::AtomicUsize,
+    appeared: atomic::AtomicUsize,
+    /// Targets that are still to start at the version that appeared last.
+    dark: atomic::AtomicUsize,
 }
 
 impl Versions {
@@ -41,11 +50,22 @@
         }
     }
 
+    /// Has the next targets start at a version that none had before.
+    pub(super) fn appear(&self) {
+        self.appeared.fetch_add(1, atomic::Ordering::Relaxed);
+        self.dark.store(DARK_TARGETS, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the version of the next target.
     pub(super) fn next(&self) -> &'static str {
         if !self.differ {
             return FIRST;
         }
+        let dark = self.dark.load(atomic::Ordering::Relaxed);
+        if dark > 0 {
+            self.dark.store(dark - 1, atomic::Ordering::Relaxed);
+            return DARK[self.appeared.load(atomic::Ordering::Relaxed) % DARK.len()];
+        }
         let number = self.started.fetch_add(1, atomic::Ordering::Relaxed);
         VERSIONS[number % VERSIONS.len()]
     }
