--- a/laburnumcart_gateway/src/gateway.rs
+++ b/laburnumcart_gateway/src/gateway.rs
@@ -157,6 +157,7 @@
             tokio::spawn(self.clone().report_consumed(consumed));
         }
         tokio::spawn(self.origins.clone().learn_versions());
+        tokio::spawn(self.origins.clone().send_copies());
         loop {
             tokio::select! {
                 _ = sweep.tick() => {
@@ -387,7 +388,7 @@
             return;
         };
         self.observe(pace::Observation::Report {
-            running: report.running + report.waiting,
+            running: report.running.saturating_add(report.waiting),
             slots: head.slots,
         });
         let now = Instant::now();
--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -5,6 +5,7 @@
 //! began, and asks them when a caller returns.
 
 pub mod calls;
+mod copies;
 pub mod journal;
 mod lookup;
 pub mod usage;
@@ -32,7 +33,10 @@
         Origin,
         history,
         homes,
-        journal::Entry,
+        journal::{
+            Entry,
+            Source, //
+        },
         records, //
     },
     rendezvous,
@@ -85,9 +89,12 @@
     links: Links,
     records: Mutex<records::Records>,
     /// Streams in flight that no journal holds.
-    unjournaled: Mutex<collections::HashSet<id::Fingerprint>>,
+    unjournaled: Mutex<collections::HashMap<id::Fingerprint, Source>>,
     /// Tells the journal that a stream is to be written.
     journal_due: tokio::sync::Notify,
+    /// Streams that others are to write to their journals.
+    uncopied: Mutex<Vec<records::Begun>>,
+    copies_due: tokio::sync::Notify,
     metrics: metrics::OriginMetrics,
 }
 
@@ -105,6 +112,8 @@
             records: Mutex::default(),
             unjournaled: Mutex::default(),
             journal_due: tokio::sync::Notify::new(),
+            uncopied: Mutex::default(),
+            copies_due: tokio::sync::Notify::new(),
             metrics,
         })
     }
@@ -119,7 +128,7 @@
             age: unit::Period::default(),
         };
         self.keep([begun.clone()]);
-        self.journal(&begun);
+        self.journal(&begun, Source::Own);
         for home in self.homes(begun.stream, homes::HOMES) {
             tokio::spawn(self.clone().tell(home, begun.clone()));
         }
@@ -150,8 +159,10 @@
     }
 
     /// Has a stream in flight written to the journal while its service has several versions.
-    fn journal(&self, begun: &records::Begun) {
-        view::lock(&self.unjournaled).insert(begun.stream);
+    fn journal(&self, begun: &records::Begun, source: Source) {
+        view::lock(&self.unjournaled)
+            .entry(begun.stream)
+            .or_insert(source);
         if self.has_several_versions(&begun.origin.service, clock::now()) {
             self.journal_due.notify_one();
         }
@@ -164,19 +175,28 @@
 
     /// Returns the streams in flight that are to be written to the journal: those of services with
     /// several versions.
-    fn take_unjournaled(&self) -> Vec<Entry> {
+    fn take_unjournaled(&self) -> Vec<(Entry, Source)> {
         let (now, now_ms) = (clock::now(), clock::unix_ms());
         let records = view::lock(&self.records);
         let mut unjournaled = view::lock(&self.unjournaled);
-        let mut taken = Vec::new();
-        unjournaled.retain(|stream| {
+        let (mut taken, mut several) = (Vec::new(), collections::HashMap::new());
+        unjournaled.retain(|stream, source| {
             let Some(begun) = records.find(*stream, now) else {
                 return false;
             };
-            if !self.has_several_versions(&begun.origin.service, now) {
+            let service = &begun.origin.service;
+            let has_several = match several.get(service) {
+                Some(known) => *known,
+                None => {
+                    let known = self.has_several_versions(service, now);
+                    several.insert(service.clone(), known);
+                    known
+                }
+            };
+            if !has_several {
                 return true;
             }
-            taken.extend(Entry::new(&begun, now_ms));
+            taken.extend(Entry::new(&begun, now_ms).map(|entry| (entry, *source)));
             false
         });
         taken
@@ -200,7 +220,7 @@
     }
 
     /// Hands all records to other processes, as this one is about to stop.
-    pub async fn hand_over(&self) {
+    pub async fn hand_over(self: &Arc<Self>) {
         let records = view::lock(&self.records).all(clock::now());
         let mut lists: Vec<(view::Member, Vec<records::Begun>)> = Vec::new();
         for begun in records {
@@ -216,20 +236,26 @@
         let peers = lists.len();
         let calls = lists
             .into_iter()
-            .map(|(home, list)| self.tell_all(home, list));
+            .map(|(home, list)| self.clone().tell_all(home, list, None));
         future::join_all(calls).await;
         event!(Info, "origins-handed-over", records = count, peers = peers);
     }
 
-    async fn tell_all(&self, home: view::Member, list: Vec<records::Begun>) {
+    async fn tell_all(
+        self: Arc<Self>,
+        home: view::Member,
+        list: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) -> bool {
         let Some(link) = self.links.link(&home) else {
-            return;
+            return false;
         };
         for part in list.chunks(RECORDS_PER_CALL) {
-            if !link.tell_begun(part).await {
-                return;
+            if !link.tell_begun(part, unwritten).await {
+                return false;
             }
         }
+        true
     }
 
     /// Asks other processes for the versions that they have seen, after a start and after a time
@@ -265,7 +291,7 @@
         let Some(link) = self.links.link(&home) else {
             return;
         };
-        if !link.tell_begun(std::slice::from_ref(&begun)).await {
+        if !link.tell_begun(std::slice::from_ref(&begun), None).await {
             event!(
                 Warn,
                 "origin-send-failed",
--- a/laburnumcart_gateway/src/origins/calls.rs
+++ b/laburnumcart_gateway/src/origins/calls.rs
@@ -15,18 +15,26 @@
     records, //
 };
 
-use crate::origins::{
-    Answer,
-    Origins,
-    Question, //
+use crate::{
+    clock,
+    origins::{
+        Answer,
+        Origins,
+        Question, //
+    },
 };
 
 /// Calls about the origins of streams.
 #[rpc(server, client)]
 pub trait OriginCalls {
-    /// Keeps the origins of streams that have begun.
+    /// Keeps the origins of streams that have begun, and writes them to the journal if they are
+    /// `unwritten`; older builds neither send nor read this.
     #[method(name = "streams-begun")]
-    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()>;
+    async fn streams_begun(
+        &self,
+        begun: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) -> RpcResult<()>;
 
     /// Returns what is known of the origin of a stream.
     #[method(name = "stream-origin")]
@@ -42,13 +50,24 @@
 
 #[async_trait]
 impl OriginCallsServer for OriginService {
-    async fn streams_begun(&self, begun: Vec<records::Begun>) -> RpcResult<()> {
-        self.0.keep(begun);
+    async fn streams_begun(
+        &self,
+        begun: Vec<records::Begun>,
+        unwritten: Option<bool>,
+    ) -> RpcResult<()> {
+        match unwritten {
+            Some(true) => self.0.keep_copies(begun),
+            _ => self.0.keep(begun),
+        }
         Ok(())
     }
 
     async fn stream_origin(&self, question: Question) -> RpcResult<Answer> {
-        Ok(self.0.answer(&question))
+        let known = self.0.view.told_versions(&question.services, clock::now());
+        Ok(Answer {
+            known,
+            ..self.0.answer(&question)
+        })
     }
 
     async fn versions_seen(&self) -> RpcResult<history::Summary> {
