Origins: a process that was asked about no stream has not looked for one

What callers could get: a stream that they do not name, taken up at a gateway whose list of targets is old, joined from two versions without any kill. Found by the review, by reading: the question to peers names no stream then, each answers, and the answer counted as 'has no record of it', so that the versions in use at that peer fell out of the possible ones.

An answer tells its process only if it was asked about a stream. Test only_a_process_that_was_asked_about_a_stream_says_that_it_has_no_record: case not_named failed before (1 of 2), holds now.

--- a/laburnumcart_gateway/src/origins.rs
+++ b/laburnumcart_gateway/src/origins.rs
@@ -77,7 +77,7 @@
     pub begun: Option<records::Begun>,
     /// What the process knows of the versions of each service.
     pub known: Vec<history::Known>,
-    /// Process that answers; older builds leave it out.
+    /// Process that answers, if it was asked about a stream; older builds leave it out.
     #[serde(default)]
     pub incarnation: Option<id::Incarnation>,
 }
@@ -209,7 +209,7 @@
         Answer {
             begun: question.stream.and_then(find),
             known: self.view.known_versions(&question.services, now),
-            incarnation: self.view.usage.own(),
+            incarnation: question.stream.and(self.view.usage.own()),
         }
     }
 
--- a/laburnumcart_gateway/src/origins/lookup.rs
+++ b/laburnumcart_gateway/src/origins/lookup.rs
@@ -89,11 +89,14 @@
     own: Option<id::Incarnation>,
     /// Entries and usage notes of all instances, if they were needed.
     reading: Option<Reading>,
+    /// Record that has reached this process meanwhile, as from a journal.
+    late: Option<records::Begun>,
 }
 
 impl Told {
     fn begun(&self) -> Option<&records::Begun> {
-        self.answers.iter().find_map(|answer| answer.begun.as_ref())
+        let mut told = self.answers.iter().filter_map(|a| a.begun.as_ref());
+        self.late.as_ref().or_else(|| told.next())
     }
 
     /// Returns the versions of services at which processes without a record may have begun the
@@ -257,6 +260,7 @@
         let (answers, reading) = tokio::join!(self.ask(members, question), read);
         told.answers.extend(answers);
         told.reading = Some(reading);
+        told.late = self.answer(question).begun;
     }
 
     /// Waits for the first list of members, without which nobody is asked.
--- a/laburnumcart_gateway/tests/origin_calls.rs
+++ b/laburnumcart_gateway/tests/origin_calls.rs
@@ -22,7 +22,7 @@
 use laburnumcart_gateway::{
     metrics,
     origins::{
-        Origins,
+        Origins, Question,
         calls::{
             OriginCallsServer,
             OriginService, //
@@ -30,6 +30,7 @@
     },
     view, //
 };
+use rstest::rstest;
 
 /// The call as older builds serve it.
 #[rpc(server)]
@@ -87,3 +88,21 @@
     answer.unwrap();
     assert!(!origins.is_empty());
 }
+
+// A process that was asked about no stream counts as one that has no record of it.
+#[rstest]
+#[case::named(Some(id::Fingerprint(7)), Some(id::Incarnation(1)))]
+#[case::not_named(None, None)]
+fn only_a_process_that_was_asked_about_a_stream_says_that_it_has_no_record(
+    #[case] stream: Option<id::Fingerprint>,
+    #[case] expected: Option<id::Incarnation>,
+) {
+    let own = "gateway-1".parse().unwrap();
+    let view = Arc::new(view::View::default());
+    view.usage.enable(id::Incarnation(1));
+    let origins = Origins::new(own, view, metrics::OriginMetrics::default());
+    let services = vec!["desk".parse().unwrap()];
+    let answer = origins.answer(&Question { stream, services });
+    assert!(answer.begun.is_none());
+    assert_eq!(answer.incarnation, expected);
+}
