Usage notes: the pause between failed writes doubles

While the store refuses a gateway, it tried its usage note five times a second, with up to three calls each. Found by the review, by reading; at 350 gateways that is up to 5,250 calls a second (computed) against a store that is in trouble. No test of its own; a new version waits up to 1.6 s longer for its note after an outage.

--- a/laburnumcart_gateway/src/origins/usage.rs
+++ b/laburnumcart_gateway/src/origins/usage.rs
@@ -37,6 +37,9 @@
 /// Pause before another call after a failed one.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Longest pause, to which it doubles while calls fail.
+const RETRY_MAX: time::Duration = time::Duration::from_millis(1600);
+
 /// Interval at which a version that has gone is noticed.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
@@ -103,6 +106,7 @@
         let mut stored = self.begin().await;
         let mut absent = collections::HashMap::new();
         let mut due = None;
+        let mut pause = RETRY_PAUSE;
         let mut changes = self.view.subscribe();
         loop {
             let wanted = self.wanted(&stored, &mut absent, clock::now());
@@ -123,10 +127,14 @@
                 continue;
             }
             due = None;
-            if let Err(error) = self.replace(&mut stored, wanted).await {
-                event!(Warn, "usage-note-unwritten", error = error);
-                tokio::time::sleep(RETRY_PAUSE).await;
-                self.settle(&mut stored).await;
+            match self.replace(&mut stored, wanted).await {
+                Ok(()) => pause = RETRY_PAUSE,
+                Err(error) => {
+                    event!(Warn, "usage-note-unwritten", error = error);
+                    tokio::time::sleep(pause).await;
+                    pause = RETRY_MAX.min(pause * 2);
+                    self.settle(&mut stored).await;
+                }
             }
         }
     }
@@ -134,12 +142,14 @@
     /// Writes the first note, from what earlier processes of the instance left behind.
     async fn begin(&self) -> Stored {
         let since = clock::now();
+        let mut pause = RETRY_PAUSE;
         loop {
             match self.write_first(since).await {
                 Ok(stored) => return stored,
                 Err(error) => event!(Warn, "usage-note-unwritten", error = error),
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = RETRY_MAX.min(pause * 2);
         }
     }
 
