--- a/laburnumcart/src/origin/usage.rs
+++ b/laburnumcart/src/origin/usage.rs
@@ -100,7 +100,7 @@
         if !note.covers(self.entry) {
             return None;
         }
-        // A process that lives has a record of each stream that it began.
+        // Without a record of the stream, the process that answered has not begun it.
         match self.answered == Some(note.incarnation) {
             true => note.earlier.clone(),
             false => note.all(),
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -250,7 +250,7 @@
                 self.inputs = None;
                 Ok(Opening::Stream(head))
             }
-            // The earlier target had sent all events, and only the end was missing.
+            // A target with no event after the last one that was passed on ends the stream.
             Chunk::End if after.is_some() => {
                 target_stream.put_back(Chunk::End);
                 self.current = Some(target_stream);
