--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 [ -x target/release/laburnum-gateway ] && [ -x target/review/cases ] || exit 2
 folder=$(mktemp -d) || exit 2
-target/review/cases weights "$folder" "$here/record.txt"
+target/review/cases tenant "$folder" "$here/record.txt"
 code=$?
 rm -rf "$folder"
 [ "$code" -le 2 ] || code=2
