Print known cases of the review instead of asking for their run

The last line of KNOWN-RED.txt had no newline, so that verdict.sh never read it; with one it would have failed, as no test is named review/.

verdict_test.sh has a row for each of the three; those of the case and of the missing newline failed on the script before.

--- a/extra/test/verdict.sh
+++ b/extra/test/verdict.sh
@@ -2,7 +2,8 @@
 # Decides on a run of tests: verdict.sh CODE MAP LOG KNOWN-RED.
 #
 # KNOWN-RED has at most thirty lines "test, cause, issue", where a test is package/target::name; the
-# doc tests of a crate are package/doc. A listed test may fail; anything else may not.
+# doc tests of a crate are package/doc. A listed test may fail; anything else may not. Lines of cases
+# under review/, which no test runs, are only printed.
 set -uo pipefail
 
 code=$1
@@ -49,9 +50,11 @@
 
 listed=()
 if [ -f "$known" ]; then
-    while IFS= read -r line; do
+    # The last line counts without its newline as well.
+    while IFS= read -r line || [ -n "$line" ]; do
         [ -n "$line" ] || continue
         case $line in
+        review/?*", "?*", "?*) echo "KNOWN RED, not run: $line" ;;
         ?*", "?*", "?*) listed+=("${line%%, *}") ;;
         *) say "$known: not of the form \"test, cause, issue\": $line" ;;
         esac
--- a/extra/test/verdict_test.sh
+++ b/extra/test/verdict_test.sh
@@ -59,6 +59,11 @@
 expect "no cause" 1 101 "$green
 $red" "two/beta::a
 " "not of the form"
+expect "case of the review" 0 0 "$green" "review/1, cause, 7
+" "KNOWN RED, not run: review/1, cause, 7"
+expect "case of the review without a cause" 1 0 "$green" "review/1
+" "not of the form"
+expect "last line without its end" 1 0 "$green" "one/alpha::z, cause, 7" "no such test was run: one/alpha::z"
 expect "thirty-one listed" 1 0 "$green" "$(printf 'one/alpha::a, c, 1\n%.0s' {1..31})
 " "more than 30 tests"
 
