Log how the charges of repeats end, and repeats that arrive late

The hypotheses on repeats beyond the bound could not be told apart: nothing said that a held charge ended because its target did (event=sends-ended, with the target, the cause and the charges), or that a repeat reached its target long after it was charged (event=repeat-late, repeats_late_total). No logic is changed.

--- a/laburnumcart/src/unsettled.rs
+++ b/laburnumcart/src/unsettled.rs
@@ -10,6 +10,7 @@
     time, //
 };
 
+use derive_more::Display;
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
@@ -40,6 +41,27 @@
     Lost,
 }
 
+/// Why sends ended without a sign of their target.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum Expiry {
+    /// Their target has ended.
+    TargetEnded,
+    /// They were unsettled for [`MAX_AGE`].
+    TooOld,
+}
+
+/// Sends to one target that ended without a sign of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Expired {
+    /// Their target.
+    pub target: id::TargetLife,
+    /// Why they ended.
+    pub cause: Expiry,
+    /// Number of charges that were held for them.
+    pub repeats: usize,
+}
+
 /// A request that was or may be sent again.
 #[derive(Clone, Debug, Default)]
 struct Request {
@@ -209,25 +231,46 @@
         self.end_sends(&settled, End::Arrived, budget, now);
     }
 
-    /// Ends the sends to targets that have ended, and those that are too old.
+    /// Ends the sends to targets that have ended, and those that are too old; returns those for
+    /// which charges were held.
     pub fn expire(
         &mut self,
         has_ended: impl Fn(&id::TargetLife) -> bool,
         budget: &mut budget::Budget,
         now: Instant,
-    ) {
+    ) -> Vec<Expired> {
         let requests = &self.requests;
         // A request that was sent only once leaves nothing to be charged.
         let is_over = |send: &Unsettled| !requests.contains_key(send.request);
-        let is_ended = |life: &id::TargetLife, send: &Unsettled| {
-            has_ended(life) || now >= send.since + MAX_AGE || is_over(send)
-        };
         let mut ended = Vec::new();
         self.targets.retain(|life, sends| {
-            ended.extend(sends.extract_if(.., |send| is_ended(life, send)));
+            let cause = match has_ended(life) {
+                true => Expiry::TargetEnded,
+                false => Expiry::TooOld,
+            };
+            let is_ended = |send: &Unsettled| {
+                cause == Expiry::TargetEnded || now >= send.since + MAX_AGE || is_over(send)
+            };
+            let taken: Vec<_> = sends.extract_if(.., |send| is_ended(send)).collect();
+            if !taken.is_empty() {
+                ended.push((life.clone(), cause, taken));
+            }
             !sends.is_empty()
         });
-        self.end_sends(&ended, End::Lost, budget, now);
+        let mut expired = Vec::new();
+        for (target, cause, sends) in ended {
+            let before = budget.usage(now).held;
+            self.end_sends(&sends, End::Lost, budget, now);
+            let repeats = before.saturating_sub(budget.usage(now).held) as usize;
+            if repeats > 0 {
+                expired.push(Expired {
+                    target,
+                    cause,
+                    repeats,
+                });
+            }
+        }
+        expired
     }
 
     /// Returns the number of unsettled sends of requests that were sent again, and the time of the
--- a/laburnumcart_gateway/src/budgets.rs
+++ b/laburnumcart_gateway/src/budgets.rs
@@ -236,9 +236,19 @@
         let is_replaced =
             |target: &id::TargetLife| lives.get(&target.name).is_some_and(|l| *l != target.life);
         let now = self.now();
-        for service in view::lock(&self.services).values_mut() {
+        for (name, service) in view::lock(&self.services).iter_mut() {
             let ServiceBudget { budget, sends } = service;
-            sends.expire(is_replaced, budget, now);
+            for expired in sends.expire(is_replaced, budget, now) {
+                event!(
+                    Info,
+                    "sends-ended",
+                    service = name,
+                    target = expired.target.name,
+                    life = expired.target.life,
+                    cause = expired.cause,
+                    repeats = expired.repeats
+                );
+            }
         }
         self.count_unsettled();
     }
--- a/laburnumcart_gateway/src/budgets/sends.rs
+++ b/laburnumcart_gateway/src/budgets/sends.rs
@@ -1,6 +1,11 @@
 //! Sends of a request, as far as they concern the retry budget.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time, //
+};
+
+use tokio::time::Instant;
 
 use laburnumcart::{
     event,
@@ -10,7 +15,13 @@
 
 use crate::view;
 
-use super::Budgets;
+use super::{
+    Budgets,
+    ServiceLabels, //
+};
+
+/// Time from the charge of a repeat to its arrival from which it counts as late.
+const LATE_MIN: time::Duration = time::Duration::from_secs(1);
 
 /// Sends of one request to the targets of a service.
 ///
@@ -25,6 +36,8 @@
     arrived: bool,
     /// Target of the send in flight.
     in_flight: Option<id::TargetLife>,
+    /// When the send in flight was charged, if it is a repeat.
+    charged: Option<Instant>,
 }
 
 impl RequestSends {
@@ -37,6 +50,7 @@
             key: None,
             arrived: false,
             in_flight: None,
+            charged: None,
         }
     }
 
@@ -47,6 +61,7 @@
 
     /// Records that the target has received the request.
     pub fn record_arrival(&mut self) {
+        self.record_delay();
         self.in_flight = None;
         if std::mem::replace(&mut self.arrived, true) {
             return;
@@ -65,6 +80,7 @@
 
     /// Records that a repeat of the request has been charged.
     pub fn charge(&mut self) {
+        self.charged = Some(Instant::now());
         let key = self.track();
         self.budgets.with_service(&self.service, |service, now| {
             service.sends.charge(key, &mut service.budget, now);
@@ -93,6 +109,30 @@
         self.budgets.count_unsettled();
     }
 
+    /// Logs and counts a repeat that arrived long after it was charged.
+    fn record_delay(&mut self) {
+        let Some(delay) = self.charged.take().map(|at| at.elapsed()) else {
+            return;
+        };
+        let Some(target) = self.in_flight.as_ref().filter(|_| delay >= LATE_MIN) else {
+            return;
+        };
+        event!(
+            Info,
+            "repeat-late",
+            request = self.attempt,
+            service = self.service,
+            target = target.name,
+            life = target.life,
+            delay_ms = delay.as_millis()
+        );
+        let labels = ServiceLabels {
+            service: self.service.to_string(),
+        };
+        let metrics = &self.budgets.metrics.unsettled;
+        metrics.late.get_or_create(&labels).inc();
+    }
+
     fn track(&mut self) -> unsettled::RequestKey {
         let arrived = self.arrived;
         *self.key.get_or_insert_with(|| {
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -148,6 +148,8 @@
 pub struct UnsettledMetrics {
     /// Sends that were given up, by service.
     pub given_up: family::Family<budgets::ServiceLabels, counter::Counter>,
+    /// Repeats that arrived long after they were charged, by service.
+    pub late: family::Family<budgets::ServiceLabels, counter::Counter>,
     /// Such sends of requests that were sent again, by service.
     pub sends: family::Family<budgets::ServiceLabels, gauge::Gauge>,
     /// Age of the oldest of them in seconds, by service.
@@ -161,6 +163,11 @@
             "Sends given up without a sign of their target",
             self.given_up.clone(),
         );
+        r.register(
+            "repeats_late",
+            "Repeats that arrived a second or more after they were charged",
+            self.late.clone(),
+        );
         r.register(
             "unsettled_sends",
             "Sends given up without a sign of their target, of requests sent again",
