--- /dev/null
+++ b/laburnumcart_system/tests/gateway/late_repeats.rs
@@ -0,0 +1,194 @@
+//! Repeats that arrive at their targets long after they were granted, or whose targets end.
+
+use std::{
+    sync::{
+        Arc,
+        atomic, //
+    },
+    time, //
+};
+
+use http::HeaderValue;
+use laburnumcart_fakes::scripted::{
+    ReceivedRequest,
+    Step,
+    Target, //
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    retry_budget,
+    stopped_targets::Repeats,
+    support::{
+        System,
+        chunk,
+        config,
+        events,
+        stream_head,
+        target_entry,
+        wait_for, //
+    },
+};
+
+/// Requests that are sent at once.
+const BURST: usize = 60;
+
+/// Deadline of a request, during which its last send waits for a stopped target.
+const DEADLINE: time::Duration = time::Duration::from_secs(8);
+
+/// Time until a sound target answers.
+const ANSWER_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Time until a failing target fails, at which the others are stopped.
+const FAIL_TIME: time::Duration = time::Duration::from_millis(800);
+
+type Script = fn(&ReceivedRequest) -> Vec<Step>;
+
+fn reset(_: &ReceivedRequest) -> Vec<Step> {
+    vec![Step::Reset]
+}
+
+fn broken_stream(seen: &ReceivedRequest) -> Vec<Step> {
+    vec![stream_head(seen), chunk(&events(1..=1)), Step::Reset]
+}
+
+/// Returns a configuration in which two targets may receive a request, within [`DEADLINE`].
+fn two_attempts() -> Value {
+    config(|config| {
+        for route in config["routes"].as_array_mut().unwrap() {
+            route["timeout_ms"] = json!(DEADLINE.as_millis() as u64);
+        }
+    })
+}
+
+/// Sends a burst of requests to the gateways in turn, and waits until all have ended.
+async fn send_burst(
+    fleet: Arc<Vec<System>>,
+    path: &'static str,
+    deadline: time::Duration,
+    repeats: Repeats,
+) {
+    static IDS: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+    let mut sent = tokio::task::JoinSet::new();
+    for number in 0..BURST {
+        repeats.sent.lock().unwrap().push(Instant::now());
+        let fleet = fleet.clone();
+        sent.spawn(async move {
+            let id = IDS.fetch_add(1, atomic::Ordering::AcqRel);
+            let attempt = HeaderValue::try_from(format!("late-{id}")).unwrap();
+            let gateway = &fleet[number % fleet.len()];
+            let path = format!("{path}{id}");
+            let response = gateway.try_call(&path, |headers| {
+                headers.insert("x-laburnumcart-attempt-id", attempt);
+                let deadline = deadline.as_millis().to_string().parse().unwrap();
+                headers.insert("x-laburnumcart-deadline-ms", deadline);
+            });
+            // What the callers get is not the subject here.
+            let _ = response.await;
+        });
+    }
+    sent.join_all().await;
+}
+
+async fn start_fleet(gateways: usize, targets: &[Target]) -> Arc<Vec<System>> {
+    let names: Vec<_> = (0..targets.len()).map(|i| format!("target-{i}")).collect();
+    let all = names.iter().zip(targets);
+    let all: Vec<_> = all.map(|(name, t)| (name.as_str(), "desk", t)).collect();
+    let first = System::start(two_attempts(), &all).await;
+    let mut fleet = first.start_peers(2..=gateways).await;
+    fleet.push(first);
+    Arc::new(fleet)
+}
+
+// Repeats that wait at stopped targets as the last sends of their requests arrive with the next ones.
+#[rstest]
+#[case::resets("/safe/", reset, retry_budget::full_response)]
+#[case::streams("/resumed/", broken_stream, retry_budget::full_stream)]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_that_wait_as_last_sends_count_when_they_arrive(
+    #[values(1, 4)] gateways: usize,
+    #[case] path: &'static str,
+    #[case] failing: Script,
+    #[case] healthy: Script,
+) {
+    let repeats = Repeats::default();
+    // The target that fails; another one in each burst.
+    let failed = Arc::new(atomic::AtomicUsize::new(0));
+    let mut targets = Vec::new();
+    for index in 0..3 {
+        let (repeats, failed) = (repeats.clone(), failed.clone());
+        let target = Target::start(move |seen, _| {
+            repeats.record(seen);
+            let (pause, steps) = match failed.load(atomic::Ordering::Acquire) == index {
+                true => (FAIL_TIME, failing(seen)),
+                false => (ANSWER_TIME, healthy(seen)),
+            };
+            [vec![Step::Pause(pause)], steps].concat()
+        });
+        targets.push(target.await.unwrap());
+    }
+    let fleet = start_fleet(gateways, &targets).await;
+
+    let start = Instant::now();
+    let first = tokio::spawn(send_burst(fleet.clone(), path, DEADLINE, repeats.clone()));
+    tokio::time::sleep((ANSWER_TIME + FAIL_TIME) / 2).await;
+    targets[1..].iter().for_each(Target::stop);
+    tokio::time::sleep_until(start + DEADLINE - time::Duration::from_secs(1)).await;
+    targets[1..].iter().for_each(Target::resume);
+    first.await.unwrap();
+    // By then the grants of the first burst are out of their window.
+    tokio::time::sleep_until(start + time::Duration::from_secs(13)).await;
+    failed.store(1, atomic::Ordering::Release);
+    send_burst(fleet, path, DEADLINE, repeats.clone()).await;
+
+    let worst = repeats.worst_use();
+    println!("worst use of the budget: {worst:.2}");
+    assert!(worst <= 1.0, "{worst:.2} of the budget");
+}
+
+// Targets read requests, answer none, and start again under their names.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_that_were_read_count_after_their_target_has_ended(
+    #[values(1, 4)] gateways: usize,
+) {
+    let repeats = Repeats::default();
+    let mut targets = Vec::new();
+    for _ in 0..3 {
+        let repeats = repeats.clone();
+        let target = Target::start(move |seen, _| {
+            repeats.record(seen);
+            vec![Step::Hang]
+        });
+        let target = target.await.unwrap();
+        target.set_probe_steps(vec![Step::Hang]);
+        targets.push(target);
+    }
+    let fleet = start_fleet(gateways, &targets).await;
+
+    for life in 2..=6 {
+        let deadline = time::Duration::from_secs(2);
+        send_burst(fleet.clone(), "/safe/", deadline, repeats.clone()).await;
+        for (index, target) in targets.iter().enumerate() {
+            let mut entry: Value =
+                serde_json::from_str(&target_entry("desk", target, "ready")).unwrap();
+            entry["born"] = json!(life);
+            let key = format!("servers/target-{index}");
+            fleet[0].put(&key, &entry.to_string()).await;
+        }
+        let is_listed = |system: &System| {
+            let targets = system.gateway.view.targets.load();
+            targets.all().all(|target| target.life.0 == life)
+        };
+        wait_for(|| fleet.iter().all(is_listed)).await;
+    }
+
+    let worst = repeats.worst_use();
+    println!("worst use of the budget: {worst:.2}");
+    assert!(worst <= 1.0, "{worst:.2} of the budget");
+}
--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod fixtures;
 mod headers;
 mod journal;
+mod late_repeats;
 mod leaving;
 mod limits;
 mod odd_figures;
--- a/laburnumcart_system/tests/gateway/stopped_targets.rs
+++ b/laburnumcart_system/tests/gateway/stopped_targets.rs
@@ -86,14 +86,14 @@
 
 /// Times at which requests were sent, and at which targets received one that was received before.
 #[derive(Clone, Default)]
-struct Repeats {
-    sent: Arc<Mutex<Vec<Instant>>>,
+pub(crate) struct Repeats {
+    pub(crate) sent: Arc<Mutex<Vec<Instant>>>,
     seen: Arc<Mutex<collections::HashSet<String>>>,
     at: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Repeats {
-    fn record(&self, seen: &ReceivedRequest) {
+    pub(crate) fn record(&self, seen: &ReceivedRequest) {
         let now = Instant::now();
         let mut known = self.seen.lock().unwrap();
         let keys = retry_budget::arrival_keys(seen).into_iter();
@@ -102,7 +102,7 @@
     }
 
     /// Returns the greatest use of the budget in any window, as a fraction.
-    fn worst_use(&self) -> f64 {
+    pub(crate) fn worst_use(&self) -> f64 {
         let (sent, at) = (self.sent.lock().unwrap(), self.at.lock().unwrap());
         let use_from = |from: &Instant| {
             // Gateways may count the requests in a window that began earlier.
