Hold the charge of a repeat while it is in flight

What callers and targets saw: a service gets up to 1.50 of its retry budget in ten seconds.

Cause: a repeat was charged for a window from its grant, and its charge held only once the send was given up without a sign of its target. The last send of a request is not given up before the deadline, 8 to 15 s for streams: no target or no budget is left for another. A target that stands still for a shorter time reads it seconds after its charge has left the window, beside the grants of the next one.

Change: a charge is held from the send to the arrival and counts for a window from then. What could not be sent is not charged.

--- a/laburnumcart/src/unsettled.rs
+++ b/laburnumcart/src/unsettled.rs
@@ -1,9 +1,9 @@
-//! Sends that were given up without a sign of their target.
+//! Sends of which it is not known whether they have arrived.
 //!
 //! A target that stands still reads later what was sent to it meanwhile; closing or resetting the
 //! connection takes nothing back. Repeats that were charged in many windows then arrive in one.
-//! Therefore the charge of a repeat is held until its arrival is over: its target has answered a
-//! later request, or has ended.
+//! Therefore the charge of a repeat is held while it is in flight. If it is given up without a sign
+//! of its target, it is held until the target has answered a later request, or has ended.
 
 use std::{
     collections,
@@ -35,9 +35,9 @@
 /// How a send ended that was unsettled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
-    /// Its target reads what waits, so that it arrives now at the latest.
+    /// Its target has read what waited, or has ended, so that it has arrived by now if it ever does.
     Arrived,
-    /// Its target has ended, or was not heard of for [`MAX_AGE`].
+    /// Its target was not heard of for [`MAX_AGE`], or never got it.
     Lost,
 }
 
@@ -69,6 +69,8 @@
     charged: Vec<Instant>,
     /// Whether it is known to have reached a target.
     arrived: bool,
+    /// Whether a send is in flight, whose target has given no sign.
+    in_flight: bool,
     /// Number of unsettled sends.
     unsettled: usize,
     /// Number of charges that are held.
@@ -80,10 +82,11 @@
 impl Request {
     /// Returns the number of arrivals that are open and would be repeats.
     fn open_repeats(&self) -> usize {
+        let open = self.unsettled + usize::from(self.in_flight);
         match self.arrived {
-            true => self.unsettled,
+            true => open,
             // The first arrival of a request is no repeat.
-            false => self.unsettled.saturating_sub(1),
+            false => open.saturating_sub(1),
         }
     }
 
@@ -97,9 +100,8 @@
         }
     }
 
-    /// Ends one unsettled send.
+    /// Records the end of a send that was unsettled or in flight.
     fn end_send(&mut self, end: End, budget: &mut budget::Budget, now: Instant) {
-        self.unsettled -= 1;
         self.arrived |= end == End::Arrived;
         if self.held > self.open_repeats() {
             self.held -= 1;
@@ -172,14 +174,30 @@
         }
     }
 
-    /// Records that a request has reached a target.
-    pub fn record_arrival(&mut self, key: RequestKey, budget: &mut budget::Budget, now: Instant) {
+    /// Records that a request is being sent.
+    pub fn begin(&mut self, key: RequestKey, budget: &mut budget::Budget, now: Instant) {
         if let Some(request) = self.requests.get_mut(key) {
-            request.arrived = true;
+            request.in_flight = true;
             request.update(budget, now);
         }
     }
 
+    /// Records that a request has reached a target; a repeat counts for a window from now.
+    pub fn record_arrival(&mut self, key: RequestKey, budget: &mut budget::Budget, now: Instant) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.in_flight = false;
+            request.end_send(End::Arrived, budget, now);
+        }
+    }
+
+    /// Records that the request in flight never reaches its target.
+    pub fn record_unsent(&mut self, key: RequestKey, budget: &mut budget::Budget, now: Instant) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.in_flight = false;
+            request.end_send(End::Lost, budget, now);
+        }
+    }
+
     /// Records that a request was given up without a sign of its target.
     pub fn give_up(
         &mut self,
@@ -191,6 +209,7 @@
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
+        request.in_flight = false;
         request.unsettled += 1;
         request.update(budget, now);
         let sends = self.targets.entry(target.clone()).or_default();
@@ -313,6 +332,7 @@
         self.count -= sends.len();
         for send in sends {
             if let Some(request) = self.requests.get_mut(send.request) {
+                request.unsettled -= 1;
                 request.end_send(end, budget, now);
             }
             self.remove_if_over(send.request);
--- a/laburnumcart_gateway/src/budgets/sends.rs
+++ b/laburnumcart_gateway/src/budgets/sends.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use laburnumcart::{
+    budget,
     event,
     id,
     unsettled, //
@@ -57,25 +58,21 @@
     /// Records that the request is about to be sent.
     pub fn begin(&mut self, target: id::TargetLife) {
         self.in_flight = Some(target);
+        self.update(unsettled::Sends::begin);
     }
 
     /// Records that the target has received the request.
     pub fn record_arrival(&mut self) {
         self.record_delay();
         self.in_flight = None;
-        if std::mem::replace(&mut self.arrived, true) {
-            return;
-        }
-        if let Some(key) = self.key {
-            self.budgets.with_service(&self.service, |service, now| {
-                service.sends.record_arrival(key, &mut service.budget, now);
-            });
-        }
+        self.arrived = true;
+        self.update(unsettled::Sends::record_arrival);
     }
 
     /// Records that the target has not received the request and never will.
     pub fn record_unsent(&mut self) {
         self.in_flight = None;
+        self.update(unsettled::Sends::record_unsent);
     }
 
     /// Records that a repeat of the request has been charged.
@@ -109,6 +106,18 @@
         self.budgets.count_unsettled();
     }
 
+    /// Applies a change to the request, if it is tracked.
+    fn update(
+        &self,
+        change: fn(&mut unsettled::Sends, unsettled::RequestKey, &mut budget::Budget, Instant),
+    ) {
+        if let Some(key) = self.key {
+            self.budgets.with_service(&self.service, |service, now| {
+                change(&mut service.sends, key, &mut service.budget, now);
+            });
+        }
+    }
+
     /// Logs and counts a repeat that arrived long after it was charged.
     fn record_delay(&mut self) {
         let Some(delay) = self.charged.take().map(|at| at.elapsed()) else {
