Count repeats that a target may have read before it ended

What targets saw: 2.65 of the retry budget in ten seconds with one gateway, 1.41 with four, when they read requests, answer none and start again under their names every two seconds.

Cause: the end of a target ended the charges that were held for it at once, as if it had read nothing. The check of a_charge_ends_with_its_target asked for this and was wrong: a target reads a request before it fails.

Change: the charges count for a window from the listing of the next run, which is no earlier than the arrival. Those that are 90 s old still end at once.

--- a/laburnumcart/src/unsettled.rs
+++ b/laburnumcart/src/unsettled.rs
@@ -278,8 +278,13 @@
         });
         let mut expired = Vec::new();
         for (target, cause, sends) in ended {
+            // A target that has ended may have read them before.
+            let end = match cause {
+                Expiry::TargetEnded => End::Arrived,
+                Expiry::TooOld => End::Lost,
+            };
             let before = budget.usage(now).held;
-            self.end_sends(&sends, End::Lost, budget, now);
+            self.end_sends(&sends, end, budget, now);
             let repeats = before.saturating_sub(budget.usage(now).held) as usize;
             if repeats > 0 {
                 expired.push(Expired {
