--- a/laburnumcart_system/tests/gateway/late_repeats.rs
+++ b/laburnumcart_system/tests/gateway/late_repeats.rs
@@ -23,11 +23,16 @@
 
 use crate::{
     retry_budget,
+    stages::{
+        self,
+        two_stage_config, //
+    },
     stopped_targets::Repeats,
     support::{
         System,
         chunk,
         config,
+        desk_target,
         events,
         stream_head,
         target_entry,
@@ -58,12 +63,17 @@
 }
 
 /// Returns a configuration in which two targets may receive a request, within [`DEADLINE`].
-fn two_attempts() -> Value {
-    config(|config| {
-        for route in config["routes"].as_array_mut().unwrap() {
-            route["timeout_ms"] = json!(DEADLINE.as_millis() as u64);
-        }
-    })
+fn two_attempts(service: &str) -> Value {
+    let mut config = match service {
+        "encode" => two_stage_config(),
+        _ => config(|_| ()),
+    };
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(DEADLINE.as_millis() as u64);
+    }
+    // A call carries the pieces of many requests.
+    config["services"][1]["segments"]["batch"] = json!(64);
+    config
 }
 
 /// Sends a burst of requests to the gateways in turn, and waits until all have ended.
@@ -85,6 +95,7 @@
             let path = format!("{path}{id}");
             let response = gateway.try_call(&path, |headers| {
                 headers.insert("x-laburnumcart-attempt-id", attempt);
+                retry_budget::set_pieces(headers);
                 let deadline = deadline.as_millis().to_string().parse().unwrap();
                 headers.insert("x-laburnumcart-deadline-ms", deadline);
             });
@@ -95,11 +106,16 @@
     sent.join_all().await;
 }
 
-async fn start_fleet(gateways: usize, targets: &[Target]) -> Arc<Vec<System>> {
+/// Starts gateways that know the targets, and one target of the service behind a stage.
+async fn start_fleet(gateways: usize, service: &str, targets: &[Target]) -> Arc<Vec<System>> {
     let names: Vec<_> = (0..targets.len()).map(|i| format!("target-{i}")).collect();
     let all = names.iter().zip(targets);
-    let all: Vec<_> = all.map(|(name, t)| (name.as_str(), "desk", t)).collect();
-    let first = System::start(two_attempts(), &all).await;
+    let mut all: Vec<_> = all.map(|(name, t)| (name.as_str(), service, t)).collect();
+    let desk = desk_target().await;
+    if service != "desk" {
+        all.push(("desk", "desk", &desk));
+    }
+    let first = System::start(two_attempts(service), &all).await;
     let mut fleet = first.start_peers(2..=gateways).await;
     fleet.push(first);
     Arc::new(fleet)
@@ -107,11 +123,13 @@
 
 // Repeats that wait at stopped targets as the last sends of their requests arrive with the next ones.
 #[rstest]
-#[case::resets("/safe/", reset, retry_budget::full_response)]
-#[case::streams("/resumed/", broken_stream, retry_budget::full_stream)]
+#[case::resets("desk", "/safe/", reset, retry_budget::full_response)]
+#[case::streams("desk", "/resumed/", broken_stream, retry_budget::full_stream)]
+#[case::pieces("encode", "/safe/", reset, stages::stage_response)]
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_that_wait_as_last_sends_count_when_they_arrive(
     #[values(1, 4)] gateways: usize,
+    #[case] service: &str,
     #[case] path: &'static str,
     #[case] failing: Script,
     #[case] healthy: Script,
@@ -132,14 +150,16 @@
         });
         targets.push(target.await.unwrap());
     }
-    let fleet = start_fleet(gateways, &targets).await;
+    let fleet = start_fleet(gateways, service, &targets).await;
 
     let start = Instant::now();
     let first = tokio::spawn(send_burst(fleet.clone(), path, DEADLINE, repeats.clone()));
     tokio::time::sleep((ANSWER_TIME + FAIL_TIME) / 2).await;
     targets[1..].iter().for_each(Target::stop);
+    tokio::time::sleep_until(start + FAIL_TIME + ANSWER_TIME).await;
+    targets[0].stop();
     tokio::time::sleep_until(start + DEADLINE - time::Duration::from_secs(1)).await;
-    targets[1..].iter().for_each(Target::resume);
+    targets.iter().for_each(Target::resume);
     first.await.unwrap();
     // By then the grants of the first burst are out of their window.
     tokio::time::sleep_until(start + time::Duration::from_secs(13)).await;
@@ -169,7 +189,7 @@
         target.set_probe_steps(vec![Step::Hang]);
         targets.push(target);
     }
-    let fleet = start_fleet(gateways, &targets).await;
+    let fleet = start_fleet(gateways, "desk", &targets).await;
 
     for life in 2..=6 {
         let deadline = time::Duration::from_secs(2);
--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod residency;
 mod restarts;
 mod retry_budget;
+mod room;
 mod route;
 mod signals;
 mod speed;
