Grant room for bodies and answers before they fill it

What callers saw: while others sent large bodies, or targets large answers or answers without end, the connections of requests that targets were running were closed.

Cause: bytes were counted as they arrived, and above the total the connection with the oldest progress was closed, those that wait for a target included. Whoever filled the room was never made to wait. The class: a bound kept by taking back what was promised, instead of not promising it.

Change: a body gets its room before the rest of it is read; without room it waits for half a second and is refused as not run. An answer is read as there is room, and waits in its connection otherwise. Large ones leave a third of the room to small ones, and the oldest large answer has room of its own, so that answers that are read in part never wait for one another. Only callers that have neither read nor sent anything for 250 ms are closed, and only while something waits for room or the total is exceeded.

--- a/laburnumcart/src/held.rs
+++ b/laburnumcart/src/held.rs
@@ -1,10 +1,27 @@
-//! Bytes that a process holds for its callers, and the choice of the connection to close when they
-//! are too many.
+//! Bytes that a process holds for its callers: who gets room for more, and the choice of the
+//! connection to close when there is none.
+//!
+//! Room is granted before it is filled. Without room a body is refused and an answer waits in its
+//! target, so that a request which a target may be running is never given up for its bytes.
 
 use std::collections;
 
 use tokio::time::Instant;
 
+/// Size in bytes up to which a body or an answer is small.
+pub const SMALL_MAX: usize = 64 << 10;
+
+/// Sixths of the total that large bodies and answers may fill; the rest is for small ones, which
+/// they must not shut out.
+const LARGE_SIXTHS: usize = 4;
+
+/// Sixths of the total that all may fill; the rest is for the oldest large answer.
+const SMALL_SIXTHS: usize = 5;
+
+/// A large answer that is being read.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ReadingId(u64);
+
 /// Connection of a caller.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
@@ -29,11 +46,11 @@
 /// let now = Instant::now();
 /// let mut ledger = held::Ledger::new(1000);
 /// let (slow, sound) = (ledger.open(now), ledger.open(now));
-/// ledger.hold(slow, 600);
-/// ledger.hold(sound, 600);
-/// ledger.record_progress(sound, now + Duration::from_secs(1));
-/// assert_eq!(ledger.evict(), Some(slow));
-/// assert_eq!((ledger.evict(), ledger.total()), (None, 600));
+/// assert!(ledger.try_hold(slow, 600));
+/// assert!(!ledger.try_hold(sound, 600));
+/// ledger.record_stall(slow);
+/// assert_eq!(ledger.evict_stalled(now + Duration::from_secs(1)), Some(slow));
+/// assert!(ledger.try_hold(sound, 600));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -43,6 +60,8 @@
     shared: usize,
     next: u64,
     entries: collections::BTreeMap<ConnectionId, Entry>,
+    /// Large answers that are being read, the oldest first.
+    readings: collections::BTreeSet<ReadingId>,
 }
 
 impl Ledger {
@@ -54,6 +73,7 @@
             shared: 0,
             next: 0,
             entries: collections::BTreeMap::new(),
+            readings: collections::BTreeSet::new(),
         }
     }
 
@@ -77,6 +97,57 @@
         }
     }
 
+    /// Returns the limit for a body or an answer that is large or not.
+    fn limit_of(&self, is_large: bool) -> usize {
+        match is_large {
+            true => self.limit / 6 * LARGE_SIXTHS,
+            false => self.limit / 6 * SMALL_SIXTHS,
+        }
+    }
+
+    /// Adds bytes of a request's body, if there is room; returns whether there was.
+    ///
+    /// The first bytes always fit in, so that no size is excluded.
+    pub fn try_hold(&mut self, id: ConnectionId, bytes: usize) -> bool {
+        let is_large = self.of(id) + bytes > SMALL_MAX;
+        let has_room = self.total == 0 || self.total + bytes <= self.limit_of(is_large);
+        if has_room {
+            self.hold(id, bytes);
+        }
+        has_room
+    }
+
+    /// Begins to read a large answer.
+    pub fn begin_reading(&mut self) -> ReadingId {
+        let id = ReadingId(self.next);
+        self.next += 1;
+        self.readings.insert(id);
+        id
+    }
+
+    /// Ends the reading of a large answer.
+    pub fn end_reading(&mut self, id: ReadingId) {
+        self.readings.remove(&id);
+    }
+
+    /// Adds the next bytes of an answer, a small one without `reading`, if there is room; returns
+    /// whether there was.
+    ///
+    /// The oldest large answer has room of its own, or answers that are read in part could keep the
+    /// room from one another for good.
+    pub fn try_hold_shared(&mut self, reading: Option<ReadingId>, bytes: usize) -> bool {
+        let is_oldest = reading.is_some() && reading == self.readings.first().copied();
+        let limit = match is_oldest {
+            true => self.limit,
+            false => self.limit_of(reading.is_some()),
+        };
+        let has_room = self.total + bytes <= limit;
+        if has_room {
+            self.hold_shared(bytes);
+        }
+        has_room
+    }
+
     /// Adds bytes that are held for a connection.
     pub fn hold(&mut self, id: ConnectionId, bytes: usize) {
         if let Some(entry) = self.entries.get_mut(&id) {
@@ -122,25 +193,19 @@
         }
     }
 
-    /// Removes and returns the connection to close, if there are too many bytes in total.
-    ///
-    /// It is the one that holds bytes and has gone longest without progress. Those that wait for a
-    /// target come last: they are not slow themselves.
-    pub fn evict(&mut self) -> Option<ConnectionId> {
-        if self.total <= self.limit {
-            return None;
+    /// Removes and returns the connection to close if there are too many bytes in total.
+    pub fn evict(&mut self, before: Instant) -> Option<ConnectionId> {
+        match self.total > self.limit {
+            true => self.evict_stalled(before),
+            false => None,
         }
-        let held = self.entries.iter().filter(|(_, entry)| entry.bytes > 0);
-        let oldest = held.min_by_key(|(_, entry)| (!entry.is_stalled, entry.progress));
-        let id = *oldest?.0;
-        self.close(id);
-        Some(id)
     }
 
-    /// Removes and returns the connection to close if there are too many of them.
+    /// Removes and returns the connection to close for want of room.
     ///
     /// It is the one that has gone longest without progress, of those that hold bytes and whose
-    /// callers have taken or sent nothing since `before`.
+    /// callers have taken or sent nothing since `before`. Those that wait for a target are not slow
+    /// themselves, and their requests may be running.
     pub fn evict_stalled(&mut self, before: Instant) -> Option<ConnectionId> {
         let is_stalled = |entry: &Entry| entry.is_stalled && entry.bytes > 0;
         let stalled = self.entries.iter().filter(|(_, entry)| is_stalled(entry));
--- a/laburnumcart_gateway/src/held.rs
+++ b/laburnumcart_gateway/src/held.rs
@@ -1,7 +1,9 @@
 //! Bytes that this process holds for callers and targets, bounded in total.
+//!
+//! Bodies and answers wait for room, see [`laburnumcart::held`].
 
 use std::{
-    collections,
+    collections, pin,
     sync::{
         Arc,
         Mutex, //
@@ -18,7 +20,10 @@
     time::Instant, //
 };
 
-use laburnumcart::held;
+use laburnumcart::{
+    event,
+    held, //
+};
 
 use crate::view;
 
@@ -31,6 +36,17 @@
 /// connections as there may be.
 const STALL_MIN: time::Duration = time::Duration::from_secs(2);
 
+/// Time without progress after which a caller makes room for bodies and answers that wait for it.
+///
+/// Callers that read or send are stalled for one round trip at most.
+const SLOW_MIN: time::Duration = time::Duration::from_millis(250);
+
+/// Interval at which what waits for room is tried again, as callers have become slow meanwhile.
+const ROOM_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Most bytes of an answer that are read at a time.
+const PART_MAX: usize = 64 << 10;
+
 /// Counters of held bytes.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
@@ -38,12 +54,18 @@
     pub bytes: gauge::Gauge<i64>,
     /// Connections of callers that were reset because these, or the connections, were too many.
     pub evicted: counter::Counter<u64>,
+    /// Bodies and parts of answers that waited for room.
+    pub waited: counter::Counter<u64>,
+    /// Bodies that were refused as there was no room.
+    pub refused: counter::Counter<u64>,
 }
 
 /// Bytes held for all callers and targets.
 #[derive(Debug)]
 pub struct Held {
     state: Mutex<State>,
+    /// Notified when bytes are freed.
+    freed: Notify,
     /// Counters of these bytes.
     pub counters: Counters,
 }
@@ -61,6 +83,7 @@
                 ledger: held::Ledger::new(TOTAL_MAX),
                 evictions: collections::BTreeMap::new(),
             }),
+            freed: Notify::new(),
             counters: Counters::default(),
         }
     }
@@ -91,20 +114,62 @@
         }
     }
 
-    /// Changes the ledger and closes connections while it holds too many bytes.
-    fn change(&self, change: impl FnOnce(&mut held::Ledger)) {
+    /// Changes the ledger and closes connections of slow callers while it holds too many bytes.
+    fn change<T>(&self, change: impl FnOnce(&mut held::Ledger) -> T) -> T {
         let mut state = view::lock(&self.state);
-        change(&mut state.ledger);
-        while let Some(id) = state.ledger.evict() {
-            self.evict(&mut state, id);
+        let before = state.ledger.total();
+        let changed = change(&mut state.ledger);
+        if let Some(slow) = slow_since() {
+            while let Some(id) = state.ledger.evict(slow) {
+                self.evict(&mut state, id);
+            }
         }
         let total = state.ledger.total();
+        drop(state);
+        if total < before {
+            self.freed.notify_waiters();
+        }
         self.counters
             .bytes
             .set(i64::try_from(total).unwrap_or(i64::MAX));
+        changed
+    }
+
+    /// Waits until `attempt` finds room, which slow callers make.
+    async fn wait_for_room(&self, mut attempt: impl FnMut(&mut held::Ledger) -> bool) {
+        if self.change(&mut attempt) {
+            return;
+        }
+        self.counters.waited.inc();
+        loop {
+            let mut freed = pin::pin!(self.freed.notified());
+            freed.as_mut().enable();
+            if self.change(&mut attempt) {
+                return;
+            }
+            if !self.evict_slow() {
+                // Returns after the interval as well, when callers may have become slow.
+                let _ = tokio::time::timeout(ROOM_INTERVAL, freed).await;
+            }
+        }
+    }
+
+    /// Closes the connection of the slowest caller, if there is a slow one.
+    fn evict_slow(&self) -> bool {
+        let mut state = view::lock(&self.state);
+        let slow = slow_since().and_then(|since| state.ledger.evict_stalled(since));
+        if let Some(id) = slow {
+            self.evict(&mut state, id);
+        }
+        slow.is_some()
     }
 }
 
+/// Returns the time since which slow callers have made no progress.
+fn slow_since() -> Option<Instant> {
+    Instant::now().checked_sub(SLOW_MIN)
+}
+
 /// Bytes held for the connection of a caller.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -146,10 +211,26 @@
         self.eviction.notified().await;
     }
 
-    /// Adds a part of the request's body.
-    pub(crate) fn hold_request(&self, bytes: usize) {
-        view::lock(&self.parts).request += bytes;
-        self.held.change(|ledger| ledger.hold(self.id, bytes));
+    /// Waits for room for a part of the request's body; returns whether there was any in time.
+    pub(crate) async fn hold_request(&self, bytes: usize, patience: time::Duration) -> bool {
+        let room = self
+            .held
+            .wait_for_room(|ledger| ledger.try_hold(self.id, bytes));
+        let has_room = tokio::time::timeout(patience, room).await.is_ok();
+        match has_room {
+            true => view::lock(&self.parts).request += bytes,
+            false => {
+                self.held.counters.refused.inc();
+                event!(
+                    Info,
+                    "room-refused",
+                    bytes = bytes,
+                    held = self.held.total(),
+                    waited_ms = patience.as_millis()
+                );
+            }
+        }
+        has_room
     }
 
     /// Removes the request's body, which is not sent to a target any more.
@@ -233,23 +314,62 @@
 #[derive(Debug)]
 pub(crate) struct Reading {
     held: Arc<Held>,
+    /// Size of the body, if it is known.
+    size: Option<usize>,
+    /// Bytes that have been read.
     bytes: usize,
+    /// Room for the next part.
+    room: usize,
+    /// Its place among the large answers.
+    place: Option<held::ReadingId>,
 }
 
 impl Reading {
-    pub(crate) fn new(held: Arc<Held>) -> Self {
-        Self { held, bytes: 0 }
+    pub(crate) fn new(held: Arc<Held>, size: Option<usize>) -> Self {
+        Self {
+            held,
+            size,
+            bytes: 0,
+            room: 0,
+            place: None,
+        }
     }
 
-    /// Adds bytes that have been read.
+    /// Waits until there is room for the next part.
+    pub(crate) async fn wait_for_room(&mut self) {
+        let left = self.size.map(|size| size.saturating_sub(self.bytes));
+        let part = left.map_or(PART_MAX, |left| left.min(PART_MAX));
+        let wanted = part.saturating_sub(self.room);
+        if wanted == 0 {
+            return;
+        }
+        if self.bytes + part > held::SMALL_MAX && self.place.is_none() {
+            self.place = Some(self.held.change(held::Ledger::begin_reading));
+        }
+        let place = self.place;
+        let room = |ledger: &mut held::Ledger| ledger.try_hold_shared(place, wanted);
+        self.held.wait_for_room(room).await;
+        self.room += wanted;
+    }
+
+    /// Adds bytes that have been read, for which there is room.
     pub(crate) fn hold(&mut self, bytes: usize) {
+        let beyond = bytes.saturating_sub(self.room);
+        self.room -= bytes.min(self.room);
         self.bytes += bytes;
-        self.held.change(|ledger| ledger.hold_shared(bytes));
+        if beyond > 0 {
+            self.held.change(|ledger| ledger.hold_shared(beyond));
+        }
     }
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        self.held.change(|ledger| ledger.free_shared(self.bytes));
+        self.held.change(|ledger| {
+            ledger.free_shared(self.bytes + self.room);
+            if let Some(place) = self.place {
+                ledger.end_reading(place);
+            }
+        });
     }
 }
--- a/laburnumcart_gateway/src/http_server/life.rs
+++ b/laburnumcart_gateway/src/http_server/life.rs
@@ -366,6 +366,11 @@
         let mut state = view::lock(&self.life.state);
         id.clone_into(&mut state.request);
     }
+
+    /// Waits for room for a part of the body; returns whether there was any in time.
+    pub(crate) async fn hold(&self, bytes: usize, patience: time::Duration) -> bool {
+        self.life.held.hold_request(bytes, patience).await
+    }
 }
 
 impl Body for RequestBody {
@@ -381,10 +386,6 @@
         };
         let polled = pin::Pin::new(&mut *inner).poll_frame(context);
         match &polled {
-            task::Poll::Ready(Some(Ok(frame))) => {
-                let size = frame.data_ref().map_or(0, Bytes::len);
-                self.life.held.hold_request(size);
-            }
             task::Poll::Pending => self.life.held.record_stall(),
             task::Poll::Ready(_) => {}
         }
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -479,6 +479,16 @@
                 "Connections of callers reset because too many bytes or connections were held",
                 pool.held.counters.evicted.clone(),
             );
+            r.register(
+                "room_waits",
+                "Bodies and parts of answers that waited for room",
+                pool.held.counters.waited.clone(),
+            );
+            r.register(
+                "room_refused",
+                "Bodies refused as there was no room",
+                pool.held.counters.refused.clone(),
+            );
         });
     }
 }
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -446,6 +446,8 @@
 
     /// Reads the whole body like [`Response::read_all`], as long as it arrives.
     ///
+    /// Without room the rest waits in the connection, which slows the target down.
+    ///
     /// Fails with [`Failure::Timeout`] if nothing arrives for `silence`; `on_data` is called with
     /// the number of bytes that have arrived.
     pub async fn read_observed(
@@ -454,10 +456,11 @@
         silence: time::Duration,
         on_data: impl Fn(usize),
     ) -> Result<(response::Parts, Bytes), Failure> {
-        let mut reading = held::Reading::new(self.lease.pool.held.clone());
+        let mut reading = held::Reading::new(self.lease.pool.held.clone(), self.size());
         // A buffer that grows would take twice the size of the body.
         let mut bytes = BytesMut::with_capacity(self.size().unwrap_or_default().min(BODY_MAX));
         loop {
+            reading.wait_for_room().await;
             let frame = tokio::time::timeout(silence, self.body.frame()).await;
             let Some(frame) = frame.map_err(|_| Failure::Timeout)? else {
                 break;
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -8,17 +8,17 @@
     time,
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http::{
     HeaderMap,
     Response,
     header,
     response, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
+use http_body_util::BodyExt;
 use hyper::body::Body as _;
 
 use tokio::time::Instant;
@@ -61,6 +61,13 @@
 /// Least timeout of an attempt after which another target can be tried.
 const ATTEMPT_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(150);
 
+/// Longest time for which a body waits for room; callers give up a request that is not read for a
+/// second.
+const ROOM_PATIENCE: time::Duration = time::Duration::from_millis(500);
+
+/// Delay after which the caller of a body without room may retry: others are answered meanwhile.
+const ROOM_RETRY: time::Duration = time::Duration::from_secs(1);
+
 /// Hop-by-hop headers, which apply to one connection only.
 const HOP_BY_HOP_HEADERS: [header::HeaderName; 7] = [
     header::CONNECTION,
@@ -152,7 +159,7 @@
     let patience = admitted.route.timeout;
     let patience = call.timeout.map_or(patience, |stated| stated.min(patience));
     let late = verdict::Refusal::not_run(verdict::Reason::DeadlineExceeded);
-    let body = tokio::time::timeout(patience, read_body(body, limit)).await;
+    let body = tokio::time::timeout(patience, read_body(body, limit, patience)).await;
     let body = body.map_err(|_| late)??;
     let spent = gateway.spent_before(&admitted.route, call.timeout);
     let rank = admitted.team.as_ref().and_then(|t| t.rank);
@@ -225,19 +232,40 @@
     residency.data_centres(&gateway.settings.regions)
 }
 
+/// Reads the body of a request, for which there has to be room before more of it is read.
 async fn read_body(
-    body: http_server::RequestBody,
+    mut body: http_server::RequestBody,
     limit: usize,
+    patience: time::Duration,
 ) -> Result<Bytes, verdict::Refusal> {
     let too_large = verdict::Refusal::not_run(verdict::Reason::TooLarge);
+    let no_room = verdict::Refusal::not_run(verdict::Reason::Overloaded);
+    let no_room = no_room.retry_after(unit::Period(ROOM_RETRY));
+    let patience = ROOM_PATIENCE.min(patience / 4);
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large);
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large),
-        Err(_) => Err(verdict::Refusal::not_run(verdict::Reason::Invalid)),
+    let stated = body.size_hint().exact().map(|size| size as usize);
+    if let Some(size) = stated.filter(|size| *size > 0)
+        && !body.hold(size, patience).await
+    {
+        return Err(no_room);
+    }
+    let mut bytes = BytesMut::with_capacity(stated.unwrap_or_default());
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| verdict::Refusal::not_run(verdict::Reason::Invalid))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(too_large);
+        }
+        if stated.is_none() && !body.hold(data.len(), patience).await {
+            return Err(no_room);
+        }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
 
 async fn serve(
