--- a/laburnumcart/tests/unsettled/fleet.rs
+++ b/laburnumcart/tests/unsettled/fleet.rs
@@ -226,7 +226,7 @@
             let is_due = tick >= flight.sent + TIMEOUT && self.has_other_target(&flight);
             let gateway = &mut self.gateways[flight.gateway];
             let (sends, budget) = (&mut gateway.sends, &mut gateway.budget);
-            if !is_over && !(is_due && budget.try_spend(now)) {
+            if !(is_over || is_due && budget.try_spend(now)) {
                 self.in_flight.push(flight);
                 continue;
             }
