--- a/laburnumcart_system/tests/gateway/headers.rs
+++ b/laburnumcart_system/tests/gateway/headers.rs
@@ -118,6 +118,37 @@
     assert_eq!(seen.header("x-kept"), Some("yes"));
 }
 
+// Targets refuse a request with two lines of one of these, or join them to another value.
+#[rstest]
+#[case::kept("keep-alive")]
+#[case::named(
+    "x-laburnumcart-model, x-laburnumcart-token-usage, x-laburnumcart-prompt-prefix, host"
+)]
+#[tokio::test]
+async fn each_header_is_forwarded_once(#[case] connection: &str) {
+    let sent = [
+        ("connection", connection),
+        ("x-laburnumcart-model", "m"),
+        ("x-laburnumcart-token-usage", "30,8"),
+        ("x-laburnumcart-prompt-prefix", "a1:10,b2:20"),
+        ("x-kept", "yes"),
+    ];
+    let seen = forwarded_request("/safe/1", |h| {
+        for (name, value) in sent {
+            set_header(h, name, value);
+        }
+    })
+    .await;
+    for (name, value) in &sent[1..] {
+        assert_eq!(seen.header(name), Some(*value));
+    }
+    let mut names: Vec<_> = seen.headers.iter().map(|(name, _)| name).collect();
+    names.sort();
+    let all = names.clone();
+    names.dedup();
+    assert_eq!(names, all);
+}
+
 // The forwarded deadline never exceeds the caller's deadline or the route's timeout.
 #[tokio::test]
 async fn remaining_time_is_forwarded() {
