Keep one name or part of a configuration from holding back the version

Cause: names of tenants, services, zones and engines allowed small letters alone, and one part of a configuration that could not be read failed the parse of the whole, after which its freshness was no longer confirmed. The class: what the store has accepted is refused as a whole for one part of it.

Change: names may have capital letters, those of teams anything that a header can carry, up to 255 bytes.

--- a/laburnumcart/src/id.rs
+++ b/laburnumcart/src/id.rs
@@ -17,6 +17,9 @@
 /// Longest name in bytes.
 pub const NAME_MAX: usize = 63;
 
+/// Longest name of a team in bytes.
+pub const TEAM_NAME_MAX: usize = 255;
+
 /// Error of parsing an identifier or a value with a unit.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
 #[display("invalid {kind}: {text:?}")]
@@ -37,15 +40,26 @@
     }
 }
 
-/// Reports whether `text` is 1 to 63 of `a-z 0-9 . _ -` and starts with a letter or digit.
+/// Reports whether `text` is 1 to 63 of `A-Z a-z 0-9 . _ -` and starts with a letter or digit.
 fn is_valid_name(text: &str) -> bool {
-    let plain = |b: &u8| b.is_ascii_lowercase() || b.is_ascii_digit();
+    let plain = |b: &u8| b.is_ascii_alphanumeric();
     let valid = |b: u8| plain(&b) || matches!(b, b'.' | b'_' | b'-');
     text.len() <= NAME_MAX && text.as_bytes().first().is_some_and(plain) && text.bytes().all(valid)
 }
 
+/// Reports whether `text` is 1 to 255 bytes that an HTTP header can carry, without blanks around it.
+///
+/// Customers choose the names of their teams, and one that is refused costs all teams their keys.
+fn is_valid_team_name(text: &str) -> bool {
+    let is_printable = !text.chars().any(char::is_control);
+    (1..=TEAM_NAME_MAX).contains(&text.len()) && is_printable && text.trim() == text
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        name!($(#[$doc])* $name, $kind, is_valid_name, r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$");
+    };
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $is_valid:ident, $pattern:literal) => {
         $(#[$doc])*
         #[derive(
             Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
@@ -54,7 +68,7 @@
         #[serde(try_from = "String", into = "String")]
         #[schemars(
             with = "String",
-            extend("pattern" = r"^[a-z0-9][a-z0-9._-]{0,62}$", "examples" = ["north-1"])
+            extend("pattern" = $pattern, "examples" = ["north-1"])
         )]
         pub struct $name(std::sync::Arc<str>);
 
@@ -69,7 +83,7 @@
             type Err = ParseError;
 
             fn from_str(text: &str) -> Result<Self, ParseError> {
-                if is_valid_name(text) {
+                if $is_valid(text) {
                     Ok(Self(text.into()))
                 } else {
                     Err(ParseError::new($kind, text))
@@ -96,7 +110,9 @@
 name!(
     /// A paying customer whose requests share one promise.
     TeamName,
-    "team name"
+    "team name",
+    is_valid_team_name,
+    r"^\S(.{0,253}\S)?$"
 );
 name!(
     /// A pipeline of stages.
