Use a run of a target whose start time is before that of the known one

Cause: an entry with an earlier start time than the known run was taken for the late write of an earlier run, whatever followed. The class: the order of two runs read off a clock that can be set back.

Change: such an entry is put aside, as before; once its run writes again, or the entry has stayed for 3 s, which a live later run would have replaced at its next heartbeat, it is the present run. A run that leaves is not replaced by one that doesn't.

--- a/laburnumcart_gateway/src/control/targets.rs
+++ b/laburnumcart_gateway/src/control/targets.rs
@@ -13,6 +13,7 @@
 
 use laburnumcart::{
     event,
+    id,
     unit, //
 };
 use laburnumcart_platform::{
@@ -42,6 +43,12 @@
 /// earlier run or from before the shutdown would bring the target back.
 const REMOVED_RETENTION: time::Duration = time::Duration::from_secs(60);
 
+/// Time for which an entry with an earlier start time stays before its run is taken for the present
+/// one.
+///
+/// A live run replaces a late entry of an earlier one at its next heartbeat, within about a second.
+const OUTDATED_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// Maximum number of removed targets, and of rejected entries, that are remembered.
 ///
 /// Another writer of the store could add any number of names.
@@ -65,6 +72,17 @@
     Removed(Instant),
 }
 
+/// An entry with an earlier start time than the known run has.
+///
+/// It is the late write of an earlier run, or the known run has ended and the clock was set back
+/// since its start.
+struct Outdated {
+    life: id::Life,
+    /// Version of the first entry of this run.
+    version: store::Version,
+    since: Instant,
+}
+
 /// A target and the state of its entry.
 struct TargetRecord {
     version: store::Version,
@@ -92,6 +110,8 @@
     records: collections::HashMap<String, TargetRecord>,
     /// Versions of rejected entries.
     rejected: collections::HashMap<String, store::Version>,
+    /// Entries with an earlier start time than the known run, by key.
+    outdated: collections::HashMap<String, Outdated>,
     /// Time of the last successful read, by this process or by the peer that it asked.
     last_read: Option<Instant>,
 }
@@ -153,17 +173,9 @@
         target.cold_until =
             cold_until(entry.cold_for, known.and_then(|k| k.target.cold_until), now);
         if let Some(known) = known {
-            // The entry of an earlier run of the target was written late.
-            if target.life < known.target.life {
-                let (life, known) = (target.life, known.target.life);
-                event!(
-                    Info,
-                    "target-outdated",
-                    target = target.name,
-                    life = life,
-                    known = known
-                );
-                self.rejected.insert(key.clone(), object.version);
+            if target.life < known.target.life
+                && !is_confirmed(&mut self.outdated, known, &target, object, now)
+            {
                 return false;
             }
             // A run of a target that began to leave never accepts work again. An entry that says
@@ -185,6 +197,7 @@
                 revision = object.version
             );
         }
+        self.outdated.remove(key);
         let record = TargetRecord {
             version: object.version,
             target,
@@ -226,6 +239,7 @@
         now: Instant,
     ) -> bool {
         self.rejected.retain(|key, _| listed.contains_key(key));
+        self.outdated.retain(|key, _| listed.contains_key(key));
         for (key, known) in &mut self.records {
             if known.presence == Presence::Listed && !listed.contains_key(key) {
                 // Without `grace` the entry was deleted and did not expire in an outage.
@@ -270,6 +284,40 @@
     }
 }
 
+/// Reports whether a run with an earlier start time than the known one has taken its place: it has
+/// written again, or its entry has stayed.
+///
+/// A run that leaves is not replaced by one that doesn't, as two late entries would bring it back.
+fn is_confirmed(
+    outdated: &mut collections::HashMap<String, Outdated>,
+    known: &TargetRecord,
+    target: &view::Target,
+    object: &store::Object,
+    now: Instant,
+) -> bool {
+    let first = outdated.get(&object.key).filter(|o| o.life == target.life);
+    let Some(first) = first else {
+        event!(
+            Info,
+            "target-outdated",
+            target = target.name,
+            life = target.life,
+            known = known.target.life
+        );
+        let entry = Outdated {
+            life: target.life,
+            version: object.version,
+            since: now,
+        };
+        outdated.insert(object.key.clone(), entry);
+        return false;
+    };
+    let has_written = first.version != object.version;
+    let has_stayed = now >= first.since + OUTDATED_TIME;
+    let reverts = known.target.leaving && !target.leaving;
+    (has_written || has_stayed) && !reverts
+}
+
 /// Returns the end of a target's warm-up time from the rest in its entry and the known end.
 ///
 /// Entries state the rest as of their writing, so that the computed end varies a little. A small
--- a/laburnumcart_system/tests/gateway/restarts.rs
+++ b/laburnumcart_system/tests/gateway/restarts.rs
@@ -101,6 +101,61 @@
     wait_for_start(&system, "desk", 5).await;
 }
 
+// A clock that was ahead at the earlier start made all entries of the next run look late.
+#[rstest]
+#[case::leaves("draining", 0)]
+#[case::writes_again("ready", 1)]
+#[tokio::test]
+async fn a_run_with_an_earlier_start_time_that_writes_again_is_used(
+    #[case] state: &str,
+    #[case] count: usize,
+) {
+    let desk = desk_target().await;
+    let next = desk_target().await;
+    let system = System::start(config(|_| ()), &[("i-1", "desk", &desk)]).await;
+    let put = |target, state, born| entry_with_start("desk", target, state, born);
+    system.put("servers/i-1", &put(&desk, "ready", 5)).await;
+    wait_for_start(&system, "desk", 5).await;
+    system.put("servers/i-1", &put(&next, "ready", 4)).await;
+    let unseen = put(&next, state, 4).replace("\"sequence\":1", "\"sequence\":2");
+    // The first entry has been read once this one is listed.
+    system.put("servers/i-9", &put(&desk, "ready", 9)).await;
+    wait_for_count(&system, "desk", 2).await;
+    system.put("servers/i-1", &unseen).await;
+    wait_for_count(&system, "desk", 1 + count).await;
+    if count > 0 {
+        wait_for_start(&system, "desk", 4).await;
+    }
+}
+
+// Without changes, an engine's heartbeats leave its entry as it is.
+#[tokio::test]
+async fn a_run_with_an_earlier_start_time_is_used_once_the_later_one_writes_no_more() {
+    let desk = desk_target().await;
+    let system = System::start(config(|_| ()), &[("i-1", "desk", &desk)]).await;
+    let put = |state, born| entry_with_start("desk", &desk, state, born);
+    system.put("servers/i-1", &put("ready", 5)).await;
+    wait_for_start(&system, "desk", 5).await;
+    system.put("servers/i-1", &put("ready", 4)).await;
+    wait_for_start(&system, "desk", 4).await;
+}
+
+// Two late writes of an earlier run must not bring back one that leaves.
+#[tokio::test]
+async fn a_leaving_run_is_not_replaced_by_one_with_an_earlier_start_time() {
+    let desk = desk_target().await;
+    let system = System::start(config(|_| ()), &[("i-1", "desk", &desk)]).await;
+    let put = |state, born| entry_with_start("desk", &desk, state, born);
+    system.put("servers/i-1", &put("draining", 5)).await;
+    wait_for_count(&system, "desk", 0).await;
+    for sequence in 2..5 {
+        let late = put("ready", 4).replace("\"sequence\":1", &format!("\"sequence\":{sequence}"));
+        system.put("servers/i-1", &late).await;
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
+    }
+    wait_for_count(&system, "desk", 0).await;
+}
+
 // After the holder of the results restarts, their handles are unknown or name other results.
 #[tokio::test]
 async fn results_from_before_a_restart_are_recomputed() {
