Read the grace period again at SIGHUP and at SIGTERM

Cause: bounds.grace was read at the start only. The file is read again at SIGHUP, and at SIGTERM, as it may change without a signal; a bad file leaves the known period in force.

Evidence: laburnumcart_system's reload, both cases failed before (the process was still there after the shorter period), both pass.

--- a/laburnumcart_daemon/src/launch.rs
+++ b/laburnumcart_daemon/src/launch.rs
@@ -2,6 +2,7 @@
 
 use std::{
     env,
+    path,
     process, //
 };
 
@@ -28,6 +29,15 @@
     program: &args::Program,
     args: impl IntoIterator<Item = String>,
     run: impl FnOnce(T) -> process::ExitCode,
+) -> process::ExitCode {
+    with_file(program, args, |settings, _| run(settings))
+}
+
+/// Like [`with_args`]; `run` also gets the path of the settings file, which may change.
+pub fn with_file<T: settings::Settings>(
+    program: &args::Program,
+    args: impl IntoIterator<Item = String>,
+    run: impl FnOnce(T, path::PathBuf) -> process::ExitCode,
 ) -> process::ExitCode {
     match args::parse(program, args) {
         Ok(args::Command::Print(text)) => {
@@ -56,7 +66,7 @@
 
 fn start<T: settings::Settings>(
     args: &args::Args,
-    run: impl FnOnce(T) -> process::ExitCode,
+    run: impl FnOnce(T, path::PathBuf) -> process::ExitCode,
 ) -> process::ExitCode {
     let settings: T = match settings::load(&args.settings) {
         Ok(settings) => settings,
@@ -64,7 +74,7 @@
     };
     let level = args.level.unwrap_or(settings.telemetry().level);
     logs::start(level, settings.output());
-    run(settings)
+    run(settings, args.settings.clone())
 }
 
 fn report_invalid(error: &settings::LoadError) -> process::ExitCode {
--- a/laburnumcart_gateway/src/run.rs
+++ b/laburnumcart_gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    path,
     process,
     sync::Arc,
     time, //
@@ -23,6 +24,7 @@
     control as thread,
     metrics as registry,
     process as usage,
+    settings as files,
     stop, //
 };
 use laburnumcart_platform::store;
@@ -89,13 +91,14 @@
     pub layout: Arc<dyn dialect::StoreLayout>,
 }
 
-/// Runs a gateway until a signal stops it.
+/// Runs a gateway until a signal stops it; `file` holds its settings.
 pub fn run<S: store::Store + Clone>(
     settings: settings::Settings,
+    file: path::PathBuf,
     platform: impl FnOnce(&settings::Settings) -> Platform<S>,
 ) -> process::ExitCode {
     let platform = platform(&settings);
-    match serve(settings, platform) {
+    match serve(settings, file, platform) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             event!(Error, "failed", error = error);
@@ -106,18 +109,20 @@
 
 fn serve<S: store::Store + Clone>(
     settings: settings::Settings,
+    file: path::PathBuf,
     platform: Platform<S>,
 ) -> io::Result<()> {
     let traffic = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let result = traffic.block_on(main(settings, platform));
+    let result = traffic.block_on(main(settings, file, platform));
     traffic.shutdown_background();
     result
 }
 
 async fn main<S: store::Store + Clone>(
     settings: settings::Settings,
+    file: path::PathBuf,
     platform: Platform<S>,
 ) -> io::Result<()> {
     let mut signals = stop::Signals::listen()?;
@@ -169,21 +174,42 @@
         peer = settings.peer,
         store = settings.store
     );
+    let mut grace = settings.bounds.grace;
     loop {
         tokio::select! {
             signal = signals.next() => {
                 event!(Info, "stopping", cause = signal);
                 break;
             }
-            // Addresses can't change at run time, and everything else is read from the store.
-            _ = reload.recv() => event!(Info, "reload", outcome = "unchanged"),
+            _ = reload.recv() => grace = read_grace(&file, grace),
         }
     }
-    shut_down(&gateway, running, closing).await;
+    // The file may have changed without a signal.
+    let grace = read_grace(&file, grace);
+    shut_down(&gateway, running, closing, grace).await;
     // All state is expendable. Waiting for threads of libraries could last beyond the grace period.
     process::exit(0)
 }
 
+/// Reads the grace period again, the only setting that takes effect at run time.
+///
+/// A process that counts on a longer one than it has accepts requests that are then killed with it.
+fn read_grace(file: &path::Path, known: unit::Period) -> unit::Period {
+    let grace = match files::load::<settings::Settings>(file) {
+        Ok(settings) => settings.bounds.grace,
+        Err(error) => {
+            event!(Warn, "settings-unreadable", error = error);
+            known
+        }
+    };
+    let outcome = match grace == known {
+        true => "unchanged",
+        false => "changed",
+    };
+    event!(Info, "reload", outcome = outcome, grace = grace);
+    grace
+}
+
 /// Shuts down without cutting off requests.
 ///
 /// The process serves new connections until the load balancer has noticed, then closes each
@@ -192,10 +218,11 @@
     gateway: &gateway::Gateway,
     running: stop::Running,
     closing: watch::Sender<bool>,
+    grace: unit::Period,
 ) {
     let start = tokio::time::Instant::now();
     let view = &gateway.view;
-    let end = start + gateway.settings.bounds.grace.0.saturating_sub(EXIT_RESERVE);
+    let end = start + grace.0.saturating_sub(EXIT_RESERVE);
     view.start_leaving(end - REFUSAL_PERIOD);
     gateway.dispatcher.hand_over_all();
     let noticed = tokio::time::sleep_until(end.min(start + BALANCER_DELAY));
