Test late repeats of pieces, and requests late in a grace period

Requests that come until just before the exit of a leaving gateway are answered or refused, none is cut: plain, once, streams, resumed streams, stages.

--- a/laburnumcart_system/tests/gateway/late_repeats.rs
+++ b/laburnumcart_system/tests/gateway/late_repeats.rs
@@ -10,6 +10,7 @@
 
 use http::HeaderValue;
 use laburnumcart_fakes::scripted::{
+    Crash,
     ReceivedRequest,
     Step,
     Target, //
@@ -58,6 +59,11 @@
     vec![Step::Reset]
 }
 
+/// Later connections are refused, so that what is repeated goes to the other targets.
+fn crash(_: &ReceivedRequest) -> Vec<Step> {
+    vec![Step::Crash(Crash::Refuses)]
+}
+
 fn broken_stream(seen: &ReceivedRequest) -> Vec<Step> {
     vec![stream_head(seen), chunk(&events(1..=1)), Step::Reset]
 }
@@ -126,6 +132,7 @@
 #[case::resets("desk", "/safe/", reset, retry_budget::full_response)]
 #[case::streams("desk", "/resumed/", broken_stream, retry_budget::full_stream)]
 #[case::pieces("encode", "/safe/", reset, stages::stage_response)]
+#[case::pieces_of_a_crash("encode", "/safe/", crash, stages::stage_response)]
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_that_wait_as_last_sends_count_when_they_arrive(
     #[values(1, 4)] gateways: usize,
--- a/laburnumcart_system/tests/gateway/leaving.rs
+++ b/laburnumcart_system/tests/gateway/leaving.rs
@@ -1,24 +1,33 @@
 //! Targets that leave, and gateways that shut down.
 
+use std::time;
+
 use futures_util::future;
 use http::StatusCode;
 use laburnumcart_fakes::scripted::{
+    ReceivedRequest,
     Step,
     Target, //
 };
 use laburnumcart_platform::store::Store;
+use rstest::rstest;
+use tokio::time::Instant;
 
-use crate::support::{
-    System,
-    chunk,
-    config,
-    desk_target,
-    events,
-    stream_end,
-    stream_head,
-    success,
-    target_entry,
-    wait_for, //
+use crate::{
+    stages,
+    support::{
+        Response,
+        System,
+        chunk,
+        config,
+        desk_target,
+        events,
+        stream_end,
+        stream_head,
+        success,
+        target_entry,
+        wait_for, //
+    },
 };
 
 // A leaving target gets no new work, even if a stale entry says that it is ready.
@@ -187,3 +196,74 @@
     assert_eq!(target.requests().len(), sent);
     assert_eq!(system.call("/safe/1", |_| ()).await.status, StatusCode::OK);
 }
+
+/// Time that a target takes for a request, and the deadline of the request.
+const LATE_WORK: time::Duration = time::Duration::from_millis(700);
+const LATE_DEADLINE: &str = "1000";
+
+// Requests that come late in the grace period are taken, and cut at its end.
+#[rstest]
+#[case::plain("/safe/1", None)]
+#[case::once("/once/1", None)]
+#[case::stream("/stream/1", None)]
+#[case::resumed("/resumed/1", None)]
+#[case::staged("/safe/1", Some("2"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_taken_late_in_the_grace_period_is_answered(
+    #[case] path: &str,
+    #[case] pieces: Option<&str>,
+) {
+    let script = |seen: &ReceivedRequest, _: usize| {
+        let pause = Step::Pause(LATE_WORK);
+        match seen.path() {
+            "/api/stage-run" => stages::stage_response(seen),
+            path if path.starts_with("/safe") || path.starts_with("/once") => {
+                vec![pause, success(seen, "done")]
+            }
+            _ => vec![
+                stream_head(seen),
+                chunk(&events(1..=1)),
+                pause,
+                stream_end(),
+            ],
+        }
+    };
+    let desk = Target::start(script).await.unwrap();
+    let encoder = Target::start(script).await.unwrap();
+    let staged = config(|c| {
+        c["routes"][0]["stages"] =
+            serde_json::json!([{ "service": "encode", "after": [], "byte_count": 1000 }]);
+    });
+    let targets = [("i-1", "desk", &desk), ("i-2", "encode", &encoder)];
+    let system = System::start(staged, &targets).await;
+    let call = || {
+        system.try_call(path, |headers| {
+            headers.insert("x-laburnumcart-deadline-ms", LATE_DEADLINE.parse().unwrap());
+            if let Some(pieces) = pieces {
+                headers.insert("x-laburnumcart-chunks", pieces.parse().unwrap());
+                headers.insert("x-laburnumcart-chunk-key", "k".parse().unwrap());
+            }
+        })
+    };
+    future::join_all((0..10).map(|_| call())).await;
+    let before = desk.requests().len();
+    let exit = Instant::now() + LATE_WORK * 6;
+    system.gateway.view.start_leaving(exit);
+    let late = (0..58).map(|number| async move {
+        tokio::time::sleep(LATE_WORK / 10 * number).await;
+        call().await
+    });
+    let end = async {
+        tokio::time::sleep_until(exit).await;
+        system.gateway.view.announce_exit();
+    };
+    let (ended, ()) = tokio::join!(future::join_all(late), end);
+    let is_whole = |r: &&hyper::Result<Response>| matches!(r, Ok(r) if r.status == StatusCode::OK && r.complete);
+    let is_refused = |r: &&hyper::Result<Response>| matches!(r, Ok(r) if r.status == StatusCode::SERVICE_UNAVAILABLE);
+    let whole = ended.iter().filter(is_whole).count();
+    let refused = ended.iter().filter(is_refused).count();
+    println!("{whole} answered, {refused} refused of {}", ended.len());
+    assert_eq!(whole, desk.requests().len() - before, "requests were cut");
+    assert_eq!(whole + refused, ended.len());
+    assert!(whole > 30, "{whole} answered");
+}
