Close only callers that hold much for what waits, and keep the room of finished answers

A caller that held a byte and had stalled for 250 ms was closed whenever a large body or answer waited, as a stream that is read slowly; now only those that hold more than 64 KiB are, unless the total is exceeded.

Small bodies waited behind finished answers of slow callers, half a second at most, and were refused then. They and answers of known small size may fill all room now; only the beginnings of answers of unknown size may not.

The room of an answer was freed at the end of its reading and taken again by its caller's connection, and given to others between. It goes over at once now, and 2 MiB are left for events of streams, which need no room.

--- a/laburnumcart/src/held.rs
+++ b/laburnumcart/src/held.rs
@@ -11,17 +11,34 @@
 /// Size in bytes up to which a body or an answer is small.
 pub const SMALL_MAX: usize = 64 << 10;
 
-/// Sixths of the total that large bodies and answers may fill; the rest is for small ones, which
-/// they must not shut out.
-const LARGE_SIXTHS: usize = 4;
+/// Parts of the total by which room is divided.
+const PARTS: usize = 48;
 
-/// Sixths of the total that all may fill; the rest is for the oldest large answer.
-const SMALL_SIXTHS: usize = 5;
+/// Parts that large bodies and answers may fill; the rest is for others, which they must not shut
+/// out.
+const LARGE_PARTS: usize = 32;
+
+/// Parts that the beginnings of answers of unknown size may fill as well.
+const UNSIZED_PARTS: usize = 37;
+
+/// Parts that small ones and the oldest large answer may fill; the rest is for what needs no room.
+const ALL_PARTS: usize = 46;
 
 /// A large answer that is being read.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ReadingId(u64);
 
+/// An answer that is being read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// It is known to be small.
+    Small,
+    /// Its size is not known, and a small part of it was read.
+    Unsized,
+    /// It is large.
+    Large(ReadingId),
+}
+
 /// Connection of a caller.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
@@ -97,20 +114,20 @@
         }
     }
 
-    /// Returns the limit for a body or an answer that is large or not.
-    fn limit_of(&self, is_large: bool) -> usize {
-        match is_large {
-            true => self.limit / 6 * LARGE_SIXTHS,
-            false => self.limit / 6 * SMALL_SIXTHS,
-        }
+    /// Reports whether `bytes` more fit into some parts of the total.
+    fn has_room(&self, bytes: usize, parts: usize) -> bool {
+        self.total + bytes <= self.limit / PARTS * parts
     }
 
     /// Adds bytes of a request's body, if there is room; returns whether there was.
     ///
     /// The first bytes always fit in, so that no size is excluded.
     pub fn try_hold(&mut self, id: ConnectionId, bytes: usize) -> bool {
-        let is_large = self.of(id) + bytes > SMALL_MAX;
-        let has_room = self.total == 0 || self.total + bytes <= self.limit_of(is_large);
+        let parts = match self.of(id) + bytes > SMALL_MAX {
+            true => LARGE_PARTS,
+            false => ALL_PARTS,
+        };
+        let has_room = self.total == 0 || self.has_room(bytes, parts);
         if has_room {
             self.hold(id, bytes);
         }
@@ -130,18 +147,18 @@
         self.readings.remove(&id);
     }
 
-    /// Adds the next bytes of an answer, a small one without `reading`, if there is room; returns
-    /// whether there was.
+    /// Adds the next bytes of an answer, if there is room; returns whether there was.
     ///
     /// The oldest large answer has room of its own, or answers that are read in part could keep the
     /// room from one another for good.
-    pub fn try_hold_shared(&mut self, reading: Option<ReadingId>, bytes: usize) -> bool {
-        let is_oldest = reading.is_some() && reading == self.readings.first().copied();
-        let limit = match is_oldest {
-            true => self.limit,
-            false => self.limit_of(reading.is_some()),
+    pub fn try_hold_shared(&mut self, answer: Answer, bytes: usize) -> bool {
+        let parts = match answer {
+            Answer::Large(id) if self.readings.first() == Some(&id) => ALL_PARTS,
+            Answer::Large(_) => LARGE_PARTS,
+            Answer::Unsized => UNSIZED_PARTS,
+            Answer::Small => ALL_PARTS,
         };
-        let has_room = self.total + bytes <= limit;
+        let has_room = self.has_room(bytes, parts);
         if has_room {
             self.hold_shared(bytes);
         }
@@ -201,13 +218,24 @@
         }
     }
 
-    /// Removes and returns the connection to close for want of room.
+    /// Removes and returns the connection to close if there are too many of them.
     ///
     /// It is the one that has gone longest without progress, of those that hold bytes and whose
     /// callers have taken or sent nothing since `before`. Those that wait for a target are not slow
     /// themselves, and their requests may be running.
     pub fn evict_stalled(&mut self, before: Instant) -> Option<ConnectionId> {
-        let is_stalled = |entry: &Entry| entry.is_stalled && entry.bytes > 0;
+        self.evict_above(0, before)
+    }
+
+    /// Like [`Ledger::evict_stalled`], for what waits for room: those that hold little would give
+    /// none.
+    pub fn evict_large(&mut self, before: Instant) -> Option<ConnectionId> {
+        self.evict_above(SMALL_MAX, before)
+    }
+
+    /// Closes a stalled connection that holds more than `least` bytes.
+    fn evict_above(&mut self, least: usize, before: Instant) -> Option<ConnectionId> {
+        let is_stalled = |entry: &Entry| entry.is_stalled && entry.bytes > least;
         let stalled = self.entries.iter().filter(|(_, entry)| is_stalled(entry));
         let oldest = stalled.min_by_key(|(_, entry)| entry.progress);
         let id = *oldest.filter(|(_, entry)| entry.progress < before)?.0;
--- a/laburnumcart_gateway/src/held.rs
+++ b/laburnumcart_gateway/src/held.rs
@@ -6,7 +6,8 @@
     collections, pin,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic, //
     },
     time,
 };
@@ -154,10 +155,10 @@
         }
     }
 
-    /// Closes the connection of the slowest caller, if there is a slow one.
+    /// Closes the connection of the slowest caller that holds much, if there is a slow one.
     fn evict_slow(&self) -> bool {
         let mut state = view::lock(&self.state);
-        let slow = slow_since().and_then(|since| state.ledger.evict_stalled(since));
+        let slow = slow_since().and_then(|since| state.ledger.evict_large(since));
         if let Some(id) = slow {
             self.evict(&mut state, id);
         }
@@ -239,11 +240,17 @@
         self.free(bytes);
     }
 
-    /// Begins an answer, of which `bytes` are held already.
-    pub(crate) fn begin_answer(&self, bytes: Option<usize>) {
+    /// Begins an answer, of which `bytes` are held already, in `room` if they come from a target.
+    pub(crate) fn begin_answer(&self, bytes: Option<usize>, room: Option<Arc<Room>>) {
         view::lock(&self.parts).is_stream = bytes.is_none();
         if let Some(bytes) = bytes {
-            self.held.change(|ledger| ledger.hold(self.id, bytes));
+            // At once, or the room would be given to others between.
+            self.held.change(|ledger| {
+                if let Some(room) = &room {
+                    room.free(ledger);
+                }
+                ledger.hold(self.id, bytes);
+            });
         }
     }
 
@@ -320,18 +327,22 @@
     bytes: usize,
     /// Room for the next part.
     room: usize,
-    /// Its place among the large answers.
-    place: Option<held::ReadingId>,
+    answer: held::Answer,
 }
 
 impl Reading {
     pub(crate) fn new(held: Arc<Held>, size: Option<usize>) -> Self {
+        let answer = match size {
+            Some(size) if size <= held::SMALL_MAX => held::Answer::Small,
+            Some(_) => held::Answer::Large(held.change(held::Ledger::begin_reading)),
+            None => held::Answer::Unsized,
+        };
         Self {
             held,
             size,
             bytes: 0,
             room: 0,
-            place: None,
+            answer,
         }
     }
 
@@ -343,11 +354,12 @@
         if wanted == 0 {
             return;
         }
-        if self.bytes + part > held::SMALL_MAX && self.place.is_none() {
-            self.place = Some(self.held.change(held::Ledger::begin_reading));
+        if self.answer == held::Answer::Unsized && self.bytes + part > held::SMALL_MAX {
+            let place = self.held.change(held::Ledger::begin_reading);
+            self.answer = held::Answer::Large(place);
         }
-        let place = self.place;
-        let room = |ledger: &mut held::Ledger| ledger.try_hold_shared(place, wanted);
+        let answer = self.answer;
+        let room = |ledger: &mut held::Ledger| ledger.try_hold_shared(answer, wanted);
         self.held.wait_for_room(room).await;
         self.room += wanted;
     }
@@ -361,15 +373,43 @@
             self.held.change(|ledger| ledger.hold_shared(beyond));
         }
     }
+
+    /// Ends the reading; what was read is held until the room is dropped.
+    pub(crate) fn finish(mut self) -> Arc<Room> {
+        Arc::new(Room {
+            held: self.held.clone(),
+            bytes: atomic::AtomicUsize::new(std::mem::take(&mut self.bytes)),
+        })
+    }
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
         self.held.change(|ledger| {
             ledger.free_shared(self.bytes + self.room);
-            if let Some(place) = self.place {
+            if let held::Answer::Large(place) = self.answer {
                 ledger.end_reading(place);
             }
         });
     }
 }
+
+/// Room of a response that was read as a whole, until its caller's connection takes it over.
+#[derive(Debug)]
+pub(crate) struct Room {
+    held: Arc<Held>,
+    bytes: atomic::AtomicUsize,
+}
+
+impl Room {
+    /// Frees the bytes, once.
+    fn free(&self, ledger: &mut held::Ledger) {
+        ledger.free_shared(self.bytes.swap(0, atomic::Ordering::Relaxed));
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.held.change(|ledger| self.free(ledger));
+    }
+}
--- a/laburnumcart_gateway/src/http_server/life.rs
+++ b/laburnumcart_gateway/src/http_server/life.rs
@@ -196,7 +196,8 @@
         if size.is_some() {
             self.held.free_request();
         }
-        self.held.begin_answer(size);
+        let room = response.extensions_mut().remove::<Arc<held::Room>>();
+        self.held.begin_answer(size, room);
         response.map(|body| AnswerBody {
             inner: body,
             size,
--- a/laburnumcart_gateway/src/pool.rs
+++ b/laburnumcart_gateway/src/pool.rs
@@ -446,7 +446,8 @@
 
     /// Reads the whole body like [`Response::read_all`], as long as it arrives.
     ///
-    /// Without room the rest waits in the connection, which slows the target down.
+    /// Without room the rest waits in the connection, which slows the target down. The room is held
+    /// by the head.
     ///
     /// Fails with [`Failure::Timeout`] if nothing arrives for `silence`; `on_data` is called with
     /// the number of bytes that have arrived.
@@ -476,6 +477,7 @@
             }
         }
         self.lease.release(idle_timeout);
+        self.head.extensions.insert(reading.finish());
         Ok((self.head, bytes.freeze()))
     }
 }
--- a/laburnumcart_gateway/src/request.rs
+++ b/laburnumcart_gateway/src/request.rs
@@ -43,6 +43,7 @@
         Forwarder, //
     },
     gateway,
+    held,
     http_server,
     pipeline,
     reply,
@@ -430,6 +431,9 @@
     let mut response = Response::new(reply::full_body(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
+    if let Some(room) = head.extensions.get::<Arc<held::Room>>() {
+        response.extensions_mut().insert(room.clone());
+    }
     response
 }
 
--- a/laburnumcart_gateway/src/stream.rs
+++ b/laburnumcart_gateway/src/stream.rs
@@ -42,6 +42,7 @@
         Forwarder, //
     },
     gateway,
+    held,
     pipeline,
     reply,
     request,
@@ -156,6 +157,9 @@
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = request::end_to_end_headers(&head.headers);
+    if let Some(room) = head.extensions.get::<Arc<held::Room>>() {
+        response.extensions_mut().insert(room.clone());
+    }
     response
 }
 
