Log events of every crate of the project as lines of their own

What operators saw: events of the platform's adapter as event=library source=... text="event=...", a line within a line, and none of level info.

Cause: the logger tells own lines by the name of the crate, and the adapter's does not begin with laburnum. The same holds for any program that embeds the library.

Change: the macro that writes events sets the target of its records.

--- a/laburnumcart/src/event.rs
+++ b/laburnumcart/src/event.rs
@@ -35,6 +35,8 @@
 macro_rules! event {
     ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
         $crate::event::log::log!(
+            // Lines of other targets are taken for those of a library, whatever the crate is named.
+            target: concat!("laburnumcart::", module_path!()),
             $crate::event::log::Level::$level,
             concat!("event=", $name $(, " ", stringify!($key), "={}")*)
             $(, $crate::event::Quoted(&$value))*
--- a/laburnumcart_daemon/tests/start.rs
+++ b/laburnumcart_daemon/tests/start.rs
@@ -160,6 +160,37 @@
     );
 }
 
+/// Logger that keeps the targets of records.
+struct Targets(sync::Mutex<Vec<String>>);
+
+impl log::Log for Targets {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        self.0.lock().unwrap().push(record.target().to_owned());
+    }
+
+    fn flush(&self) {}
+}
+
+// An event of a crate with another name was quoted within a line of a library, or dropped.
+#[test]
+fn event_of_any_crate_is_a_line_of_its_own() {
+    static TARGETS: Targets = Targets(sync::Mutex::new(Vec::new()));
+    log::set_logger(&TARGETS).unwrap();
+    log::set_max_level(log::LevelFilter::Debug);
+    laburnumcart::event!(Info, "config-part-refused", index = 1);
+    let targets = TARGETS.0.lock().unwrap().clone();
+    let [target] = &targets[..] else {
+        panic!("{targets:?}");
+    };
+    let line = line(log::Level::Info, target, "event=config-part-refused");
+    let rest = line.split_once(' ').unwrap().1;
+    assert_eq!(rest, "level=info event=config-part-refused\n");
+}
+
 #[test]
 fn info_of_a_library_is_not_logged() {
     assert_eq!(line(log::Level::Info, "hyper", "details"), "");
