Refuse the requests of what cannot be read in a configuration

Routes, services and teams that could not be read got a final 404 or 401. One limit or an order of stages that could not be read refused the version as a whole, and seconds later all keys.

Cause: what cannot be read was left out of the version, or refused it. The absence of a rule was taken for permission.

Change: a part keeps its place in the table, and the requests that it concerns are refused as not run, 503 with a Retry-After: by host and prefix, by service (backends, splits, stages, queues of pieces), by key. What has no readable place refuses what nothing else selects. Limits stay as last known.

--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -162,7 +162,43 @@
     pub idle_timeout: time::Duration,
 }
 
+impl Default for Limits {
+    /// Returns the limits for callers while no configuration states others.
+    fn default() -> Self {
+        Self {
+            max_head: 16 << 10,
+            max_body: 4 << 20,
+            head_timeout: time::Duration::from_secs(5),
+            // A caller may reuse a connection that was idle for longer than a shorter limit.
+            idle_timeout: time::Duration::from_secs(60),
+        }
+    }
+}
+
+/// Requests that a route selects.
+#[derive(Clone, Debug)]
+struct Selector {
+    prefix: String,
+    /// The route; `None` if it cannot be read.
+    route: Option<sync::Arc<Route>>,
+}
+
+/// Parts of a configuration whose place is not known, because it cannot be read.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Strays {
+    /// Whether a route has no readable host.
+    pub routes: bool,
+    /// Whether a service has no readable name.
+    pub services: bool,
+    /// Whether an API key, or all keys of a team, cannot be read.
+    pub keys: bool,
+}
+
 /// One version of the configuration.
+///
+/// A part that cannot be read keeps its place: the requests that it concerns are refused. Left out,
+/// it would give them to a wider route, or let them pass without the key or the region that it asks
+/// for.
 #[derive(Clone, Debug)]
 pub struct Table {
     /// Version; increases with each change.
@@ -171,14 +207,35 @@
     pub limits: Limits,
     /// Whether requests need an API key.
     pub requires_key: bool,
-    teams: collections::HashMap<String, Team>,
-    hosts: collections::HashMap<String, Vec<sync::Arc<Route>>>,
-    services: collections::HashMap<id::ServiceName, Service>,
+    /// Parts that cannot be read and whose place is not known.
+    pub strays: Strays,
+    /// Number of parts that cannot be read.
+    pub refused_parts: usize,
+    /// Teams by API key; `None` for a team that cannot be read.
+    teams: collections::HashMap<String, Option<Team>>,
+    /// Selectors by host, the longest prefix first.
+    hosts: collections::HashMap<String, Vec<Selector>>,
+    /// Services; `None` for one that cannot be read.
+    services: collections::HashMap<id::ServiceName, Option<Service>>,
 }
 
-/// Error for a request without a valid API key.
+/// Why a request has no route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Unauthorized;
+pub enum NoRoute {
+    /// No route matches.
+    Unknown,
+    /// The route that matches, or one that may match, cannot be read.
+    Unreadable,
+}
+
+/// Why a caller is not admitted to a route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoTeam {
+    /// The route needs a key, and the caller's is missing or unknown.
+    Unauthorized,
+    /// The team of the key cannot be read, or the key may be one that cannot be read.
+    Unreadable,
+}
 
 impl Table {
     /// Creates a table without routes.
@@ -187,6 +244,8 @@
             version,
             limits,
             requires_key: false,
+            strays: Strays::default(),
+            refused_parts: 0,
             teams: collections::HashMap::new(),
             hosts: collections::HashMap::new(),
             services: collections::HashMap::new(),
@@ -195,79 +254,125 @@
 
     /// Adds a route; routes of a host are tried from the longest prefix to the shortest.
     pub fn add_route(&mut self, route: Route) {
-        let routes = self.hosts.entry(route.host.clone()).or_default();
-        let shorter = |other: &sync::Arc<Route>| other.prefix.len() < route.prefix.len();
-        let index = routes.iter().position(shorter).unwrap_or(routes.len());
-        routes.insert(index, sync::Arc::new(route));
+        let prefix = route.prefix.clone();
+        let selectors = self.hosts.entry(route.host.clone()).or_default();
+        let index = selectors.iter().position(|s| s.prefix.len() < prefix.len());
+        let index = index.unwrap_or(selectors.len());
+        let route = Some(sync::Arc::new(route));
+        selectors.insert(index, Selector { prefix, route });
+    }
+
+    /// Adds a route that cannot be read, whose requests are refused.
+    ///
+    /// It comes before a readable route with the same prefix.
+    pub fn add_unreadable_route(&mut self, host: impl Into<String>, prefix: impl Into<String>) {
+        let prefix = prefix.into();
+        let selectors = self.hosts.entry(host.into()).or_default();
+        let index = selectors
+            .iter()
+            .position(|s| s.prefix.len() <= prefix.len());
+        let index = index.unwrap_or(selectors.len());
+        let route = None;
+        selectors.insert(index, Selector { prefix, route });
     }
 
     /// Adds a service.
     pub fn add_service(&mut self, service: Service) {
-        self.services.insert(service.name.clone(), service);
+        let name = service.name.clone();
+        self.services.entry(name).or_insert(Some(service));
+    }
+
+    /// Adds a service that cannot be read; what is sent to it is refused.
+    pub fn add_unreadable_service(&mut self, name: id::ServiceName) {
+        self.services.insert(name, None);
     }
 
     /// Adds a team's API key; from then on requests need one.
     pub fn add_key(&mut self, key: impl Into<String>, team: Team) {
         self.requires_key = true;
-        self.teams.insert(key.into(), team);
+        let known = self.teams.entry(key.into());
+        known
+            .and_modify(|known| *known = known.take().and(Some(team.clone())))
+            .or_insert(Some(team));
+    }
+
+    /// Adds an API key of a team that cannot be read; requests with it are refused.
+    pub fn add_unreadable_key(&mut self, key: impl Into<String>) {
+        self.requires_key = true;
+        self.teams.insert(key.into(), None);
     }
 
     /// Returns the route with the longest matching prefix.
     ///
     /// The port and the case of the host are ignored; the path is compared verbatim.
-    pub fn find_route(&self, host: &str, path: &str) -> Option<&sync::Arc<Route>> {
-        let mut routes = self.routes(host)?.iter();
-        routes.find(|r| path.starts_with(&r.prefix))
+    pub fn find_route(&self, host: &str, path: &str) -> Result<&sync::Arc<Route>, NoRoute> {
+        let selectors = self.selectors(host).map_or(&[][..], Vec::as_slice);
+        let mut selectors = selectors.iter();
+        match selectors.find(|s| path.starts_with(&s.prefix)) {
+            Some(selector) => selector.route.as_ref().ok_or(NoRoute::Unreadable),
+            None if self.strays.routes => Err(NoRoute::Unreadable),
+            None => Err(NoRoute::Unknown),
+        }
     }
 
     /// Reports whether any route has the host.
     pub fn has_host(&self, host: &str) -> bool {
-        self.routes(host).is_some()
+        self.selectors(host).is_some()
     }
 
-    /// Returns the routes of a host, the longest prefix first.
-    fn routes(&self, host: &str) -> Option<&Vec<sync::Arc<Route>>> {
+    fn selectors(&self, host: &str) -> Option<&Vec<Selector>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         self.hosts.get(&name.to_ascii_lowercase())
     }
 
     /// Returns the team of an API key, or `None` without a valid key if the route needs none.
-    pub fn find_team(
-        &self,
-        route: &Route,
-        key: Option<&str>,
-    ) -> Result<Option<&Team>, Unauthorized> {
-        let team = key.and_then(|key| self.teams.get(key));
-        match team {
-            Some(team) => Ok(Some(team)),
-            None if route.anonymous || !self.requires_key => Ok(None),
-            None => Err(Unauthorized),
+    pub fn find_team(&self, route: &Route, key: Option<&str>) -> Result<Option<&Team>, NoTeam> {
+        match key.map(|key| self.teams.get(key)) {
+            Some(Some(Some(team))) => Ok(Some(team)),
+            Some(Some(None)) => Err(NoTeam::Unreadable),
+            Some(None) if self.strays.keys => Err(NoTeam::Unreadable),
+            _ if route.anonymous || !self.requires_key => Ok(None),
+            _ => Err(NoTeam::Unauthorized),
         }
     }
 
     /// Returns a team by its name.
     pub fn team(&self, name: &id::TeamName) -> Option<&Team> {
-        self.teams.values().find(|team| team.name == *name)
+        let mut teams = self.teams.values().flatten();
+        teams.find(|team| team.name == *name)
     }
 
     /// Returns a service.
     pub fn service(&self, name: &id::ServiceName) -> Option<&Service> {
-        self.services.get(name)
+        self.services.get(name)?.as_ref()
+    }
+
+    /// Reports whether a service cannot be read, or may be one that cannot be read.
+    pub fn is_unreadable(&self, service: &id::ServiceName) -> bool {
+        match self.services.get(service) {
+            Some(service) => service.is_none(),
+            None => self.strays.services,
+        }
     }
 
     /// Iterates over the services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.services.values()
+        self.services.values().flatten()
     }
 
     /// Reports whether any route has the service as a backend.
     pub fn is_routed(&self, service: &id::ServiceName) -> bool {
-        let mut routes = self.hosts.values().flatten();
+        let mut routes = self.routes();
         routes.any(|route| route.backends.iter().any(|b| b.service == *service))
     }
 
-    /// Returns the number of routes.
+    /// Returns the number of readable routes.
     pub fn route_count(&self) -> usize {
-        self.hosts.values().map(Vec::len).sum()
+        self.routes().count()
+    }
+
+    fn routes(&self) -> impl Iterator<Item = &sync::Arc<Route>> {
+        let selectors = self.hosts.values().flatten();
+        selectors.filter_map(|selector| selector.route.as_ref())
     }
 }
--- a/laburnumcart/src/retry.rs
+++ b/laburnumcart/src/retry.rs
@@ -248,6 +248,7 @@
         | Reason::TargetRefused
         | Reason::Cancelled
         | Reason::NoBundle
+        | Reason::ConfigUnreadable
         | Reason::VersionGone
         | Reason::OriginUnknown => true,
         Reason::DeadlineTooShort
--- a/laburnumcart/src/verdict.rs
+++ b/laburnumcart/src/verdict.rs
@@ -84,6 +84,8 @@
     Cancelled,
     /// No bundle is in force yet.
     NoBundle,
+    /// A part of the configuration that concerns the request cannot be read.
+    ConfigUnreadable,
     /// No target is left of the software version that began the stream.
     VersionGone,
     /// It is not known which software version began the stream.
--- a/laburnumcart/tests/ingress.rs
+++ b/laburnumcart/tests/ingress.rs
@@ -67,7 +67,7 @@
     table.add_route(route("long", "a.example", "/x/y/"));
     table.add_route(route("other", "b.example", "/x/"));
     let found = table.find_route(host, path).map(|r| r.name.as_str());
-    assert_eq!(found, expected);
+    assert_eq!(found, expected.ok_or(ingress::NoRoute::Unknown));
 }
 
 #[test]
@@ -102,8 +102,11 @@
     assert_eq!(table.find_team(&closed, Some("secret")), Ok(Some(&team)));
     assert_eq!(
         table.find_team(&closed, Some("other")),
-        Err(ingress::Unauthorized)
+        Err(ingress::NoTeam::Unauthorized)
+    );
+    assert_eq!(
+        table.find_team(&closed, None),
+        Err(ingress::NoTeam::Unauthorized)
     );
-    assert_eq!(table.find_team(&closed, None), Err(ingress::Unauthorized));
     assert_eq!(table.find_team(&open, None), Ok(None));
 }
--- a/laburnumcart_ctl/src/command/gateways.rs
+++ b/laburnumcart_ctl/src/command/gateways.rs
@@ -170,6 +170,9 @@
             readers.join(","),
             state.targets
         )?;
+        if state.refused_parts > 0 {
+            write!(f, " refused_parts={}", state.refused_parts)?;
+        }
         for evacuated in state.evacuated.iter().flatten() {
             write!(
                 f,
--- a/laburnumcart_entry/src/callers/problem.rs
+++ b/laburnumcart_entry/src/callers/problem.rs
@@ -86,6 +86,7 @@
         | verdict::Reason::WrongIncarnation
         | verdict::Reason::Fenced
         | verdict::Reason::NoBundle
+        | verdict::Reason::ConfigUnreadable
         | verdict::Reason::VersionGone
         | verdict::Reason::OriginUnknown => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/laburnumcart_gateway/src/admission.rs
+++ b/laburnumcart_gateway/src/admission.rs
@@ -41,6 +41,10 @@
 /// The route may have been added since; a caller takes 404 as final and does not retry.
 const NOT_FOUND_MAX_AGE: time::Duration = time::Duration::from_millis(3000);
 
+/// Retry delay of a request that concerns an unreadable part of the configuration: the time after
+/// which the operator's next version is in force.
+const UNREADABLE_RETRY: time::Duration = time::Duration::from_secs(2);
+
 /// Time spent on earlier attempts above which a request counts as a retry of the caller.
 const RETRY_MIN_SPENT: time::Duration = time::Duration::from_millis(150);
 
@@ -216,10 +220,24 @@
         false => not_ready(),
     };
     let host = headers.get(header::HOST).and_then(|h| h.to_str().ok());
-    let route = host.and_then(|host| table.find_route(host, path));
-    let route = route.ok_or_else(|| refuse_unknown(verdict::Reason::UnknownPipeline))?;
+    let route = host.map_or(Err(ingress::NoRoute::Unknown), |host| {
+        table.find_route(host, path) //
+    });
+    let route = route.map_err(|error| match error {
+        ingress::NoRoute::Unknown => refuse_unknown(verdict::Reason::UnknownPipeline),
+        ingress::NoRoute::Unreadable => unreadable(),
+    })?;
     let team = table.find_team(route, call.api_key.as_deref());
-    let team = team.map_err(|_| refuse_unknown(verdict::Reason::Unauthorized))?;
+    let team = team.map_err(|error| match error {
+        ingress::NoTeam::Unauthorized => refuse_unknown(verdict::Reason::Unauthorized),
+        ingress::NoTeam::Unreadable => unreadable(),
+    })?;
+    let needed = |(i, _): &(usize, _)| call.pieces.get(*i).is_some_and(|pieces| *pieces > 0);
+    let mut stages = route.stages.iter().enumerate().filter(needed);
+    let is_unreadable = |service: &id::ServiceName| table.is_unreadable(service);
+    if stages.any(|(_, stage)| is_unreadable(&stage.service)) {
+        return Err(unreadable());
+    }
     if team.is_some() {
         check_revocation(view, bounds, now)?;
     }
@@ -250,3 +268,9 @@
     let after = unit::Period::from_millis(500);
     verdict::Refusal::not_run(verdict::Reason::NoBundle).retry_after(after)
 }
+
+/// Refuses a request that concerns a part of the configuration that cannot be read.
+pub(crate) fn unreadable() -> verdict::Refusal {
+    let refusal = verdict::Refusal::not_run(verdict::Reason::ConfigUnreadable);
+    refusal.retry_after(unit::Period(UNREADABLE_RETRY))
+}
--- a/laburnumcart_gateway/src/control.rs
+++ b/laburnumcart_gateway/src/control.rs
@@ -273,6 +273,7 @@
     /// Activates a configuration, and logs where it comes from and how late it may be.
     fn activate(&self, table: ingress::Table, size: usize) {
         let (version, routes) = (table.version, table.route_count());
+        let refused = table.refused_parts;
         // False if the active configuration is as new or newer.
         let is_activated = self.view.set_table(table);
         let unconfirmed = self.view.freshness.age(self.clock.now());
@@ -280,6 +281,7 @@
         if is_activated {
             let secs = unconfirmed.0.as_secs_f64();
             self.reads.config_delay.observe(secs);
+            self.reads.refused_parts.set(refused as i64);
         }
         let read = self.reads.last(Topic::Table);
         let source = read.as_ref().map_or(&reads::Source::Store, |r| &r.source);
@@ -290,6 +292,7 @@
             "table",
             version = version,
             routes = routes,
+            refused = refused,
             bytes = size,
             taken = is_activated,
             source = source,
@@ -309,7 +312,9 @@
         let object = snapshot.objects.values().next();
         if let Some(object) = object.filter(|o| o.version > self.version) {
             self.version = object.version;
-            let table = self.layout.parse_table(&object.value);
+            let known = self.view.table.load();
+            let known = known.as_ref().map_or_else(Default::default, |t| t.limits);
+            let table = self.layout.parse_table(&object.value, &known);
             self.is_refused = table.is_err();
             match table {
                 Ok(table) => self.activate(table, object.value.len()),
--- a/laburnumcart_gateway/src/dialect.rs
+++ b/laburnumcart_gateway/src/dialect.rs
@@ -235,8 +235,13 @@
     /// Returns the key prefix of notes on contents that have crashed several targets.
     fn contents_prefix(&self) -> &'static str;
 
-    /// Parses the configuration.
-    fn parse_table(&self, value: &str) -> Result<ingress::Table, Malformed>;
+    /// Parses the configuration; `known` are the limits that stay in force where it has none that
+    /// can be read.
+    fn parse_table(
+        &self,
+        value: &str,
+        known: &ingress::Limits,
+    ) -> Result<ingress::Table, Malformed>;
 
     /// Parses a target's entry; `name` is the last part of its key.
     fn parse_target(&self, name: &str, value: &str) -> Result<TargetEntry, Malformed>;
--- a/laburnumcart_gateway/src/dispatcher.rs
+++ b/laburnumcart_gateway/src/dispatcher.rs
@@ -248,6 +248,10 @@
             if let Some(batching) = config.and_then(|s| s.batching) {
                 owned.queue.set_batching(batching);
             }
+            if table.as_ref().is_some_and(|t| t.is_unreadable(service)) {
+                let released = owned.queue.release_unstarted();
+                owned.apply_events(released, &*self.dialect);
+            }
             owned.update_targets(targets.service(service), |t| self.call_limiter(t));
             let failed = owned.fail_lost_inputs(&targets, &*self.dialect);
             owned.apply_events(failed, &*self.dialect);
@@ -296,10 +300,14 @@
         &self,
         job: Job,
     ) -> Result<oneshot::Receiver<Result<Vec<batch::Handle>, batch::Failure>>, batch::Failure> {
+        let table = self.view.table.load();
+        let is_unreadable = table
+            .as_ref()
+            .is_some_and(|t| t.is_unreadable(&job.service));
         let mut queues = view::lock(&self.queues);
         let owned = self.owned_queue(&mut queues, &job.service);
         let owned = owned.ok_or(batch::Failure::Unavailable)?;
-        if owned.queue.targets.is_empty() {
+        if is_unreadable || owned.queue.targets.is_empty() {
             return Err(batch::Failure::Unavailable);
         }
         let now = Instant::now();
--- a/laburnumcart_gateway/src/forward.rs
+++ b/laburnumcart_gateway/src/forward.rs
@@ -107,6 +107,10 @@
         };
         let missing = verdict::Refusal::not_run(verdict::Reason::NoTarget);
         let service = service.ok_or(missing)?.clone();
+        // Without its limit of connections nothing may be sent to it.
+        if request.table.is_unreadable(&service) {
+            return Err(admission::unreadable());
+        }
         gateway.budgets.record_request(&service);
         let idempotent = request.route.retry != ingress::RetryPolicy::Never;
         let budgets = gateway.budgets.clone();
--- a/laburnumcart_gateway/src/metrics.rs
+++ b/laburnumcart_gateway/src/metrics.rs
@@ -346,6 +346,11 @@
                 "Time since the last confirmation when a configuration was activated",
                 reads.config_delay.clone(),
             );
+            r.register(
+                "config_parts_refused",
+                "Parts of the configuration in force that cannot be read",
+                reads.refused_parts.clone(),
+            );
             r.register("requests", "Requests received", self.requests.clone());
             r.register(
                 "answered",
--- a/laburnumcart_gateway/src/relay/reads.rs
+++ b/laburnumcart_gateway/src/relay/reads.rs
@@ -8,7 +8,10 @@
 };
 
 use derive_more::Display;
-use prometheus_client::metrics::histogram;
+use prometheus_client::metrics::{
+    gauge,
+    histogram, //
+};
 
 use laburnumcart::{
     id,
@@ -101,6 +104,8 @@
     ///
     /// The store has written the configuration within it.
     pub config_delay: histogram::Histogram,
+    /// Parts of the configuration in force that cannot be read.
+    pub refused_parts: gauge::Gauge<i64>,
 }
 
 impl Default for Reads {
@@ -108,6 +113,7 @@
         Self {
             topics: Mutex::default(),
             config_delay: histogram::Histogram::new(DELAY_BUCKETS),
+            refused_parts: gauge::Gauge::default(),
         }
     }
 }
--- a/laburnumcart_gateway/src/route.rs
+++ b/laburnumcart_gateway/src/route.rs
@@ -111,9 +111,16 @@
     }
     let route = table.find_route(&question.host, uri.path());
     let route = route
-        .ok_or_else(|| {
+        .map_err(|error| {
             let (host, path) = (&question.host, &question.path);
-            invalid(format!("no route of host `{host}` matches path `{path}`"))
+            invalid(match error {
+                ingress::NoRoute::Unknown => {
+                    format!("no route of host `{host}` matches path `{path}`")
+                }
+                ingress::NoRoute::Unreadable => {
+                    format!("the route of host `{host}` and path `{path}` cannot be read")
+                }
+            })
         })?
         .clone();
     let find_team = |name| {
@@ -188,6 +195,12 @@
     if team.is_none() && request.table.find_team(&request.route, None).is_err() {
         return Some(verdict::Refusal::not_run(verdict::Reason::Unauthorized));
     }
+    let stages = request.route.stages.iter().map(|stage| &stage.service);
+    let backends = request.route.backends.iter();
+    let first = backends.filter(|b| b.weight > 0).map(|b| &b.service).next();
+    if stages.chain(first).any(|s| request.table.is_unreadable(s)) {
+        return Some(admission::unreadable());
+    }
     let check = || {
         if team.is_some() {
             admission::check_revocation(view, &gateway.settings.bounds, clock::now())?;
--- a/laburnumcart_gateway/src/state.rs
+++ b/laburnumcart_gateway/src/state.rs
@@ -45,6 +45,11 @@
         data_centre: gateway.settings.data_centre.clone(),
         leaving: view.is_leaving(),
         version: view.table.load().as_ref().map(|table| table.version),
+        refused_parts: view
+            .table
+            .load()
+            .as_ref()
+            .map_or(0, |table| table.refused_parts),
         age: view.freshness.age(clock::now()).map(rounded),
         late: rounded(time::Duration::from_secs_f64(
             gateway.metrics.timer_lag.get(),
--- a/laburnumcart_gateway/tests/config_model/layout.rs
+++ b/laburnumcart_gateway/tests/config_model/layout.rs
@@ -62,17 +62,15 @@
         "contents"
     }
 
-    fn parse_table(&self, value: &str) -> Result<ingress::Table, dialect::Malformed> {
+    fn parse_table(
+        &self,
+        value: &str,
+        limits: &ingress::Limits,
+    ) -> Result<ingress::Table, dialect::Malformed> {
         let text = value.trim_matches('"').trim_end_matches('x');
         let text = text.split(' ').next().unwrap_or_default();
         let version = text.parse().map_err(|_| dialect::Malformed("version"))?;
-        let limits = ingress::Limits {
-            max_head: 0,
-            max_body: 0,
-            head_timeout: time::Duration::ZERO,
-            idle_timeout: time::Duration::ZERO,
-        };
-        Ok(ingress::Table::new(version, limits))
+        Ok(ingress::Table::new(version, *limits))
     }
 
     /// Returns a target whose port tells the version of its entry.
--- a/laburnumcart_system/tests/gateway/admission.rs
+++ b/laburnumcart_system/tests/gateway/admission.rs
@@ -99,7 +99,7 @@
 fn admit_at_age(age: time::Duration, path: &str, key: Option<&str>) -> Result<(), u16> {
     let view = view::View::default();
     let table = store_layout::StoreLayout
-        .parse_table(&config(|_| ()).to_string())
+        .parse_table(&config(|_| ()).to_string(), &Default::default())
         .unwrap();
     view.set_table(table);
     let confirmed = clock::now().0 - age;
--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -34,4 +34,5 @@
 mod support;
 mod switches;
 mod unframed;
+mod unreadable;
 mod versions;
--- a/laburnumcart_system/tests/gateway/restarts.rs
+++ b/laburnumcart_system/tests/gateway/restarts.rs
@@ -390,7 +390,7 @@
     #[test]
     fn arbitrary_text_is_rejected(text in ".{0,200}") {
         prop_assert!(store_layout::StoreLayout.parse_target("i-1", &text).is_err());
-        prop_assert!(store_layout::StoreLayout.parse_table(&text).is_err());
+        prop_assert!(store_layout::StoreLayout.parse_table(&text, &Default::default()).is_err());
     }
 
     /// An entry is valid only if each field has the type that the platform writes.
--- a/laburnumcart_wire/src/gateway.rs
+++ b/laburnumcart_wire/src/gateway.rs
@@ -23,6 +23,9 @@
     pub leaving: bool,
     /// Version of the configuration in force, if there is one.
     pub version: Option<u64>,
+    /// Number of its parts that cannot be read.
+    #[serde(default)]
+    pub refused_parts: usize,
     /// Age of the configuration in force.
     pub age: Option<unit::Period>,
     /// Mean lateness of the gateway's timers.
