--- a/laburnumcart_system/tests/gateway/unreadable.rs
+++ b/laburnumcart_system/tests/gateway/unreadable.rs
@@ -176,8 +176,19 @@
     let system = System::start(config(|_| ()), &[("d-1", "desk", &desk)]).await;
     let odd = config(|c| {
         c["tenants"][0]["allowed_regions"] = json!([7]);
+        let other = json!({ "name": "other", "api_keys": ["clé-2"] });
+        c["tenants"].as_array_mut().unwrap().push(other);
     });
     put_version(&system, 8, odd).await;
     assert_refused(&system.call(path, with_key).await);
     assert_eq!(desk.requests().len(), 0);
+    let other = |headers: &mut HeaderMap| {
+        let key = http::HeaderValue::from_bytes("clé-2".as_bytes()).unwrap();
+        headers.insert("x-api-key", key);
+    };
+    assert_eq!(system.call(path, other).await.status, StatusCode::OK);
+    assert_eq!(
+        desk.requests()[0].header("x-laburnumcart-tenant"),
+        Some("other")
+    );
 }
