--- a/laburnumcart/src/ingress.rs
+++ b/laburnumcart/src/ingress.rs
@@ -276,10 +276,12 @@
         selectors.insert(index, Selector { prefix, route });
     }
 
-    /// Adds a service.
+    /// Adds a service, unless one with its name cannot be read.
     pub fn add_service(&mut self, service: Service) {
-        let name = service.name.clone();
-        self.services.entry(name).or_insert(Some(service));
+        let known = self.services.entry(service.name.clone());
+        if let Some(known) = known.or_insert_with(|| Some(service.clone())) {
+            *known = service;
+        }
     }
 
     /// Adds a service that cannot be read; what is sent to it is refused.
@@ -288,12 +290,14 @@
     }
 
     /// Adds a team's API key; from then on requests need one.
+    ///
+    /// A key that a team which cannot be read has as well stays refused.
     pub fn add_key(&mut self, key: impl Into<String>, team: Team) {
         self.requires_key = true;
         let known = self.teams.entry(key.into());
-        known
-            .and_modify(|known| *known = known.take().and(Some(team.clone())))
-            .or_insert(Some(team));
+        if let Some(known) = known.or_insert_with(|| Some(team.clone())) {
+            *known = team;
+        }
     }
 
     /// Adds an API key of a team that cannot be read; requests with it are refused.
--- a/laburnumcart_gateway/src/route.rs
+++ b/laburnumcart_gateway/src/route.rs
@@ -196,8 +196,8 @@
         return Some(verdict::Refusal::not_run(verdict::Reason::Unauthorized));
     }
     let stages = request.route.stages.iter().map(|stage| &stage.service);
-    let backends = request.route.backends.iter();
-    let first = backends.filter(|b| b.weight > 0).map(|b| &b.service).next();
+    let mut backends = request.route.backends.iter();
+    let first = backends.find(|b| b.weight > 0).map(|b| &b.service);
     if stages.chain(first).any(|s| request.table.is_unreadable(s)) {
         return Some(admission::unreadable());
     }
