--- a/laburnumcart_system/tests/gateway/main.rs
+++ b/laburnumcart_system/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod partial;
 mod pauses;
 mod poison;
+mod raw_requests;
 mod refusals;
 mod relay;
 mod residency;
