Ask other gateways about a stream without a name as well

Cause: a list of targets that was read within 2.5 s was taken for up to date, and nobody was asked about a stream that its caller does not name. Streams begin at a new version sooner than that elsewhere.

Change: others are asked whenever there is no record; at least one has to answer, and none may have seen another version. Otherwise the notes in the store decide, as for named streams, or it is refused as not run.

Ruled out: waiting until the list is newer than the question; it delays each such stream by a watch, and a gateway that is cut off would wait in vain.

Unit tests of the evidence no longer tell named streams from others, and ask the stricter rule of both.

--- a/laburnumcart/src/origin/evidence.rs
+++ b/laburnumcart/src/origin/evidence.rs
@@ -14,8 +14,6 @@
 pub struct Evidence<'a> {
     /// Record of its origin, at this process or another one.
     pub begun: Option<&'a Begun>,
-    /// Whether the caller has named the stream, so that a record can be found.
-    pub named: bool,
     /// What this process knows of the versions of each service that may have begun the stream.
     pub own: &'a [Known],
     /// Whether this process has read the list of targets lately.
@@ -67,8 +65,8 @@
         }
         match (self.has_peers, self.fresh) {
             (false, _) => true,
-            // A record of a stream that was named would be known to those who have answered.
-            (true, true) => !self.named || !self.peers.is_empty(),
+            // Those who have answered would know a record of the stream, or another version.
+            (true, true) => !self.peers.is_empty(),
             (true, false) => peers.any(|known| sole(known) == Some(version)),
         }
     }
--- a/laburnumcart/tests/origin.rs
+++ b/laburnumcart/tests/origin.rs
@@ -280,7 +280,6 @@
 fn evidence<'a>(own: &'a [Known], peers: &'a [Vec<Known>]) -> Evidence<'a> {
     Evidence {
         begun: None,
-        named: true,
         own,
         fresh: true,
         peers,
@@ -303,7 +302,7 @@
 #[case::one_has_seen_another(vec![vec![Known::Sole(version("v2"))]], false)]
 #[case::one_has_seen_several(vec![vec![Known::Sole(version("v1"))], vec![Known::Several]], false)]
 #[case::none_has_answered(vec![], false)]
-fn a_named_stream_without_a_record_goes_on_if_no_other_version_can_have_begun_it(
+fn a_stream_without_a_record_goes_on_if_no_other_version_can_have_begun_it(
     #[case] peers: Vec<Vec<Known>>,
     #[case] goes_on: bool,
 ) {
@@ -326,7 +325,6 @@
     let own = [Known::Sole(version("v1"))];
     let evidence = Evidence {
         fresh: false,
-        named: false,
         ..evidence(&own, &peers)
     };
     assert_eq!(evidence.decide() == Decision::Sole(version("v1")), goes_on);
--- a/laburnumcart/tests/origin_model/model.rs
+++ b/laburnumcart/tests/origin_model/model.rs
@@ -451,7 +451,6 @@
         let peers: Vec<_> = peers.map(told_by).collect();
         let evidence = Evidence {
             begun: begun.as_ref(),
-            named: true,
             own: &[own.history.known(&service(), now)],
             fresh: own.history.is_fresh(now),
             peers: &peers,
--- a/laburnumcart_gateway/src/origins/lookup.rs
+++ b/laburnumcart_gateway/src/origins/lookup.rs
@@ -144,8 +144,9 @@
         let own = self.answer(&question);
         let fresh = self.view.is_listing_fresh(clock::now());
         let mut told = Told::default();
-        // A list that is up to date leaves nothing to ask about a stream without a name.
-        if own.begun.is_none() && !(fresh && question.stream.is_none()) {
+        // A list that was up to date a moment ago may lack the version of a stream without a name,
+        // which the process that began it knows.
+        if own.begun.is_none() {
             let stream = question.stream.unwrap_or(request.fingerprint());
             let members = self.homes(stream, homes::ASKED);
             told.asked = members.len();
@@ -156,7 +157,6 @@
         let decide = |told: &Told, possible: &Possible| {
             let evidence = evidence::Evidence {
                 begun: own.begun.as_ref().or(told.begun()),
-                named: question.stream.is_some(),
                 own: &own.known,
                 fresh,
                 peers: &known,
--- a/laburnumcart_system/tests/gateway/support.rs
+++ b/laburnumcart_system/tests/gateway/support.rs
@@ -352,6 +352,12 @@
         }
     }
 
+    /// Stops following the store and the peers, as a process whose control stands still; callers are
+    /// served, and peers can be asked.
+    pub(crate) fn stall_control(&mut self) {
+        self._tasks.abort_all();
+    }
+
     /// Creates or replaces an object.
     pub(crate) async fn put(&self, key: &str, value: &str) {
         let expect = match self.store.get(key).await.unwrap() {
--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -279,6 +279,47 @@
     assert!(one.requests().is_empty() && two.requests().is_empty());
 }
 
+// A gateway that is out of step takes the version that it knows for that of a stream that began at a
+// newer one, if the caller does not name the stream.
+#[rstest]
+#[case::in_step(false)]
+#[case::out_of_step(true)]
+#[tokio::test]
+async fn a_stream_without_a_name_goes_on_at_its_version_or_not_at_all(#[case] is_out: bool) {
+    let one = versioned_target("v1", |_| Some(Step::Hang)).await;
+    let two = versioned_target("v2", |_| Some(Step::Hang)).await;
+    let first = System::start(config(|_| ()), &[]).await;
+    list_targets(&first, &[("i-1", "v1", &one)]).await;
+    support::wait_for_object(&first.store, "software-versions/desk").await;
+    let mut other = first.start_peers(2..=2).await.remove(0);
+    knows_targets(&other, &["i-1"]).await;
+    let take_up = async |gateway: &System, attempt: &str| {
+        let call = gateway.call("/resumed/1", |headers| {
+            headers.insert("x-laburnumcart-attempt-id", attempt.parse().unwrap());
+            headers.insert("last-event-id", "2".parse().unwrap());
+        });
+        call.await
+    };
+    // With one version, such streams go on.
+    let events = leave_stream(&first, "stream-1").await;
+    let response = take_up(&other, "again-1").await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(versions_in(&format!("{events}{}", response.body)), ["v1"]);
+
+    if is_out {
+        other.stall_control();
+    }
+    first.remove("servers/i-1").await;
+    list_targets(&first, &[("i-2", "v2", &two)]).await;
+    let mut outcome = Outcome::default();
+    for number in 2..12 {
+        let events = leave_stream(&first, &format!("stream-{number}")).await;
+        assert_eq!(versions_in(&events), ["v2"]);
+        outcome.record(&events, &take_up(&other, &format!("again-{number}")).await);
+    }
+    assert_eq!(outcome.mixed, 0, "{outcome:?}");
+}
+
 // A version that an entry does not state is taken for that of another target without one.
 #[tokio::test]
 async fn a_version_that_is_not_known_equals_no_other() {
