--- a/laburnumcart_system/tests/gateway/late_repeats.rs
+++ b/laburnumcart_system/tests/gateway/late_repeats.rs
@@ -9,12 +9,14 @@
 };
 
 use http::HeaderValue;
+use laburnumcart_daemon::metrics;
 use laburnumcart_fakes::scripted::{
     Crash,
     ReceivedRequest,
     Step,
     Target, //
 };
+use laburnumcart_gateway::budgets;
 use rstest::rstest;
 use serde_json::{
     Value,
@@ -238,8 +240,7 @@
     vec![not_run(seen, "409 Conflict")]
 }
 
-// Pieces that were granted a repeat wait in the queue while all targets are busy, and arrive with
-// those that are granted when their own grants are out of the window.
+// Pieces wait in the queue from the grant of their repeat, and arrive with those of the next window.
 #[rstest]
 #[case::requeued(one_ends, retry_budget::full_response)]
 #[case::run_again(all_get_busy, inputs_gone)]
@@ -282,11 +283,27 @@
     tokio::join!(first, next);
     // By then the grants of the first burst are out of their window.
     tokio::time::sleep_until(start + time::Duration::from_millis(12_500)).await;
-    send_burst(fleet, "/safe/", DEADLINE, repeats.clone()).await;
+    send_burst(fleet.clone(), "/safe/", DEADLINE, repeats.clone()).await;
 
-    let worst = repeats.worst_use();
-    println!("worst use of the budget: {worst:.2}");
+    let (worst, seen) = (repeats.worst_use(), repeats.count());
+    let granted: u64 = fleet.iter().map(granted_pieces).sum();
+    println!("worst use of the budget: {worst:.2}, {seen} repeats, {granted} granted");
     assert!(worst <= 1.0, "{worst:.2} of the budget");
+    assert!(seen as u64 <= granted, "{seen} repeats, {granted} granted");
+}
+
+/// Returns the repeats of pieces that a gateway has granted, by its own counters.
+fn granted_pieces(system: &System) -> u64 {
+    let kinds = [budgets::RepeatKind::Pieces, budgets::RepeatKind::Stage];
+    let labels = kinds.map(|kind| budgets::Labels {
+        way: metrics::Label(kind),
+        outcome: metrics::Label(budgets::Outcome::Granted),
+    });
+    let counters = &system.gateway.metrics.repeats;
+    labels
+        .iter()
+        .map(|labels| counters.get_or_create(labels).get())
+        .sum()
 }
 
 // Targets read requests, answer none, and start again under their names.
--- a/laburnumcart_system/tests/gateway/stopped_targets.rs
+++ b/laburnumcart_system/tests/gateway/stopped_targets.rs
@@ -101,6 +101,11 @@
         self.at.lock().unwrap().extend(vec![now; repeats]);
     }
 
+    /// Returns the number of repeats that targets have received.
+    pub(crate) fn count(&self) -> usize {
+        self.at.lock().unwrap().len()
+    }
+
     /// Returns the greatest use of the budget in any window, as a fraction.
     pub(crate) fn worst_use(&self) -> f64 {
         let (sent, at) = (self.sent.lock().unwrap(), self.at.lock().unwrap());
--- a/laburnumcart_system/tests/gateway/versions.rs
+++ b/laburnumcart_system/tests/gateway/versions.rs
@@ -279,8 +279,7 @@
     assert!(one.requests().is_empty() && two.requests().is_empty());
 }
 
-// A gateway that is out of step takes the version that it knows for that of a stream that began at a
-// newer one, if the caller does not name the stream.
+// A gateway out of step takes the version that it knows for that of a stream without a name.
 #[rstest]
 #[case::in_step(false)]
 #[case::out_of_step(true)]
